--- /dev/null
+++ b/crates/sillbank_cli/src/main.rs
@@ -0,0 +1,110 @@
+//! `sillbank`: the operators' command line.
+
+#![forbid(unsafe_code)]
+
+mod apply;
+mod check;
+mod explain;
+mod remote;
+mod show;
+
+use argh::FromArgs;
+use smol::LocalExecutor;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Operate a sillbank fleet: check and apply settings, look at what is in force.
+/// The control process is named with --control or SILLBANK_CONTROL, the key with SILLBANK_KEY.
+/// Exit codes: 0 done, 1 failed, 2 wrong arguments or settings, 3 somebody else's change is newer.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Option<Command>,
+    /// print the version
+    #[argh(switch)]
+    version: bool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::CheckArguments),
+    Apply(apply::ApplyArguments),
+    Diff(apply::DiffArguments),
+    Delete(apply::DeleteArguments),
+    Get(show::GetArguments),
+    Status(show::StatusArguments),
+    Explain(explain::ExplainArguments),
+    HashKey(HashKeyArguments),
+}
+
+/// Print the hash of a key read from standard input, as settings keep it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hash-key")]
+struct HashKeyArguments {}
+
+/// Why a command did not do what it was asked.
+#[derive(Debug, thiserror::Error)]
+enum CommandError {
+    /// Settings are not valid.
+    #[error("{0}")]
+    Settings(#[from] sillbank_settings::reader::Problems),
+    /// The control process refused.
+    #[error("{0}")]
+    Refused(#[from] sillbank_core::admin::AdminFailure),
+    /// The control process gave no answer.
+    #[error("{0}")]
+    Call(#[from] sillbank_net::client::CallError),
+    /// Anything else.
+    #[error("{0}")]
+    Other(String),
+}
+
+impl CommandError {
+    fn exit_code(&self) -> ExitCode {
+        use sillbank_core::admin::AdminFailureKind;
+        match self {
+            Self::Settings(_) => ExitCode::from(2),
+            Self::Refused(failure) if failure.kind == AdminFailureKind::Conflict => ExitCode::from(3),
+            Self::Refused(_) | Self::Call(_) | Self::Other(_) => ExitCode::FAILURE,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("sillbank {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    sillbank_net::telemetry::start_logs(false, "warn");
+    let executor = Rc::new(LocalExecutor::new());
+    match smol::block_on(executor.run(run(executor.clone(), arguments.command))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+async fn run(executor: Rc<LocalExecutor<'static>>, command: Option<Command>) -> Result<(), CommandError> {
+    match command {
+        Some(Command::Check(arguments)) => check::check(&arguments),
+        Some(Command::Apply(arguments)) => apply::apply(executor, arguments).await,
+        Some(Command::Diff(arguments)) => apply::diff(executor, arguments).await,
+        Some(Command::Delete(arguments)) => apply::delete(executor, arguments).await,
+        Some(Command::Get(arguments)) => show::get(executor, arguments).await,
+        Some(Command::Status(arguments)) => show::status(executor, arguments).await,
+        Some(Command::Explain(arguments)) => explain::explain(&arguments),
+        Some(Command::HashKey(_)) => hash_key(),
+        None => Err(CommandError::Other("Name a command; see --help.".to_owned())),
+    }
+}
+
+fn hash_key() -> Result<(), CommandError> {
+    let mut key = String::new();
+    std::io::stdin().read_line(&mut key).map_err(|e| CommandError::Other(e.to_string()))?;
+    println!("{}", sillbank_settings::objects::hash_key(key.trim()));
+    Ok(())
+}
--- /dev/null
+++ b/crates/sillbank_cli/src/remote.rs
@@ -0,0 +1,89 @@
+//! Calls to a control process.
+
+use crate::CommandError;
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request};
+use sillbank_net::client::request;
+use sillbank_net::prelude::*;
+use sillbank_protocol::platform::Object;
+use smol::LocalExecutor;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time a call may take: a write may be read back several times.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// One control process.
+pub(crate) struct Remote {
+    http: HttpClient,
+    address: SocketAddr,
+    key: String,
+}
+
+impl Remote {
+    /// Takes the address from the argument or the environment, the key from the environment.
+    pub(crate) fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        control: Option<String>,
+    ) -> Result<Self, CommandError> {
+        let text = control.or_else(|| std::env::var("SILLBANK_CONTROL").ok()).ok_or_else(|| {
+            CommandError::Other("Name a control process with --control IP:PORT.".to_owned())
+        })?;
+        let address = text.parse().map_err(|_| {
+            CommandError::Other(format!("'{text}' is no address; write it as 127.0.0.1:9000."))
+        })?;
+        let key = std::env::var("SILLBANK_KEY").unwrap_or_default();
+        Ok(Self { http: HttpClient::new(executor, 256 << 20), address, key })
+    }
+
+    /// Reads a path.
+    pub(crate) async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, CommandError> {
+        self.send(request(Method::GET, path, Bytes::new())).await
+    }
+
+    /// Reads an object, if it is there.
+    pub(crate) async fn object(&self, key: &str) -> Result<Option<Object>, CommandError> {
+        use sillbank_core::admin::AdminFailureKind;
+        match self.get(&format!("/v1/objects/{key}")).await {
+            Ok(object) => Ok(Some(object)),
+            Err(CommandError::Refused(f)) if f.kind == AdminFailureKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes or deletes an object that must still be at a version, or absent.
+    pub(crate) async fn write(
+        &self,
+        key: &str,
+        expected: Option<u64>,
+        value: Option<&serde_json::Value>,
+        why: &str,
+    ) -> Result<Object, CommandError> {
+        let method = if value.is_some() { Method::PUT } else { Method::DELETE };
+        let body = value.map(ToString::to_string).unwrap_or_default();
+        let mut call = request(method, &format!("/v1/objects/{key}"), body.into());
+        let headers = call.headers_mut();
+        match expected {
+            Some(version) => headers.insert("if-match", HeaderValue::from(version)),
+            None => headers.insert("if-none-match", HeaderValue::from_static("*")),
+        };
+        if let Ok(why) = HeaderValue::from_str(why) {
+            headers.insert("x-why", why);
+        }
+        self.send(call).await
+    }
+
+    async fn send<T: serde::de::DeserializeOwned>(&self, mut call: Request<Bytes>) -> Result<T, CommandError> {
+        if let Ok(value) = HeaderValue::from_str(&format!("Bearer {}", self.key)) {
+            call.headers_mut().insert("authorization", value);
+        }
+        let reply = self.http.call(self.address, call, TIMEOUT).await?;
+        let unreadable = |e: serde_json::Error| CommandError::Other(format!("Unreadable answer: {e}."));
+        match reply.status.is_success() {
+            true => reply.json().map_err(unreadable),
+            false => Err(CommandError::Refused(reply.json().map_err(unreadable)?)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_control/src/admin.rs
@@ -0,0 +1,239 @@
+//! The administration interface, health and status over HTTP.
+//!
+//! - `GET /v1/objects?prefix=P` lists objects, `GET /v1/objects/KEY` reads one.
+//! - `PUT /v1/objects/KEY` and `DELETE /v1/objects/KEY` with `If-Match: VERSION` or
+//!   `If-None-Match: *`, and `X-Why: REASON`.
+//! - `GET /v1/effective/KEY` gives each setting in force and where it came from.
+//! - `GET /v1/status`.
+
+use crate::platform_client::PlatformClient;
+use crate::store::Store;
+use crate::write::{Write, carry_out};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode};
+use sillbank_core::prelude::*;
+use sillbank_net::prelude::*;
+use sillbank_settings::objects::{WriteNote, hash_key, read_object_value};
+use sillbank_settings::prelude::*;
+use sillbank_settings::process::ControlSettings;
+use std::rc::Rc;
+
+/// Longest object, the platform's limit.
+const MAX_OBJECT_BYTES: usize = 1 << 20;
+
+/// Answers operators and the platform's health checks.
+pub(crate) struct AdminHandler {
+    settings: ControlSettings,
+    store: Rc<Store>,
+    platform: PlatformClient,
+}
+
+/// Who asks, and where it may write.
+struct Operator {
+    name: String,
+    subtree: String,
+}
+
+impl Operator {
+    fn may_write(&self, place: &str) -> bool {
+        let under = place.strip_prefix(self.subtree.trim_end_matches('/'));
+        under.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+}
+
+impl AdminHandler {
+    pub(crate) fn new(settings: ControlSettings, store: Rc<Store>, platform: PlatformClient) -> Self {
+        Self { settings, store, platform }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<ReplyBody>, AdminFailure> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        let get = head.method == Method::GET;
+        match path {
+            "/healthz" if get => return Ok(text_reply(StatusCode::OK, "ok")),
+            "/readyz" if get => return Ok(self.readiness()),
+            "/v1/status" if get => return Ok(json_reply(StatusCode::OK, &self.status())),
+            _ => {}
+        }
+        let operator = self.operator(&head.headers)?;
+        if let Some(key) = path.strip_prefix("/v1/effective/").filter(|_| get) {
+            return Ok(self.effective(key));
+        }
+        if path == "/v1/objects" && get {
+            let query = head.uri.query().unwrap_or_default();
+            let prefix = query.strip_prefix("prefix=").unwrap_or_default();
+            return Ok(json_reply(StatusCode::OK, &self.store.list(prefix)));
+        }
+        let Some(key) = path.strip_prefix("/v1/objects/") else {
+            let message = format!("{} {path} is not served here.", head.method);
+            return Err(AdminFailure::new(AdminFailureKind::NotFound, message));
+        };
+        match head.method {
+            Method::GET => self.read(key),
+            Method::PUT => self.put(&operator, key, &head.headers, read_body(body).await?).await,
+            Method::DELETE => self.delete(&operator, key, &head.headers).await,
+            _ => Err(AdminFailure::new(AdminFailureKind::NotFound, "The method is not served.")),
+        }
+    }
+
+    fn readiness(&self) -> Response<ReplyBody> {
+        match self.store.complete() {
+            0 => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no settings"),
+            _ => text_reply(StatusCode::OK, "ok"),
+        }
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let tree = self.store.tree();
+        let invalid: Vec<String> =
+            tree.invalid().values().flat_map(|problems| &problems.0).map(ToString::to_string).collect();
+        serde_json::json!({
+            "vm": self.settings.vm,
+            "hall": self.settings.hall,
+            "complete_version": self.store.complete(),
+            "objects": self.store.len(),
+            "invalid": invalid,
+        })
+    }
+
+    fn operator(&self, headers: &HeaderMap) -> Result<Operator, AdminFailure> {
+        let value = headers.get("authorization").and_then(|value| value.to_str().ok());
+        let hash = value.and_then(|value| value.strip_prefix("Bearer ")).map(hash_key);
+        let found = hash.and_then(|hash| {
+            if self.settings.root_key_hashes.contains(&hash) {
+                return Some(Operator { name: "root".to_owned(), subtree: "/".to_owned() });
+            }
+            let tree = self.store.tree();
+            let (name, subtree) = tree.operator_of_key(&hash)?;
+            Some(Operator { name: name.to_owned(), subtree: subtree.to_owned() })
+        });
+        found.ok_or_else(|| {
+            AdminFailure::new(AdminFailureKind::UnknownOperator, "The operator key is not known.")
+        })
+    }
+
+    fn read(&self, key: &str) -> Result<Response<ReplyBody>, AdminFailure> {
+        let object = self.store.get(key).ok_or_else(|| not_found(key))?;
+        Ok(json_reply(StatusCode::OK, &object))
+    }
+
+    fn effective(&self, key: &str) -> Response<ReplyBody> {
+        let effective = self.store.tree().effective(key);
+        let values: serde_json::Map<String, serde_json::Value> = Policy::NAMES
+            .iter()
+            .map(|name| {
+                let from = effective.origin.get(name);
+                let entry = serde_json::json!({
+                    "value": effective.policy.value(name),
+                    "from": from,
+                });
+                ((*name).to_owned(), entry)
+            })
+            .collect();
+        json_reply(StatusCode::OK, &values)
+    }
+
+    async fn put(
+        &self,
+        operator: &Operator,
+        key: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<ReplyBody>, AdminFailure> {
+        let expected = expected_version(headers)?;
+        let mut value: serde_json::Value = serde_json::from_slice(&body)
+            .map_err(|e| AdminFailure::new(AdminFailureKind::Malformed, format!("{e}.")))?;
+        let invalid = |problems: Problems| {
+            AdminFailure::new(AdminFailureKind::Invalid, problems.to_string())
+        };
+        let object = read_object_value(key, value.clone()).map_err(invalid)?;
+        self.check_right(operator, key, Some(&object.place(key)))?;
+        self.store.tree().check_references(key, &object).map_err(invalid)?;
+        let mark = new_mark();
+        let note = WriteNote { by: operator.name.clone(), why: why(headers), mark: mark.clone() };
+        if let Some(fields) = value.as_object_mut() {
+            fields.insert("note".to_owned(), serde_json::json!(note));
+        }
+        let value = Some(value.to_string());
+        self.write(Write { key: key.to_owned(), expected, value, mark }).await
+    }
+
+    async fn delete(
+        &self,
+        operator: &Operator,
+        key: &str,
+        headers: &HeaderMap,
+    ) -> Result<Response<ReplyBody>, AdminFailure> {
+        let expected = expected_version(headers)?;
+        self.check_right(operator, key, None)?;
+        self.write(Write { key: key.to_owned(), expected, value: None, mark: new_mark() }).await
+    }
+
+    async fn write(&self, write: Write) -> Result<Response<ReplyBody>, AdminFailure> {
+        let object = carry_out(&self.platform, &write).await?;
+        tracing::info!("control: {} is written as version {}.", object.key, object.version);
+        Ok(json_reply(StatusCode::OK, &object))
+    }
+
+    /// An operator needs the right to where the object stands and to where it will stand.
+    fn check_right(
+        &self,
+        operator: &Operator,
+        key: &str,
+        new_place: Option<&str>,
+    ) -> Result<(), AdminFailure> {
+        let old_place = self.store.get(key).and_then(|_| self.store.tree().place_of(key));
+        let mut places = old_place.iter().map(String::as_str).chain(new_place);
+        match places.find(|place| !operator.may_write(place)) {
+            None => Ok(()),
+            Some(place) => {
+                let message = format!("'{}' may not write under {place}.", operator.name);
+                Err(AdminFailure::new(AdminFailureKind::NoRight, message))
+            }
+        }
+    }
+}
+
+impl Handler for AdminHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        match self.answer(request).await {
+            Ok(reply) => reply,
+            Err(failure) => {
+                let status = StatusCode::from_u16(failure.kind.http_status());
+                json_reply(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &failure)
+            }
+        }
+    }
+}
+
+fn not_found(key: &str) -> AdminFailure {
+    AdminFailure::new(AdminFailureKind::NotFound, format!("There is no object {key}."))
+}
+
+async fn read_body(body: Incoming) -> Result<Bytes, AdminFailure> {
+    let whole = Limited::new(body, MAX_OBJECT_BYTES).collect().await;
+    whole.map(http_body_util::Collected::to_bytes).map_err(|e| {
+        AdminFailure::new(AdminFailureKind::Malformed, format!("The body was not read: {e}."))
+    })
+}
+
+fn expected_version(headers: &HeaderMap) -> Result<Option<u64>, AdminFailure> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    match (text("if-match").map(str::parse), text("if-none-match")) {
+        (Some(Ok(version)), None) => Ok(Some(version)),
+        (None, Some("*")) => Ok(None),
+        _ => Err(AdminFailure::new(AdminFailureKind::Malformed, "The write names no version.")),
+    }
+}
+
+fn why(headers: &HeaderMap) -> String {
+    headers.get("x-why").and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+fn new_mark() -> String {
+    format!("{:032x}", fastrand::u128(..))
+}
--- /dev/null
+++ b/crates/sillbank_control/src/main.rs
@@ -0,0 +1,77 @@
+//! `sillbank-control`: one per VM; keeps the settings of the fleet and hands them to entry.
+
+#![forbid(unsafe_code)]
+
+mod admin;
+mod entry_link;
+mod platform_client;
+mod store;
+mod watch;
+mod write;
+
+use argh::FromArgs;
+use sillbank_net::prelude::*;
+use sillbank_settings::process::{ControlSettings, LogShape, ProcessSettings, read_file};
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// The control process of one VM: settings, membership, health, leases and status.
+/// Exit codes: 0 ended by SIGTERM, 1 failed, 2 wrong arguments or settings.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file (TOML); see examples/control.toml
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// print the version
+    #[argh(switch)]
+    version: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("sillbank-control {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let path = arguments.settings.unwrap_or_else(|| "control.toml".into());
+    let settings = match read_file(&path) {
+        Ok(ProcessSettings::Control(settings)) => *settings,
+        Ok(_) => {
+            eprintln!("control: {}: the role is not 'control'; name its own file.", path.display());
+            return ExitCode::from(2);
+        }
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::from(2);
+        }
+    };
+    sillbank_net::telemetry::start_logs(settings.log.shape == LogShape::Json, &settings.log.filter);
+    let executor = Rc::new(LocalExecutor::new());
+    match smol::block_on(executor.run(run(executor.clone(), settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!("control: It cannot run: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(executor: Rc<LocalExecutor<'static>>, settings: ControlSettings) -> std::io::Result<()> {
+    let mut stop = sillbank_net::signals::StopSignals::new()?;
+    let store = Rc::new(store::Store::default());
+    let entries = TcpListener::bind(settings.listen).await?;
+    let admin = TcpListener::bind(settings.admin_listen).await?;
+    let client = HttpClient::new(executor.clone(), 256 << 20);
+    let platform = platform_client::PlatformClient::new(client, settings.platform);
+    executor.spawn(entry_link::accept(executor.clone(), entries, store.clone())).detach();
+    executor.spawn(watch::follow(platform.clone(), store.clone())).detach();
+    let handler = Rc::new(admin::AdminHandler::new(settings.clone(), store, platform));
+    executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
+    tracing::info!("control: VM {} in hall {} is up.", settings.vm, settings.hall);
+    stop.next().await;
+    tracing::info!("control: Stopped.");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sillbank_entry/src/admin.rs
@@ -0,0 +1,57 @@
+//! Health, readiness, metrics and status over HTTP.
+
+use crate::state::Entry;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use sillbank_chart::Named;
+use sillbank_net::prelude::*;
+use sillbank_net::telemetry::metrics_reply;
+use std::rc::Rc;
+
+/// Answers the balancer, the platform's health checks and operators.
+pub(crate) struct AdminHandler {
+    entry: Rc<Entry>,
+}
+
+impl AdminHandler {
+    pub(crate) fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let table = self.entry.table.borrow();
+        let endpoints: Vec<serde_json::Value> = table
+            .iter()
+            .filter(|(_, endpoint)| endpoint.present)
+            .map(|(_, endpoint)| {
+                serde_json::json!({
+                    "endpoint": endpoint.spec.id,
+                    "health": endpoint.health.state().name(),
+                    "connected": endpoint.connected,
+                    "requests": endpoint.requests,
+                    "held": endpoint.held,
+                    "step_us": endpoint.cost.elapsed_us(),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "vm": self.entry.settings.vm,
+            "ready": self.entry.is_ready(),
+            "in_force_version": self.entry.in_force.get(),
+            "endpoints": endpoints,
+        })
+    }
+}
+
+impl Handler for AdminHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/healthz") => text_reply(StatusCode::OK, "ok"),
+            (&Method::GET, "/readyz") if self.entry.is_ready() => text_reply(StatusCode::OK, "ok"),
+            (&Method::GET, "/readyz") => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            (&Method::GET, "/metrics") => metrics_reply(&self.entry.metrics.registry),
+            (&Method::GET, "/v1/status") => json_reply(StatusCode::OK, &self.status()),
+            _ => text_reply(StatusCode::NOT_FOUND, "unknown path"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_entry/src/callers.rs
@@ -0,0 +1,266 @@
+//! The callers' interface.
+
+use crate::chat::{ChatRequest, whole_answer};
+use crate::drive::{DriveRequest, drive};
+use crate::failures::failure_reply;
+use crate::mailbox::Mailbox;
+use crate::reading::{authenticate, deadline, number_header, read_body, request_id};
+use crate::sink::{Head, Sink};
+use crate::state::Entry;
+use crate::trace::TraceContext;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use sillbank_core::prelude::*;
+use sillbank_generation::Plan;
+use sillbank_net::prelude::*;
+use sillbank_routing::prelude::*;
+use sillbank_settings::prelude::*;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// When to come back after a refusal for want of room or of endpoints.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Answers callers.
+pub(crate) struct CallerHandler {
+    entry: Rc<Entry>,
+}
+
+/// What every request brings besides its body.
+pub(crate) struct CallerContext {
+    pub(crate) organisation: OrganisationId,
+    pub(crate) request_id: String,
+    pub(crate) trace: TraceContext,
+    pub(crate) headers: HeaderMap,
+    pub(crate) arrived: Instant,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<ReplyBody>, Failure> {
+        if self.entry.stop.is_stopping() {
+            let failure = Failure::before_work(FailureKind::Stopping, "The VM is stopping.");
+            return Err(failure.retry_after(COME_BACK));
+        }
+        if self.entry.in_force.get() == 0 {
+            let failure = Failure::before_work(FailureKind::NotReady, "No settings have come yet.");
+            return Err(failure.retry_after(COME_BACK));
+        }
+        let (head, body) = request.into_parts();
+        let context = self.context(&head.headers)?;
+        let path = head.uri.path().to_owned();
+        match (&head.method, path.as_str()) {
+            (&Method::POST, "/v1/chat/completions") => {
+                let body = read_body(&self.entry, body).await?;
+                self.generate(context, &body).await
+            }
+            (&Method::POST, path) if path.starts_with("/v1/services/") => {
+                let body = read_body(&self.entry, body).await?;
+                crate::services::call(&self.entry, context, path, body).await
+            }
+            (method, path) => {
+                let reason = format!("{method} {path} is not served here.");
+                Err(Failure::before_work(FailureKind::UnknownRoute, reason))
+            }
+        }
+    }
+
+    fn context(&self, headers: &HeaderMap) -> Result<CallerContext, Failure> {
+        let organisation = authenticate(&self.entry, headers)?;
+        let request_id = request_id(&self.entry, headers)?;
+        let trace = TraceContext::from_headers(headers, &mut self.entry.rng.borrow_mut());
+        Ok(CallerContext {
+            organisation,
+            request_id,
+            trace,
+            headers: headers.clone(),
+            arrived: Instant::now(),
+        })
+    }
+
+    async fn generate(
+        &self,
+        context: CallerContext,
+        body: &[u8],
+    ) -> Result<Response<ReplyBody>, Failure> {
+        let chat: ChatRequest = serde_json::from_slice(body).map_err(|e| {
+            Failure::before_work(FailureKind::MalformedBody, format!("The body is not read: {e}."))
+        })?;
+        let admitted = Admitted::new(&self.entry, &context)?;
+        let (policy, layers) = self.pipeline_of(&context, &chat.model)?;
+        let request = self.plan(&context, &chat, &policy, layers)?;
+        let prompt_tokens = request.plan.prompt.len() as u32;
+        let (outbox, outbox_body) = Outbox::new();
+        let (head_sender, head) = smol::channel::bounded(1);
+        let uid = request.plan.uid;
+        let answer_id = format!("chatcmpl-{uid}");
+        let span = context.trace.span(&context.request_id, &context.organisation);
+        let sink = Sink::new(
+            chat.stream, outbox, head_sender, answer_id.clone(), chat.model.clone(), span,
+        );
+        self.entry.stop.register(uid, request.mailbox.clone());
+        let entry = self.entry.clone();
+        let work = async move {
+            drive(entry.clone(), request, sink).await;
+            entry.stop.unregister(uid);
+            drop(admitted);
+        };
+        self.entry.executor.spawn(work).detach();
+        let head = head.recv().await.unwrap_or_else(|_| {
+            let reason = "The caller has gone.";
+            Err(Failure::new(FailureKind::CallerStalled, RunState::Unknown, reason))
+        })?;
+        let mut reply = match head {
+            Head::Stream => stream_reply(outbox_body),
+            Head::Whole { text, tokens, reason } => {
+                let whole =
+                    whole_answer(&answer_id, &chat.model, text, prompt_tokens, tokens, reason);
+                json_reply(StatusCode::OK, &whole)
+            }
+        };
+        let headers = reply.headers_mut();
+        headers.insert("traceparent", context.trace.header());
+        if let Ok(id) = HeaderValue::from_str(&context.request_id) {
+            headers.insert("x-request-id", id);
+        }
+        Ok(reply)
+    }
+
+    /// The pipeline's policy and layers, if the organisation may call it.
+    fn pipeline_of(&self, context: &CallerContext, name: &str) -> Result<(Policy, u16), Failure> {
+        let tree = self.entry.tree.borrow();
+        let found = tree
+            .pipeline(name)
+            .filter(|pipeline| tree.may_call(&context.organisation, &pipeline.parent));
+        let Some(pipeline) = found else {
+            let reason = format!("There is no pipeline '{name}' for this organisation.");
+            return Err(Failure::before_work(FailureKind::UnknownTarget, reason));
+        };
+        Ok((tree.effective(&format!("pipeline/{name}")).policy, pipeline.layers))
+    }
+
+    fn plan(
+        &self,
+        context: &CallerContext,
+        chat: &ChatRequest,
+        policy: &Policy,
+        layers: u16,
+    ) -> Result<DriveRequest, Failure> {
+        let prompt = chat.prompt();
+        if prompt.is_empty() {
+            let reason = "The messages hold no word.";
+            return Err(Failure::before_work(FailureKind::MalformedBody, reason));
+        }
+        let max_tokens = u64::from(chat.max_tokens.unwrap_or(256)).min(policy.max_answer_tokens);
+        let deadline = deadline(&context.headers, policy.deadline_ms)?;
+        let delivered = number_header(&context.headers, "last-event-id")?.unwrap_or(0);
+        let uid = RequestUid::derive(&context.organisation, &context.request_id);
+        let kv_tokens = prompt.len() as u32 + max_tokens as u32;
+        let chain = self.entry.take_chain(&ChainRequest {
+            pipeline: &chat.model,
+            layers: LayerRange { first: 0, end: layers },
+            kv_tokens,
+            except: None,
+        });
+        let Some(chain) = chain else {
+            let reason = format!("No chain of endpoints covers pipeline '{}'.", chat.model);
+            return Err(Failure::before_work(FailureKind::NoChain, reason).retry_after(COME_BACK));
+        };
+        let plan = Plan {
+            uid,
+            attempt: self.first_attempt(),
+            seed: chat.seed.unwrap_or_else(|| uid.seed()),
+            priority: chat.priority.map_or(policy.priority as u8, |priority| priority.min(9)),
+            prompt,
+            known: Vec::new(),
+            delivered_tokens: delivered.min(u64::from(u32::MAX)) as u32,
+            max_tokens: max_tokens as u32,
+            end_token: sillbank_model::END_TOKEN,
+            stages: chain.iter().map(|link| link.layers).collect(),
+            max_losses: policy.max_losses as u32,
+        };
+        Ok(DriveRequest {
+            plan,
+            chain,
+            pipeline: chat.model.clone(),
+            kv_tokens,
+            deadline: context.arrived + deadline,
+            mailbox: Mailbox::default(),
+        })
+    }
+
+    /// An attempt that is above those of earlier VMs unless this VM's clock lags: the wall
+    /// clock's milliseconds over a draw. Where it lags, the engine names the number to go above.
+    fn first_attempt(&self) -> Attempt {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let count = since.map_or(0, |since| since.as_millis() as u64);
+        let draw = self.entry.rng.borrow_mut().u64(..ATTEMPT_RAISE);
+        count << ATTEMPT_DRAW_BITS | draw
+    }
+}
+
+impl Handler for CallerHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        match self.answer(request).await {
+            Ok(reply) => reply,
+            Err(failure) => {
+                self.entry.metrics.count_failure(&failure);
+                let mut reply = failure_reply(&failure);
+                if failure.kind == FailureKind::Stopping {
+                    reply.headers_mut().insert("connection", HeaderValue::from_static("close"));
+                }
+                reply
+            }
+        }
+    }
+}
+
+fn stream_reply(body: sillbank_net::body::OutboxBody) -> Response<ReplyBody> {
+    let mut reply = Response::new(ReplyBody::Stream(body));
+    let headers = reply.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert("cache-control", HeaderValue::from_static("no-store"));
+    reply
+}
+
+/// A request that was let in; dropping it makes room for the next.
+pub(crate) struct Admitted {
+    entry: Rc<Entry>,
+    organisation: OrganisationId,
+}
+
+impl Admitted {
+    /// Lets a request in if its organisation has room.
+    pub(crate) fn new(entry: &Rc<Entry>, context: &CallerContext) -> Result<Self, Failure> {
+        let key = format!("organisation/{}", context.organisation);
+        let limit = entry.tree.borrow().effective(&key).policy.max_in_flight;
+        let mut in_flight = entry.in_flight.borrow_mut();
+        let count = in_flight.entry(context.organisation.clone()).or_default();
+        if *count >= limit {
+            let reason = format!("The organisation has {limit} requests in flight on this VM.");
+            let failure = Failure::before_work(FailureKind::Overloaded, reason);
+            return Err(failure.retry_after(COME_BACK));
+        }
+        *count += 1;
+        entry.metrics.in_flight.inc();
+        Ok(Self { entry: entry.clone(), organisation: context.organisation.clone() })
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.entry.metrics.in_flight.dec();
+        let mut in_flight = self.entry.in_flight.borrow_mut();
+        if let Some(count) = in_flight.get_mut(&self.organisation) {
+            *count -= 1;
+            if *count == 0 {
+                in_flight.remove(&self.organisation);
+            }
+        }
+        drop(in_flight);
+    }
+}
--- /dev/null
+++ b/crates/sillbank_entry/src/control_link.rs
@@ -0,0 +1,95 @@
+//! Follows the control process of this VM; the last settings stay in force while it is gone.
+
+use crate::engine_link;
+use crate::state::Entry;
+use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_protocol::peer::{ControlToEntry, EntryToControl};
+use sillbank_protocol::platform::{Object, Version};
+use sillbank_routing::prelude::*;
+use sillbank_settings::objects::EndpointObject;
+use sillbank_settings::tree::Taken;
+use smol::Timer;
+use smol::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Pause before control is tried again.
+const RECONNECT: Duration = Duration::from_millis(200);
+
+/// Follows control for ever.
+pub(crate) async fn follow(entry: Rc<Entry>) {
+    loop {
+        if let Err(error) = follow_once(&entry).await {
+            tracing::debug!("entry: Control has gone: {error}.");
+        }
+        Timer::after(RECONNECT).await;
+    }
+}
+
+async fn follow_once(entry: &Rc<Entry>) -> Result<(), FrameError> {
+    let stream = TcpStream::connect(entry.settings.control).await?;
+    let (mut reader, mut writer) = (stream.clone(), stream);
+    let hello = EntryToControl::Hello {
+        vm: entry.settings.vm.clone(),
+        after: entry.in_force.get(),
+    };
+    write_message(&mut writer, &hello).await?;
+    loop {
+        match read_message(&mut reader).await? {
+            ControlToEntry::Objects(objects) => objects.iter().for_each(|o| take(entry, o)),
+            ControlToEntry::Synced(version) => {
+                set_in_force(entry, version);
+                write_message(&mut writer, &EntryToControl::InForce(version)).await?;
+            }
+        }
+    }
+}
+
+fn set_in_force(entry: &Entry, version: Version) {
+    if entry.in_force.get() == 0 {
+        tracing::info!("entry: Settings up to version {version} are in force.");
+    }
+    entry.in_force.set(entry.in_force.get().max(version));
+    entry.metrics.settings_version.set(entry.in_force.get() as i64);
+}
+
+fn take(entry: &Rc<Entry>, object: &Object) {
+    let taken =
+        entry.tree.borrow_mut().take(&object.key, object.version, object.deleted, &object.value);
+    match taken {
+        Taken::InForce => follow_endpoint(entry, &object.key),
+        Taken::Old => {}
+        Taken::Invalid(problems) => {
+            tracing::warn!("entry: The last good value stays in force: {problems}.");
+        }
+    }
+}
+
+/// Brings the table and the connections in line with an endpoint's object.
+fn follow_endpoint(entry: &Rc<Entry>, key: &str) {
+    let Some(id) = key.strip_prefix("endpoint/") else {
+        return;
+    };
+    let now = Instant::now();
+    let object = entry.tree.borrow().endpoint(id).cloned();
+    let Some(object) = object else {
+        entry.table.borrow_mut().remove(id, now);
+        return;
+    };
+    let slot = entry.table.borrow_mut().upsert(spec_of(id, &object), now);
+    if let Some(slot) = slot {
+        entry.executor.spawn(engine_link::keep(entry.clone(), slot)).detach();
+    }
+}
+
+fn spec_of(id: &str, object: &EndpointObject) -> EndpointSpec {
+    EndpointSpec {
+        id: id.to_owned(),
+        hall: object.hall.clone(),
+        kind: object.kind.clone(),
+        pipeline: object.pipeline.clone(),
+        layers: object.layers,
+        address: object.address.clone(),
+        leaving: object.leaving,
+    }
+}
--- /dev/null
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -0,0 +1,206 @@
+//! The one streamed exchange with a model engine, shared by all requests of this VM.
+
+use crate::mailbox::Mailbox;
+use crate::state::Entry;
+use bytes::{BufMut, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use sillbank_core::prelude::*;
+use sillbank_generation::{Event, StageIndex};
+use sillbank_net::prelude::*;
+use sillbank_protocol::engine::{EngineRequest, MAX_LINE_BYTES, STEPS_PATH, Step, StepReply};
+use sillbank_routing::prelude::*;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Pause before a lost connection is made again; grows to the second.
+const RECONNECT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+/// A step whose reply is awaited.
+pub(crate) struct AwaitedStep {
+    pub(crate) stage: StageIndex,
+    pub(crate) mailbox: Mailbox,
+    pub(crate) sent_at: Instant,
+    pub(crate) positions: u32,
+    pub(crate) resends: u32,
+}
+
+/// The connection to one endpoint.
+pub(crate) struct EngineLink {
+    outbox: Outbox,
+    open: Cell<bool>,
+    pub(crate) awaited: RefCell<HashMap<RequestUid, AwaitedStep>>,
+    pub(crate) heard_at: Cell<Instant>,
+}
+
+impl EngineLink {
+    /// Whether steps can be sent.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    /// Sends a step; the reply, or the loss of the endpoint, comes through the mailbox.
+    pub(crate) fn send(&self, stage: StageIndex, step: Step, mailbox: &Mailbox) {
+        let (uid, positions) = (step.uid, step.inputs.len() as u32);
+        self.write(&EngineRequest::Step(step));
+        let mut awaited = self.awaited.borrow_mut();
+        let resends = awaited.get(&uid).map_or(0, |old| old.resends);
+        awaited.insert(uid, AwaitedStep {
+            stage,
+            mailbox: mailbox.clone(),
+            sent_at: Instant::now(),
+            positions,
+            resends,
+        });
+    }
+
+    /// Tells the engine that a request has ended here.
+    pub(crate) fn cancel(&self, uid: RequestUid, attempt: Attempt) {
+        self.awaited.borrow_mut().remove(&uid);
+        self.write(&EngineRequest::Cancel { uid, attempt });
+    }
+
+    /// Stops waiting for a request's reply without telling the engine.
+    pub(crate) fn forget(&self, uid: RequestUid) {
+        self.awaited.borrow_mut().remove(&uid);
+    }
+
+    /// Reports the loss of the endpoint to every request that waits for it.
+    pub(crate) fn lose_all(&self) -> usize {
+        let awaited = std::mem::take(&mut *self.awaited.borrow_mut());
+        for step in awaited.values() {
+            step.mailbox.push(Event::StageLost(step.stage));
+        }
+        awaited.len()
+    }
+
+    fn write(&self, request: &EngineRequest) {
+        self.outbox.write_with(|buffer: &mut BytesMut| {
+            if serde_json::to_writer(buffer.writer(), request).is_ok() {
+                buffer.put_u8(b'\n');
+            }
+        });
+    }
+}
+
+/// Keeps a connection to an endpoint until the endpoint is taken out of the settings.
+pub(crate) async fn keep(entry: Rc<Entry>, slot: EndpointSlot) {
+    let address: SocketAddr = match entry.table.borrow().get(slot).spec.address.parse() {
+        Ok(address) => address,
+        Err(_) => return,
+    };
+    let mut pause = RECONNECT.0;
+    while entry.table.borrow().get(slot).present {
+        match open(&entry, address).await {
+            Ok((link, replies)) => {
+                pause = RECONNECT.0;
+                run_link(&entry, slot, &link, replies).await;
+            }
+            Err(error) => tracing::debug!("entry: Endpoint {address} is not reached: {error}."),
+        }
+        smol::Timer::after(pause).await;
+        pause = (pause * 2).min(RECONNECT.1);
+    }
+    entry.links.borrow_mut().remove(&slot);
+}
+
+async fn open(
+    entry: &Entry,
+    address: SocketAddr,
+) -> Result<(Rc<EngineLink>, Incoming), Box<dyn std::error::Error>> {
+    let mut sender = sillbank_net::client::connect(&entry.executor, address).await?;
+    let (outbox, body) = Outbox::new();
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(STEPS_PATH)
+        .header("host", "engine")
+        .header("content-type", "application/x-ndjson")
+        .body(ReplyBody::Stream(body))?;
+    let reply = sender.send_request(request).await?;
+    if !reply.status().is_success() {
+        return Err(format!("the engine answered {}", reply.status()).into());
+    }
+    let link = EngineLink {
+        outbox,
+        open: Cell::new(true),
+        awaited: RefCell::default(),
+        heard_at: Cell::new(Instant::now()),
+    };
+    Ok((Rc::new(link), reply.into_body()))
+}
+
+async fn run_link(entry: &Rc<Entry>, slot: EndpointSlot, link: &Rc<EngineLink>, replies: Incoming) {
+    entry.links.borrow_mut().insert(slot, link.clone());
+    entry.table.borrow_mut().get_mut(slot).connected = true;
+    read_replies(entry, slot, link, replies).await;
+    link.open.set(false);
+    link.outbox.close();
+    let now = Instant::now();
+    let id = {
+        let mut table = entry.table.borrow_mut();
+        let endpoint = table.get_mut(slot);
+        endpoint.connected = false;
+        endpoint.health.on_event(now, HealthEvent::Failure);
+        endpoint.spec.id.clone()
+    };
+    let lost = link.lose_all();
+    tracing::warn!("entry: Endpoint {id} closed its connection with {lost} steps awaited.");
+}
+
+async fn read_replies(entry: &Entry, slot: EndpointSlot, link: &EngineLink, mut body: Incoming) {
+    let mut buffer = BytesMut::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        let now = Instant::now();
+        link.heard_at.set(now);
+        if let Some(data) = frame.data_ref() {
+            buffer.extend_from_slice(data);
+        }
+        let mut at = 0;
+        while let Some(length) = buffer[at..].iter().position(|byte| *byte == b'\n') {
+            take_reply(entry, slot, link, &buffer[at..at + length], now);
+            at += length + 1;
+        }
+        drop(buffer.split_to(at));
+        if buffer.len() > MAX_LINE_BYTES {
+            return;
+        }
+    }
+}
+
+fn take_reply(entry: &Entry, slot: EndpointSlot, link: &EngineLink, line: &[u8], now: Instant) {
+    let reply: StepReply = match serde_json::from_slice(line) {
+        Ok(reply) => reply,
+        Err(error) => {
+            tracing::warn!("entry: A reply was not read: {error}.");
+            return;
+        }
+    };
+    let awaited = link.awaited.borrow_mut().remove(&reply.uid);
+    let Some(awaited) = awaited else {
+        entry.metrics.stale_replies.inc();
+        return;
+    };
+    note_load(entry, slot, &reply, &awaited, now);
+    awaited.mailbox.push(Event::Reply(awaited.stage, reply));
+}
+
+fn note_load(entry: &Entry, slot: EndpointSlot, reply: &StepReply, step: &AwaitedStep, now: Instant) {
+    let mut table = entry.table.borrow_mut();
+    let endpoint = table.get_mut(slot);
+    let load = &reply.load;
+    let elapsed = now.saturating_duration_since(step.sent_at);
+    endpoint.cost.observe(elapsed, load.run_us, load.batch, step.positions);
+    endpoint.queued = load.queued;
+    endpoint.held = load.held;
+    endpoint.wait_us = load.wait_us;
+    endpoint.kv_free_tokens = Some(load.kv_free_tokens);
+    endpoint.added_since_report = 0;
+    endpoint.reported_at = Some(now);
+    if elapsed > Duration::from_millis(1) {
+        entry.metrics.step_seconds.observe(elapsed.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/sillbank_entry/src/main.rs
@@ -0,0 +1,93 @@
+//! `sillbank-entry`: takes callers' requests, drives them through the endpoints' stages and
+//! streams the answers back.
+
+#![forbid(unsafe_code)]
+
+mod admin;
+mod callers;
+mod chat;
+mod control_link;
+mod drive;
+mod engine_link;
+mod failures;
+mod mailbox;
+mod metrics;
+mod reading;
+mod services;
+mod sink;
+mod state;
+mod stop;
+mod sweep;
+mod trace;
+
+use argh::FromArgs;
+use sillbank_net::prelude::*;
+use sillbank_settings::process::{EntrySettings, LogShape, ProcessSettings, read_file};
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// The entry process of one VM: callers' HTTP, admission, routing, retries and answers.
+/// Exit codes: 0 stopped by SIGTERM with nothing cut off, 1 failed, 2 wrong arguments or settings.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file (TOML); see examples/entry.toml
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// print the version
+    #[argh(switch)]
+    version: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("sillbank-entry {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let path = arguments.settings.unwrap_or_else(|| "entry.toml".into());
+    let settings = match read_file(&path) {
+        Ok(ProcessSettings::Entry(settings)) => *settings,
+        Ok(_) => {
+            eprintln!("entry: {}: the role is not 'entry'; name its own file.", path.display());
+            return ExitCode::from(2);
+        }
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::from(2);
+        }
+    };
+    sillbank_net::telemetry::start_logs(settings.log.shape == LogShape::Json, &settings.log.filter);
+    let executor = Rc::new(LocalExecutor::new());
+    match smol::block_on(executor.run(run(executor.clone(), settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!("entry: It cannot run: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(executor: Rc<LocalExecutor<'static>>, settings: EntrySettings) -> std::io::Result<()> {
+    let signals = sillbank_net::signals::StopSignals::new()?;
+    let callers = TcpListener::bind(settings.listen).await?;
+    let admin = TcpListener::bind(settings.admin_listen).await?;
+    let limits = ServerLimits {
+        head_timeout: settings.head_timeout,
+        max_head_bytes: settings.max_head_bytes,
+        ..ServerLimits::default()
+    };
+    tracing::info!("entry: VM {} in hall {} is up.", settings.vm, settings.hall);
+    let entry = state::Entry::new(executor.clone(), settings);
+    executor.spawn(control_link::follow(entry.clone())).detach();
+    executor.spawn(sweep::run(entry.clone())).detach();
+    let handler = Rc::new(admin::AdminHandler::new(entry.clone()));
+    executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
+    let handler = Rc::new(callers::CallerHandler::new(entry.clone()));
+    executor.spawn(serve(executor.clone(), callers, limits, handler)).detach();
+    stop::wait(&entry, signals).await;
+    tracing::info!("entry: Stopped.");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sillbank_entry/src/services.rs
@@ -0,0 +1,140 @@
+//! Calls to plain services.
+
+use crate::callers::{Admitted, CallerContext};
+use crate::state::Entry;
+use crate::reading::deadline;
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Response, StatusCode};
+use sillbank_core::prelude::*;
+use sillbank_core::run::RunLog;
+use sillbank_net::body::reply;
+use sillbank_net::client::request;
+use sillbank_net::prelude::*;
+use sillbank_settings::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Header in which a service says that it ran nothing.
+const RUN_STATE_HEADER: &str = "x-run-state";
+
+/// Passes a call on to a service and its answer back.
+pub(crate) async fn call(
+    entry: &Rc<Entry>,
+    context: CallerContext,
+    path: &str,
+    body: Bytes,
+) -> Result<Response<ReplyBody>, Failure> {
+    let rest = path.trim_start_matches("/v1/services/");
+    let (name, inner) = rest.split_once('/').unwrap_or((rest, ""));
+    let (service, policy) = find(entry, &context, name)?;
+    let _admitted = Admitted::new(entry, &context)?;
+    let _in_flight = entry.stop.count_call();
+    let deadline = context.arrived + deadline(&context.headers, policy.deadline_ms)?;
+    let marked = context.headers.get("x-not-repeatable").is_some_and(|v| v == "true");
+    let call = ServiceCall {
+        repeatable: service.repeatable && !marked,
+        addresses: shuffled(entry, &service),
+        inner: format!("/{inner}"),
+        body,
+        deadline,
+        max_tries: policy.max_losses as usize + 1,
+    };
+    let span = context.trace.span(&context.request_id, &context.organisation);
+    let started = Instant::now();
+    let answer = send(entry, &context, &call).await;
+    tracing::debug!(parent: &span, "entry: Service {name} took {} us.", started.elapsed().as_micros());
+    answer
+}
+
+struct ServiceCall {
+    repeatable: bool,
+    addresses: Vec<SocketAddr>,
+    inner: String,
+    body: Bytes,
+    deadline: Instant,
+    max_tries: usize,
+}
+
+fn find(
+    entry: &Entry,
+    context: &CallerContext,
+    name: &str,
+) -> Result<(ServiceObject, Policy), Failure> {
+    let tree = entry.tree.borrow();
+    let found = tree.service(name).filter(|s| tree.may_call(&context.organisation, &s.parent));
+    let Some(service) = found else {
+        let reason = format!("There is no service '{name}' for this organisation.");
+        return Err(Failure::before_work(FailureKind::UnknownTarget, reason));
+    };
+    Ok((service.clone(), tree.effective(&format!("service/{name}")).policy))
+}
+
+fn shuffled(entry: &Entry, service: &ServiceObject) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> =
+        service.addresses.iter().filter_map(|address| address.parse().ok()).collect();
+    entry.rng.borrow_mut().shuffle(&mut addresses);
+    addresses
+}
+
+/// Tries one address after another. A call that may have run is only sent again if it may be
+/// repeated.
+async fn send(
+    entry: &Entry,
+    context: &CallerContext,
+    call: &ServiceCall,
+) -> Result<Response<ReplyBody>, Failure> {
+    let mut log = RunLog::default();
+    let mut reason = "The service has no address.".to_owned();
+    for address in call.addresses.iter().cycle().take(call.max_tries) {
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            let reason = "The deadline passed before the service answered.";
+            return Err(Failure::new(FailureKind::DeadlineExceeded, log.state(), reason));
+        }
+        match entry.http.call(*address, service_request(context, call), left).await {
+            Ok(answer) if said_not_run(&answer) => {
+                log.sent();
+                log.refused();
+                reason = format!("{address} refused the call without running it.");
+            }
+            Ok(answer) => return Ok(pass_on(context, &answer)),
+            Err(CallError::NotSent { reason: why, .. }) => reason = why,
+            Err(CallError::Lost { reason: why, .. }) => {
+                log.sent();
+                reason = why;
+                if !call.repeatable {
+                    break;
+                }
+            }
+        }
+    }
+    let failure = Failure::new(FailureKind::ServiceLost, log.state(), reason);
+    Err(failure.retry_after(Duration::from_secs(1)))
+}
+
+fn service_request(context: &CallerContext, call: &ServiceCall) -> hyper::Request<Bytes> {
+    let mut request = request(Method::POST, &call.inner, call.body.clone());
+    let headers = request.headers_mut();
+    headers.insert("traceparent", context.trace.header());
+    let id = RequestUid::derive(&context.organisation, &context.request_id);
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert("x-request-id", id);
+    }
+    request
+}
+
+fn said_not_run(answer: &CallReply) -> bool {
+    answer.status == StatusCode::SERVICE_UNAVAILABLE
+        && answer.headers.get(RUN_STATE_HEADER).is_some_and(|value| value == "not_run")
+}
+
+fn pass_on(context: &CallerContext, answer: &CallReply) -> Response<ReplyBody> {
+    let mut reply = reply(answer.status, "application/json", answer.body.clone());
+    if let Some(content_type) = answer.headers.get("content-type") {
+        reply.headers_mut().insert("content-type", content_type.clone());
+    }
+    reply.headers_mut().insert("traceparent", context.trace.header());
+    reply
+}
--- /dev/null
+++ b/crates/sillbank_load/src/fleet.rs
@@ -0,0 +1,258 @@
+//! Lays out a local fleet on loopback: settings of every process, objects of the tree, and the
+//! commands that start it. It starts nothing itself.
+
+use crate::Verdict;
+use crate::mix::{BOTH, ORGANISATIONS, Top, organisation_key, organisation_name};
+use argh::FromArgs;
+use serde::{Deserialize, Serialize};
+use sillbank_settings::objects::hash_key;
+use std::fmt::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+
+/// Layers of the stand-in model.
+pub(crate) const MODEL_LAYERS: u16 = 24;
+/// Layers of one stage.
+const STAGE_LAYERS: u16 = 8;
+/// Key of the operator of a local fleet.
+const OPERATOR_KEY: &str = "local-operator-key";
+/// Key that local VMs share.
+const PEER_KEY: &str = "local-peer-key-0001";
+
+/// Write the settings of a local fleet.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub(crate) struct FleetArguments {
+    /// folder to write to
+    #[argh(option)]
+    out: PathBuf,
+    /// folder of the built programs
+    #[argh(option)]
+    programs: PathBuf,
+    /// data halls
+    #[argh(option, default = "3")]
+    halls: usize,
+    /// entry VMs
+    #[argh(option, default = "9")]
+    vms: usize,
+    /// model engines
+    #[argh(option, default = "40")]
+    engines: usize,
+    /// factor on the engines' costs
+    #[argh(option, default = "1.0")]
+    cost_factor: f64,
+    /// policy for the choice of chains
+    #[argh(option, default = "String::from(\"least_finish\")")]
+    chain_policy: String,
+    /// first port to look at for free ones
+    #[argh(option, default = "12000")]
+    first_port: u16,
+}
+
+/// Where the processes of a fleet listen.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Addresses {
+    pub(crate) platform: Option<SocketAddr>,
+    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) entry_admins: Vec<SocketAddr>,
+    pub(crate) control_admins: Vec<SocketAddr>,
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) services: Vec<SocketAddr>,
+}
+
+impl Addresses {
+    /// Reads what `write` wrote.
+    pub(crate) fn read(folder: &Path) -> Result<Self, Box<dyn std::error::Error>> {
+        let text = std::fs::read_to_string(folder.join("addresses.json"))?;
+        Ok(serde_json::from_str(&text)?)
+    }
+}
+
+/// Finds free ports, each once.
+struct Ports {
+    next: u16,
+}
+
+impl Ports {
+    fn take(&mut self) -> SocketAddr {
+        loop {
+            let address = SocketAddr::from(([127, 0, 0, 1], self.next));
+            self.next += 1;
+            let free = TcpListener::bind(address).is_ok()
+                && std::net::UdpSocket::bind(address).is_ok();
+            if free {
+                return address;
+            }
+        }
+    }
+}
+
+struct Layout<'a> {
+    arguments: &'a FleetArguments,
+    ports: Ports,
+    addresses: Addresses,
+    commands: Vec<String>,
+}
+
+/// Writes everything.
+pub(crate) fn write(arguments: &FleetArguments) -> Verdict {
+    std::fs::create_dir_all(arguments.out.join("objects"))?;
+    let mut layout = Layout {
+        arguments,
+        ports: Ports { next: arguments.first_port },
+        addresses: Addresses::default(),
+        commands: Vec::new(),
+    };
+    let platform = layout.platform();
+    let mut objects = tree_objects();
+    objects.push_str(&layout.engines());
+    objects.push_str(&layout.services());
+    layout.vms(platform)?;
+    let out = &arguments.out;
+    std::fs::write(out.join("objects/fleet.toml"), objects)?;
+    std::fs::write(out.join("addresses.json"), serde_json::to_string(&layout.addresses)?)?;
+    std::fs::write(out.join("commands.txt"), layout.commands.join("\n") + "\n")?;
+    Ok(true)
+}
+
+impl Layout<'_> {
+    /// Adds a process: its name, then its command.
+    fn command(&mut self, name: &str, program: &str, rest: &str) {
+        let program = self.arguments.programs.join(program);
+        self.commands.push(format!("{name} {} {rest}", program.display()));
+    }
+
+    fn platform(&mut self) -> SocketAddr {
+        let address = self.ports.take();
+        self.addresses.platform = Some(address);
+        self.command("platform", "sillbank-standin", &format!("platform --listen {address}"));
+        address
+    }
+
+    fn engines(&mut self) -> String {
+        let mut objects = String::new();
+        let stages = usize::from(MODEL_LAYERS / STAGE_LAYERS);
+        for number in 0..self.arguments.engines {
+            let top = BOTH[number % BOTH.len()];
+            let stage = (number / BOTH.len()) % stages;
+            let kind = format!("k{}", (number / BOTH.len()) % 5 + 1);
+            let hall = format!("hall{}", (number / BOTH.len()) % self.arguments.halls + 1);
+            let first = stage as u16 * STAGE_LAYERS;
+            let end = first + STAGE_LAYERS;
+            let address = self.ports.take();
+            self.addresses.engines.push(address);
+            let cost = self.arguments.cost_factor;
+            let rest = format!(
+                "engine --listen {address} --kind {kind} --first-layer {first} --end-layer {end} \
+                 --model-layers {MODEL_LAYERS} --cost-factor {cost}"
+            );
+            self.command(&format!("engine{number}"), "sillbank-standin", &rest);
+            writeln!(
+                objects,
+                "[endpoint.engine{number}]\nparent = \"/{}/{hall}\"\nhall = \"{hall}\"\n\
+                 kind = \"{kind}\"\npipeline = \"{}\"\nfirst_layer = {first}\n\
+                 end_layer = {end}\naddress = \"{address}\"\n",
+                top.name, top.pipeline,
+            )
+            .ok();
+        }
+        objects
+    }
+
+    fn services(&mut self) -> String {
+        let mut runners = Vec::new();
+        for number in 0..3 {
+            let address = self.ports.take();
+            self.addresses.services.push(address);
+            runners.push(format!("\"{address}\""));
+            let rest = format!("service --listen {address}");
+            self.command(&format!("service{number}"), "sillbank-standin", &rest);
+        }
+        let mut objects = String::new();
+        for top in BOTH {
+            for (service, repeatable) in [(top.repeatable_service, true), (top.keyed_service, false)]
+            {
+                writeln!(
+                    objects,
+                    "[service.{service}]\nparent = \"/{}\"\naddresses = [{}]\n\
+                     repeatable = {repeatable}\n",
+                    top.name,
+                    runners.join(", "),
+                )
+                .ok();
+            }
+        }
+        objects
+    }
+
+    fn vms(&mut self, platform: SocketAddr) -> std::io::Result<()> {
+        let mut gossip = Vec::new();
+        for _ in 0..self.arguments.vms {
+            gossip.push(self.ports.take());
+        }
+        let seeds: Vec<String> = gossip.iter().take(3).map(|a| format!("\"{a}\"")).collect();
+        for (number, gossip_listen) in gossip.iter().enumerate() {
+            let hall = format!("hall{}", number % self.arguments.halls + 1);
+            let vm = format!("vm{number}");
+            let control = self.ports.take();
+            let control_admin = self.ports.take();
+            let listen = self.ports.take();
+            let admin = self.ports.take();
+            let text = format!(
+                "role = \"control\"\nvm = \"{vm}\"\nhall = \"{hall}\"\nlisten = \"{control}\"\n\
+                 gossip_listen = \"{gossip_listen}\"\nadmin_listen = \"{control_admin}\"\n\
+                 platform = \"{platform}\"\nseeds = [{}]\npeer_keys = [\"{PEER_KEY}\"]\n\
+                 root_key_hashes = [\"{}\"]\n",
+                seeds.join(", "),
+                hash_key(OPERATOR_KEY),
+            );
+            self.process("sillbank-control", &format!("control{number}"), &text)?;
+            let text = format!(
+                "role = \"entry\"\nvm = \"{vm}\"\nhall = \"{hall}\"\nlisten = \"{listen}\"\n\
+                 admin_listen = \"{admin}\"\ncontrol = \"{control}\"\nchain_policy = \"{}\"\n",
+                self.arguments.chain_policy,
+            );
+            self.process("sillbank-entry", &format!("entry{number}"), &text)?;
+            self.addresses.entries.push(listen);
+            self.addresses.entry_admins.push(admin);
+            self.addresses.control_admins.push(control_admin);
+        }
+        Ok(())
+    }
+
+    fn process(&mut self, program: &str, name: &str, settings: &str) -> std::io::Result<()> {
+        let path = self.arguments.out.join(format!("{name}.toml"));
+        std::fs::write(&path, settings)?;
+        self.command(name, program, &format!("--settings {}", path.display()));
+        Ok(())
+    }
+}
+
+/// Nodes, pipelines and organisations.
+fn tree_objects() -> String {
+    let mut text = String::from("[node.\"/\".settings]\ndeadline_ms = 60000\n\n");
+    for top in BOTH {
+        write_top(&mut text, top);
+    }
+    text
+}
+
+fn write_top(text: &mut String, top: &Top) {
+    writeln!(text, "[node.\"/{}\".settings]\npriority = 4\n", top.name).ok();
+    writeln!(
+        text,
+        "[pipeline.{}]\nparent = \"/{}\"\nlayers = {MODEL_LAYERS}\n",
+        top.pipeline, top.name
+    )
+    .ok();
+    for number in 0..ORGANISATIONS {
+        let name = organisation_name(top.name, number);
+        writeln!(
+            text,
+            "[organisation.{name}]\nparent = \"/{}\"\nkey_hashes = [\"{}\"]\n",
+            top.name,
+            hash_key(&organisation_key(&name)),
+        )
+        .ok();
+    }
+}
--- /dev/null
+++ b/crates/sillbank_load/src/main.rs
@@ -0,0 +1,66 @@
+//! `sillbank-load`: open-loop load, experiments, and a check of what callers got against what
+//! the back ends ran.
+
+#![forbid(unsafe_code)]
+
+mod check;
+mod client;
+mod fleet;
+mod mix;
+mod report;
+mod run;
+mod wait;
+
+use argh::FromArgs;
+use smol::LocalExecutor;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Load, experiments and checks.
+/// Exit codes: 0 done and every check passed, 1 failed or a check did not pass, 2 wrong arguments.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Option<Command>,
+    /// print the version
+    #[argh(switch)]
+    version: bool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Fleet(fleet::FleetArguments),
+    Run(run::RunArguments),
+    Wait(wait::WaitArguments),
+}
+
+/// Whether every check passed.
+type Verdict = Result<bool, Box<dyn std::error::Error>>;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("sillbank-load {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    sillbank_net::telemetry::start_logs(false, "warn");
+    let executor = Rc::new(LocalExecutor::new());
+    match smol::block_on(executor.run(run_command(executor.clone(), arguments.command))) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("load: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run_command(executor: Rc<LocalExecutor<'static>>, command: Option<Command>) -> Verdict {
+    match command {
+        Some(Command::Fleet(arguments)) => fleet::write(&arguments),
+        Some(Command::Run(arguments)) => run::run(executor, arguments).await,
+        Some(Command::Wait(arguments)) => wait::wait(executor, arguments).await,
+        None => Err("name a command; see --help".into()),
+    }
+}
--- /dev/null
+++ b/crates/sillbank_load/src/wait.rs
@@ -0,0 +1,48 @@
+//! Waits until processes are ready.
+
+use crate::Verdict;
+use argh::FromArgs;
+use bytes::Bytes;
+use hyper::Method;
+use sillbank_net::client::request;
+use sillbank_net::prelude::*;
+use smol::LocalExecutor;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Wait until a path answers 200 at every address.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "wait")]
+pub(crate) struct WaitArguments {
+    /// addresses, separated by commas
+    #[argh(option)]
+    addresses: String,
+    /// path to ask for
+    #[argh(option, default = "String::from(\"/readyz\")")]
+    path: String,
+    /// longest wait, in milliseconds
+    #[argh(option, default = "20000")]
+    timeout_ms: u64,
+}
+
+pub(crate) async fn wait(executor: Rc<LocalExecutor<'static>>, arguments: WaitArguments) -> Verdict {
+    let client = HttpClient::new(executor, 1 << 20);
+    let deadline = Instant::now() + Duration::from_millis(arguments.timeout_ms);
+    for address in arguments.addresses.split(',') {
+        let address: SocketAddr = address.parse()?;
+        while !answers(&client, address, &arguments.path).await {
+            if Instant::now() > deadline {
+                return Err(format!("{address}{} is not ready", arguments.path).into());
+            }
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(true)
+}
+
+async fn answers(client: &HttpClient, address: SocketAddr, path: &str) -> bool {
+    let call = request(Method::GET, path, Bytes::new());
+    let reply = client.call(address, call, Duration::from_secs(1)).await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
--- /dev/null
+++ b/crates/sillbank_net/src/body.rs
@@ -0,0 +1,186 @@
+//! Bodies of replies: whole, or written piece by piece through an [`Outbox`].
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+#[derive(Debug, Default)]
+struct OutboxState {
+    buffer: BytesMut,
+    closed: bool,
+    reader_gone: bool,
+    reader: Option<Waker>,
+    writer: Option<Waker>,
+}
+
+/// The writing end of a streamed body. What is written between two polls leaves as one chunk.
+#[derive(Debug, Clone, Default)]
+pub struct Outbox {
+    state: Rc<RefCell<OutboxState>>,
+}
+
+impl Outbox {
+    /// A new outbox and the body that sends what is written to it.
+    pub fn new() -> (Self, OutboxBody) {
+        let outbox = Self::default();
+        let body = OutboxBody { state: outbox.state.clone() };
+        (outbox, body)
+    }
+
+    /// Appends to the buffer with a function and wakes the sender.
+    pub fn write_with(&self, write: impl FnOnce(&mut BytesMut)) {
+        let mut state = self.state.borrow_mut();
+        if state.closed || state.reader_gone {
+            return;
+        }
+        write(&mut state.buffer);
+        if let Some(waker) = state.reader.take() {
+            waker.wake();
+        }
+    }
+
+    /// Appends bytes.
+    pub fn write(&self, bytes: &[u8]) {
+        self.write_with(|buffer| buffer.extend_from_slice(bytes));
+    }
+
+    /// Ends the body after what is in the buffer.
+    pub fn close(&self) {
+        let mut state = self.state.borrow_mut();
+        state.closed = true;
+        if let Some(waker) = state.reader.take() {
+            waker.wake();
+        }
+    }
+
+    /// Bytes that wait to be sent.
+    pub fn waiting_bytes(&self) -> usize {
+        self.state.borrow().buffer.len()
+    }
+
+    /// Whether nobody will read any more.
+    pub fn reader_gone(&self) -> bool {
+        self.state.borrow().reader_gone
+    }
+
+    /// Waits until at most `limit` bytes wait, or the reader has gone.
+    pub async fn drained_to(&self, limit: usize) {
+        std::future::poll_fn(|context| {
+            let mut state = self.state.borrow_mut();
+            if state.reader_gone || state.buffer.len() <= limit {
+                return Poll::Ready(());
+            }
+            state.writer = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Ready when the reader has gone.
+    pub fn poll_gone(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.state.borrow_mut();
+        if state.reader_gone {
+            return Poll::Ready(());
+        }
+        state.writer = Some(context.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// The reading end of an [`Outbox`].
+#[derive(Debug)]
+pub struct OutboxBody {
+    state: Rc<RefCell<OutboxState>>,
+}
+
+impl OutboxBody {
+    fn poll_chunk(&self, context: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        let mut state = self.state.borrow_mut();
+        if state.buffer.is_empty() {
+            if state.closed {
+                return Poll::Ready(None);
+            }
+            state.reader = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        let chunk = state.buffer.split().freeze();
+        if let Some(waker) = state.writer.take() {
+            waker.wake();
+        }
+        Poll::Ready(Some(chunk))
+    }
+}
+
+impl Drop for OutboxBody {
+    fn drop(&mut self) {
+        let mut state = self.state.borrow_mut();
+        state.reader_gone = true;
+        if let Some(waker) = state.writer.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// Body of a reply or of a request.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// Known whole.
+    Whole(Full<Bytes>),
+    /// Written piece by piece.
+    Stream(OutboxBody),
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Self::Whole(whole) => Pin::new(whole).poll_frame(context),
+            Self::Stream(stream) => stream.poll_chunk(context).map(|c| c.map(|c| Ok(Frame::data(c)))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(whole) => whole.is_end_stream(),
+            Self::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(whole) => whole.size_hint(),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A reply with a JSON body.
+pub fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> Response<ReplyBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    reply(status, "application/json", text.into())
+}
+
+/// A reply with a text body.
+pub fn text_reply(status: StatusCode, text: impl Into<String>) -> Response<ReplyBody> {
+    reply(status, "text/plain; charset=utf-8", Bytes::from(text.into()))
+}
+
+/// A reply with a body of a stated type.
+pub fn reply(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<ReplyBody> {
+    let mut reply = Response::new(ReplyBody::Whole(Full::new(body)));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(content_type));
+    reply
+}
--- /dev/null
+++ b/crates/sillbank_net/src/frames.rs
@@ -0,0 +1,47 @@
+//! Postcard messages with a length in front, over TCP.
+
+use serde::{Deserialize, Serialize};
+use sillbank_protocol::peer::{DecodeError, decode_frame, decode_length, encode_frame};
+use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Why a message could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The connection failed; connect again.
+    #[error("the connection failed ({0}); it will be made again")]
+    Io(#[from] std::io::Error),
+    /// The peer sent what is not a message.
+    #[error(transparent)]
+    Decode(#[from] DecodeError),
+}
+
+/// Reads one message.
+///
+/// # Errors
+/// [`FrameError`] if the connection ends or the frame is not such a message.
+pub async fn read_message<M, R>(reader: &mut R) -> Result<M, FrameError>
+where
+    M: for<'a> Deserialize<'a>,
+    R: AsyncRead + Unpin,
+{
+    let mut header = [0; 4];
+    reader.read_exact(&mut header).await?;
+    let mut content = vec![0; decode_length(header)?];
+    reader.read_exact(&mut content).await?;
+    Ok(decode_frame(&content)?)
+}
+
+/// Writes one message.
+///
+/// # Errors
+/// [`FrameError`] if the connection ends or the message is too long.
+pub async fn write_message<M, W>(writer: &mut W, message: &M) -> Result<(), FrameError>
+where
+    M: Serialize,
+    W: AsyncWrite + Unpin,
+{
+    let frame = encode_frame(message)?;
+    writer.write_all(&frame).await?;
+    writer.flush().await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/sillbank_net/src/lib.rs
@@ -0,0 +1,20 @@
+//! Plumbing around `smol` and `hyper`: servers, clients, frames, logs and signals.
+//!
+//! All of it runs on one thread with a [`smol::LocalExecutor`]: a process needs no locks, and one
+//! small VM has little more than a core to give.
+
+#![forbid(unsafe_code)]
+
+pub mod body;
+pub mod client;
+pub mod frames;
+pub mod serve;
+pub mod signals;
+pub mod telemetry;
+
+/// The few types most users need.
+pub mod prelude {
+    pub use crate::body::{Outbox, ReplyBody, json_reply, text_reply};
+    pub use crate::client::{CallError, CallReply, HttpClient};
+    pub use crate::serve::{Handler, ServerLimits, serve};
+}
--- /dev/null
+++ b/crates/sillbank_routing/src/chain.rs
@@ -0,0 +1,216 @@
+//! Choice of the chain of endpoints that covers a pipeline's layers.
+
+use crate::endpoint::Endpoint;
+use crate::table::{EndpointSlot, EndpointTable};
+use sillbank_core::prelude::*;
+use std::time::Instant;
+
+/// One stage of a chosen chain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChainLink {
+    /// Endpoint.
+    pub endpoint: EndpointSlot,
+    /// Layers it runs for this request.
+    pub layers: LayerRange,
+}
+
+/// How much an endpoint costs a request; the chain with the least sum is taken.
+pub trait ChainPolicy {
+    /// Cost of running `layers` at this endpoint, in any unit that adds up along a chain.
+    fn cost(&mut self, endpoint: &Endpoint, slot: EndpointSlot, rng: &mut fastrand::Rng) -> f64;
+}
+
+/// Least predicted time of a token: batch time, one more in the batch, wait and link.
+#[derive(Debug, Clone, Default)]
+pub struct LeastFinish;
+
+impl ChainPolicy for LeastFinish {
+    fn cost(&mut self, endpoint: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+        // An engine never met is assumed quick, so that it is tried and becomes known.
+        let known = endpoint.cost.elapsed_us().unwrap_or(1000.0);
+        let per_request = endpoint.cost.marginal_us().max(known / 64.0);
+        let expected = known + per_request * f64::from(endpoint.added_since_report);
+        // Up to a fifth at random keeps VMs with the same stale reports from one choice.
+        expected * (1.0 + 0.2 * rng.f64())
+    }
+}
+
+/// Baseline: every endpoint in turn.
+#[derive(Debug, Clone, Default)]
+pub struct RoundRobin {
+    turn: u64,
+    last: Vec<u64>,
+}
+
+impl ChainPolicy for RoundRobin {
+    fn cost(&mut self, _: &Endpoint, slot: EndpointSlot, _: &mut fastrand::Rng) -> f64 {
+        let slot = slot as usize;
+        if self.last.len() <= slot {
+            self.last.resize(slot + 1, 0);
+        }
+        self.last[slot] as f64
+    }
+}
+
+impl RoundRobin {
+    /// Notes that these endpoints had their turn.
+    pub fn took(&mut self, chain: &[ChainLink]) {
+        self.turn += 1;
+        let most = chain.iter().map(|link| link.endpoint as usize + 1).max().unwrap_or(0);
+        if self.last.len() < most {
+            self.last.resize(most, 0);
+        }
+        for link in chain {
+            self.last[link.endpoint as usize] = self.turn;
+        }
+    }
+}
+
+/// Baseline: any endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct RandomChoice;
+
+impl ChainPolicy for RandomChoice {
+    fn cost(&mut self, _: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+        rng.f64()
+    }
+}
+
+/// Baseline: the endpoint with the fewest requests of this VM.
+#[derive(Debug, Clone, Default)]
+pub struct LeastInFlight;
+
+impl ChainPolicy for LeastInFlight {
+    fn cost(&mut self, endpoint: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+        f64::from(endpoint.requests) + 0.5 * rng.f64()
+    }
+}
+
+/// Any of the policies, chosen by settings, without dynamic dispatch.
+#[derive(Debug, Clone)]
+pub enum AnyPolicy {
+    /// [`LeastFinish`]
+    LeastFinish(LeastFinish),
+    /// [`LeastInFlight`]
+    LeastInFlight(LeastInFlight),
+    /// [`RoundRobin`]
+    RoundRobin(RoundRobin),
+    /// [`RandomChoice`]
+    Random(RandomChoice),
+}
+
+impl AnyPolicy {
+    /// The policy of this name; the usual one for an unknown name.
+    pub fn from_name(name: &str) -> Self {
+        match name {
+            "least_in_flight" => Self::LeastInFlight(LeastInFlight),
+            "round_robin" => Self::RoundRobin(RoundRobin::default()),
+            "random" => Self::Random(RandomChoice),
+            _ => Self::LeastFinish(LeastFinish),
+        }
+    }
+
+    /// Notes that a chain was taken.
+    pub fn took(&mut self, chain: &[ChainLink]) {
+        if let Self::RoundRobin(policy) = self {
+            policy.took(chain);
+        }
+    }
+}
+
+impl ChainPolicy for AnyPolicy {
+    fn cost(&mut self, endpoint: &Endpoint, slot: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+        match self {
+            Self::LeastFinish(policy) => policy.cost(endpoint, slot, rng),
+            Self::LeastInFlight(policy) => policy.cost(endpoint, slot, rng),
+            Self::RoundRobin(policy) => policy.cost(endpoint, slot, rng),
+            Self::Random(policy) => policy.cost(endpoint, slot, rng),
+        }
+    }
+}
+
+/// What a chain is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct ChainRequest<'a> {
+    /// Pipeline.
+    pub pipeline: &'a str,
+    /// Layers to cover.
+    pub layers: LayerRange,
+    /// Positions of KV cache the request will need at each stage.
+    pub kv_tokens: u32,
+    /// Endpoint that is not to be used.
+    pub except: Option<EndpointSlot>,
+}
+
+/// Best way found so far to cover the layers up to a boundary.
+#[derive(Debug, Clone, Copy)]
+struct Reached {
+    cost: f64,
+    link: Option<ChainLink>,
+}
+
+/// Covers the layers with the least cost, or finds no cover.
+///
+/// Endpoints that are ejected are used only if there is no cover without them, so that a hall
+/// never ejects itself empty. Leaving endpoints are never used.
+pub fn choose_chain<P: ChainPolicy>(
+    table: &EndpointTable,
+    request: &ChainRequest<'_>,
+    policy: &mut P,
+    now: Instant,
+    rng: &mut fastrand::Rng,
+) -> Option<Vec<ChainLink>> {
+    [false, true].into_iter().find_map(|last_resort| {
+        let candidates = table.candidates(request, now, last_resort);
+        cover(table, request.layers, &candidates, policy, rng)
+    })
+}
+
+fn cover<P: ChainPolicy>(
+    table: &EndpointTable,
+    layers: LayerRange,
+    candidates: &[(EndpointSlot, f64)],
+    policy: &mut P,
+    rng: &mut fastrand::Rng,
+) -> Option<Vec<ChainLink>> {
+    let costs: Vec<f64> = candidates
+        .iter()
+        .map(|(slot, share)| policy.cost(table.get(*slot), *slot, rng) / share)
+        .collect();
+    let mut reached = vec![Reached { cost: f64::INFINITY, link: None }; layers.len() + 1];
+    reached[0].cost = 0.0;
+    for at in 0..layers.len() {
+        if reached[at].cost.is_infinite() {
+            continue;
+        }
+        let first = layers.first + at as u16;
+        for ((slot, _), cost) in candidates.iter().zip(&costs) {
+            let held = table.get(*slot).spec.layers;
+            if held.first > first || held.end <= first {
+                continue;
+            }
+            let end = held.end.min(layers.end);
+            // An endpoint entered in the middle of its range costs its share of it.
+            let part = f64::from(end - first) / held.len() as f64;
+            let total = reached[at].cost + cost * part;
+            let goal = &mut reached[usize::from(end - layers.first)];
+            if total < goal.cost {
+                let link = ChainLink { endpoint: *slot, layers: LayerRange { first, end } };
+                *goal = Reached { cost: total, link: Some(link) };
+            }
+        }
+    }
+    walk_back(&reached, layers)
+}
+
+fn walk_back(reached: &[Reached], layers: LayerRange) -> Option<Vec<ChainLink>> {
+    let mut chain = Vec::new();
+    let mut at = layers.len();
+    while at > 0 {
+        let link = reached[at].link?;
+        chain.push(link);
+        at = usize::from(link.layers.first - layers.first);
+    }
+    chain.reverse();
+    Some(chain)
+}
--- /dev/null
+++ b/crates/sillbank_routing/src/cost.rs
@@ -0,0 +1,81 @@
+//! What a step costs at one engine, learnt from its replies.
+
+use std::time::Duration;
+
+/// Weight of a new observation.
+const GAIN: f64 = 0.1;
+/// Shortest silence that counts as a freeze.
+const SILENCE_FLOOR: Duration = Duration::from_millis(150);
+/// How many usual step times an endpoint may stay silent.
+const SILENCE_FACTOR: f64 = 6.0;
+
+/// Running estimates of one endpoint's step times, all in microseconds.
+#[derive(Debug, Clone, Default)]
+pub struct StepCost {
+    elapsed_us: f64,
+    run_us: f64,
+    batch: f64,
+    batch_square: f64,
+    run_batch: f64,
+    prefill_us_per_token: f64,
+    seen: bool,
+}
+
+impl StepCost {
+    /// Takes a reply: time from sending to reply, batch time, batch size, positions of the step.
+    pub fn observe(&mut self, elapsed: Duration, run_us: u32, batch: u32, positions: u32) {
+        let elapsed_us = elapsed.as_micros() as f64;
+        if positions > 1 {
+            let per_token = elapsed_us / f64::from(positions);
+            let seen = self.prefill_us_per_token > 0.0;
+            blend(&mut self.prefill_us_per_token, per_token, seen);
+            return;
+        }
+        let (run, n) = (f64::from(run_us), f64::from(batch));
+        let seen = self.seen;
+        blend(&mut self.elapsed_us, elapsed_us, seen);
+        blend(&mut self.run_us, run, seen);
+        blend(&mut self.batch, n, seen);
+        blend(&mut self.batch_square, n * n, seen);
+        blend(&mut self.run_batch, run * n, seen);
+        self.seen = true;
+    }
+
+    /// Usual time from sending a decode step to its reply, if any was seen.
+    pub fn elapsed_us(&self) -> Option<f64> {
+        self.seen.then_some(self.elapsed_us)
+    }
+
+    /// Time that goes beyond waiting and running: the link.
+    pub fn link_us(&self, wait_us: u32) -> f64 {
+        (self.elapsed_us - self.run_us - f64::from(wait_us)).max(0.0)
+    }
+
+    /// Extra batch time for one more request in the batch, by regression over what was seen.
+    pub fn marginal_us(&self) -> f64 {
+        let variance = self.batch_square - self.batch * self.batch;
+        if variance < 0.5 {
+            return self.run_us / (self.batch + 8.0);
+        }
+        let slope = (self.run_batch - self.run_us * self.batch) / variance;
+        slope.clamp(0.0, self.run_us)
+    }
+
+    /// How long the endpoint may stay silent with a step of this many positions outstanding.
+    pub fn silence_limit(&self, positions: u32, ceiling: Duration) -> Duration {
+        if !self.seen && positions <= 1 {
+            return ceiling;
+        }
+        let prefill = match self.prefill_us_per_token {
+            known if known > 0.0 => known * f64::from(positions),
+            _ if positions > 1 => return ceiling,
+            _ => 0.0,
+        };
+        let usual = Duration::from_micros(((self.elapsed_us + prefill) * SILENCE_FACTOR) as u64);
+        usual.max(SILENCE_FLOOR).min(ceiling)
+    }
+}
+
+fn blend(value: &mut f64, sample: f64, seen: bool) {
+    *value = if seen { *value + GAIN * (sample - *value) } else { sample };
+}
--- /dev/null
+++ b/tools/fleet.sh
@@ -0,0 +1,65 @@
+# Functions that start and end a local fleet; sourced by the other tools. Every process that is
+# started is noted by its id, and only those are ended.
+
+OUT="${OUT:-$(mktemp -d)}"
+PROFILE="${PROFILE:-release}"
+PROGRAMS="${CARGO_TARGET_DIR:-target}/$PROFILE"
+FLEET_PIDS=()
+declare -A FLEET_PID_OF=()
+
+fleet_build() {
+  local flags=(--quiet --bins)
+  [ "$PROFILE" = release ] && flags+=(--release)
+  cargo build "${flags[@]}"
+  PROGRAMS="$(cd "$PROGRAMS" && pwd)"
+}
+
+fleet_lay_out() {
+  "$PROGRAMS/sillbank-load" fleet --out "$OUT" --programs "$PROGRAMS" \
+    --halls "${HALLS:-3}" --vms "${VMS:-9}" --engines "${ENGINES:-40}" \
+    --cost-factor "${COST_FACTOR:-1.0}" --chain-policy "${CHAIN_POLICY:-least_finish}"
+}
+
+# fleet_launch NAME: starts the process of that name, as commands.txt gives it.
+fleet_launch() {
+  local name command
+  while read -r name command; do
+    if [ "$name" = "$1" ]; then
+      $command >>"$OUT/$name.log" 2>&1 &
+      FLEET_PIDS+=($!)
+      FLEET_PID_OF[$name]=$!
+      return
+    fi
+  done <"$OUT/commands.txt"
+  echo "no process is called $1" >&2
+  return 1
+}
+
+fleet_address() { jq -r "$1" "$OUT/addresses.json"; }
+
+fleet_start() {
+  local name command
+  while read -r name command; do
+    $command >>"$OUT/$name.log" 2>&1 &
+    FLEET_PIDS+=($!)
+    FLEET_PID_OF[$name]=$!
+  done <"$OUT/commands.txt"
+  local load="$PROGRAMS/sillbank-load"
+  "$load" wait --path /list --addresses "$(fleet_address .platform)"
+  "$load" wait --path /healthz --addresses "$(fleet_address '.control_admins|join(",")')"
+  SILLBANK_KEY=local-operator-key SILLBANK_CONTROL="$(fleet_address '.control_admins[0]')" \
+    "$PROGRAMS/sillbank" apply "$OUT/objects" --why "local fleet" >"$OUT/apply.log"
+  "$load" wait --path /readyz --addresses "$(fleet_address '.entry_admins|join(",")')"
+  "$load" wait --path /v1/load --addresses "$(fleet_address '.engines|join(",")')"
+}
+
+# fleet_fault NUMBER JSON: makes a fault at an engine stand-in.
+fleet_fault() {
+  curl -fsS -X POST -d "$2" "http://$(fleet_address ".engines[$1]")/admin/faults" >/dev/null
+}
+
+fleet_end() {
+  local pid
+  for pid in "${FLEET_PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -9 "$pid" 2>/dev/null; done
+  wait 2>/dev/null || true
+}
--- /dev/null
+++ b/tools/local.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Starts a local fleet on loopback, runs a mixed load, checks the ledgers, ends all it started.
+# Prints a short summary and closes with one JSON line. Exit code 0: every check passed.
+#
+#   tools/local.sh [options of 'sillbank-load run']
+#
+# Environment: HALLS, VMS, ENGINES, COST_FACTOR, CHAIN_POLICY shape the fleet; OUT is the folder
+# for settings, logs and the report; BROKEN_LAYER=skip or repeat makes one engine misbehave.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source tools/fleet.sh
+
+fleet_build
+fleet_lay_out
+trap fleet_end EXIT
+fleet_start
+case "${BROKEN_LAYER:-}" in
+  skip) fleet_fault 0 '{"skip_layer": 1}' ;;
+  repeat) fleet_fault 0 '{"repeat_layer": 1}' ;;
+esac
+"$PROGRAMS/sillbank-load" run --fleet "$OUT" --report "$OUT/report" "$@"
