Run the thin whole path and check it against the ledgers

Cause of the first failures: (1) 'apply' checked an endpoint's pipeline against a store that had not yet seen the write before it; control now takes its own writes at once. (2) An entry was told 'synced to 0' before control had read anything and counted as ready; 'complete' is now absent until a listing came. Ruled out: the platform's condition handling.

--- a/crates/sillbank_cli/src/explain.rs
+++ b/crates/sillbank_cli/src/explain.rs
@@ -26,6 +26,8 @@
     }
     match found {
         true => Ok(()),
-        false => Err(CommandError::Other("There is no such number; run it without one.".to_owned())),
+        false => {
+            Err(CommandError::Other("There is no such number; run it without one.".to_owned()))
+        }
     }
 }
--- a/crates/sillbank_cli/src/main.rs
+++ b/crates/sillbank_cli/src/main.rs
@@ -65,7 +65,9 @@
         use sillbank_core::admin::AdminFailureKind;
         match self {
             Self::Settings(_) => ExitCode::from(2),
-            Self::Refused(failure) if failure.kind == AdminFailureKind::Conflict => ExitCode::from(3),
+            Self::Refused(failure) if failure.kind == AdminFailureKind::Conflict => {
+                ExitCode::from(3)
+            }
             Self::Refused(_) | Self::Call(_) | Self::Other(_) => ExitCode::FAILURE,
         }
     }
@@ -88,7 +90,10 @@
     }
 }
 
-async fn run(executor: Rc<LocalExecutor<'static>>, command: Option<Command>) -> Result<(), CommandError> {
+async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    command: Option<Command>,
+) -> Result<(), CommandError> {
     match command {
         Some(Command::Check(arguments)) => check::check(&arguments),
         Some(Command::Apply(arguments)) => apply::apply(executor, arguments).await,
--- a/crates/sillbank_cli/src/remote.rs
+++ b/crates/sillbank_cli/src/remote.rs
@@ -39,7 +39,10 @@
     }
 
     /// Reads a path.
-    pub(crate) async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, CommandError> {
+    pub(crate) async fn get<T: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<T, CommandError> {
         self.send(request(Method::GET, path, Bytes::new())).await
     }
 
@@ -75,12 +78,16 @@
         self.send(call).await
     }
 
-    async fn send<T: serde::de::DeserializeOwned>(&self, mut call: Request<Bytes>) -> Result<T, CommandError> {
+    async fn send<T: serde::de::DeserializeOwned>(
+        &self,
+        mut call: Request<Bytes>,
+    ) -> Result<T, CommandError> {
         if let Ok(value) = HeaderValue::from_str(&format!("Bearer {}", self.key)) {
             call.headers_mut().insert("authorization", value);
         }
         let reply = self.http.call(self.address, call, TIMEOUT).await?;
-        let unreadable = |e: serde_json::Error| CommandError::Other(format!("Unreadable answer: {e}."));
+        let unreadable =
+            |e: serde_json::Error| CommandError::Other(format!("Unreadable answer: {e}."));
         match reply.status.is_success() {
             true => reply.json().map_err(unreadable),
             false => Err(CommandError::Refused(reply.json().map_err(unreadable)?)),
--- a/crates/sillbank_control/src/admin.rs
+++ b/crates/sillbank_control/src/admin.rs
@@ -45,11 +45,18 @@
 }
 
 impl AdminHandler {
-    pub(crate) fn new(settings: ControlSettings, store: Rc<Store>, platform: PlatformClient) -> Self {
+    pub(crate) fn new(
+        settings: ControlSettings,
+        store: Rc<Store>,
+        platform: PlatformClient,
+    ) -> Self {
         Self { settings, store, platform }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<ReplyBody>, AdminFailure> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ReplyBody>, AdminFailure> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let get = head.method == Method::GET;
@@ -82,15 +89,19 @@
 
     fn readiness(&self) -> Response<ReplyBody> {
         match self.store.complete() {
-            0 => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no settings"),
-            _ => text_reply(StatusCode::OK, "ok"),
+            None => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no settings"),
+            Some(_) => text_reply(StatusCode::OK, "ok"),
         }
     }
 
     fn status(&self) -> serde_json::Value {
         let tree = self.store.tree();
-        let invalid: Vec<String> =
-            tree.invalid().values().flat_map(|problems| &problems.0).map(ToString::to_string).collect();
+        let invalid: Vec<String> = tree
+            .invalid()
+            .values()
+            .flat_map(|problems| &problems.0)
+            .map(ToString::to_string)
+            .collect();
         serde_json::json!({
             "vm": self.settings.vm,
             "hall": self.settings.hall,
@@ -147,9 +158,8 @@
         let expected = expected_version(headers)?;
         let mut value: serde_json::Value = serde_json::from_slice(&body)
             .map_err(|e| AdminFailure::new(AdminFailureKind::Malformed, format!("{e}.")))?;
-        let invalid = |problems: Problems| {
-            AdminFailure::new(AdminFailureKind::Invalid, problems.to_string())
-        };
+        let invalid =
+            |problems: Problems| AdminFailure::new(AdminFailureKind::Invalid, problems.to_string());
         let object = read_object_value(key, value.clone()).map_err(invalid)?;
         self.check_right(operator, key, Some(&object.place(key)))?;
         self.store.tree().check_references(key, &object).map_err(invalid)?;
@@ -175,6 +185,7 @@
 
     async fn write(&self, write: Write) -> Result<Response<ReplyBody>, AdminFailure> {
         let object = carry_out(&self.platform, &write).await?;
+        self.store.take(object.clone());
         tracing::info!("control: {} is written as version {}.", object.key, object.version);
         Ok(json_reply(StatusCode::OK, &object))
     }
--- a/crates/sillbank_control/src/entry_link.rs
+++ b/crates/sillbank_control/src/entry_link.rs
@@ -42,8 +42,9 @@
     let news = store.follow();
     let mut sent = after;
     loop {
-        if store.complete() > sent || sent == 0 {
-            sent = send_newer(&mut writer, store, sent).await?;
+        if let Some(complete) = store.complete().filter(|complete| *complete > sent) {
+            send_newer(&mut writer, store, sent, complete).await?;
+            sent = complete;
         }
         if news.recv().await.is_err() {
             return Ok(());
@@ -55,13 +56,12 @@
     writer: &mut TcpStream,
     store: &Store,
     sent: Version,
-) -> Result<Version, FrameError> {
-    let complete = store.complete();
+    complete: Version,
+) -> Result<(), FrameError> {
     for chunk in chunks(store.newer_than(sent)) {
         write_message(writer, &ControlToEntry::Objects(chunk)).await?;
     }
-    write_message(writer, &ControlToEntry::Synced(complete)).await?;
-    Ok(complete)
+    write_message(writer, &ControlToEntry::Synced(complete)).await
 }
 
 /// Splits objects so that each message stays short.
@@ -71,7 +71,9 @@
     let mut bytes = 0;
     for object in objects {
         let size = object.value.len() + object.key.len();
-        if !chunk.is_empty() && (chunk.len() == OBJECTS_IN_MESSAGE || bytes + size > BYTES_IN_MESSAGE) {
+        if !chunk.is_empty()
+            && (chunk.len() == OBJECTS_IN_MESSAGE || bytes + size > BYTES_IN_MESSAGE)
+        {
             all.push(std::mem::take(&mut chunk));
             bytes = 0;
         }
--- a/crates/sillbank_control/src/main.rs
+++ b/crates/sillbank_control/src/main.rs
@@ -59,7 +59,10 @@
     }
 }
 
-async fn run(executor: Rc<LocalExecutor<'static>>, settings: ControlSettings) -> std::io::Result<()> {
+async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    settings: ControlSettings,
+) -> std::io::Result<()> {
     let mut stop = sillbank_net::signals::StopSignals::new()?;
     let store = Rc::new(store::Store::default());
     let entries = TcpListener::bind(settings.listen).await?;
--- a/crates/sillbank_control/src/store.rs
+++ b/crates/sillbank_control/src/store.rs
@@ -1,9 +1,9 @@
 //! The settings objects this process holds, and who waits for new ones.
 
 use sillbank_protocol::platform::{Object, Version};
-use smol::channel::{Receiver, Sender};
 use sillbank_settings::prelude::*;
 use sillbank_settings::tree::Taken;
+use smol::channel::{Receiver, Sender};
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 
@@ -13,7 +13,7 @@
     objects: RefCell<HashMap<String, Object>>,
     tree: RefCell<Tree>,
     /// Every change up to this version is held.
-    complete: Cell<Version>,
+    complete: Cell<Option<Version>>,
     followers: RefCell<Vec<Sender<()>>>,
 }
 
@@ -35,12 +35,12 @@
 
     /// Notes that every change up to a version is held, and wakes who follows.
     pub(crate) fn set_complete(&self, version: Version) {
-        self.complete.set(self.complete.get().max(version));
+        self.complete.set(self.complete.get().max(Some(version)));
         self.wake();
     }
 
-    /// Version up to which every change is held.
-    pub(crate) fn complete(&self) -> Version {
+    /// Version up to which every change is held, once the platform or a peer gave a listing.
+    pub(crate) fn complete(&self) -> Option<Version> {
         self.complete.get()
     }
 
--- a/crates/sillbank_control/src/watch.rs
+++ b/crates/sillbank_control/src/watch.rs
@@ -31,8 +31,8 @@
 
 async fn next_listing(platform: &PlatformClient, store: &Store) -> Result<Listing, PlatformError> {
     match store.complete() {
-        0 => platform.list("").await,
-        after => platform.watch("", after, WATCH_WAIT).await,
+        None => platform.list("").await,
+        Some(after) => platform.watch("", after, WATCH_WAIT).await,
     }
 }
 
--- a/crates/sillbank_control/src/write.rs
+++ b/crates/sillbank_control/src/write.rs
@@ -28,7 +28,10 @@
 
 /// Carries a write out. It never writes blind: each try has the same condition and the same
 /// mark, so at most one of them takes effect.
-pub(crate) async fn carry_out(platform: &PlatformClient, write: &Write) -> Result<Object, AdminFailure> {
+pub(crate) async fn carry_out(
+    platform: &PlatformClient,
+    write: &Write,
+) -> Result<Object, AdminFailure> {
     let mut may_have_left = false;
     for number in 0..MAX_TRIES {
         if number > 0 {
--- a/crates/sillbank_core/src/admin.rs
+++ b/crates/sillbank_core/src/admin.rs
@@ -71,11 +71,15 @@
             Self::UnknownOperator => "Set SILLBANK_KEY to your operator key.",
             Self::NoRight => "Ask an operator of a higher node, or change only your own subtree.",
             Self::Invalid => "Correct each field as its line says and apply again.",
-            Self::Malformed => "Name the version with If-Match, or If-None-Match: * for a new object.",
+            Self::Malformed => {
+                "Name the version with If-Match, or If-None-Match: * for a new object."
+            }
             Self::Conflict => "Look at the newer value with 'sillbank get', then apply again.",
             Self::NotFound => "Check the key; list keys with 'sillbank get'.",
             Self::PlatformDown => "Nothing was written; apply again when the platform is back.",
-            Self::WriteUnknown => "Look with 'sillbank get' whether it is in force; apply again if not.",
+            Self::WriteUnknown => {
+                "Look with 'sillbank get' whether it is in force; apply again if not."
+            }
         }
     }
 }
--- a/crates/sillbank_core/src/lib.rs
+++ b/crates/sillbank_core/src/lib.rs
@@ -15,8 +15,8 @@
     pub use crate::admin::{AdminFailure, AdminFailureKind};
     pub use crate::failure::{Failure, FailureKind};
     pub use crate::ids::{
-        ATTEMPT_DRAW_BITS, ATTEMPT_RAISE, AcceleratorKind, Attempt, EndpointId, HallId, LayerRange, OrganisationId, PipelineId,
-        Position, RequestUid, ServiceId, TokenId, VmId,
+        ATTEMPT_DRAW_BITS, ATTEMPT_RAISE, AcceleratorKind, Attempt, EndpointId, HallId, LayerRange,
+        OrganisationId, PipelineId, Position, RequestUid, ServiceId, TokenId, VmId,
     };
     pub use crate::run::RunState;
 }
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -100,7 +100,12 @@
         let answer_id = format!("chatcmpl-{uid}");
         let span = context.trace.span(&context.request_id, &context.organisation);
         let sink = Sink::new(
-            chat.stream, outbox, head_sender, answer_id.clone(), chat.model.clone(), span,
+            chat.stream,
+            outbox,
+            head_sender,
+            answer_id.clone(),
+            chat.model.clone(),
+            span,
         );
         self.entry.stop.register(uid, request.mailbox.clone());
         let entry = self.entry.clone();
--- a/crates/sillbank_entry/src/control_link.rs
+++ b/crates/sillbank_entry/src/control_link.rs
@@ -29,10 +29,8 @@
 async fn follow_once(entry: &Rc<Entry>) -> Result<(), FrameError> {
     let stream = TcpStream::connect(entry.settings.control).await?;
     let (mut reader, mut writer) = (stream.clone(), stream);
-    let hello = EntryToControl::Hello {
-        vm: entry.settings.vm.clone(),
-        after: entry.in_force.get(),
-    };
+    let hello =
+        EntryToControl::Hello { vm: entry.settings.vm.clone(), after: entry.in_force.get() };
     write_message(&mut writer, &hello).await?;
     loop {
         match read_message(&mut reader).await? {
--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -49,13 +49,16 @@
         self.write(&EngineRequest::Step(step));
         let mut awaited = self.awaited.borrow_mut();
         let resends = awaited.get(&uid).map_or(0, |old| old.resends);
-        awaited.insert(uid, AwaitedStep {
-            stage,
-            mailbox: mailbox.clone(),
-            sent_at: Instant::now(),
-            positions,
-            resends,
-        });
+        awaited.insert(
+            uid,
+            AwaitedStep {
+                stage,
+                mailbox: mailbox.clone(),
+                sent_at: Instant::now(),
+                positions,
+                resends,
+            },
+        );
     }
 
     /// Tells the engine that a request has ended here.
@@ -188,7 +191,13 @@
     awaited.mailbox.push(Event::Reply(awaited.stage, reply));
 }
 
-fn note_load(entry: &Entry, slot: EndpointSlot, reply: &StepReply, step: &AwaitedStep, now: Instant) {
+fn note_load(
+    entry: &Entry,
+    slot: EndpointSlot,
+    reply: &StepReply,
+    step: &AwaitedStep,
+    now: Instant,
+) {
     let mut table = entry.table.borrow_mut();
     let endpoint = table.get_mut(slot);
     let load = &reply.load;
--- a/crates/sillbank_entry/src/metrics.rs
+++ b/crates/sillbank_entry/src/metrics.rs
@@ -103,21 +103,35 @@
         registry.register("stages_lost", "Stages replaced or rebuilt", self.stages_lost.clone());
         registry.register("replayed_tokens", "Positions built again", self.replayed_tokens.clone());
         registry.register(
-            "silent_endpoints", "Times an endpoint was found silent", self.silent_endpoints.clone(),
+            "silent_endpoints",
+            "Times an endpoint was found silent",
+            self.silent_endpoints.clone(),
         );
         registry.register(
-            "stalled_callers", "Callers that stopped reading", self.stalled_callers.clone(),
+            "stalled_callers",
+            "Callers that stopped reading",
+            self.stalled_callers.clone(),
         );
         registry.register(
-            "settings_version", "Version of the settings in force", self.settings_version.clone(),
+            "settings_version",
+            "Version of the settings in force",
+            self.settings_version.clone(),
         );
         registry.register(
-            "first_token_seconds", "Arrival to first token", self.first_token_seconds.clone(),
+            "first_token_seconds",
+            "Arrival to first token",
+            self.first_token_seconds.clone(),
         );
         registry.register(
-            "token_gap_seconds", "Time between tokens", self.token_gap_seconds.clone(),
+            "token_gap_seconds",
+            "Time between tokens",
+            self.token_gap_seconds.clone(),
+        );
+        registry.register(
+            "step_seconds",
+            "Sent to answered, for a step",
+            self.step_seconds.clone(),
         );
-        registry.register("step_seconds", "Sent to answered, for a step", self.step_seconds.clone());
         self
     }
 }
--- a/crates/sillbank_entry/src/reading.rs
+++ b/crates/sillbank_entry/src/reading.rs
@@ -59,7 +59,8 @@
     match value.to_str() {
         Ok(text) if (1..=MAX_REQUEST_ID_BYTES).contains(&text.len()) => Ok(text.to_owned()),
         _ => {
-            let reason = format!("X-Request-Id is not 1 to {MAX_REQUEST_ID_BYTES} plain characters.");
+            let reason =
+                format!("X-Request-Id is not 1 to {MAX_REQUEST_ID_BYTES} plain characters.");
             Err(Failure::before_work(FailureKind::MalformedBody, reason))
         }
     }
--- a/crates/sillbank_entry/src/services.rs
+++ b/crates/sillbank_entry/src/services.rs
@@ -1,8 +1,8 @@
 //! Calls to plain services.
 
 use crate::callers::{Admitted, CallerContext};
-use crate::state::Entry;
 use crate::reading::deadline;
+use crate::state::Entry;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Response, StatusCode};
--- a/crates/sillbank_entry/src/sink.rs
+++ b/crates/sillbank_entry/src/sink.rs
@@ -124,7 +124,8 @@
     /// Tells the caller to go on with another VM from what it has.
     pub(crate) fn hand_over(&mut self, run: RunState) {
         if let Mode::Stream { begun: true } = self.mode {
-            let event = format!("event: resume\nid: {}\ndata: {{\"resume\":true}}\n\n", self.tokens);
+            let event =
+                format!("event: resume\nid: {}\ndata: {{\"resume\":true}}\n\n", self.tokens);
             self.outbox.write(event.as_bytes());
             self.outbox.close();
             return;
--- a/crates/sillbank_entry/src/stop.rs
+++ b/crates/sillbank_entry/src/stop.rs
@@ -43,7 +43,8 @@
 }
 
 static CHART: LazyLock<Chart<VmState, VmEvent, VmAction>> = LazyLock::new(|| {
-    Chart::parse(include_str!("../charts/vm_stop.toml")).expect("the built-in chart is checked by a test")
+    Chart::parse(include_str!("../charts/vm_stop.toml"))
+        .expect("the built-in chart is checked by a test")
 });
 
 /// What is in flight, and whether the VM stops.
--- a/crates/sillbank_generation/src/chart.rs
+++ b/crates/sillbank_generation/src/chart.rs
@@ -59,7 +59,8 @@
 pub(crate) type GenerationChart = Chart<State, ChartEvent, ChartAction>;
 
 static CHART: LazyLock<GenerationChart> = LazyLock::new(|| {
-    Chart::parse(include_str!("../charts/generation.toml")).expect("the built-in chart is checked by a test")
+    Chart::parse(include_str!("../charts/generation.toml"))
+        .expect("the built-in chart is checked by a test")
 });
 
 pub(crate) fn chart() -> &'static GenerationChart {
--- a/crates/sillbank_load/src/client.rs
+++ b/crates/sillbank_load/src/client.rs
@@ -36,10 +36,7 @@
     /// A whole answer.
     Whole,
     /// A failure, and what it said of the work.
-    Failed {
-        code: String,
-        run: RunState,
-    },
+    Failed { code: String, run: RunState },
 }
 
 /// How one try ended.
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -78,8 +78,8 @@
         loop {
             let address = SocketAddr::from(([127, 0, 0, 1], self.next));
             self.next += 1;
-            let free = TcpListener::bind(address).is_ok()
-                && std::net::UdpSocket::bind(address).is_ok();
+            let free =
+                TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok();
             if free {
                 return address;
             }
@@ -170,7 +170,8 @@
         }
         let mut objects = String::new();
         for top in BOTH {
-            for (service, repeatable) in [(top.repeatable_service, true), (top.keyed_service, false)]
+            for (service, repeatable) in
+                [(top.repeatable_service, true), (top.keyed_service, false)]
             {
                 writeln!(
                     objects,
--- a/crates/sillbank_load/src/mix.rs
+++ b/crates/sillbank_load/src/mix.rs
@@ -15,18 +15,9 @@
 #[derive(Debug, Clone)]
 pub(crate) enum WorkKind {
     /// A generated answer.
-    Generate {
-        pipeline: PipelineId,
-        prompt: String,
-        max_tokens: u32,
-        priority: u8,
-    },
+    Generate { pipeline: PipelineId, prompt: String, max_tokens: u32, priority: u8 },
     /// A call to a plain service.
-    Call {
-        service: ServiceId,
-        path: String,
-        repeatable: bool,
-    },
+    Call { service: ServiceId, path: String, repeatable: bool },
 }
 
 /// Shares and sizes of a mix.
@@ -134,7 +125,8 @@
             };
         }
         let words = self.rng.usize(top.prompt_words.0..=top.prompt_words.1);
-        let prompt: Vec<String> = (0..words).map(|_| format!("w{}", self.rng.u32(..5000))).collect();
+        let prompt: Vec<String> =
+            (0..words).map(|_| format!("w{}", self.rng.u32(..5000))).collect();
         let (least, most) = top.answer_tokens;
         let tokens = f64::from(self.rng.u32(least..=most)) * self.shape.length_factor;
         WorkKind::Generate {
--- a/crates/sillbank_load/src/report.rs
+++ b/crates/sillbank_load/src/report.rs
@@ -25,7 +25,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are in range")
+    Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("the bounds are in range")
 }
 
 impl Report {
@@ -80,11 +80,42 @@
         let ms = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
         let mut text = String::new();
         let checked = &self.checked;
-        writeln!(text, "{} requests in {:.1} s, {:.0} tokens/s", self.requests, self.seconds, self.tokens as f64 / self.seconds).ok();
-        writeln!(text, "whole {}  failed {}  resumed {}", checked.whole, checked.failed, self.resumed).ok();
-        writeln!(text, "first token  p50 {:.1} ms  p95 {:.1} ms", ms(&self.first_token_us, 0.5), ms(&self.first_token_us, 0.95)).ok();
-        writeln!(text, "token gap    p50 {:.1} ms  p95 {:.1} ms  max {:.1} ms", ms(&self.gap_us, 0.5), ms(&self.gap_us, 0.95), ms(&self.gap_us, 1.0)).ok();
-        writeln!(text, "service call p50 {:.1} ms  p95 {:.1} ms", ms(&self.call_us, 0.5), ms(&self.call_us, 0.95)).ok();
+        writeln!(
+            text,
+            "{} requests in {:.1} s, {:.0} tokens/s",
+            self.requests,
+            self.seconds,
+            self.tokens as f64 / self.seconds
+        )
+        .ok();
+        writeln!(
+            text,
+            "whole {}  failed {}  resumed {}",
+            checked.whole, checked.failed, self.resumed
+        )
+        .ok();
+        writeln!(
+            text,
+            "first token  p50 {:.1} ms  p95 {:.1} ms",
+            ms(&self.first_token_us, 0.5),
+            ms(&self.first_token_us, 0.95)
+        )
+        .ok();
+        writeln!(
+            text,
+            "token gap    p50 {:.1} ms  p95 {:.1} ms  max {:.1} ms",
+            ms(&self.gap_us, 0.5),
+            ms(&self.gap_us, 0.95),
+            ms(&self.gap_us, 1.0)
+        )
+        .ok();
+        writeln!(
+            text,
+            "service call p50 {:.1} ms  p95 {:.1} ms",
+            ms(&self.call_us, 0.5),
+            ms(&self.call_us, 0.95)
+        )
+        .ok();
         for (failure, count) in &self.failures {
             writeln!(text, "failure {failure}: {count}").ok();
         }
--- a/crates/sillbank_load/src/wait.rs
+++ b/crates/sillbank_load/src/wait.rs
@@ -26,7 +26,10 @@
     timeout_ms: u64,
 }
 
-pub(crate) async fn wait(executor: Rc<LocalExecutor<'static>>, arguments: WaitArguments) -> Verdict {
+pub(crate) async fn wait(
+    executor: Rc<LocalExecutor<'static>>,
+    arguments: WaitArguments,
+) -> Verdict {
     let client = HttpClient::new(executor, 1 << 20);
     let deadline = Instant::now() + Duration::from_millis(arguments.timeout_ms);
     for address in arguments.addresses.split(',') {
--- a/crates/sillbank_model/src/lib.rs
+++ b/crates/sillbank_model/src/lib.rs
@@ -28,7 +28,8 @@
 
     /// Runs every held layer once and returns the activation that leaves the last.
     pub fn run(&mut self, activation: u64) -> u64 {
-        (self.layers.first..self.layers.end).fold(activation, |act, layer| self.run_layer(act, layer))
+        (self.layers.first..self.layers.end)
+            .fold(activation, |act, layer| self.run_layer(act, layer))
     }
 
     /// Runs one layer. Exposed so that a stand-in told to misbehave can skip or repeat one.
@@ -58,14 +59,20 @@
 /// The text of a generated token, with its leading space.
 pub fn detokenize(token: TokenId) -> String {
     const SYLLABLES: [&str; 16] = [
-        "ka", "lo", "mi", "ne", "ra", "su", "ta", "vo", "be", "du", "fi", "go", "ha", "je", "pu", "zi",
+        "ka", "lo", "mi", "ne", "ra", "su", "ta", "vo", "be", "du", "fi", "go", "ha", "je", "pu",
+        "zi",
     ];
     let part = |shift: u32| SYLLABLES[(token >> shift & 15) as usize];
     format!(" {}{}{}", part(8), part(4), part(0))
 }
 
 /// The whole answer, computed in one place: what an undisturbed run must give.
-pub fn reference_answer(prompt: &[TokenId], layers: u16, seed: u64, max_tokens: u32) -> Vec<TokenId> {
+pub fn reference_answer(
+    prompt: &[TokenId],
+    layers: u16,
+    seed: u64,
+    max_tokens: u32,
+) -> Vec<TokenId> {
     let mut kv = KvDigest::new(LayerRange { first: 0, end: layers });
     let mut last = 0;
     for token in prompt {
--- a/crates/sillbank_net/src/body.rs
+++ b/crates/sillbank_net/src/body.rs
@@ -147,7 +147,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         match self.get_mut() {
             Self::Whole(whole) => Pin::new(whole).poll_frame(context),
-            Self::Stream(stream) => stream.poll_chunk(context).map(|c| c.map(|c| Ok(Frame::data(c)))),
+            Self::Stream(stream) => {
+                stream.poll_chunk(context).map(|c| c.map(|c| Ok(Frame::data(c))))
+            }
         }
     }
 
@@ -181,6 +183,8 @@
 pub fn reply(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<ReplyBody> {
     let mut reply = Response::new(ReplyBody::Whole(Full::new(body)));
     *reply.status_mut() = status;
-    reply.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(content_type));
+    reply
+        .headers_mut()
+        .insert("content-type", hyper::header::HeaderValue::from_static(content_type));
     reply
 }
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -142,13 +142,15 @@
     ) -> Result<CallReply, CallError> {
         let (head, body) = response.into_parts();
         let whole = Limited::new(body, self.max_reply_bytes).collect().await;
-        let body = whole
-            .map_err(|e| CallError::Lost { address, reason: e.to_string() })?
-            .to_bytes();
+        let body =
+            whole.map_err(|e| CallError::Lost { address, reason: e.to_string() })?.to_bytes();
         Ok(CallReply { status: head.status, headers: head.headers, body })
     }
 
-    async fn sender(&self, address: SocketAddr) -> Result<(SendRequest<ReplyBody>, bool), CallError> {
+    async fn sender(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(SendRequest<ReplyBody>, bool), CallError> {
         loop {
             let kept = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
             match kept {
@@ -182,9 +184,8 @@
 ) -> std::io::Result<SendRequest<ReplyBody>> {
     let stream = TcpStream::connect(address).await?;
     drop(stream.set_nodelay(true));
-    let (sender, connection) = http1::handshake(FuturesIo::new(stream))
-        .await
-        .map_err(std::io::Error::other)?;
+    let (sender, connection) =
+        http1::handshake(FuturesIo::new(stream)).await.map_err(std::io::Error::other)?;
     let drive = async move {
         if let Err(error) = connection.await {
             tracing::debug!("net: A connection to {address} ended: {error}.");
--- a/crates/sillbank_net/src/telemetry.rs
+++ b/crates/sillbank_net/src/telemetry.rs
@@ -33,9 +33,5 @@
     if prometheus_client::encoding::text::encode(&mut text, registry).is_err() {
         return crate::body::text_reply(StatusCode::INTERNAL_SERVER_ERROR, "metrics failed");
     }
-    reply(
-        StatusCode::OK,
-        "application/openmetrics-text; version=1.0.0; charset=utf-8",
-        text.into(),
-    )
+    reply(StatusCode::OK, "application/openmetrics-text; version=1.0.0; charset=utf-8", text.into())
 }
--- a/crates/sillbank_routing/src/health.rs
+++ b/crates/sillbank_routing/src/health.rs
@@ -48,7 +48,8 @@
 type HealthChart = Chart<HealthState, HealthEvent, HealthAction>;
 
 static CHART: LazyLock<HealthChart> = LazyLock::new(|| {
-    Chart::parse(include_str!("../charts/endpoint.toml")).expect("the built-in chart is checked by a test")
+    Chart::parse(include_str!("../charts/endpoint.toml"))
+        .expect("the built-in chart is checked by a test")
 });
 
 /// Times that govern ejection and return.
--- a/crates/sillbank_routing/src/table.rs
+++ b/crates/sillbank_routing/src/table.rs
@@ -101,7 +101,13 @@
             .collect()
     }
 
-    fn share(&self, slot: EndpointSlot, kv_tokens: u32, now: Instant, last_resort: bool) -> Option<f64> {
+    fn share(
+        &self,
+        slot: EndpointSlot,
+        kv_tokens: u32,
+        now: Instant,
+        last_resort: bool,
+    ) -> Option<f64> {
         let endpoint = self.get(slot);
         let full = endpoint.kv_free_tokens.is_some_and(|free| free < kv_tokens);
         match endpoint.health.state() {
--- a/crates/sillbank_settings/src/lib.rs
+++ b/crates/sillbank_settings/src/lib.rs
@@ -14,7 +14,8 @@
 /// The few types most users need.
 pub mod prelude {
     pub use crate::objects::{
-        EndpointObject, NodeObject, OperatorObject, OrganisationObject, PipelineObject, ServiceObject, TreeObject,
+        EndpointObject, NodeObject, OperatorObject, OrganisationObject, PipelineObject,
+        ServiceObject, TreeObject,
     };
     pub use crate::policy::{Policy, PolicyPatch};
     pub use crate::reader::{Problem, Problems};
--- a/crates/sillbank_settings/src/process.rs
+++ b/crates/sillbank_settings/src/process.rs
@@ -149,7 +149,8 @@
         max_head_bytes: reader.number("max_head_bytes", 16 << 10, 8192..=1 << 20) as usize,
         head_timeout: reader.millis("head_timeout_ms", 5_000, 10..=600_000),
         body_timeout: reader.millis("body_timeout_ms", 10_000, 10..=600_000),
-        stream_buffer_bytes: reader.number("stream_buffer_bytes", 64 << 10, 1024..=16 << 20) as usize,
+        stream_buffer_bytes: reader.number("stream_buffer_bytes", 64 << 10, 1024..=16 << 20)
+            as usize,
         caller_stall: reader.millis("caller_stall_ms", 10_000, 10..=600_000),
         stop_limit: reader.millis("stop_limit_ms", 30_000, 0..=3_600_000),
         chain_policy: reader.choice("chain_policy", &CHAIN_POLICIES, CHAIN_POLICIES[0]),
@@ -176,7 +177,11 @@
         log: read_log(reader),
     };
     if settings.peer_keys.is_empty() {
-        reader.note("peer_keys", "it names no key", "add 'peer_keys = [\"...\"]', the same on all VMs");
+        reader.note(
+            "peer_keys",
+            "it names no key",
+            "add 'peer_keys = [\"...\"]', the same on all VMs",
+        );
     }
     if settings.peer_keys.iter().any(|key| key.len() < 16) {
         reader.note("peer_keys", "a key is too short", "use 16 characters or more");
--- a/crates/sillbank_settings/src/reader.rs
+++ b/crates/sillbank_settings/src/reader.rs
@@ -138,7 +138,11 @@
     pub fn name(&mut self, name: &str) -> String {
         let text = self.text(name);
         if !text.is_empty() && !is_name(&text) {
-            self.note(name, format!("'{text}' is not a name"), "use letters, digits, '-', '_', '.'");
+            self.note(
+                name,
+                format!("'{text}' is not a name"),
+                "use letters, digits, '-', '_', '.'",
+            );
         }
         text
     }
@@ -217,7 +221,12 @@
     }
 
     /// A time in milliseconds, or its default.
-    pub fn millis(&mut self, name: &str, default_ms: u64, range_ms: RangeInclusive<u64>) -> Duration {
+    pub fn millis(
+        &mut self,
+        name: &str,
+        default_ms: u64,
+        range_ms: RangeInclusive<u64>,
+    ) -> Duration {
         Duration::from_millis(self.number(name, default_ms, range_ms))
     }
 
--- a/crates/sillbank_standin/src/engine.rs
+++ b/crates/sillbank_standin/src/engine.rs
@@ -268,15 +268,18 @@
         }
         if fresh && !(same && built > 0) {
             self.forget(&step.uid);
-            self.held.insert(step.uid, Held {
-                attempt: step.attempt,
-                layers: step.layers,
-                built: 0,
-                kv: KvDigest::new(step.layers),
-                last: None,
-                ledger: None,
-                used: Instant::now(),
-            });
+            self.held.insert(
+                step.uid,
+                Held {
+                    attempt: step.attempt,
+                    layers: step.layers,
+                    built: 0,
+                    kv: KvDigest::new(step.layers),
+                    last: None,
+                    ledger: None,
+                    used: Instant::now(),
+                },
+            );
         }
         Ok(())
     }
@@ -286,7 +289,8 @@
         let Some(held) = self.held.get_mut(&step.uid) else {
             return StepOutcome::Refused(Refusal::NotNext { built: 0 });
         };
-        let run = |input: &u64| order.iter().fold(*input, |act, layer| held.kv.run_layer(act, *layer));
+        let run =
+            |input: &u64| order.iter().fold(*input, |act, layer| held.kv.run_layer(act, *layer));
         let outputs: Vec<u64> = step.inputs.iter().map(run).collect();
         let last_stage = step.layers.end == self.model_layers;
         let token = outputs
@@ -322,11 +326,13 @@
         let Some(held) = self.held.get_mut(&step.uid) else {
             return;
         };
-        if let Some(entry) = held.ledger.and_then(|place| self.ledger.get_mut(place)) {
-            if entry.attempt == step.attempt && entry.end == step.start && entry.layers == layers {
-                entry.end = end;
-                return;
-            }
+        let last = held.ledger.and_then(|place| self.ledger.get_mut(place));
+        if let Some(entry) = last
+            && (entry.attempt, entry.end) == (step.attempt, step.start)
+            && entry.layers == layers
+        {
+            entry.end = end;
+            return;
         }
         held.ledger = Some(self.ledger.len());
         self.ledger.push(LedgerEntry {
--- a/tools/local.sh
+++ b/tools/local.sh
@@ -3,6 +3,7 @@
 # Prints a short summary and closes with one JSON line. Exit code 0: every check passed.
 #
 #   tools/local.sh [options of 'sillbank-load run']
+#   tools/local.sh --hold
 #
 # Environment: HALLS, VMS, ENGINES, COST_FACTOR, CHAIN_POLICY shape the fleet; OUT is the folder
 # for settings, logs and the report; BROKEN_LAYER=skip or repeat makes one engine misbehave.
@@ -18,4 +19,10 @@
   skip) fleet_fault 0 '{"skip_layer": 1}' ;;
   repeat) fleet_fault 0 '{"repeat_layer": 1}' ;;
 esac
+if [ "${1:-}" = --hold ]; then
+  echo "entry: $(fleet_address '.entries[0]')  control: $(fleet_address '.control_admins[0]')"
+  echo "Press Enter to end the fleet."
+  read -r _ || true
+  exit 0
+fi
 "$PROGRAMS/sillbank-load" run --fleet "$OUT" --report "$OUT/report" "$@"
