--- /dev/null
+++ b/crates/sillbank_generation/tests/interleavings.rs
@@ -0,0 +1,321 @@
+//! Under any interleaving of replies, losses, doubles, deaths and freezes, the caller gets the
+//! tokens of an undisturbed run, each once and in order, and every engine runs each layer once
+//! for each position of an attempt.
+
+use arbitrary::Unstructured;
+use sillbank_core::prelude::*;
+use sillbank_generation::{Action, Event, Generation, Plan, StageIndex, State};
+use sillbank_model::engine::EngineCore;
+use sillbank_model::{END_TOKEN, reference_answer};
+use sillbank_protocol::engine::{EngineLoad, Step, StepReply};
+use sillbank_testing::for_fixed_seeds;
+use std::collections::VecDeque;
+
+const MODEL_LAYERS: u16 = 6;
+const SPARES: usize = 3;
+
+/// A generation, the engines that may stand behind its stages, and messages on their way.
+struct World {
+    generation: Generation,
+    engines: Vec<Vec<EngineCore>>,
+    frozen: Vec<Vec<bool>>,
+    behind: Vec<usize>,
+    to_engines: VecDeque<(StageIndex, usize, Step)>,
+    to_generation: VecDeque<(StageIndex, StepReply)>,
+    emitted: Vec<TokenId>,
+    failed: Option<Failure>,
+    whole: bool,
+}
+
+fn plan(prompt: Vec<TokenId>, max_tokens: u32) -> Plan {
+    let stages = (0..3).map(|s| LayerRange { first: s * 2, end: s * 2 + 2 }).collect();
+    Plan {
+        uid: RequestUid(3, 4),
+        attempt: 5,
+        seed: 11,
+        priority: 4,
+        prompt,
+        known: Vec::new(),
+        delivered_tokens: 0,
+        max_tokens,
+        end_token: END_TOKEN,
+        stages,
+        max_losses: 40,
+    }
+}
+
+fn world(plan: Plan) -> World {
+    let engine = |layers: &LayerRange| EngineCore::new(*layers, MODEL_LAYERS, 10_000);
+    let engines: Vec<Vec<EngineCore>> =
+        plan.stages.iter().map(|layers| vec![engine(layers); SPARES]).collect();
+    World {
+        frozen: vec![vec![false; SPARES]; engines.len()],
+        behind: vec![0; engines.len()],
+        engines,
+        generation: Generation::new(plan),
+        to_engines: VecDeque::new(),
+        to_generation: VecDeque::new(),
+        emitted: Vec::new(),
+        failed: None,
+        whole: false,
+    }
+}
+
+impl World {
+    fn take(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.generation.on_event(event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send(stage, step) => {
+                    self.to_engines.push_back((stage, self.behind[stage], step));
+                }
+                Action::Emit(number, token) => {
+                    assert_eq!(number as usize, self.emitted.len(), "a token out of order");
+                    self.emitted.push(token);
+                }
+                Action::Replace(stage) => {
+                    self.behind[stage] = (self.behind[stage] + 1) % SPARES;
+                    self.take(Event::Replaced(stage));
+                }
+                Action::Finish => self.whole = true,
+                Action::Fail(failure) => self.failed = Some(failure),
+                Action::Release(_) => {}
+            }
+        }
+    }
+
+    fn run_engine(&mut self) {
+        let ready =
+            self.to_engines.iter().position(|(stage, engine, _)| !self.frozen[*stage][*engine]);
+        let Some((stage, engine, step)) = ready.and_then(|at| self.to_engines.remove(at)) else {
+            return;
+        };
+        let outcome = self.engines[stage][engine].run_step(&step);
+        let reply = StepReply {
+            uid: step.uid,
+            attempt: step.attempt,
+            start: step.start,
+            outcome,
+            load: EngineLoad::default(),
+        };
+        self.to_generation.push_back((stage, reply));
+    }
+
+    fn deliver(&mut self, at: usize) {
+        if let Some((stage, reply)) = self.to_generation.remove(at) {
+            self.take(Event::Reply(stage, reply));
+        }
+    }
+
+    /// One thing that can happen at any moment.
+    fn disturb(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let stage = u.choose_index(self.engines.len())?;
+        let engine = self.behind[stage];
+        match u.int_in_range(0..=11)? {
+            0..=3 => self.run_engine(),
+            4..=6 => self.deliver(0),
+            7 if !self.to_generation.is_empty() => {
+                // Out of order, or doubled, or lost.
+                let at = u.choose_index(self.to_generation.len())?;
+                match u.int_in_range(0..=2)? {
+                    0 => self.deliver(at),
+                    1 => self.to_generation.push_back(self.to_generation[at].clone()),
+                    _ => drop(self.to_generation.remove(at)),
+                }
+            }
+            8 => {
+                // Killed: what it held and what was on its way to it is gone.
+                self.engines[stage][engine].forget_all();
+                self.to_engines.retain(|(s, e, _)| (*s, *e) != (stage, engine));
+                self.take(Event::StageLost(stage));
+            }
+            9 => {
+                // Frozen: found silent; it will wake and run what it was sent.
+                self.frozen[stage][engine] = true;
+                self.take(Event::StageLost(stage));
+            }
+            10 => self.frozen[stage] = vec![false; SPARES],
+            11 => {
+                // Restarted without anybody noticing.
+                self.engines[stage][engine].forget_all();
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// No more disturbance: everything that waits is found and resent.
+    fn settle(&mut self) {
+        self.frozen.iter_mut().for_each(|stage| stage.fill(false));
+        for _ in 0..10_000 {
+            if self.generation.is_over() {
+                return;
+            }
+            if !self.to_engines.is_empty() {
+                self.run_engine();
+            } else if !self.to_generation.is_empty() {
+                self.deliver(0);
+            } else if let Some(stage) = self.generation.awaited_stage() {
+                self.take(Event::StepOverdue(stage));
+            }
+        }
+        panic!("it never ends: {:?}", self.generation.state());
+    }
+
+    fn check_ledgers(&self) {
+        for engine in self.engines.iter().flatten() {
+            let mut last: Option<(Attempt, Position)> = None;
+            for entry in &engine.ledger {
+                assert!(entry.layers.windows(2).all(|pair| pair[1] == pair[0] + 1), "{entry:?}");
+                match last {
+                    Some((attempt, end)) if attempt == entry.attempt => {
+                        assert!(entry.start == end || entry.start == 0, "{entry:?} after {end}");
+                    }
+                    Some((attempt, _)) => assert!(entry.attempt > attempt, "{entry:?}"),
+                    None => {}
+                }
+                last = Some((entry.attempt, entry.end));
+            }
+        }
+    }
+}
+
+#[test]
+fn every_interleaving_gives_the_undisturbed_answer_or_a_stated_failure() {
+    let mut whole = 0;
+    for_fixed_seeds(400, 600, |u| {
+        let prompt: Vec<TokenId> = (0..u.int_in_range(1..=5)?).map(|n| n + 1).collect();
+        let max_tokens = u.int_in_range(1..=12)?;
+        let expected = reference_answer(&prompt, MODEL_LAYERS, 11, max_tokens);
+        let mut world = world(plan(prompt, max_tokens));
+
+        world.take(Event::Start);
+        for _ in 0..u.int_in_range(0..=150)? {
+            world.disturb(u)?;
+        }
+        world.settle();
+
+        world.check_ledgers();
+        assert!(expected.starts_with(&world.emitted), "{:?}", world.emitted);
+        match &world.failed {
+            Some(failure) => assert_eq!(failure.kind, FailureKind::EndpointsLost),
+            None => {
+                assert_eq!(world.emitted, expected);
+                whole += 1;
+            }
+        }
+        Ok(())
+    });
+    assert!(whole > 200, "only {whole} answers were whole");
+}
+
+#[test]
+fn only_the_lost_stage_is_built_again() {
+    let mut world = world(plan(vec![1, 2, 3], 6));
+    world.take(Event::Start);
+    while world.emitted.len() < 3 {
+        world.run_engine();
+        world.deliver(0);
+    }
+
+    world.take(Event::StageLost(1));
+    world.settle();
+
+    assert!(world.whole);
+    assert_eq!(world.emitted, reference_answer(&[1, 2, 3], MODEL_LAYERS, 11, 6));
+    let attempts = |stage: usize, engine: usize| -> Vec<Position> {
+        world.engines[stage][engine].ledger.iter().filter(|e| e.start == 0).map(|e| e.end).collect()
+    };
+    assert_eq!(attempts(0, 0).len(), 1, "the first stage never began anew");
+    assert_eq!(attempts(2, 0).len(), 1, "the last stage never began anew");
+    assert_eq!(attempts(1, 1).len(), 1, "the new endpoint built the lost stage");
+}
+
+#[test]
+fn a_taken_over_generation_stays_fenced_out() {
+    let mut world = world(plan(vec![1, 2], 6));
+    world.take(Event::Start);
+    for _ in 0..3 {
+        world.run_engine();
+        world.deliver(0);
+    }
+    let newer = Plan { attempt: 5 + 2 * ATTEMPT_RAISE, ..plan(vec![1, 2], 6) };
+    let mut second = Generation::new(newer);
+    let mut actions = Vec::new();
+    second.on_event(Event::Start, &mut actions);
+    let Some(Action::Send(0, step)) = actions.pop() else { panic!("no step") };
+    world.engines[0][0].run_step(&step);
+
+    world.settle();
+
+    let failure = world.failed.expect("the older one fails");
+    assert_eq!(failure.kind, FailureKind::TakenOver);
+    assert_eq!(world.generation.state(), State::Failed);
+}
+
+#[test]
+fn a_newcomer_goes_above_an_older_holder_whose_number_is_greater() {
+    let mut world = world(plan(vec![1, 2], 4));
+    let ahead = Step {
+        uid: RequestUid(3, 4),
+        attempt: 5 + 9 * ATTEMPT_RAISE,
+        start: 0,
+        layers: LayerRange { first: 0, end: 2 },
+        seed: 11,
+        priority: 4,
+        inputs: vec![1, 2],
+    };
+    world.engines[0][0].run_step(&ahead);
+
+    world.take(Event::Start);
+    world.settle();
+
+    assert!(world.whole, "{:?}", world.failed);
+}
+
+#[test]
+fn a_resumed_answer_gives_only_what_the_caller_lacks() {
+    let expected = reference_answer(&[1, 2, 3], MODEL_LAYERS, 11, 8);
+    let mut actions = Vec::new();
+    let resumed = Plan { delivered_tokens: 5, ..plan(vec![1, 2, 3], 8) };
+    let mut generation = Generation::new(resumed);
+    let mut engines = world(plan(vec![1], 1)).engines;
+    let mut emitted = Vec::new();
+
+    generation.on_event(Event::Start, &mut actions);
+    while let Some(action) = actions.pop() {
+        match action {
+            Action::Send(stage, step) => {
+                let outcome = engines[stage][0].run_step(&step);
+                let reply = StepReply {
+                    uid: step.uid,
+                    attempt: step.attempt,
+                    start: step.start,
+                    outcome,
+                    load: EngineLoad::default(),
+                };
+                generation.on_event(Event::Reply(stage, reply), &mut actions);
+            }
+            Action::Emit(number, token) => emitted.push((number, token)),
+            _ => {}
+        }
+    }
+
+    emitted.sort_unstable();
+    let wanted: Vec<(u32, TokenId)> = (5..8).map(|n| (n, expected[n as usize])).collect();
+    assert_eq!(emitted, wanted);
+}
+
+#[test]
+fn a_request_refused_by_every_endpoint_was_not_run() {
+    let mut world = world(plan(vec![1, 2], 4));
+    world.engines[0].iter_mut().for_each(|engine| engine.leaving = true);
+    world.take(Event::Start);
+
+    world.settle();
+
+    let failure = world.failed.expect("it fails");
+    assert_eq!(failure.run, RunState::NotRun);
+    assert!(world.engines.iter().flatten().all(|engine| engine.ledger.is_empty()));
+}
--- a/crates/sillbank_load/src/check.rs
+++ b/crates/sillbank_load/src/check.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use serde::Deserialize;
 use sillbank_core::prelude::*;
+use sillbank_model::engine::LedgerEntry;
 use sillbank_net::client::request;
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
@@ -18,16 +19,6 @@
 /// Time a ledger may take to come.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// An unbroken run of positions at one engine.
-#[derive(Debug, Clone, Deserialize)]
-pub(crate) struct EngineEntry {
-    uid: String,
-    attempt: Attempt,
-    start: Position,
-    end: Position,
-    layers: Vec<u16>,
-}
-
 /// A call that a service ran.
 #[derive(Debug, Clone, Deserialize)]
 struct ServiceEntry {
@@ -37,7 +28,7 @@
 /// What all back ends that can be reached ran.
 #[derive(Debug, Default)]
 pub(crate) struct Ledgers {
-    engines: HashMap<String, Vec<(usize, EngineEntry)>>,
+    engines: HashMap<String, Vec<(usize, LedgerEntry)>>,
     services: HashMap<String, u32>,
     /// Back ends that gave no ledger, because they were killed.
     pub(crate) missing: usize,
@@ -53,7 +44,7 @@
         let client = HttpClient::new(executor, 1 << 30);
         let mut ledgers = Self::default();
         for (number, address) in engines.iter().enumerate() {
-            let Some(entries) = fetch::<Vec<EngineEntry>>(&client, *address).await? else {
+            let Some(entries) = fetch::<Vec<LedgerEntry>>(&client, *address).await? else {
                 ledgers.missing += 1;
                 continue;
             };
@@ -175,7 +166,7 @@
 
 /// Each run must hold its layers once and in order, and the runs of one attempt at one engine
 /// must follow one another without overlap or gap.
-fn check_runs(runs: &[(usize, EngineEntry)], out: &mut Checked) {
+fn check_runs(runs: &[(usize, LedgerEntry)], out: &mut Checked) {
     let mut last: HashMap<(usize, Attempt), Position> = HashMap::new();
     for (engine, run) in runs {
         if !run.layers.windows(2).all(|pair| pair[1] == pair[0] + 1) {
@@ -190,7 +181,7 @@
 }
 
 /// Whether every layer ran at every position up to a length.
-fn covers(runs: &[(usize, EngineEntry)], positions: u32) -> bool {
+fn covers(runs: &[(usize, LedgerEntry)], positions: u32) -> bool {
     (0..MODEL_LAYERS).all(|layer| {
         let mut spans: Vec<(Position, Position)> = runs
             .iter()
--- a/crates/sillbank_load/src/main.rs
+++ b/crates/sillbank_load/src/main.rs
@@ -5,8 +5,11 @@
 
 mod check;
 mod client;
+mod direct;
 mod fleet;
+mod hop;
 mod mix;
+mod process;
 mod report;
 mod run;
 mod wait;
@@ -31,6 +34,7 @@
 #[argh(subcommand)]
 enum Command {
     Fleet(fleet::FleetArguments),
+    Hop(hop::HopArguments),
     Run(run::RunArguments),
     Wait(wait::WaitArguments),
 }
@@ -59,6 +63,7 @@
 async fn run_command(executor: Rc<LocalExecutor<'static>>, command: Option<Command>) -> Verdict {
     match command {
         Some(Command::Fleet(arguments)) => fleet::write(&arguments),
+        Some(Command::Hop(arguments)) => hop::hop(executor, arguments).await,
         Some(Command::Run(arguments)) => run::run(executor, arguments).await,
         Some(Command::Wait(arguments)) => wait::wait(executor, arguments).await,
         None => Err("name a command; see --help".into()),
--- a/crates/sillbank_load/src/report.rs
+++ b/crates/sillbank_load/src/report.rs
@@ -208,3 +208,11 @@
         points.join(" "),
     )
 }
+
+/// The value below which a share of sorted values lies.
+pub(crate) fn quantile(sorted: &[u64], q: f64) -> u64 {
+    match sorted.len() {
+        0 => 0,
+        count => sorted[((count - 1) as f64 * q).round() as usize],
+    }
+}
--- a/crates/sillbank_model/src/lib.rs
+++ b/crates/sillbank_model/src/lib.rs
@@ -6,6 +6,8 @@
 
 #![forbid(unsafe_code)]
 
+pub mod engine;
+
 use sillbank_core::prelude::*;
 
 /// Number of token ids.
--- /dev/null
+++ b/crates/sillbank_routing/tests/routing.rs
@@ -0,0 +1,191 @@
+//! Which endpoints serve a request.
+
+use sillbank_core::prelude::*;
+use sillbank_routing::chain::LeastFinish;
+use sillbank_routing::prelude::*;
+use sillbank_testing::for_fixed_seeds;
+use std::time::{Duration, Instant};
+
+fn spec(id: &str, first: u16, end: u16) -> EndpointSpec {
+    EndpointSpec {
+        id: id.to_owned(),
+        hall: "hall1".to_owned(),
+        kind: "k1".to_owned(),
+        pipeline: "p".to_owned(),
+        layers: LayerRange { first, end },
+        address: "127.0.0.1:1".to_owned(),
+        leaving: false,
+    }
+}
+
+fn table(specs: &[EndpointSpec], now: Instant) -> EndpointTable {
+    let mut table = EndpointTable::new(HealthLimits::default());
+    for spec in specs {
+        let slot = table.upsert(spec.clone(), now).unwrap();
+        table.get_mut(slot).connected = true;
+    }
+    table
+}
+
+fn request() -> ChainRequest<'static> {
+    let layers = LayerRange { first: 0, end: 6 };
+    ChainRequest { pipeline: "p", layers, kv_tokens: 10, except: None }
+}
+
+fn choose(table: &EndpointTable, now: Instant) -> Option<Vec<ChainLink>> {
+    let mut rng = fastrand::Rng::with_seed(1);
+    choose_chain(table, &request(), &mut LeastFinish, now, &mut rng)
+}
+
+#[test]
+fn every_chosen_chain_covers_all_layers_once_and_in_order() {
+    let now = Instant::now();
+    for_fixed_seeds(200, 256, |u| {
+        let mut specs = Vec::new();
+        for number in 0..u.int_in_range(1..=12)? {
+            let first = u.int_in_range(0..=5)?;
+            let end = u.int_in_range(first + 1..=6)?;
+            specs.push(spec(&format!("e{number}"), first, end));
+        }
+        let reachable = |goal: u16| {
+            let mut at = 0;
+            while let Some(end) = specs
+                .iter()
+                .map(|s| s.layers)
+                .filter(|l| l.first <= at && l.end > at)
+                .map(|l| l.end)
+                .max()
+            {
+                at = end;
+            }
+            at >= goal
+        };
+
+        let chain = choose(&table(&specs, now), now);
+
+        assert_eq!(chain.is_some(), reachable(6));
+        let mut at = 0;
+        for link in chain.iter().flatten() {
+            let held = specs[link.endpoint as usize].layers;
+            assert_eq!(link.layers.first, at);
+            assert!(held.first <= link.layers.first && link.layers.end <= held.end);
+            at = link.layers.end;
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn an_ejected_endpoint_is_used_only_if_there_is_no_other() {
+    let now = Instant::now();
+    let mut table = table(&[spec("a", 0, 6), spec("b", 0, 6)], now);
+    table.get_mut(0).health.on_event(now, HealthEvent::Failure);
+
+    let with_other = choose(&table, now).unwrap();
+    table.get_mut(1).health.on_event(now, HealthEvent::Failure);
+    let without_other = choose(&table, now);
+
+    assert_eq!(with_other[0].endpoint, 1);
+    assert!(without_other.is_some(), "a hall never ejects itself empty");
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work_even_if_there_is_no_other() {
+    let now = Instant::now();
+    let mut table = table(&[spec("a", 0, 6)], now);
+    table.upsert(EndpointSpec { leaving: true, ..spec("a", 0, 6) }, now);
+
+    assert_eq!(choose(&table, now), None);
+}
+
+#[test]
+fn a_quicker_endpoint_is_preferred_and_requests_since_its_report_count() {
+    let now = Instant::now();
+    let mut table = table(&[spec("slow", 0, 6), spec("quick", 0, 6)], now);
+    for _ in 0..50 {
+        table.get_mut(0).cost.observe(Duration::from_millis(9), 8000, 4, 1);
+        table.get_mut(1).cost.observe(Duration::from_millis(3), 2500, 4, 1);
+    }
+
+    let first = choose(&table, now).unwrap()[0].endpoint;
+    table.get_mut(1).added_since_report = 60;
+    let later = choose(&table, now).unwrap()[0].endpoint;
+
+    assert_eq!((first, later), (1, 0));
+}
+
+#[test]
+fn an_endpoint_without_room_for_the_request_is_left_alone() {
+    let now = Instant::now();
+    let mut table = table(&[spec("full", 0, 6), spec("free", 0, 6)], now);
+    table.get_mut(0).kv_free_tokens = Some(9);
+
+    assert_eq!(choose(&table, now).unwrap()[0].endpoint, 1);
+}
+
+#[test]
+fn an_ejected_endpoint_comes_back_by_a_probe_and_slowly() {
+    let limits = HealthLimits::default();
+    let start = Instant::now();
+    let mut health = Health::new(start);
+    health.on_event(start, HealthEvent::Failure);
+    assert!(!health.probe_due(start, &limits));
+    let due = start + limits.eject;
+    assert!(health.probe_due(due, &limits));
+
+    health.on_event(due, HealthEvent::ProbeOk);
+
+    assert_eq!(health.state(), HealthState::Returning);
+    assert!(health.share(due, &limits) < 0.2);
+    let later = due + limits.slow_start;
+    health.on_time(later, &limits);
+    assert_eq!(health.state(), HealthState::Active);
+}
+
+#[test]
+fn a_failed_probe_doubles_the_wait_up_to_its_bound() {
+    let limits = HealthLimits::default();
+    let mut now = Instant::now();
+    let mut health = Health::new(now);
+    health.on_event(now, HealthEvent::Failure);
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        let begun = now;
+        while !health.probe_due(now, &limits) {
+            now += Duration::from_millis(100);
+        }
+        waits.push(now - begun);
+        health.on_event(now, HealthEvent::ProbeFailed);
+    }
+
+    assert!(waits.windows(2).all(|pair| pair[1] >= pair[0]), "{waits:?}");
+    assert_eq!(waits[7], limits.eject_max);
+}
+
+#[test]
+fn a_moved_endpoint_gets_a_new_slot() {
+    let now = Instant::now();
+    let mut table = table(&[spec("a", 0, 6)], now);
+
+    let slot =
+        table.upsert(EndpointSpec { address: "127.0.0.1:2".to_owned(), ..spec("a", 0, 6) }, now);
+
+    assert_eq!(slot, Some(1));
+    assert!(!table.get(0).present);
+}
+
+#[test]
+fn a_silent_endpoint_is_judged_by_its_own_step_time() {
+    let ceiling = Duration::from_secs(1);
+    let mut table = table(&[spec("quick", 0, 6), spec("slow", 0, 6)], Instant::now());
+    for _ in 0..50 {
+        table.get_mut(0).cost.observe(Duration::from_millis(3), 2500, 4, 1);
+        table.get_mut(1).cost.observe(Duration::from_millis(80), 70_000, 4, 1);
+    }
+
+    let quick = table.get(0).cost.silence_limit(1, ceiling);
+    let slow = table.get(1).cost.silence_limit(1, ceiling);
+
+    assert!(quick < Duration::from_millis(200), "{quick:?}");
+    assert!(slow > Duration::from_millis(400) && slow < ceiling, "{slow:?}");
+}
--- a/crates/sillbank_standin/src/engine.rs
+++ b/crates/sillbank_standin/src/engine.rs
@@ -8,10 +8,10 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
-use sillbank_model::KvDigest;
+use sillbank_model::engine::{EngineCore, LayerFaults};
 use sillbank_net::prelude::*;
 use sillbank_protocol::engine::{
-    EngineLoad, EngineRequest, MAX_LINE_BYTES, Refusal, STEPS_PATH, Step, StepOutcome, StepReply,
+    EngineLoad, EngineRequest, MAX_LINE_BYTES, STEPS_PATH, Step, StepOutcome, StepReply,
 };
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
@@ -67,27 +67,6 @@
     leaving: bool,
 }
 
-/// What ran: an unbroken run of positions for one attempt.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct LedgerEntry {
-    uid: String,
-    attempt: Attempt,
-    start: Position,
-    end: Position,
-    layers: Vec<u16>,
-}
-
-struct Held {
-    attempt: Attempt,
-    layers: LayerRange,
-    built: Position,
-    kv: KvDigest,
-    last: Option<(Position, StepOutcome)>,
-    /// Place in the ledger of the last entry, if it can grow.
-    ledger: Option<usize>,
-    used: Instant,
-}
-
 struct Waiting {
     step: Step,
     arrived: Instant,
@@ -97,13 +76,10 @@
 struct Engine {
     cost: KindCost,
     layers: LayerRange,
-    model_layers: u16,
     cost_factor: f64,
-    keep_ledger: bool,
-    held: HashMap<RequestUid, Held>,
-    held_tokens: u64,
+    core: EngineCore,
+    used: HashMap<RequestUid, Instant>,
     queue: Vec<Waiting>,
-    ledger: Vec<LedgerEntry>,
     faults: Faults,
     steps_run: u64,
     tokens_run: u64,
@@ -120,16 +96,17 @@
     let cost = kinds::kind(&arguments.kind)
         .ok_or_else(|| std::io::Error::other("the kind is not known; use k1 to k5"))?;
     let (wake, woken) = smol::channel::bounded(1);
+    let layers = LayerRange { first: arguments.first_layer, end: arguments.end_layer };
+    let kv_tokens = u64::from(cost.kv_tokens);
+    let mut core = EngineCore::new(layers, arguments.model_layers, kv_tokens);
+    core.keep_ledger = !arguments.no_ledger;
     let engine = Rc::new(RefCell::new(Engine {
         cost,
-        layers: LayerRange { first: arguments.first_layer, end: arguments.end_layer },
-        model_layers: arguments.model_layers,
+        layers,
         cost_factor: arguments.cost_factor,
-        keep_ledger: !arguments.no_ledger,
-        held: HashMap::new(),
-        held_tokens: 0,
+        core,
+        used: HashMap::new(),
         queue: Vec::new(),
-        ledger: Vec::new(),
         faults: Faults::default(),
         steps_run: 0,
         tokens_run: 0,
@@ -185,7 +162,7 @@
             let outcome = self.run_step(&waiting.step);
             let load = EngineLoad {
                 queued: self.queue.len() as u32,
-                held: self.held.len() as u32,
+                held: self.core.held() as u32,
                 wait_us: started.duration_since(waiting.arrived).as_micros() as u32,
                 run_us: time.as_micros() as u32,
                 batch: size,
@@ -216,144 +193,28 @@
     }
 
     fn kv_free(&self) -> u32 {
-        u64::from(self.cost.kv_tokens).saturating_sub(self.held_tokens) as u32
+        self.core.kv_free() as u32
     }
 
     fn run_step(&mut self, step: &Step) -> StepOutcome {
-        if let Err(refusal) = self.admit(step) {
-            return StepOutcome::Refused(refusal);
-        }
-        if let Some(held) = self.held.get_mut(&step.uid) {
-            let end = step.start + step.inputs.len() as u32;
-            if let Some((start, outcome)) = &held.last {
-                // The same step again: the same answer, and nothing runs.
-                if *start == step.start && end == held.built {
-                    held.attempt = step.attempt;
-                    return outcome.clone();
-                }
-            }
-        }
-        match self.prepare(step) {
-            Ok(()) => self.run_layers(step),
-            Err(refusal) => StepOutcome::Refused(refusal),
-        }
-    }
-
-    /// Refuses what no KV cache could make right.
-    fn admit(&self, step: &Step) -> Result<(), Refusal> {
-        if step.layers.first < self.layers.first || step.layers.end > self.layers.end {
-            return Err(Refusal::WrongLayers);
-        }
-        match self.held.get(&step.uid) {
-            Some(held) if step.attempt < held.attempt => {
-                Err(Refusal::StaleAttempt { newest: held.attempt })
-            }
-            Some(_) => Ok(()),
-            None if self.faults.leaving => Err(Refusal::Leaving),
-            None if (self.kv_free() as usize) < step.inputs.len() => Err(Refusal::Full),
-            None => Ok(()),
-        }
-    }
-
-    /// Finds or makes the KV cache that the step goes on from.
-    fn prepare(&mut self, step: &Step) -> Result<(), Refusal> {
-        let (known_attempt, built, layers) = match self.held.get(&step.uid) {
-            Some(held) => (held.attempt, held.built, held.layers),
-            None => (0, 0, step.layers),
-        };
-        let same = layers == step.layers && step.start == built;
-        let fresh = step.start == 0 && (step.attempt > known_attempt || built == 0);
-        if !same && !fresh {
-            return Err(Refusal::NotNext { built });
-        }
-        if fresh && !(same && built > 0) {
-            self.forget(&step.uid);
-            self.held.insert(
-                step.uid,
-                Held {
-                    attempt: step.attempt,
-                    layers: step.layers,
-                    built: 0,
-                    kv: KvDigest::new(step.layers),
-                    last: None,
-                    ledger: None,
-                    used: Instant::now(),
-                },
-            );
-        }
-        Ok(())
-    }
-
-    fn run_layers(&mut self, step: &Step) -> StepOutcome {
-        let order = self.layer_order(step.layers);
-        let Some(held) = self.held.get_mut(&step.uid) else {
-            return StepOutcome::Refused(Refusal::NotNext { built: 0 });
-        };
-        let run =
-            |input: &u64| order.iter().fold(*input, |act, layer| held.kv.run_layer(act, *layer));
-        let outputs: Vec<u64> = step.inputs.iter().map(run).collect();
-        let last_stage = step.layers.end == self.model_layers;
-        let token = outputs
-            .last()
-            .filter(|_| last_stage)
-            .map(|activation| sillbank_model::sample(*activation, step.seed));
-        let outcome = StepOutcome::Done { outputs, token };
-        let end = step.start + step.inputs.len() as u32;
-        held.attempt = step.attempt;
-        held.built = end;
-        held.last = Some((step.start, outcome.clone()));
-        held.used = Instant::now();
-        self.held_tokens += step.inputs.len() as u64;
-        self.steps_run += 1;
-        self.tokens_run += step.inputs.len() as u64;
-        if self.keep_ledger {
-            self.note(step, end, order);
+        let outcome = self.core.run_step(step);
+        if let StepOutcome::Done { outputs, .. } = &outcome {
+            self.steps_run += 1;
+            self.tokens_run += outputs.len() as u64;
+            self.used.insert(step.uid, Instant::now());
         }
         outcome
     }
 
-    /// The layers in the order they run: as they should, unless told to misbehave.
-    fn layer_order(&self, layers: LayerRange) -> Vec<u16> {
-        let times = |layer: u16| match () {
-            () if self.faults.skip_layer == Some(layer) => 0,
-            () if self.faults.repeat_layer == Some(layer) => 2,
-            () => 1,
-        };
-        (layers.first..layers.end).flat_map(|l| std::iter::repeat_n(l, times(l))).collect()
-    }
-
-    fn note(&mut self, step: &Step, end: Position, layers: Vec<u16>) {
-        let Some(held) = self.held.get_mut(&step.uid) else {
-            return;
-        };
-        let last = held.ledger.and_then(|place| self.ledger.get_mut(place));
-        if let Some(entry) = last
-            && (entry.attempt, entry.end) == (step.attempt, step.start)
-            && entry.layers == layers
-        {
-            entry.end = end;
-            return;
-        }
-        held.ledger = Some(self.ledger.len());
-        self.ledger.push(LedgerEntry {
-            uid: step.uid.to_string(),
-            attempt: step.attempt,
-            start: step.start,
-            end,
-            layers,
-        });
-    }
-
-    fn forget(&mut self, uid: &RequestUid) {
-        if let Some(held) = self.held.remove(uid) {
-            self.held_tokens -= u64::from(held.built);
-        }
-    }
-
     fn forget_old(&mut self) {
-        let old = |held: &Held| held.used.elapsed() > FORGET_AFTER;
-        let uids: Vec<_> = self.held.iter().filter(|(_, h)| old(h)).map(|(u, _)| *u).collect();
-        uids.iter().for_each(|uid| self.forget(uid));
+        let core = &mut self.core;
+        self.used.retain(|uid, used| {
+            let keep = used.elapsed() < FORGET_AFTER;
+            if !keep {
+                core.forget(uid);
+            }
+            keep
+        });
     }
 
     fn take_line(&mut self, line: &[u8], reply_to: &Outbox) {
@@ -364,9 +225,8 @@
                 self.wake.try_send(()).ok();
             }
             Ok(EngineRequest::Cancel { uid, attempt }) => {
-                if self.held.get(&uid).is_some_and(|held| held.attempt <= attempt) {
-                    self.forget(&uid);
-                }
+                self.core.cancel(uid, attempt);
+                self.used.remove(&uid);
             }
             Err(error) => tracing::warn!("standin: A line was not read: {error}."),
         }
@@ -394,13 +254,13 @@
             (&Method::POST, STEPS_PATH) => self.start_steps(request),
             (&Method::GET, "/v1/load") => json_reply(StatusCode::OK, &self.load()),
             (&Method::GET, "/admin/ledger") => {
-                json_reply(StatusCode::OK, &self.engine.borrow().ledger)
+                json_reply(StatusCode::OK, &self.engine.borrow().core.ledger)
             }
             (&Method::GET, "/admin/counts") => {
                 let engine = self.engine.borrow();
                 let counts = serde_json::json!({
                     "steps": engine.steps_run, "tokens": engine.tokens_run,
-                    "held": engine.held.len(), "held_tokens": engine.held_tokens,
+                    "held": engine.core.held(), "kv_free": engine.core.kv_free(),
                 });
                 json_reply(StatusCode::OK, &counts)
             }
@@ -419,7 +279,7 @@
         engine.forget_old();
         EngineLoad {
             queued: engine.queue.len() as u32,
-            held: engine.held.len() as u32,
+            held: engine.core.held() as u32,
             kv_free_tokens: engine.kv_free(),
             ..EngineLoad::default()
         }
@@ -430,9 +290,13 @@
             Ok(faults) => {
                 let mut engine = self.engine.borrow_mut();
                 if faults.forget {
-                    engine.held.clear();
-                    engine.held_tokens = 0;
+                    engine.core.forget_all();
                 }
+                engine.core.leaving = faults.leaving;
+                engine.core.faults = LayerFaults {
+                    skip_layer: faults.skip_layer,
+                    repeat_layer: faults.repeat_layer,
+                };
                 engine.faults = faults;
                 text_reply(StatusCode::OK, "ok")
             }
