Fence late replies out by test

Cause: three mutations of the generation passed the first property test: ignoring the attempt of a reply, not raising it, and a check that could not fail. Ruled out: wrong answers; an engine that lacks the state refuses the next step and the stage is built again, so the answer healed and only work was lost. The test now asserts that nothing is built again without a cause; the first two go red, the third check was dead and is gone.

--- a/crates/sillbank_generation/src/lib.rs
+++ b/crates/sillbank_generation/src/lib.rs
@@ -213,7 +213,7 @@
                     return self.within_budget(ChartEvent::StateLost);
                 }
                 self.run.ran();
-                match self.ends_with(stage, start + count, *token) {
+                match self.ends_with(stage, *token) {
                     true => ChartEvent::LastOutput,
                     false => ChartEvent::Output,
                 }
@@ -249,10 +249,12 @@
         ChartEvent::Stale
     }
 
-    fn ends_with(&self, stage: StageIndex, end: Position, token: Option<TokenId>) -> bool {
-        let new_token = self.stages.is_last(stage) && end as usize == self.sequence.len();
+    /// Whether the answer is whole with this token. The last stage only gets work when every
+    /// stage before it has reached the end of the sequence, so its token is always a new one.
+    fn ends_with(&self, stage: StageIndex, token: Option<TokenId>) -> bool {
         let answered = self.answer().len() as u32 + 1;
-        new_token && (token == Some(self.plan.end_token) || answered >= self.plan.max_tokens)
+        self.stages.is_last(stage)
+            && (token == Some(self.plan.end_token) || answered >= self.plan.max_tokens)
     }
 
     fn carry_out(&mut self, action: ChartAction, event: Event, actions: &mut Vec<Action>) {
@@ -318,11 +320,9 @@
         let StepOutcome::Done { outputs, token } = reply.outcome else {
             return;
         };
-        let end = reply.start + outputs.len() as u32;
         self.waiting_for = None;
         self.stages.built(stage, reply.start, &outputs);
-        let at_end = end as usize == self.sequence.len();
-        if let (true, true, Some(token)) = (self.stages.is_last(stage), at_end, token) {
+        if let (true, Some(token)) = (self.stages.is_last(stage), token) {
             self.take_token(token, actions);
         }
     }
--- a/crates/sillbank_generation/tests/interleavings.rs
+++ b/crates/sillbank_generation/tests/interleavings.rs
@@ -25,6 +25,10 @@
     emitted: Vec<TokenId>,
     failed: Option<Failure>,
     whole: bool,
+    /// Stages reported lost while the generation was not over.
+    reported: u32,
+    /// Whether an engine restarted without anybody noticing.
+    restarted: bool,
 }
 
 fn plan(prompt: Vec<TokenId>, max_tokens: u32) -> Plan {
@@ -58,11 +62,16 @@
         emitted: Vec::new(),
         failed: None,
         whole: false,
+        reported: 0,
+        restarted: false,
     }
 }
 
 impl World {
     fn take(&mut self, event: Event) {
+        if matches!(event, Event::StageLost(_)) && !self.generation.is_over() {
+            self.reported += 1;
+        }
         let mut actions = Vec::new();
         self.generation.on_event(event, &mut actions);
         for action in actions {
@@ -136,9 +145,10 @@
                 self.take(Event::StageLost(stage));
             }
             10 => self.frozen[stage] = vec![false; SPARES],
-            11 => {
+            11 if u.ratio(1, 4)? => {
                 // Restarted without anybody noticing.
                 self.engines[stage][engine].forget_all();
+                self.restarted = true;
             }
             _ => {}
         }
@@ -197,6 +207,10 @@
         world.settle();
 
         world.check_ledgers();
+        if !world.restarted && world.failed.is_none() {
+            let losses = world.generation.tally().losses;
+            assert_eq!(losses, world.reported, "something was built again without a cause");
+        }
         assert!(expected.starts_with(&world.emitted), "{:?}", world.emitted);
         match &world.failed {
             Some(failure) => assert_eq!(failure.kind, FailureKind::EndpointsLost),
@@ -210,6 +224,19 @@
     assert!(whole > 200, "only {whole} answers were whole");
 }
 
+#[test]
+fn a_late_reply_of_a_replaced_endpoint_is_not_taken() {
+    let mut world = world(plan(vec![1, 2, 3], 6));
+    world.take(Event::Start);
+    world.run_engine();
+    world.take(Event::StageLost(0));
+
+    world.deliver(0);
+
+    assert_eq!(world.generation.tally().stale_replies, 1);
+    assert_eq!(world.generation.awaited_stage(), Some(0), "the new endpoint has yet to build it");
+}
+
 #[test]
 fn only_the_lost_stage_is_built_again() {
     let mut world = world(plan(vec![1, 2, 3], 6));
