--- a/crates/sillbank_load/src/check.rs
+++ b/crates/sillbank_load/src/check.rs
@@ -27,16 +27,16 @@
 
 /// What all back ends that can be reached ran.
 #[derive(Debug, Default)]
-pub(crate) struct Ledgers {
+pub struct Ledgers {
     engines: HashMap<String, Vec<(usize, LedgerEntry)>>,
     services: HashMap<String, u32>,
     /// Back ends that gave no ledger, because they were killed.
-    pub(crate) missing: usize,
+    pub missing: usize,
 }
 
 impl Ledgers {
     /// Reads the ledgers of engines and services.
-    pub(crate) async fn read(
+    pub async fn read(
         executor: Rc<LocalExecutor<'static>>,
         engines: &[SocketAddr],
         services: &[SocketAddr],
@@ -78,32 +78,32 @@
 
 /// What the check found. Every field but the first two should be 0.
 #[derive(Debug, Clone, Default, serde::Serialize)]
-pub(crate) struct Checked {
+pub struct Checked {
     /// Answers that were whole.
-    pub(crate) whole: u64,
+    pub whole: u64,
     /// Requests that ended with a failure.
-    pub(crate) failed: u64,
+    pub failed: u64,
     /// Whole answers that are not what an undisturbed run gives.
-    pub(crate) wrong_answers: u64,
+    pub wrong_answers: u64,
     /// Runs at an engine in which a layer is missing, doubled or out of order.
-    pub(crate) wrong_layers: u64,
+    pub wrong_layers: u64,
     /// Runs at an engine that overlap an earlier one of the same attempt, or leave a gap.
-    pub(crate) doubled_positions: u64,
+    pub doubled_positions: u64,
     /// Whole answers with a layer and position that no reachable engine ran.
-    pub(crate) unrun_layers: u64,
+    pub unrun_layers: u64,
     /// Calls not to be repeated that ran more than once.
-    pub(crate) doubled_calls: u64,
+    pub doubled_calls: u64,
     /// Calls answered as done that no service ran.
-    pub(crate) lost_calls: u64,
+    pub lost_calls: u64,
     /// Requests of which "not run" was said and that ran.
-    pub(crate) false_not_run: u64,
+    pub false_not_run: u64,
     /// Back ends whose ledger could not be read.
-    pub(crate) missing_ledgers: u64,
+    pub missing_ledgers: u64,
 }
 
 impl Checked {
     /// Whether nothing is wrong.
-    pub(crate) fn passed(&self) -> bool {
+    pub fn passed(&self) -> bool {
         self.wrong_answers
             + self.wrong_layers
             + self.doubled_positions
@@ -116,7 +116,7 @@
 }
 
 /// Checks every request.
-pub(crate) fn check(all: &[Got], ledgers: &Ledgers) -> Checked {
+pub fn check(all: &[Got], ledgers: &Ledgers) -> Checked {
     let mut checked = Checked { missing_ledgers: ledgers.missing as u64, ..Checked::default() };
     for got in all {
         match &got.end {
--- a/crates/sillbank_load/src/client.rs
+++ b/crates/sillbank_load/src/client.rs
@@ -9,7 +9,7 @@
 use sillbank_core::prelude::*;
 use sillbank_net::prelude::*;
 use smol::{LocalExecutor, Timer};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,48 +17,67 @@
 /// Tries at one request, resumptions included.
 const MAX_TRIES: u32 = 8;
 
+/// How much longer than its deadline a caller waits for the answer that says so.
+const GRACE: Duration = Duration::from_secs(2);
+
 /// What a caller got.
 #[derive(Debug, Clone)]
-pub(crate) struct Got {
-    pub(crate) work: Work,
-    pub(crate) sent_at: Instant,
-    pub(crate) ended_at: Instant,
+pub struct Got {
+    /// The request.
+    pub work: Work,
+    /// When it was first sent.
+    pub sent_at: Instant,
+    /// When it ended.
+    pub ended_at: Instant,
     /// When each token came.
-    pub(crate) token_times: Vec<Instant>,
-    pub(crate) text: String,
-    pub(crate) end: End,
-    pub(crate) tries: u32,
+    pub token_times: Vec<Instant>,
+    /// Text of the answer so far.
+    pub text: String,
+    /// How it ended.
+    pub end: End,
+    /// Tries it took, resumptions included.
+    pub tries: u32,
 }
 
 /// How a request ended for the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum End {
+pub enum End {
     /// A whole answer.
     Whole,
     /// A failure, and what it said of the work.
-    Failed { code: String, run: RunState },
+    Failed {
+        /// Number of the failure.
+        code: String,
+        /// What was said of the work.
+        run: RunState,
+    },
 }
 
+/// Tokens an answer has so far, for who watches it.
+pub type Progress = Rc<Cell<usize>>;
+
 /// How one try ended.
 enum Try {
     Whole,
-    /// Broke off or handed over: come again with what is there.
-    Again(Duration),
+    /// Broke off, handed over, or refused for now: come again with what is there.
+    Again(Duration, Option<End>),
     Failed(String, RunState),
 }
 
 /// Sends requests to the entries of a fleet, as through a balancer.
 #[derive(Clone)]
-pub(crate) struct Caller {
+pub struct Caller {
     executor: Rc<LocalExecutor<'static>>,
     http: HttpClient,
     entries: Rc<Vec<SocketAddr>>,
     rng: Rc<RefCell<fastrand::Rng>>,
     deadline: Duration,
+    max_tries: u32,
 }
 
 impl Caller {
-    pub(crate) fn new(
+    /// A caller of these entries. The seed decides which entry each try goes to.
+    pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         entries: Vec<SocketAddr>,
         seed: u64,
@@ -70,11 +89,28 @@
             entries: Rc::new(entries),
             rng: Rc::new(RefCell::new(fastrand::Rng::with_seed(seed))),
             deadline,
+            max_tries: MAX_TRIES,
         }
     }
 
+    /// The same caller with another patience.
+    pub fn with_patience(&self, deadline: Duration, max_tries: u32) -> Self {
+        Self { deadline, max_tries, ..self.clone() }
+    }
+
     /// Carries a request through to its end.
-    pub(crate) async fn carry(&self, work: Work) -> Got {
+    pub async fn carry(&self, work: Work) -> Got {
+        self.carry_watched(work, None, Progress::default()).await
+    }
+
+    /// Carries a request through to its end, beginning at a stated entry, and tells how many
+    /// tokens have come.
+    pub async fn carry_watched(
+        &self,
+        work: Work,
+        first_entry: Option<usize>,
+        progress: Progress,
+    ) -> Got {
         let sent_at = Instant::now();
         let mut got = Got {
             work,
@@ -85,11 +121,12 @@
             end: End::Failed { code: "tries".to_owned(), run: RunState::Unknown },
             tries: 0,
         };
-        while got.tries < MAX_TRIES {
+        while got.tries < self.max_tries {
             got.tries += 1;
-            let entry = self.entries[self.rng.borrow_mut().usize(..self.entries.len())];
+            let drawn = self.rng.borrow_mut().usize(..self.entries.len());
+            let entry = self.entries[first_entry.filter(|_| got.tries == 1).unwrap_or(drawn)];
             let tried = match got.work.kind.clone() {
-                WorkKind::Generate { .. } => self.try_generate(entry, &mut got).await,
+                WorkKind::Generate { .. } => self.try_generate(entry, &mut got, &progress).await,
                 WorkKind::Call { service, path, repeatable } => {
                     self.try_call(entry, &got, &service, &path, repeatable).await
                 }
@@ -97,8 +134,11 @@
             match tried {
                 Try::Whole => got.end = End::Whole,
                 Try::Failed(code, run) => got.end = End::Failed { code, run },
-                Try::Again(after) => {
-                    Timer::after(after).await;
+                Try::Again(after, end) => {
+                    got.end = end.unwrap_or(got.end);
+                    if got.tries < self.max_tries {
+                        Timer::after(after).await;
+                    }
                     continue;
                 }
             }
@@ -108,15 +148,17 @@
         got
     }
 
-    async fn try_generate(&self, entry: SocketAddr, got: &mut Got) -> Try {
-        let soon = Try::Again(Duration::from_millis(20));
+    async fn try_generate(&self, entry: SocketAddr, got: &mut Got, progress: &Progress) -> Try {
+        let soon = again_soon();
         let Ok(mut sender) = sillbank_net::client::connect(&self.executor, entry).await else {
             return soon;
         };
-        let deadline = Timer::after(self.deadline);
+        let deadline = Timer::after(self.deadline + GRACE);
         let exchange = async {
             match sender.send_request(self.generate_request(got)).await {
-                Ok(response) if response.status().is_success() => read_events(response, got).await,
+                Ok(response) if response.status().is_success() => {
+                    read_events(response, got, progress).await
+                }
                 Ok(response) => read_failure(response).await,
                 Err(_) => soon,
             }
@@ -170,14 +212,16 @@
             let flag = hyper::header::HeaderValue::from_static("true");
             request.headers_mut().insert("x-not-repeatable", flag);
         }
-        match self.http.call(entry, request, self.deadline).await {
+        match self.http.call(entry, request, self.deadline + GRACE).await {
             Ok(reply) if reply.status.is_success() => Try::Whole,
             Ok(reply) => match failure_of(&reply.body) {
-                (_, RunState::NotRun, Some(after)) => Try::Again(after),
+                (code, run @ RunState::NotRun, Some(after)) => {
+                    Try::Again(after, Some(End::Failed { code, run }))
+                }
                 (code, run, _) => Try::Failed(code, run),
             },
-            Err(CallError::NotSent { .. }) => Try::Again(Duration::from_millis(20)),
-            Err(CallError::Lost { .. }) if repeatable => Try::Again(Duration::from_millis(20)),
+            Err(CallError::NotSent { .. }) => again_soon(),
+            Err(CallError::Lost { .. }) if repeatable => again_soon(),
             Err(CallError::Lost { .. }) => Try::Failed("lost".to_owned(), RunState::Unknown),
         }
     }
@@ -198,14 +242,20 @@
 
 async fn read_failure(response: Response<Incoming>) -> Try {
     let Ok(body) = response.into_body().collect().await else {
-        return Try::Again(Duration::from_millis(20));
+        return again_soon();
     };
     match failure_of(&body.to_bytes()) {
-        (_, RunState::NotRun, Some(after)) => Try::Again(after),
+        (code, run @ RunState::NotRun, Some(after)) => {
+            Try::Again(after, Some(End::Failed { code, run }))
+        }
         (code, run, _) => Try::Failed(code, run),
     }
 }
 
+fn again_soon() -> Try {
+    Try::Again(Duration::from_millis(20), None)
+}
+
 /// Code, run state and time to come back of a failure's body.
 fn failure_of(body: &[u8]) -> (String, RunState, Option<Duration>) {
     let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
@@ -216,7 +266,7 @@
     (code, run, after)
 }
 
-async fn read_events(response: Response<Incoming>, got: &mut Got) -> Try {
+async fn read_events(response: Response<Incoming>, got: &mut Got, progress: &Progress) -> Try {
     let mut body = response.into_body();
     let mut buffer = BytesMut::new();
     while let Some(Ok(frame)) = body.frame().await {
@@ -229,9 +279,10 @@
             if let Some(ended) = take_event(&event[..end], got, now) {
                 return ended;
             }
+            progress.set(got.token_times.len());
         }
     }
-    Try::Again(Duration::from_millis(5))
+    Try::Again(Duration::from_millis(5), None)
 }
 
 /// Takes one event; answers how the try ended, if it did.
@@ -243,7 +294,7 @@
         return Some(Try::Whole);
     }
     match field("event: ") {
-        Some("resume") => return Some(Try::Again(Duration::ZERO)),
+        Some("resume") => return Some(Try::Again(Duration::ZERO, None)),
         Some("error") => {
             let (code, run, _) = failure_of(data.as_bytes());
             return Some(Try::Failed(code, run));
--- a/crates/sillbank_load/src/direct.rs
+++ b/crates/sillbank_load/src/direct.rs
@@ -18,7 +18,7 @@
 type Waiting = Rc<RefCell<HashMap<RequestUid, Sender<StepReply>>>>;
 
 /// One engine, and who waits for its replies.
-pub(crate) struct DirectEngine {
+pub struct DirectEngine {
     outbox: Outbox,
     waiting: Waiting,
     layers: LayerRange,
@@ -26,7 +26,7 @@
 
 impl DirectEngine {
     /// Connects to an engine that holds the layers.
-    pub(crate) async fn connect(
+    pub async fn connect(
         executor: &Rc<LocalExecutor<'static>>,
         address: SocketAddr,
         layers: LayerRange,
@@ -76,7 +76,7 @@
 }
 
 /// Generates one answer through a chain; returns when each token came.
-pub(crate) async fn generate(
+pub async fn generate(
     chain: &[DirectEngine],
     uid: RequestUid,
     prompt: &[TokenId],
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -11,63 +11,89 @@
 use std::path::{Path, PathBuf};
 
 /// Layers of the stand-in model.
-pub(crate) const MODEL_LAYERS: u16 = 24;
+pub const MODEL_LAYERS: u16 = 24;
 /// Layers of one stage.
 const STAGE_LAYERS: u16 = 8;
 /// Key of the operator of a local fleet.
-const OPERATOR_KEY: &str = "local-operator-key";
+pub const OPERATOR_KEY: &str = "local-operator-key";
 /// Key that local VMs share.
 const PEER_KEY: &str = "local-peer-key-0001";
 
 /// Write the settings of a local fleet.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet")]
-pub(crate) struct FleetArguments {
+pub struct FleetArguments {
     /// folder to write to
     #[argh(option)]
-    out: PathBuf,
+    pub out: PathBuf,
     /// folder of the built programs
     #[argh(option)]
-    programs: PathBuf,
+    pub programs: PathBuf,
     /// data halls
     #[argh(option, default = "3")]
-    halls: usize,
+    pub halls: usize,
     /// entry VMs
     #[argh(option, default = "9")]
-    vms: usize,
+    pub vms: usize,
     /// model engines
     #[argh(option, default = "40")]
-    engines: usize,
+    pub engines: usize,
     /// factor on the engines' costs
     #[argh(option, default = "1.0")]
-    cost_factor: f64,
+    pub cost_factor: f64,
     /// policy for the choice of chains
     #[argh(option, default = "String::from(\"least_finish\")")]
-    chain_policy: String,
+    pub chain_policy: String,
+    /// time that requests in flight have when an entry is stopped, in milliseconds
+    #[argh(option, default = "30000")]
+    pub stop_limit_ms: u64,
     /// first port to look at for free ones
     #[argh(option, default = "12000")]
-    first_port: u16,
+    pub first_port: u16,
 }
 
 /// Where the processes of a fleet listen.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub(crate) struct Addresses {
-    pub(crate) platform: Option<SocketAddr>,
-    pub(crate) entries: Vec<SocketAddr>,
-    pub(crate) entry_admins: Vec<SocketAddr>,
-    pub(crate) control_admins: Vec<SocketAddr>,
-    pub(crate) engines: Vec<SocketAddr>,
-    pub(crate) services: Vec<SocketAddr>,
+pub struct Addresses {
+    /// The platform.
+    pub platform: Option<SocketAddr>,
+    /// Where callers come, by VM.
+    pub entries: Vec<SocketAddr>,
+    /// Health and metrics of entries, by VM.
+    pub entry_admins: Vec<SocketAddr>,
+    /// Administration interfaces, by VM.
+    pub control_admins: Vec<SocketAddr>,
+    /// Model engines.
+    pub engines: Vec<SocketAddr>,
+    /// Plain services.
+    pub services: Vec<SocketAddr>,
 }
 
 impl Addresses {
     /// Reads what `write` wrote.
-    pub(crate) fn read(folder: &Path) -> Result<Self, Box<dyn std::error::Error>> {
+    pub fn read(folder: &Path) -> Result<Self, Box<dyn std::error::Error>> {
         let text = std::fs::read_to_string(folder.join("addresses.json"))?;
         Ok(serde_json::from_str(&text)?)
     }
 }
 
+impl FleetArguments {
+    /// A fleet of the usual size, as the command line gives it.
+    pub fn new(out: PathBuf, programs: PathBuf) -> Self {
+        Self {
+            out,
+            programs,
+            halls: 3,
+            vms: 9,
+            engines: 40,
+            cost_factor: 1.0,
+            chain_policy: "least_finish".to_owned(),
+            stop_limit_ms: 30_000,
+            first_port: 12000,
+        }
+    }
+}
+
 /// Finds free ports, each once.
 struct Ports {
     next: u16,
@@ -95,7 +121,7 @@
 }
 
 /// Writes everything.
-pub(crate) fn write(arguments: &FleetArguments) -> Verdict {
+pub fn write(arguments: &FleetArguments) -> Verdict {
     std::fs::create_dir_all(arguments.out.join("objects"))?;
     let mut layout = Layout {
         arguments,
@@ -210,8 +236,9 @@
             self.process("sillbank-control", &format!("control{number}"), &text)?;
             let text = format!(
                 "role = \"entry\"\nvm = \"{vm}\"\nhall = \"{hall}\"\nlisten = \"{listen}\"\n\
-                 admin_listen = \"{admin}\"\ncontrol = \"{control}\"\nchain_policy = \"{}\"\n",
-                self.arguments.chain_policy,
+                 admin_listen = \"{admin}\"\ncontrol = \"{control}\"\nchain_policy = \"{}\"\n\
+                 stop_limit_ms = {}\n",
+                self.arguments.chain_policy, self.arguments.stop_limit_ms,
             );
             self.process("sillbank-entry", &format!("entry{number}"), &text)?;
             self.addresses.entries.push(listen);
--- a/crates/sillbank_load/src/hop.rs
+++ b/crates/sillbank_load/src/hop.rs
@@ -26,7 +26,7 @@
 /// Measure processor time a hop and added latency a token against a direct client.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "hop")]
-pub(crate) struct HopArguments {
+pub struct HopArguments {
     /// folder that `sillbank-load fleet` wrote; a fleet of one VM and one chain a pipeline
     #[argh(option)]
     fleet: PathBuf,
@@ -50,7 +50,11 @@
     failed: usize,
 }
 
-pub(crate) async fn hop(executor: Rc<LocalExecutor<'static>>, arguments: HopArguments) -> Verdict {
+/// Runs the bench.
+///
+/// # Errors
+/// What hindered it.
+pub async fn hop(executor: Rc<LocalExecutor<'static>>, arguments: HopArguments) -> Verdict {
     let fleet = Addresses::read(&arguments.fleet)?;
     let mut direct = Vec::new();
     let mut routed = Vec::new();
--- /dev/null
+++ b/crates/sillbank_load/src/lib.rs
@@ -0,0 +1,19 @@
+//! Load, experiments and checks: callers as client libraries behave, an open-loop driver, a
+//! ledger check, and the layout of a local fleet. The program `sillbank-load` is a thin driver
+//! of this; scripted scenarios use it too.
+
+#![forbid(unsafe_code)]
+
+pub mod check;
+pub mod client;
+pub mod direct;
+pub mod fleet;
+pub mod hop;
+pub mod mix;
+pub mod process;
+pub mod report;
+pub mod run;
+pub mod wait;
+
+/// Whether every check passed.
+pub type Verdict = Result<bool, Box<dyn std::error::Error>>;
--- a/crates/sillbank_load/src/main.rs
+++ b/crates/sillbank_load/src/main.rs
@@ -3,18 +3,8 @@
 
 #![forbid(unsafe_code)]
 
-mod check;
-mod client;
-mod direct;
-mod fleet;
-mod hop;
-mod mix;
-mod process;
-mod report;
-mod run;
-mod wait;
-
 use argh::FromArgs;
+use sillbank_load::{Verdict, fleet, hop, run, wait};
 use smol::LocalExecutor;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -39,9 +29,6 @@
     Wait(wait::WaitArguments),
 }
 
-/// Whether every check passed.
-type Verdict = Result<bool, Box<dyn std::error::Error>>;
-
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     if arguments.version {
--- a/crates/sillbank_load/src/mix.rs
+++ b/crates/sillbank_load/src/mix.rs
@@ -4,49 +4,72 @@
 
 /// One request of the mix.
 #[derive(Debug, Clone)]
-pub(crate) struct Work {
-    pub(crate) organisation: OrganisationId,
-    pub(crate) key: String,
-    pub(crate) request_id: String,
-    pub(crate) kind: WorkKind,
+pub struct Work {
+    /// Organisation that calls.
+    pub organisation: OrganisationId,
+    /// Its key.
+    pub key: String,
+    /// Id the caller gives the request.
+    pub request_id: String,
+    /// What is asked for.
+    pub kind: WorkKind,
 }
 
 /// What a request asks for.
 #[derive(Debug, Clone)]
-pub(crate) enum WorkKind {
+pub enum WorkKind {
     /// A generated answer.
-    Generate { pipeline: PipelineId, prompt: String, max_tokens: u32, priority: u8 },
+    Generate {
+        /// Pipeline.
+        pipeline: PipelineId,
+        /// Words of the prompt.
+        prompt: String,
+        /// Longest answer.
+        max_tokens: u32,
+        /// Greater goes first.
+        priority: u8,
+    },
     /// A call to a plain service.
-    Call { service: ServiceId, path: String, repeatable: bool },
+    Call {
+        /// Service.
+        service: ServiceId,
+        /// Path at the service.
+        path: String,
+        /// Whether it may be sent again.
+        repeatable: bool,
+    },
 }
 
 /// Shares and sizes of a mix.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct MixShape {
+pub struct MixShape {
     /// Share of service calls among all requests.
-    pub(crate) call_share: f64,
+    pub call_share: f64,
     /// Factor on the length of generated answers.
-    pub(crate) length_factor: f64,
+    pub length_factor: f64,
     /// Which pipelines are asked.
-    pub(crate) tops: &'static [Top],
+    pub tops: &'static [Top],
 }
 
 /// One user's part of the tree, as `sillbank-load fleet` lays it out.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Top {
+pub struct Top {
     /// Top node.
-    pub(crate) name: &'static str,
-    pub(crate) pipeline: &'static str,
-    pub(crate) repeatable_service: &'static str,
-    pub(crate) keyed_service: &'static str,
+    pub name: &'static str,
+    /// Pipeline.
+    pub pipeline: &'static str,
+    /// Service whose calls may be sent again.
+    pub repeatable_service: &'static str,
+    /// Service whose calls may not.
+    pub keyed_service: &'static str,
     /// Words in a prompt, at least and at most.
-    pub(crate) prompt_words: (usize, usize),
+    pub prompt_words: (usize, usize),
     /// Tokens of an answer, at least and at most.
-    pub(crate) answer_tokens: (u32, u32),
+    pub answer_tokens: (u32, u32),
 }
 
 /// Market summaries, quote snapshots and partner notices.
-pub(crate) const MARKET: Top = Top {
+pub const MARKET: Top = Top {
     name: "market",
     pipeline: "summaries",
     repeatable_service: "quotes",
@@ -55,7 +78,7 @@
     answer_tokens: (20, 80),
 };
 /// Drafts of first messages, match alerts and booking confirmations.
-pub(crate) const MATCH: Top = Top {
+pub const MATCH: Top = Top {
     name: "match",
     pipeline: "drafts",
     repeatable_service: "alerts",
@@ -64,24 +87,24 @@
     answer_tokens: (60, 200),
 };
 /// Both users.
-pub(crate) const BOTH: &[Top] = &[MARKET, MATCH];
+pub const BOTH: &[Top] = &[MARKET, MATCH];
 
 /// Organisations of each user.
-pub(crate) const ORGANISATIONS: usize = 10;
+pub const ORGANISATIONS: usize = 10;
 
 /// Name of an organisation.
-pub(crate) fn organisation_name(top: &str, number: usize) -> String {
+pub fn organisation_name(top: &str, number: usize) -> String {
     format!("{top}-org{number}")
 }
 
 /// Key of an organisation of the local fleet. Real keys are drawn by operators.
-pub(crate) fn organisation_key(name: &str) -> String {
+pub fn organisation_key(name: &str) -> String {
     format!("local-key-{name}")
 }
 
 /// Draws requests.
 #[derive(Debug)]
-pub(crate) struct Mix {
+pub struct Mix {
     rng: fastrand::Rng,
     shape: MixShape,
     count: u64,
@@ -89,17 +112,18 @@
 }
 
 impl Mix {
-    pub(crate) fn new(seed: u64, shape: MixShape, run_name: String) -> Self {
+    /// A mix drawn from a seed; the run's name begins every request id.
+    pub fn new(seed: u64, shape: MixShape, run_name: String) -> Self {
         Self { rng: fastrand::Rng::with_seed(seed), shape, count: 0, run_name }
     }
 
     /// Time to the next arrival, in seconds, for a rate in requests a second.
-    pub(crate) fn gap_s(&mut self, rate: f64) -> f64 {
+    pub fn gap_s(&mut self, rate: f64) -> f64 {
         -(1.0 - self.rng.f64()).ln() / rate
     }
 
     /// The next request.
-    pub(crate) fn next(&mut self) -> Work {
+    pub fn next(&mut self) -> Work {
         let top = self.shape.tops[self.rng.usize(..self.shape.tops.len())];
         // The first few organisations are large: a square of the draw favours them.
         let draw = self.rng.f64();
--- a/crates/sillbank_load/src/process.rs
+++ b/crates/sillbank_load/src/process.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Processor time of all threads of a process.
-pub(crate) fn cpu_time(pid: u32) -> Option<Duration> {
+pub fn cpu_time(pid: u32) -> Option<Duration> {
     let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).ok()?;
     let mut sum_ns = 0;
     for task in tasks.flatten() {
@@ -14,7 +14,7 @@
 }
 
 /// Memory a process holds, in bytes.
-pub(crate) fn resident_bytes(pid: u32) -> Option<u64> {
+pub fn resident_bytes(pid: u32) -> Option<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let line = text.lines().find(|line| line.starts_with("VmRSS:"))?;
     let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
--- a/crates/sillbank_load/src/report.rs
+++ b/crates/sillbank_load/src/report.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Figures of one run.
-pub(crate) struct Report {
+pub struct Report {
     title: String,
     requests: usize,
     seconds: f64,
@@ -29,7 +29,8 @@
 }
 
 impl Report {
-    pub(crate) fn new(title: &str, all: &[Got], checked: &Checked, started: Instant) -> Self {
+    /// Gathers the figures.
+    pub fn new(title: &str, all: &[Got], checked: &Checked, started: Instant) -> Self {
         let ended = all.iter().map(|got| got.ended_at).max().unwrap_or(started);
         let mut report = Self {
             title: title.to_owned(),
@@ -76,7 +77,7 @@
     }
 
     /// A few lines for people.
-    pub(crate) fn summary(&self) -> String {
+    pub fn summary(&self) -> String {
         let ms = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
         let mut text = String::new();
         let checked = &self.checked;
@@ -125,7 +126,7 @@
     }
 
     /// One line for machines.
-    pub(crate) fn json(&self) -> serde_json::Value {
+    pub fn json(&self) -> serde_json::Value {
         let quantiles = |h: &Histogram<u64>| {
             serde_json::json!({
                 "p50_us": h.value_at_quantile(0.5),
@@ -151,7 +152,7 @@
     }
 
     /// Writes `report.json` and `report.html`.
-    pub(crate) fn write(&self, folder: &Path) -> std::io::Result<()> {
+    pub fn write(&self, folder: &Path) -> std::io::Result<()> {
         std::fs::create_dir_all(folder)?;
         std::fs::write(folder.join("report.json"), format!("{:#}\n", self.json()))?;
         std::fs::write(folder.join("report.html"), self.page())
@@ -210,7 +211,7 @@
 }
 
 /// The value below which a share of sorted values lies.
-pub(crate) fn quantile(sorted: &[u64], q: f64) -> u64 {
+pub fn quantile(sorted: &[u64], q: f64) -> u64 {
     match sorted.len() {
         0 => 0,
         count => sorted[((count - 1) as f64 * q).round() as usize],
--- a/crates/sillbank_load/src/run.rs
+++ b/crates/sillbank_load/src/run.rs
@@ -15,7 +15,7 @@
 /// Send a mix of both users' requests and check every answer.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
-pub(crate) struct RunArguments {
+pub struct RunArguments {
     /// folder that `sillbank-load fleet` wrote
     #[argh(option)]
     fleet: PathBuf,
@@ -45,7 +45,11 @@
     title: String,
 }
 
-pub(crate) async fn run(executor: Rc<LocalExecutor<'static>>, arguments: RunArguments) -> Verdict {
+/// Sends the load, checks it and prints the report.
+///
+/// # Errors
+/// What hindered it.
+pub async fn run(executor: Rc<LocalExecutor<'static>>, arguments: RunArguments) -> Verdict {
     let fleet = crate::fleet::Addresses::read(&arguments.fleet)?;
     let shape = MixShape {
         call_share: arguments.call_share,
@@ -79,7 +83,7 @@
 }
 
 /// Sends requests at a rate and waits for all of them to end.
-pub(crate) async fn send_all(
+pub async fn send_all(
     executor: &Rc<LocalExecutor<'static>>,
     caller: &Caller,
     mut mix: Mix,
--- a/crates/sillbank_load/src/wait.rs
+++ b/crates/sillbank_load/src/wait.rs
@@ -14,7 +14,7 @@
 /// Wait until a path answers 200 at every address.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "wait")]
-pub(crate) struct WaitArguments {
+pub struct WaitArguments {
     /// addresses, separated by commas
     #[argh(option)]
     addresses: String,
@@ -26,10 +26,11 @@
     timeout_ms: u64,
 }
 
-pub(crate) async fn wait(
-    executor: Rc<LocalExecutor<'static>>,
-    arguments: WaitArguments,
-) -> Verdict {
+/// Waits.
+///
+/// # Errors
+/// The first address that was not ready in time.
+pub async fn wait(executor: Rc<LocalExecutor<'static>>, arguments: WaitArguments) -> Verdict {
     let client = HttpClient::new(executor, 1 << 20);
     let deadline = Instant::now() + Duration::from_millis(arguments.timeout_ms);
     for address in arguments.addresses.split(',') {
--- /dev/null
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -0,0 +1,30 @@
+//! Scripted scenarios against real processes: each script reads like the promise it proves.
+
+mod support;
+
+use support::runner::Scenario;
+
+fn run(name: &str) {
+    let path = format!("{}/tests/scripts/{name}", env!("CARGO_MANIFEST_DIR"));
+    goldenscript::run(&mut Scenario::new(), path).unwrap();
+}
+
+macro_rules! scenarios {
+    ($($name:ident),+ $(,)?) => {
+        $(#[test] fn $name() { run(stringify!($name)); })+
+    };
+}
+
+scenarios! {
+    stage_killed,
+    stage_frozen_and_woken,
+    reply_lost,
+    two_stages_at_once,
+    entry_killed,
+    colliding_ids,
+    endpoint_leaving,
+    planned_stop,
+    stop_past_its_limit,
+    engine_forgets,
+    service_not_repeated,
+}
--- /dev/null
+++ b/crates/sillbank_load/tests/support/fleet.rs
@@ -0,0 +1,114 @@
+//! A fleet of real processes on loopback for one test. Everything it started ends with it.
+
+use sillbank_load::fleet::{Addresses, FleetArguments, write};
+use std::collections::HashMap;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+
+/// Ports that one fleet may look at.
+const PORTS_OF_A_FLEET: u16 = 200;
+
+/// Processes by name.
+pub(crate) struct Fleet {
+    pub(crate) folder: PathBuf,
+    pub(crate) addresses: Addresses,
+    commands: HashMap<String, Vec<String>>,
+    running: HashMap<String, Child>,
+}
+
+impl Fleet {
+    /// Lays a fleet out without starting it.
+    pub(crate) fn lay_out(shape: impl FnOnce(&mut FleetArguments)) -> Self {
+        let folder = temporary_folder();
+        let mut arguments = FleetArguments::new(folder.clone(), programs());
+        shape(&mut arguments);
+        arguments.first_port = first_port();
+        write(&arguments).expect("the fleet is laid out");
+        let text = std::fs::read_to_string(folder.join("commands.txt")).expect("commands");
+        let words = |line: &str| line.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
+        let commands = text.lines().map(words).map(|mut words| (words.remove(0), words)).collect();
+        let addresses = Addresses::read(&folder).expect("addresses");
+        Self { folder, addresses, commands, running: HashMap::new() }
+    }
+
+    /// Names of all processes.
+    pub(crate) fn names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.commands.keys().cloned().collect();
+        names.sort();
+        names
+    }
+
+    /// Starts a process.
+    pub(crate) fn start(&mut self, name: &str) {
+        let words = &self.commands[name];
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))
+            .expect("a log file");
+        let child = Command::new(&words[0])
+            .args(&words[1..])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|e| panic!("{}: {e}; run tools/test.sh, which builds it", words[0]));
+        self.running.insert(name.to_owned(), child);
+    }
+
+    /// Sends a signal to a process that this fleet started.
+    pub(crate) fn signal(&self, name: &str, signal: &str) {
+        let pid = self.running[name].id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status().expect("kill");
+        assert!(status.success(), "{signal} to {name}");
+    }
+
+    /// Kills a process and waits until it is gone.
+    pub(crate) fn kill(&mut self, name: &str) {
+        if let Some(mut child) = self.running.remove(name) {
+            child.kill().expect("kill");
+            child.wait().expect("wait");
+        }
+    }
+
+    /// Waits until a process has ended by itself; answers its exit code.
+    pub(crate) fn wait(&mut self, name: &str) -> Option<i32> {
+        let mut child = self.running.remove(name)?;
+        child.wait().expect("wait").code()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in self.running.values_mut() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+        if !std::thread::panicking() {
+            std::fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
+
+/// Folder of the programs, beside the tests'.
+fn programs() -> PathBuf {
+    let test = std::env::current_exe().expect("the test's path");
+    test.parent().and_then(Path::parent).expect("the target folder").to_owned()
+}
+
+fn temporary_folder() -> PathBuf {
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("sillbank-{}-{number}", std::process::id()))
+}
+
+/// A part of the port range for one fleet, apart from those of other tests and from the ports
+/// that the system gives to outgoing connections. Taken ports are skipped.
+fn first_port() -> u16 {
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    let parts = 20_000 / PORTS_OF_A_FLEET;
+    let part = (std::process::id() as u16).wrapping_mul(7).wrapping_add(number) % parts;
+    12_000 + part * PORTS_OF_A_FLEET
+}
--- /dev/null
+++ b/crates/sillbank_load/tests/support/runner.rs
@@ -0,0 +1,439 @@
+//! The commands of a scripted scenario.
+//!
+//! - `fleet [vms=2] [engines=12] [cost=1] [stop_limit_ms=30000]` starts a fleet and waits until it is ready.
+//! - `ask ID [top=market] [tokens=60] [entry=0] [org=0] [id=NAME]` sends a generation.
+//! - `call ID [service=notices] [entry=0] [org=0] [id=NAME]` sends a service call; both also
+//!   take `deadline_ms=30000` and `tries=8`.
+//! - `until ID tokens=20` waits until so many tokens have come.
+//! - `end ID...` waits for the end and says how it was.
+//! - `kill NAME`, `freeze NAME`, `wake NAME`, `start NAME`, `stop NAME`, `gone NAME`; a name may
+//!   be `stage=1 of=ID`, the engine that holds this stage of a request.
+//! - `fault NAME JSON` makes a fault at a stand-in.
+//! - `put KEY JSON` writes an object and waits until every entry has it in force.
+//! - `ready vm=0` waits until an entry is ready, `unready vm=0` until it is not.
+//! - `check` compares all that callers got with all that ran.
+
+use super::fleet::Fleet;
+use bytes::Bytes;
+use goldenscript::{Command, Context, Runner};
+use hyper::Method;
+use sillbank_core::prelude::*;
+use sillbank_load::check::{Ledgers, check};
+use sillbank_load::client::{Caller, End, Got, Progress};
+use sillbank_load::fleet::OPERATOR_KEY;
+use sillbank_load::mix::{MARKET, MATCH, Work, WorkKind, organisation_key, organisation_name};
+use sillbank_model::engine::LedgerEntry;
+use sillbank_net::client::request;
+use sillbank_net::prelude::*;
+use sillbank_protocol::platform::Object;
+use smol::{LocalExecutor, Task, Timer};
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time between looks at something that is waited for.
+const LOOK: Duration = Duration::from_millis(5);
+/// A wait that takes longer is a failure of the test.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+type Outcome<T> = Result<T, Box<dyn Error>>;
+
+/// A request on its way.
+struct Pending {
+    task: Task<Got>,
+    progress: Progress,
+    uid: RequestUid,
+}
+
+/// How a request is sent.
+struct How {
+    entry: Option<usize>,
+    deadline: Duration,
+    tries: u32,
+}
+
+/// One running scenario.
+pub(crate) struct Scenario {
+    executor: Rc<LocalExecutor<'static>>,
+    http: HttpClient,
+    fleet: Option<Fleet>,
+    caller: Option<Caller>,
+    pending: BTreeMap<String, Pending>,
+    ended: Vec<Got>,
+}
+
+impl Scenario {
+    pub(crate) fn new() -> Self {
+        let executor = Rc::new(LocalExecutor::new());
+        Self {
+            http: HttpClient::new(executor.clone(), 256 << 20),
+            executor,
+            fleet: None,
+            caller: None,
+            pending: BTreeMap::new(),
+            ended: Vec::new(),
+        }
+    }
+
+    fn fleet(&mut self) -> &mut Fleet {
+        self.fleet.as_mut().expect("the script begins with 'fleet'")
+    }
+
+    fn block_on<T>(&self, work: impl Future<Output = T>) -> T {
+        smol::block_on(self.executor.run(work))
+    }
+
+    fn start_fleet(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let number = |value: Option<&str>, usual: u64| value.map_or(Ok(usual), str::parse);
+        let vms = number(args.take_key("vms"), 2)?;
+        let engines = number(args.take_key("engines"), 12)?;
+        let cost = number(args.take_key("cost"), 1)?;
+        let stop_limit_ms = number(args.take_key("stop_limit_ms"), 30_000)?;
+        args.reject_next()?;
+        let mut fleet = Fleet::lay_out(|arguments| {
+            arguments.vms = vms as usize;
+            arguments.engines = engines as usize;
+            arguments.cost_factor = cost as f64;
+            arguments.stop_limit_ms = stop_limit_ms;
+        });
+        for name in fleet.names() {
+            fleet.start(&name);
+        }
+        let addresses = fleet.addresses.clone();
+        let objects = std::fs::read_to_string(fleet.folder.join("objects/fleet.toml"))?;
+        let deadline = Duration::from_secs(30);
+        self.caller =
+            Some(Caller::new(self.executor.clone(), addresses.entries.clone(), 1, deadline));
+        self.fleet = Some(fleet);
+        self.block_on(async {
+            for admin in &addresses.control_admins {
+                self.answers(*admin, "/readyz", 200).await?;
+            }
+            let objects = sillbank_settings::objects::read_objects_file("fleet", &objects)?;
+            for (key, value) in objects {
+                self.put(addresses.control_admins[0], &key, None, &value).await?;
+            }
+            for engine in &addresses.engines {
+                self.answers(*engine, "/v1/load", 200).await?;
+            }
+            for entry in &addresses.entry_admins {
+                self.connected(*entry, addresses.engines.len()).await?;
+            }
+            Ok(())
+        })
+    }
+
+    async fn answers(&self, address: SocketAddr, path: &str, status: u16) -> Outcome<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let call = request(Method::GET, path, Bytes::new());
+            let reply = self.http.call(address, call, Duration::from_secs(1)).await;
+            if reply.is_ok_and(|reply| reply.status.as_u16() == status) {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("{address}{path} never answered {status}").into());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    async fn status(&self, address: SocketAddr) -> Option<serde_json::Value> {
+        let call = request(Method::GET, "/v1/status", Bytes::new());
+        self.http.call(address, call, Duration::from_secs(1)).await.ok()?.json().ok()
+    }
+
+    /// Waits until an entry has a connection to every engine.
+    async fn connected(&self, entry: SocketAddr, engines: usize) -> Outcome<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let status = self.status(entry).await.unwrap_or_default();
+            let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+            let connected = endpoints.iter().filter(|e| e["connected"] == true).count();
+            if connected == engines && status["ready"] == true {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("{connected} of {engines} engines are connected").into());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    async fn put(
+        &self,
+        control: SocketAddr,
+        key: &str,
+        version: Option<u64>,
+        value: &serde_json::Value,
+    ) -> Outcome<Object> {
+        let mut call =
+            request(Method::PUT, &format!("/v1/objects/{key}"), value.to_string().into());
+        let headers = call.headers_mut();
+        headers.insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        match version {
+            Some(version) => headers.insert("if-match", version.into()),
+            None => headers.insert("if-none-match", "*".parse()?),
+        };
+        let reply = self.http.call(control, call, PATIENCE).await?;
+        match reply.status.is_success() {
+            true => Ok(reply.json()?),
+            false => Err(String::from_utf8_lossy(&reply.body).into_owned().into()),
+        }
+    }
+
+    /// Writes an object over what is there, and waits until every running entry has it.
+    async fn change(
+        &self,
+        addresses: Vec<(SocketAddr, SocketAddr)>,
+        key: &str,
+        json: &str,
+    ) -> Outcome<()> {
+        let control = addresses[0].0;
+        let mut call = request(Method::GET, &format!("/v1/objects/{key}"), Bytes::new());
+        call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        let reply = self.http.call(control, call, PATIENCE).await?;
+        let here: Option<Object> = reply.status.is_success().then(|| reply.json()).transpose()?;
+        let mut value: serde_json::Value = serde_json::from_str(json)?;
+        if let (Some(here), Some(fields)) = (&here, value.as_object_mut()) {
+            // Fields that the script leaves out stay as they are.
+            let old: serde_json::Value = serde_json::from_str(&here.value)?;
+            for (name, field) in old.as_object().into_iter().flatten() {
+                if name != "note" && !fields.contains_key(name) {
+                    fields.insert(name.clone(), field.clone());
+                }
+            }
+        }
+        let written = self.put(control, key, here.map(|object| object.version), &value).await?;
+        for (_, entry) in addresses {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                let status = self.status(entry).await.unwrap_or_default();
+                if status["in_force_version"].as_u64() >= Some(written.version) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("{entry} never had {key} in force").into());
+                }
+                Timer::after(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, id: &str, work: Work, how: &How) {
+        let progress = Progress::default();
+        let caller = self.caller.as_ref().expect("the script begins with 'fleet'");
+        let caller = caller.with_patience(how.deadline, how.tries);
+        let entry = how.entry;
+        let uid = RequestUid::derive(&work.organisation, &work.request_id);
+        let watched = progress.clone();
+        let carry = async move { caller.carry_watched(work, entry, watched).await };
+        let task = self.executor.spawn(carry);
+        self.pending.insert(id.to_owned(), Pending { task, progress, uid });
+    }
+
+    fn until(&self, id: &str, tokens: usize) -> Outcome<()> {
+        let pending = self.pending.get(id).ok_or("no such request")?;
+        let deadline = Instant::now() + PATIENCE;
+        self.block_on(async {
+            while pending.progress.get() < tokens {
+                if Instant::now() > deadline {
+                    return Err(format!("{id} has {} tokens only", pending.progress.get()).into());
+                }
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            Ok(())
+        })
+    }
+
+    fn end(&mut self, id: &str) -> Outcome<String> {
+        let pending = self.pending.remove(id).ok_or("no such request")?;
+        let got = self.block_on(pending.task);
+        let line = match &got.end {
+            End::Whole => format!("{id}: whole\n"),
+            End::Failed { code, run } => format!("{id}: failed {code}, {run:?}\n"),
+        };
+        self.ended.push(got);
+        Ok(line)
+    }
+
+    /// The engine that holds a stage of a request, by its ledger.
+    fn engine_of(&self, id: &str, stage: u16) -> Outcome<String> {
+        let uid = self.pending.get(id).ok_or("no such request")?.uid.to_string();
+        let addresses = self.fleet.as_ref().ok_or("no fleet")?.addresses.clone();
+        self.block_on(async {
+            let mut found: Option<(Attempt, usize)> = None;
+            for (number, address) in addresses.engines.iter().enumerate() {
+                let call = request(Method::GET, "/admin/ledger", Bytes::new());
+                let Ok(reply) = self.http.call(*address, call, Duration::from_millis(500)).await
+                else {
+                    continue;
+                };
+                let ledger: Vec<LedgerEntry> = reply.json()?;
+                let runs = ledger.iter().filter(|e| e.uid == uid && e.layers[0] == stage * 8);
+                found = found.max(runs.map(|run| (run.attempt, number)).max());
+            }
+            let (_, number) = found.ok_or("no engine holds this stage")?;
+            Ok(format!("engine{number}"))
+        })
+    }
+
+    fn fault(&mut self, name: &str, json: &str) -> Outcome<()> {
+        let addresses = self.fleet().addresses.clone();
+        let number = || name.trim_start_matches(char::is_alphabetic).parse::<usize>();
+        let address = match name {
+            "platform" => addresses.platform.ok_or("no platform")?,
+            _ if name.starts_with("engine") => addresses.engines[number()?],
+            _ => addresses.services[number()?],
+        };
+        let call = request(Method::POST, "/admin/faults", Bytes::copy_from_slice(json.as_bytes()));
+        let reply = self.block_on(self.http.call(address, call, PATIENCE))?;
+        match reply.status.is_success() {
+            true => Ok(()),
+            false => Err(String::from_utf8_lossy(&reply.body).into_owned().into()),
+        }
+    }
+
+    fn check(&self) -> Outcome<String> {
+        let addresses = self.fleet.as_ref().ok_or("no fleet")?.addresses.clone();
+        let ledgers = self.block_on(Ledgers::read(
+            self.executor.clone(),
+            &addresses.engines,
+            &addresses.services,
+        ))?;
+        let checked = check(&self.ended, &ledgers);
+        Ok(match checked.passed() {
+            true => "exact\n".to_owned(),
+            false => format!("{}\n", serde_json::to_string(&checked)?),
+        })
+    }
+
+    fn work(&self, command: &Command, generate: bool) -> Outcome<(String, Work, How)> {
+        let mut args = command.consume_args();
+        let id = args.next_pos().ok_or("name the request")?.to_owned();
+        let text = |value: Option<&str>, usual: &str| value.unwrap_or(usual).to_owned();
+        let top = match args.take_key("top") {
+            Some("match") => MATCH,
+            _ => MARKET,
+        };
+        let organisation = organisation_name(top.name, text(args.take_key("org"), "0").parse()?);
+        let request_id = text(args.take_key("id"), &id);
+        let how = How {
+            entry: args.take_key("entry").map(str::parse).transpose()?,
+            deadline: Duration::from_millis(text(args.take_key("deadline_ms"), "30000").parse()?),
+            tries: text(args.take_key("tries"), "8").parse()?,
+        };
+        let service = text(args.take_key("service"), top.keyed_service);
+        let max_tokens = text(args.take_key("tokens"), "60").parse()?;
+        args.reject_next()?;
+        let prompt: Vec<String> = (0..40).map(|n| format!("{request_id}-{n}")).collect();
+        let kind = match generate {
+            true => WorkKind::Generate {
+                pipeline: top.pipeline.to_owned(),
+                prompt: prompt.join(" "),
+                max_tokens,
+                priority: 4,
+            },
+            false => WorkKind::Call {
+                repeatable: service == top.repeatable_service,
+                service,
+                path: "do".to_owned(),
+            },
+        };
+        let key = organisation_key(&organisation);
+        Ok((id, Work { organisation, key, request_id, kind }, how))
+    }
+
+    /// The process a command names, directly or by its part in a request.
+    fn process_of(&self, command: &Command) -> Outcome<String> {
+        let mut args = command.consume_args();
+        if let Some(name) = args.next_pos() {
+            return Ok(name.to_owned());
+        }
+        let stage = args.take_key("stage").ok_or("name a process or a stage")?.parse()?;
+        let id = args.take_key("of").ok_or("name the request with of=ID")?;
+        self.engine_of(id, stage)
+    }
+
+    fn vm_address(&mut self, command: &Command) -> Outcome<SocketAddr> {
+        let mut args = command.consume_args();
+        let vm: usize = args.take_key("vm").ok_or("name a VM with vm=N")?.parse()?;
+        Ok(self.fleet().addresses.entry_admins[vm])
+    }
+}
+
+impl Runner for Scenario {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Outcome<String> {
+        match command.name.as_str() {
+            "fleet" => self.start_fleet(command)?,
+            "ask" | "call" => {
+                let (id, work, how) = self.work(command, command.name == "ask")?;
+                self.send(&id, work, &how);
+            }
+            "until" => {
+                let mut args = command.consume_args();
+                let id = args.next_pos().ok_or("name the request")?.to_owned();
+                let tokens = args.take_key("tokens").ok_or("name tokens=N")?.parse()?;
+                self.until(&id, tokens)?;
+            }
+            "end" => {
+                let mut output = String::new();
+                let mut args = command.consume_args();
+                while let Some(id) = args.next_pos() {
+                    output.push_str(&self.end(id)?);
+                }
+                return Ok(output);
+            }
+            "kill" => {
+                let name = self.process_of(command)?;
+                self.fleet().kill(&name);
+            }
+            "freeze" | "wake" | "stop" => {
+                let name = self.process_of(command)?;
+                let signal = match command.name.as_str() {
+                    "freeze" => "-STOP",
+                    "wake" => "-CONT",
+                    _ => "-TERM",
+                };
+                self.fleet().signal(&name, signal);
+            }
+            "start" => {
+                let name = self.process_of(command)?;
+                self.fleet().start(&name);
+            }
+            "gone" => {
+                let name = self.process_of(command)?;
+                let code = self.fleet().wait(&name);
+                return Ok(format!("exit code {}\n", code.unwrap_or(-1)));
+            }
+            "fault" => {
+                let mut args = command.consume_args();
+                let name = args.next_pos().ok_or("name a stand-in")?.to_owned();
+                let json = args.next_pos().ok_or("name the fault as JSON")?.to_owned();
+                self.fault(&name, &json)?;
+            }
+            "put" => {
+                let mut args = command.consume_args();
+                let key = args.next_pos().ok_or("name a key")?.to_owned();
+                let json = args.next_pos().ok_or("name the value as JSON")?.to_owned();
+                let addresses = self.fleet().addresses.clone();
+                let pairs = addresses.control_admins.into_iter().zip(addresses.entry_admins);
+                self.block_on(self.change(pairs.collect(), &key, &json))?;
+            }
+            "ready" | "unready" => {
+                let status = if command.name == "ready" { 200 } else { 503 };
+                let address = self.vm_address(command)?;
+                self.block_on(self.answers(address, "/readyz", status))?;
+            }
+            "check" => return self.check(),
+            other => return Err(format!("unknown command {other}").into()),
+        }
+        Ok(String::new())
+    }
+}
