--- a/crates/sillbank_load/tests/support/fleet.rs
+++ b/crates/sillbank_load/tests/support/fleet.rs
@@ -57,6 +57,43 @@
         self.running.insert(name.to_owned(), child);
     }
 
+    /// Starts every process.
+    pub(crate) fn start_all(&mut self) {
+        for name in self.names() {
+            self.start(&name);
+        }
+    }
+
+    /// Replaces a text in a file of the fleet's folder.
+    pub(crate) fn replace(&self, file: &str, old: &str, new: &str) {
+        let path = self.folder.join(file);
+        let text = std::fs::read_to_string(&path).expect("a file of the fleet");
+        std::fs::write(path, text.replace(old, new)).expect("a file of the fleet");
+    }
+
+    /// Adds lines to a file of the fleet's folder.
+    pub(crate) fn append(&self, file: &str, text: &str) {
+        let path = self.folder.join(file);
+        let old = std::fs::read_to_string(&path).expect("a file of the fleet");
+        std::fs::write(path, old + text).expect("a file of the fleet");
+    }
+
+    /// Runs a program to its end; answers its exit code, standard output and standard error.
+    pub(crate) fn run_program(
+        &self,
+        program: &str,
+        arguments: &[&str],
+        environment: &[(&str, &str)],
+    ) -> (i32, String, String) {
+        let output = Command::new(programs().join(program))
+            .args(arguments)
+            .envs(environment.iter().copied())
+            .output()
+            .expect("the program runs");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code().unwrap_or(-1), text(&output.stdout), text(&output.stderr))
+    }
+
     /// Sends a signal to a process that this fleet started.
     pub(crate) fn signal(&self, name: &str, signal: &str) {
         let pid = self.running[name].id().to_string();
