--- a/crates/sillbank_chart/tests/checks.rs
+++ b/crates/sillbank_chart/tests/checks.rs
@@ -1,4 +1,5 @@
 //! A chart file with a fault is refused, and the message names it.
+#![allow(clippy::unwrap_used)]
 
 use sillbank_chart::{Chart, ChartError, Transition, named_enum};
 
--- a/crates/sillbank_control/src/admin.rs
+++ b/crates/sillbank_control/src/admin.rs
@@ -6,8 +6,7 @@
 //! - `GET /v1/effective/KEY` gives each setting in force and where it came from.
 //! - `GET /v1/status`.
 
-use crate::platform_client::PlatformClient;
-use crate::store::Store;
+use crate::state::Control;
 use crate::write::{Write, carry_out};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -16,9 +15,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use sillbank_core::prelude::*;
 use sillbank_net::prelude::*;
+use sillbank_net::telemetry::metrics_reply;
 use sillbank_settings::objects::{WriteNote, hash_key, read_object_value};
 use sillbank_settings::prelude::*;
-use sillbank_settings::process::ControlSettings;
 use std::rc::Rc;
 
 /// Longest object, the platform's limit.
@@ -26,9 +25,7 @@
 
 /// Answers operators and the platform's health checks.
 pub(crate) struct AdminHandler {
-    settings: ControlSettings,
-    store: Rc<Store>,
-    platform: PlatformClient,
+    control: Rc<Control>,
 }
 
 /// Who asks, and where it may write.
@@ -45,12 +42,8 @@
 }
 
 impl AdminHandler {
-    pub(crate) fn new(
-        settings: ControlSettings,
-        store: Rc<Store>,
-        platform: PlatformClient,
-    ) -> Self {
-        Self { settings, store, platform }
+    pub(crate) fn new(control: Rc<Control>) -> Self {
+        Self { control }
     }
 
     async fn answer(
@@ -63,6 +56,7 @@
         match path {
             "/healthz" if get => return Ok(text_reply(StatusCode::OK, "ok")),
             "/readyz" if get => return Ok(self.readiness()),
+            "/metrics" if get => return Ok(metrics_reply(&self.control.metrics.registry)),
             "/v1/status" if get => return Ok(json_reply(StatusCode::OK, &self.status())),
             _ => {}
         }
@@ -73,7 +67,7 @@
         if path == "/v1/objects" && get {
             let query = head.uri.query().unwrap_or_default();
             let prefix = query.strip_prefix("prefix=").unwrap_or_default();
-            return Ok(json_reply(StatusCode::OK, &self.store.list(prefix)));
+            return Ok(json_reply(StatusCode::OK, &self.control.store.objects().list(prefix)));
         }
         let Some(key) = path.strip_prefix("/v1/objects/") else {
             let message = format!("{} {path} is not served here.", head.method);
@@ -88,37 +82,65 @@
     }
 
     fn readiness(&self) -> Response<ReplyBody> {
-        match self.store.complete() {
+        match self.control.store.served() {
             None => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no settings"),
             Some(_) => text_reply(StatusCode::OK, "ok"),
         }
     }
 
+    /// Own state, and what every VM that was heard said of itself.
     fn status(&self) -> serde_json::Value {
-        let tree = self.store.tree();
-        let invalid: Vec<String> = tree
-            .invalid()
-            .values()
-            .flat_map(|problems| &problems.0)
-            .map(ToString::to_string)
-            .collect();
+        let control = &self.control;
+        let tree = control.store.tree();
+        let invalid: Vec<String> =
+            tree.invalid().values().flat_map(|p| &p.0).map(ToString::to_string).collect();
+        let own = control.summary();
+        let mut vms = vec![serde_json::json!({
+            "vm": control.settings.vm,
+            "hall": control.settings.hall,
+            "state": "Alive",
+            "in_force_version": own.in_force,
+            "complete_version": own.complete,
+            "platform_age_ms": own.platform_age_ms,
+            "heard_ms": 0,
+        })];
+        let heard = control.heard.borrow();
+        for member in control.membership.borrow().members().all() {
+            let said = heard.get(&member.update.vm);
+            vms.push(serde_json::json!({
+                "vm": member.update.vm,
+                "hall": member.update.hall,
+                "state": format!("{:?}", member.update.state),
+                "in_force_version": said.map(|h| h.summary.in_force),
+                "complete_version": said.map(|h| h.summary.complete),
+                "platform_age_ms": said.map(|h| h.summary.platform_age_ms),
+                "heard_ms": said.map(|h| h.at.elapsed().as_millis() as u64),
+            }));
+        }
         serde_json::json!({
-            "vm": self.settings.vm,
-            "hall": self.settings.hall,
-            "complete_version": self.store.complete(),
-            "objects": self.store.len(),
+            "vm": control.settings.vm,
+            "complete_version": own.complete,
+            "objects": control.store.objects().len(),
             "invalid": invalid,
+            "vms": vms,
         })
     }
 
+    /// Where a stored object stands in the tree.
+    fn place_of(&self, key: &str) -> Option<String> {
+        let control = &self.control;
+        control.store.objects().get(key)?;
+        control.store.tree().place_of(key)
+    }
+
     fn operator(&self, headers: &HeaderMap) -> Result<Operator, AdminFailure> {
         let value = headers.get("authorization").and_then(|value| value.to_str().ok());
         let hash = value.and_then(|value| value.strip_prefix("Bearer ")).map(hash_key);
         let found = hash.and_then(|hash| {
-            if self.settings.root_key_hashes.contains(&hash) {
+            if self.control.settings.root_key_hashes.contains(&hash) {
                 return Some(Operator { name: "root".to_owned(), subtree: "/".to_owned() });
             }
-            let tree = self.store.tree();
+            let tree = self.control.store.tree();
             let (name, subtree) = tree.operator_of_key(&hash)?;
             Some(Operator { name: name.to_owned(), subtree: subtree.to_owned() })
         });
@@ -128,12 +150,13 @@
     }
 
     fn read(&self, key: &str) -> Result<Response<ReplyBody>, AdminFailure> {
-        let object = self.store.get(key).ok_or_else(|| not_found(key))?;
+        let object =
+            self.control.store.objects().get(key).cloned().ok_or_else(|| not_found(key))?;
         Ok(json_reply(StatusCode::OK, &object))
     }
 
     fn effective(&self, key: &str) -> Response<ReplyBody> {
-        let effective = self.store.tree().effective(key);
+        let effective = self.control.store.tree().effective(key);
         let values: serde_json::Map<String, serde_json::Value> = Policy::NAMES
             .iter()
             .map(|name| {
@@ -162,7 +185,7 @@
             |problems: Problems| AdminFailure::new(AdminFailureKind::Invalid, problems.to_string());
         let object = read_object_value(key, value.clone()).map_err(invalid)?;
         self.check_right(operator, key, Some(&object.place(key)))?;
-        self.store.tree().check_references(key, &object).map_err(invalid)?;
+        self.control.store.tree().check_references(key, &object).map_err(invalid)?;
         let mark = new_mark();
         let note = WriteNote { by: operator.name.clone(), why: why(headers), mark: mark.clone() };
         if let Some(fields) = value.as_object_mut() {
@@ -184,8 +207,8 @@
     }
 
     async fn write(&self, write: Write) -> Result<Response<ReplyBody>, AdminFailure> {
-        let object = carry_out(&self.platform, &write).await?;
-        self.store.take(object.clone());
+        let object = carry_out(&self.control.platform, &write).await?;
+        self.control.store.take(object.clone());
         tracing::info!("control: {} is written as version {}.", object.key, object.version);
         Ok(json_reply(StatusCode::OK, &object))
     }
@@ -197,7 +220,7 @@
         key: &str,
         new_place: Option<&str>,
     ) -> Result<(), AdminFailure> {
-        let old_place = self.store.get(key).and_then(|_| self.store.tree().place_of(key));
+        let old_place = self.place_of(key);
         let mut places = old_place.iter().map(String::as_str).chain(new_place);
         match places.find(|place| !operator.may_write(place)) {
             None => Ok(()),
--- a/crates/sillbank_control/src/entry_link.rs
+++ b/crates/sillbank_control/src/entry_link.rs
@@ -1,11 +1,10 @@
 //! Hands settings to the entry processes of this VM.
 
-use crate::store::Store;
+use crate::state::Control;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_protocol::peer::{ControlToEntry, EntryToControl};
 use sillbank_protocol::platform::{Object, Version};
-use smol::LocalExecutor;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
 use std::rc::Rc;
 
 /// Objects in one message; keeps messages under the frame limit for ordinary objects.
@@ -13,37 +12,43 @@
 /// Bytes of values in one message.
 const BYTES_IN_MESSAGE: usize = 512 << 10;
 
-/// Takes entries' connections for ever.
-pub(crate) async fn accept(
-    executor: Rc<LocalExecutor<'static>>,
-    listener: TcpListener,
-    store: Rc<Store>,
-) {
+/// Serves one entry until its connection ends.
+pub(crate) async fn serve(
+    control: &Rc<Control>,
+    stream: TcpStream,
+    hello: EntryToControl,
+) -> Result<(), FrameError> {
+    let EntryToControl::Hello { vm, after } = hello else {
+        return Ok(());
+    };
+    tracing::info!("control: The entry of {vm} came with version {after}.");
+    let reports = read_reports(control, stream.clone());
+    let settings = send_settings(control, stream, after);
+    futures_lite::future::or(reports, settings).await
+}
+
+async fn read_reports(control: &Control, mut reader: TcpStream) -> Result<(), FrameError> {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let store = store.clone();
-        let serve = async move {
-            if let Err(error) = serve_entry(stream, &store).await {
-                tracing::debug!("control: An entry has gone: {error}.");
-            }
-        };
-        executor.spawn(serve).detach();
+        if let EntryToControl::InForce(version) = read_message(&mut reader).await? {
+            control.in_force.set(version);
+        }
     }
 }
 
-async fn serve_entry(stream: TcpStream, store: &Store) -> Result<(), FrameError> {
-    let (mut reader, mut writer) = (stream.clone(), stream);
-    let EntryToControl::Hello { vm, after } = read_message(&mut reader).await? else {
-        return Ok(());
-    };
-    tracing::info!("control: The entry of {vm} came with version {after}.");
-    let news = store.follow();
+async fn send_settings(
+    control: &Control,
+    mut writer: TcpStream,
+    after: Version,
+) -> Result<(), FrameError> {
+    let news = control.store.follow();
     let mut sent = after;
     loop {
-        if let Some(complete) = store.complete().filter(|complete| *complete > sent) {
-            send_newer(&mut writer, store, sent, complete).await?;
+        if let Some(complete) = control.store.served().filter(|complete| *complete > sent) {
+            let newer = control.store.objects().newer_than(sent);
+            for chunk in chunks(newer) {
+                write_message(&mut writer, &ControlToEntry::Objects(chunk)).await?;
+            }
+            write_message(&mut writer, &ControlToEntry::Synced(complete)).await?;
             sent = complete;
         }
         if news.recv().await.is_err() {
@@ -52,28 +57,15 @@
     }
 }
 
-async fn send_newer(
-    writer: &mut TcpStream,
-    store: &Store,
-    sent: Version,
-    complete: Version,
-) -> Result<(), FrameError> {
-    for chunk in chunks(store.newer_than(sent)) {
-        write_message(writer, &ControlToEntry::Objects(chunk)).await?;
-    }
-    write_message(writer, &ControlToEntry::Synced(complete)).await
-}
-
 /// Splits objects so that each message stays short.
-fn chunks(objects: Vec<Object>) -> Vec<Vec<Object>> {
+pub(crate) fn chunks(objects: Vec<Object>) -> Vec<Vec<Object>> {
     let mut all = Vec::new();
     let mut chunk: Vec<Object> = Vec::new();
     let mut bytes = 0;
     for object in objects {
         let size = object.value.len() + object.key.len();
-        if !chunk.is_empty()
-            && (chunk.len() == OBJECTS_IN_MESSAGE || bytes + size > BYTES_IN_MESSAGE)
-        {
+        let full = chunk.len() == OBJECTS_IN_MESSAGE || bytes + size > BYTES_IN_MESSAGE;
+        if full && !chunk.is_empty() {
             all.push(std::mem::take(&mut chunk));
             bytes = 0;
         }
--- /dev/null
+++ b/crates/sillbank_control/src/gossip.rs
@@ -0,0 +1,89 @@
+//! Datagrams to and from other control processes.
+
+use crate::peers;
+use crate::state::{Control, Heard};
+use sillbank_membership::MembershipAction;
+use sillbank_protocol::gossip::{MAX_DATAGRAM_BYTES, open_datagram, seal_datagram};
+use sillbank_spread::FollowAction;
+use smol::Timer;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Gossips for ever.
+pub(crate) async fn tick(control: Rc<Control>) {
+    loop {
+        let summary = control.summary();
+        let actions = control.membership.borrow_mut().on_tick(Instant::now(), summary);
+        carry_out(&control, actions).await;
+        // A tenth of jitter keeps VMs that began together from speaking together.
+        let jitter = 0.95 + 0.1 * fastrand::f64();
+        Timer::after(control.settings.gossip_interval.mul_f64(jitter)).await;
+    }
+}
+
+/// Receives for ever.
+pub(crate) async fn receive(control: Rc<Control>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let Ok((length, from)) = control.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        control.metrics.bytes_received.inc_by(length as u64);
+        match open_datagram(&buffer[..length], &control.keys) {
+            Ok(datagram) => {
+                let summary = control.summary();
+                let now = Instant::now();
+                let actions = control.membership.borrow_mut().on_datagram(now, datagram, summary);
+                carry_out(&control, actions).await;
+            }
+            Err(error) => {
+                control.metrics.datagrams_refused.inc();
+                tracing::debug!("control: A datagram from {from} was refused: {error}.");
+            }
+        }
+    }
+}
+
+/// Tells the hall that settings are new.
+pub(crate) async fn spread_news(control: &Rc<Control>) {
+    let summary = control.summary();
+    let actions = control.membership.borrow_mut().spread_news(summary);
+    carry_out(control, actions).await;
+}
+
+/// Says that this VM leaves.
+pub(crate) async fn leave(control: &Rc<Control>) {
+    let summary = control.summary();
+    let actions = control.membership.borrow_mut().leave(summary);
+    carry_out(control, actions).await;
+}
+
+async fn carry_out(control: &Rc<Control>, actions: Vec<MembershipAction>) {
+    for action in actions {
+        match action {
+            MembershipAction::Send(to, datagram) => {
+                let Ok(bytes) = seal_datagram(&datagram, &control.keys[0]) else {
+                    tracing::warn!("control: A datagram is too long and was not sent.");
+                    continue;
+                };
+                control.metrics.bytes_sent.inc_by(bytes.len() as u64);
+                control.metrics.datagrams_sent.inc();
+                control.socket.send_to(&bytes, to).await.ok();
+            }
+            MembershipAction::Heard { vm, peer, summary, .. } => {
+                let now = Instant::now();
+                control.heard.borrow_mut().insert(vm, Heard { at: now, summary });
+                let (complete, digest) = {
+                    let objects = control.store.objects();
+                    (objects.complete().unwrap_or(0), objects.digest())
+                };
+                let wanted =
+                    control.follower.borrow_mut().on_peer(now, peer, &summary, complete, digest);
+                if let Some(FollowAction::Pull { peer, after }) = wanted {
+                    let pull = peers::pull(control.clone(), peer, after);
+                    control.executor.spawn(pull).detach();
+                }
+            }
+        }
+    }
+}
--- a/crates/sillbank_control/src/main.rs
+++ b/crates/sillbank_control/src/main.rs
@@ -4,16 +4,20 @@
 
 mod admin;
 mod entry_link;
+mod follow;
+mod gossip;
+mod metrics;
+mod peers;
 mod platform_client;
+mod state;
 mod store;
-mod watch;
 mod write;
 
 use argh::FromArgs;
 use sillbank_net::prelude::*;
 use sillbank_settings::process::{ControlSettings, LogShape, ProcessSettings, read_file};
 use smol::LocalExecutor;
-use smol::net::TcpListener;
+use smol::net::{TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -64,17 +68,19 @@
     settings: ControlSettings,
 ) -> std::io::Result<()> {
     let mut stop = sillbank_net::signals::StopSignals::new()?;
-    let store = Rc::new(store::Store::default());
-    let entries = TcpListener::bind(settings.listen).await?;
+    let peers = TcpListener::bind(settings.listen).await?;
     let admin = TcpListener::bind(settings.admin_listen).await?;
-    let client = HttpClient::new(executor.clone(), 256 << 20);
-    let platform = platform_client::PlatformClient::new(client, settings.platform);
-    executor.spawn(entry_link::accept(executor.clone(), entries, store.clone())).detach();
-    executor.spawn(watch::follow(platform.clone(), store.clone())).detach();
-    let handler = Rc::new(admin::AdminHandler::new(settings.clone(), store, platform));
-    executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
+    let socket = UdpSocket::bind(settings.gossip_listen).await?;
     tracing::info!("control: VM {} in hall {} is up.", settings.vm, settings.hall);
+    let control = state::Control::new(executor.clone(), settings, socket);
+    executor.spawn(peers::accept(control.clone(), peers)).detach();
+    executor.spawn(gossip::receive(control.clone())).detach();
+    executor.spawn(gossip::tick(control.clone())).detach();
+    executor.spawn(follow::follow(control.clone())).detach();
+    let handler = Rc::new(admin::AdminHandler::new(control.clone()));
+    executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
     stop.next().await;
+    gossip::leave(&control).await;
     tracing::info!("control: Stopped.");
     Ok(())
 }
--- /dev/null
+++ b/crates/sillbank_control/src/metrics.rs
@@ -0,0 +1,44 @@
+//! What this process counts. Names and units stand in docs/operators/metrics.md.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
+
+/// All metrics of a control process.
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    pub(crate) datagrams_sent: Counter,
+    pub(crate) datagrams_refused: Counter,
+    pub(crate) bytes_sent: Counter,
+    pub(crate) bytes_received: Counter,
+    pub(crate) pulls: Counter,
+    pub(crate) platform_calls: Counter,
+    pub(crate) platform_failures: Counter,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: sillbank_net::telemetry::new_registry("control"),
+            datagrams_sent: Counter::default(),
+            datagrams_refused: Counter::default(),
+            bytes_sent: Counter::default(),
+            bytes_received: Counter::default(),
+            pulls: Counter::default(),
+            platform_calls: Counter::default(),
+            platform_failures: Counter::default(),
+        };
+        let counters = [
+            ("datagrams_sent", "Datagrams sent to other VMs", &metrics.datagrams_sent),
+            ("datagrams_refused", "Datagrams with a wrong seal", &metrics.datagrams_refused),
+            ("gossip_sent_bytes", "Bytes of datagrams sent", &metrics.bytes_sent),
+            ("gossip_received_bytes", "Bytes of datagrams received", &metrics.bytes_received),
+            ("pulls", "Times settings were taken from a peer", &metrics.pulls),
+            ("platform_calls", "Calls to follow the platform", &metrics.platform_calls),
+            ("platform_failures", "Of these, calls that failed", &metrics.platform_failures),
+        ];
+        for (name, help, counter) in counters {
+            metrics.registry.register(name, help, counter.clone());
+        }
+        metrics
+    }
+}
--- a/crates/sillbank_control/src/platform_client.rs
+++ b/crates/sillbank_control/src/platform_client.rs
@@ -12,6 +12,11 @@
 /// Time for an ordinary call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for reading everything.
+const LIST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Where settings stand among all objects.
+const SETTINGS_PREFIX: &str = "settings/";
+
 /// Why the platform gave no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PlatformError {
@@ -47,28 +52,28 @@
         Self { http, address }
     }
 
-    /// Every object with the prefix.
-    pub(crate) async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
-        self.get(&format!("/list?prefix={prefix}"), CALL_TIMEOUT).await
+    /// Every settings object.
+    pub(crate) async fn list(&self) -> Result<Listing, PlatformError> {
+        self.get(&format!("/list?prefix={SETTINGS_PREFIX}"), LIST_TIMEOUT).await
     }
 
-    /// What changed after a version; waits for a change, at most `wait`.
+    /// What changed in settings after a version; waits for a change, at most `wait`.
     pub(crate) async fn watch(
         &self,
-        prefix: &str,
         after: Version,
         wait: Duration,
     ) -> Result<Listing, PlatformError> {
-        let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={}", wait.as_millis());
+        let wait_ms = wait.as_millis();
+        let path = format!("/watch?prefix={SETTINGS_PREFIX}&after={after}&wait_ms={wait_ms}");
         self.get(&path, wait + CALL_TIMEOUT).await
     }
 
     /// Reads one object, a deleted one too.
     pub(crate) async fn read(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let call = request(Method::GET, &format!("/objects/{key}"), Bytes::new());
+        let call = request(Method::GET, &format!("/objects/{SETTINGS_PREFIX}{key}"), Bytes::new());
         let reply = self.http.call(self.address, call, CALL_TIMEOUT).await?;
         match reply.status {
-            StatusCode::OK => Ok(Some(reply.json()?)),
+            StatusCode::OK => Ok(Some(without_prefix(reply.json()?))),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(PlatformError::Status(status)),
         }
@@ -83,15 +88,18 @@
     ) -> Result<WriteAnswer, PlatformError> {
         let method = if value.is_some() { Method::PUT } else { Method::DELETE };
         let body = Bytes::copy_from_slice(value.unwrap_or_default().as_bytes());
-        let mut call = request(method, &format!("/objects/{key}"), body);
+        let mut call = request(method, &format!("/objects/{SETTINGS_PREFIX}{key}"), body);
         match expected {
             Some(version) => call.headers_mut().insert("if-match", HeaderValue::from(version)),
             None => call.headers_mut().insert("if-none-match", HeaderValue::from_static("*")),
         };
         let reply = self.http.call(self.address, call, CALL_TIMEOUT).await?;
         match reply.status {
-            StatusCode::OK => Ok(WriteAnswer::Written(reply.json()?)),
-            StatusCode::PRECONDITION_FAILED => Ok(WriteAnswer::Changed(reply.json()?)),
+            StatusCode::OK => Ok(WriteAnswer::Written(without_prefix(reply.json()?))),
+            StatusCode::PRECONDITION_FAILED => {
+                let here: Option<Object> = reply.json()?;
+                Ok(WriteAnswer::Changed(here.map(without_prefix)))
+            }
             status => Err(PlatformError::Status(status)),
         }
     }
@@ -102,6 +110,16 @@
         if reply.status != StatusCode::OK {
             return Err(PlatformError::Status(reply.status));
         }
-        Ok(reply.json()?)
+        let mut listing: Listing = reply.json()?;
+        listing.objects = listing.objects.into_iter().map(without_prefix).collect();
+        Ok(listing)
+    }
+}
+
+/// Takes the prefix off a key: inside sillbank a settings object goes by its own name.
+fn without_prefix(mut object: Object) -> Object {
+    if let Some(key) = object.key.strip_prefix(SETTINGS_PREFIX) {
+        object.key = key.to_owned();
     }
+    object
 }
--- a/crates/sillbank_entry/src/control_link.rs
+++ b/crates/sillbank_entry/src/control_link.rs
@@ -3,7 +3,7 @@
 use crate::engine_link;
 use crate::state::Entry;
 use sillbank_net::frames::{FrameError, read_message, write_message};
-use sillbank_protocol::peer::{ControlToEntry, EntryToControl};
+use sillbank_protocol::peer::{ControlToEntry, EntryToControl, ToControl};
 use sillbank_protocol::platform::{Object, Version};
 use sillbank_routing::prelude::*;
 use sillbank_settings::objects::EndpointObject;
@@ -31,7 +31,7 @@
     let (mut reader, mut writer) = (stream.clone(), stream);
     let hello =
         EntryToControl::Hello { vm: entry.settings.vm.clone(), after: entry.in_force.get() };
-    write_message(&mut writer, &hello).await?;
+    write_message(&mut writer, &ToControl::Entry(hello)).await?;
     loop {
         match read_message(&mut reader).await? {
             ControlToEntry::Objects(objects) => objects.iter().for_each(|o| take(entry, o)),
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -162,7 +162,9 @@
             let top = BOTH[number % BOTH.len()];
             let stage = (number / BOTH.len()) % stages;
             let kind = format!("k{}", (number / BOTH.len()) % 5 + 1);
-            let hall = format!("hall{}", (number / BOTH.len()) % self.arguments.halls + 1);
+            // Every hall gets whole chains.
+            let group = number / (BOTH.len() * stages);
+            let hall = format!("hall{}", group % self.arguments.halls + 1);
             let first = stage as u16 * STAGE_LAYERS;
             let end = first + STAGE_LAYERS;
             let address = self.ports.take();
--- a/crates/sillbank_load/src/mix.rs
+++ b/crates/sillbank_load/src/mix.rs
@@ -122,8 +122,8 @@
         -(1.0 - self.rng.f64()).ln() / rate
     }
 
-    /// The next request.
-    pub fn next(&mut self) -> Work {
+    /// Draws the next request.
+    pub fn draw(&mut self) -> Work {
         let top = self.shape.tops[self.rng.usize(..self.shape.tops.len())];
         // The first few organisations are large: a square of the draw favours them.
         let draw = self.rng.f64();
--- a/crates/sillbank_load/src/run.rs
+++ b/crates/sillbank_load/src/run.rs
@@ -99,7 +99,7 @@
             break;
         }
         Timer::at(started + due).await;
-        let (caller, work) = (caller.clone(), mix.next());
+        let (caller, work) = (caller.clone(), mix.draw());
         tasks.push(executor.spawn(async move { caller.carry(work).await }));
     }
     let mut all = Vec::with_capacity(tasks.len());
--- a/crates/sillbank_load/tests/bad_input.rs
+++ b/crates/sillbank_load/tests/bad_input.rs
@@ -1,4 +1,5 @@
 //! Bad input gets a clear typed error or is ended at a stated limit; other requests are untouched.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/sillbank_load/tests/scenarios.rs
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -1,4 +1,5 @@
 //! Scripted scenarios against real processes: each script reads like the promise it proves.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/sillbank_protocol/src/lib.rs
+++ b/crates/sillbank_protocol/src/lib.rs
@@ -1,11 +1,13 @@
 //! Messages between sillbank's processes, and the types of the outside interfaces it speaks.
 //!
 //! - [`engine`]: steps to model engines (JSON lines over one streamed HTTP exchange).
+//! - [`gossip`]: datagrams between control processes (postcard, sealed).
 //! - [`platform`]: the platform's object API (JSON over HTTP).
 //! - [`peer`]: between entry and control, and between control processes (postcard).
 
 #![forbid(unsafe_code)]
 
 pub mod engine;
+pub mod gossip;
 pub mod peer;
 pub mod platform;
--- a/crates/sillbank_protocol/tests/decoders.rs
+++ b/crates/sillbank_protocol/tests/decoders.rs
@@ -1,4 +1,5 @@
 //! Whatever comes from a socket is decoded or refused; it never panics.
+#![allow(clippy::unwrap_used)]
 
 use arbitrary::Unstructured;
 use sillbank_core::prelude::*;
--- a/crates/sillbank_routing/tests/routing.rs
+++ b/crates/sillbank_routing/tests/routing.rs
@@ -1,4 +1,5 @@
 //! Which endpoints serve a request.
+#![allow(clippy::unwrap_used)]
 
 use sillbank_core::prelude::*;
 use sillbank_routing::chain::LeastFinish;
--- a/crates/sillbank_settings/tests/settings.rs
+++ b/crates/sillbank_settings/tests/settings.rs
@@ -1,4 +1,5 @@
 //! Settings are checked whole, and the tree gives each value with where it came from.
+#![allow(clippy::unwrap_used)]
 
 use sillbank_settings::objects::{hash_key, read_objects_file};
 use sillbank_settings::prelude::*;
