Make the membership tests find three mutations they let pass

Cause: the frozen VM had no probe on its way, replays were judged by their effect only, and no VM was ever forgotten in a test.

Ruled out: a fault of the code itself; all three guards were right and are unchanged.

--- a/crates/sillbank_membership/tests/gossip.rs
+++ b/crates/sillbank_membership/tests/gossip.rs
@@ -124,6 +124,12 @@
 fn a_frozen_vm_that_wakes_refutes_and_believes_nothing_bad_of_the_others() {
     let mut network = Network::new(10, 1);
     network.rounds(20);
+    // It freezes in the middle of a probe whose answers it never takes.
+    for _ in 0..2 {
+        network.now += INTERVAL;
+        let unsent = network.vms[3].on_tick(network.now, Summary::default());
+        assert!(!unsent.is_empty());
+    }
     network.running[3] = false;
     network.rounds(10);
     assert_eq!(network.state(0, 3), Some(MemberState::Dead));
@@ -189,8 +195,11 @@
 
         for _ in 0..300 {
             let (to, datagram) = old[u.choose_index(old.len())?].clone();
-            network.queue.push_back((to, datagram));
-            network.deliver(|| false);
+            if !network.running[to] {
+                continue;
+            }
+            let actions = network.vms[to].on_datagram(network.now, datagram, Summary::default());
+            assert_eq!(actions, Vec::new(), "a replay is not heard at all");
         }
         network.rounds(3);
 
@@ -224,6 +233,26 @@
     });
 }
 
+#[test]
+fn the_dead_are_forgotten_in_the_end_and_old_words_do_not_bring_them_back() {
+    let mut network = Network::new(4, 1);
+    network.rounds(12);
+    network.running[3] = false;
+    network.rounds(12);
+    let word = network.vms[1].members().get("vm3").expect("known").update.clone();
+    network.now += Duration::from_secs(700);
+    network.rounds(2);
+    assert_eq!(network.state(0, 3), None);
+
+    let last = network.history.iter().rev().find(|(to, d)| *to == 0 && d.from.vm == "vm1");
+    let (_, mut datagram) = last.expect("vm1 spoke to vm0").clone();
+    datagram.sequence += 1_000;
+    datagram.updates = vec![word];
+    network.vms[0].on_datagram(network.now, datagram, Summary::default());
+
+    assert_eq!(network.state(0, 3), None);
+}
+
 #[test]
 fn every_vm_of_a_hall_names_the_same_watchers() {
     let mut network = Network::new(20, 2);
