--- a/crates/sillbank_control/src/metrics.rs
+++ b/crates/sillbank_control/src/metrics.rs
@@ -11,6 +11,8 @@
     pub(crate) bytes_sent: Counter,
     pub(crate) bytes_received: Counter,
     pub(crate) pulls: Counter,
+    pub(crate) pull_bytes: Counter,
+    pub(crate) platform_bytes: Counter,
     pub(crate) platform_calls: Counter,
     pub(crate) platform_failures: Counter,
 }
@@ -24,6 +26,8 @@
             bytes_sent: Counter::default(),
             bytes_received: Counter::default(),
             pulls: Counter::default(),
+            pull_bytes: Counter::default(),
+            platform_bytes: Counter::default(),
             platform_calls: Counter::default(),
             platform_failures: Counter::default(),
         };
@@ -33,6 +37,8 @@
             ("gossip_sent_bytes", "Bytes of datagrams sent", &metrics.bytes_sent),
             ("gossip_received_bytes", "Bytes of datagrams received", &metrics.bytes_received),
             ("pulls", "Times settings were taken from a peer", &metrics.pulls),
+            ("pull_bytes", "Bytes of settings from and to peers", &metrics.pull_bytes),
+            ("platform_bytes", "Bytes to and from the platform", &metrics.platform_bytes),
             ("platform_calls", "Calls to follow the platform", &metrics.platform_calls),
             ("platform_failures", "Of these, calls that failed", &metrics.platform_failures),
         ];
--- a/crates/sillbank_control/src/peers.rs
+++ b/crates/sillbank_control/src/peers.rs
@@ -62,6 +62,7 @@
     for chunk in entry_link::chunks(objects) {
         let part = PullPart { objects: chunk, complete: None };
         let sealed = SealedPart::new(key, &request.nonce, number, &part)?;
+        control.metrics.pull_bytes.inc_by(sealed.content.len() as u64);
         write_message(&mut stream, &sealed).await?;
         number += 1;
     }
@@ -102,6 +103,7 @@
     for number in 0.. {
         let sealed: SealedPart = read_message(&mut stream).await?;
         let part = sealed.open(key, &request.nonce, number)?;
+        control.metrics.pull_bytes.inc_by(sealed.content.len() as u64);
         taken += part.objects.into_iter().filter(|o| control.store.take(o.clone())).count();
         if let Some(complete) = part.complete {
             control.store.set_complete(complete);
--- a/crates/sillbank_control/src/platform_client.rs
+++ b/crates/sillbank_control/src/platform_client.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
+use prometheus_client::metrics::counter::Counter;
 use sillbank_net::client::request;
 use sillbank_net::prelude::*;
 use sillbank_protocol::platform::{Listing, Object, Version};
@@ -12,6 +13,8 @@
 /// Time for an ordinary call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes of the heads of a request and its reply, about.
+const HEAD_BYTES: u64 = 300;
 /// Time for reading everything.
 const LIST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Where settings stand among all objects.
@@ -45,11 +48,13 @@
 pub(crate) struct PlatformClient {
     http: HttpClient,
     address: SocketAddr,
+    /// Bytes to and from the platform, heads estimated.
+    pub(crate) bytes: Counter,
 }
 
 impl PlatformClient {
     pub(crate) fn new(http: HttpClient, address: SocketAddr) -> Self {
-        Self { http, address }
+        Self { http, address, bytes: Counter::default() }
     }
 
     /// Every settings object.
@@ -107,6 +112,7 @@
     async fn get(&self, path: &str, timeout: Duration) -> Result<Listing, PlatformError> {
         let call = request(Method::GET, path, Bytes::new());
         let reply = self.http.call(self.address, call, timeout).await?;
+        self.bytes.inc_by(HEAD_BYTES + reply.body.len() as u64);
         if reply.status != StatusCode::OK {
             return Err(PlatformError::Status(reply.status));
         }
--- a/crates/sillbank_control/src/state.rs
+++ b/crates/sillbank_control/src/state.rs
@@ -55,15 +55,18 @@
             interval: settings.gossip_interval,
             incarnation: since_epoch.map_or(0, |since| since.as_millis() as u64),
         };
+        let metrics = crate::metrics::Metrics::new();
+        let mut platform = PlatformClient::new(client, settings.platform);
+        platform.bytes = metrics.platform_bytes.clone();
         Rc::new(Self {
-            platform: PlatformClient::new(client, settings.platform),
+            platform,
             keys: settings.peer_keys.iter().map(|text| SealKey::from_text(text)).collect(),
             store: Store::default(),
             membership: RefCell::new(Membership::new(config, fastrand::u64(..))),
             follower: RefCell::default(),
             heard: RefCell::default(),
             in_force: Cell::new(0),
-            metrics: crate::metrics::Metrics::new(),
+            metrics,
             executor,
             settings,
             socket,
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -44,6 +44,15 @@
     /// policy for the choice of chains
     #[argh(option, default = "String::from(\"least_finish\")")]
     pub chain_policy: String,
+    /// leave the entries out
+    #[argh(switch)]
+    pub no_entries: bool,
+    /// organisations of each user
+    #[argh(option, default = "ORGANISATIONS")]
+    pub organisations: usize,
+    /// writes a second that the platform takes
+    #[argh(option, default = "300.0")]
+    pub platform_writes_per_s: f64,
     /// time that requests in flight have when an entry is stopped, in milliseconds
     #[argh(option, default = "30000")]
     pub stop_limit_ms: u64,
@@ -63,6 +72,8 @@
     pub entry_admins: Vec<SocketAddr>,
     /// Administration interfaces, by VM.
     pub control_admins: Vec<SocketAddr>,
+    /// Where entries and peers come to control, by VM.
+    pub controls: Vec<SocketAddr>,
     /// Model engines.
     pub engines: Vec<SocketAddr>,
     /// Plain services.
@@ -88,6 +99,9 @@
             engines: 40,
             cost_factor: 1.0,
             chain_policy: "least_finish".to_owned(),
+            no_entries: false,
+            organisations: ORGANISATIONS,
+            platform_writes_per_s: 300.0,
             stop_limit_ms: 30_000,
             first_port: 12000,
         }
@@ -130,7 +144,7 @@
         commands: Vec::new(),
     };
     let platform = layout.platform();
-    let mut objects = tree_objects();
+    let mut objects = tree_objects(arguments.organisations);
     objects.push_str(&layout.engines());
     objects.push_str(&layout.services());
     layout.vms(platform)?;
@@ -151,7 +165,9 @@
     fn platform(&mut self) -> SocketAddr {
         let address = self.ports.take();
         self.addresses.platform = Some(address);
-        self.command("platform", "sillbank-standin", &format!("platform --listen {address}"));
+        let writes = self.arguments.platform_writes_per_s;
+        let rest = format!("platform --listen {address} --writes-per-s {writes}");
+        self.command("platform", "sillbank-standin", &rest);
         address
     }
 
@@ -236,6 +252,11 @@
                 hash_key(OPERATOR_KEY),
             );
             self.process("sillbank-control", &format!("control{number}"), &text)?;
+            self.addresses.controls.push(control);
+            self.addresses.control_admins.push(control_admin);
+            if self.arguments.no_entries {
+                continue;
+            }
             let text = format!(
                 "role = \"entry\"\nvm = \"{vm}\"\nhall = \"{hall}\"\nlisten = \"{listen}\"\n\
                  admin_listen = \"{admin}\"\ncontrol = \"{control}\"\nchain_policy = \"{}\"\n\
@@ -245,7 +266,6 @@
             self.process("sillbank-entry", &format!("entry{number}"), &text)?;
             self.addresses.entries.push(listen);
             self.addresses.entry_admins.push(admin);
-            self.addresses.control_admins.push(control_admin);
         }
         Ok(())
     }
@@ -259,15 +279,15 @@
 }
 
 /// Nodes, pipelines and organisations.
-fn tree_objects() -> String {
+fn tree_objects(organisations: usize) -> String {
     let mut text = String::from("[node.\"/\".settings]\ndeadline_ms = 60000\n\n");
     for top in BOTH {
-        write_top(&mut text, top);
+        write_top(&mut text, top, organisations);
     }
     text
 }
 
-fn write_top(text: &mut String, top: &Top) {
+fn write_top(text: &mut String, top: &Top, organisations: usize) {
     writeln!(text, "[node.\"/{}\".settings]\npriority = 4\n", top.name).ok();
     writeln!(
         text,
@@ -275,7 +295,7 @@
         top.pipeline, top.name
     )
     .ok();
-    for number in 0..ORGANISATIONS {
+    for number in 0..organisations {
         let name = organisation_name(top.name, number);
         writeln!(
             text,
--- a/crates/sillbank_load/src/lib.rs
+++ b/crates/sillbank_load/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod check;
 pub mod client;
+pub mod control_bench;
 pub mod direct;
 pub mod fleet;
 pub mod hop;
@@ -13,6 +14,7 @@
 pub mod process;
 pub mod report;
 pub mod run;
+pub mod settings_bench;
 pub mod wait;
 
 /// Whether every check passed.
--- a/crates/sillbank_load/src/main.rs
+++ b/crates/sillbank_load/src/main.rs
@@ -4,7 +4,7 @@
 #![forbid(unsafe_code)]
 
 use argh::FromArgs;
-use sillbank_load::{Verdict, fleet, hop, run, wait};
+use sillbank_load::{Verdict, control_bench, fleet, hop, run, settings_bench, wait};
 use smol::LocalExecutor;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -23,9 +23,11 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Control(control_bench::ControlArguments),
     Fleet(fleet::FleetArguments),
     Hop(hop::HopArguments),
     Run(run::RunArguments),
+    Settings(settings_bench::SettingsArguments),
     Wait(wait::WaitArguments),
 }
 
@@ -51,6 +53,8 @@
     match command {
         Some(Command::Fleet(arguments)) => fleet::write(&arguments),
         Some(Command::Hop(arguments)) => hop::hop(executor, arguments).await,
+        Some(Command::Control(arguments)) => control_bench::run(executor, arguments).await,
+        Some(Command::Settings(arguments)) => settings_bench::run(executor, arguments).await,
         Some(Command::Run(arguments)) => run::run(executor, arguments).await,
         Some(Command::Wait(arguments)) => wait::wait(executor, arguments).await,
         None => Err("name a command; see --help".into()),
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -15,7 +15,7 @@
 }
 
 fleet_lay_out() {
-  "$PROGRAMS/sillbank-load" fleet --out "$OUT" --programs "$PROGRAMS" \
+  "$PROGRAMS/sillbank-load" fleet --out "$OUT" --programs "$PROGRAMS" ${FLEET_FLAGS:-} \
     --halls "${HALLS:-3}" --vms "${VMS:-9}" --engines "${ENGINES:-40}" \
     --cost-factor "${COST_FACTOR:-1.0}" --chain-policy "${CHAIN_POLICY:-least_finish}"
 }
@@ -28,6 +28,7 @@
       $command >>"$OUT/$name.log" 2>&1 &
       FLEET_PIDS+=($!)
       FLEET_PID_OF[$name]=$!
+      echo "$name $!" >>"$OUT/pids.txt"
       return
     fi
   done <"$OUT/commands.txt"
@@ -43,14 +44,18 @@
     $command >>"$OUT/$name.log" 2>&1 &
     FLEET_PIDS+=($!)
     FLEET_PID_OF[$name]=$!
+    echo "$name $!" >>"$OUT/pids.txt"
   done <"$OUT/commands.txt"
   local load="$PROGRAMS/sillbank-load"
   "$load" wait --path /list --addresses "$(fleet_address .platform)"
   "$load" wait --path /healthz --addresses "$(fleet_address '.control_admins|join(",")')"
   SILLBANK_KEY=local-operator-key SILLBANK_CONTROL="$(fleet_address '.control_admins[0]')" \
     "$PROGRAMS/sillbank" apply "$OUT/objects" --why "local fleet" >"$OUT/apply.log"
-  "$load" wait --path /readyz --addresses "$(fleet_address '.entry_admins|join(",")')"
-  "$load" wait --path /v1/load --addresses "$(fleet_address '.engines|join(",")')"
+  local admins engines
+  admins="$(fleet_address '.entry_admins|join(",")')"
+  engines="$(fleet_address '.engines|join(",")')"
+  [ -z "$admins" ] || "$load" wait --path /readyz --addresses "$admins"
+  [ -z "$engines" ] || "$load" wait --path /v1/load --addresses "$engines"
 }
 
 # fleet_fault NUMBER JSON: makes a fault at an engine stand-in.
@@ -60,6 +65,10 @@
 
 fleet_end() {
   local pid
-  for pid in "${FLEET_PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -9 "$pid" 2>/dev/null; done
-  wait 2>/dev/null || true
+  {
+    for pid in "${FLEET_PIDS[@]}"; do kill -CONT "$pid"; kill -9 "$pid"; done
+    wait
+  } 2>/dev/null || true
+  FLEET_PIDS=()
+  FLEET_PID_OF=()
 }
