Hear datagrams that overtake each other, and pull again what is heard during a pull

Two real faults found on the way, each with a test seen red: a datagram that was overtaken counted as a replay, and news heard during a pull were dropped.

--- a/crates/sillbank_control/src/peers.rs
+++ b/crates/sillbank_control/src/peers.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_protocol::peer::{DecodeError, PullPart, PullRequest, SealedPart, ToControl};
+use sillbank_spread::FollowAction;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::net::SocketAddr;
@@ -71,15 +72,23 @@
     write_message(&mut stream, &sealed).await
 }
 
-/// Pulls what a peer holds after a version.
+/// Pulls what a peer holds after a version, and goes on while more is heard of.
 pub(crate) async fn pull(control: Rc<Control>, peer: SocketAddr, after: u64) {
+    let mut next = Some(FollowAction::Pull { peer, after });
+    while let Some(FollowAction::Pull { peer, after }) = next {
+        pull_once(&control, peer, after).await;
+        let complete = control.store.objects().complete().unwrap_or(0);
+        next = control.follower.borrow_mut().on_pulled(complete);
+    }
+    settle_from_peers(&control);
+}
+
+async fn pull_once(control: &Control, peer: SocketAddr, after: u64) {
     let late = async {
         Timer::after(PULL_TIMEOUT).await;
         Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
     };
-    let pulled = pull_parts(&control, peer, after).or(late).await;
-    control.follower.borrow_mut().on_pulled();
-    match pulled {
+    match pull_parts(control, peer, after).or(late).await {
         Ok(taken) => {
             control.metrics.pulls.inc();
             if taken > 0 {
@@ -88,7 +97,6 @@
                     "control: {taken} objects came from {peer}, up to version {version}."
                 );
             }
-            settle_from_peers(&control);
         }
         Err(error) => tracing::info!("control: A pull from {peer} failed: {error}."),
     }
--- a/crates/sillbank_membership/src/lib.rs
+++ b/crates/sillbank_membership/src/lib.rs
@@ -8,9 +8,11 @@
 #![forbid(unsafe_code)]
 
 mod members;
+mod replays;
 
 pub use members::{Member, Members};
 
+use replays::Replays;
 use sillbank_core::hash::rendezvous;
 use sillbank_core::prelude::*;
 use sillbank_protocol::gossip::{
@@ -89,7 +91,7 @@
     left: bool,
     sequence: u64,
     members: Members,
-    seen: HashMap<VmId, (Incarnation, u64)>,
+    replays: Replays,
     probe: Option<Probe>,
     probe_count: u64,
     relays: HashMap<u64, (SocketAddr, u64)>,
@@ -107,7 +109,7 @@
             left: false,
             sequence: 0,
             members: Members::default(),
-            seen: HashMap::new(),
+            replays: Replays::default(),
             probe: None,
             probe_count: 0,
             relays: HashMap::new(),
@@ -167,7 +169,7 @@
         datagram: Datagram,
         mut summary: Summary,
     ) -> Vec<MembershipAction> {
-        if datagram.from.vm == self.config.vm || !self.is_new(&datagram) {
+        if datagram.from.vm == self.config.vm || !self.replays.is_new(&datagram) {
             return Vec::new();
         }
         let from = datagram.from.clone();
@@ -205,23 +207,6 @@
         addresses.into_iter().map(|to| self.send(to, GossipMessage::News, summary)).collect()
     }
 
-    /// Drops replays: a datagram of an older life, or not newer than the last of this life.
-    fn is_new(&mut self, datagram: &Datagram) -> bool {
-        let life = datagram.from.incarnation;
-        let word = (life, datagram.sequence);
-        match self.seen.get_mut(&datagram.from.vm) {
-            Some(last) if word <= *last => false,
-            Some(last) => {
-                *last = word;
-                true
-            }
-            None => {
-                self.seen.insert(datagram.from.vm.clone(), word);
-                true
-            }
-        }
-    }
-
     fn take_update(&mut self, now: Instant, update: &MemberUpdate) {
         if update.vm != self.config.vm {
             self.members.take(now, update);
--- a/crates/sillbank_membership/tests/gossip.rs
+++ b/crates/sillbank_membership/tests/gossip.rs
@@ -312,3 +312,23 @@
 
     assert!(network.vms[0].members().get(&stranger).is_some());
 }
+
+#[test]
+fn datagrams_that_overtake_each_other_are_both_heard() {
+    let mut network = Network::new(2, 1);
+    network.rounds(3);
+    let to_first = network.vms[1].spread_news(Summary { complete: 7, ..Summary::default() });
+    let after = network.vms[1].spread_news(Summary { complete: 8, ..Summary::default() });
+    let datagram = |actions: &[MembershipAction]| match &actions[0] {
+        MembershipAction::Send(_, datagram) => (**datagram).clone(),
+        MembershipAction::Heard { .. } => unreachable!("news are sent"),
+    };
+
+    let second = network.vms[0].on_datagram(network.now, datagram(&after), Summary::default());
+    let first = network.vms[0].on_datagram(network.now, datagram(&to_first), Summary::default());
+    let again = network.vms[0].on_datagram(network.now, datagram(&to_first), Summary::default());
+
+    assert!(!second.is_empty());
+    assert!(!first.is_empty(), "it was only overtaken");
+    assert!(again.is_empty(), "it is a replay");
+}
--- a/crates/sillbank_spread/src/follow.rs
+++ b/crates/sillbank_spread/src/follow.rs
@@ -28,6 +28,8 @@
 pub struct Follower {
     platform_heard: Option<Instant>,
     pulling: bool,
+    /// The greatest version heard of during a pull, and who holds it.
+    heard_meanwhile: Option<(u64, SocketAddr)>,
     repaired_at: Option<Instant>,
 }
 
@@ -53,6 +55,7 @@
             self.platform_heard = self.platform_heard.max(Some(heard));
         }
         if self.pulling {
+            self.heard_meanwhile = self.heard_meanwhile.max(Some((theirs.complete, peer)));
             return None;
         }
         let after = match theirs.complete.cmp(&complete) {
@@ -64,9 +67,12 @@
         Some(FollowAction::Pull { peer, after })
     }
 
-    /// A pull has ended, well or not.
-    pub fn on_pulled(&mut self) {
-        self.pulling = false;
+    /// A pull has ended, well or not; `complete` is what this VM holds now. Goes on at once if
+    /// something newer was heard of meanwhile.
+    pub fn on_pulled(&mut self, complete: u64) -> Option<FollowAction> {
+        let newer = self.heard_meanwhile.take().filter(|(version, _)| *version > complete);
+        self.pulling = newer.is_some();
+        newer.map(|(_, peer)| FollowAction::Pull { peer, after: complete })
     }
 
     /// Age of the last word from the platform, direct or through peers.
--- a/crates/sillbank_spread/tests/spread.rs
+++ b/crates/sillbank_spread/tests/spread.rs
@@ -101,13 +101,28 @@
 
     let first = follower.on_peer(now, peer(), &theirs, 4, 0);
     let second = follower.on_peer(now, peer(), &theirs, 4, 0);
-    follower.on_pulled();
+    follower.on_pulled(9);
     let third = follower.on_peer(now, peer(), &theirs, 9, 0);
 
     assert_eq!(first, Some(FollowAction::Pull { peer: peer(), after: 4 }));
     assert_eq!((second, third), (None, None));
 }
 
+#[test]
+fn what_is_heard_during_a_pull_is_pulled_right_after_it() {
+    let now = Instant::now();
+    let mut follower = Follower::default();
+    follower.on_peer(now, peer(), &Summary { complete: 9, ..Summary::default() }, 4, 0);
+    follower.on_peer(now, peer(), &Summary { complete: 11, ..Summary::default() }, 4, 0);
+    follower.on_peer(now, peer(), &Summary { complete: 10, ..Summary::default() }, 4, 0);
+
+    let next = follower.on_pulled(9);
+    let after_that = follower.on_pulled(11);
+
+    assert_eq!(next, Some(FollowAction::Pull { peer: peer(), after: 9 }));
+    assert_eq!(after_that, None);
+}
+
 #[test]
 fn a_gap_below_the_same_version_is_repaired_but_not_in_a_loop() {
     let now = Instant::now();
@@ -115,7 +130,7 @@
     let theirs = Summary { complete: 9, digest: 1, ..Summary::default() };
 
     let first = follower.on_peer(now, peer(), &theirs, 9, 2);
-    follower.on_pulled();
+    follower.on_pulled(9);
     let again = follower.on_peer(now, peer(), &theirs, 9, 2);
     let later = follower.on_peer(now + Duration::from_secs(60), peer(), &theirs, 9, 2);
 
