Find the tail of settings: membership was not whole when the bench began

Cause: right after the start the watchers do not know all of their hall, so some VMs got no news and waited for their next ping.

--- a/crates/sillbank_load/src/settings_bench.rs
+++ b/crates/sillbank_load/src/settings_bench.rs
@@ -62,6 +62,7 @@
     while watchers.iter().any(|w| w.version.get() == 0) {
         Timer::after(Duration::from_millis(20)).await;
     }
+    let joined_s = all_joined(&client, &fleet).await?;
     let before = platform_calls(&client, &fleet).await?;
     let started = Instant::now();
     let mut times = Vec::new();
@@ -78,6 +79,7 @@
     let figures = serde_json::json!({
         "bench": "settings",
         "nodes": watchers.len(),
+        "all_joined_s": joined_s,
         "changes": arguments.changes,
         "in_force_ms": { "p50": quantile(&times, 0.5), "max": quantile(&times, 1.0) },
         "burst": arguments.burst,
@@ -90,6 +92,30 @@
     Ok(reverts == 0)
 }
 
+/// Waits until every control process knows every other; answers how long that took here.
+async fn all_joined(
+    client: &HttpClient,
+    fleet: &Addresses,
+) -> Result<f64, Box<dyn std::error::Error>> {
+    let started = Instant::now();
+    for admin in &fleet.control_admins {
+        loop {
+            let call = request(Method::GET, "/v1/status", Bytes::new());
+            let reply = client.call(*admin, call, Duration::from_secs(5)).await?;
+            let status: serde_json::Value = reply.json()?;
+            let known = status["vms"].as_array().map_or(0, Vec::len);
+            if known >= fleet.control_admins.len() {
+                break;
+            }
+            if started.elapsed() > Duration::from_secs(60) {
+                return Err(format!("{admin} knows {known} VMs only").into());
+            }
+            Timer::after(Duration::from_millis(100)).await;
+        }
+    }
+    Ok(started.elapsed().as_secs_f64())
+}
+
 async fn follow(control: SocketAddr, watcher: Rc<Watcher>) {
     if let Err(error) = follow_once(control, &watcher).await {
         eprintln!("load: {control} ended: {error}.");
