--- a/crates/sillbank_control/src/admin.rs
+++ b/crates/sillbank_control/src/admin.rs
@@ -122,6 +122,8 @@
             "complete_version": own.complete,
             "objects": control.store.objects().len(),
             "invalid": invalid,
+            "slots": control.slots.held(),
+            "claimed_keys": control.slots.keys(),
             "vms": vms,
         })
     }
--- a/crates/sillbank_control/src/entry_link.rs
+++ b/crates/sillbank_control/src/entry_link.rs
@@ -1,9 +1,11 @@
 //! Hands settings to the entry processes of this VM.
 
+use crate::once;
 use crate::state::Control;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_protocol::peer::{ControlToEntry, EntryToControl};
 use sillbank_protocol::platform::{Object, Version};
+use smol::channel::{Receiver, Sender};
 use smol::net::TcpStream;
 use std::rc::Rc;
 
@@ -22,23 +24,51 @@
         return Ok(());
     };
     tracing::info!("control: The entry of {vm} came with version {after}.");
-    let reports = read_reports(control, stream.clone());
-    let settings = send_settings(control, stream, after);
-    futures_lite::future::or(reports, settings).await
+    let (answers, to_send) = smol::channel::unbounded();
+    let reports = read_reports(control, stream.clone(), answers);
+    let sending = send_all(control, stream, after, to_send);
+    futures_lite::future::or(reports, sending).await
 }
 
-async fn read_reports(control: &Control, mut reader: TcpStream) -> Result<(), FrameError> {
+async fn read_reports(
+    control: &Rc<Control>,
+    mut reader: TcpStream,
+    answers: Sender<ControlToEntry>,
+) -> Result<(), FrameError> {
     loop {
-        if let EntryToControl::InForce(version) = read_message(&mut reader).await? {
-            control.in_force.set(version);
+        match read_message(&mut reader).await? {
+            EntryToControl::Hello { .. } => {}
+            EntryToControl::InForce(version) => control.in_force.set(version),
+            EntryToControl::Mint { id } => {
+                let key = once::mint_key(control);
+                answers.try_send(ControlToEntry::Minted { id, key }).ok();
+            }
+            EntryToControl::Claim { id, organisation, key } => {
+                let (control, answers) = (control.clone(), answers.clone());
+                let spawner = control.executor.clone();
+                let work = async move {
+                    let answer = once::claim(&control, &organisation, &key).await;
+                    answers.try_send(ControlToEntry::ClaimAnswer { id, answer }).ok();
+                };
+                spawner.spawn(work).detach();
+            }
+            EntryToControl::ClaimEnded { organisation, key, claim, run } => {
+                let control = control.clone();
+                let spawner = control.executor.clone();
+                let work = async move {
+                    once::end(&control, &organisation, &key, claim, run).await;
+                };
+                spawner.spawn(work).detach();
+            }
         }
     }
 }
 
-async fn send_settings(
+async fn send_all(
     control: &Control,
     mut writer: TcpStream,
     after: Version,
+    answers: Receiver<ControlToEntry>,
 ) -> Result<(), FrameError> {
     let news = control.store.follow();
     let mut sent = after;
@@ -51,8 +81,12 @@
             write_message(&mut writer, &ControlToEntry::Synced(complete)).await?;
             sent = complete;
         }
-        if news.recv().await.is_err() {
-            return Ok(());
+        let next = async { answers.recv().await.map(Some) };
+        let new = async { news.recv().await.map(|()| None) };
+        match futures_lite::future::or(next, new).await {
+            Ok(Some(answer)) => write_message(&mut writer, &answer).await?,
+            Ok(None) => {}
+            Err(_) => return Ok(()),
         }
     }
 }
--- /dev/null
+++ b/crates/sillbank_control/src/lease_io.rs
@@ -0,0 +1,60 @@
+//! Reads and writes the objects of leases.
+
+use crate::platform_client::{PlatformError, WriteAnswer};
+use crate::state::Control;
+use sillbank_lease::{Candidate, LeaseRecord, LeaseWrite, Moment, WriteEnd};
+use sillbank_protocol::platform::Version;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Now, by both clocks.
+pub(crate) fn moment() -> Moment {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Moment { monotonic: Instant::now(), wall_ms: since.map_or(0, |since| since.as_millis() as u64) }
+}
+
+/// Access to leases' objects.
+pub(crate) struct LeaseIo<'a> {
+    control: &'a Control,
+}
+
+impl<'a> LeaseIo<'a> {
+    pub(crate) fn new(control: &'a Control) -> Self {
+        Self { control }
+    }
+
+    /// This VM as a holder.
+    pub(crate) fn candidate(&self, term: Duration) -> Candidate {
+        Candidate { vm: self.control.settings.vm.clone(), peer: self.control.settings.listen, term }
+    }
+
+    /// A new mark.
+    pub(crate) fn mark(&self) -> u64 {
+        fastrand::u64(..)
+    }
+
+    /// Reads a lease's object.
+    pub(crate) async fn read(
+        &self,
+        key: &str,
+    ) -> Result<Option<(Version, LeaseRecord)>, PlatformError> {
+        let Some(object) = self.control.platform.read(key).await? else {
+            return Ok(None);
+        };
+        match object.deleted {
+            true => Ok(None),
+            false => Ok(Some((object.version, serde_json::from_str(&object.value)?))),
+        }
+    }
+
+    /// Carries out a write.
+    pub(crate) async fn write(&self, key: &str, write: &LeaseWrite) -> WriteEnd {
+        let Ok(value) = serde_json::to_string(&write.record) else {
+            return WriteEnd::Lost;
+        };
+        match self.control.platform.write(key, write.expected, Some(&value)).await {
+            Ok(WriteAnswer::Written(object)) => WriteEnd::Written(object.version),
+            Ok(WriteAnswer::Changed(_)) => WriteEnd::Changed,
+            Err(_) => WriteEnd::Lost,
+        }
+    }
+}
--- a/crates/sillbank_control/src/main.rs
+++ b/crates/sillbank_control/src/main.rs
@@ -6,9 +6,12 @@
 mod entry_link;
 mod follow;
 mod gossip;
+mod lease_io;
 mod metrics;
+mod once;
 mod peers;
 mod platform_client;
+mod requests;
 mod state;
 mod store;
 mod write;
@@ -22,6 +25,9 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+/// Time that the hand-over of slots may take when the VM is stopped.
+const STOP_LIMIT: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// The control process of one VM: settings, membership, health, leases and status.
 /// Exit codes: 0 ended by SIGTERM, 1 failed, 2 wrong arguments or settings.
 #[derive(FromArgs)]
@@ -77,9 +83,15 @@
     executor.spawn(gossip::receive(control.clone())).detach();
     executor.spawn(gossip::tick(control.clone())).detach();
     executor.spawn(follow::follow(control.clone())).detach();
+    executor.spawn(once::run(control.clone())).detach();
     let handler = Rc::new(admin::AdminHandler::new(control.clone()));
     executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
     stop.next().await;
+    let late = smol::Timer::after(STOP_LIMIT);
+    futures_lite::future::or(once::hand_over_all(&control), async {
+        late.await;
+    })
+    .await;
     gossip::leave(&control).await;
     tracing::info!("control: Stopped.");
     Ok(())
--- a/crates/sillbank_control/src/metrics.rs
+++ b/crates/sillbank_control/src/metrics.rs
@@ -8,6 +8,7 @@
     pub(crate) registry: Registry,
     pub(crate) datagrams_sent: Counter,
     pub(crate) datagrams_refused: Counter,
+    pub(crate) requests_refused: Counter,
     pub(crate) bytes_sent: Counter,
     pub(crate) bytes_received: Counter,
     pub(crate) pulls: Counter,
@@ -23,6 +24,7 @@
             registry: sillbank_net::telemetry::new_registry("control"),
             datagrams_sent: Counter::default(),
             datagrams_refused: Counter::default(),
+            requests_refused: Counter::default(),
             bytes_sent: Counter::default(),
             bytes_received: Counter::default(),
             pulls: Counter::default(),
@@ -34,6 +36,7 @@
         let counters = [
             ("datagrams_sent", "Datagrams sent to other VMs", &metrics.datagrams_sent),
             ("datagrams_refused", "Datagrams with a wrong seal", &metrics.datagrams_refused),
+            ("requests_refused", "Requests with a wrong seal", &metrics.requests_refused),
             ("gossip_sent_bytes", "Bytes of datagrams sent", &metrics.bytes_sent),
             ("gossip_received_bytes", "Bytes of datagrams received", &metrics.bytes_received),
             ("pulls", "Times settings were taken from a peer", &metrics.pulls),
--- a/crates/sillbank_control/src/peers.rs
+++ b/crates/sillbank_control/src/peers.rs
@@ -1,11 +1,11 @@
-//! Connections to this process: entries of the VM, and peers that pull settings; and pulls from
-//! other peers.
+//! Connections to this process: entries of the VM and peers; and pulls of settings from peers.
 
 use crate::entry_link;
+use crate::requests::{self, Exchange, timed_out};
 use crate::state::Control;
 use futures_lite::FutureExt;
-use sillbank_net::frames::{FrameError, read_message, write_message};
-use sillbank_protocol::peer::{DecodeError, PullPart, PullRequest, SealedPart, ToControl};
+use sillbank_net::frames::{FrameError, read_message};
+use sillbank_protocol::peer::{PeerRequest, PullPart, ToControl};
 use sillbank_spread::FollowAction;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
@@ -30,6 +30,9 @@
         let serving = control.clone();
         let serve = async move {
             if let Err(error) = serve(&serving, stream).await {
+                if requests::is_refusal(&error) {
+                    serving.metrics.requests_refused.inc();
+                }
                 tracing::debug!("control: The connection from {from} ended: {error}.");
             }
         };
@@ -39,39 +42,12 @@
 
 async fn serve(control: &Rc<Control>, stream: TcpStream) -> Result<(), FrameError> {
     let mut reader = stream.clone();
-    let late = async {
-        Timer::after(HELLO_TIMEOUT).await;
-        Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
-    };
-    match read_message(&mut reader).or(late).await? {
+    match read_message(&mut reader).or(timed_out(HELLO_TIMEOUT)).await? {
         ToControl::Entry(hello) => entry_link::serve(control, stream, hello).await,
-        ToControl::Pull(request) => answer_pull(control, stream, &request).await,
+        ToControl::Peer(request) => requests::answer(control, stream, &request).await,
     }
 }
 
-async fn answer_pull(
-    control: &Control,
-    mut stream: TcpStream,
-    request: &PullRequest,
-) -> Result<(), FrameError> {
-    let key = request.key(&control.keys).ok_or(DecodeError::Forged)?;
-    let (objects, complete) = {
-        let store = control.store.objects();
-        (store.newer_than(request.after), store.complete())
-    };
-    let mut number = 0;
-    for chunk in entry_link::chunks(objects) {
-        let part = PullPart { objects: chunk, complete: None };
-        let sealed = SealedPart::new(key, &request.nonce, number, &part)?;
-        control.metrics.pull_bytes.inc_by(sealed.content.len() as u64);
-        write_message(&mut stream, &sealed).await?;
-        number += 1;
-    }
-    let last = PullPart { objects: Vec::new(), complete: Some(complete.unwrap_or(0)) };
-    let sealed = SealedPart::new(key, &request.nonce, number, &last)?;
-    write_message(&mut stream, &sealed).await
-}
-
 /// Pulls what a peer holds after a version, and goes on while more is heard of.
 pub(crate) async fn pull(control: Rc<Control>, peer: SocketAddr, after: u64) {
     let mut next = Some(FollowAction::Pull { peer, after });
@@ -84,11 +60,7 @@
 }
 
 async fn pull_once(control: &Control, peer: SocketAddr, after: u64) {
-    let late = async {
-        Timer::after(PULL_TIMEOUT).await;
-        Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
-    };
-    match pull_parts(control, peer, after).or(late).await {
+    match pull_parts(control, peer, after).or(timed_out(PULL_TIMEOUT)).await {
         Ok(taken) => {
             control.metrics.pulls.inc();
             if taken > 0 {
@@ -103,22 +75,18 @@
 }
 
 async fn pull_parts(control: &Control, peer: SocketAddr, after: u64) -> Result<usize, FrameError> {
-    let mut stream = TcpStream::connect(peer).await?;
-    let key = &control.keys[0];
-    let request = PullRequest::new(key, fastrand::u128(..).to_le_bytes(), after);
-    write_message(&mut stream, &ToControl::Pull(request.clone())).await?;
+    let request = PeerRequest::Pull { after };
+    let mut exchange = Exchange::start(&control.keys[0], peer, &request).await?;
     let mut taken = 0;
-    for number in 0.. {
-        let sealed: SealedPart = read_message(&mut stream).await?;
-        let part = sealed.open(key, &request.nonce, number)?;
-        control.metrics.pull_bytes.inc_by(sealed.content.len() as u64);
+    loop {
+        let (part, bytes): (PullPart, usize) = exchange.next().await?;
+        control.metrics.pull_bytes.inc_by(bytes as u64);
         taken += part.objects.into_iter().filter(|o| control.store.take(o.clone())).count();
         if let Some(complete) = part.complete {
             control.store.set_complete(complete);
-            break;
+            return Ok(taken);
         }
     }
-    Ok(taken)
 }
 
 /// Without the platform's own word, serves once enough VMs were heard and nobody holds more.
--- a/crates/sillbank_control/src/platform_client.rs
+++ b/crates/sillbank_control/src/platform_client.rs
@@ -18,7 +18,7 @@
 /// Time for reading everything.
 const LIST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Where settings stand among all objects.
-const SETTINGS_PREFIX: &str = "settings/";
+pub(crate) const SETTINGS_PREFIX: &str = "settings/";
 
 /// Why the platform gave no usable answer.
 #[derive(Debug, thiserror::Error)]
@@ -75,10 +75,10 @@
 
     /// Reads one object, a deleted one too.
     pub(crate) async fn read(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let call = request(Method::GET, &format!("/objects/{SETTINGS_PREFIX}{key}"), Bytes::new());
+        let call = request(Method::GET, &format!("/objects/{key}"), Bytes::new());
         let reply = self.http.call(self.address, call, CALL_TIMEOUT).await?;
         match reply.status {
-            StatusCode::OK => Ok(Some(without_prefix(reply.json()?))),
+            StatusCode::OK => Ok(Some(reply.json()?)),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(PlatformError::Status(status)),
         }
@@ -93,18 +93,15 @@
     ) -> Result<WriteAnswer, PlatformError> {
         let method = if value.is_some() { Method::PUT } else { Method::DELETE };
         let body = Bytes::copy_from_slice(value.unwrap_or_default().as_bytes());
-        let mut call = request(method, &format!("/objects/{SETTINGS_PREFIX}{key}"), body);
+        let mut call = request(method, &format!("/objects/{key}"), body);
         match expected {
             Some(version) => call.headers_mut().insert("if-match", HeaderValue::from(version)),
             None => call.headers_mut().insert("if-none-match", HeaderValue::from_static("*")),
         };
         let reply = self.http.call(self.address, call, CALL_TIMEOUT).await?;
         match reply.status {
-            StatusCode::OK => Ok(WriteAnswer::Written(without_prefix(reply.json()?))),
-            StatusCode::PRECONDITION_FAILED => {
-                let here: Option<Object> = reply.json()?;
-                Ok(WriteAnswer::Changed(here.map(without_prefix)))
-            }
+            StatusCode::OK => Ok(WriteAnswer::Written(reply.json()?)),
+            StatusCode::PRECONDITION_FAILED => Ok(WriteAnswer::Changed(reply.json()?)),
             status => Err(PlatformError::Status(status)),
         }
     }
@@ -123,7 +120,7 @@
 }
 
 /// Takes the prefix off a key: inside sillbank a settings object goes by its own name.
-fn without_prefix(mut object: Object) -> Object {
+pub(crate) fn without_prefix(mut object: Object) -> Object {
     if let Some(key) = object.key.strip_prefix(SETTINGS_PREFIX) {
         object.key = key.to_owned();
     }
--- /dev/null
+++ b/crates/sillbank_control/src/requests.rs
@@ -0,0 +1,136 @@
+//! Requests to and from other control processes, under seal.
+
+use crate::entry_link;
+use crate::once;
+use crate::state::Control;
+use futures_lite::FutureExt;
+use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_protocol::gossip::SealKey;
+use sillbank_protocol::peer::{
+    DecodeError, PeerRequest, PullPart, SealedPart, SealedRequest, ToControl,
+};
+use smol::Timer;
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Answers one request of a peer.
+pub(crate) async fn answer(
+    control: &Rc<Control>,
+    mut stream: TcpStream,
+    sealed: &SealedRequest,
+) -> Result<(), FrameError> {
+    let (key, request) = sealed.open(&control.keys)?;
+    let nonce = &sealed.nonce;
+    match request {
+        PeerRequest::Pull { after } => answer_pull(control, stream, key, nonce, after).await,
+        PeerRequest::Claim { slot, uid, minted_ms } => {
+            let answer = once::decide(control, &slot, uid, minted_ms);
+            reply(&mut stream, key, nonce, &answer).await
+        }
+        PeerRequest::ClaimEnded { slot, uid, claim, run } => {
+            once::end_here(control, &slot, uid, claim, run);
+            reply(&mut stream, key, nonce, &true).await
+        }
+        PeerRequest::HandOver { slot, claims, complete_from_ms } => {
+            once::inherit(control, slot, claims, complete_from_ms);
+            reply(&mut stream, key, nonce, &true).await
+        }
+    }
+}
+
+async fn reply<T: serde::Serialize>(
+    stream: &mut TcpStream,
+    key: &SealKey,
+    nonce: &[u8; 16],
+    answer: &T,
+) -> Result<(), FrameError> {
+    let sealed = SealedPart::new(key, nonce, 0, answer)?;
+    write_message(stream, &sealed).await
+}
+
+async fn answer_pull(
+    control: &Control,
+    mut stream: TcpStream,
+    key: &SealKey,
+    nonce: &[u8; 16],
+    after: u64,
+) -> Result<(), FrameError> {
+    let (objects, complete) = {
+        let store = control.store.objects();
+        (store.newer_than(after), store.complete())
+    };
+    let parts = entry_link::chunks(objects).into_iter();
+    let parts = parts.map(|objects| PullPart { objects, complete: None });
+    let last = PullPart { objects: Vec::new(), complete: Some(complete.unwrap_or(0)) };
+    for (number, part) in (0..).zip(parts.chain([last])) {
+        let sealed = SealedPart::new(key, nonce, number, &part)?;
+        control.metrics.pull_bytes.inc_by(sealed.content.len() as u64);
+        write_message(&mut stream, &sealed).await?;
+    }
+    Ok(())
+}
+
+/// A request on its way, and how to open its answer.
+pub(crate) struct Exchange<'a> {
+    stream: TcpStream,
+    key: &'a SealKey,
+    nonce: [u8; 16],
+    number: u64,
+}
+
+impl<'a> Exchange<'a> {
+    /// Sends a request to a peer.
+    pub(crate) async fn start(
+        key: &'a SealKey,
+        peer: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<Exchange<'a>, FrameError> {
+        let mut stream = TcpStream::connect(peer).await?;
+        drop(stream.set_nodelay(true));
+        let nonce = fastrand::u128(..).to_le_bytes();
+        let sealed = SealedRequest::new(key, nonce, request)?;
+        write_message(&mut stream, &ToControl::Peer(sealed)).await?;
+        Ok(Self { stream, key, nonce, number: 0 })
+    }
+
+    /// Reads the next part of the answer; answers its size, too.
+    pub(crate) async fn next<T>(&mut self) -> Result<(T, usize), FrameError>
+    where
+        T: for<'b> serde::Deserialize<'b>,
+    {
+        let sealed: SealedPart = read_message(&mut self.stream).await?;
+        let part = sealed.open(self.key, &self.nonce, self.number)?;
+        self.number += 1;
+        Ok((part, sealed.content.len()))
+    }
+}
+
+/// Asks a peer for something with one answer.
+pub(crate) async fn ask<T>(
+    control: &Control,
+    peer: SocketAddr,
+    request: &PeerRequest,
+    timeout: Duration,
+) -> Result<T, FrameError>
+where
+    T: for<'b> serde::Deserialize<'b>,
+{
+    let asked = async {
+        let mut exchange = Exchange::start(&control.keys[0], peer, request).await?;
+        Ok(exchange.next().await?.0)
+    };
+    asked.or(timed_out(timeout)).await
+}
+
+/// Ends as a time-out after a while.
+pub(crate) async fn timed_out<T>(timeout: Duration) -> Result<T, FrameError> {
+    Timer::after(timeout).await;
+    Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
+}
+
+/// Whether a failure means that the peer refuses this VM's key.
+pub(crate) fn is_refusal(error: &FrameError) -> bool {
+    matches!(error, FrameError::Decode(DecodeError::Forged))
+}
--- a/crates/sillbank_control/src/state.rs
+++ b/crates/sillbank_control/src/state.rs
@@ -36,6 +36,7 @@
     pub(crate) in_force: Cell<Version>,
     pub(crate) socket: UdpSocket,
     pub(crate) metrics: crate::metrics::Metrics,
+    pub(crate) slots: crate::once::Slots,
 }
 
 impl Control {
@@ -67,6 +68,7 @@
             heard: RefCell::default(),
             in_force: Cell::new(0),
             metrics,
+            slots: crate::once::Slots::default(),
             executor,
             settings,
             socket,
--- a/crates/sillbank_control/src/write.rs
+++ b/crates/sillbank_control/src/write.rs
@@ -1,7 +1,9 @@
 //! Writes of operators to the platform: conditional, marked, and read back when an answer is
 //! lost.
 
-use crate::platform_client::{PlatformClient, PlatformError, WriteAnswer};
+use crate::platform_client::{
+    PlatformClient, PlatformError, SETTINGS_PREFIX, WriteAnswer, without_prefix,
+};
 use sillbank_core::prelude::*;
 use sillbank_net::prelude::*;
 use sillbank_protocol::platform::{Object, Version};
@@ -32,18 +34,21 @@
     platform: &PlatformClient,
     write: &Write,
 ) -> Result<Object, AdminFailure> {
+    let key = format!("{SETTINGS_PREFIX}{}", write.key);
     let mut may_have_left = false;
     for number in 0..MAX_TRIES {
         if number > 0 {
             Timer::after(PAUSE * number).await;
         }
-        match platform.write(&write.key, write.expected, write.value.as_deref()).await {
-            Ok(WriteAnswer::Written(object)) => return Ok(object),
-            Ok(WriteAnswer::Changed(here)) => return judge_change(write, here, may_have_left),
+        match platform.write(&key, write.expected, write.value.as_deref()).await {
+            Ok(WriteAnswer::Written(object)) => return Ok(without_prefix(object)),
+            Ok(WriteAnswer::Changed(here)) => {
+                return judge_change(write, here.map(without_prefix), may_have_left);
+            }
             Err(PlatformError::Call(CallError::NotSent { .. }) | PlatformError::Status(_)) => {}
             Err(PlatformError::Call(CallError::Lost { .. }) | PlatformError::Malformed(_)) => {
                 may_have_left = true;
-                if let Some(object) = read_back(platform, write).await {
+                if let Some(object) = read_back(platform, &key, write).await {
                     return Ok(object);
                 }
             }
@@ -86,9 +91,9 @@
     Err(AdminFailure::new(AdminFailureKind::Conflict, message))
 }
 
-async fn read_back(platform: &PlatformClient, write: &Write) -> Option<Object> {
-    let here = platform.read(&write.key).await.ok()??;
-    is_own(write, &here).then_some(here)
+async fn read_back(platform: &PlatformClient, key: &str, write: &Write) -> Option<Object> {
+    let here = platform.read(key).await.ok()??;
+    is_own(write, &here).then(|| without_prefix(here))
 }
 
 /// Whether a state is the one this write made. A deletion carries no mark: it is taken for
--- a/crates/sillbank_core/src/failure.rs
+++ b/crates/sillbank_core/src/failure.rs
@@ -32,6 +32,8 @@
     AlreadyClaimed,
     /// It cannot be known whether the key of a call not to be repeated was used before.
     ClaimUnknown,
+    /// Whether the key is new cannot be asked now; the call was not run.
+    ClaimUnavailable,
     /// The VM is stopping.
     Stopping,
     /// The VM has no settings yet.
@@ -46,7 +48,7 @@
 
 impl FailureKind {
     /// Every kind, in order of its number.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::MalformedBody,
         Self::TooLarge,
         Self::UnknownKey,
@@ -64,6 +66,7 @@
         Self::CallerStalled,
         Self::RequestTimeout,
         Self::TakenOver,
+        Self::ClaimUnavailable,
     ];
 
     /// Number of the page that explains it.
@@ -86,6 +89,7 @@
             Self::CallerStalled => "SB0015",
             Self::RequestTimeout => "SB0016",
             Self::TakenOver => "SB0017",
+            Self::ClaimUnavailable => "SB0018",
         }
     }
 
@@ -101,7 +105,7 @@
             Self::CallerStalled | Self::RequestTimeout => 408,
             Self::DeadlineExceeded => 504,
             Self::EndpointsLost | Self::ServiceLost => 502,
-            Self::NoChain | Self::Stopping | Self::NotReady => 503,
+            Self::NoChain | Self::Stopping | Self::NotReady | Self::ClaimUnavailable => 503,
         }
     }
 
@@ -124,6 +128,7 @@
             Self::NotReady => "Come back after Retry-After.",
             Self::CallerStalled => "Read the answer as it comes; resume with Last-Event-ID.",
             Self::RequestTimeout => "Send the whole request without a pause.",
+            Self::ClaimUnavailable => "Come back after Retry-After with the same key.",
             Self::TakenOver => "Read the answer on the newer connection.",
         }
     }
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -62,6 +62,7 @@
                 let body = read_body(&self.entry, body).await?;
                 crate::services::call(&self.entry, context, path, body).await
             }
+            (&Method::POST, "/v1/keys") => crate::services::mint_key(&self.entry).await,
             (method, path) => {
                 let reason = format!("{method} {path} is not served here.");
                 Err(Failure::before_work(FailureKind::UnknownRoute, reason))
--- a/crates/sillbank_entry/src/control_link.rs
+++ b/crates/sillbank_entry/src/control_link.rs
@@ -9,6 +9,7 @@
 use sillbank_settings::objects::EndpointObject;
 use sillbank_settings::tree::Taken;
 use smol::Timer;
+use smol::channel::{Receiver, Sender};
 use smol::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,21 +29,47 @@
 
 async fn follow_once(entry: &Rc<Entry>) -> Result<(), FrameError> {
     let stream = TcpStream::connect(entry.settings.control).await?;
-    let (mut reader, mut writer) = (stream.clone(), stream);
+    let (reader, mut writer) = (stream.clone(), stream);
     let hello =
         EntryToControl::Hello { vm: entry.settings.vm.clone(), after: entry.in_force.get() };
     write_message(&mut writer, &ToControl::Entry(hello)).await?;
+    let (sender, to_send) = smol::channel::unbounded();
+    entry.claims.connect(sender.clone());
+    let reading = read_all(entry, reader, sender);
+    let writing = write_all(writer, to_send);
+    let ended = futures_lite::future::or(reading, writing).await;
+    entry.claims.disconnect();
+    ended
+}
+
+async fn read_all(
+    entry: &Rc<Entry>,
+    mut reader: TcpStream,
+    sender: Sender<EntryToControl>,
+) -> Result<(), FrameError> {
     loop {
         match read_message(&mut reader).await? {
             ControlToEntry::Objects(objects) => objects.iter().for_each(|o| take(entry, o)),
             ControlToEntry::Synced(version) => {
                 set_in_force(entry, version);
-                write_message(&mut writer, &EntryToControl::InForce(version)).await?;
+                sender.try_send(EntryToControl::InForce(version)).ok();
             }
+            ControlToEntry::ClaimAnswer { id, answer } => entry.claims.on_answer(id, answer),
+            ControlToEntry::Minted { id, key } => entry.claims.on_minted(id, key),
         }
     }
 }
 
+async fn write_all(
+    mut writer: TcpStream,
+    to_send: Receiver<EntryToControl>,
+) -> Result<(), FrameError> {
+    while let Ok(message) = to_send.recv().await {
+        write_message(&mut writer, &message).await?;
+    }
+    Ok(())
+}
+
 fn set_in_force(entry: &Entry, version: Version) {
     if entry.in_force.get() == 0 {
         tracing::info!("entry: Settings up to version {version} are in force.");
--- a/crates/sillbank_entry/src/main.rs
+++ b/crates/sillbank_entry/src/main.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod callers;
 mod chat;
+mod claims;
 mod control_link;
 mod drive;
 mod engine_link;
--- a/crates/sillbank_entry/src/services.rs
+++ b/crates/sillbank_entry/src/services.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services.
 
 use crate::callers::{Admitted, CallerContext};
+use crate::claims::CLAIM_TIMEOUT;
 use crate::reading::deadline;
 use crate::state::Entry;
 use bytes::Bytes;
@@ -11,11 +12,14 @@
 use sillbank_net::body::reply;
 use sillbank_net::client::request;
 use sillbank_net::prelude::*;
+use sillbank_protocol::once::{ClaimAnswer, ClaimEnd};
 use sillbank_settings::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// When to come back after a failure that may pass.
+const COME_BACK: Duration = Duration::from_secs(1);
 /// Header in which a service says that it ran nothing.
 const RUN_STATE_HEADER: &str = "x-run-state";
 
@@ -43,7 +47,12 @@
     };
     let span = context.trace.span(&context.request_id, &context.organisation);
     let started = Instant::now();
-    let answer = send(entry, &context, &call).await;
+    // A call with no id of the caller's own cannot come a second time.
+    let own_id = context.headers.contains_key("x-request-id");
+    let answer = match call.repeatable || !own_id {
+        true => send(entry, &context, &call, &mut RunLog::default()).await,
+        false => send_once(entry, &context, &call).await,
+    };
     tracing::debug!(parent: &span, "entry: Service {name} took {} us.", started.elapsed().as_micros());
     answer
 }
@@ -78,14 +87,73 @@
     addresses
 }
 
+/// Sends a call whose key is claimed first; a call that was not run frees its key.
+async fn send_once(
+    entry: &Entry,
+    context: &CallerContext,
+    call: &ServiceCall,
+) -> Result<Response<ReplyBody>, Failure> {
+    let (organisation, key) = (&context.organisation, &context.request_id);
+    let (answer, asked_at) = entry.claims.claim(organisation, key).await;
+    let claim = granted(answer)?;
+    let mut log = RunLog::default();
+    let answer = match asked_at.elapsed() < CLAIM_TIMEOUT {
+        true => send(entry, context, call, &mut log).await,
+        false => Err(Failure::before_work(FailureKind::ServiceLost, "The claim came too late.")
+            .retry_after(COME_BACK)),
+    };
+    entry.claims.ended(organisation, key, claim, log.state());
+    answer
+}
+
+fn granted(answer: ClaimAnswer) -> Result<u64, Failure> {
+    match answer {
+        ClaimAnswer::Granted(claim) => Ok(claim),
+        ClaimAnswer::Taken(end) => {
+            let run = match end {
+                ClaimEnd::Ran => RunState::Ran,
+                ClaimEnd::Open | ClaimEnd::Unknown => RunState::Unknown,
+            };
+            let reason = "A call with this key came before; this one was not run.";
+            Err(Failure::new(FailureKind::AlreadyClaimed, run, reason))
+        }
+        ClaimAnswer::CannotKnow { wait_ms } => {
+            let reason = "A call with this key may have come before a VM was lost; \
+                          this one was not run.";
+            let failure = Failure::new(FailureKind::ClaimUnknown, RunState::Unknown, reason);
+            Err(match wait_ms {
+                u64::MAX => failure,
+                wait_ms => failure.retry_after(Duration::from_millis(wait_ms)),
+            })
+        }
+        ClaimAnswer::NotHolder | ClaimAnswer::Unavailable => {
+            let reason = "Whether the key is new cannot be asked now; the call was not run.";
+            let failure = Failure::before_work(FailureKind::ClaimUnavailable, reason);
+            Err(failure.retry_after(COME_BACK))
+        }
+    }
+}
+
+/// Gives the caller a key for a call not to be repeated.
+pub(crate) async fn mint_key(entry: &Entry) -> Result<Response<ReplyBody>, Failure> {
+    match entry.claims.mint().await {
+        Some(key) => Ok(json_reply(StatusCode::OK, &serde_json::json!({ "key": key }))),
+        None => {
+            let reason = "Control cannot be reached.";
+            let failure = Failure::before_work(FailureKind::ClaimUnavailable, reason);
+            Err(failure.retry_after(COME_BACK))
+        }
+    }
+}
+
 /// Tries one address after another. A call that may have run is only sent again if it may be
 /// repeated.
 async fn send(
     entry: &Entry,
     context: &CallerContext,
     call: &ServiceCall,
+    log: &mut RunLog,
 ) -> Result<Response<ReplyBody>, Failure> {
-    let mut log = RunLog::default();
     let mut reason = "The service has no address.".to_owned();
     for address in call.addresses.iter().cycle().take(call.max_tries) {
         let left = call.deadline.saturating_duration_since(Instant::now());
@@ -99,7 +167,11 @@
                 log.refused();
                 reason = format!("{address} refused the call without running it.");
             }
-            Ok(answer) => return Ok(pass_on(context, &answer)),
+            Ok(answer) => {
+                log.sent();
+                log.ran();
+                return Ok(pass_on(context, &answer));
+            }
             Err(CallError::NotSent { reason: why, .. }) => reason = why,
             Err(CallError::Lost { reason: why, .. }) => {
                 log.sent();
@@ -111,7 +183,7 @@
         }
     }
     let failure = Failure::new(FailureKind::ServiceLost, log.state(), reason);
-    Err(failure.retry_after(Duration::from_secs(1)))
+    Err(failure.retry_after(COME_BACK))
 }
 
 fn service_request(context: &CallerContext, call: &ServiceCall) -> hyper::Request<Bytes> {
--- a/crates/sillbank_entry/src/state.rs
+++ b/crates/sillbank_entry/src/state.rs
@@ -1,5 +1,6 @@
 //! What the parts of one entry process share. All of it lives on one thread.
 
+use crate::claims::ControlClaims;
 use crate::engine_link::EngineLink;
 use crate::metrics::Metrics;
 use crate::stop::StopState;
@@ -31,6 +32,7 @@
     pub(crate) http: HttpClient,
     pub(crate) metrics: Metrics,
     pub(crate) stop: StopState,
+    pub(crate) claims: ControlClaims,
     pub(crate) in_flight: RefCell<HashMap<OrganisationId, u64>>,
 }
 
@@ -49,6 +51,7 @@
             rng: RefCell::new(fastrand::Rng::new()),
             metrics: Metrics::new(),
             stop: StopState::default(),
+            claims: ControlClaims::default(),
             in_flight: RefCell::default(),
         })
     }
--- /dev/null
+++ b/crates/sillbank_lease/src/lib.rs
@@ -0,0 +1,286 @@
+//! Leases kept as platform objects.
+//!
+//! A holder counts its term from before its write left, by a clock that a pause does not fool,
+//! and stops an eighth of the term early. Another VM waits an eighth longer than the term from
+//! when it first saw the holder's version. The object's version is the fence.
+//!
+//! Pure: what the platform answered and the time come in, writes to make go out.
+
+#![forbid(unsafe_code)]
+
+mod chart;
+
+pub use chart::LeaseState;
+
+use chart::{LeaseAction, LeaseEvent, chart};
+use serde::{Deserialize, Serialize};
+use sillbank_core::prelude::*;
+use sillbank_protocol::platform::Version;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// A moment by two clocks. The monotonic one may stand still while a VM is paused from outside,
+/// the wall clock may be set; what is held must be held by both.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moment {
+    /// Monotonic clock.
+    pub monotonic: Instant,
+    /// Wall clock, in milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+impl Moment {
+    /// Time since an earlier moment: the longer of the two clocks' words.
+    pub fn since(&self, earlier: Moment) -> Duration {
+        let wall = Duration::from_millis(self.wall_ms.saturating_sub(earlier.wall_ms));
+        self.monotonic.saturating_duration_since(earlier.monotonic).max(wall)
+    }
+}
+
+/// Content of a lease's object.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Holder, empty if free.
+    pub owner: VmId,
+    /// Where the holder's peers' connections come.
+    pub peer: SocketAddr,
+    /// Drawn for each write, so that a writer knows its own; another life of the same VM does not
+    /// take it for its own.
+    pub mark: u64,
+    /// Term, in milliseconds.
+    pub term_ms: u64,
+    /// Of a free lease: who was given all that its last holder kept; empty if nobody was.
+    pub heir: VmId,
+}
+
+/// What a holder knows of the one before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// There was never one.
+    Fresh,
+    /// It named this VM its heir.
+    Inherited,
+    /// It lapsed, or named nobody or another.
+    TakenOver,
+}
+
+/// A conditional write to make.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// Version that must be there, or `None` for no object.
+    pub expected: Option<Version>,
+    /// What to write.
+    pub record: LeaseRecord,
+}
+
+/// How a write ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteEnd {
+    /// It took effect with this version.
+    Written(Version),
+    /// Something else was there.
+    Changed,
+    /// There was no answer.
+    Lost,
+}
+
+/// Who this VM is, as a holder.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Name.
+    pub vm: VmId,
+    /// Where its peers' connections come.
+    pub peer: SocketAddr,
+    /// Term it asks for.
+    pub term: Duration,
+}
+
+/// One lease as one VM sees it.
+#[derive(Debug)]
+pub struct Lease {
+    candidate: Candidate,
+    state: LeaseState,
+    /// What was last read, and when this version was first seen.
+    seen: Option<(Version, LeaseRecord, Moment)>,
+    /// The write on its way or unsure.
+    pending: Option<Pending>,
+    held: Option<Held>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    mark: u64,
+    left: Moment,
+    origin: Origin,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    version: Version,
+    since: Moment,
+    origin: Origin,
+}
+
+impl Lease {
+    /// A lease nothing is known of.
+    pub fn new(candidate: Candidate) -> Self {
+        Self { candidate, state: chart().initial(), seen: None, pending: None, held: None }
+    }
+
+    /// Where it stands.
+    pub fn state(&self) -> LeaseState {
+        self.state
+    }
+
+    /// The fence if the lease is held at this moment. Ask right before each use.
+    pub fn fence(&self, now: Moment) -> Option<Version> {
+        let held = self.held?;
+        (now.since(held.since) < self.usable()).then_some(held.version)
+    }
+
+    /// What is known of the holder before; of a held lease.
+    pub fn origin(&self) -> Option<Origin> {
+        self.held.map(|held| held.origin)
+    }
+
+    /// What was last read: the holder, if there is one.
+    pub fn holder(&self) -> Option<&LeaseRecord> {
+        self.seen.as_ref().map(|(_, record, _)| record).filter(|record| !record.owner.is_empty())
+    }
+
+    /// Whether the object should be read before anything else.
+    pub fn wants_read(&self) -> bool {
+        matches!(self.state, LeaseState::Idle | LeaseState::Unsure | LeaseState::RenewUnsure)
+    }
+
+    /// The object was read, and answers the write to make, if any; `mark` is drawn anew.
+    pub fn on_read(
+        &mut self,
+        now: Moment,
+        read: Option<(Version, LeaseRecord)>,
+        mark: u64,
+    ) -> Option<LeaseWrite> {
+        let event = self.classify(now, read);
+        self.step(now, event, mark)
+    }
+
+    /// A write has ended.
+    pub fn on_write_end(&mut self, now: Moment, end: WriteEnd) {
+        match end {
+            WriteEnd::Written(version) => {
+                if matches!(self.state, LeaseState::Writing | LeaseState::Renewing) {
+                    self.hold(version);
+                }
+                self.step(now, LeaseEvent::Written, 0);
+            }
+            WriteEnd::Changed => drop(self.step(now, LeaseEvent::Changed, 0)),
+            WriteEnd::Lost => drop(self.step(now, LeaseEvent::Lost, 0)),
+        }
+    }
+
+    /// Time has passed; answers the renewal to make, if it is due.
+    pub fn on_tick(&mut self, now: Moment, mark: u64) -> Option<LeaseWrite> {
+        let since = self.held?.since;
+        if now.since(since) >= self.usable() {
+            return self.step(now, LeaseEvent::Lapsed, mark);
+        }
+        if now.since(since) >= self.candidate.term / 3 {
+            return self.step(now, LeaseEvent::RenewDue, mark);
+        }
+        None
+    }
+
+    /// This VM wants to be rid of the lease; answers the write that frees it, if it is held.
+    /// `heir` was given all that this VM kept under it.
+    pub fn give_up(&mut self, now: Moment, mark: u64, heir: Option<VmId>) -> Option<LeaseWrite> {
+        let mut write = self.step(now, LeaseEvent::GiveUp, mark)?;
+        write.record.heir = heir.unwrap_or_default();
+        Some(write)
+    }
+
+    fn hold(&mut self, version: Version) {
+        if let Some(Pending { left, origin, .. }) = self.pending {
+            self.held = Some(Held { version, since: left, origin });
+        }
+    }
+
+    fn usable(&self) -> Duration {
+        self.candidate.term * 7 / 8
+    }
+
+    fn classify(&mut self, now: Moment, read: Option<(Version, LeaseRecord)>) -> LeaseEvent {
+        let Some((version, record)) = read else {
+            self.seen = None;
+            return LeaseEvent::Free;
+        };
+        let first_seen = match &self.seen {
+            Some((seen, _, at)) if *seen == version => *at,
+            _ => now,
+        };
+        self.seen = Some((version, record.clone(), first_seen));
+        let own = self.pending.is_some_and(|pending| pending.mark == record.mark)
+            && record.owner == self.candidate.vm;
+        if own {
+            self.hold(version);
+            return LeaseEvent::OwnFound;
+        }
+        if record.owner.is_empty() {
+            return LeaseEvent::Free;
+        }
+        let term = Duration::from_millis(record.term_ms);
+        match now.monotonic.saturating_duration_since(first_seen.monotonic) >= term * 9 / 8 {
+            true => LeaseEvent::OthersLapsed,
+            false => LeaseEvent::Others,
+        }
+    }
+
+    fn step(&mut self, now: Moment, event: LeaseEvent, mark: u64) -> Option<LeaseWrite> {
+        let transition = chart().step(self.state, event)?;
+        self.state = transition.to;
+        match transition.action {
+            LeaseAction::Nothing | LeaseAction::Watch => None,
+            LeaseAction::Hold => {
+                self.pending = None;
+                None
+            }
+            LeaseAction::Drop => {
+                self.held = None;
+                None
+            }
+            LeaseAction::WriteOwn => {
+                let origin = self.held.map_or_else(|| self.next_origin(), |held| held.origin);
+                self.pending = Some(Pending { mark, left: now, origin });
+                Some(self.write(self.candidate.vm.clone(), mark))
+            }
+            LeaseAction::WriteFree => {
+                self.pending = None;
+                let write = self.write(VmId::new(), mark);
+                // From here on nothing may be done under the lease.
+                self.held = None;
+                Some(write)
+            }
+        }
+    }
+
+    fn write(&self, owner: VmId, mark: u64) -> LeaseWrite {
+        let seen = self.seen.as_ref().map(|(version, ..)| *version);
+        let record = LeaseRecord {
+            owner,
+            peer: self.candidate.peer,
+            mark,
+            term_ms: self.candidate.term.as_millis() as u64,
+            heir: VmId::new(),
+        };
+        LeaseWrite { expected: self.held.map(|held| held.version).or(seen), record }
+    }
+
+    fn next_origin(&self) -> Origin {
+        match &self.seen {
+            None => Origin::Fresh,
+            Some((_, r, _)) if r.owner.is_empty() && r.heir == self.candidate.vm => {
+                Origin::Inherited
+            }
+            Some(_) => Origin::TakenOver,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_lease/tests/leases.rs
@@ -0,0 +1,263 @@
+//! No two VMs hold a lease at the same time, whatever is lost, paused or raced.
+
+use arbitrary::Unstructured;
+use sillbank_lease::{
+    Candidate, Lease, LeaseRecord, LeaseState, LeaseWrite, Moment, Origin, WriteEnd,
+};
+use sillbank_testing::for_fixed_seeds;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const TERM: Duration = Duration::from_secs(8);
+
+fn candidate(number: usize) -> Candidate {
+    let peer = SocketAddr::from(([127, 0, 0, 1], number as u16));
+    Candidate { vm: format!("vm{number}"), peer, term: TERM }
+}
+
+fn moment(start: Instant, ms: u64) -> Moment {
+    Moment { monotonic: start + Duration::from_millis(ms), wall_ms: 1_000_000 + ms }
+}
+
+/// The platform's object, and writes whose fate is open.
+#[derive(Default)]
+struct Platform {
+    version: u64,
+    object: Option<(u64, LeaseRecord)>,
+}
+
+impl Platform {
+    fn write(&mut self, write: &LeaseWrite) -> WriteEnd {
+        if self.object.as_ref().map(|(version, _)| *version) != write.expected {
+            return WriteEnd::Changed;
+        }
+        self.version += 1;
+        self.object = Some((self.version, write.record.clone()));
+        WriteEnd::Written(self.version)
+    }
+}
+
+#[test]
+fn a_free_lease_is_taken_renewed_and_freed() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut lease = Lease::new(candidate(1));
+
+    let write = lease.on_read(moment(start, 0), None, 7).expect("it is free");
+    let end = platform.write(&write);
+    lease.on_write_end(moment(start, 10), end);
+    assert_eq!(lease.fence(moment(start, 20)), Some(1));
+    assert_eq!(lease.origin(), Some(Origin::Fresh), "there was never a holder before");
+
+    let renewal = lease.on_tick(moment(start, 3000), 8).expect("a renewal is due");
+    let end = platform.write(&renewal);
+    lease.on_write_end(moment(start, 3010), end);
+    assert_eq!(lease.fence(moment(start, 9000)), Some(2), "counted from the renewal");
+
+    let free = lease.give_up(moment(start, 9500), 9, Some("vm2".to_owned())).expect("it is held");
+    assert_eq!(lease.fence(moment(start, 9500)), None, "nothing is done under it any more");
+    platform.write(&free);
+    let mut heir = Lease::new(candidate(2));
+    let write = heir.on_read(moment(start, 9600), platform.object.clone(), 10);
+    let end = platform.write(&write.expect("it is free"));
+    heir.on_write_end(moment(start, 9610), end);
+    assert_eq!(heir.origin(), Some(Origin::Inherited));
+}
+
+#[test]
+fn the_term_counts_from_before_the_write_left() {
+    let start = Instant::now();
+    let mut lease = Lease::new(candidate(1));
+    lease.on_read(moment(start, 0), None, 7).expect("it is free");
+
+    // The answer takes longer than the term.
+    lease.on_write_end(moment(start, 9000), WriteEnd::Written(1));
+
+    assert_eq!(lease.fence(moment(start, 9000)), None);
+}
+
+#[test]
+fn a_pause_that_only_the_wall_clock_saw_ends_the_lease() {
+    let start = Instant::now();
+    let mut lease = Lease::new(candidate(1));
+    lease.on_read(moment(start, 0), None, 7).expect("it is free");
+    lease.on_write_end(moment(start, 10), WriteEnd::Written(1));
+
+    let woken = Moment { monotonic: start + Duration::from_millis(20), wall_ms: 1_600_000 };
+
+    assert_eq!(lease.fence(woken), None);
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_reading_back() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut lease = Lease::new(candidate(1));
+    let write = lease.on_read(moment(start, 0), None, 7).expect("it is free");
+    platform.write(&write);
+
+    lease.on_write_end(moment(start, 100), WriteEnd::Lost);
+    assert_eq!(lease.fence(moment(start, 100)), None, "nothing is known yet");
+    let next = lease.on_read(moment(start, 200), platform.object.clone(), 8);
+
+    assert_eq!(next, None);
+    assert_eq!(lease.fence(moment(start, 200)), Some(1));
+    assert_eq!(lease.fence(moment(start, 7000)), None, "counted from when the write left");
+}
+
+#[test]
+fn a_free_lease_that_names_another_heir_or_none_is_not_inherited() {
+    let start = Instant::now();
+    for heir in ["vm3", ""] {
+        let record = LeaseRecord {
+            owner: String::new(),
+            heir: heir.to_owned(),
+            peer: candidate(1).peer,
+            mark: 5,
+            term_ms: 8000,
+        };
+        let mut lease = Lease::new(candidate(2));
+
+        lease.on_read(moment(start, 0), Some((4, record)), 6).expect("it is free");
+        lease.on_write_end(moment(start, 10), WriteEnd::Written(5));
+
+        assert_eq!(lease.origin(), Some(Origin::TakenOver), "heir '{heir}'");
+    }
+}
+
+#[test]
+fn a_write_taken_for_lost_that_takes_effect_late_is_held_from_when_it_left() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut lease = Lease::new(candidate(1));
+    let write = lease.on_read(moment(start, 0), None, 7).expect("it is free");
+    lease.on_write_end(moment(start, 100), WriteEnd::Lost);
+    assert_eq!(lease.on_read(moment(start, 200), None, 8), None, "not there yet");
+
+    platform.write(&write);
+    lease.on_read(moment(start, 300), platform.object.clone(), 9);
+
+    assert_eq!(lease.state(), LeaseState::Held);
+    assert_eq!(lease.fence(moment(start, 7_001)), None);
+}
+
+#[test]
+fn a_new_life_does_not_take_the_old_lifes_lease_for_its_own() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut old = Lease::new(candidate(1));
+    let write = old.on_read(moment(start, 0), None, 7).expect("it is free");
+    platform.write(&write);
+
+    let mut new = Lease::new(candidate(1));
+    let taken = new.on_read(moment(start, 100), platform.object.clone(), 7);
+
+    assert_eq!(taken, None);
+    assert_eq!(new.state(), LeaseState::Idle);
+}
+
+#[test]
+fn a_lapsed_lease_is_taken_over_and_is_not_clean() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut dead = Lease::new(candidate(1));
+    let write = dead.on_read(moment(start, 0), None, 7).expect("it is free");
+    platform.write(&write);
+    let mut lease = Lease::new(candidate(2));
+
+    assert_eq!(lease.on_read(moment(start, 1000), platform.object.clone(), 8), None);
+    assert_eq!(lease.on_read(moment(start, 9900), platform.object.clone(), 8), None);
+    let write = lease.on_read(moment(start, 10_001), platform.object.clone(), 8);
+    let end = platform.write(&write.expect("nine eighths of the term are over"));
+    lease.on_write_end(moment(start, 10_010), end);
+
+    assert!(lease.fence(moment(start, 10_010)).is_some());
+    assert_eq!(lease.origin(), Some(Origin::TakenOver));
+}
+
+/// One VM in a race: its lease, its own clock's pauses, and its write on the way.
+struct Racer {
+    lease: Lease,
+    on_its_way: Option<LeaseWrite>,
+    /// Writes given up as lost that may still arrive.
+    late: Vec<LeaseWrite>,
+    frozen_until_ms: u64,
+}
+
+#[test]
+fn no_two_vms_hold_a_lease_at_the_same_moment() {
+    let mut takeovers = 0;
+    for_fixed_seeds(300, 4000, |u| {
+        let start = Instant::now();
+        let mut platform = Platform::default();
+        let mut racers: Vec<Racer> = (1..=3)
+            .map(|number| Racer {
+                lease: Lease::new(candidate(number)),
+                on_its_way: None,
+                late: Vec::new(),
+                frozen_until_ms: 0,
+            })
+            .collect();
+        let mut holders = std::collections::BTreeSet::new();
+        let mut mark = 0;
+        let mut ms = 0;
+        while !u.is_empty() {
+            ms += u.int_in_range(10..=900)?;
+            let now = moment(start, ms);
+            let number = u.choose_index(racers.len())?;
+            act(u, &mut racers[number], &mut platform, now, ms, &mut mark)?;
+            let held: Vec<usize> =
+                (0..3).filter(|n| racers[*n].lease.fence(now).is_some()).collect();
+            assert!(held.len() <= 1, "held by {held:?} at {ms} ms");
+            holders.extend(held);
+        }
+        takeovers += holders.len().saturating_sub(1);
+        Ok(())
+    });
+    assert!(takeovers > 50, "only {takeovers} takeovers were seen");
+}
+
+fn act(
+    u: &mut Unstructured<'_>,
+    racer: &mut Racer,
+    platform: &mut Platform,
+    now: Moment,
+    ms: u64,
+    mark: &mut u64,
+) -> arbitrary::Result<()> {
+    // A write given up as lost may take effect at any later moment.
+    if !racer.late.is_empty() && u.ratio(1, 4)? {
+        platform.write(&racer.late.remove(0));
+    }
+    if ms < racer.frozen_until_ms {
+        return Ok(());
+    }
+    *mark += 1;
+    if let Some(write) = racer.on_its_way.take() {
+        match u.int_in_range(0..=5)? {
+            0 => {
+                racer.late.push(write);
+                racer.lease.on_write_end(now, WriteEnd::Lost);
+            }
+            1 => {
+                platform.write(&write);
+                racer.lease.on_write_end(now, WriteEnd::Lost);
+            }
+            2 => racer.on_its_way = Some(write),
+            _ => {
+                let end = platform.write(&write);
+                racer.lease.on_write_end(now, end);
+            }
+        }
+        return Ok(());
+    }
+    match u.int_in_range(0..=9)? {
+        0 => racer.frozen_until_ms = ms + u.int_in_range(1000..=30_000)?,
+        1 if u.ratio(1, 3)? => racer.on_its_way = racer.lease.give_up(now, *mark, None),
+        _ if racer.lease.wants_read() => {
+            racer.on_its_way = racer.lease.on_read(now, platform.object.clone(), *mark);
+        }
+        _ => racer.on_its_way = racer.lease.on_tick(now, *mark),
+    }
+    Ok(())
+}
--- a/crates/sillbank_load/src/settings_bench.rs
+++ b/crates/sillbank_load/src/settings_bench.rs
@@ -143,6 +143,7 @@
                 watcher.at.set(Some(Instant::now()));
                 write_message(&mut writer, &EntryToControl::InForce(version)).await?;
             }
+            ControlToEntry::ClaimAnswer { .. } | ControlToEntry::Minted { .. } => {}
         }
     }
 }
--- a/crates/sillbank_protocol/src/peer.rs
+++ b/crates/sillbank_protocol/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between sillbank's own processes: postcard, with a length in front on TCP.
 
 use crate::gossip::SealKey;
+use crate::once::{Claim, ClaimAnswer};
 use crate::platform::{Object, Version};
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
@@ -15,6 +16,20 @@
     Objects(Vec<Object>),
     /// All that control knew when the entry came was sent; the settings reach up to this version.
     Synced(Version),
+    /// The answer to a claim.
+    ClaimAnswer {
+        /// Number of the claim's message.
+        id: u64,
+        /// The answer.
+        answer: ClaimAnswer,
+    },
+    /// The answer to `Mint`.
+    Minted {
+        /// Number of the message.
+        id: u64,
+        /// A new key.
+        key: String,
+    },
 }
 
 /// From an entry process to the control process of its VM.
@@ -29,6 +44,31 @@
     },
     /// All settings up to this version are in force in the entry.
     InForce(Version),
+    /// Claims a caller's key.
+    Claim {
+        /// Number of the message, for the answer.
+        id: u64,
+        /// The caller's organisation.
+        organisation: OrganisationId,
+        /// The key as the caller gave it.
+        key: String,
+    },
+    /// A claimed call has ended.
+    ClaimEnded {
+        /// The caller's organisation.
+        organisation: OrganisationId,
+        /// The key as the caller gave it.
+        key: String,
+        /// The claim.
+        claim: u64,
+        /// What is known of the call.
+        run: RunState,
+    },
+    /// Asks for a new key.
+    Mint {
+        /// Number of the message, for the answer.
+        id: u64,
+    },
 }
 
 /// First message on a connection to a control process.
@@ -36,25 +76,64 @@
 pub enum ToControl {
     /// An entry of the same VM; it only comes over loopback.
     Entry(EntryToControl),
-    /// A control process of another VM asks for settings.
-    Pull(PullRequest),
+    /// A control process of another VM asks for something.
+    Peer(SealedRequest),
 }
 
-/// Asks for every object newer than a version.
+/// What one control process asks of another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Every settings object newer than a version; the answer is some [`PullPart`]s.
+    Pull {
+        /// Version after which objects are wanted.
+        after: Version,
+    },
+    /// Claims a key; the answer is a [`ClaimAnswer`].
+    Claim {
+        /// Slot of the key.
+        slot: String,
+        /// The key.
+        uid: RequestUid,
+        /// When it was minted, in milliseconds since 1970, if sillbank minted it.
+        minted_ms: Option<u64>,
+    },
+    /// A claimed call has ended; the answer is `true`.
+    ClaimEnded {
+        /// Slot of the key.
+        slot: String,
+        /// The key.
+        uid: RequestUid,
+        /// Its claim.
+        claim: u64,
+        /// What is known of the call.
+        run: RunState,
+    },
+    /// Takes over a slot's claims; the answer is `true` once they are held.
+    HandOver {
+        /// The slot.
+        slot: String,
+        /// All its claims.
+        claims: Vec<Claim>,
+        /// Keys claimed before this moment may be missing.
+        complete_from_ms: u64,
+    },
+}
+
+/// A [`PeerRequest`] under a seal.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PullRequest {
+pub struct SealedRequest {
     /// Drawn for each request; the answer is sealed together with it.
     pub nonce: [u8; 16],
-    /// Version after which objects are wanted.
-    pub after: Version,
-    /// Seal over nonce and version.
+    /// The request, encoded.
+    pub content: Vec<u8>,
+    /// Seal over nonce and content.
     pub seal: [u8; 16],
 }
 
-/// One message of the answer to a pull.
+/// One message of the answer to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SealedPart {
-    /// A [`PullPart`], encoded.
+    /// The answer's part, encoded.
     pub content: Vec<u8>,
     /// Seal over the request's nonce, the part's number and the content.
     pub seal: [u8; 16],
@@ -69,21 +148,27 @@
     pub complete: Option<Version>,
 }
 
-impl PullRequest {
-    /// A sealed request.
-    pub fn new(key: &SealKey, nonce: [u8; 16], after: Version) -> Self {
-        let seal = key.seal("pull", &Self::sealed_bytes(&nonce, after));
-        Self { nonce, after, seal }
-    }
-
-    /// The accepted key that sealed it, if any.
-    pub fn key<'a>(&self, keys: &'a [SealKey]) -> Option<&'a SealKey> {
-        let bytes = Self::sealed_bytes(&self.nonce, self.after);
-        keys.iter().find(|key| key.check("pull", &bytes, &self.seal))
+impl SealedRequest {
+    /// Seals a request.
+    ///
+    /// # Errors
+    /// [`DecodeError::Malformed`] if it cannot be encoded.
+    pub fn new(key: &SealKey, nonce: [u8; 16], request: &PeerRequest) -> Result<Self, DecodeError> {
+        let content = encode(request)?;
+        let seal = key.seal("request", &[&nonce[..], &content].concat());
+        Ok(Self { nonce, content, seal })
     }
 
-    fn sealed_bytes(nonce: &[u8; 16], after: Version) -> Vec<u8> {
-        [&nonce[..], &after.to_le_bytes()].concat()
+    /// Checks and decodes the request; answers the accepted key that sealed it, too.
+    ///
+    /// # Errors
+    /// [`DecodeError::Forged`] if no key fits, [`DecodeError::Malformed`] if the content is no
+    /// request.
+    pub fn open<'a>(&self, keys: &'a [SealKey]) -> Result<(&'a SealKey, PeerRequest), DecodeError> {
+        let bytes = [&self.nonce[..], &self.content].concat();
+        let key = keys.iter().find(|key| key.check("request", &bytes, &self.seal));
+        let key = key.ok_or(DecodeError::Forged)?;
+        Ok((key, decode_frame(&self.content)?))
     }
 }
 
@@ -92,14 +177,13 @@
     ///
     /// # Errors
     /// [`DecodeError::Malformed`] if it cannot be encoded.
-    pub fn new(
+    pub fn new<T: Serialize>(
         key: &SealKey,
         nonce: &[u8; 16],
         number: u64,
-        part: &PullPart,
+        part: &T,
     ) -> Result<Self, DecodeError> {
-        let content =
-            postcard::to_stdvec(part).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+        let content = encode(part)?;
         let seal = key.seal("part", &Self::sealed_bytes(nonce, number, &content));
         Ok(Self { content, seal })
     }
@@ -109,12 +193,12 @@
     /// # Errors
     /// [`DecodeError::Forged`] if the seal does not fit, [`DecodeError::Malformed`] if the
     /// content is no part.
-    pub fn open(
+    pub fn open<T: for<'a> Deserialize<'a>>(
         &self,
         key: &SealKey,
         nonce: &[u8; 16],
         number: u64,
-    ) -> Result<PullPart, DecodeError> {
+    ) -> Result<T, DecodeError> {
         match key.check("part", &Self::sealed_bytes(nonce, number, &self.content), &self.seal) {
             true => decode_frame(&self.content),
             false => Err(DecodeError::Forged),
@@ -126,6 +210,10 @@
     }
 }
 
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, DecodeError> {
+    postcard::to_stdvec(value).map_err(|e| DecodeError::Malformed(e.to_string()))
+}
+
 /// A frame that could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum DecodeError {
--- a/crates/sillbank_settings/src/process.rs
+++ b/crates/sillbank_settings/src/process.rs
@@ -81,6 +81,10 @@
     pub root_key_hashes: Vec<String>,
     /// Interval of gossip.
     pub gossip_interval: Duration,
+    /// Term of the lease of a slot of keys.
+    pub once_term: Duration,
+    /// How long the key of a call not to be repeated is remembered.
+    pub once_retention: Duration,
     /// How many VMs of a hall watch the platform.
     pub watchers: usize,
     /// Logs.
@@ -173,6 +177,8 @@
         peer_keys: reader.texts("peer_keys"),
         root_key_hashes: key_hashes(reader, "root_key_hashes"),
         gossip_interval: reader.millis("gossip_interval_ms", 1_000, 20..=60_000),
+        once_term: reader.millis("once_term_ms", 60_000, 500..=3_600_000),
+        once_retention: reader.millis("once_retention_ms", 600_000, 1_000..=86_400_000),
         watchers: reader.number("watchers", 2, 1..=16) as usize,
         log: read_log(reader),
     };
