--- a/crates/sillbank_load/src/check.rs
+++ b/crates/sillbank_load/src/check.rs
@@ -35,6 +35,11 @@
 }
 
 impl Ledgers {
+    /// How often a service ran a call.
+    pub fn service_runs(&self, uid: &RequestUid) -> u32 {
+        self.services.get(&uid.to_string()).copied().unwrap_or(0)
+    }
+
     /// Reads the ledgers of engines and services.
     pub async fn read(
         executor: Rc<LocalExecutor<'static>>,
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -44,6 +44,12 @@
     /// policy for the choice of chains
     #[argh(option, default = "String::from(\"least_finish\")")]
     pub chain_policy: String,
+    /// term of the lease of a slot of keys, in milliseconds
+    #[argh(option, default = "60000")]
+    pub once_term_ms: u64,
+    /// how long a key is remembered, in milliseconds
+    #[argh(option, default = "600000")]
+    pub once_retention_ms: u64,
     /// leave the entries out
     #[argh(switch)]
     pub no_entries: bool,
@@ -72,6 +78,8 @@
     pub entry_admins: Vec<SocketAddr>,
     /// Administration interfaces, by VM.
     pub control_admins: Vec<SocketAddr>,
+    /// Slots of keys that are held once all VMs are up.
+    pub slots: usize,
     /// Where entries and peers come to control, by VM.
     pub controls: Vec<SocketAddr>,
     /// Model engines.
@@ -99,6 +107,8 @@
             engines: 40,
             cost_factor: 1.0,
             chain_policy: "least_finish".to_owned(),
+            once_term_ms: 60_000,
+            once_retention_ms: 600_000,
             no_entries: false,
             organisations: ORGANISATIONS,
             platform_writes_per_s: 300.0,
@@ -140,7 +150,7 @@
     let mut layout = Layout {
         arguments,
         ports: Ports { next: arguments.first_port },
-        addresses: Addresses::default(),
+        addresses: Addresses { slots: slot_count(arguments), ..Addresses::default() },
         commands: Vec::new(),
     };
     let platform = layout.platform();
@@ -247,9 +257,12 @@
                 "role = \"control\"\nvm = \"{vm}\"\nhall = \"{hall}\"\nlisten = \"{control}\"\n\
                  gossip_listen = \"{gossip_listen}\"\nadmin_listen = \"{control_admin}\"\n\
                  platform = \"{platform}\"\nseeds = [{}]\npeer_keys = [\"{PEER_KEY}\"]\n\
-                 root_key_hashes = [\"{}\"]\n",
+                 root_key_hashes = [\"{}\"]\n\
+                 once_term_ms = {}\nonce_retention_ms = {}\n",
                 seeds.join(", "),
                 hash_key(OPERATOR_KEY),
+                self.arguments.once_term_ms,
+                self.arguments.once_retention_ms,
             );
             self.process("sillbank-control", &format!("control{number}"), &text)?;
             self.addresses.controls.push(control);
@@ -278,6 +291,12 @@
     }
 }
 
+/// Slots of keys that some VM holds in the end.
+fn slot_count(arguments: &FleetArguments) -> usize {
+    let halls = arguments.halls.min(arguments.vms);
+    (sillbank_once::key::FLEET_SLOTS + halls as u64 * sillbank_once::key::HALL_SLOTS) as usize
+}
+
 /// Nodes, pipelines and organisations.
 fn tree_objects(organisations: usize) -> String {
     let mut text = String::from("[node.\"/\".settings]\ndeadline_ms = 60000\n\n");
--- a/crates/sillbank_load/src/lib.rs
+++ b/crates/sillbank_load/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod hop;
 pub mod mix;
+pub mod once_bench;
 pub mod process;
 pub mod report;
 pub mod run;
--- a/crates/sillbank_load/src/main.rs
+++ b/crates/sillbank_load/src/main.rs
@@ -4,7 +4,7 @@
 #![forbid(unsafe_code)]
 
 use argh::FromArgs;
-use sillbank_load::{Verdict, control_bench, fleet, hop, run, settings_bench, wait};
+use sillbank_load::{Verdict, control_bench, fleet, hop, once_bench, run, settings_bench, wait};
 use smol::LocalExecutor;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -25,6 +25,7 @@
 enum Command {
     Control(control_bench::ControlArguments),
     Fleet(fleet::FleetArguments),
+    AtMostOnce(once_bench::OnceArguments),
     Hop(hop::HopArguments),
     Run(run::RunArguments),
     Settings(settings_bench::SettingsArguments),
@@ -52,6 +53,7 @@
 async fn run_command(executor: Rc<LocalExecutor<'static>>, command: Option<Command>) -> Verdict {
     match command {
         Some(Command::Fleet(arguments)) => fleet::write(&arguments),
+        Some(Command::AtMostOnce(arguments)) => once_bench::run(executor, arguments).await,
         Some(Command::Hop(arguments)) => hop::hop(executor, arguments).await,
         Some(Command::Control(arguments)) => control_bench::run(executor, arguments).await,
         Some(Command::Settings(arguments)) => settings_bench::run(executor, arguments).await,
--- a/crates/sillbank_load/tests/support/runner.rs
+++ b/crates/sillbank_load/tests/support/runner.rs
@@ -20,7 +20,7 @@
 use sillbank_core::prelude::*;
 use sillbank_load::check::{Ledgers, check};
 use sillbank_load::client::{Caller, End, Got, Progress};
-use sillbank_load::fleet::OPERATOR_KEY;
+use sillbank_load::fleet::{Addresses, OPERATOR_KEY};
 use sillbank_load::mix::{MARKET, MATCH, Work, WorkKind, organisation_key, organisation_name};
 use sillbank_model::engine::LedgerEntry;
 use sillbank_net::client::request;
@@ -122,7 +122,7 @@
             for entry in &addresses.entry_admins {
                 self.connected(*entry, addresses.engines.len()).await?;
             }
-            Ok(())
+            self.slots_held(&addresses).await
         })
     }
 
@@ -146,6 +146,25 @@
         self.http.call(address, call, Duration::from_secs(1)).await.ok()?.json().ok()
     }
 
+    /// Waits until every slot of keys is held by some VM.
+    async fn slots_held(&self, addresses: &Addresses) -> Outcome<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let mut held = 0;
+            for admin in &addresses.control_admins {
+                let status = self.status(*admin).await.unwrap_or_default();
+                held += status["slots"].as_array().map_or(0, Vec::len);
+            }
+            if held >= addresses.slots {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("{held} of {} slots are held", addresses.slots).into());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
     /// Waits until an entry has a connection to every engine.
     async fn connected(&self, entry: SocketAddr, engines: usize) -> Outcome<()> {
         let deadline = Instant::now() + PATIENCE;
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -4,6 +4,7 @@
 #   tools/bench.sh hop        what sillbank adds to a client that drives the engines directly
 #   tools/bench.sh settings   from a change accepted to the change in force at the last VM
 #   tools/bench.sh control    processor share, memory and bytes a second of a control process
+#   tools/bench.sh atmostonce keyed calls under kills, freezes, a planned stop and an outage
 #
 # NODES="9 100" names the numbers of VMs for 'settings' and 'control'; ORGANISATIONS="10 7500" the
 # organisations of each user for 'control'. They print a line for each.
@@ -45,10 +46,44 @@
   done
 }
 
+# Kills, freezes, cuts and a planned stop, one after another, while the load runs.
+bench_atmostonce_faults() {
+  local platform
+  platform="http://$(fleet_address .platform)/admin/faults"
+  sleep 3
+  echo "3 s: a VM is killed" >&2
+  kill -9 "${FLEET_PID_OF[control1]}" "${FLEET_PID_OF[entry1]}"
+  sleep 3
+  echo "6 s: a control process is frozen past its term" >&2
+  kill -STOP "${FLEET_PID_OF[control2]}"
+  sleep 6
+  echo "12 s: it wakes; an entry is frozen for 2 s" >&2
+  kill -CONT "${FLEET_PID_OF[control2]}"
+  kill -STOP "${FLEET_PID_OF[entry3]}"
+  sleep 2
+  kill -CONT "${FLEET_PID_OF[entry3]}"
+  echo "14 s: a VM is stopped as planned" >&2
+  kill -TERM "${FLEET_PID_OF[control4]}" "${FLEET_PID_OF[entry4]}"
+  sleep 3
+  echo "17 s: the platform is out for 6 s" >&2
+  curl -fsS -d '{"outage": true}' "$platform" >/dev/null
+  sleep 6
+  echo "23 s: it is back and loses the next three writes' answers" >&2
+  curl -fsS -d '{"lose_write_answers": 3}' "$platform" >/dev/null
+}
+
+bench_atmostonce() {
+  FLEET_FLAGS="--once-term-ms ${TERM_MS:-4000} --once-retention-ms ${RETENTION_MS:-15000}" \
+    ENGINES=0 fleet_lay_out
+  fleet_start
+  bench_atmostonce_faults &
+  "$PROGRAMS/sillbank-load" atmostonce --fleet "$OUT" --calls 6000 "$@"
+}
+
 name="${1:-}"
 shift || true
 case "$name" in
-  hop | settings | control) ;;
+  hop | settings | control | atmostonce) ;;
   *) sed -n '2,/^set/p' "$0" | grep '^#' >&2; exit 2 ;;
 esac
 fleet_build
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -36,6 +36,22 @@
   return 1
 }
 
+# fleet_await_slots: waits until every slot of keys is held by some VM.
+fleet_await_slots() {
+  local held admin wanted
+  wanted="$(fleet_address .slots)"
+  for _ in $(seq 300); do
+    held=0
+    for admin in $(fleet_address '.control_admins[]'); do
+      held=$((held + $(curl -s "http://$admin/v1/status" | jq '.slots | length')))
+    done
+    [ "$held" -ge "$wanted" ] && return
+    sleep 0.1
+  done
+  echo "only $held of $wanted slots are held" >&2
+  return 1
+}
+
 fleet_address() { jq -r "$1" "$OUT/addresses.json"; }
 
 fleet_start() {
@@ -54,6 +70,7 @@
   local admins engines
   admins="$(fleet_address '.entry_admins|join(",")')"
   engines="$(fleet_address '.engines|join(",")')"
+  [ -z "$admins" ] || fleet_await_slots
   [ -z "$admins" ] || "$load" wait --path /readyz --addresses "$admins"
   [ -z "$engines" ] || "$load" wait --path /v1/load --addresses "$engines"
 }
