--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use sillbank_admission::{Ask, Reason};
 use sillbank_core::prelude::*;
 use sillbank_generation::Plan;
 use sillbank_net::prelude::*;
@@ -91,9 +92,9 @@
         let chat: ChatRequest = serde_json::from_slice(body).map_err(|e| {
             Failure::before_work(FailureKind::MalformedBody, format!("The body is not read: {e}."))
         })?;
-        let admitted = Admitted::new(&self.entry, &context)?;
         let (policy, layers) = self.pipeline_of(&context, &chat.model)?;
         let request = self.plan(&context, &chat, &policy, layers)?;
+        let admitted = self.admit(&context, &request, &policy)?;
         let prompt_tokens = request.plan.prompt.len() as u32;
         let (outbox, outbox_body) = Outbox::new();
         let (head_sender, head) = smol::channel::bounded(1);
@@ -149,6 +150,35 @@
         Ok((tree.effective(&format!("pipeline/{name}")).policy, pipeline.layers))
     }
 
+    /// Lets a planned request in, or gives its chain back.
+    fn admit(
+        &self,
+        context: &CallerContext,
+        request: &DriveRequest,
+        policy: &Policy,
+    ) -> Result<Admitted, Failure> {
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        let tokens =
+            request.plan.max_tokens - request.plan.delivered_tokens.min(request.plan.max_tokens);
+        let predicted = self.entry.table.borrow().predict(
+            &request.chain,
+            request.plan.prompt.len() as u32,
+            tokens,
+        );
+        let admitted = Admitted::new(
+            &self.entry,
+            &context.organisation,
+            u64::from(request.kv_tokens),
+            policy.queue_tokens,
+            predicted,
+            left,
+        );
+        if admitted.is_err() {
+            request.chain.iter().for_each(|link| self.entry.leave_endpoint(link.endpoint));
+        }
+        admitted
+    }
+
     fn plan(
         &self,
         context: &CallerContext,
@@ -237,36 +267,45 @@
 pub(crate) struct Admitted {
     entry: Rc<Entry>,
     organisation: OrganisationId,
+    work_tokens: u64,
 }
 
 impl Admitted {
-    /// Lets a request in if its organisation has room.
-    pub(crate) fn new(entry: &Rc<Entry>, context: &CallerContext) -> Result<Self, Failure> {
-        let key = format!("organisation/{}", context.organisation);
-        let limit = entry.tree.borrow().effective(&key).policy.max_in_flight;
-        let mut in_flight = entry.in_flight.borrow_mut();
-        let count = in_flight.entry(context.organisation.clone()).or_default();
-        if *count >= limit {
-            let reason = format!("The organisation has {limit} requests in flight on this VM.");
-            let failure = Failure::before_work(FailureKind::Overloaded, reason);
-            return Err(failure.retry_after(COME_BACK));
-        }
-        *count += 1;
+    /// Lets a request in, or refuses it and says when to come back.
+    pub(crate) fn new(
+        entry: &Rc<Entry>,
+        organisation: &str,
+        work_tokens: u64,
+        limit_tokens: u64,
+        predicted: Option<Duration>,
+        deadline: Duration,
+    ) -> Result<Self, Failure> {
+        let policy = entry.tree.borrow().effective(&format!("organisation/{organisation}")).policy;
+        let ask = Ask {
+            organisation,
+            weight: policy.weight,
+            work_tokens,
+            predicted,
+            deadline,
+            limit_tokens,
+            limit_requests: policy.max_in_flight,
+        };
+        entry.admission.borrow_mut().admit(&ask).map_err(|refused| {
+            let reason = match refused.reason {
+                Reason::NoTime => "It cannot end in time now.",
+                Reason::TooManyTokens => "The VM has as many tokens in work as it may.",
+                Reason::TooManyRequests => "The organisation has as many requests as it may.",
+            };
+            Failure::before_work(FailureKind::Overloaded, reason).retry_after(refused.come_back)
+        })?;
         entry.metrics.in_flight.inc();
-        Ok(Self { entry: entry.clone(), organisation: context.organisation.clone() })
+        Ok(Self { entry: entry.clone(), organisation: organisation.to_owned(), work_tokens })
     }
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
         self.entry.metrics.in_flight.dec();
-        let mut in_flight = self.entry.in_flight.borrow_mut();
-        if let Some(count) = in_flight.get_mut(&self.organisation) {
-            *count -= 1;
-            if *count == 0 {
-                in_flight.remove(&self.organisation);
-            }
-        }
-        drop(in_flight);
+        self.entry.admission.borrow_mut().end(&self.organisation, self.work_tokens);
     }
 }
--- a/crates/sillbank_entry/src/services.rs
+++ b/crates/sillbank_entry/src/services.rs
@@ -33,9 +33,11 @@
     let rest = path.trim_start_matches("/v1/services/");
     let (name, inner) = rest.split_once('/').unwrap_or((rest, ""));
     let (service, policy) = find(entry, &context, name)?;
-    let _admitted = Admitted::new(entry, &context)?;
+    let time = deadline(&context.headers, policy.deadline_ms)?;
+    let organisation = &context.organisation;
+    let _admitted = Admitted::new(entry, organisation, 0, policy.queue_tokens, None, time)?;
     let _in_flight = entry.stop.count_call();
-    let deadline = context.arrived + deadline(&context.headers, policy.deadline_ms)?;
+    let deadline = context.arrived + time;
     let marked = context.headers.get("x-not-repeatable").is_some_and(|v| v == "true");
     let call = ServiceCall {
         repeatable: service.repeatable && !marked,
--- a/crates/sillbank_entry/src/state.rs
+++ b/crates/sillbank_entry/src/state.rs
@@ -4,7 +4,7 @@
 use crate::engine_link::EngineLink;
 use crate::metrics::Metrics;
 use crate::stop::StopState;
-use sillbank_core::prelude::*;
+use sillbank_admission::Admission;
 use sillbank_net::prelude::*;
 use sillbank_protocol::platform::Version;
 use sillbank_routing::prelude::*;
@@ -33,7 +33,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) stop: StopState,
     pub(crate) claims: ControlClaims,
-    pub(crate) in_flight: RefCell<HashMap<OrganisationId, u64>>,
+    pub(crate) admission: RefCell<Admission>,
 }
 
 impl Entry {
@@ -52,7 +52,7 @@
             metrics: Metrics::new(),
             stop: StopState::default(),
             claims: ControlClaims::default(),
-            in_flight: RefCell::default(),
+            admission: RefCell::default(),
         })
     }
 
--- a/crates/sillbank_load/src/client.rs
+++ b/crates/sillbank_load/src/client.rs
@@ -20,6 +20,9 @@
 /// How much longer than its deadline a caller waits for the answer that says so.
 const GRACE: Duration = Duration::from_secs(2);
 
+/// Number of the failure after which the same answer can be asked for again.
+const ENDPOINTS_LOST: &str = "SB0009";
+
 /// What a caller got.
 #[derive(Debug, Clone)]
 pub struct Got {
@@ -296,8 +299,11 @@
     match field("event: ") {
         Some("resume") => return Some(Try::Again(Duration::ZERO, None)),
         Some("error") => {
-            let (code, run, _) = failure_of(data.as_bytes());
-            return Some(Try::Failed(code, run));
+            let (code, run, after) = failure_of(data.as_bytes());
+            return Some(match code == ENDPOINTS_LOST {
+                true => Try::Again(after.unwrap_or_default(), Some(End::Failed { code, run })),
+                false => Try::Failed(code, run),
+            });
         }
         _ => {}
     }
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -13,7 +13,7 @@
 /// Layers of the stand-in model.
 pub const MODEL_LAYERS: u16 = 24;
 /// Layers of one stage.
-const STAGE_LAYERS: u16 = 8;
+pub const STAGE_LAYERS: u16 = 8;
 /// Key of the operator of a local fleet.
 pub const OPERATOR_KEY: &str = "local-operator-key";
 /// Key that local VMs share.
@@ -50,6 +50,9 @@
     /// how long a key is remembered, in milliseconds
     #[argh(option, default = "600000")]
     pub once_retention_ms: u64,
+    /// lines added to the tree, such as a pipeline's settings
+    #[argh(option, default = "String::new()")]
+    pub tree: String,
     /// leave the entries out
     #[argh(switch)]
     pub no_entries: bool,
@@ -84,10 +87,25 @@
     pub controls: Vec<SocketAddr>,
     /// Model engines.
     pub engines: Vec<SocketAddr>,
+    /// What each engine is, in the same order.
+    pub engine_specs: Vec<EngineSpec>,
+    /// Factor on the engines' costs.
+    pub cost_factor: f64,
     /// Plain services.
     pub services: Vec<SocketAddr>,
 }
 
+/// What an engine of the fleet is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// User whose pipeline it serves.
+    pub top: String,
+    /// Stage it holds, from 0.
+    pub stage: usize,
+    /// Accelerator kind.
+    pub kind: String,
+}
+
 impl Addresses {
     /// Reads what `write` wrote.
     pub fn read(folder: &Path) -> Result<Self, Box<dyn std::error::Error>> {
@@ -109,6 +127,7 @@
             chain_policy: "least_finish".to_owned(),
             once_term_ms: 60_000,
             once_retention_ms: 600_000,
+            tree: String::new(),
             no_entries: false,
             organisations: ORGANISATIONS,
             platform_writes_per_s: 300.0,
@@ -150,11 +169,16 @@
     let mut layout = Layout {
         arguments,
         ports: Ports { next: arguments.first_port },
-        addresses: Addresses { slots: slot_count(arguments), ..Addresses::default() },
+        addresses: Addresses {
+            slots: slot_count(arguments),
+            cost_factor: arguments.cost_factor,
+            ..Addresses::default()
+        },
         commands: Vec::new(),
     };
     let platform = layout.platform();
     let mut objects = tree_objects(arguments.organisations);
+    objects.push_str(&arguments.tree.replace("\\n", "\n"));
     objects.push_str(&layout.engines());
     objects.push_str(&layout.services());
     layout.vms(platform)?;
@@ -195,6 +219,8 @@
             let end = first + STAGE_LAYERS;
             let address = self.ports.take();
             self.addresses.engines.push(address);
+            let spec = EngineSpec { top: top.name.to_owned(), stage, kind: kind.clone() };
+            self.addresses.engine_specs.push(spec);
             let cost = self.arguments.cost_factor;
             let rest = format!(
                 "engine --listen {address} --kind {kind} --first-layer {first} --end-layer {end} \
--- a/crates/sillbank_load/src/lib.rs
+++ b/crates/sillbank_load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod control_bench;
 pub mod direct;
+pub mod experiment;
 pub mod fleet;
 pub mod hop;
 pub mod mix;
--- a/crates/sillbank_load/src/main.rs
+++ b/crates/sillbank_load/src/main.rs
@@ -4,7 +4,9 @@
 #![forbid(unsafe_code)]
 
 use argh::FromArgs;
-use sillbank_load::{Verdict, control_bench, fleet, hop, once_bench, run, settings_bench, wait};
+use sillbank_load::{
+    Verdict, control_bench, experiment, fleet, hop, once_bench, run, settings_bench, wait,
+};
 use smol::LocalExecutor;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -24,6 +26,7 @@
 #[argh(subcommand)]
 enum Command {
     Control(control_bench::ControlArguments),
+    Experiment(experiment::ExperimentArguments),
     Fleet(fleet::FleetArguments),
     AtMostOnce(once_bench::OnceArguments),
     Hop(hop::HopArguments),
@@ -52,6 +55,7 @@
 
 async fn run_command(executor: Rc<LocalExecutor<'static>>, command: Option<Command>) -> Verdict {
     match command {
+        Some(Command::Experiment(arguments)) => experiment::run(executor, arguments).await,
         Some(Command::Fleet(arguments)) => fleet::write(&arguments),
         Some(Command::AtMostOnce(arguments)) => once_bench::run(executor, arguments).await,
         Some(Command::Hop(arguments)) => hop::hop(executor, arguments).await,
--- a/crates/sillbank_load/tests/scenarios.rs
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -28,4 +28,11 @@
     stop_past_its_limit,
     engine_forgets,
     service_not_repeated,
+    once_two_vms,
+    once_platform_out,
+    once_planned_stop,
+    settings_race,
+    settings_lost_answer,
+    settings_outage_new_vm,
+    settings_invalid,
 }
--- a/crates/sillbank_load/tests/support/runner.rs
+++ b/crates/sillbank_load/tests/support/runner.rs
@@ -10,6 +10,11 @@
 //!   be `stage=1 of=ID`, the engine that holds this stage of a request.
 //! - `fault NAME JSON` makes a fault at a stand-in.
 //! - `put KEY JSON` writes an object and waits until every entry has it in force.
+//! - `write KEY JSON` writes an object through one VM and says how that went; `race KEY JSON JSON`
+//!   writes two at once from the same version, through two VMs.
+//! - `store KEY JSON` writes to the platform itself, past every check.
+//! - `effective KEY NAME [vm=0]` says a setting's value in force and where it came from.
+//! - `invalid` waits until the list of invalid objects changes, and says it.
 //! - `ready vm=0` waits until an entry is ready, `unready vm=0` until it is not.
 //! - `check` compares all that callers got with all that ran.
 
@@ -62,6 +67,7 @@
     caller: Option<Caller>,
     pending: BTreeMap<String, Pending>,
     ended: Vec<Got>,
+    invalid: Vec<String>,
 }
 
 impl Scenario {
@@ -74,6 +80,7 @@
             caller: None,
             pending: BTreeMap::new(),
             ended: Vec::new(),
+            invalid: Vec::new(),
         }
     }
 
@@ -243,6 +250,97 @@
         Ok(())
     }
 
+    async fn object(&self, control: SocketAddr, key: &str) -> Outcome<Option<Object>> {
+        let mut call = request(Method::GET, &format!("/v1/objects/{key}"), Bytes::new());
+        call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        let reply = self.http.call(control, call, PATIENCE).await?;
+        Ok(reply.status.is_success().then(|| reply.json()).transpose()?)
+    }
+
+    /// Writes one or two objects from the same version, each through another VM.
+    fn write(&mut self, command: &Command) -> Outcome<String> {
+        let mut args = command.consume_args();
+        let key = args.next_pos().ok_or("name a key")?.to_owned();
+        let mut values: Vec<serde_json::Value> = Vec::new();
+        while let Some(json) = args.next_pos() {
+            values.push(serde_json::from_str(json)?);
+        }
+        let controls = self.fleet().addresses.control_admins.clone();
+        let outcomes = self.block_on(async {
+            let here = self.object(controls[0], &key).await?.map(|object| object.version);
+            let put = async |number: usize| {
+                let written = self.put(controls[number], &key, here, &values[number]).await;
+                written.map(|_| ()).map_err(|e| e.to_string())
+            };
+            Ok::<_, Box<dyn Error>>(match values.len() {
+                1 => vec![put(0).await],
+                _ => {
+                    let (one, other) = futures_lite::future::zip(put(0), put(1)).await;
+                    vec![one, other]
+                }
+            })
+        })?;
+        let mut lines: Vec<String> = outcomes.into_iter().map(|o| describe_write(&o)).collect();
+        lines.sort();
+        Ok(lines.concat())
+    }
+
+    fn store(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let key = args.next_pos().ok_or("name a key")?;
+        let json = args.next_pos().ok_or("name the value as JSON")?;
+        let addresses = self.fleet().addresses.clone();
+        let platform = addresses.platform.ok_or("no platform")?;
+        self.block_on(async {
+            let path = format!("/objects/settings/{key}");
+            let read = request(Method::GET, &path, Bytes::new());
+            let here: Object = self.http.call(platform, read, PATIENCE).await?.json()?;
+            let mut call = request(Method::PUT, &path, Bytes::copy_from_slice(json.as_bytes()));
+            call.headers_mut().insert("if-match", here.version.into());
+            let reply = self.http.call(platform, call, PATIENCE).await?;
+            match reply.status.is_success() {
+                true => Ok(()),
+                false => Err("the platform refused".into()),
+            }
+        })
+    }
+
+    fn effective(&mut self, command: &Command) -> Outcome<String> {
+        let mut args = command.consume_args();
+        let key = args.next_pos().ok_or("name a key")?;
+        let name = args.next_pos().ok_or("name a setting")?;
+        let vm: usize = args.take_key("vm").unwrap_or("0").parse()?;
+        let control = self.fleet().addresses.control_admins[vm];
+        let mut call = request(Method::GET, &format!("/v1/effective/{key}"), Bytes::new());
+        call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        let reply = self.block_on(self.http.call(control, call, PATIENCE))?;
+        let all: serde_json::Value = reply.json()?;
+        Ok(format!("{name} = {} from {}\n", all[name]["value"], all[name]["from"]))
+    }
+
+    fn invalid(&mut self) -> Outcome<String> {
+        let control = self.fleet().addresses.control_admins[0];
+        let known = self.invalid.clone();
+        self.invalid = self.block_on(async {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                let status = self.status(control).await.unwrap_or_default();
+                let now: Vec<String> = serde_json::from_value(status["invalid"].clone())?;
+                if now != known {
+                    return Ok::<_, Box<dyn Error>>(now);
+                }
+                if Instant::now() > deadline {
+                    return Err("the list of invalid objects did not change".into());
+                }
+                Timer::after(LOOK).await;
+            }
+        })?;
+        match self.invalid.is_empty() {
+            true => Ok("nothing is invalid\n".to_owned()),
+            false => Ok(self.invalid.iter().map(|line| format!("{line}\n")).collect()),
+        }
+    }
+
     fn send(&mut self, id: &str, work: Work, how: &How) {
         let progress = Progress::default();
         let caller = self.caller.as_ref().expect("the script begins with 'fleet'");
@@ -385,6 +483,22 @@
     }
 }
 
+/// How a write went, without what differs between runs.
+fn describe_write(outcome: &Result<(), String>) -> String {
+    let Err(text) = outcome else {
+        return "written\n".to_owned();
+    };
+    let failure: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+    let message = failure["message"].as_str().unwrap_or(text);
+    let message = message.trim_end_matches('.');
+    let plain: String = message.chars().filter(|c| !c.is_ascii_digit()).collect();
+    format!(
+        "{} {plain}. {}\n",
+        failure["code"].as_str().unwrap_or(""),
+        failure["remedy"].as_str().unwrap_or("")
+    )
+}
+
 impl Runner for Scenario {
     type Command = Command;
 
@@ -450,6 +564,10 @@
                 let address = self.vm_address(command)?;
                 self.block_on(self.answers(address, "/readyz", status))?;
             }
+            "write" | "race" => return self.write(command),
+            "store" => self.store(command)?,
+            "effective" => return self.effective(command),
+            "invalid" => return self.invalid(),
             "check" => return self.check(),
             other => return Err(format!("unknown command {other}").into()),
         }
--- a/crates/sillbank_standin/src/kinds.rs
+++ b/crates/sillbank_model/src/kinds.rs
@@ -2,22 +2,23 @@
 
 /// What steps cost on one kind.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct KindCost {
-    pub(crate) name: &'static str,
+pub struct KindCost {
+    /// Name.
+    pub name: &'static str,
     /// Cost of a batch, whatever is in it, in microseconds.
-    pub(crate) fixed_us: f64,
+    pub fixed_us: f64,
     /// Cost of each sequence in the batch, in microseconds.
-    pub(crate) per_sequence_us: f64,
+    pub per_sequence_us: f64,
     /// Cost of each position of a prefill, in microseconds.
-    pub(crate) prefill_us_per_token: f64,
+    pub prefill_us_per_token: f64,
     /// Positions of KV cache that fit.
-    pub(crate) kv_tokens: u32,
+    pub kv_tokens: u32,
     /// Sequences in one batch.
-    pub(crate) max_batch: usize,
+    pub max_batch: usize,
 }
 
 /// The kinds, quickest first; a factor of five lies between first and last.
-pub(crate) const KINDS: [KindCost; 5] = [
+pub const KINDS: [KindCost; 5] = [
     KindCost {
         name: "k1",
         fixed_us: 900.0,
@@ -61,6 +62,17 @@
 ];
 
 /// The kind of this name.
-pub(crate) fn kind(name: &str) -> Option<KindCost> {
+pub fn find_kind(name: &str) -> Option<KindCost> {
     KINDS.into_iter().find(|kind| kind.name == name)
 }
+
+impl KindCost {
+    /// Most tokens a second of a stage of `layers` when each token of an answer brings
+    /// `prompt_per_token` positions of prompt with it: full batches, one after another.
+    pub fn most_tokens_per_s(&self, layers: usize, prompt_per_token: f64) -> f64 {
+        let size = self.max_batch as f64;
+        let per_token = self.per_sequence_us + self.prefill_us_per_token * prompt_per_token;
+        let batch_us = (self.fixed_us + size * per_token) * layers as f64 / 8.0;
+        size / batch_us * 1e6
+    }
+}
--- a/crates/sillbank_model/src/lib.rs
+++ b/crates/sillbank_model/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod engine;
+pub mod kinds;
 
 use sillbank_core::prelude::*;
 
--- a/crates/sillbank_routing/src/chain.rs
+++ b/crates/sillbank_routing/src/chain.rs
@@ -27,9 +27,8 @@
 impl ChainPolicy for LeastFinish {
     fn cost(&mut self, endpoint: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
         // An engine never met is assumed quick, so that it is tried and becomes known.
-        let known = endpoint.cost.elapsed_us().unwrap_or(1000.0);
-        let per_request = endpoint.cost.marginal_us().max(known / 64.0);
-        let expected = known + per_request * f64::from(endpoint.added_since_report);
+        let added = endpoint.added_since_report;
+        let expected = endpoint.cost.expected_us(added).unwrap_or(1000.0);
         // Up to a fifth at random keeps VMs with the same stale reports from one choice.
         expected * (1.0 + 0.2 * rng.f64())
     }
--- a/crates/sillbank_routing/src/cost.rs
+++ b/crates/sillbank_routing/src/cost.rs
@@ -46,6 +46,17 @@
         self.seen.then_some(self.elapsed_us)
     }
 
+    /// Expected time of a decode step with some requests more than at the last report.
+    pub fn expected_us(&self, added: u32) -> Option<f64> {
+        let known = self.elapsed_us()?;
+        Some(known + self.marginal_us().max(known / 64.0) * f64::from(added))
+    }
+
+    /// Expected time of a prefill of so many positions.
+    pub fn prefill_us(&self, positions: u32) -> f64 {
+        self.prefill_us_per_token * f64::from(positions)
+    }
+
     /// Time that goes beyond waiting and running: the link.
     pub fn link_us(&self, wait_us: u32) -> f64 {
         (self.elapsed_us - self.run_us - f64::from(wait_us)).max(0.0)
--- a/crates/sillbank_routing/src/table.rs
+++ b/crates/sillbank_routing/src/table.rs
@@ -1,11 +1,11 @@
 //! All generation endpoints one VM knows.
 
-use crate::chain::ChainRequest;
+use crate::chain::{ChainLink, ChainRequest};
 use crate::endpoint::{Endpoint, EndpointSpec};
 use crate::health::{HealthEvent, HealthLimits, HealthState};
 use sillbank_core::prelude::*;
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Place of an endpoint in the table; never used for another endpoint.
 pub type EndpointSlot = u32;
@@ -101,6 +101,19 @@
             .collect()
     }
 
+    /// When a request on a chain is predicted to end, from now; unknown while an endpoint is.
+    pub fn predict(&self, chain: &[ChainLink], prompt: u32, tokens: u32) -> Option<Duration> {
+        let mut token_us = 0.0;
+        let mut prompt_us = 0.0;
+        for link in chain {
+            let endpoint = self.get(link.endpoint);
+            token_us += endpoint.cost.expected_us(endpoint.added_since_report)?;
+            prompt_us += endpoint.cost.prefill_us(prompt);
+        }
+        let sum_us = prompt_us + token_us * f64::from(tokens);
+        Some(Duration::from_micros(sum_us as u64))
+    }
+
     fn share(
         &self,
         slot: EndpointSlot,
--- a/crates/sillbank_standin/src/engine.rs
+++ b/crates/sillbank_standin/src/engine.rs
@@ -1,6 +1,5 @@
 //! The model engine: one layer range, continuous batching, a KV cache and a ledger of what ran.
 
-use crate::kinds::{self, KindCost};
 use argh::FromArgs;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
@@ -9,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use sillbank_model::engine::{EngineCore, LayerFaults};
+use sillbank_model::kinds::{KindCost, find_kind};
 use sillbank_net::prelude::*;
 use sillbank_protocol::engine::{
     EngineLoad, EngineRequest, MAX_LINE_BYTES, STEPS_PATH, Step, StepOutcome, StepReply,
@@ -93,7 +93,7 @@
     executor: Rc<LocalExecutor<'static>>,
     arguments: EngineArguments,
 ) -> std::io::Result<()> {
-    let cost = kinds::kind(&arguments.kind)
+    let cost = find_kind(&arguments.kind)
         .ok_or_else(|| std::io::Error::other("the kind is not known; use k1 to k5"))?;
     let (wake, woken) = smol::channel::bounded(1);
     let layers = LayerRange { first: arguments.first_layer, end: arguments.end_layer };
--- a/crates/sillbank_standin/src/main.rs
+++ b/crates/sillbank_standin/src/main.rs
@@ -6,7 +6,6 @@
 #![forbid(unsafe_code)]
 
 mod engine;
-mod kinds;
 mod link;
 mod platform;
 mod service;
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -5,6 +5,10 @@
 #   tools/bench.sh settings   from a change accepted to the change in force at the last VM
 #   tools/bench.sh control    processor share, memory and bytes a second of a control process
 #   tools/bench.sh atmostonce keyed calls under kills, freezes, a planned stop and an outage
+#   tools/bench.sh bound      goodput over the bound, for every policy and load
+#   tools/bench.sh recovery   failures at 70% load, beside whole-request restart
+#   tools/bench.sh fair       one organisation at ten times its share
+#   tools/bench.sh brownout   hardware lost and slowed under load
 #
 # NODES="9 100" names the numbers of VMs for 'settings' and 'control'; ORGANISATIONS="10 7500" the
 # organisations of each user for 'control'. They print a line for each.
@@ -80,10 +84,26 @@
   "$PROGRAMS/sillbank-load" atmostonce --fleet "$OUT" --calls 6000 "$@"
 }
 
+bench_experiment() { "$PROGRAMS/sillbank-load" experiment --fleet "$OUT" "$@"; }
+
+bench_bound() {
+  local policy load
+  for policy in ${POLICIES:-least_finish least_in_flight round_robin random}; do
+    OUT="$(mktemp -d)"
+    CHAIN_POLICY="$policy" COST_FACTOR="${COST_FACTOR:-8}" fleet_lay_out
+    fleet_start
+    for load in ${LOADS:-0.5 0.8 1.0 1.2 2.0}; do
+      bench_experiment --name "$policy" --load "$load" --top market \
+        --prompt 20 --answer 40 --deadline-ms "${DEADLINE_MS:-8000}" "$@"
+    done
+    fleet_end
+  done
+}
+
 name="${1:-}"
 shift || true
 case "$name" in
-  hop | settings | control | atmostonce) ;;
+  hop | settings | control | atmostonce | bound | recovery | fair | brownout) ;;
   *) sed -n '2,/^set/p' "$0" | grep '^#' >&2; exit 2 ;;
 esac
 fleet_build
