--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -14,9 +14,14 @@
 use std::time::Duration;
 
 /// Share of the deadline that a predicted finish may use while there is no doubt.
-const SAFE_PART: f64 = 0.8;
+const SAFE_PART: f64 = 0.6;
 /// Share of the deadline beyond which nobody is let in.
-const LAST_PART: f64 = 1.0;
+const LAST_PART: f64 = 0.8;
+/// Steps that may wait for each one in a batch while there is no doubt: beyond full batches more
+/// requests make answers late and bring no token more.
+const SAFE_BACKLOG: f64 = 0.25;
+/// Backlog beyond which nobody is let in.
+const LAST_BACKLOG: f64 = 0.75;
 /// Shortest and longest time to come back.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
 
@@ -33,6 +38,8 @@
     pub predicted: Option<Duration>,
     /// Time it has.
     pub deadline: Duration,
+    /// Steps that wait for each one in a batch, at the fullest engine of its chain.
+    pub backlog: f64,
     /// Most tokens in work on this VM.
     pub limit_tokens: u64,
     /// Most requests of the organisation in flight on this VM.
@@ -82,8 +89,7 @@
     pub fn admit(&mut self, ask: &Ask<'_>) -> Result<(), Refused> {
         let own = self.organisations.get(ask.organisation).copied().unwrap_or_default();
         let predicted = ask.predicted.unwrap_or_default();
-        let refuse =
-            |reason| Refused { reason, come_back: self.come_back(predicted, ask.deadline) };
+        let refuse = |reason| Refused { reason, come_back: come_back(predicted, ask) };
         if own.requests >= ask.limit_requests {
             return Err(refuse(Reason::TooManyRequests));
         }
@@ -91,8 +97,9 @@
             return Err(refuse(Reason::TooManyTokens));
         }
         let part = predicted.as_secs_f64() / ask.deadline.as_secs_f64().max(1e-3);
-        let in_time = part <= SAFE_PART || (part <= LAST_PART && self.is_below_share(ask, own));
-        if !in_time {
+        let safe = part <= SAFE_PART && ask.backlog <= SAFE_BACKLOG;
+        let last = part <= LAST_PART && ask.backlog <= LAST_BACKLOG;
+        if !(safe || last && self.is_below_share(ask, own)) {
             return Err(refuse(Reason::NoTime));
         }
         self.count_in(ask);
@@ -149,10 +156,12 @@
         own.requests += 1;
         own.weight = ask.weight;
     }
+}
 
-    /// By then as much work should have ended as the request is too late for now: requests in
-    /// work end evenly over the predicted time of one.
-    fn come_back(&self, predicted: Duration, deadline: Duration) -> Duration {
-        predicted.saturating_sub(deadline.mul_f64(SAFE_PART)).clamp(COME_BACK.0, COME_BACK.1)
-    }
+/// By then as much work should have ended as the request is too much or too late for now:
+/// requests in work end evenly over the predicted time of one.
+fn come_back(predicted: Duration, ask: &Ask<'_>) -> Duration {
+    let late = predicted.saturating_sub(ask.deadline.mul_f64(SAFE_PART));
+    let over = predicted.mul_f64((ask.backlog - SAFE_BACKLOG).clamp(0.0, 1.0));
+    late.max(over).clamp(COME_BACK.0, COME_BACK.1)
 }
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -160,18 +160,21 @@
         let left = request.deadline.saturating_duration_since(Instant::now());
         let tokens =
             request.plan.max_tokens - request.plan.delivered_tokens.min(request.plan.max_tokens);
-        let predicted = self.entry.table.borrow().predict(
-            &request.chain,
-            request.plan.prompt.len() as u32,
-            tokens,
-        );
+        let prompt = request.plan.prompt.len() as u32;
+        let forecast = {
+            let table = self.entry.table.borrow();
+            Forecast {
+                predicted: table.predict(&request.chain, prompt, tokens),
+                backlog: table.backlog(&request.chain),
+                deadline: left,
+            }
+        };
         let admitted = Admitted::new(
             &self.entry,
             &context.organisation,
             u64::from(request.kv_tokens),
             policy.queue_tokens,
-            predicted,
-            left,
+            forecast,
         );
         if admitted.is_err() {
             request.chain.iter().for_each(|link| self.entry.leave_endpoint(link.endpoint));
@@ -263,6 +266,16 @@
     reply
 }
 
+/// How a request is expected to fare.
+pub(crate) struct Forecast {
+    /// When it ends, from now, if that can be told.
+    pub(crate) predicted: Option<Duration>,
+    /// Steps that wait for each one in a batch, at the fullest engine of its chain.
+    pub(crate) backlog: f64,
+    /// Time it has.
+    pub(crate) deadline: Duration,
+}
+
 /// A request that was let in; dropping it makes room for the next.
 pub(crate) struct Admitted {
     entry: Rc<Entry>,
@@ -277,16 +290,16 @@
         organisation: &str,
         work_tokens: u64,
         limit_tokens: u64,
-        predicted: Option<Duration>,
-        deadline: Duration,
+        forecast: Forecast,
     ) -> Result<Self, Failure> {
         let policy = entry.tree.borrow().effective(&format!("organisation/{organisation}")).policy;
         let ask = Ask {
             organisation,
             weight: policy.weight,
             work_tokens,
-            predicted,
-            deadline,
+            predicted: forecast.predicted,
+            deadline: forecast.deadline,
+            backlog: forecast.backlog,
             limit_tokens,
             limit_requests: policy.max_in_flight,
         };
--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -202,7 +202,7 @@
     let endpoint = table.get_mut(slot);
     let load = &reply.load;
     let elapsed = now.saturating_duration_since(step.sent_at);
-    endpoint.cost.observe(elapsed, load.run_us, load.batch, step.positions);
+    endpoint.cost.observe(elapsed, load, step.positions);
     endpoint.queued = load.queued;
     endpoint.held = load.held;
     endpoint.wait_us = load.wait_us;
--- a/crates/sillbank_entry/src/services.rs
+++ b/crates/sillbank_entry/src/services.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use crate::callers::{Admitted, CallerContext};
+use crate::callers::{Admitted, CallerContext, Forecast};
 use crate::claims::CLAIM_TIMEOUT;
 use crate::reading::deadline;
 use crate::state::Entry;
@@ -35,7 +35,8 @@
     let (service, policy) = find(entry, &context, name)?;
     let time = deadline(&context.headers, policy.deadline_ms)?;
     let organisation = &context.organisation;
-    let _admitted = Admitted::new(entry, organisation, 0, policy.queue_tokens, None, time)?;
+    let forecast = Forecast { predicted: None, backlog: 0.0, deadline: time };
+    let _admitted = Admitted::new(entry, organisation, 0, policy.queue_tokens, forecast)?;
     let _in_flight = entry.stop.count_call();
     let deadline = context.arrived + time;
     let marked = context.headers.get("x-not-repeatable").is_some_and(|v| v == "true");
--- a/crates/sillbank_load/src/client.rs
+++ b/crates/sillbank_load/src/client.rs
@@ -40,6 +40,8 @@
     pub end: End,
     /// Tries it took, resumptions included.
     pub tries: u32,
+    /// How quickly the first refusal came, if there was one.
+    pub refused_after: Option<Duration>,
 }
 
 /// How a request ended for the caller.
@@ -123,11 +125,13 @@
             text: String::new(),
             end: End::Failed { code: "tries".to_owned(), run: RunState::Unknown },
             tries: 0,
+            refused_after: None,
         };
         while got.tries < self.max_tries {
             got.tries += 1;
             let drawn = self.rng.borrow_mut().usize(..self.entries.len());
             let entry = self.entries[first_entry.filter(|_| got.tries == 1).unwrap_or(drawn)];
+            let tried_at = Instant::now();
             let tried = match got.work.kind.clone() {
                 WorkKind::Generate { .. } => self.try_generate(entry, &mut got, &progress).await,
                 WorkKind::Call { service, path, repeatable } => {
@@ -138,6 +142,9 @@
                 Try::Whole => got.end = End::Whole,
                 Try::Failed(code, run) => got.end = End::Failed { code, run },
                 Try::Again(after, end) => {
+                    if matches!(end, Some(End::Failed { run: RunState::NotRun, .. })) {
+                        got.refused_after.get_or_insert(tried_at.elapsed());
+                    }
                     got.end = end.unwrap_or(got.end);
                     if got.tries < self.max_tries {
                         Timer::after(after).await;
--- a/crates/sillbank_routing/src/cost.rs
+++ b/crates/sillbank_routing/src/cost.rs
@@ -1,5 +1,6 @@
 //! What a step costs at one engine, learnt from its replies.
 
+use sillbank_protocol::engine::EngineLoad;
 use std::time::Duration;
 
 /// Weight of a new observation.
@@ -17,13 +18,14 @@
     batch: f64,
     batch_square: f64,
     run_batch: f64,
+    queued: f64,
     prefill_us_per_token: f64,
     seen: bool,
 }
 
 impl StepCost {
-    /// Takes a reply: time from sending to reply, batch time, batch size, positions of the step.
-    pub fn observe(&mut self, elapsed: Duration, run_us: u32, batch: u32, positions: u32) {
+    /// Takes a reply: time from sending to reply, the engine's load, positions of the step.
+    pub fn observe(&mut self, elapsed: Duration, load: &EngineLoad, positions: u32) {
         let elapsed_us = elapsed.as_micros() as f64;
         if positions > 1 {
             let per_token = elapsed_us / f64::from(positions);
@@ -31,11 +33,12 @@
             blend(&mut self.prefill_us_per_token, per_token, seen);
             return;
         }
-        let (run, n) = (f64::from(run_us), f64::from(batch));
+        let (run, n) = (f64::from(load.run_us), f64::from(load.batch));
         let seen = self.seen;
         blend(&mut self.elapsed_us, elapsed_us, seen);
         blend(&mut self.run_us, run, seen);
         blend(&mut self.batch, n, seen);
+        blend(&mut self.queued, f64::from(load.queued), seen);
         blend(&mut self.batch_square, n * n, seen);
         blend(&mut self.run_batch, run * n, seen);
         self.seen = true;
@@ -52,6 +55,11 @@
         Some(known + self.marginal_us().max(known / 64.0) * f64::from(added))
     }
 
+    /// Steps that wait for each one in a batch: nothing while batches are not full.
+    pub fn backlog(&self) -> f64 {
+        self.queued / self.batch.max(1.0)
+    }
+
     /// Expected time of a prefill of so many positions.
     pub fn prefill_us(&self, positions: u32) -> f64 {
         self.prefill_us_per_token * f64::from(positions)
--- a/crates/sillbank_routing/src/table.rs
+++ b/crates/sillbank_routing/src/table.rs
@@ -101,6 +101,12 @@
             .collect()
     }
 
+    /// Steps that wait for each one in a batch, at the fullest engine of a chain.
+    pub fn backlog(&self, chain: &[ChainLink]) -> f64 {
+        let backlogs = chain.iter().map(|link| self.get(link.endpoint).cost.backlog());
+        backlogs.fold(0.0, f64::max)
+    }
+
     /// When a request on a chain is predicted to end, from now; unknown while an endpoint is.
     pub fn predict(&self, chain: &[ChainLink], prompt: u32, tokens: u32) -> Option<Duration> {
         let mut token_us = 0.0;
--- a/crates/sillbank_standin/src/engine.rs
+++ b/crates/sillbank_standin/src/engine.rs
@@ -80,6 +80,8 @@
     core: EngineCore,
     used: HashMap<RequestUid, Instant>,
     queue: Vec<Waiting>,
+    /// Steps that were left waiting when the last batch was taken.
+    left_waiting: u32,
     faults: Faults,
     steps_run: u64,
     tokens_run: u64,
@@ -107,6 +109,7 @@
         core,
         used: HashMap::new(),
         queue: Vec::new(),
+        left_waiting: 0,
         faults: Faults::default(),
         steps_run: 0,
         tokens_run: 0,
@@ -141,7 +144,9 @@
     fn take_batch(&mut self) -> Vec<Waiting> {
         self.queue.sort_by_key(|waiting| std::cmp::Reverse(waiting.step.priority));
         let count = self.queue.len().min(self.cost.max_batch);
-        self.queue.drain(..count).collect()
+        let batch = self.queue.drain(..count).collect();
+        self.left_waiting = self.queue.len() as u32;
+        batch
     }
 
     fn batch_time(&self, batch: &[Waiting]) -> Duration {
@@ -161,7 +166,7 @@
         for waiting in batch {
             let outcome = self.run_step(&waiting.step);
             let load = EngineLoad {
-                queued: self.queue.len() as u32,
+                queued: self.left_waiting,
                 held: self.core.held() as u32,
                 wait_us: started.duration_since(waiting.arrived).as_micros() as u32,
                 run_us: time.as_micros() as u32,
