Take an answer over with the tokens that engines know; predict the whole finish

Cause: after an entry was killed a caller's next token took up to 13.3 s: the new VM generated the whole answer again and sent only the rest. Also, replays were not counted when an endpoint was chosen, and a prefill that takes longer than the ceiling of silence would have counted as a freeze.

--- a/crates/sillbank_core/src/ids.rs
+++ b/crates/sillbank_core/src/ids.rs
@@ -53,6 +53,13 @@
         Self(read_u64(&bytes[..8]), read_u64(&bytes[8..16]))
     }
 
+    /// Reads what [`std::fmt::Display`] wrote.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (first, second) = text.split_at_checked(16).filter(|(_, rest)| rest.len() == 16)?;
+        let half = |text| u64::from_str_radix(text, 16).ok();
+        Some(Self(half(first)?, half(second)?))
+    }
+
     /// A 64-bit seed for sampling, the same on every VM.
     pub fn seed(&self) -> u64 {
         self.0 ^ self.1.rotate_left(17)
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -93,7 +93,7 @@
             Failure::before_work(FailureKind::MalformedBody, format!("The body is not read: {e}."))
         })?;
         let (policy, layers) = self.pipeline_of(&context, &chat.model)?;
-        let request = self.plan(&context, &chat, &policy, layers)?;
+        let request = self.plan(&context, &chat, &policy, layers).await?;
         let admitted = self.admit(&context, &request, &policy)?;
         let prompt_tokens = request.plan.prompt.len() as u32;
         let (outbox, outbox_body) = Outbox::new();
@@ -182,7 +182,7 @@
         admitted
     }
 
-    fn plan(
+    async fn plan(
         &self,
         context: &CallerContext,
         chat: &ChatRequest,
@@ -199,10 +199,17 @@
         let delivered = number_header(&context.headers, "last-event-id")?.unwrap_or(0);
         let uid = RequestUid::derive(&context.organisation, &context.request_id);
         let kv_tokens = prompt.len() as u32 + max_tokens as u32;
+        let mut known = match delivered {
+            0 => Vec::new(),
+            _ => crate::resume::known_tokens(&self.entry, &chat.model, uid, &prompt).await,
+        };
+        known.truncate(max_tokens as usize);
         let chain = self.entry.take_chain(&ChainRequest {
             pipeline: &chat.model,
             layers: LayerRange { first: 0, end: layers },
             kv_tokens,
+            prefill_tokens: (prompt.len() + known.len()) as u32,
+            tokens: max_tokens as u32 - known.len() as u32,
             except: None,
         });
         let Some(chain) = chain else {
@@ -215,7 +222,7 @@
             seed: chat.seed.unwrap_or_else(|| uid.seed()),
             priority: chat.priority.map_or(policy.priority as u8, |priority| priority.min(9)),
             prompt,
-            known: Vec::new(),
+            known,
             delivered_tokens: delivered.min(u64::from(u32::MAX)) as u32,
             max_tokens: max_tokens as u32,
             end_token: sillbank_model::END_TOKEN,
--- a/crates/sillbank_entry/src/drive.rs
+++ b/crates/sillbank_entry/src/drive.rs
@@ -122,7 +122,10 @@
                 time.sent = Some(Instant::now());
                 self.entry.metrics.steps.inc();
                 match self.entry.link(self.stages[stage].endpoint) {
-                    Some(link) => link.send(stage, step, &self.mailbox),
+                    Some(link) => {
+                        link.send(stage, step, &self.mailbox);
+                        self.entry.note_prefill(self.stages[stage].endpoint, &link);
+                    }
                     None => self.mailbox.push(Event::StageLost(stage)),
                 }
             }
@@ -193,6 +196,8 @@
                 pipeline: &self.pipeline,
                 layers: old.layers,
                 kv_tokens: self.kv_tokens,
+                prefill_tokens: self.generation.sequence_len(),
+                tokens: self.generation.tokens_left(),
                 except,
             };
             let chain = self.entry.take_chain(&request)?;
--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -33,6 +33,7 @@
 pub(crate) struct EngineLink {
     outbox: Outbox,
     open: Cell<bool>,
+    prefill_positions: Cell<u32>,
     pub(crate) awaited: RefCell<HashMap<RequestUid, AwaitedStep>>,
     pub(crate) heard_at: Cell<Instant>,
 }
@@ -46,9 +47,12 @@
     /// Sends a step; the reply, or the loss of the endpoint, comes through the mailbox.
     pub(crate) fn send(&self, stage: StageIndex, step: Step, mailbox: &Mailbox) {
         let (uid, positions) = (step.uid, step.inputs.len() as u32);
+        self.prefill_positions.set(self.prefill_positions.get() + prefill_part(positions));
         self.write(&EngineRequest::Step(step));
         let mut awaited = self.awaited.borrow_mut();
-        let resends = awaited.get(&uid).map_or(0, |old| old.resends);
+        let old = awaited.remove(&uid);
+        let resends = old.as_ref().map_or(0, |old| old.resends);
+        old.iter().for_each(|old| self.count_out(old));
         awaited.insert(
             uid,
             AwaitedStep {
@@ -63,18 +67,35 @@
 
     /// Tells the engine that a request has ended here.
     pub(crate) fn cancel(&self, uid: RequestUid, attempt: Attempt) {
-        self.awaited.borrow_mut().remove(&uid);
+        self.take_awaited(uid);
         self.write(&EngineRequest::Cancel { uid, attempt });
     }
 
     /// Stops waiting for a request's reply without telling the engine.
     pub(crate) fn forget(&self, uid: RequestUid) {
-        self.awaited.borrow_mut().remove(&uid);
+        self.take_awaited(uid);
+    }
+
+    /// Positions of prefills that are not answered.
+    pub(crate) fn prefill_positions(&self) -> u32 {
+        self.prefill_positions.get()
+    }
+
+    fn take_awaited(&self, uid: RequestUid) -> Option<AwaitedStep> {
+        let step = self.awaited.borrow_mut().remove(&uid);
+        step.iter().for_each(|step| self.count_out(step));
+        step
+    }
+
+    fn count_out(&self, step: &AwaitedStep) {
+        let left = self.prefill_positions.get().saturating_sub(prefill_part(step.positions));
+        self.prefill_positions.set(left);
     }
 
     /// Reports the loss of the endpoint to every request that waits for it.
     pub(crate) fn lose_all(&self) -> usize {
         let awaited = std::mem::take(&mut *self.awaited.borrow_mut());
+        self.prefill_positions.set(0);
         for step in awaited.values() {
             step.mailbox.push(Event::StageLost(step.stage));
         }
@@ -90,6 +111,11 @@
     }
 }
 
+/// Positions of a step that count as prefill: a decode step has one.
+fn prefill_part(positions: u32) -> u32 {
+    if positions > 1 { positions } else { 0 }
+}
+
 /// Keeps a connection to an endpoint until the endpoint is taken out of the settings.
 pub(crate) async fn keep(entry: Rc<Entry>, slot: EndpointSlot) {
     let address: SocketAddr = match entry.table.borrow().get(slot).spec.address.parse() {
@@ -130,6 +156,7 @@
     let link = EngineLink {
         outbox,
         open: Cell::new(true),
+        prefill_positions: Cell::new(0),
         awaited: RefCell::default(),
         heard_at: Cell::new(Instant::now()),
     };
@@ -182,18 +209,18 @@
             return;
         }
     };
-    let awaited = link.awaited.borrow_mut().remove(&reply.uid);
-    let Some(awaited) = awaited else {
+    let Some(awaited) = link.take_awaited(reply.uid) else {
         entry.metrics.stale_replies.inc();
         return;
     };
-    note_load(entry, slot, &reply, &awaited, now);
+    note_load(entry, slot, link, &reply, &awaited, now);
     awaited.mailbox.push(Event::Reply(awaited.stage, reply));
 }
 
 fn note_load(
     entry: &Entry,
     slot: EndpointSlot,
+    link: &EngineLink,
     reply: &StepReply,
     step: &AwaitedStep,
     now: Instant,
@@ -208,6 +235,7 @@
     endpoint.wait_us = load.wait_us;
     endpoint.kv_free_tokens = Some(load.kv_free_tokens);
     endpoint.added_since_report = 0;
+    endpoint.prefill_outstanding = link.prefill_positions();
     endpoint.reported_at = Some(now);
     if elapsed > Duration::from_millis(1) {
         entry.metrics.step_seconds.observe(elapsed.as_secs_f64());
--- a/crates/sillbank_entry/src/main.rs
+++ b/crates/sillbank_entry/src/main.rs
@@ -14,6 +14,7 @@
 mod mailbox;
 mod metrics;
 mod reading;
+mod resume;
 mod services;
 mod sink;
 mod state;
--- a/crates/sillbank_entry/src/state.rs
+++ b/crates/sillbank_entry/src/state.rs
@@ -76,6 +76,11 @@
         Some(chain)
     }
 
+    /// Notes what is to be prefilled at an endpoint.
+    pub(crate) fn note_prefill(&self, slot: EndpointSlot, link: &EngineLink) {
+        self.table.borrow_mut().get_mut(slot).prefill_outstanding = link.prefill_positions();
+    }
+
     /// Counts one request less at an endpoint.
     pub(crate) fn leave_endpoint(&self, slot: EndpointSlot) {
         let mut table = self.table.borrow_mut();
--- a/crates/sillbank_entry/src/sweep.rs
+++ b/crates/sillbank_entry/src/sweep.rs
@@ -34,13 +34,14 @@
 }
 
 fn look_at(entry: &Entry, slot: EndpointSlot, link: &EngineLink, now: Instant) {
-    let Some((oldest, positions)) = oldest_step(link) else {
+    let Some(oldest) = oldest_step(link) else {
         return;
     };
     let pipeline = entry.table.borrow().get(slot).spec.pipeline.clone();
     let key = format!("pipeline/{pipeline}");
     let ceiling = Duration::from_millis(entry.tree.borrow().effective(&key).policy.silence_ms);
-    let limit = entry.table.borrow().get(slot).cost.silence_limit(positions, ceiling);
+    let limit =
+        entry.table.borrow().get(slot).cost.silence_limit(link.prefill_positions(), ceiling);
     let silent = now.saturating_duration_since(oldest.max(link.heard_at.get()));
     if silent > limit {
         lose(entry, slot, link, silent, now);
@@ -49,11 +50,8 @@
     }
 }
 
-fn oldest_step(link: &EngineLink) -> Option<(Instant, u32)> {
-    let awaited = link.awaited.borrow();
-    let oldest = awaited.values().map(|step| step.sent_at).min()?;
-    let positions = awaited.values().map(|step| step.positions).filter(|n| *n > 1).sum();
-    Some((oldest, u32::max(positions, 1)))
+fn oldest_step(link: &EngineLink) -> Option<Instant> {
+    link.awaited.borrow().values().map(|step| step.sent_at).min()
 }
 
 fn lose(entry: &Entry, slot: EndpointSlot, link: &EngineLink, silent: Duration, now: Instant) {
--- a/crates/sillbank_generation/src/chart.rs
+++ b/crates/sillbank_generation/src/chart.rs
@@ -22,6 +22,7 @@
 named_enum! {
     pub(crate) enum ChartEvent {
         Start = "start",
+        AlreadyWhole = "already_whole",
         Output = "output",
         LastOutput = "last_output",
         Stale = "stale",
--- a/crates/sillbank_generation/src/lib.rs
+++ b/crates/sillbank_generation/src/lib.rs
@@ -158,6 +158,16 @@
         &self.sequence[self.plan.prompt.len()..]
     }
 
+    /// Positions of the whole sequence so far, prompt included.
+    pub fn sequence_len(&self) -> u32 {
+        self.sequence.len() as u32
+    }
+
+    /// Most tokens that are still to come.
+    pub fn tokens_left(&self) -> u32 {
+        self.plan.max_tokens.saturating_sub(self.answer().len() as u32)
+    }
+
     /// The stage whose reply is awaited, if any.
     pub fn awaited_stage(&self) -> Option<StageIndex> {
         self.waiting_for.map(|(stage, ..)| stage)
@@ -170,6 +180,9 @@
 
     /// Takes an event and adds what is to be done about it.
     pub fn on_event(&mut self, event: Event, actions: &mut Vec<Action>) {
+        if matches!((&event, self.state), (Event::Start, State::Running)) {
+            self.emit_known(actions);
+        }
         let named = self.classify(&event);
         let chart: &GenerationChart = chart::chart();
         let Some(transition) = chart.step(self.state, named) else {
@@ -181,6 +194,7 @@
 
     fn classify(&mut self, event: &Event) -> ChartEvent {
         match event {
+            Event::Start if self.is_whole() => ChartEvent::AlreadyWhole,
             Event::Start => ChartEvent::Start,
             Event::Reply(stage, reply) => self.classify_reply(*stage, reply),
             Event::StepOverdue(stage) if self.awaited_stage() != Some(*stage) => self.stale(),
@@ -327,6 +341,19 @@
         }
     }
 
+    /// Gives the caller what an earlier VM had generated and the caller has not got.
+    fn emit_known(&mut self, actions: &mut Vec<Action>) {
+        let delivered = self.plan.delivered_tokens;
+        let numbered = (0..).zip(self.answer().iter().copied());
+        let missing = numbered.filter(|(number, _)| *number >= delivered);
+        actions.extend(missing.map(|(number, token)| Action::Emit(number, token)));
+    }
+
+    fn is_whole(&self) -> bool {
+        let answer = self.answer();
+        answer.last() == Some(&self.plan.end_token) || answer.len() as u32 >= self.plan.max_tokens
+    }
+
     fn take_token(&mut self, token: TokenId, actions: &mut Vec<Action>) {
         let number = self.answer().len() as u32;
         self.sequence.push(token);
--- a/crates/sillbank_generation/tests/interleavings.rs
+++ b/crates/sillbank_generation/tests/interleavings.rs
@@ -334,6 +334,29 @@
     assert_eq!(emitted, wanted);
 }
 
+#[test]
+fn an_answer_taken_over_with_known_tokens_goes_on_and_gives_only_what_the_caller_lacks() {
+    let expected = reference_answer(&[1, 2, 3], MODEL_LAYERS, 11, 8);
+    for known in [3, 6, 8] {
+        let taken_over = Plan {
+            known: expected[..known].to_vec(),
+            delivered_tokens: 2,
+            ..plan(vec![1, 2, 3], 8)
+        };
+        let mut world = world(taken_over);
+        // The caller has the first two.
+        world.emitted = expected[..2].to_vec();
+
+        world.take(Event::Start);
+        world.settle();
+
+        assert!(world.whole);
+        assert_eq!(world.emitted, expected, "with {known} known tokens");
+        let steps = world.generation.tally().steps;
+        assert!(steps <= 3 * (8 - known as u32), "{steps} steps with {known} known tokens");
+    }
+}
+
 #[test]
 fn a_request_refused_by_every_endpoint_was_not_run() {
     let mut world = world(plan(vec![1, 2], 4));
--- a/crates/sillbank_load/src/experiment.rs
+++ b/crates/sillbank_load/src/experiment.rs
@@ -23,6 +23,8 @@
 const SLICE: Duration = Duration::from_millis(100);
 /// Goodput is back when it is at this share of what it was before.
 const BACK: f64 = 0.95;
+/// Gaps that begin so long after a fault, or are open when it comes, count as its.
+const HIT: Duration = Duration::from_millis(1500);
 /// Slices over which goodput is averaged when it is judged.
 const AVERAGED: usize = 5;
 
@@ -403,7 +405,7 @@
     let before = mean(first.saturating_sub(15), first);
     let back = (first + 1..slices.saturating_sub(AVERAGED))
         .find(|slice| mean(*slice, slice + AVERAGED) >= before * BACK);
-    let (fault, end) = (started + at, started + until);
+    let (fault, end) = (started + at, started + at + HIT);
     let mut longest = Vec::new();
     for got in answers {
         let gaps = got.token_times.windows(2).filter(|p| p[1] >= fault && p[0] < end);
--- a/crates/sillbank_model/src/engine.rs
+++ b/crates/sillbank_model/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::{KvDigest, sample};
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
-use sillbank_protocol::engine::{Refusal, Step, StepOutcome};
+use sillbank_protocol::engine::{Refusal, Step, StepOutcome, StreamState};
 use std::collections::HashMap;
 
 /// An unbroken run of positions for one attempt, as the ledger keeps it.
@@ -40,6 +40,8 @@
     layers: LayerRange,
     built: Position,
     kv: KvDigest,
+    /// What layer 0 was given; empty for other stages.
+    tokens: Vec<u64>,
     last: Option<(Position, StepOutcome)>,
     /// Place in the ledger of the last entry.
     ledger: Option<usize>,
@@ -104,6 +106,12 @@
         }
     }
 
+    /// What layer 0 was given for a request, if it is held here.
+    pub fn stream(&self, uid: &RequestUid) -> Option<StreamState> {
+        let held = self.held.get(uid).filter(|held| held.layers.first == 0)?;
+        Some(StreamState { attempt: held.attempt, tokens: held.tokens.clone() })
+    }
+
     /// Forgets a request, unless a greater attempt holds it.
     pub fn cancel(&mut self, uid: RequestUid, attempt: Attempt) {
         if self.held.get(&uid).is_some_and(|held| held.attempt <= attempt) {
@@ -171,6 +179,7 @@
             layers: step.layers,
             built: 0,
             kv: KvDigest::new(step.layers),
+            tokens: Vec::new(),
             last: None,
             ledger: None,
         };
@@ -190,6 +199,9 @@
         let token =
             outputs.last().filter(|_| last_stage).map(|activation| sample(*activation, step.seed));
         let outcome = StepOutcome::Done { outputs, token };
+        if step.layers.first == 0 {
+            held.tokens.extend(&step.inputs);
+        }
         held.attempt = step.attempt;
         held.built = step.start + step.inputs.len() as u32;
         held.last = Some((step.start, outcome.clone()));
--- a/crates/sillbank_protocol/src/engine.rs
+++ b/crates/sillbank_protocol/src/engine.rs
@@ -5,6 +5,8 @@
 
 /// Path of the streamed exchange.
 pub const STEPS_PATH: &str = "/v1/steps";
+/// Path below which an engine that holds layer 0 tells what it was given for a request.
+pub const STREAMS_PATH: &str = "/v1/streams/";
 /// Longest accepted line, in bytes.
 pub const MAX_LINE_BYTES: usize = 4 << 20;
 
@@ -57,6 +59,15 @@
     pub load: EngineLoad,
 }
 
+/// What an engine that holds layer 0 was given for a request, so that another VM can go on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamState {
+    /// Greatest attempt seen.
+    pub attempt: Attempt,
+    /// Tokens of the sequence, prompt first.
+    pub tokens: Vec<u64>,
+}
+
 /// What came of a step.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/sillbank_routing/src/chain.rs
+++ b/crates/sillbank_routing/src/chain.rs
@@ -16,19 +16,35 @@
 
 /// How much an endpoint costs a request; the chain with the least sum is taken.
 pub trait ChainPolicy {
-    /// Cost of running `layers` at this endpoint, in any unit that adds up along a chain.
-    fn cost(&mut self, endpoint: &Endpoint, slot: EndpointSlot, rng: &mut fastrand::Rng) -> f64;
+    /// Cost of all layers of this endpoint, in any unit that adds up along a chain.
+    fn cost(
+        &mut self,
+        endpoint: &Endpoint,
+        slot: EndpointSlot,
+        request: &ChainRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> f64;
 }
 
-/// Least predicted time of a token: batch time, one more in the batch, wait and link.
+/// Least predicted finish: what is to be prefilled before and for the request, then each of its
+/// tokens at the endpoint's usual time, wait and link included, with one more in the batch.
 #[derive(Debug, Clone, Default)]
 pub struct LeastFinish;
 
 impl ChainPolicy for LeastFinish {
-    fn cost(&mut self, endpoint: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+    fn cost(
+        &mut self,
+        endpoint: &Endpoint,
+        _: EndpointSlot,
+        request: &ChainRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> f64 {
         // An engine never met is assumed quick, so that it is tried and becomes known.
         let added = endpoint.added_since_report;
-        let expected = endpoint.cost.expected_us(added).unwrap_or(1000.0);
+        let token_us = endpoint.cost.expected_us(added).unwrap_or(1000.0);
+        let prefill_tokens = endpoint.prefill_outstanding + request.prefill_tokens;
+        let expected =
+            endpoint.cost.prefill_us(prefill_tokens) + token_us * f64::from(request.tokens.max(1));
         // Up to a fifth at random keeps VMs with the same stale reports from one choice.
         expected * (1.0 + 0.2 * rng.f64())
     }
@@ -42,7 +58,13 @@
 }
 
 impl ChainPolicy for RoundRobin {
-    fn cost(&mut self, _: &Endpoint, slot: EndpointSlot, _: &mut fastrand::Rng) -> f64 {
+    fn cost(
+        &mut self,
+        _: &Endpoint,
+        slot: EndpointSlot,
+        _: &ChainRequest<'_>,
+        _: &mut fastrand::Rng,
+    ) -> f64 {
         let slot = slot as usize;
         if self.last.len() <= slot {
             self.last.resize(slot + 1, 0);
@@ -70,7 +92,13 @@
 pub struct RandomChoice;
 
 impl ChainPolicy for RandomChoice {
-    fn cost(&mut self, _: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+    fn cost(
+        &mut self,
+        _: &Endpoint,
+        _: EndpointSlot,
+        _: &ChainRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> f64 {
         rng.f64()
     }
 }
@@ -80,7 +108,13 @@
 pub struct LeastInFlight;
 
 impl ChainPolicy for LeastInFlight {
-    fn cost(&mut self, endpoint: &Endpoint, _: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+    fn cost(
+        &mut self,
+        endpoint: &Endpoint,
+        _: EndpointSlot,
+        _: &ChainRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> f64 {
         f64::from(endpoint.requests) + 0.5 * rng.f64()
     }
 }
@@ -118,12 +152,18 @@
 }
 
 impl ChainPolicy for AnyPolicy {
-    fn cost(&mut self, endpoint: &Endpoint, slot: EndpointSlot, rng: &mut fastrand::Rng) -> f64 {
+    fn cost(
+        &mut self,
+        endpoint: &Endpoint,
+        slot: EndpointSlot,
+        request: &ChainRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> f64 {
         match self {
-            Self::LeastFinish(policy) => policy.cost(endpoint, slot, rng),
-            Self::LeastInFlight(policy) => policy.cost(endpoint, slot, rng),
-            Self::RoundRobin(policy) => policy.cost(endpoint, slot, rng),
-            Self::Random(policy) => policy.cost(endpoint, slot, rng),
+            Self::LeastFinish(policy) => policy.cost(endpoint, slot, request, rng),
+            Self::LeastInFlight(policy) => policy.cost(endpoint, slot, request, rng),
+            Self::RoundRobin(policy) => policy.cost(endpoint, slot, request, rng),
+            Self::Random(policy) => policy.cost(endpoint, slot, request, rng),
         }
     }
 }
@@ -137,6 +177,10 @@
     pub layers: LayerRange,
     /// Positions of KV cache the request will need at each stage.
     pub kv_tokens: u32,
+    /// Positions to be built before the first token.
+    pub prefill_tokens: u32,
+    /// Tokens still to come.
+    pub tokens: u32,
     /// Endpoint that is not to be used.
     pub except: Option<EndpointSlot>,
 }
@@ -161,20 +205,21 @@
 ) -> Option<Vec<ChainLink>> {
     [false, true].into_iter().find_map(|last_resort| {
         let candidates = table.candidates(request, now, last_resort);
-        cover(table, request.layers, &candidates, policy, rng)
+        cover(table, request, &candidates, policy, rng)
     })
 }
 
 fn cover<P: ChainPolicy>(
     table: &EndpointTable,
-    layers: LayerRange,
+    request: &ChainRequest<'_>,
     candidates: &[(EndpointSlot, f64)],
     policy: &mut P,
     rng: &mut fastrand::Rng,
 ) -> Option<Vec<ChainLink>> {
+    let layers = request.layers;
     let costs: Vec<f64> = candidates
         .iter()
-        .map(|(slot, share)| policy.cost(table.get(*slot), *slot, rng) / share)
+        .map(|(slot, share)| policy.cost(table.get(*slot), *slot, request, rng) / share)
         .collect();
     let mut reached = vec![Reached { cost: f64::INFINITY, link: None }; layers.len() + 1];
     reached[0].cost = 0.0;
--- a/crates/sillbank_routing/src/cost.rs
+++ b/crates/sillbank_routing/src/cost.rs
@@ -10,6 +10,9 @@
 /// How many usual step times an endpoint may stay silent.
 const SILENCE_FACTOR: f64 = 6.0;
 
+/// How many times its usual time a prefill may take.
+const PREFILL_FACTOR: f64 = 3.0;
+
 /// Running estimates of one endpoint's step times, all in microseconds.
 #[derive(Debug, Clone, Default)]
 pub struct StepCost {
@@ -80,18 +83,17 @@
         slope.clamp(0.0, self.run_us)
     }
 
-    /// How long the endpoint may stay silent with a step of this many positions outstanding.
-    pub fn silence_limit(&self, positions: u32, ceiling: Duration) -> Duration {
-        if !self.seen && positions <= 1 {
-            return ceiling;
-        }
-        let prefill = match self.prefill_us_per_token {
-            known if known > 0.0 => known * f64::from(positions),
-            _ if positions > 1 => return ceiling,
-            _ => 0.0,
+    /// How long the endpoint may stay silent with so many positions of prefill outstanding.
+    ///
+    /// The ceiling is for decode steps; a prefill that is known to take longer is waited for.
+    pub fn silence_limit(&self, prefill_positions: u32, ceiling: Duration) -> Duration {
+        let usual = Duration::from_micros((self.elapsed_us * SILENCE_FACTOR) as u64);
+        let decode = match self.seen {
+            true => usual.max(SILENCE_FLOOR).min(ceiling),
+            false => ceiling,
         };
-        let usual = Duration::from_micros(((self.elapsed_us + prefill) * SILENCE_FACTOR) as u64);
-        usual.max(SILENCE_FLOOR).min(ceiling)
+        let prefill_us = self.prefill_us(prefill_positions) * PREFILL_FACTOR;
+        decode + Duration::from_micros(prefill_us as u64)
     }
 }
 
--- a/crates/sillbank_routing/src/endpoint.rs
+++ b/crates/sillbank_routing/src/endpoint.rs
@@ -41,6 +41,8 @@
     pub requests: u32,
     /// Requests that were added since the last load report.
     pub added_since_report: u32,
+    /// Positions of prefills that this VM sent and that are not answered.
+    pub prefill_outstanding: u32,
     /// Last reported load.
     pub queued: u32,
     /// Last reported number of requests held.
@@ -64,6 +66,7 @@
             cost: StepCost::default(),
             requests: 0,
             added_since_report: 0,
+            prefill_outstanding: 0,
             queued: 0,
             held: 0,
             kv_free_tokens: None,
