Order engines under a lease, one at a time, keeping capacity; cut links; replace all VMs

A reconciler in the VM that holds a hall's lease brings engines from what they report to what settings ask. Endpoints' own word (leaving, loading, other layers) ejects them until a probe of their state says otherwise.

--- a/crates/sillbank_control/src/admin.rs
+++ b/crates/sillbank_control/src/admin.rs
@@ -122,6 +122,7 @@
             "complete_version": own.complete,
             "objects": control.store.objects().len(),
             "invalid": invalid,
+            "gives_orders": control.gives_orders.get(),
             "slots": control.slots.held(),
             "claimed_keys": control.slots.keys(),
             "vms": vms,
--- a/crates/sillbank_control/src/main.rs
+++ b/crates/sillbank_control/src/main.rs
@@ -9,6 +9,7 @@
 mod lease_io;
 mod metrics;
 mod once;
+mod orders;
 mod peers;
 mod platform_client;
 mod requests;
@@ -84,6 +85,7 @@
     executor.spawn(gossip::tick(control.clone())).detach();
     executor.spawn(follow::follow(control.clone())).detach();
     executor.spawn(once::run(control.clone())).detach();
+    executor.spawn(orders::run(control.clone())).detach();
     let handler = Rc::new(admin::AdminHandler::new(control.clone()));
     executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
     stop.next().await;
--- a/crates/sillbank_control/src/state.rs
+++ b/crates/sillbank_control/src/state.rs
@@ -36,6 +36,9 @@
     pub(crate) in_force: Cell<Version>,
     pub(crate) socket: UdpSocket,
     pub(crate) metrics: crate::metrics::Metrics,
+    pub(crate) http: HttpClient,
+    /// Whether this VM holds the lease under which its hall's engines are ordered.
+    pub(crate) gives_orders: Cell<bool>,
     pub(crate) slots: crate::once::Slots,
 }
 
@@ -57,7 +60,7 @@
             incarnation: since_epoch.map_or(0, |since| since.as_millis() as u64),
         };
         let metrics = crate::metrics::Metrics::new();
-        let mut platform = PlatformClient::new(client, settings.platform);
+        let mut platform = PlatformClient::new(client.clone(), settings.platform);
         platform.bytes = metrics.platform_bytes.clone();
         Rc::new(Self {
             platform,
@@ -68,6 +71,8 @@
             heard: RefCell::default(),
             in_force: Cell::new(0),
             metrics,
+            http: client,
+            gives_orders: Cell::new(false),
             slots: crate::once::Slots::default(),
             executor,
             settings,
--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -9,7 +9,9 @@
 use sillbank_core::prelude::*;
 use sillbank_generation::{Event, StageIndex};
 use sillbank_net::prelude::*;
-use sillbank_protocol::engine::{EngineRequest, MAX_LINE_BYTES, STEPS_PATH, Step, StepReply};
+use sillbank_protocol::engine::{
+    EngineRequest, MAX_LINE_BYTES, Refusal, STEPS_PATH, Step, StepOutcome, StepReply,
+};
 use sillbank_routing::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -44,6 +46,11 @@
         self.open.get()
     }
 
+    /// Ends the connection after what is on its way.
+    pub(crate) fn close(&self) {
+        self.outbox.close();
+    }
+
     /// Sends a step; the reply, or the loss of the endpoint, comes through the mailbox.
     pub(crate) fn send(&self, stage: StageIndex, step: Step, mailbox: &Mailbox) {
         let (uid, positions) = (step.uid, step.inputs.len() as u32);
@@ -214,6 +221,10 @@
         return;
     };
     note_load(entry, slot, link, &reply, &awaited, now);
+    if let StepOutcome::Refused(Refusal::WrongLayers | Refusal::Leaving) = reply.outcome {
+        // Its own word: it gets no new work until a probe says otherwise.
+        entry.table.borrow_mut().get_mut(slot).health.on_event(now, HealthEvent::Failure);
+    }
     awaited.mailbox.push(Event::Reply(awaited.stage, reply));
 }
 
--- a/crates/sillbank_entry/src/sweep.rs
+++ b/crates/sillbank_entry/src/sweep.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use sillbank_generation::Event;
 use sillbank_net::client::request;
+use sillbank_protocol::engine::{EngineState, STATE_PATH};
 use sillbank_routing::prelude::*;
 use smol::Timer;
 use std::rc::Rc;
@@ -28,11 +29,21 @@
             entry.links.borrow().iter().map(|(slot, link)| (*slot, link.clone())).collect();
         for (slot, link) in links {
             look_at(&entry, slot, &link, now);
+            close_if_unused(&entry, slot, &link);
         }
         start_probes(&entry, now);
     }
 }
 
+/// Ends the connection of an endpoint that settings no longer hold once nobody uses it.
+fn close_if_unused(entry: &Entry, slot: EndpointSlot, link: &EngineLink) {
+    let table = entry.table.borrow();
+    let endpoint = table.get(slot);
+    if !endpoint.present && endpoint.requests == 0 {
+        link.close();
+    }
+}
+
 fn look_at(entry: &Entry, slot: EndpointSlot, link: &EngineLink, now: Instant) {
     let Some(oldest) = oldest_step(link) else {
         return;
@@ -93,10 +104,18 @@
     let Ok(address) = address else {
         return;
     };
-    let call = request(Method::GET, "/v1/load", Bytes::new());
-    let answered = entry.http.call(address, call, PROBE_TIMEOUT).await;
-    if answered.is_ok_and(|reply| reply.status.is_success()) {
-        let mut table = entry.table.borrow_mut();
-        table.get_mut(slot).health.on_event(Instant::now(), HealthEvent::ProbeOk);
+    let call = request(Method::GET, STATE_PATH, Bytes::new());
+    let Ok(reply) = entry.http.call(address, call, PROBE_TIMEOUT).await else {
+        return;
+    };
+    let mut table = entry.table.borrow_mut();
+    let endpoint = table.get_mut(slot);
+    let wanted = endpoint.spec.layers;
+    let fits = reply.json::<EngineState>().is_ok_and(|state| {
+        let held = state.layers.first <= wanted.first && wanted.end <= state.layers.end;
+        held && !state.loading && !state.leaving
+    });
+    if fits {
+        endpoint.health.on_event(Instant::now(), HealthEvent::ProbeOk);
     }
 }
--- a/crates/sillbank_load/src/fleet.rs
+++ b/crates/sillbank_load/src/fleet.rs
@@ -53,6 +53,9 @@
     /// lines added to the tree, such as a pipeline's settings
     #[argh(option, default = "String::new()")]
     pub tree: String,
+    /// put a link before every engine
+    #[argh(switch)]
+    pub links: bool,
     /// leave the entries out
     #[argh(switch)]
     pub no_entries: bool,
@@ -87,6 +90,8 @@
     pub controls: Vec<SocketAddr>,
     /// Model engines.
     pub engines: Vec<SocketAddr>,
+    /// Commands of the links before the engines, if there are any.
+    pub links: Vec<SocketAddr>,
     /// What each engine is, in the same order.
     pub engine_specs: Vec<EngineSpec>,
     /// Factor on the engines' costs.
@@ -128,6 +133,7 @@
             once_term_ms: 60_000,
             once_retention_ms: 600_000,
             tree: String::new(),
+            links: false,
             no_entries: false,
             organisations: ORGANISATIONS,
             platform_writes_per_s: 300.0,
@@ -227,6 +233,7 @@
                  --model-layers {MODEL_LAYERS} --cost-factor {cost}"
             );
             self.command(&format!("engine{number}"), "sillbank-standin", &rest);
+            let address = self.link(number, address);
             writeln!(
                 objects,
                 "[endpoint.engine{number}]\nparent = \"/{}/{hall}\"\nhall = \"{hall}\"\n\
@@ -239,6 +246,18 @@
         objects
     }
 
+    /// Puts a link before an engine, if asked to; answers where the engine is reached.
+    fn link(&mut self, number: usize, engine: SocketAddr) -> SocketAddr {
+        if !self.arguments.links {
+            return engine;
+        }
+        let (listen, admin) = (self.ports.take(), self.ports.take());
+        self.addresses.links.push(admin);
+        let rest = format!("link --listen {listen} --to {engine} --admin-listen {admin}");
+        self.command(&format!("link{number}"), "sillbank-standin", &rest);
+        listen
+    }
+
     fn services(&mut self) -> String {
         let mut runners = Vec::new();
         for number in 0..3 {
@@ -284,7 +303,8 @@
                  gossip_listen = \"{gossip_listen}\"\nadmin_listen = \"{control_admin}\"\n\
                  platform = \"{platform}\"\nseeds = [{}]\npeer_keys = [\"{PEER_KEY}\"]\n\
                  root_key_hashes = [\"{}\"]\n\
-                 once_term_ms = {}\nonce_retention_ms = {}\n",
+                 once_term_ms = {}\nonce_retention_ms = {}\n\
+                 orders_term_ms = 4000\norders_pause_ms = 500\n",
                 seeds.join(", "),
                 hash_key(OPERATOR_KEY),
                 self.arguments.once_term_ms,
--- a/crates/sillbank_load/tests/support/runner.rs
+++ b/crates/sillbank_load/tests/support/runner.rs
@@ -1,6 +1,6 @@
 //! The commands of a scripted scenario.
 //!
-//! - `fleet [vms=2] [engines=12] [cost=1] [stop_limit_ms=30000]` starts a fleet and waits until it is ready.
+//! - `fleet [vms=2] [halls=3] [engines=12] [cost=1] [links=yes] [stop_limit_ms=30000]` starts a fleet and waits until it is ready.
 //! - `ask ID [top=market] [tokens=60] [entry=0] [org=0] [id=NAME]` sends a generation.
 //! - `call ID [service=notices] [entry=0] [org=0] [id=NAME]` sends a service call; both also
 //!   take `deadline_ms=30000` and `tries=8`.
@@ -8,6 +8,11 @@
 //! - `end ID...` waits for the end and says how it was.
 //! - `kill NAME`, `freeze NAME`, `wake NAME`, `start NAME`, `stop NAME`, `gone NAME`; a name may
 //!   be `stage=1 of=ID`, the engine that holds this stage of a request.
+//!   A name may also be `holder`, the control process that gives the orders of its hall; once it
+//!   is frozen or killed it keeps that name.
+//! - `cut back stage=1 of=ID`, `cut forward ...` cuts the link before an engine one way.
+//! - `holds NAME first=0 end=8` waits until an engine holds these layers.
+//! - `fences NAME` says whether the orders an engine took came with rising fences.
 //! - `fault NAME JSON` makes a fault at a stand-in.
 //! - `put KEY JSON` writes an object and waits until every entry has it in force.
 //! - `write KEY JSON` writes an object through one VM and says how that went; `race KEY JSON JSON`
@@ -30,9 +35,10 @@
 use sillbank_model::engine::LedgerEntry;
 use sillbank_net::client::request;
 use sillbank_net::prelude::*;
+use sillbank_protocol::engine::{EngineState, STATE_PATH};
 use sillbank_protocol::platform::Object;
 use smol::{LocalExecutor, Task, Timer};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,6 +74,8 @@
     pending: BTreeMap<String, Pending>,
     ended: Vec<Got>,
     invalid: Vec<String>,
+    frozen: BTreeSet<String>,
+    holder: Option<String>,
 }
 
 impl Scenario {
@@ -81,6 +89,8 @@
             pending: BTreeMap::new(),
             ended: Vec::new(),
             invalid: Vec::new(),
+            frozen: BTreeSet::new(),
+            holder: None,
         }
     }
 
@@ -96,12 +106,16 @@
         let mut args = command.consume_args();
         let number = |value: Option<&str>, usual: u64| value.map_or(Ok(usual), str::parse);
         let vms = number(args.take_key("vms"), 2)?;
+        let halls = number(args.take_key("halls"), 3)?;
+        let links = args.take_key("links").is_some();
         let engines = number(args.take_key("engines"), 12)?;
         let cost = number(args.take_key("cost"), 1)?;
         let stop_limit_ms = number(args.take_key("stop_limit_ms"), 30_000)?;
         args.reject_next()?;
         let mut fleet = Fleet::lay_out(|arguments| {
             arguments.vms = vms as usize;
+            arguments.halls = halls as usize;
+            arguments.links = links;
             arguments.engines = engines as usize;
             arguments.cost_factor = cost as f64;
             arguments.stop_limit_ms = stop_limit_ms;
@@ -404,6 +418,7 @@
         let number = || name.trim_start_matches(char::is_alphabetic).parse::<usize>();
         let address = match name {
             "platform" => addresses.platform.ok_or("no platform")?,
+            _ if name.starts_with("link") => addresses.links[number()?],
             _ if name.starts_with("engine") => addresses.engines[number()?],
             _ => addresses.services[number()?],
         };
@@ -466,16 +481,87 @@
     }
 
     /// The process a command names, directly or by its part in a request.
-    fn process_of(&self, command: &Command) -> Outcome<String> {
+    fn process_of(&mut self, command: &Command) -> Outcome<String> {
         let mut args = command.consume_args();
-        if let Some(name) = args.next_pos() {
-            return Ok(name.to_owned());
+        if let Some(name) = args.next_pos().filter(|name| !["back", "forward"].contains(name)) {
+            return match name {
+                "holder" => self.holder(),
+                _ => Ok(name.to_owned()),
+            };
         }
         let stage = args.take_key("stage").ok_or("name a process or a stage")?.parse()?;
         let id = args.take_key("of").ok_or("name the request with of=ID")?;
         self.engine_of(id, stage)
     }
 
+    /// The control process that gives the orders of its hall.
+    fn holder(&mut self) -> Outcome<String> {
+        if let Some(name) = &self.holder {
+            return Ok(name.clone());
+        }
+        let admins = self.fleet().addresses.control_admins.clone();
+        let number = self.block_on(async {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                for (number, admin) in admins.iter().enumerate() {
+                    let status = self.status(*admin).await.unwrap_or_default();
+                    if status["gives_orders"] == true {
+                        return Ok::<_, Box<dyn Error>>(number);
+                    }
+                }
+                if Instant::now() > deadline {
+                    return Err("nobody gives orders".into());
+                }
+                Timer::after(LOOK).await;
+            }
+        })?;
+        let name = format!("control{number}");
+        self.holder = Some(name.clone());
+        Ok(name)
+    }
+
+    fn cut(&mut self, command: &Command) -> Outcome<()> {
+        let direction = command.consume_args().next_pos().unwrap_or("back").to_owned();
+        let engine = self.process_of(command)?;
+        let link = engine.replace("engine", "link");
+        self.fault(&link, &format!("{{\"cut_{direction}\": true}}"))
+    }
+
+    fn engine_number(name: &str) -> Outcome<usize> {
+        Ok(name.trim_start_matches(char::is_alphabetic).parse()?)
+    }
+
+    fn holds(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let name = args.next_pos().ok_or("name an engine")?.to_owned();
+        let first = args.take_key("first").ok_or("name first=N")?.parse()?;
+        let end = args.take_key("end").ok_or("name end=N")?.parse()?;
+        let address = self.fleet().addresses.engines[Self::engine_number(&name)?];
+        self.block_on(async {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                let call = request(Method::GET, STATE_PATH, Bytes::new());
+                let state: EngineState = self.http.call(address, call, PATIENCE).await?.json()?;
+                if state.layers == (LayerRange { first, end }) && !state.loading {
+                    return Ok(());
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("{name} holds {:?}", state.layers).into());
+                }
+                Timer::after(LOOK).await;
+            }
+        })
+    }
+
+    fn fences(&mut self, command: &Command) -> Outcome<String> {
+        let name = command.consume_args().next_pos().ok_or("name an engine")?.to_owned();
+        let address = self.fleet().addresses.engines[Self::engine_number(&name)?];
+        let call = request(Method::GET, "/admin/orders", Bytes::new());
+        let fences: Vec<u64> = self.block_on(self.http.call(address, call, PATIENCE))?.json()?;
+        let rising = fences.windows(2).all(|pair| pair[0] <= pair[1]);
+        Ok(format!("{} orders, {}\n", fences.len(), if rising { "rising" } else { "NOT rising" }))
+    }
+
     fn vm_address(&mut self, command: &Command) -> Outcome<SocketAddr> {
         let mut args = command.consume_args();
         let vm: usize = args.take_key("vm").ok_or("name a VM with vm=N")?.parse()?;
@@ -534,6 +620,10 @@
                     "wake" => "-CONT",
                     _ => "-TERM",
                 };
+                match signal {
+                    "-STOP" => drop(self.frozen.insert(name.clone())),
+                    _ => drop(self.frozen.remove(&name)),
+                }
                 self.fleet().signal(&name, signal);
             }
             "start" => {
@@ -556,8 +646,12 @@
                 let key = args.next_pos().ok_or("name a key")?.to_owned();
                 let json = args.next_pos().ok_or("name the value as JSON")?.to_owned();
                 let addresses = self.fleet().addresses.clone();
-                let pairs = addresses.control_admins.into_iter().zip(addresses.entry_admins);
-                self.block_on(self.change(pairs.collect(), &key, &json))?;
+                let all = addresses.control_admins.into_iter().zip(addresses.entry_admins);
+                // A frozen VM neither writes nor is waited for.
+                let runs = |number: &usize| !self.frozen.contains(&format!("control{number}"));
+                let pairs = (0..).zip(all).filter(|(number, _)| runs(number));
+                let pairs = pairs.map(|(_, pair)| pair).collect();
+                self.block_on(self.change(pairs, &key, &json))?;
             }
             "ready" | "unready" => {
                 let status = if command.name == "ready" { 200 } else { 503 };
@@ -568,6 +662,9 @@
             "store" => self.store(command)?,
             "effective" => return self.effective(command),
             "invalid" => return self.invalid(),
+            "cut" => self.cut(command)?,
+            "holds" => self.holds(command)?,
+            "fences" => return self.fences(command),
             "check" => return self.check(),
             other => return Err(format!("unknown command {other}").into()),
         }
--- a/crates/sillbank_model/src/engine.rs
+++ b/crates/sillbank_model/src/engine.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Holds other layers from now on; every KV cache is gone.
+    pub fn hold(&mut self, layers: LayerRange) {
+        self.layers = layers;
+        self.forget_all();
+    }
+
     /// Forgets every request, as a restart does.
     pub fn forget_all(&mut self) {
         self.held.clear();
--- a/crates/sillbank_protocol/src/engine.rs
+++ b/crates/sillbank_protocol/src/engine.rs
@@ -59,6 +59,34 @@
     pub load: EngineLoad,
 }
 
+/// Path at which an engine says what it holds.
+pub const STATE_PATH: &str = "/v1/state";
+/// Path at which an engine takes orders.
+pub const ORDERS_PATH: &str = "/v1/orders";
+
+/// What an engine holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// Layers it holds.
+    pub layers: LayerRange,
+    /// Whether it is loading others.
+    pub loading: bool,
+    /// Whether it takes no new request.
+    pub leaving: bool,
+    /// Greatest fence it has seen.
+    pub fence: u64,
+}
+
+/// An order to load layers. An engine that checks fences answers 409 and does nothing if it has
+/// seen a greater one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadOrder {
+    /// Version of the lease under which the order is given.
+    pub fence: u64,
+    /// Layers to hold.
+    pub layers: LayerRange,
+}
+
 /// What an engine that holds layer 0 was given for a request, so that another VM can go on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamState {
--- a/crates/sillbank_settings/src/process.rs
+++ b/crates/sillbank_settings/src/process.rs
@@ -85,6 +85,10 @@
     pub once_term: Duration,
     /// How long the key of a call not to be repeated is remembered.
     pub once_retention: Duration,
+    /// Term of the lease under which a hall's engines are ordered.
+    pub orders_term: Duration,
+    /// Least time between two orders for a pipeline.
+    pub orders_pause: Duration,
     /// How many VMs of a hall watch the platform.
     pub watchers: usize,
     /// Logs.
@@ -179,6 +183,8 @@
         gossip_interval: reader.millis("gossip_interval_ms", 1_000, 20..=60_000),
         once_term: reader.millis("once_term_ms", 60_000, 500..=3_600_000),
         once_retention: reader.millis("once_retention_ms", 600_000, 1_000..=86_400_000),
+        orders_term: reader.millis("orders_term_ms", 15_000, 500..=3_600_000),
+        orders_pause: reader.millis("orders_pause_ms", 5_000, 0..=3_600_000),
         watchers: reader.number("watchers", 2, 1..=16) as usize,
         log: read_log(reader),
     };
--- a/crates/sillbank_standin/src/engine.rs
+++ b/crates/sillbank_standin/src/engine.rs
@@ -11,8 +11,8 @@
 use sillbank_model::kinds::{KindCost, find_kind};
 use sillbank_net::prelude::*;
 use sillbank_protocol::engine::{
-    EngineLoad, EngineRequest, MAX_LINE_BYTES, STEPS_PATH, STREAMS_PATH, Step, StepOutcome,
-    StepReply,
+    EngineLoad, EngineRequest, EngineState, LoadOrder, MAX_LINE_BYTES, ORDERS_PATH, Refusal,
+    STATE_PATH, STEPS_PATH, STREAMS_PATH, Step, StepOutcome, StepReply,
 };
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
@@ -43,6 +43,12 @@
     /// factor on every cost; 0 answers at once
     #[argh(option, default = "1.0")]
     cost_factor: f64,
+    /// time that loading layers takes, in milliseconds
+    #[argh(option, default = "300")]
+    load_ms: u64,
+    /// whether to take orders without checking their fence
+    #[argh(switch)]
+    no_fence_check: bool,
     /// whether to keep a ledger
     #[argh(switch)]
     no_ledger: bool,
@@ -87,6 +93,12 @@
     steps_run: u64,
     tokens_run: u64,
     wake: Sender<()>,
+    load_time: Duration,
+    checks_fences: bool,
+    fence: u64,
+    /// Fences of the orders that were taken, in order.
+    orders: Vec<u64>,
+    loading: Option<(LayerRange, Instant)>,
 }
 
 /// Positions of prefill in one batch, unless a single step has more.
@@ -117,6 +129,11 @@
         steps_run: 0,
         tokens_run: 0,
         wake,
+        load_time: Duration::from_millis(arguments.load_ms),
+        checks_fences: !arguments.no_fence_check,
+        fence: 0,
+        orders: Vec::new(),
+        loading: None,
     }));
     executor.spawn(run_batches(engine.clone(), woken)).detach();
     let handler = Rc::new(EngineHandler { engine, executor: executor.clone() });
@@ -218,6 +235,9 @@
     }
 
     fn run_step(&mut self, step: &Step) -> StepOutcome {
+        if self.state().loading {
+            return StepOutcome::Refused(Refusal::WrongLayers);
+        }
         let outcome = self.core.run_step(step);
         if let StepOutcome::Done { outputs, .. } = &outcome {
             self.steps_run += 1;
@@ -227,6 +247,34 @@
         outcome
     }
 
+    /// Takes an order, unless it is fenced out.
+    fn take_order(&mut self, order: &LoadOrder) -> bool {
+        if self.checks_fences && order.fence < self.fence {
+            return false;
+        }
+        self.fence = self.fence.max(order.fence);
+        self.orders.push(order.fence);
+        self.loading = Some((order.layers, Instant::now() + self.load_time));
+        true
+    }
+
+    /// Ends loading if its time has come; answers what is held.
+    fn state(&mut self) -> EngineState {
+        if let Some((layers, until)) = self.loading
+            && Instant::now() >= until
+        {
+            self.loading = None;
+            self.layers = layers;
+            self.core.hold(layers);
+        }
+        EngineState {
+            layers: self.layers,
+            loading: self.loading.is_some(),
+            leaving: self.core.leaving,
+            fence: self.fence,
+        }
+    }
+
     fn forget_old(&mut self) {
         let core = &mut self.core;
         self.used.retain(|uid, used| {
@@ -275,6 +323,16 @@
             (&Method::POST, STEPS_PATH) => self.start_steps(request),
             (&Method::GET, path) if path.starts_with(STREAMS_PATH) => self.stream(path),
             (&Method::GET, "/v1/load") => json_reply(StatusCode::OK, &self.load()),
+            (&Method::GET, STATE_PATH) => {
+                json_reply(StatusCode::OK, &self.engine.borrow_mut().state())
+            }
+            (&Method::POST, ORDERS_PATH) => {
+                let body = crate::read_body(request.into_body()).await;
+                self.order(&body)
+            }
+            (&Method::GET, "/admin/orders") => {
+                json_reply(StatusCode::OK, &self.engine.borrow().orders)
+            }
             (&Method::GET, "/admin/ledger") => {
                 json_reply(StatusCode::OK, &self.engine.borrow().core.ledger)
             }
@@ -315,6 +373,18 @@
         }
     }
 
+    fn order(&self, body: &[u8]) -> Response<ReplyBody> {
+        let order: LoadOrder = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        let mut engine = self.engine.borrow_mut();
+        match engine.take_order(&order) {
+            true => json_reply(StatusCode::OK, &engine.state()),
+            false => json_reply(StatusCode::CONFLICT, &engine.state()),
+        }
+    }
+
     fn set_faults(&self, body: &[u8]) -> Response<ReplyBody> {
         match serde_json::from_slice::<Faults>(body) {
             Ok(faults) => {
