--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -196,6 +196,10 @@
         }
         let max_tokens = u64::from(chat.max_tokens.unwrap_or(256)).min(policy.max_answer_tokens);
         let deadline = deadline(&context.headers, policy.deadline_ms)?;
+        if deadline.is_zero() {
+            let reason = "The deadline had passed when the request came.";
+            return Err(Failure::before_work(FailureKind::DeadlineExceeded, reason));
+        }
         let delivered = number_header(&context.headers, "last-event-id")?.unwrap_or(0);
         let uid = RequestUid::derive(&context.organisation, &context.request_id);
         let kv_tokens = prompt.len() as u32 + max_tokens as u32;
