Prefer engines with room to quicker ones that are full; let in up to 0.7 of the deadline

Cause: at load 1 a tenth was refused though slow engines had room: least predicted finish kept choosing quick ones until they had a backlog, and the predicted finish counted 0.6 of the deadline as the bound.

--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Share of the deadline that a predicted finish may use while there is no doubt.
-const SAFE_PART: f64 = 0.6;
+const SAFE_PART: f64 = 0.7;
 /// Share of the deadline beyond which nobody is let in.
 const LAST_PART: f64 = 0.8;
 /// Steps that may wait for each one in a batch while there is no doubt: beyond full batches more
--- a/crates/sillbank_routing/src/chain.rs
+++ b/crates/sillbank_routing/src/chain.rs
@@ -5,6 +5,10 @@
 use sillbank_core::prelude::*;
 use std::time::Instant;
 
+/// How much a backlog adds to a cost: one more request at an engine whose batches are full brings
+/// no token more, while a slower engine with room does.
+const BACKLOG_WEIGHT: f64 = 4.0;
+
 /// One stage of a chosen chain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChainLink {
@@ -45,8 +49,9 @@
         let prefill_tokens = endpoint.prefill_outstanding + request.prefill_tokens;
         let expected =
             endpoint.cost.prefill_us(prefill_tokens) + token_us * f64::from(request.tokens.max(1));
+        let backlog = 1.0 + BACKLOG_WEIGHT * endpoint.cost.backlog();
         // Up to a fifth at random keeps VMs with the same stale reports from one choice.
-        expected * (1.0 + 0.2 * rng.f64())
+        expected * backlog * (1.0 + 0.2 * rng.f64())
     }
 }
 
