Join the programs' parts as plugins; show the whole fleet's status; split the scenario runner

New: one VM of each hall writes its hall's status to the platform when it changes, at most every 5 s; 'sillbank status' shows in which VMs a change is in force.

--- a/crates/sillbank_cli/src/show.rs
+++ b/crates/sillbank_cli/src/show.rs
@@ -3,6 +3,7 @@
 use crate::CommandError;
 use crate::remote::Remote;
 use argh::FromArgs;
+use serde::Deserialize;
 use serde_json::{Map, Value};
 use sillbank_protocol::platform::Object;
 use smol::{LocalExecutor, Timer};
@@ -27,7 +28,7 @@
     control: Option<String>,
 }
 
-/// Show the state of the fleet.
+/// Show which VMs there are, what is in force in each, and what is unwell.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct StatusArguments {
@@ -37,6 +38,31 @@
     /// show it again each second
     #[argh(switch)]
     watch: bool,
+    /// show all that the control process itself knows, as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// The fleet as a control process tells it.
+#[derive(Debug, Deserialize)]
+struct Fleet {
+    newest_version: u64,
+    halls: Vec<Hall>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Hall {
+    hall: String,
+    written_by: String,
+    vms: Vec<Vm>,
+    invalid: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Vm {
+    vm: String,
+    state: String,
+    in_force: Option<u64>,
 }
 
 pub(crate) async fn get(
@@ -69,11 +95,39 @@
 ) -> Result<(), CommandError> {
     let remote = Remote::new(executor, arguments.control)?;
     loop {
-        let status: Value = remote.get("/v1/status").await?;
-        println!("{status:#}");
+        match arguments.json {
+            true => println!("{:#}", remote.get::<Value>("/v1/status").await?),
+            false => print_fleet(&remote.get("/v1/fleet").await?),
+        }
         if !arguments.watch {
             return Ok(());
         }
         Timer::after(WATCH).await;
     }
 }
+
+fn print_fleet(fleet: &Fleet) {
+    let newest = fleet.newest_version;
+    let mut behind = 0;
+    let mut unwell = 0;
+    for hall in &fleet.halls {
+        println!("{} (told by {})", hall.hall, hall.written_by);
+        for vm in &hall.vms {
+            let version = vm.in_force.map_or("not heard".to_owned(), |v| v.to_string());
+            println!("  {:16} {:8} in force {version}", vm.vm, vm.state);
+            let alive = vm.state == "Alive";
+            unwell += u32::from(!alive && vm.state != "Left");
+            behind += u32::from(alive && vm.in_force < Some(newest));
+        }
+        for line in &hall.invalid {
+            println!("  invalid: {line}");
+        }
+    }
+    match behind {
+        0 => println!("Version {newest} is in force in every VM that is alive."),
+        _ => println!("Version {newest} is not yet in force in {behind} VMs; look again."),
+    }
+    if unwell > 0 {
+        println!("{unwell} VMs do not answer: look whether the platform is replacing them.");
+    }
+}
--- a/crates/sillbank_control/src/admin.rs
+++ b/crates/sillbank_control/src/admin.rs
@@ -4,8 +4,9 @@
 //! - `PUT /v1/objects/KEY` and `DELETE /v1/objects/KEY` with `If-Match: VERSION` or
 //!   `If-None-Match: *`, and `X-Why: REASON`.
 //! - `GET /v1/effective/KEY` gives each setting in force and where it came from.
-//! - `GET /v1/status`.
+//! - `GET /v1/status` is this VM's own view, `GET /v1/fleet` that of all halls.
 
+use crate::fleet_status;
 use crate::state::Control;
 use crate::write::{Write, carry_out};
 use bytes::Bytes;
@@ -18,13 +19,28 @@
 use sillbank_net::telemetry::metrics_reply;
 use sillbank_settings::objects::{WriteNote, hash_key, read_object_value};
 use sillbank_settings::prelude::*;
+use smol::net::TcpListener;
 use std::rc::Rc;
 
 /// Longest object, the platform's limit.
 const MAX_OBJECT_BYTES: usize = 1 << 20;
 
+/// The administration interface.
+pub(crate) struct AdminPlugin {
+    /// Where operators come.
+    pub(crate) listener: TcpListener,
+}
+
+impl Plugin<Control> for AdminPlugin {
+    fn build(self, app: &App<Control>) {
+        let handler = Rc::new(AdminHandler { control: app.state() });
+        let limits = ServerLimits::default();
+        app.spawn(serve(app.executor(), self.listener, limits, handler));
+    }
+}
+
 /// Answers operators and the platform's health checks.
-pub(crate) struct AdminHandler {
+struct AdminHandler {
     control: Rc<Control>,
 }
 
@@ -42,10 +58,6 @@
 }
 
 impl AdminHandler {
-    pub(crate) fn new(control: Rc<Control>) -> Self {
-        Self { control }
-    }
-
     async fn answer(
         &self,
         request: Request<Incoming>,
@@ -61,6 +73,9 @@
             _ => {}
         }
         let operator = self.operator(&head.headers)?;
+        if path == "/v1/fleet" && get {
+            return self.fleet().await;
+        }
         if let Some(key) = path.strip_prefix("/v1/effective/").filter(|_| get) {
             return Ok(self.effective(key));
         }
@@ -91,9 +106,6 @@
     /// Own state, and what every VM that was heard said of itself.
     fn status(&self) -> serde_json::Value {
         let control = &self.control;
-        let tree = control.store.tree();
-        let invalid: Vec<String> =
-            tree.invalid().values().flat_map(|p| &p.0).map(ToString::to_string).collect();
         let own = control.summary();
         let mut vms = vec![serde_json::json!({
             "vm": control.settings.vm,
@@ -121,7 +133,7 @@
             "vm": control.settings.vm,
             "complete_version": own.complete,
             "objects": control.store.objects().len(),
-            "invalid": invalid,
+            "invalid": fleet_status::invalid(control),
             "gives_orders": control.gives_orders.get(),
             "slots": control.slots.held(),
             "claimed_keys": control.slots.keys(),
@@ -129,6 +141,21 @@
         })
     }
 
+    /// All halls, their VMs and what is in force in each.
+    async fn fleet(&self) -> Result<Response<ReplyBody>, AdminFailure> {
+        let newest = self.control.store.objects().newest();
+        match fleet_status::all_halls(&self.control).await {
+            Ok(halls) => {
+                let fleet = serde_json::json!({ "newest_version": newest, "halls": halls });
+                Ok(json_reply(StatusCode::OK, &fleet))
+            }
+            Err(error) => {
+                let message = format!("Other halls cannot be told: {error}.");
+                Err(AdminFailure::new(AdminFailureKind::PlatformDown, message))
+            }
+        }
+    }
+
     /// Where a stored object stands in the tree.
     fn place_of(&self, key: &str) -> Option<String> {
         let control = &self.control;
--- a/crates/sillbank_control/src/follow.rs
+++ b/crates/sillbank_control/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::gossip;
 use crate::platform_client::PlatformError;
 use crate::state::Control;
+use sillbank_net::prelude::*;
 use sillbank_protocol::platform::Listing;
 use smol::Timer;
 use std::rc::Rc;
@@ -17,8 +18,17 @@
 /// How long a new VM waits for peers before it asks the platform itself.
 const PEERS_FIRST: Duration = Duration::from_millis(1500);
 
+/// Follows the platform.
+pub(crate) struct FollowPlugin;
+
+impl Plugin<Control> for FollowPlugin {
+    fn build(self, app: &App<Control>) {
+        app.spawn(follow(app.state()));
+    }
+}
+
 /// Keeps the store up to date for ever.
-pub(crate) async fn follow(control: Rc<Control>) {
+async fn follow(control: Rc<Control>) {
     let mut pause = BACK_OFF.0;
     let started = Instant::now();
     loop {
--- a/crates/sillbank_control/src/gossip.rs
+++ b/crates/sillbank_control/src/gossip.rs
@@ -3,14 +3,25 @@
 use crate::peers;
 use crate::state::{Control, Heard};
 use sillbank_membership::MembershipAction;
+use sillbank_net::prelude::*;
 use sillbank_protocol::gossip::{MAX_DATAGRAM_BYTES, open_datagram, seal_datagram};
 use sillbank_spread::FollowAction;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Instant;
 
+/// Membership, and news of settings.
+pub(crate) struct GossipPlugin;
+
+impl Plugin<Control> for GossipPlugin {
+    fn build(self, app: &App<Control>) {
+        app.spawn(receive(app.state()));
+        app.spawn(tick(app.state()));
+    }
+}
+
 /// Gossips for ever.
-pub(crate) async fn tick(control: Rc<Control>) {
+async fn tick(control: Rc<Control>) {
     loop {
         let summary = control.summary();
         let actions = control.membership.borrow_mut().on_tick(Instant::now(), summary);
@@ -22,7 +33,7 @@
 }
 
 /// Receives for ever.
-pub(crate) async fn receive(control: Rc<Control>) {
+async fn receive(control: Rc<Control>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
         let Ok((length, from)) = control.socket.recv_from(&mut buffer).await else {
--- a/crates/sillbank_control/src/main.rs
+++ b/crates/sillbank_control/src/main.rs
@@ -4,6 +4,7 @@
 
 mod admin;
 mod entry_link;
+mod fleet_status;
 mod follow;
 mod gossip;
 mod lease_io;
@@ -19,7 +20,7 @@
 
 use argh::FromArgs;
 use sillbank_net::prelude::*;
-use sillbank_settings::process::{ControlSettings, LogShape, ProcessSettings, read_file};
+use sillbank_settings::process::{ControlSettings, LogShape, ProcessSettings, read_role};
 use smol::LocalExecutor;
 use smol::net::{TcpListener, UdpSocket};
 use std::path::PathBuf;
@@ -48,26 +49,15 @@
         return ExitCode::SUCCESS;
     }
     let path = arguments.settings.unwrap_or_else(|| "control.toml".into());
-    let settings = match read_file(&path) {
-        Ok(ProcessSettings::Control(settings)) => *settings,
-        Ok(_) => {
-            eprintln!("control: {}: the role is not 'control'; name its own file.", path.display());
-            return ExitCode::from(2);
-        }
+    let settings = match read_role(&path, "control", ProcessSettings::control) {
+        Ok(settings) => settings,
         Err(problems) => {
             eprintln!("{problems}");
             return ExitCode::from(2);
         }
     };
     sillbank_net::telemetry::start_logs(settings.log.shape == LogShape::Json, &settings.log.filter);
-    let executor = Rc::new(LocalExecutor::new());
-    match smol::block_on(executor.run(run(executor.clone(), settings))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            tracing::error!("control: It cannot run: {error}.");
-            ExitCode::FAILURE
-        }
-    }
+    run_program("control", |executor| run(executor, settings))
 }
 
 async fn run(
@@ -80,14 +70,14 @@
     let socket = UdpSocket::bind(settings.gossip_listen).await?;
     tracing::info!("control: VM {} in hall {} is up.", settings.vm, settings.hall);
     let control = state::Control::new(executor.clone(), settings, socket);
-    executor.spawn(peers::accept(control.clone(), peers)).detach();
-    executor.spawn(gossip::receive(control.clone())).detach();
-    executor.spawn(gossip::tick(control.clone())).detach();
-    executor.spawn(follow::follow(control.clone())).detach();
-    executor.spawn(once::run(control.clone())).detach();
-    executor.spawn(orders::run(control.clone())).detach();
-    let handler = Rc::new(admin::AdminHandler::new(control.clone()));
-    executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
+    let _app = App::new(executor, control.clone())
+        .add_plugin(peers::PeersPlugin { listener: peers })
+        .add_plugin(gossip::GossipPlugin)
+        .add_plugin(follow::FollowPlugin)
+        .add_plugin(once::OncePlugin)
+        .add_plugin(orders::OrdersPlugin)
+        .add_plugin(fleet_status::FleetStatusPlugin)
+        .add_plugin(admin::AdminPlugin { listener: admin });
     stop.next().await;
     let late = smol::Timer::after(STOP_LIMIT);
     futures_lite::future::or(once::hand_over_all(&control), async {
--- a/crates/sillbank_control/src/once.rs
+++ b/crates/sillbank_control/src/once.rs
@@ -7,6 +7,7 @@
 use sillbank_core::hash::rendezvous;
 use sillbank_core::prelude::*;
 use sillbank_lease::{Lease, LeaseState};
+use sillbank_net::prelude::*;
 use sillbank_once::key::is_hall_slot;
 use sillbank_once::{CallKey, Claim, ClaimAnswer, Slot, SlotId, Tenure, mint, slot_names};
 use sillbank_protocol::peer::PeerRequest;
@@ -59,8 +60,17 @@
     }
 }
 
+/// Holds slots of keys.
+pub(crate) struct OncePlugin;
+
+impl Plugin<Control> for OncePlugin {
+    fn build(self, app: &App<Control>) {
+        app.spawn(run(app.state()));
+    }
+}
+
 /// Takes, renews and drops slots for ever.
-pub(crate) async fn run(control: Rc<Control>) {
+async fn run(control: Rc<Control>) {
     let io = LeaseIo::new(&control);
     for name in slot_names(&control.settings.hall) {
         let slot = WatchedSlot {
--- a/crates/sillbank_control/src/orders.rs
+++ b/crates/sillbank_control/src/orders.rs
@@ -8,6 +8,7 @@
 use sillbank_core::prelude::*;
 use sillbank_lease::{Lease, LeaseState};
 use sillbank_net::client::request;
+use sillbank_net::prelude::*;
 use sillbank_orders::{EngineView, ORDER_FLIGHT, Pace, Report, next_order};
 use sillbank_protocol::engine::{EngineState, LoadOrder, ORDERS_PATH, STATE_PATH};
 use smol::Timer;
@@ -24,6 +25,15 @@
 /// A new VM waits so long before it wants the lease.
 const FIRST_LOOK: Duration = Duration::from_secs(2);
 
+/// Orders this hall's engines.
+pub(crate) struct OrdersPlugin;
+
+impl Plugin<Control> for OrdersPlugin {
+    fn build(self, app: &App<Control>) {
+        app.spawn(run(app.state()));
+    }
+}
+
 /// What the holder of the lease knows.
 struct Reconciler {
     control: Rc<Control>,
@@ -36,7 +46,7 @@
 }
 
 /// Reconciles for ever.
-pub(crate) async fn run(control: Rc<Control>) {
+async fn run(control: Rc<Control>) {
     let candidate = LeaseIo::new(&control).candidate(control.settings.orders_term);
     let mut reconciler = Reconciler {
         lease: Lease::new(candidate),
--- a/crates/sillbank_control/src/peers.rs
+++ b/crates/sillbank_control/src/peers.rs
@@ -5,6 +5,7 @@
 use crate::state::Control;
 use futures_lite::FutureExt;
 use sillbank_net::frames::{FrameError, read_message};
+use sillbank_net::prelude::*;
 use sillbank_protocol::peer::{PeerRequest, PullPart, ToControl};
 use sillbank_spread::FollowAction;
 use smol::Timer;
@@ -19,8 +20,20 @@
 /// VMs to hear from before a new VM serves without the platform's own word.
 const HEARD_ENOUGH: usize = 3;
 
+/// Serves entries of this VM and peers.
+pub(crate) struct PeersPlugin {
+    /// Where they come.
+    pub(crate) listener: TcpListener,
+}
+
+impl Plugin<Control> for PeersPlugin {
+    fn build(self, app: &App<Control>) {
+        app.spawn(accept(app.state(), self.listener));
+    }
+}
+
 /// Takes connections for ever.
-pub(crate) async fn accept(control: Rc<Control>, listener: TcpListener) {
+async fn accept(control: Rc<Control>, listener: TcpListener) {
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             Timer::after(Duration::from_millis(20)).await;
--- a/crates/sillbank_control/src/platform_client.rs
+++ b/crates/sillbank_control/src/platform_client.rs
@@ -62,6 +62,11 @@
         self.get(&format!("/list?prefix={SETTINGS_PREFIX}"), LIST_TIMEOUT).await
     }
 
+    /// Every object with a prefix.
+    pub(crate) async fn list_prefix(&self, prefix: &str) -> Result<Listing, PlatformError> {
+        self.get(&format!("/list?prefix={prefix}"), CALL_TIMEOUT).await
+    }
+
     /// What changed in settings after a version; waits for a change, at most `wait`.
     pub(crate) async fn watch(
         &self,
--- a/crates/sillbank_entry/src/admin.rs
+++ b/crates/sillbank_entry/src/admin.rs
@@ -6,15 +6,30 @@
 use sillbank_chart::Named;
 use sillbank_net::prelude::*;
 use sillbank_net::telemetry::metrics_reply;
+use smol::net::TcpListener;
 use std::rc::Rc;
 
+/// Health, readiness, metrics and status.
+pub(crate) struct AdminPlugin {
+    /// Where they are asked for.
+    pub(crate) listener: TcpListener,
+}
+
+impl Plugin<Entry> for AdminPlugin {
+    fn build(self, app: &App<Entry>) {
+        let handler = Rc::new(AdminHandler::new(app.state()));
+        let limits = ServerLimits::default();
+        app.spawn(serve(app.executor(), self.listener, limits, handler));
+    }
+}
+
 /// Answers the balancer, the platform's health checks and operators.
-pub(crate) struct AdminHandler {
+struct AdminHandler {
     entry: Rc<Entry>,
 }
 
 impl AdminHandler {
-    pub(crate) fn new(entry: Rc<Entry>) -> Self {
+    fn new(entry: Rc<Entry>) -> Self {
         Self { entry }
     }
 
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -17,14 +17,30 @@
 use sillbank_net::prelude::*;
 use sillbank_routing::prelude::*;
 use sillbank_settings::prelude::*;
+use smol::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// When to come back after a refusal for want of room or of endpoints.
 const COME_BACK: Duration = Duration::from_secs(1);
 
+/// The callers' interface.
+pub(crate) struct CallersPlugin {
+    /// Where callers come.
+    pub(crate) listener: TcpListener,
+    /// Bounds on what they may do.
+    pub(crate) limits: ServerLimits,
+}
+
+impl Plugin<Entry> for CallersPlugin {
+    fn build(self, app: &App<Entry>) {
+        let handler = Rc::new(CallerHandler { entry: app.state() });
+        app.spawn(serve(app.executor(), self.listener, self.limits, handler));
+    }
+}
+
 /// Answers callers.
-pub(crate) struct CallerHandler {
+struct CallerHandler {
     entry: Rc<Entry>,
 }
 
@@ -38,10 +54,6 @@
 }
 
 impl CallerHandler {
-    pub(crate) fn new(entry: Rc<Entry>) -> Self {
-        Self { entry }
-    }
-
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<ReplyBody>, Failure> {
         if self.entry.stop.is_stopping() {
             let failure = Failure::before_work(FailureKind::Stopping, "The VM is stopping.");
--- a/crates/sillbank_entry/src/control_link.rs
+++ b/crates/sillbank_entry/src/control_link.rs
@@ -3,6 +3,7 @@
 use crate::engine_link;
 use crate::state::Entry;
 use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_net::prelude::*;
 use sillbank_protocol::peer::{ControlToEntry, EntryToControl, ToControl};
 use sillbank_protocol::platform::{Object, Version};
 use sillbank_routing::prelude::*;
@@ -17,8 +18,17 @@
 /// Pause before control is tried again.
 const RECONNECT: Duration = Duration::from_millis(200);
 
+/// Follows the control process of this VM.
+pub(crate) struct ControlLinkPlugin;
+
+impl Plugin<Entry> for ControlLinkPlugin {
+    fn build(self, app: &App<Entry>) {
+        app.spawn(follow(app.state()));
+    }
+}
+
 /// Follows control for ever.
-pub(crate) async fn follow(entry: Rc<Entry>) {
+async fn follow(entry: Rc<Entry>) {
     loop {
         if let Err(error) = follow_once(&entry).await {
             tracing::debug!("entry: Control has gone: {error}.");
--- a/crates/sillbank_entry/src/main.rs
+++ b/crates/sillbank_entry/src/main.rs
@@ -24,7 +24,7 @@
 
 use argh::FromArgs;
 use sillbank_net::prelude::*;
-use sillbank_settings::process::{EntrySettings, LogShape, ProcessSettings, read_file};
+use sillbank_settings::process::{EntrySettings, LogShape, ProcessSettings, read_role};
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 use std::path::PathBuf;
@@ -50,26 +50,15 @@
         return ExitCode::SUCCESS;
     }
     let path = arguments.settings.unwrap_or_else(|| "entry.toml".into());
-    let settings = match read_file(&path) {
-        Ok(ProcessSettings::Entry(settings)) => *settings,
-        Ok(_) => {
-            eprintln!("entry: {}: the role is not 'entry'; name its own file.", path.display());
-            return ExitCode::from(2);
-        }
+    let settings = match read_role(&path, "entry", ProcessSettings::entry) {
+        Ok(settings) => settings,
         Err(problems) => {
             eprintln!("{problems}");
             return ExitCode::from(2);
         }
     };
     sillbank_net::telemetry::start_logs(settings.log.shape == LogShape::Json, &settings.log.filter);
-    let executor = Rc::new(LocalExecutor::new());
-    match smol::block_on(executor.run(run(executor.clone(), settings))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            tracing::error!("entry: It cannot run: {error}.");
-            ExitCode::FAILURE
-        }
-    }
+    run_program("entry", |executor| run(executor, settings))
 }
 
 async fn run(executor: Rc<LocalExecutor<'static>>, settings: EntrySettings) -> std::io::Result<()> {
@@ -83,12 +72,11 @@
     };
     tracing::info!("entry: VM {} in hall {} is up.", settings.vm, settings.hall);
     let entry = state::Entry::new(executor.clone(), settings);
-    executor.spawn(control_link::follow(entry.clone())).detach();
-    executor.spawn(sweep::run(entry.clone())).detach();
-    let handler = Rc::new(admin::AdminHandler::new(entry.clone()));
-    executor.spawn(serve(executor.clone(), admin, ServerLimits::default(), handler)).detach();
-    let handler = Rc::new(callers::CallerHandler::new(entry.clone()));
-    executor.spawn(serve(executor.clone(), callers, limits, handler)).detach();
+    let _app = App::new(executor, entry.clone())
+        .add_plugin(control_link::ControlLinkPlugin)
+        .add_plugin(sweep::SweepPlugin)
+        .add_plugin(admin::AdminPlugin { listener: admin })
+        .add_plugin(callers::CallersPlugin { listener: callers, limits });
     stop::wait(&entry, signals).await;
     tracing::info!("entry: Stopped.");
     Ok(())
--- a/crates/sillbank_entry/src/sweep.rs
+++ b/crates/sillbank_entry/src/sweep.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use sillbank_generation::Event;
 use sillbank_net::client::request;
+use sillbank_net::prelude::*;
 use sillbank_protocol::engine::{EngineState, STATE_PATH};
 use sillbank_routing::prelude::*;
 use smol::Timer;
@@ -19,8 +20,17 @@
 /// How many silence limits a single reply may be late while the endpoint answers others.
 const OVERDUE_FACTOR: u32 = 4;
 
+/// Looks after endpoints.
+pub(crate) struct SweepPlugin;
+
+impl Plugin<Entry> for SweepPlugin {
+    fn build(self, app: &App<Entry>) {
+        app.spawn(run(app.state()));
+    }
+}
+
 /// Sweeps for ever.
-pub(crate) async fn run(entry: Rc<Entry>) {
+async fn run(entry: Rc<Entry>) {
     loop {
         Timer::after(SWEEP).await;
         let now = Instant::now();
--- a/crates/sillbank_load/tests/scenarios.rs
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -36,6 +36,7 @@
     link_cut_one_way,
     rolling_replacement,
     settings_race,
+    settings_status,
     settings_lost_answer,
     settings_outage_new_vm,
     settings_invalid,
--- /dev/null
+++ b/crates/sillbank_load/tests/support/engines.rs
@@ -0,0 +1,121 @@
+//! Commands of a scenario that look at engines and make faults.
+
+use super::runner::{LOOK, Outcome, PATIENCE, Scenario};
+use bytes::Bytes;
+use goldenscript::Command;
+use hyper::Method;
+use sillbank_core::prelude::*;
+use sillbank_model::engine::LedgerEntry;
+use sillbank_net::client::request;
+use sillbank_protocol::engine::{EngineState, STATE_PATH};
+use smol::Timer;
+use std::error::Error;
+use std::time::{Duration, Instant};
+
+impl Scenario {
+    /// The engine that holds a stage of a request, by its ledger.
+    pub(super) fn engine_of(&self, id: &str, stage: u16) -> Outcome<String> {
+        let uid = self.pending.get(id).ok_or("no such request")?.uid.to_string();
+        let addresses = self.fleet.as_ref().ok_or("no fleet")?.addresses.clone();
+        self.block_on(async {
+            let mut found: Option<(Attempt, usize)> = None;
+            for (number, address) in addresses.engines.iter().enumerate() {
+                let call = request(Method::GET, "/admin/ledger", Bytes::new());
+                let Ok(reply) = self.http.call(*address, call, Duration::from_millis(500)).await
+                else {
+                    continue;
+                };
+                let ledger: Vec<LedgerEntry> = reply.json()?;
+                let runs = ledger.iter().filter(|e| e.uid == uid && e.layers[0] == stage * 8);
+                found = found.max(runs.map(|run| (run.attempt, number)).max());
+            }
+            let (_, number) = found.ok_or("no engine holds this stage")?;
+            Ok(format!("engine{number}"))
+        })
+    }
+
+    pub(super) fn fault(&mut self, name: &str, json: &str) -> Outcome<()> {
+        let addresses = self.fleet().addresses.clone();
+        let number = || name.trim_start_matches(char::is_alphabetic).parse::<usize>();
+        let address = match name {
+            "platform" => addresses.platform.ok_or("no platform")?,
+            _ if name.starts_with("link") => addresses.links[number()?],
+            _ if name.starts_with("engine") => addresses.engines[number()?],
+            _ => addresses.services[number()?],
+        };
+        let call = request(Method::POST, "/admin/faults", Bytes::copy_from_slice(json.as_bytes()));
+        let reply = self.block_on(self.http.call(address, call, PATIENCE))?;
+        match reply.status.is_success() {
+            true => Ok(()),
+            false => Err(String::from_utf8_lossy(&reply.body).into_owned().into()),
+        }
+    }
+
+    /// The control process that gives the orders of its hall.
+    pub(super) fn holder(&mut self) -> Outcome<String> {
+        if let Some(name) = &self.holder {
+            return Ok(name.clone());
+        }
+        let admins = self.fleet().addresses.control_admins.clone();
+        let number = self.block_on(async {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                for (number, admin) in admins.iter().enumerate() {
+                    let status = self.status(*admin).await.unwrap_or_default();
+                    if status["gives_orders"] == true {
+                        return Ok::<_, Box<dyn Error>>(number);
+                    }
+                }
+                if Instant::now() > deadline {
+                    return Err("nobody gives orders".into());
+                }
+                Timer::after(LOOK).await;
+            }
+        })?;
+        let name = format!("control{number}");
+        self.holder = Some(name.clone());
+        Ok(name)
+    }
+
+    pub(super) fn cut(&mut self, command: &Command) -> Outcome<()> {
+        let direction = command.consume_args().next_pos().unwrap_or("back").to_owned();
+        let engine = self.process_of(command)?;
+        let link = engine.replace("engine", "link");
+        self.fault(&link, &format!("{{\"cut_{direction}\": true}}"))
+    }
+
+    pub(super) fn engine_number(name: &str) -> Outcome<usize> {
+        Ok(name.trim_start_matches(char::is_alphabetic).parse()?)
+    }
+
+    pub(super) fn holds(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let name = args.next_pos().ok_or("name an engine")?.to_owned();
+        let first = args.take_key("first").ok_or("name first=N")?.parse()?;
+        let end = args.take_key("end").ok_or("name end=N")?.parse()?;
+        let address = self.fleet().addresses.engines[Self::engine_number(&name)?];
+        self.block_on(async {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                let call = request(Method::GET, STATE_PATH, Bytes::new());
+                let state: EngineState = self.http.call(address, call, PATIENCE).await?.json()?;
+                if state.layers == (LayerRange { first, end }) && !state.loading {
+                    return Ok(());
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("{name} holds {:?}", state.layers).into());
+                }
+                Timer::after(LOOK).await;
+            }
+        })
+    }
+
+    pub(super) fn fences(&mut self, command: &Command) -> Outcome<String> {
+        let name = command.consume_args().next_pos().ok_or("name an engine")?.to_owned();
+        let address = self.fleet().addresses.engines[Self::engine_number(&name)?];
+        let call = request(Method::GET, "/admin/orders", Bytes::new());
+        let fences: Vec<u64> = self.block_on(self.http.call(address, call, PATIENCE))?.json()?;
+        let rising = fences.windows(2).all(|pair| pair[0] <= pair[1]);
+        Ok(format!("{} orders, {}\n", fences.len(), if rising { "rising" } else { "NOT rising" }))
+    }
+}
--- /dev/null
+++ b/crates/sillbank_load/tests/support/world.rs
@@ -0,0 +1,142 @@
+//! Calls to the processes of a scenario's fleet, and waits for what they say.
+
+use super::runner::{LOOK, Outcome, PATIENCE, Scenario};
+use bytes::Bytes;
+use hyper::Method;
+use sillbank_load::fleet::{Addresses, OPERATOR_KEY};
+use sillbank_net::client::request;
+use sillbank_protocol::platform::Object;
+use smol::Timer;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+impl Scenario {
+    pub(super) async fn answers(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        status: u16,
+    ) -> Outcome<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let call = request(Method::GET, path, Bytes::new());
+            let reply = self.http.call(address, call, Duration::from_secs(1)).await;
+            if reply.is_ok_and(|reply| reply.status.as_u16() == status) {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("{address}{path} never answered {status}").into());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    pub(super) async fn status(&self, address: SocketAddr) -> Option<serde_json::Value> {
+        let call = request(Method::GET, "/v1/status", Bytes::new());
+        self.http.call(address, call, Duration::from_secs(1)).await.ok()?.json().ok()
+    }
+
+    /// Waits until every slot of keys is held by some VM.
+    pub(super) async fn slots_held(&self, addresses: &Addresses) -> Outcome<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let mut held = 0;
+            for admin in &addresses.control_admins {
+                let status = self.status(*admin).await.unwrap_or_default();
+                held += status["slots"].as_array().map_or(0, Vec::len);
+            }
+            if held >= addresses.slots {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("{held} of {} slots are held", addresses.slots).into());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// Waits until an entry has a connection to every engine.
+    pub(super) async fn connected(&self, entry: SocketAddr, engines: usize) -> Outcome<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let status = self.status(entry).await.unwrap_or_default();
+            let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+            let connected = endpoints.iter().filter(|e| e["connected"] == true).count();
+            if connected == engines && status["ready"] == true {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("{connected} of {engines} engines are connected").into());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    pub(super) async fn put(
+        &self,
+        control: SocketAddr,
+        key: &str,
+        version: Option<u64>,
+        value: &serde_json::Value,
+    ) -> Outcome<Object> {
+        let mut call =
+            request(Method::PUT, &format!("/v1/objects/{key}"), value.to_string().into());
+        let headers = call.headers_mut();
+        headers.insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        match version {
+            Some(version) => headers.insert("if-match", version.into()),
+            None => headers.insert("if-none-match", "*".parse()?),
+        };
+        let reply = self.http.call(control, call, PATIENCE).await?;
+        match reply.status.is_success() {
+            true => Ok(reply.json()?),
+            false => Err(String::from_utf8_lossy(&reply.body).into_owned().into()),
+        }
+    }
+
+    /// Writes an object over what is there, and waits until every running entry has it.
+    pub(super) async fn change(
+        &self,
+        addresses: Vec<(SocketAddr, SocketAddr)>,
+        key: &str,
+        json: &str,
+    ) -> Outcome<()> {
+        let control = addresses[0].0;
+        let mut call = request(Method::GET, &format!("/v1/objects/{key}"), Bytes::new());
+        call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        let reply = self.http.call(control, call, PATIENCE).await?;
+        let here: Option<Object> = reply.status.is_success().then(|| reply.json()).transpose()?;
+        let mut value: serde_json::Value = serde_json::from_str(json)?;
+        if let (Some(here), Some(fields)) = (&here, value.as_object_mut()) {
+            // Fields that the script leaves out stay as they are.
+            let old: serde_json::Value = serde_json::from_str(&here.value)?;
+            for (name, field) in old.as_object().into_iter().flatten() {
+                if name != "note" && !fields.contains_key(name) {
+                    fields.insert(name.clone(), field.clone());
+                }
+            }
+        }
+        let written = self.put(control, key, here.map(|object| object.version), &value).await?;
+        for (_, entry) in addresses {
+            let deadline = Instant::now() + PATIENCE;
+            loop {
+                let status = self.status(entry).await.unwrap_or_default();
+                if status["in_force_version"].as_u64() >= Some(written.version) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("{entry} never had {key} in force").into());
+                }
+                Timer::after(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) async fn object(&self, control: SocketAddr, key: &str) -> Outcome<Option<Object>> {
+        let mut call = request(Method::GET, &format!("/v1/objects/{key}"), Bytes::new());
+        call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
+        let reply = self.http.call(control, call, PATIENCE).await?;
+        Ok(reply.status.is_success().then(|| reply.json()).transpose()?)
+    }
+}
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod app;
 pub mod body;
 pub mod client;
 pub mod frames;
@@ -14,6 +15,7 @@
 
 /// The few types most users need.
 pub mod prelude {
+    pub use crate::app::{App, Plugin, run_program};
     pub use crate::body::{Outbox, ReplyBody, json_reply, text_reply};
     pub use crate::client::{CallError, CallReply, HttpClient};
     pub use crate::serve::{Handler, ServerLimits, serve};
--- a/crates/sillbank_settings/src/process.rs
+++ b/crates/sillbank_settings/src/process.rs
@@ -104,6 +104,24 @@
     Control(Box<ControlSettings>),
 }
 
+impl ProcessSettings {
+    /// The settings of an entry, if they are.
+    pub fn entry(self) -> Option<EntrySettings> {
+        match self {
+            Self::Entry(settings) => Some(*settings),
+            Self::Control(_) => None,
+        }
+    }
+
+    /// The settings of a control process, if they are.
+    pub fn control(self) -> Option<ControlSettings> {
+        match self {
+            Self::Control(settings) => Some(*settings),
+            Self::Entry(_) => None,
+        }
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
@@ -121,6 +139,25 @@
     read_text(&source, &text)
 }
 
+/// Reads and checks the settings file of a program with a stated role.
+///
+/// # Errors
+/// Every fault found, or one that says that the file is another program's.
+pub fn read_role<T>(
+    path: &Path,
+    role: &str,
+    pick: impl FnOnce(ProcessSettings) -> Option<T>,
+) -> Result<T, Problems> {
+    pick(read_file(path)?).ok_or_else(|| {
+        Problems(vec![Problem {
+            source: path.display().to_string(),
+            path: "role".to_owned(),
+            reason: format!("it is not '{role}'"),
+            remedy: "name the file of this program".to_owned(),
+        }])
+    })
+}
+
 /// Reads and checks settings that are text already.
 ///
 /// # Errors
