Tell two tries at one request on the same VM apart

Cause: awaited steps and the list of what is in flight were kept by request only. A caller that sent its request again to the same VM, onto the same engines, displaced the first try's awaited step; the first one's end then dropped the second one's. Also: a newcomer that goes above an older number now keeps its own draw, so that two newcomers never use the same number (asserted in a_newcomer_goes_above_...). Ruled out: the engine's fencing; it refused the older try as it should.

--- a/crates/sillbank_core/src/ids.rs
+++ b/crates/sillbank_core/src/ids.rs
@@ -23,6 +23,15 @@
 pub type Attempt = u64;
 /// Bits of an [`Attempt`] that are drawn.
 pub const ATTEMPT_DRAW_BITS: u32 = 22;
+/// Which of several tries at one request: its id and the draw of the entry that drives it, which
+/// raising the attempt does not change.
+pub type DriveId = (RequestUid, u64);
+
+/// The drive that an attempt of a request belongs to.
+pub fn drive_id(uid: RequestUid, attempt: Attempt) -> DriveId {
+    (uid, attempt % ATTEMPT_RAISE)
+}
+
 /// What is added to an [`Attempt`] to raise it.
 pub const ATTEMPT_RAISE: Attempt = 1 << ATTEMPT_DRAW_BITS;
 /// Place of a token in a sequence, prompt included, from 0.
--- a/crates/sillbank_core/src/lib.rs
+++ b/crates/sillbank_core/src/lib.rs
@@ -15,8 +15,9 @@
     pub use crate::admin::{AdminFailure, AdminFailureKind};
     pub use crate::failure::{Failure, FailureKind};
     pub use crate::ids::{
-        ATTEMPT_DRAW_BITS, ATTEMPT_RAISE, AcceleratorKind, Attempt, EndpointId, HallId, LayerRange,
-        OrganisationId, PipelineId, Position, RequestUid, ServiceId, TokenId, VmId,
+        ATTEMPT_DRAW_BITS, ATTEMPT_RAISE, AcceleratorKind, Attempt, DriveId, EndpointId, HallId,
+        LayerRange, OrganisationId, PipelineId, Position, RequestUid, ServiceId, TokenId, VmId,
+        drive_id,
     };
     pub use crate::run::RunState;
 }
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -121,11 +121,12 @@
             chat.model.clone(),
             span,
         );
-        self.entry.stop.register(uid, request.mailbox.clone());
+        let id = drive_id(uid, request.plan.attempt);
+        self.entry.stop.register(id, request.mailbox.clone());
         let entry = self.entry.clone();
         let work = async move {
             drive(entry.clone(), request, sink).await;
-            entry.stop.unregister(uid);
+            entry.stop.unregister(id);
             drop(admitted);
         };
         self.entry.executor.spawn(work).detach();
--- a/crates/sillbank_entry/src/drive.rs
+++ b/crates/sillbank_entry/src/drive.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Which try at the request this is.
+    fn id(&self) -> DriveId {
+        drive_id(self.uid, self.generation.attempt())
+    }
+
     fn take(&mut self, event: Event) {
         if let Event::Reply(stage, _) = &event {
             let time = &mut self.stage_times[*stage];
@@ -132,7 +137,7 @@
             Action::Emit(number, token) => self.emit(number, token),
             Action::Replace(stage) => {
                 if let Some(link) = self.entry.link(self.stages[stage].endpoint) {
-                    link.forget(self.uid);
+                    link.forget(self.id());
                 }
                 self.missing.push((stage, Instant::now()));
                 self.look_again();
@@ -261,7 +266,7 @@
         self.sink.hand_over(self.generation.run_state());
         for stage in &self.stages {
             if let Some(link) = self.entry.link(stage.endpoint) {
-                link.forget(self.uid);
+                link.forget(self.id());
             }
         }
         self.report();
--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -36,7 +36,7 @@
     outbox: Outbox,
     open: Cell<bool>,
     prefill_positions: Cell<u32>,
-    pub(crate) awaited: RefCell<HashMap<RequestUid, AwaitedStep>>,
+    pub(crate) awaited: RefCell<HashMap<DriveId, AwaitedStep>>,
     pub(crate) heard_at: Cell<Instant>,
 }
 
@@ -53,15 +53,15 @@
 
     /// Sends a step; the reply, or the loss of the endpoint, comes through the mailbox.
     pub(crate) fn send(&self, stage: StageIndex, step: Step, mailbox: &Mailbox) {
-        let (uid, positions) = (step.uid, step.inputs.len() as u32);
+        let (id, positions) = (drive_id(step.uid, step.attempt), step.inputs.len() as u32);
         self.prefill_positions.set(self.prefill_positions.get() + prefill_part(positions));
         self.write(&EngineRequest::Step(step));
         let mut awaited = self.awaited.borrow_mut();
-        let old = awaited.remove(&uid);
+        let old = awaited.remove(&id);
         let resends = old.as_ref().map_or(0, |old| old.resends);
         old.iter().for_each(|old| self.count_out(old));
         awaited.insert(
-            uid,
+            id,
             AwaitedStep {
                 stage,
                 mailbox: mailbox.clone(),
@@ -74,13 +74,13 @@
 
     /// Tells the engine that a request has ended here.
     pub(crate) fn cancel(&self, uid: RequestUid, attempt: Attempt) {
-        self.take_awaited(uid);
+        self.take_awaited(drive_id(uid, attempt));
         self.write(&EngineRequest::Cancel { uid, attempt });
     }
 
     /// Stops waiting for a request's reply without telling the engine.
-    pub(crate) fn forget(&self, uid: RequestUid) {
-        self.take_awaited(uid);
+    pub(crate) fn forget(&self, id: DriveId) {
+        self.take_awaited(id);
     }
 
     /// Positions of prefills that are not answered.
@@ -88,8 +88,8 @@
         self.prefill_positions.get()
     }
 
-    fn take_awaited(&self, uid: RequestUid) -> Option<AwaitedStep> {
-        let step = self.awaited.borrow_mut().remove(&uid);
+    fn take_awaited(&self, id: DriveId) -> Option<AwaitedStep> {
+        let step = self.awaited.borrow_mut().remove(&id);
         step.iter().for_each(|step| self.count_out(step));
         step
     }
@@ -216,7 +216,7 @@
             return;
         }
     };
-    let Some(awaited) = link.take_awaited(reply.uid) else {
+    let Some(awaited) = link.take_awaited(drive_id(reply.uid, reply.attempt)) else {
         entry.metrics.stale_replies.inc();
         return;
     };
--- a/crates/sillbank_entry/src/stop.rs
+++ b/crates/sillbank_entry/src/stop.rs
@@ -51,7 +51,7 @@
 #[derive(Default)]
 pub(crate) struct StopState {
     stopping: Cell<bool>,
-    generations: RefCell<HashMap<RequestUid, Mailbox>>,
+    generations: RefCell<HashMap<DriveId, Mailbox>>,
     calls: Rc<Cell<usize>>,
 }
 
@@ -62,13 +62,13 @@
     }
 
     /// Notes a generation in flight.
-    pub(crate) fn register(&self, uid: RequestUid, mailbox: Mailbox) {
-        self.generations.borrow_mut().insert(uid, mailbox);
+    pub(crate) fn register(&self, id: DriveId, mailbox: Mailbox) {
+        self.generations.borrow_mut().insert(id, mailbox);
     }
 
     /// Notes that a generation has ended.
-    pub(crate) fn unregister(&self, uid: RequestUid) {
-        self.generations.borrow_mut().remove(&uid);
+    pub(crate) fn unregister(&self, id: DriveId) {
+        self.generations.borrow_mut().remove(&id);
     }
 
     /// Counts a service call until the guard is dropped.
--- a/crates/sillbank_generation/src/lib.rs
+++ b/crates/sillbank_generation/src/lib.rs
@@ -238,7 +238,7 @@
                     // Who has built nothing yet is the newcomer and goes above; who has built
                     // something was taken over, and stays fenced out.
                     Refusal::StaleAttempt { newest } if !self.run.has_run() => {
-                        self.attempt = self.attempt.max(newest + ATTEMPT_RAISE);
+                        self.attempt = raise_above(*newest, self.attempt);
                         ChartEvent::OlderHolder
                     }
                     Refusal::StaleAttempt { .. } => ChartEvent::TakenOver,
@@ -387,3 +387,9 @@
         actions.extend((0..self.stages.count()).map(Action::Release));
     }
 }
+
+/// The least number above another that keeps the draw of one's own.
+fn raise_above(newest: Attempt, own: Attempt) -> Attempt {
+    let draw = own % ATTEMPT_RAISE;
+    (newest / ATTEMPT_RAISE + 1) * ATTEMPT_RAISE + draw
+}
--- a/crates/sillbank_generation/tests/interleavings.rs
+++ b/crates/sillbank_generation/tests/interleavings.rs
@@ -299,6 +299,9 @@
     world.settle();
 
     assert!(world.whole, "{:?}", world.failed);
+    let own = world.generation.attempt();
+    assert!(own > ahead.attempt);
+    assert_eq!(own % ATTEMPT_RAISE, 5, "it keeps its own draw, so two newcomers never meet");
 }
 
 #[test]
--- a/crates/sillbank_load/tests/scenarios.rs
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -23,6 +23,7 @@
     two_stages_at_once,
     entry_killed,
     colliding_ids,
+    same_request_twice,
     endpoint_leaving,
     planned_stop,
     stop_past_its_limit,
