End everything a bench started, also what its background part started

Cause: engines that the recovery bench had restarted in its background part were not among the ids the end of the script knew, and that part itself went on after a bench had failed early. Six engines were found running. The end now reads the list of ids that every start writes, checks that each id is still a program of this fleet, and ends the background part first.

--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -81,9 +81,16 @@
     ENGINES=0 fleet_lay_out
   fleet_start
   bench_atmostonce_faults &
+  FAULTS_PID=$!
   "$PROGRAMS/sillbank-load" atmostonce --fleet "$OUT" --calls 6000 "$@"
 }
 
+# What makes faults in the background ends first, so that it neither starts nor kills anything later.
+bench_end() {
+  [ -z "$FAULTS_PID" ] || kill "$FAULTS_PID" 2>/dev/null || true
+  fleet_end
+}
+
 bench_experiment() { "$PROGRAMS/sillbank-load" experiment --fleet "$OUT" "$@"; }
 
 bench_bound() {
@@ -134,6 +141,7 @@
     fleet_lay_out
   fleet_start
   bench_recovery_faults &
+  FAULTS_PID=$!
   bench_experiment --name recovery --load 0.7 --seconds 46 --prompt 20 --answer 60 \
     --deadline-ms 30000 --tries 8 --ledgers-lost --faults "$OUT/faults.txt" "$@"
 }
@@ -171,5 +179,6 @@
   *) sed -n '2,/^set/p' "$0" | grep '^#' >&2; exit 2 ;;
 esac
 fleet_build
-trap fleet_end EXIT
+FAULTS_PID=""
+trap bench_end EXIT
 "bench_$name" "$@"
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -4,7 +4,6 @@
 OUT="${OUT:-$(mktemp -d)}"
 PROFILE="${PROFILE:-release}"
 PROGRAMS="${CARGO_TARGET_DIR:-target}/$PROFILE"
-FLEET_PIDS=()
 declare -A FLEET_PID_OF=()
 
 fleet_build() {
@@ -26,7 +25,7 @@
   while read -r name command; do
     if [ "$name" = "$1" ]; then
       $command >>"$OUT/$name.log" 2>&1 &
-      FLEET_PIDS+=($!)
+      disown $!
       FLEET_PID_OF[$name]=$!
       echo "$name $!" >>"$OUT/pids.txt"
       return
@@ -58,7 +57,7 @@
   local name command
   while read -r name command; do
     $command >>"$OUT/$name.log" 2>&1 &
-    FLEET_PIDS+=($!)
+    disown $!
     FLEET_PID_OF[$name]=$!
     echo "$name $!" >>"$OUT/pids.txt"
   done <"$OUT/commands.txt"
@@ -80,12 +79,24 @@
   curl -fsS -X POST -d "$2" "http://$(fleet_address ".engines[$1]")/admin/faults" >/dev/null
 }
 
+# fleet_pids: ids of the processes of this fleet that still run, those that a part of a script in the
+# background started too. An id that now belongs to something else is left alone.
+fleet_pids() {
+  local name pid
+  [ -e "$OUT/pids.txt" ] || return 0
+  while read -r name pid; do
+    if { tr '\0' ' ' <"/proc/$pid/cmdline"; } 2>/dev/null | grep -q "^$PROGRAMS/sillbank-"; then
+      echo "$pid"
+    fi
+  done <"$OUT/pids.txt"
+}
+
 fleet_end() {
   local pid
-  {
-    for pid in "${FLEET_PIDS[@]}"; do kill -CONT "$pid"; kill -9 "$pid"; done
-    wait
-  } 2>/dev/null || true
-  FLEET_PIDS=()
+  for pid in $(fleet_pids); do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  while [ -n "$(fleet_pids)" ]; do sleep 0.05; done
   FLEET_PID_OF=()
 }
