--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: read, admitted, handed on.
 
 use crate::answers::{COME_BACK_UNINFORMED, reply_of};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Life};
 use crate::job::{Job, strip_connection_headers};
 use crate::store::MetadataStore;
 use crate::wire::{CallerHead, Wire};
@@ -89,6 +89,10 @@
     /// Looks up route, key and service. A VM whose knowledge is not fresh denies nothing: it says
     /// that it does not know.
     fn admit(&self, head: &CallerHead, parts: &Parts, now: Instant) -> Result<Admitted, Failure> {
+        if self.gateway.life.get() == Life::Stopping {
+            let failure = Failure::before_work(FailureKind::Stopping, "the VM is stopping");
+            return Err(failure.retry_after(COME_BACK_UNINFORMED));
+        }
         let knowledge = &self.gateway.knowledge;
         let catalog = knowledge.catalog().ok_or_else(|| uninformed("no configuration is known"))?;
         let is_fresh = knowledge.is_fresh(now);
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -29,7 +29,9 @@
 pub enum Life {
     /// It serves.
     Serving,
-    /// It was asked to stop and ends what it has.
+    /// It was asked to stop; the balancer may not know yet, so new requests are still taken.
+    Draining,
+    /// It ends what it has and takes nothing new.
     Stopping,
 }
 
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -9,9 +9,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a stopping VM still takes new connections: the balancer asks once a second and takes a
-/// VM out after two answers without success.
-const BALANCER_LAG: Duration = Duration::from_millis(3_200);
+/// How long a stopping VM still takes new requests: the balancer asks once a second and takes a VM
+/// out after two answers without success.
+const BALANCER_LAG: Duration = Duration::from_millis(2_900);
 /// How often a stopping VM looks whether all requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Time before the kill at which a stopping VM ends, whatever is in progress.
@@ -35,13 +35,12 @@
         grace_ms = grace.as_millis() as u64,
         "program: Stopping."
     );
-    gateway.life.set(Life::Stopping);
+    gateway.life.set(Life::Draining);
     stopper.stop();
-    while asked.elapsed() < grace {
+    smol::Timer::after(BALANCER_LAG.min(grace)).await;
+    gateway.life.set(Life::Stopping);
+    while asked.elapsed() < grace && gateway.in_progress.get() > 0 {
         smol::Timer::after(STOP_POLL).await;
-        if asked.elapsed() >= BALANCER_LAG && gateway.in_progress.get() == 0 {
-            break;
-        }
     }
     tracing::info!(
         in_progress = gateway.in_progress.get(),
