Leave engines alone only when they cannot be reached

Plans gave layers up for balance while requests passed through them. Ruled out: the lease (held throughout), lack of memory (0 preemptions at first).

--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -23,14 +23,26 @@
 const LIMITS: HealthLimits =
     HealthLimits { eject: EJECT, eject_max: EJECT_MAX, slow_start: SLOW_START };
 
+/// How long an engine that refused its part of a path is avoided where there is another. About the
+/// time in which its entry tells what it holds now.
+const SHUN: Duration = Duration::from_millis(600);
+/// Cost of a path through an engine that refused its part, in milliseconds of predicted time: more
+/// than any healthy path, less than handing activations over to another hall.
+const SHUN_COST_MS: f64 = 500.0;
+/// Cost of an engine that fails all requests, in milliseconds of predicted time; in proportion for
+/// one that fails some.
+const FAILURE_COST_MS: f64 = 300.0;
+
 /// How an exchange with an endpoint ended, as evidence of its health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
     /// It answered as it should.
     Good,
-    /// It answered that it failed.
+    /// It failed, or its answer was lost, but it can be reached.
     Failed,
-    /// It could not be reached, fell silent, or broke the connection.
+    /// It refused a part of a path: it does not hold the layers or has no room for them.
+    LacksPart,
+    /// It cannot be reached, does not answer, or others wait for it in vain.
     Unreachable,
 }
 
@@ -40,6 +52,8 @@
     health: Health,
     failure_share: f64,
     on_trial: bool,
+    ejected_at: Option<Instant>,
+    shunned_until: Option<Instant>,
 }
 
 /// What this VM has seen of each endpoint.
@@ -92,6 +106,37 @@
         })
     }
 
+    /// Whether an engine may be part of a path. Unlike plain endpoints, engines are not tried
+    /// with requests of callers: they are asked for a report first.
+    pub fn may_run_part(&self, endpoint: &str) -> bool {
+        !self.is_ejected(endpoint)
+    }
+
+    /// Cost of using an engine, in milliseconds of predicted time, by what was seen of it.
+    pub fn use_cost_ms(&self, endpoint: &str, now: Instant) -> f64 {
+        self.seen.borrow().get(endpoint).map_or(0.0, |seen| {
+            let is_shunned = seen.shunned_until.is_some_and(|until| now < until);
+            let shun = if is_shunned { SHUN_COST_MS } else { 0.0 };
+            seen.failure_share * FAILURE_COST_MS + shun
+        })
+    }
+
+    /// Whether an endpoint is left alone since a moment or later.
+    pub fn ejected_since(&self, endpoint: &str, since: Instant) -> bool {
+        let seen = self.seen.borrow();
+        seen.get(endpoint).is_some_and(|seen| {
+            seen.health.state() == HealthState::Ejected
+                && seen.ejected_at.is_some_and(|at| at >= since)
+        })
+    }
+
+    /// Endpoints that have been left alone for long enough to be asked again.
+    pub fn due_for_probe(&self, now: Instant) -> Vec<EndpointId> {
+        let seen = self.seen.borrow();
+        let due = seen.iter().filter(|(_, seen)| seen.health.probe_due(now, &LIMITS));
+        due.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether an endpoint is left alone at the moment.
     pub fn is_ejected(&self, endpoint: &str) -> bool {
         let seen = self.seen.borrow();
@@ -115,9 +160,12 @@
                         seen.health.on_event(now, HealthEvent::Failure);
                     }
                 }
+                Evidence::LacksPart => seen.shunned_until = Some(now + SHUN),
                 Evidence::Unreachable => seen.health.on_event(now, HealthEvent::Failure),
             }
             seen.health.on_time(now, &LIMITS);
+            let is_ejected = seen.health.state() == HealthState::Ejected;
+            seen.ejected_at = is_ejected.then(|| seen.ejected_at.unwrap_or(now));
             before != seen.health.state()
         })
     }
@@ -135,6 +183,8 @@
                 health: Health::new(now),
                 failure_share: 0.0,
                 on_trial: false,
+                ejected_at: None,
+                shunned_until: None,
             };
             all.insert(endpoint.to_owned(), new);
         }
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -14,6 +14,9 @@
 /// How long a watch of endpoints waits. A watch that was cut off without a word is noticed after
 /// this and the store's own limit for an answer.
 pub const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause after changes of endpoints before the next watch, so that changes that come together cost
+/// one call. An endpoint that leaves must get no work after two seconds.
+const GATHER: Duration = Duration::from_millis(300);
 /// First pause after a call that failed; doubled up to [`PAUSE_MAX`], and drawn from half to whole
 /// so that VMs do not come back all at once.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
@@ -129,6 +132,7 @@
     let at = list.at;
     let removals = gateway.knowledge.take_endpoints(Instant::now(), list);
     gateway.on_removals(&removals);
+    smol::Timer::after(GATHER).await;
     Ok(at)
 }
 
@@ -137,6 +141,7 @@
     since: Revision,
 ) -> Result<Revision, StoreError> {
     let changes = gateway.store.watch_endpoints(since, ENDPOINTS_WAIT).await?;
+    let has_changes = !changes.value.is_empty();
     gateway.on_store_answer("endpoints");
     let at = changes.at;
     for change in &changes.value {
@@ -146,5 +151,8 @@
     }
     let removals = gateway.knowledge.take_changes(Instant::now(), changes);
     gateway.on_removals(&removals);
+    if has_changes {
+        smol::Timer::after(GATHER).await;
+    }
     Ok(at)
 }
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -32,7 +32,7 @@
     let holders = knowledge.endpoints(|directory| {
         directory
             .usable_of(&service.name)
-            .filter(|record| !avoid.contains(&record.id) && book.takes_work(&record.id, now))
+            .filter(|record| !avoid.contains(&record.id) && book.may_run_part(&record.id))
             .filter_map(|record| {
                 let layers = record.layers.filter(|layers| !layers.is_empty())?;
                 let kind = record.accelerator.as_deref().and_then(|k| figures.accelerator(k));
@@ -42,6 +42,7 @@
                     address: record.address,
                     hall: record.hall.clone(),
                     layers,
+                    use_cost_ms: book.use_cost_ms(&record.id, now),
                     layer_cost_ms: figures.step_ms * factor / f64::from(figures.layers.max(1)),
                 })
             })
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -33,10 +33,12 @@
 const ORDER_PAUSE: Duration = Duration::from_millis(3_000);
 /// Requests of the usual size whose KV cache should fit beside an engine's layers, tried from the
 /// most to the least. A hall runs some 60 at once on the sites known.
-const ROOM_FOR_REQUESTS: [f64; 5] = [100.0, 60.0, 30.0, 10.0, 1.0];
-/// What the planner weighs: a layer loaded costs 14 s / 80 of a load; shares that are even keep the
-/// slowest part of a path quick.
-const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, balance: 0.1 };
+const ROOM_FOR_REQUESTS: [f64; 3] = [30.0, 10.0, 1.0];
+/// What the planner weighs. A layer given up ends the paths of all who pass through it, so it costs
+/// more than several loads; even shares count only where layers are loaded anyhow.
+const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, give_up: 5.0, balance: 0.1 };
+/// Requests of the usual size whose KV cache should fit beside layers that are taken in addition.
+const ROOM_WHEN_WIDENED: f64 = 30.0;
 
 /// What is known of one engine by asking it.
 #[derive(Debug, Clone, Default)]
@@ -205,7 +207,7 @@
         engines: &[&EndpointRecord],
         figures: &EngineFigures,
     ) -> Option<Vec<Assignment>> {
-        let usual = f64::from(figures.usual_prompt_tokens + figures.usual_answer_tokens);
+        let usual = usual_tokens(figures);
         ROOM_FOR_REQUESTS.iter().find_map(|requests| {
             let tokens = usual * requests;
             let runners: Vec<PlanRunner> =
@@ -221,12 +223,7 @@
         tokens: f64,
     ) -> Option<PlanRunner> {
         let kind = figures.accelerator(record.accelerator.as_deref()?)?;
-        let shape = MemoryShape {
-            memory_mb: kind.memory_mb,
-            layer_mb: figures.layer_mb,
-            layers: figures.layers,
-            kv_token_bytes: figures.kv_token_bytes,
-        };
+        let shape = memory_shape(figures, kind);
         Some(PlanRunner {
             endpoint: record.id.clone(),
             most_layers: layers_that_fit(&shape, tokens),
@@ -260,7 +257,7 @@
         if known.ordered.as_ref().is_some_and(is_pending) {
             return;
         }
-        let layers = widened(held, assignment.layers, record, figures);
+        let layers = with_held(held, assignment.layers, record, figures);
         known.ordered = Some((layers, now));
         let order = PlaceOrder { layers, expected_orders: report.orders_taken };
         let call = W::order_call(&order);
@@ -320,27 +317,29 @@
 
 /// The wanted layers and those that are held beside them, if all fit: nothing is given up that
 /// requests may be passing through.
-fn widened(
+fn with_held(
     held: Option<LayerRange>,
     wanted: LayerRange,
     record: &EndpointRecord,
     figures: &EngineFigures,
 ) -> LayerRange {
-    let Some(held) = held else {
-        return wanted;
-    };
-    let adjoins = held.first <= wanted.end && wanted.first <= held.end;
-    let both = LayerRange { first: held.first.min(wanted.first), end: held.end.max(wanted.end) };
     let kind = record.accelerator.as_deref().and_then(|kind| figures.accelerator(kind));
-    let fits = kind.is_some_and(|kind| {
-        let shape = MemoryShape {
-            memory_mb: kind.memory_mb,
-            layer_mb: figures.layer_mb,
-            layers: figures.layers,
-            kv_token_bytes: figures.kv_token_bytes,
-        };
-        let usual = f64::from(figures.usual_prompt_tokens + figures.usual_answer_tokens);
-        both.len() <= usize::from(layers_that_fit(&shape, usual * ROOM_FOR_REQUESTS[2]))
+    let both = held.zip(kind).and_then(|(held, kind)| {
+        let tokens = usual_tokens(figures) * ROOM_WHEN_WIDENED;
+        widened(held, wanted, layers_that_fit(&memory_shape(figures, kind), tokens))
     });
-    if adjoins && fits { both } else { wanted }
+    both.unwrap_or(wanted)
+}
+
+fn usual_tokens(figures: &EngineFigures) -> f64 {
+    f64::from(figures.usual_prompt_tokens + figures.usual_answer_tokens)
+}
+
+fn memory_shape(figures: &EngineFigures, kind: &AcceleratorFigures) -> MemoryShape {
+    MemoryShape {
+        memory_mb: kind.memory_mb,
+        layer_mb: figures.layer_mb,
+        layers: figures.layers,
+        kv_token_bytes: figures.kv_token_bytes,
+    }
 }
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -6,7 +6,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use crate::{follow, lifecycle, placement};
+use crate::{doctor, follow, lifecycle, placement};
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
@@ -91,6 +91,7 @@
     fn build(self, app: &App<Gateway<W, S>>) {
         app.spawn(lifecycle::reload(app.state(), self.reload, self.settings_path));
         app.spawn(lifecycle::sweep(app.state()));
+        app.spawn(doctor::probe_lost(app.state()));
     }
 }
 
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -132,8 +132,9 @@
 pub fn evidence_of(sent: &Sent) -> Option<Evidence> {
     match sent {
         Sent::Success(..) => Some(Evidence::Good),
-        Sent::Failure(..) => Some(Evidence::Failed),
-        Sent::NotSent(_) | Sent::Lost(_) => Some(Evidence::Unreachable),
+        // An answer that was lost says little of the endpoint: it may lose some and run all.
+        Sent::Failure(..) | Sent::Lost(_) => Some(Evidence::Failed),
+        Sent::NotSent(_) => Some(Evidence::Unreachable),
         // Being full is no fault.
         Sent::NotRun(_) => None,
     }
--- a/crates/sillbank_gateway/src/streams.rs
+++ b/crates/sillbank_gateway/src/streams.rs
@@ -285,11 +285,8 @@
                 .and_then(|address| Some(target.path.as_ref()?.at(address)?.endpoint.clone()));
             let reason = format!("refused with status {}", refusal.status);
             let blamed = at_fault.as_deref().unwrap_or(&endpoint);
-            match (refusal.misdirected, &at_fault) {
-                (true, _) => gateway.on_evidence(blamed, Evidence::Unreachable, &reason),
-                (false, Some(_)) => gateway.on_evidence(blamed, Evidence::Failed, &reason),
-                // The first endpoint being full is no fault.
-                (false, None) => {}
+            if refusal.misdirected || at_fault.is_some() {
+                gateway.on_evidence(blamed, Evidence::LacksPart, &reason);
             }
             ended(at_fault, Left::NotRun, reason)
         }
@@ -298,7 +295,7 @@
             ended(None, Left::NotSent, reason)
         }
         Ok(Sent::Lost(reason)) => {
-            gateway.on_evidence(&endpoint, Evidence::Unreachable, &reason);
+            gateway.on_evidence(&endpoint, Evidence::Failed, &reason);
             ended(None, Left::MayHaveRun, reason)
         }
     }
@@ -310,11 +307,18 @@
     job: &Rc<Job>,
     target: &Target,
 ) -> (EndpointId, String) {
+    let sent_at = Instant::now();
     loop {
         smol::Timer::after(DOUBT).await;
-        let found =
-            look_for_loss(gateway, job, &target.endpoint, target.address, target.path.as_ref())
-                .await;
+        let found = look_for_loss(
+            gateway,
+            job,
+            &target.endpoint,
+            target.address,
+            target.path.as_ref(),
+            sent_at,
+        )
+        .await;
         if let Some(found) = found {
             return found;
         }
@@ -328,9 +332,11 @@
     first: &str,
     address: SocketAddr,
     path: Option<&LayerPath>,
+    sent_at: Instant,
 ) -> Option<(EndpointId, String)> {
     if let Some(path) = path {
-        let lost = path.parts().iter().find(|part| gateway.book.is_ejected(&part.endpoint));
+        let is_lost = |part: &&PathPart| gateway.book.ejected_since(&part.endpoint, sent_at);
+        let lost = path.parts().iter().find(is_lost);
         if let Some(part) = lost {
             return Some((part.endpoint.clone(), "a part of the path is left alone".to_owned()));
         }
@@ -464,6 +470,7 @@
                     &upstream.endpoint,
                     upstream.address,
                     upstream.path.as_ref(),
+                    upstream.sent_at,
                 )
                 .await;
                 if let Some((at_fault, reason)) = found {
--- a/crates/sillbank_layers/src/find.rs
+++ b/crates/sillbank_layers/src/find.rs
@@ -15,6 +15,8 @@
     pub hall: HallId,
     /// Layers it holds.
     pub layers: LayerRange,
+    /// Cost of using it at all, in milliseconds of predicted time.
+    pub use_cost_ms: f64,
     /// Cost of each layer run there, in milliseconds of predicted time.
     pub layer_cost_ms: f64,
 }
@@ -78,7 +80,7 @@
     layers: u16,
 ) {
     for to in from + 1..=holder.layers.end.min(layers) {
-        let total = cost + f64::from(to - from) * holder.layer_cost_ms;
+        let total = cost + holder.use_cost_ms + f64::from(to - from) * holder.layer_cost_ms;
         let slot = &mut best[usize::from(to)][index];
         if slot.is_none_or(|known| total < known.cost) {
             *slot = Some(Step { cost: total, holder: index, from });
--- a/crates/sillbank_layers/src/plan.rs
+++ b/crates/sillbank_layers/src/plan.rs
@@ -24,6 +24,8 @@
 pub struct PlanWeights {
     /// Cost of a layer that has to be loaded.
     pub load: f64,
+    /// Cost of a layer that has to be given up to make room: requests pass through it.
+    pub give_up: f64,
     /// Cost of uneven shares: factor on the sum of squared layers by weight.
     pub balance: f64,
 }
@@ -84,9 +86,28 @@
 
 fn part_cost(runner: &PlanRunner, part: LayerRange, even: f64, weights: PlanWeights) -> f64 {
     let new = part.len() - overlap(runner.held, part);
+    let given_up = given_up(runner, part, new);
     let size = part.len() as f64;
     let uneven = size * size / even.max(f64::MIN_POSITIVE);
-    weights.load * new as f64 + weights.balance * uneven
+    weights.load * new as f64 + weights.give_up * given_up as f64 + weights.balance * uneven
+}
+
+/// Held layers that have no room beside new ones.
+fn given_up(runner: &PlanRunner, part: LayerRange, new: usize) -> usize {
+    let Some(held) = runner.held.filter(|_| new > 0) else {
+        return 0;
+    };
+    match widened(held, part, runner.most_layers) {
+        Some(_) => 0,
+        None => held.len() - overlap(runner.held, part),
+    }
+}
+
+/// Both ranges as one, if they adjoin and fit.
+pub fn widened(held: LayerRange, wanted: LayerRange, most_layers: u16) -> Option<LayerRange> {
+    let adjoins = held.first <= wanted.end && wanted.first <= held.end;
+    let both = LayerRange { first: held.first.min(wanted.first), end: held.end.max(wanted.end) };
+    (adjoins && both.len() <= usize::from(most_layers)).then_some(both)
 }
 
 fn overlap(held: Option<LayerRange>, part: LayerRange) -> usize {
--- a/crates/sillbank_layers/tests/layers.rs
+++ b/crates/sillbank_layers/tests/layers.rs
@@ -6,7 +6,7 @@
 
 const LAYERS: u16 = 80;
 const CROSSING: CrossingCost = CrossingCost { request_ms: 10.0, activations_ms: 100.0 };
-const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, balance: 0.1 };
+const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, give_up: 1.0, balance: 0.1 };
 
 fn range(first: u16, end: u16) -> LayerRange {
     LayerRange { first, end }
@@ -18,6 +18,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: hall.to_owned(),
         layers: range(first, end),
+        use_cost_ms: 0.0,
         layer_cost_ms: 1.0,
     }
 }
@@ -118,7 +119,8 @@
         runner("d", 8, Some(range(15, 20))),
     ];
 
-    let plan = plan(&runners, 20, PlanWeights { load: 100.0, balance: 0.1 }).expect("it fits");
+    let plan = plan(&runners, 20, PlanWeights { load: 100.0, give_up: 0.0, balance: 0.1 })
+        .expect("it fits");
 
     let layers: Vec<LayerRange> = plan.iter().map(|a| a.layers).collect();
     let loaded: usize = plan
@@ -141,7 +143,8 @@
         runner("c", 12, Some(range(10, 20))),
     ];
 
-    let plan = plan(&runners, 20, PlanWeights { load: 100.0, balance: 0.1 }).expect("it fits");
+    let plan = plan(&runners, 20, PlanWeights { load: 100.0, give_up: 0.0, balance: 0.1 })
+        .expect("it fits");
 
     assert!(plan.contains(&Assignment { endpoint: "new".to_owned(), layers: range(5, 10) }));
 }
