Weigh room for KV cache against loads when placing layers

Restarted engines stayed empty. Orders while the hall was broken waited for requests that could not end.

--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -42,7 +42,7 @@
     pub use crate::settings::GatewaySettings;
     pub use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
     pub use crate::wire::{
-        BadHead, CallerHead, EndpointReply, EngineReport, OrderEnd, PlaceOrder, Refusal, Sending,
-        StalledRequest, TokenCounts, Unreadable, Wire,
+        BadHead, CallerHead, EndpointReply, EngineReport, GiveUp, OrderEnd, PlaceOrder, Refusal,
+        Sending, StalledRequest, TokenCounts, Unreadable, Wire,
     };
 }
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
-use crate::wire::{EngineReport, OrderEnd, PlaceOrder, Wire};
+use crate::wire::{EngineReport, GiveUp, OrderEnd, PlaceOrder, Wire};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -31,14 +31,13 @@
 /// How long an order that got no answer may still be carried out before it is given again. The
 /// engine refuses it if the first one came through after all.
 const ORDER_PAUSE: Duration = Duration::from_millis(3_000);
-/// Requests of the usual size whose KV cache should fit beside an engine's layers, tried from the
-/// most to the least. A hall runs some 60 at once on the sites known.
-const ROOM_FOR_REQUESTS: [f64; 3] = [30.0, 10.0, 1.0];
-/// What the planner weighs. A layer given up ends the paths of all who pass through it, so it costs
-/// more than several loads; even shares count only where layers are loaded anyhow.
-const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, give_up: 5.0, balance: 0.1 };
-/// Requests of the usual size whose KV cache should fit beside layers that are taken in addition.
-const ROOM_WHEN_WIDENED: f64 = 30.0;
+/// What the planner weighs, in layers loaded. A layer given up ends paths of requests that pass, so
+/// it costs more than a load; even shares count less, so that nothing moves for them alone.
+const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, give_up: 2.0, balance: 0.1 };
+/// Costs of little room for KV cache, in layers loaded: below this many requests of the usual size,
+/// this much more. A hall of the sites known runs some 60 requests at once, and preempts when its
+/// tightest engine has no room for them.
+const ROOM_COSTS: [(f64, f64); 4] = [(120.0, 2.0), (80.0, 8.0), (40.0, 20.0), (15.0, 60.0)];
 
 /// What is known of one engine by asking it.
 #[derive(Debug, Clone, Default)]
@@ -163,12 +162,23 @@
             tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
             return;
         };
+        // While layers are missing no request gets through the hall, so none has to be waited for.
+        let how = match self.is_whole(&alive, figures.layers) {
+            true => GiveUp::WhenUnused,
+            false => GiveUp::AtOnce,
+        };
         for assignment in assignments {
-            let record = &engines[&assignment.endpoint];
-            self.order(record.address, &assignment, figures, record).await;
+            self.order(engines[&assignment.endpoint].address, &assignment, how).await;
         }
     }
 
+    /// Whether the engines hold all layers between them.
+    fn is_whole(&self, engines: &[&EndpointRecord], layers: u16) -> bool {
+        let held: Vec<LayerRange> =
+            engines.iter().filter_map(|record| self.layers_of(&record.id)).collect();
+        (0..layers).all(|layer| held.iter().any(|h| h.first <= layer && layer < h.end))
+    }
+
     fn layers_of(&self, id: &str) -> Option<LayerRange> {
         self.known.get(id)?.report.as_ref()?.layers.filter(|layers| !layers.is_empty())
     }
@@ -201,45 +211,32 @@
         }
     }
 
-    /// The plan for engines that answer, with as much room for KV cache as the memory allows.
+    /// The plan for engines that answer.
     fn plan(
         &self,
         engines: &[&EndpointRecord],
         figures: &EngineFigures,
     ) -> Option<Vec<Assignment>> {
-        let usual = usual_tokens(figures);
-        ROOM_FOR_REQUESTS.iter().find_map(|requests| {
-            let tokens = usual * requests;
-            let runners: Vec<PlanRunner> =
-                engines.iter().filter_map(|record| self.runner(record, figures, tokens)).collect();
-            plan(&runners, figures.layers, WEIGHTS)
-        })
+        let runners: Vec<PlanRunner> =
+            engines.iter().filter_map(|record| self.runner(record, figures)).collect();
+        plan(&runners, figures.layers, WEIGHTS)
     }
 
-    fn runner(
-        &self,
-        record: &EndpointRecord,
-        figures: &EngineFigures,
-        tokens: f64,
-    ) -> Option<PlanRunner> {
+    fn runner(&self, record: &EndpointRecord, figures: &EngineFigures) -> Option<PlanRunner> {
         let kind = figures.accelerator(record.accelerator.as_deref()?)?;
         let shape = memory_shape(figures, kind);
+        let most_layers = layers_that_fit(&shape, usual_tokens(figures));
+        let size_costs = (0..=most_layers).map(|held| room_cost(&shape, held, figures)).collect();
         Some(PlanRunner {
             endpoint: record.id.clone(),
-            most_layers: layers_that_fit(&shape, tokens),
+            size_costs,
             weight: kind.memory_mb,
             held: self.layers_of(&record.id),
         })
     }
 
     /// Orders an engine to hold its layers, unless it does or is at work on an order.
-    async fn order(
-        &mut self,
-        address: SocketAddr,
-        assignment: &Assignment,
-        figures: &EngineFigures,
-        record: &EndpointRecord,
-    ) {
+    async fn order(&mut self, address: SocketAddr, assignment: &Assignment, how: GiveUp) {
         let now = Instant::now();
         let held = self.layers_of(&assignment.endpoint);
         let Some(known) = self.known.get_mut(&assignment.endpoint) else {
@@ -248,8 +245,8 @@
         let Some(report) = &known.report else {
             return;
         };
-        if report.order_under_way || assignment.layers.is_empty() || covers(held, assignment.layers)
-        {
+        let layers = assignment.holds;
+        if report.order_under_way || layers.is_empty() || held == Some(layers) {
             return;
         }
         let is_pending =
@@ -257,9 +254,8 @@
         if known.ordered.as_ref().is_some_and(is_pending) {
             return;
         }
-        let layers = with_held(held, assignment.layers, record, figures);
         known.ordered = Some((layers, now));
-        let order = PlaceOrder { layers, expected_orders: report.orders_taken };
+        let order = PlaceOrder { layers, give_up: how, expected_orders: report.orders_taken };
         let call = W::order_call(&order);
         let ended = self.gateway.engine_calls.call(address, call, ENGINE_CALL_LIMIT).await;
         let end = match &ended {
@@ -311,24 +307,11 @@
     }
 }
 
-fn covers(held: Option<LayerRange>, wanted: LayerRange) -> bool {
-    held.is_some_and(|held| held.first <= wanted.first && wanted.end <= held.end)
-}
-
-/// The wanted layers and those that are held beside them, if all fit: nothing is given up that
-/// requests may be passing through.
-fn with_held(
-    held: Option<LayerRange>,
-    wanted: LayerRange,
-    record: &EndpointRecord,
-    figures: &EngineFigures,
-) -> LayerRange {
-    let kind = record.accelerator.as_deref().and_then(|kind| figures.accelerator(kind));
-    let both = held.zip(kind).and_then(|(held, kind)| {
-        let tokens = usual_tokens(figures) * ROOM_WHEN_WIDENED;
-        widened(held, wanted, layers_that_fit(&memory_shape(figures, kind), tokens))
-    });
-    both.unwrap_or(wanted)
+/// Cost of the room that is left for KV cache beside so many layers.
+fn room_cost(shape: &MemoryShape, held: u16, figures: &EngineFigures) -> f64 {
+    let requests = tokens_that_fit(shape, held) / usual_tokens(figures).max(1.0);
+    let costs = ROOM_COSTS.iter().filter(|(least, _)| held > 0 && requests < *least);
+    costs.map(|(_, cost)| cost).sum()
 }
 
 fn usual_tokens(figures: &EngineFigures) -> f64 {
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -91,11 +91,22 @@
     pub at_fault: Option<SocketAddr>,
 }
 
+/// What happens to requests that pass through layers that are given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GiveUp {
+    /// They end first; no new ones are taken.
+    WhenUnused,
+    /// They are cut off.
+    AtOnce,
+}
+
 /// Layers that an endpoint is to hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlaceOrder {
     /// Layers.
     pub layers: LayerRange,
+    /// When it gives up what it holds beside them.
+    pub give_up: GiveUp,
     /// Orders that the endpoint has taken before; it refuses the order if there were others.
     pub expected_orders: u64,
 }
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -15,13 +15,13 @@
 
 pub use find::{CrossingCost, Holder, find_path};
 pub use path::{LayerPath, MAX_PARTS, PathError, PathPart};
-pub use plan::{Assignment, PlanRunner, PlanWeights, plan, widened};
+pub use plan::{Assignment, PlanRunner, PlanWeights, plan};
 pub use room::{MemoryShape, layers_that_fit, tokens_that_fit};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
         Assignment, CrossingCost, Holder, LayerPath, MAX_PARTS, MemoryShape, PathError, PathPart,
-        PlanRunner, PlanWeights, find_path, layers_that_fit, plan, tokens_that_fit, widened,
+        PlanRunner, PlanWeights, find_path, layers_that_fit, plan, tokens_that_fit,
     };
 }
--- a/crates/sillbank_layers/src/plan.rs
+++ b/crates/sillbank_layers/src/plan.rs
@@ -11,32 +11,44 @@
 pub struct PlanRunner {
     /// Endpoint.
     pub endpoint: EndpointId,
-    /// Most layers it may run.
-    pub most_layers: u16,
+    /// Cost of holding 0, 1, 2 ... layers; it may not hold more than there are costs for.
+    pub size_costs: Vec<f64>,
     /// Its share relative to the others, greater for more layers.
     pub weight: f64,
     /// Layers it holds, if any.
     pub held: Option<LayerRange>,
 }
 
+impl PlanRunner {
+    fn most_layers(&self) -> u16 {
+        self.size_costs.len().saturating_sub(1).min(usize::from(u16::MAX)) as u16
+    }
+
+    fn size_cost(&self, layers: LayerRange) -> Option<f64> {
+        self.size_costs.get(layers.len()).copied()
+    }
+}
+
 /// What the planner weighs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlanWeights {
     /// Cost of a layer that has to be loaded.
     pub load: f64,
-    /// Cost of a layer that has to be given up to make room: requests pass through it.
+    /// Cost of a layer that is given up: requests may be passing through it.
     pub give_up: f64,
     /// Cost of uneven shares: factor on the sum of squared layers by weight.
     pub balance: f64,
 }
 
-/// Layers that one endpoint should run.
+/// Layers that one endpoint should run and hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
     /// Endpoint.
     pub endpoint: EndpointId,
-    /// Layers; empty if it has none in this plan.
+    /// Layers it runs; empty if it has none in this plan.
     pub layers: LayerRange,
+    /// Layers it holds: those it runs, and those beside them that it has no need to give up.
+    pub holds: LayerRange,
 }
 
 /// Shares `layers` layers out over the endpoints; `None` if they cannot hold them all.
@@ -58,7 +70,7 @@
             if before.is_infinite() {
                 continue;
             }
-            let furthest = first.saturating_add(runner.most_layers).min(layers);
+            let furthest = first.saturating_add(runner.most_layers()).min(layers);
             for end in first..=furthest {
                 let part = LayerRange { first, end };
                 let cost = before + part_cost(runner, part, even, weights);
@@ -77,7 +89,9 @@
     for index in (0..ordered.len()).rev() {
         let first = starts[index + 1][usize::from(end)];
         let layers = LayerRange { first, end };
-        assignments.push(Assignment { endpoint: ordered[index].endpoint.clone(), layers });
+        let runner = &ordered[index];
+        let (holds, _) = holding(runner, layers, weights);
+        assignments.push(Assignment { endpoint: runner.endpoint.clone(), layers, holds });
         end = first;
     }
     assignments.reverse();
@@ -85,29 +99,36 @@
 }
 
 fn part_cost(runner: &PlanRunner, part: LayerRange, even: f64, weights: PlanWeights) -> f64 {
-    let new = part.len() - overlap(runner.held, part);
-    let given_up = given_up(runner, part, new);
     let size = part.len() as f64;
     let uneven = size * size / even.max(f64::MIN_POSITIVE);
-    weights.load * new as f64 + weights.give_up * given_up as f64 + weights.balance * uneven
+    holding(runner, part, weights).1 + weights.balance * uneven
 }
 
-/// Held layers that have no room beside new ones.
-fn given_up(runner: &PlanRunner, part: LayerRange, new: usize) -> usize {
-    let Some(held) = runner.held.filter(|_| new > 0) else {
-        return 0;
+/// What an endpoint that runs a part should hold, with its cost: the part alone, or what it holds
+/// already as well.
+fn holding(runner: &PlanRunner, part: LayerRange, weights: PlanWeights) -> (LayerRange, f64) {
+    let load = weights.load * (part.len() - overlap(runner.held, part)) as f64;
+    let held = runner.held.filter(|held| !held.is_empty());
+    let given_up = held.map_or(0, |held| held.len() - overlap(runner.held, part));
+    let part_cost = runner.size_cost(part).unwrap_or(f64::INFINITY);
+    let alone = (part, load + part_cost + weights.give_up * given_up as f64);
+    let Some(both) = held.and_then(|held| joined(held, part)) else {
+        return alone;
     };
-    match widened(held, part, runner.most_layers) {
-        Some(_) => 0,
-        None => held.len() - overlap(runner.held, part),
+    match runner.size_cost(both) {
+        Some(cost) if load + cost <= alone.1 => (both, load + cost),
+        _ => alone,
     }
 }
 
-/// Both ranges as one, if they adjoin and fit.
-pub fn widened(held: LayerRange, wanted: LayerRange, most_layers: u16) -> Option<LayerRange> {
-    let adjoins = held.first <= wanted.end && wanted.first <= held.end;
-    let both = LayerRange { first: held.first.min(wanted.first), end: held.end.max(wanted.end) };
-    (adjoins && both.len() <= usize::from(most_layers)).then_some(both)
+/// Both ranges as one, if they adjoin.
+fn joined(held: LayerRange, part: LayerRange) -> Option<LayerRange> {
+    if part.is_empty() {
+        return Some(held);
+    }
+    let adjoins = held.first <= part.end && part.first <= held.end;
+    let both = LayerRange { first: held.first.min(part.first), end: held.end.max(part.end) };
+    adjoins.then_some(both)
 }
 
 fn overlap(held: Option<LayerRange>, part: LayerRange) -> usize {
--- a/crates/sillbank_layers/tests/layers.rs
+++ b/crates/sillbank_layers/tests/layers.rs
@@ -24,7 +24,12 @@
 }
 
 fn runner(id: &str, most_layers: u16, held: Option<LayerRange>) -> PlanRunner {
-    PlanRunner { endpoint: id.to_owned(), most_layers, weight: f64::from(most_layers), held }
+    PlanRunner {
+        endpoint: id.to_owned(),
+        size_costs: vec![0.0; usize::from(most_layers) + 1],
+        weight: f64::from(most_layers),
+        held,
+    }
 }
 
 fn part(id: &str, first: u16, end: u16) -> PathPart {
@@ -146,7 +151,8 @@
     let plan = plan(&runners, 20, PlanWeights { load: 100.0, give_up: 0.0, balance: 0.1 })
         .expect("it fits");
 
-    assert!(plan.contains(&Assignment { endpoint: "new".to_owned(), layers: range(5, 10) }));
+    let new = plan.iter().find(|assignment| assignment.endpoint == "new");
+    assert_eq!(new.map(|assignment| assignment.layers), Some(range(5, 10)));
 }
 
 #[test]
@@ -160,17 +166,20 @@
             let held = if u.arbitrary()? { Some(held) } else { None };
             runners.push(runner(&number.to_string(), most_layers, held));
         }
-        let room: u16 = runners.iter().map(|runner| runner.most_layers).sum();
+        let room: usize = runners.iter().map(|runner| runner.size_costs.len() - 1).sum();
 
         let plan = plan(&runners, LAYERS, WEIGHTS);
 
-        assert_eq!(plan.is_some(), room >= LAYERS);
+        assert_eq!(plan.is_some(), room >= usize::from(LAYERS));
         let mut next = 0;
         for assignment in plan.iter().flatten() {
             let runner = runners.iter().find(|r| r.endpoint == assignment.endpoint);
-            let most = runner.expect("it is known").most_layers;
+            let most = runner.expect("it is known").size_costs.len() - 1;
             assert_eq!(assignment.layers.first, next);
-            assert!(assignment.layers.len() <= usize::from(most));
+            assert!(assignment.holds.len() <= most);
+            let covers = assignment.holds.first <= assignment.layers.first
+                && assignment.layers.end <= assignment.holds.end;
+            assert!(covers || assignment.layers.is_empty());
             next = assignment.layers.end;
         }
         assert!(plan.is_none() || next == LAYERS);
@@ -207,3 +216,15 @@
     assert_eq!(layers_that_fit(&shape, 30_000.0), 11);
     assert_eq!(layers_that_fit(&shape, 70_000.0), 10);
 }
+
+#[test]
+fn layers_that_crowd_out_the_cache_are_given_up_in_calm_times() {
+    let mut crowded = runner("a", 12, Some(range(0, 12)));
+    crowded.size_costs = (0..=12).map(|n| if n > 10 { 20.0 } else { 0.0 }).collect();
+    let other = runner("b", 12, Some(range(10, 20)));
+    let weights = PlanWeights { load: 1.0, give_up: 2.0, balance: 0.1 };
+
+    let plan = plan(&[crowded, other], 20, weights).expect("it fits");
+
+    assert_eq!(plan[0].holds, range(0, 10));
+}
