Deal a hall's engines to chains, and spread requests over them

Now a hall has as many chains as hold the model with room for 80 requests; paths cost more through busy engines.

--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -14,6 +14,14 @@
 /// stage filled the pipe between the halls, so this exceeds any path that stays.
 const ACTIVATIONS_CROSSING_MS: f64 = 2_000.0;
 
+/// Cost of one more part in a path, in milliseconds: the way there and an engine's pass.
+const PART_COST_MS: f64 = 0.5;
+/// Requests of this VM at an engine by which its time is taken to double. Engines work in passes
+/// over all that waits, so their time grows with what they have.
+const DOUBLING_REQUESTS: f64 = 16.0;
+/// Chance's part in the cost of an engine, so that VMs do not all choose alike.
+const CHANCE: f64 = 0.06;
+
 const CROSSING: CrossingCost =
     CrossingCost { request_ms: REQUEST_CROSSING_MS, activations_ms: ACTIVATIONS_CROSSING_MS };
 
@@ -29,6 +37,7 @@
     avoid: &[EndpointId],
     now: Instant,
 ) -> Option<LayerPath> {
+    let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
     let holders = knowledge.endpoints(|directory| {
         directory
             .usable_of(&service.name)
@@ -37,13 +46,15 @@
                 let layers = record.layers.filter(|layers| !layers.is_empty())?;
                 let kind = record.accelerator.as_deref().and_then(|k| figures.accelerator(k));
                 let factor = kind.map_or(1.0, |kind| kind.step_factor);
+                let in_flight = f64::from(book.in_flight(&record.id));
+                let busy = 1.0 + in_flight / DOUBLING_REQUESTS;
                 Some(Holder {
                     endpoint: record.id.clone(),
                     address: record.address,
                     hall: record.hall.clone(),
                     layers,
-                    use_cost_ms: book.use_cost_ms(&record.id, now),
-                    layer_cost_ms: figures.step_ms * factor / f64::from(figures.layers.max(1)),
+                    use_cost_ms: PART_COST_MS + book.use_cost_ms(&record.id, now),
+                    layer_cost_ms: layer_ms * factor * busy * (1.0 + CHANCE * fastrand::f64()),
                 })
             })
             .collect::<Vec<_>>()
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -39,6 +39,11 @@
 /// tightest engine has no room for them.
 const ROOM_COSTS: [(f64, f64); 4] = [(120.0, 2.0), (80.0, 8.0), (40.0, 20.0), (15.0, 60.0)];
 
+/// Requests of the usual size that each engine of a chain has room for when chains are counted.
+const ROOM_IN_CHAINS: f64 = 80.0;
+/// Most chains in a hall.
+const MAX_CHAINS: usize = 8;
+
 /// What is known of one engine by asking it.
 #[derive(Debug, Clone, Default)]
 struct Known {
@@ -57,6 +62,7 @@
     known: HashMap<EndpointId, Known>,
     asked_at: Option<Instant>,
     members: (Vec<EndpointId>, Instant),
+    chains: BTreeMap<ServiceId, BTreeMap<EndpointId, ChainNumber>>,
 }
 
 /// Keeps the layers of this hall's engines placed for as long as the program runs.
@@ -72,6 +78,7 @@
         known: HashMap::new(),
         asked_at: None,
         members: (Vec::new(), Instant::now()),
+        chains: BTreeMap::new(),
         gateway,
     };
     loop {
@@ -109,6 +116,7 @@
         if holds != self.holds {
             self.holds = holds;
             self.known.clear();
+            self.chains.clear();
             tracing::info!(lease = self.lease_name, holds, "lease: Changed.");
         }
     }
@@ -158,18 +166,64 @@
         if is_first && now.saturating_duration_since(self.members.1) < SETTLE {
             return;
         }
-        let Some(assignments) = self.plan(&alive, figures) else {
-            tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
-            return;
-        };
+        let chains = self.deal(service, &alive, figures);
         // While layers are missing no request gets through the hall, so none has to be waited for.
         let how = match self.is_whole(&alive, figures.layers) {
             true => GiveUp::WhenUnused,
             false => GiveUp::AtOnce,
         };
-        for assignment in assignments {
-            self.order(engines[&assignment.endpoint].address, &assignment, how).await;
+        for chain in chains {
+            let Some(assignments) = self.plan(&chain, figures) else {
+                tracing::warn!(service, hall, engines = chain.len(), "plan: Layers do not fit.");
+                continue;
+            };
+            for assignment in assignments {
+                self.order(engines[&assignment.endpoint].address, &assignment, how).await;
+            }
+        }
+    }
+
+    /// Deals engines to as many chains as hold the model with room for KV cache.
+    fn deal<'a>(
+        &mut self,
+        service: &str,
+        engines: &[&'a EndpointRecord],
+        figures: &EngineFigures,
+    ) -> Vec<Vec<&'a EndpointRecord>> {
+        let kind_of =
+            |r: &EndpointRecord| r.accelerator.as_deref().and_then(|k| figures.accelerator(k));
+        let fits: u32 = engines
+            .iter()
+            .filter_map(|record| kind_of(record))
+            .map(|kind| {
+                let tokens = usual_tokens(figures) * ROOM_IN_CHAINS;
+                u32::from(layers_that_fit(&memory_shape(figures, kind), tokens))
+            })
+            .sum();
+        let possible = fits as f64 / f64::from(figures.layers.max(1));
+        let dealt = self.chains.entry(service.to_owned()).or_default();
+        let before = dealt.values().max().map_or(0, |most| most + 1);
+        // A chain more is begun, or one given up, only when it is clear: engines come and go.
+        let wanted = (possible.floor() as usize).clamp(1, MAX_CHAINS);
+        let count = match before {
+            0 => wanted,
+            before if possible >= before as f64 + 1.3 || possible < before as f64 * 0.8 => wanted,
+            before => before,
+        };
+        let members: Vec<ChainMember> = engines
+            .iter()
+            .map(|record| ChainMember {
+                endpoint: record.id.clone(),
+                weight: kind_of(record).map_or(0.0, |kind| kind.memory_mb),
+                held: layers_in(&self.known, &record.id),
+            })
+            .collect();
+        *dealt = deal_chains(&members, count, dealt);
+        let mut chains: Vec<Vec<&EndpointRecord>> = vec![Vec::new(); count];
+        for record in engines {
+            chains[dealt[&record.id]].push(record);
         }
+        chains
     }
 
     /// Whether the engines hold all layers between them.
@@ -180,7 +234,7 @@
     }
 
     fn layers_of(&self, id: &str) -> Option<LayerRange> {
-        self.known.get(id)?.report.as_ref()?.layers.filter(|layers| !layers.is_empty())
+        layers_in(&self.known, id)
     }
 
     /// Asks all engines for their reports at once.
@@ -286,6 +340,10 @@
     }
 }
 
+fn layers_in(known: &HashMap<EndpointId, Known>, id: &str) -> Option<LayerRange> {
+    known.get(id)?.report.as_ref()?.layers.filter(|layers| !layers.is_empty())
+}
+
 async fn ask<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     address: SocketAddr,
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -8,11 +8,13 @@
 
 #![forbid(unsafe_code)]
 
+mod chains;
 mod find;
 mod path;
 mod plan;
 mod room;
 
+pub use chains::{ChainMember, ChainNumber, deal_chains};
 pub use find::{CrossingCost, Holder, find_path};
 pub use path::{LayerPath, MAX_PARTS, PathError, PathPart};
 pub use plan::{Assignment, PlanRunner, PlanWeights, plan};
@@ -21,7 +23,8 @@
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Assignment, CrossingCost, Holder, LayerPath, MAX_PARTS, MemoryShape, PathError, PathPart,
-        PlanRunner, PlanWeights, find_path, layers_that_fit, plan, tokens_that_fit,
+        Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, MAX_PARTS,
+        MemoryShape, PathError, PathPart, PlanRunner, PlanWeights, deal_chains, find_path,
+        layers_that_fit, plan, tokens_that_fit,
     };
 }
--- a/crates/sillbank_layers/tests/layers.rs
+++ b/crates/sillbank_layers/tests/layers.rs
@@ -228,3 +228,48 @@
 
     assert_eq!(plan[0].holds, range(0, 10));
 }
+
+fn member(id: &str, weight: f64, held: Option<LayerRange>) -> ChainMember {
+    ChainMember { endpoint: id.to_owned(), weight, held }
+}
+
+#[test]
+fn empty_endpoints_are_dealt_by_weight() {
+    let members = [
+        member("a", 4.0, None),
+        member("b", 3.0, None),
+        member("c", 2.0, None),
+        member("d", 1.0, None),
+    ];
+
+    let dealt = deal_chains(&members, 2, &Default::default());
+
+    assert_eq!(dealt["a"], dealt["d"]);
+    assert_eq!(dealt["b"], dealt["c"]);
+    assert_ne!(dealt["a"], dealt["b"]);
+}
+
+#[test]
+fn chains_are_found_again_from_what_endpoints_hold() {
+    let members = [
+        member("a1", 1.0, Some(range(0, 30))),
+        member("a2", 1.0, Some(range(30, 80))),
+        member("b1", 1.0, Some(range(0, 50))),
+        member("b2", 1.0, Some(range(50, 80))),
+    ];
+
+    let dealt = deal_chains(&members, 2, &Default::default());
+
+    assert_eq!(dealt["a1"], dealt["a2"]);
+    assert_eq!(dealt["b1"], dealt["b2"]);
+    assert_ne!(dealt["a1"], dealt["b1"]);
+}
+
+#[test]
+fn endpoints_stay_in_their_chains() {
+    let before = [("a".to_owned(), 1)].into_iter().collect();
+
+    let dealt = deal_chains(&[member("a", 9.0, None), member("b", 1.0, None)], 2, &before);
+
+    assert_eq!((dealt["a"], dealt["b"]), (1, 0));
+}
