--- a/crates/sillbank_admission/src/budget.rs
+++ b/crates/sillbank_admission/src/budget.rs
@@ -38,6 +38,11 @@
         Self { limits, began: now, slices: [Slice::default(); SLICES] }
     }
 
+    /// Changes the limits; what was counted stays. The window's length is that of the beginning.
+    pub fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = RetryLimits { window: self.limits.window, ..limits };
+    }
+
     /// Notes a request that is sent for the first time.
     pub fn on_first(&mut self, now: Instant) {
         self.slice(now).firsts += 1;
--- a/crates/sillbank_catalog/src/catalog.rs
+++ b/crates/sillbank_catalog/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use crate::route::Route;
 use crate::service::{CallerLimits, Organisation, Service};
+use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::ServiceId;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -10,7 +11,7 @@
 pub type CatalogVersion = u64;
 
 /// What a catalog is made of.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct CatalogParts {
     /// Version.
     pub version: CatalogVersion,
--- a/crates/sillbank_catalog/src/route.rs
+++ b/crates/sillbank_catalog/src/route.rs
@@ -1,5 +1,6 @@
 //! One route: which requests it takes, where they go and how they may be handled.
 
+use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::ServiceId;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 pub type RouteName = String;
 
 /// Whether a request may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may.
     Safe,
@@ -16,7 +17,7 @@
 }
 
 /// How streams of a route may be handled.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamRules {
     /// Whether a broken stream may go on at another endpoint after its last whole event.
     pub resumable: bool,
@@ -25,7 +26,7 @@
 }
 
 /// What kind of work a request is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkKind {
     /// One answer.
     Call(Repeat),
@@ -45,7 +46,7 @@
 }
 
 /// A service that a route sends to, with its share.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Service.
     pub service: ServiceId,
@@ -54,7 +55,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name.
     pub name: RouteName,
--- a/crates/sillbank_catalog/src/service.rs
+++ b/crates/sillbank_catalog/src/service.rs
@@ -1,10 +1,11 @@
 //! Services, the figures of their engines, organisations, and limits on callers.
 
+use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::{AcceleratorKind, OrganisationId, ServiceId};
 use std::time::Duration;
 
 /// What the operator tells of one kind of accelerator.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AcceleratorFigures {
     /// Name.
     pub kind: AcceleratorKind,
@@ -17,7 +18,7 @@
 }
 
 /// What the operator tells of a model and the engines that run it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineFigures {
     /// Requests at once.
     pub slots: u32,
@@ -55,7 +56,7 @@
 }
 
 /// One service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: ServiceId,
@@ -68,7 +69,7 @@
 }
 
 /// One organisation.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Organisation {
     /// Name.
     pub name: OrganisationId,
@@ -79,7 +80,7 @@
 }
 
 /// Limits on what callers may send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Longest head.
     pub max_head_bytes: usize,
--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -84,6 +84,16 @@
         missing.into_iter().map(|id| (id.clone(), self.remove(now, &id))).collect()
     }
 
+    /// Takes a list from a VM that has decided what lapsed and what is gone; answers the ids of the
+    /// entries that are missing in it.
+    pub fn replace(&mut self, records: Vec<EndpointRecord>) -> Vec<EndpointId> {
+        let before = std::mem::take(&mut self.entries);
+        for record in records {
+            self.put(record);
+        }
+        before.into_keys().filter(|id| !self.entries.contains_key(id)).collect()
+    }
+
     /// Takes one change; answers what a removal means.
     pub fn on_change(&mut self, now: Instant, change: Change) -> Option<Removal> {
         match change {
--- a/crates/sillbank_fleet/src/record.rs
+++ b/crates/sillbank_fleet/src/record.rs
@@ -1,10 +1,11 @@
 //! What an endpoint says of itself in the store.
 
+use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::net::SocketAddr;
 
 /// Whether an endpoint takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// It does.
     Ready,
@@ -13,7 +14,7 @@
 }
 
 /// One endpoint's entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Id of this life of the endpoint; a restart has another.
     pub id: EndpointId,
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -101,3 +101,15 @@
 
     assert_eq!(removal, Some(Removal::Gone));
 }
+
+#[test]
+fn a_list_from_a_leader_ends_what_it_lacks_also_during_an_outage() {
+    let (mut directory, _) = directory(&["a", "b"]);
+    directory.on_store_lost();
+
+    let gone = directory.replace(vec![record("b", Standing::Ready)]);
+
+    assert_eq!(gone, vec!["a".to_owned()]);
+    assert!(directory.usable("a").is_none());
+    assert!(directory.usable("b").is_some());
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -0,0 +1,209 @@
+//! The asking side of the feed: VMs ask their leader, leaders ask those of other halls.
+
+use super::messages::{FeedAsk, FeedNews, FeedReply, SeenMark};
+use crate::gateway::Gateway;
+use crate::store::MetadataStore;
+use crate::wire::Wire;
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_net::frames::{FrameError, read_message, write_message};
+use smol::net::TcpStream;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a leader may take for an answer: the wait for news, and the way.
+const REPLY_LIMIT: Duration = Duration::from_millis(1_000);
+/// Pause before a leader is looked for or asked again.
+const PAUSE: Duration = Duration::from_millis(200);
+/// How often a leader asks the leaders of other halls.
+const OTHER_HALLS_INTERVAL: Duration = Duration::from_millis(500);
+/// How often the lease of another hall is read while its leader is not heard of.
+const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
+
+/// A connection to one leader.
+struct Link {
+    stream: TcpStream,
+    address: SocketAddr,
+    seen: Option<SeenMark>,
+}
+
+impl Link {
+    async fn open(address: SocketAddr) -> Result<Self, FrameError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, address, seen: None })
+    }
+
+    async fn ask(&mut self, ask: &FeedAsk) -> Result<FeedReply, FrameError> {
+        write_message(&mut self.stream, ask).await?;
+        read_message(&mut self.stream).await
+    }
+}
+
+/// Asks the hall's leader, or as the leader the leaders of other halls, for as long as the program
+/// runs.
+pub async fn follow_leader<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
+    let mut link: Option<Link> = None;
+    let mut others = OtherHalls::default();
+    loop {
+        if gateway.hall.leads.get().is_some() {
+            link = None;
+            others.ask_all(&gateway).await;
+            smol::Timer::after(OTHER_HALLS_INTERVAL).await;
+            continue;
+        }
+        let Some(leader) = gateway.hall.leader.get() else {
+            smol::Timer::after(PAUSE).await;
+            continue;
+        };
+        let sent = Instant::now();
+        match ask_once(&gateway, &mut link, leader).await {
+            Ok(FeedReply::News(news)) => {
+                let confirmed = take_news(&gateway, *news, sent, true);
+                gateway.hall.on_news(Instant::now(), confirmed);
+            }
+            Ok(FeedReply::NotLeading) => {
+                gateway.hall.on_leader_lost();
+                smol::Timer::after(PAUSE).await;
+            }
+            Err(error) => {
+                link = None;
+                if gateway.hall.leader_is_live(Instant::now()) {
+                    tracing::info!(%leader, %error, "feed: The leader is lost.");
+                }
+                gateway.hall.on_leader_lost();
+                smol::Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn ask_once<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    link: &mut Option<Link>,
+    address: SocketAddr,
+) -> Result<FeedReply, FrameError> {
+    let late = async {
+        smol::Timer::after(REPLY_LIMIT).await;
+        Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
+    };
+    let exchange = async {
+        if link.as_ref().is_none_or(|link| link.address != address) {
+            *link = Some(Link::open(address).await?);
+        }
+        let Some(link) = link else {
+            return Err(FrameError::Io(std::io::ErrorKind::NotConnected.into()));
+        };
+        let settings = gateway.settings();
+        let ask = FeedAsk {
+            vm: settings.vm.clone(),
+            hall: settings.hall.clone(),
+            catalog: gateway.knowledge.catalog().map(|catalog| catalog.version()),
+            seen: link.seen,
+        };
+        let reply = link.ask(&ask).await?;
+        if let FeedReply::News(news) = &reply {
+            link.seen = Some(news.mark);
+        }
+        Ok(reply)
+    };
+    futures_lite::future::or(exchange, late).await
+}
+
+/// Takes what a leader tells; answers when the configuration that is in force now was confirmed.
+fn take_news<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    news: FeedNews,
+    sent: Instant,
+    takes_endpoints: bool,
+) -> Option<Instant> {
+    let now = Instant::now();
+    if let Some(parts) = news.catalog {
+        let version = parts.version;
+        match Catalog::new(parts.clone()) {
+            Ok(catalog) => {
+                let taken = gateway.knowledge.offer_catalog(catalog, parts);
+                gateway.decisions.catalog_read(Some(version), news.mark.generation, taken);
+            }
+            Err(error) => {
+                tracing::error!(version, %error, "feed: A configuration cannot be used.");
+                return None;
+            }
+        }
+    }
+    if let Some(list) = news.endpoints.filter(|_| takes_endpoints) {
+        gateway.on_relayed_endpoints(list.at, list.records);
+    }
+    for board in news.boards {
+        gateway.hall.keep_board(now, board);
+    }
+    let age = Duration::from_millis(news.confirmed_age_ms?);
+    let confirmed = sent.checked_sub(age)?;
+    gateway.knowledge.confirm_catalog(confirmed);
+    Some(confirmed)
+}
+
+/// Links of a leader to the leaders of other halls.
+#[derive(Default)]
+struct OtherHalls {
+    links: BTreeMap<HallId, Option<Link>>,
+    lease_read_at: BTreeMap<HallId, Instant>,
+    leaders: BTreeMap<HallId, SocketAddr>,
+}
+
+impl OtherHalls {
+    async fn ask_all<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>) {
+        let own = gateway.settings().hall.clone();
+        let halls: BTreeSet<HallId> = gateway.knowledge.endpoints(|directory| {
+            directory.iter().map(|record| record.hall.clone()).filter(|h| *h != own).collect()
+        });
+        for hall in halls {
+            self.ask(gateway, &hall).await;
+        }
+    }
+
+    async fn ask<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>, hall: &HallId) {
+        let Some(leader) = self.leaders.get(hall).copied() else {
+            self.look_up(gateway, hall).await;
+            return;
+        };
+        let link = self.links.entry(hall.clone()).or_default();
+        let sent = Instant::now();
+        match ask_once(gateway, link, leader).await {
+            Ok(FeedReply::News(news)) => {
+                let takes_endpoints = !gateway.store_is_reached();
+                take_news(gateway, *news, sent, takes_endpoints);
+            }
+            Ok(FeedReply::NotLeading) => {
+                self.leaders.remove(hall);
+            }
+            Err(error) => {
+                *link = None;
+                self.leaders.remove(hall);
+                tracing::debug!(hall, %leader, %error, "feed: Another hall's leader is lost.");
+            }
+        }
+    }
+
+    async fn look_up<W: Wire, S: MetadataStore>(
+        &mut self,
+        gateway: &Rc<Gateway<W, S>>,
+        hall: &HallId,
+    ) {
+        let now = Instant::now();
+        let is_due = |at: &Instant| now.saturating_duration_since(*at) >= OTHER_LEASE_INTERVAL;
+        if !self.lease_read_at.get(hall).is_none_or(is_due) {
+            return;
+        }
+        self.lease_read_at.insert(hall.clone(), now);
+        match gateway.store.read_lease(&crate::placement::lease_name(hall)).await {
+            Ok(Some((_, record))) if !record.owner.is_empty() => {
+                self.leaders.insert(hall.clone(), record.peer);
+            }
+            Ok(_) => {}
+            Err(error) => tracing::debug!(hall, %error, "lease: It could not be read."),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -0,0 +1,96 @@
+//! Messages of the feed, as postcard frames over TCP.
+
+use serde::{Deserialize, Serialize};
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
+use std::net::SocketAddr;
+
+/// What a VM has seen of a leader's knowledge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenMark {
+    /// Fence of the leader's lease.
+    pub term: u64,
+    /// Generation of the leader's knowledge.
+    pub generation: u64,
+}
+
+/// A VM asks a leader for what is new.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedAsk {
+    /// Who asks.
+    pub vm: VmId,
+    /// Its hall.
+    pub hall: HallId,
+    /// Version of the configuration it has.
+    pub catalog: Option<CatalogVersion>,
+    /// What it has seen of this leader.
+    pub seen: Option<SeenMark>,
+}
+
+/// A list of all endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointList {
+    /// Revision of the store as of which it holds.
+    pub at: u64,
+    /// Endpoints.
+    pub records: Vec<EndpointRecord>,
+}
+
+/// What an engine reported, or that it is lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// Engine.
+    pub id: EndpointId,
+    /// Whether it did not answer several times.
+    pub is_lost: bool,
+    /// Layers it serves.
+    pub layers: Option<LayerRange>,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that run there.
+    pub running: u32,
+    /// Used part of its KV cache, in thousandths.
+    pub kv_permille: u16,
+    /// How many times slower than usual it is, in thousandths.
+    pub pace_permille: u32,
+}
+
+/// What is known of a hall's engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HallBoard {
+    /// Hall.
+    pub hall: HallId,
+    /// Time since the engines were asked, in milliseconds.
+    pub age_ms: u64,
+    /// VMs of the hall that ask its leader, and the leader.
+    pub vms: u32,
+    /// Where the hall's leader is asked.
+    pub leader: SocketAddr,
+    /// Engines.
+    pub engines: Vec<EngineState>,
+}
+
+/// What a leader knows that the asking VM may not.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FeedNews {
+    /// What the asking VM has seen after this.
+    pub mark: SeenMark,
+    /// Time since the leader's configuration was last confirmed, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
+    /// The configuration, if it is newer.
+    pub catalog: Option<CatalogParts>,
+    /// All endpoints, if something changed.
+    pub endpoints: Option<EndpointList>,
+    /// Engines of this hall and of others.
+    pub boards: Vec<HallBoard>,
+}
+
+/// Answer to [`FeedAsk`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FeedReply {
+    /// What is new.
+    News(Box<FeedNews>),
+    /// The VM does not lead its hall.
+    NotLeading,
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/feed/mod.rs
@@ -0,0 +1,14 @@
+//! What VMs tell one another: the hall's leader passes on what it knows.
+//!
+//! The holder of a hall's lease follows the store and asks the hall's engines. The other VMs of the
+//! hall ask it instead of the store, which is counted and priced; leaders of halls ask each other.
+//! What is passed on is configuration, endpoints, how old their confirmation is, and what engines
+//! report. A VM whose leader falls silent, or knows too little, follows the store itself.
+
+mod client;
+mod messages;
+mod server;
+
+pub use client::follow_leader;
+pub use messages::{EndpointList, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, SeenMark};
+pub use server::serve_feed;
--- /dev/null
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -0,0 +1,92 @@
+//! A leader's side of the feed.
+
+use super::messages::{EndpointList, FeedAsk, FeedNews, FeedReply, SeenMark};
+use crate::gateway::Gateway;
+use crate::store::MetadataStore;
+use crate::wire::Wire;
+use sillbank_net::frames::{FrameError, read_message, write_message};
+use smol::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long an ask waits for something new.
+const NEWS_WAIT: Duration = Duration::from_millis(400);
+/// How long a connection may rest between asks.
+const ASK_WAIT: Duration = Duration::from_secs(5);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers other VMs for as long as the program runs.
+pub async fn serve_feed<W: Wire, S: MetadataStore>(
+    gateway: Rc<Gateway<W, S>>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                gateway.executor.spawn(serve_one(gateway.clone(), stream)).detach();
+            }
+            Err(error) => {
+                tracing::warn!(%error, "feed: A connection was not accepted.");
+                smol::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_one<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, mut stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "feed: A connection may wait for small packets.");
+    }
+    loop {
+        let late = async {
+            smol::Timer::after(ASK_WAIT).await;
+            Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
+        };
+        let asked = futures_lite::future::or(read_message::<FeedAsk, _>(&mut stream), late).await;
+        let ended = match asked {
+            Ok(ask) => {
+                let reply = answer(&gateway, &ask).await;
+                write_message(&mut stream, &reply).await
+            }
+            Err(error) => Err(error),
+        };
+        if let Err(error) = ended {
+            tracing::debug!(%error, "feed: A connection ended.");
+            return;
+        }
+    }
+}
+
+async fn answer<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> FeedReply {
+    let knowledge = &gateway.knowledge;
+    let term = gateway.hall.leads.get();
+    let is_news = |term: u64| {
+        ask.seen.is_none_or(|seen| seen.term != term || seen.generation != knowledge.generation())
+    };
+    if term.is_some_and(|term| !is_news(term)) {
+        let wait = async {
+            smol::Timer::after(NEWS_WAIT).await;
+        };
+        futures_lite::future::or(knowledge.changed(), wait).await;
+    }
+    let Some(term) = gateway.hall.leads.get() else {
+        return FeedReply::NotLeading;
+    };
+    let now = Instant::now();
+    if ask.hall == gateway.settings().hall {
+        gateway.hall.on_asker(&ask.vm, now);
+    }
+    let is_newer = knowledge.catalog().is_some_and(|known| Some(known.version()) > ask.catalog);
+    let endpoints = is_news(term).then(|| EndpointList {
+        at: knowledge.endpoints_at(),
+        records: knowledge.endpoints(|directory| directory.iter().cloned().collect()),
+    });
+    FeedReply::News(Box::new(FeedNews {
+        mark: SeenMark { term, generation: knowledge.generation() },
+        confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
+        catalog: is_newer.then(|| knowledge.catalog_parts()).flatten().map(|p| (*p).clone()),
+        endpoints: endpoints.filter(|list| list.at > 0),
+        boards: gateway.hall.boards(now),
+    }))
+}
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -17,6 +17,8 @@
 /// Pause after changes of endpoints before the next watch, so that changes that come together cost
 /// one call. An endpoint that leaves must get no work after two seconds.
 const GATHER: Duration = Duration::from_millis(300);
+/// How often a VM that is told by its leader looks whether it has to ask the store itself.
+const NEED_POLL: Duration = Duration::from_millis(250);
 /// First pause after a call that failed; doubled up to [`PAUSE_MAX`], and drawn from half to whole
 /// so that VMs do not come back all at once.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
@@ -38,11 +40,19 @@
     }
 }
 
+/// Waits while the hall's leader tells enough.
+async fn wait_for_need<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) {
+    while gateway.hall.leader_suffices(Instant::now()) {
+        smol::Timer::after(NEED_POLL).await;
+    }
+}
+
 /// Follows the configuration for as long as the program runs.
 pub async fn follow_catalog<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
+        wait_for_need(&gateway).await;
         let sent = Instant::now();
         let read = match since {
             None => gateway.store.read_catalog().await,
@@ -80,10 +90,13 @@
         return true;
     };
     let version = parts.as_ref().ok().map(|parts| parts.version);
-    let made = parts.and_then(|parts| Catalog::new(parts).map_err(|error| error.to_string()));
+    let made = parts.and_then(|parts| {
+        let catalog = Catalog::new(parts.clone()).map_err(|error| error.to_string())?;
+        Ok((catalog, parts))
+    });
     match made {
-        Ok(catalog) => {
-            let taken = gateway.knowledge.offer_catalog(catalog);
+        Ok((catalog, parts)) => {
+            let taken = gateway.knowledge.offer_catalog(catalog, parts);
             gateway.decisions.catalog_read(version, read.at, taken);
             true
         }
@@ -105,6 +118,7 @@
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
+        wait_for_need(&gateway).await;
         let changed = match since {
             None => list_endpoints(&gateway).await,
             Some(since) => watch_endpoints(&gateway, since).await,
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -3,11 +3,12 @@
 use crate::channels::ChannelPool;
 use crate::decisions::{Decisions, Outcome};
 use crate::endpoints::{EndpointBook, Evidence};
+use crate::hall::Hall;
 use crate::job::Job;
 use crate::knowledge::Knowledge;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
 use crate::settings::GatewaySettings;
-use crate::store::StoreError;
+use crate::store::{Revision, StoreError};
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
 use sillbank_core::prelude::*;
@@ -20,9 +21,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Part of the fleet's slack for repeats that one VM may use. VMs do not count each other; with up
-/// to 16 busy ones the fleet stays within its budget, and traffic adds its own share.
-const SLACK_SHARE: f64 = 1.0 / 16.0;
+/// VMs that share the fleet's slack for repeats while leaders have not told how many there are.
+const ASSUMED_VMS: u32 = 16;
 
 /// Where the process stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +44,8 @@
     pub store: S,
     /// Configuration and endpoints.
     pub knowledge: Knowledge,
+    /// Who leads this hall, and what leaders tell of engines.
+    pub hall: Hall,
     /// What was seen of endpoints.
     pub book: Rc<EndpointBook>,
     /// Connections to endpoints.
@@ -77,6 +79,7 @@
             knowledge: Knowledge::new(settings.key_revocation),
             settings: RefCell::new(Rc::new(settings)),
             store,
+            hall: Hall::default(),
             book: Rc::default(),
             channels: ChannelPool::new(executor.clone()),
             engine_calls,
@@ -135,6 +138,18 @@
         }
     }
 
+    /// Takes a list of endpoints that a leader passed on.
+    pub fn on_relayed_endpoints(&self, at: Revision, records: Vec<EndpointRecord>) {
+        let gone = self.knowledge.take_relayed(at, records);
+        let removals: Vec<_> = gone.into_iter().map(|id| (id, Removal::Gone)).collect();
+        self.on_removals(&removals);
+    }
+
+    /// Whether the last call to the store was answered.
+    pub fn store_is_reached(&self) -> bool {
+        self.store_reached.get()
+    }
+
     /// Takes evidence of an endpoint's health and logs a change of its standing.
     pub fn on_evidence(&self, endpoint: &str, evidence: Evidence, reason: &str) {
         let now = Instant::now();
@@ -193,15 +208,17 @@
     ) -> T {
         let now = Instant::now();
         let mut budgets = self.budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            return change(budget, now);
-        }
         let settings = self.settings();
+        let vms = self.hall.fleet_vms(now).unwrap_or(ASSUMED_VMS);
         let limits = RetryLimits {
             window: settings.retry_window,
             ratio: settings.retry_ratio,
-            slack: settings.retry_slack * SLACK_SHARE,
+            slack: settings.retry_slack / f64::from(vms),
         };
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.set_limits(limits);
+            return change(budget, now);
+        }
         let mut budget = RetryBudget::new(limits, now);
         let answer = change(&mut budget, now);
         budgets.insert(service.to_owned(), budget);
--- /dev/null
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -0,0 +1,128 @@
+//! Who leads this VM's hall, and what is known of engines by their leaders.
+
+use crate::feed::{EngineState, HallBoard};
+use sillbank_core::prelude::*;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How long news of a leader are relied on. Leaders answer within 400 ms also if nothing is new.
+pub const FEED_LIVE: Duration = Duration::from_millis(1_200);
+/// How old the leader's confirmation may be while this VM does not ask the store itself.
+const CONFIRMATION_LIVE: Duration = Duration::from_millis(2_600);
+/// How long a board is believed. Leaders ask engines every 700 ms.
+const BOARD_LIVE: Duration = Duration::from_millis(2_000);
+/// How long a VM counts that has asked its leader.
+const ASKER_LIVE: Duration = Duration::from_secs(3);
+
+/// A board and when it held.
+#[derive(Debug, Clone)]
+struct KeptBoard {
+    board: HallBoard,
+    as_of: Instant,
+}
+
+/// The hall as one VM sees it.
+#[derive(Debug, Default)]
+pub struct Hall {
+    /// Fence of the hall's lease while this VM holds it.
+    pub leads: Cell<Option<u64>>,
+    /// Where the leader is asked, if it is another VM.
+    pub leader: Cell<Option<SocketAddr>>,
+    heard: Cell<Option<Instant>>,
+    confirmed: Cell<Option<Instant>>,
+    boards: RefCell<HashMap<HallId, KeptBoard>>,
+    askers: RefCell<HashMap<VmId, Instant>>,
+}
+
+impl Hall {
+    /// The leader answered; `confirmed` is when its configuration was last confirmed.
+    pub fn on_news(&self, now: Instant, confirmed: Option<Instant>) {
+        self.heard.set(Some(now));
+        self.confirmed.set(confirmed);
+    }
+
+    /// The leader is lost or leads no more.
+    pub fn on_leader_lost(&self) {
+        self.heard.set(None);
+    }
+
+    /// Whether the leader has been heard of lately.
+    pub fn leader_is_live(&self, now: Instant) -> bool {
+        let is_live = |at: Instant| now.saturating_duration_since(at) < FEED_LIVE;
+        self.leads.get().is_none() && self.heard.get().is_some_and(is_live)
+    }
+
+    /// Whether the leader tells enough for this VM not to ask the store itself.
+    pub fn leader_suffices(&self, now: Instant) -> bool {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < CONFIRMATION_LIVE;
+        self.leader_is_live(now) && self.confirmed.get().is_some_and(is_fresh)
+    }
+
+    /// Notes that a VM of this hall asked; answers how many did lately, this VM included.
+    pub fn on_asker(&self, vm: &str, now: Instant) -> u32 {
+        self.askers.borrow_mut().insert(vm.to_owned(), now);
+        self.vms(now)
+    }
+
+    /// VMs of this hall that asked lately, and this one.
+    pub fn vms(&self, now: Instant) -> u32 {
+        let mut askers = self.askers.borrow_mut();
+        askers.retain(|_, at| now.saturating_duration_since(*at) < ASKER_LIVE);
+        askers.len() as u32 + 1
+    }
+
+    /// Keeps a board unless a newer one is known.
+    pub fn keep_board(&self, now: Instant, board: HallBoard) {
+        let Some(as_of) = now.checked_sub(Duration::from_millis(board.age_ms)) else {
+            return;
+        };
+        let mut boards = self.boards.borrow_mut();
+        let is_newer = boards.get(&board.hall).is_none_or(|kept| kept.as_of < as_of);
+        if is_newer {
+            boards.insert(board.hall.clone(), KeptBoard { board, as_of });
+        }
+    }
+
+    /// All boards that are believed, with their ages of now.
+    pub fn boards(&self, now: Instant) -> Vec<HallBoard> {
+        let boards = self.boards.borrow();
+        let live = boards.values().filter(|kept| is_believed(kept, now));
+        let aged = live.map(|kept| HallBoard {
+            age_ms: now.saturating_duration_since(kept.as_of).as_millis() as u64,
+            ..kept.board.clone()
+        });
+        aged.collect()
+    }
+
+    /// What a board tells of an engine of a hall, if it is believed.
+    pub fn engine<T>(
+        &self,
+        hall: &str,
+        id: &str,
+        now: Instant,
+        look: impl FnOnce(&EngineState) -> T,
+    ) -> Option<T> {
+        let boards = self.boards.borrow();
+        let kept = boards.get(hall).filter(|kept| is_believed(kept, now))?;
+        kept.board.engines.iter().find(|engine| engine.id == id).map(look)
+    }
+
+    /// VMs of all halls whose boards are believed; `None` if there are none.
+    pub fn fleet_vms(&self, now: Instant) -> Option<u32> {
+        let boards = self.boards.borrow();
+        let live = boards.values().filter(|kept| is_believed(kept, now));
+        let vms: u32 = live.map(|kept| kept.board.vms).sum();
+        (vms > 0).then_some(vms)
+    }
+
+    /// Where the leader of another hall is asked, as last heard.
+    pub fn other_leader(&self, hall: &str) -> Option<SocketAddr> {
+        self.boards.borrow().get(hall).map(|kept| kept.board.leader)
+    }
+}
+
+fn is_believed(kept: &KeptBoard, now: Instant) -> bool {
+    now.saturating_duration_since(kept.as_of) < BOARD_LIVE
+}
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -5,6 +5,7 @@
 use sillbank_fleet::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 /// Time by which a key is given up before its revocation must be in force, for clocks that run
@@ -30,6 +31,8 @@
     directory: RefCell<Directory>,
     endpoints_at: Cell<Revision>,
     generation: Cell<u64>,
+    parts: RefCell<Option<Rc<CatalogParts>>>,
+    waiting: RefCell<Vec<Waker>>,
 }
 
 impl Knowledge {
@@ -41,6 +44,8 @@
             directory: RefCell::default(),
             endpoints_at: Cell::new(0),
             generation: Cell::new(0),
+            parts: RefCell::default(),
+            waiting: RefCell::default(),
         }
     }
 
@@ -54,13 +59,20 @@
         self.catalog.borrow().clone()
     }
 
-    /// Takes a configuration unless a newer one is in force; answers whether it was taken.
-    pub fn offer_catalog(&self, catalog: Catalog) -> bool {
+    /// What the configuration in force was made of, for other VMs.
+    pub fn catalog_parts(&self) -> Option<Rc<CatalogParts>> {
+        self.parts.borrow().clone()
+    }
+
+    /// Takes a configuration unless a newer one is in force; answers whether it was taken. `parts`
+    /// are what it was made of.
+    pub fn offer_catalog(&self, catalog: Catalog, parts: CatalogParts) -> bool {
         let mut known = self.catalog.borrow_mut();
         if known.as_ref().is_some_and(|known| known.version() >= catalog.version()) {
             return false;
         }
         *known = Some(Rc::new(catalog));
+        *self.parts.borrow_mut() = Some(Rc::new(parts));
         self.change();
         true
     }
@@ -91,6 +103,35 @@
         self.directory.borrow_mut().on_listing(now, list.value)
     }
 
+    /// Takes a list of endpoints from a VM that follows the store, unless it is older than what is
+    /// known; answers the ids of those that are missing in it.
+    pub fn take_relayed(&self, at: Revision, records: Vec<EndpointRecord>) -> Vec<String> {
+        if at < self.endpoints_at.get() {
+            return Vec::new();
+        }
+        self.endpoints_at.set(at);
+        self.change();
+        self.directory.borrow_mut().replace(records)
+    }
+
+    /// Revision of the list of endpoints; 0 if none is known.
+    pub fn endpoints_at(&self) -> Revision {
+        self.endpoints_at.get()
+    }
+
+    /// Waits until configuration or endpoints change.
+    pub async fn changed(&self) {
+        let seen = self.generation.get();
+        std::future::poll_fn(|context| {
+            if self.generation.get() != seen {
+                return Poll::Ready(());
+            }
+            self.waiting.borrow_mut().push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Takes changes of endpoints; answers what each removal means.
     pub fn take_changes(
         &self,
@@ -155,6 +196,9 @@
 
     fn change(&self) {
         self.generation.set(self.generation.get() + 1);
+        for waker in self.waiting.borrow_mut().drain(..) {
+            waker.wake();
+        }
     }
 }
 
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them.
+//! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
@@ -19,8 +20,10 @@
 pub mod doctor;
 pub mod endpoints;
 pub mod events;
+pub mod feed;
 pub mod follow;
 pub mod gateway;
+pub mod hall;
 pub mod job;
 pub mod knowledge;
 pub mod lifecycle;
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -1,6 +1,7 @@
 //! Chooses a path through the layers that endpoints hold.
 
 use crate::endpoints::EndpointBook;
+use crate::hall::Hall;
 use crate::knowledge::Knowledge;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -30,6 +31,7 @@
 /// Endpoints in `avoid` and those that are left alone at the moment are not used.
 pub fn choose_path(
     knowledge: &Knowledge,
+    hall: &Hall,
     book: &EndpointBook,
     service: &Service,
     figures: &EngineFigures,
@@ -43,7 +45,12 @@
             .usable_of(&service.name)
             .filter(|record| !avoid.contains(&record.id) && book.may_run_part(&record.id))
             .filter_map(|record| {
-                let layers = record.layers.filter(|layers| !layers.is_empty())?;
+                let told = hall.engine(&record.hall, &record.id, now, |engine| {
+                    (!engine.is_lost).then_some(engine.layers).flatten()
+                });
+                // What the hall's leader heard from the engine is newer than its entry in the store.
+                let layers = told.unwrap_or(record.layers);
+                let layers = layers.filter(|layers| !layers.is_empty())?;
                 let kind = record.accelerator.as_deref().and_then(|k| figures.accelerator(k));
                 let factor = kind.map_or(1.0, |kind| kind.step_factor);
                 let in_flight = f64::from(book.in_flight(&record.id));
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -1,6 +1,7 @@
 //! Gives the engines of this hall their layers, while this VM holds the hall's lease.
 
-use crate::gateway::Gateway;
+use crate::feed::{EngineState, HallBoard};
+use crate::gateway::{Gateway, Life};
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
 use crate::wire::{EngineReport, GiveUp, OrderEnd, PlaceOrder, Wire};
@@ -69,10 +70,10 @@
 pub async fn place_layers<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let settings = gateway.settings();
     let candidate =
-        Candidate { vm: settings.vm.clone(), peer: settings.callers_listen, term: LEASE_TERM };
+        Candidate { vm: settings.vm.clone(), peer: settings.peer_listen, term: LEASE_TERM };
     let mut placement = Placement {
         lease: Lease::new(candidate),
-        lease_name: format!("placement-{}", settings.hall),
+        lease_name: lease_name(&settings.hall),
         lease_read_at: None,
         holds: false,
         known: HashMap::new(),
@@ -90,6 +91,11 @@
     }
 }
 
+/// Name of the lease of a hall.
+pub fn lease_name(hall: &str) -> String {
+    format!("hall-{hall}")
+}
+
 fn moment() -> Moment {
     Moment::from_clocks(Instant::now(), SystemTime::now())
 }
@@ -97,11 +103,12 @@
 impl<W: Wire, S: MetadataStore> Placement<W, S> {
     async fn keep_lease(&mut self) {
         let now = Instant::now();
+        if self.gateway.life.get() != Life::Serving {
+            self.give_lease_up().await;
+            return;
+        }
         let mut write = self.lease.on_tick(moment(), fastrand::u64(..));
-        let read_due = self
-            .lease_read_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= LEASE_READ_INTERVAL);
-        if write.is_none() && self.lease.wants_read() && read_due {
+        if write.is_none() && self.lease.wants_read() && self.read_is_due(now) {
             self.lease_read_at = Some(now);
             match self.gateway.store.read_lease(&self.lease_name).await {
                 Ok(read) => write = self.lease.on_read(moment(), read, fastrand::u64(..)),
@@ -112,15 +119,66 @@
             let end = self.gateway.store.write_lease(&self.lease_name, &write).await;
             self.lease.on_write_end(moment(), end);
         }
-        let holds = self.lease.fence(moment()).is_some();
+        self.note_lease();
+    }
+
+    /// A VM that is told by the hall's leader need not read the lease: the leader holds it.
+    fn read_is_due(&self, now: Instant) -> bool {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= LEASE_READ_INTERVAL;
+        !self.gateway.hall.leader_is_live(now) && self.lease_read_at.is_none_or(is_due)
+    }
+
+    /// Frees the lease of a VM that stops, so that another takes it at once.
+    async fn give_lease_up(&mut self) {
+        if let Some(write) = self.lease.give_up(moment(), fastrand::u64(..), None) {
+            let end = self.gateway.store.write_lease(&self.lease_name, &write).await;
+            self.lease.on_write_end(moment(), end);
+        }
+        self.note_lease();
+    }
+
+    fn note_lease(&mut self) {
+        let fence = self.lease.fence(moment());
+        let hall = &self.gateway.hall;
+        let own = self.gateway.settings().peer_listen;
+        let leader = self.lease.holder().map(|record| record.peer);
+        hall.leader.set(leader.filter(|leader| *leader != own));
+        hall.leads.set(fence);
+        let holds = fence.is_some();
         if holds != self.holds {
             self.holds = holds;
             self.known.clear();
             self.chains.clear();
-            tracing::info!(lease = self.lease_name, holds, "lease: Changed.");
+            tracing::info!(lease = self.lease_name, holds, fence, "lease: Changed.");
         }
     }
 
+    /// Tells what is known of the hall's engines.
+    fn post_board(&self) {
+        let settings = self.gateway.settings();
+        let now = Instant::now();
+        let engines = self.known.iter().map(|(id, known)| {
+            let report = known.report.as_ref();
+            EngineState {
+                id: id.clone(),
+                is_lost: report.is_none(),
+                layers: report.and_then(|report| report.layers),
+                waiting: report.map_or(0, |report| report.waiting),
+                running: report.map_or(0, |report| report.running),
+                kv_permille: report.map_or(0, |report| (report.kv_share * 1000.0) as u16),
+                pace_permille: report.map_or(1000, |report| (report.pace * 1000.0) as u32),
+            }
+        });
+        let board = HallBoard {
+            hall: settings.hall.clone(),
+            age_ms: 0,
+            vms: self.gateway.hall.vms(now),
+            leader: settings.peer_listen,
+            engines: engines.collect(),
+        };
+        self.gateway.hall.keep_board(now, board);
+    }
+
     async fn place(&mut self) {
         let Some(catalog) = self.gateway.knowledge.catalog() else {
             return;
@@ -139,6 +197,7 @@
                 self.place_service(&service.name, figures).await;
             }
         }
+        self.post_board();
     }
 
     async fn place_service(&mut self, service: &str, figures: &EngineFigures) {
@@ -321,6 +380,13 @@
             },
             Err(_) => "no_answer",
         };
+        if end == "begun"
+            && let Some(known) = self.known.get_mut(&assignment.endpoint)
+            && let Some(report) = known.report.as_mut()
+        {
+            // What is given up is not to be used from now on; what is new is told by the next report.
+            report.layers = held.and_then(|held| common(held, layers));
+        }
         if end == "conflict" || end == "refused" {
             // It was not carried out, so it may be given again by the next report.
             if let Some(known) = self.known.get_mut(&assignment.endpoint) {
@@ -344,6 +410,12 @@
     known.get(id)?.report.as_ref()?.layers.filter(|layers| !layers.is_empty())
 }
 
+/// Layers in both ranges.
+fn common(a: LayerRange, b: LayerRange) -> Option<LayerRange> {
+    let both = LayerRange { first: a.first.max(b.first), end: a.end.min(b.end) };
+    (!both.is_empty()).then_some(both)
+}
+
 async fn ask<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     address: SocketAddr,
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -6,7 +6,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use crate::{doctor, follow, lifecycle, placement};
+use crate::{doctor, feed, follow, lifecycle, placement};
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
@@ -38,6 +38,18 @@
 /// Places layers.
 struct PlacementPlugin;
 
+/// Tells other VMs, and asks them.
+struct FeedPlugin {
+    listener: TcpListener,
+}
+
+impl<W: Wire, S: MetadataStore> Plugin<Gateway<W, S>> for FeedPlugin {
+    fn build(self, app: &App<Gateway<W, S>>) {
+        app.spawn(feed::serve_feed(app.state(), self.listener));
+        app.spawn(feed::follow_leader(app.state()));
+    }
+}
+
 impl<W: Wire, S: MetadataStore> Plugin<Gateway<W, S>> for PlacementPlugin {
     fn build(self, app: &App<Gateway<W, S>>) {
         app.spawn(placement::place_layers(app.state()));
@@ -110,6 +122,7 @@
     let callers = TcpListener::bind(settings.callers_listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
     let metrics = TcpListener::bind(settings.metrics_listen).await?;
+    let peers = TcpListener::bind(settings.peer_listen).await?;
     tracing::info!(
         vm = settings.vm,
         hall = settings.hall,
@@ -124,6 +137,7 @@
     let app = App::new(executor, Rc::new(gateway))
         .add_plugin(FollowPlugin)
         .add_plugin(PlacementPlugin)
+        .add_plugin(FeedPlugin { listener: peers })
         .add_plugin(OperatePlugin { ready, metrics })
         .add_plugin(CallersPlugin { listener: callers, stop: stopper.token() })
         .add_plugin(UpkeepPlugin { reload: reload_signals, settings_path });
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub ready_listen: SocketAddr,
     /// Where metrics are served.
     pub metrics_listen: SocketAddr,
+    /// Where other VMs ask this one.
+    pub peer_listen: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// How long a key that was taken away may still be accepted.
@@ -69,6 +71,7 @@
         callers_listen: reader.address("callers_listen"),
         ready_listen: reader.address("ready_listen"),
         metrics_listen: reader.address("metrics_listen"),
+        peer_listen: reader.address("peer_listen"),
         store: reader.address("store"),
         key_revocation: reader.millis("key_revocation_ms", 5_000, 500..=600_000),
         stop_grace: reader.millis("stop_grace_ms", 8_000, 500..=600_000),
--- a/crates/sillbank_gateway/src/streams.rs
+++ b/crates/sillbank_gateway/src/streams.rs
@@ -191,8 +191,16 @@
             Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
         });
     };
-    let path =
-        choose_path(&gateway.knowledge, &gateway.book, &job.service, figures, &home, avoid, now)?;
+    let path = choose_path(
+        &gateway.knowledge,
+        &gateway.hall,
+        &gateway.book,
+        &job.service,
+        figures,
+        &home,
+        avoid,
+        now,
+    )?;
     let first = path.first();
     Some(Target { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) })
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -8,6 +8,7 @@
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
@@ -16,6 +17,8 @@
 
 /// Pause before looking for room again when all connections are taken.
 const FULL_PAUSE: Duration = Duration::from_millis(5);
+/// How often a stopping server looks whether the first request of a connection has come.
+const FIRST_REQUEST_POLL: Duration = Duration::from_millis(20);
 /// Pause after a connection could not be accepted, so that a lack of descriptors is not a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -105,7 +108,7 @@
     handler: Rc<H>,
     stop: StopToken,
 ) {
-    let open = Rc::new(std::cell::Cell::new(0_usize));
+    let open = Rc::new(Cell::new(0_usize));
     loop {
         if open.get() >= limits.max_connections {
             smol::Timer::after(FULL_PAUSE).await;
@@ -128,10 +131,10 @@
     }
 }
 
-struct OpenGuard(Rc<std::cell::Cell<usize>>);
+struct OpenGuard(Rc<Cell<usize>>);
 
 impl OpenGuard {
-    fn new(open: Rc<std::cell::Cell<usize>>) -> Self {
+    fn new(open: Rc<Cell<usize>>) -> Self {
         open.set(open.get() + 1);
         Self(open)
     }
@@ -150,7 +153,9 @@
     _guard: OpenGuard,
     stop: StopToken,
 ) {
+    let begun = Cell::new(false);
     let service = service_fn(|request| {
+        begun.set(true);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
@@ -163,6 +168,10 @@
     );
     let stopped = async {
         stop.stopped().await;
+        // A connection that is new has a request on its way, which is to be answered.
+        while !begun.get() {
+            smol::Timer::after(FIRST_REQUEST_POLL).await;
+        }
         None
     };
     let ended = async { Some(connection.as_mut().await) };
