--- a/crates/sillbank_cli/src/main.rs
+++ b/crates/sillbank_cli/src/main.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod remote;
 mod show;
+mod story;
 
 use argh::FromArgs;
 use smol::LocalExecutor;
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -45,6 +45,24 @@
 /// Most chains in a hall.
 const MAX_CHAINS: usize = 8;
 
+/// Requests of the usual size that an engine has room for that holds its layers alone. A hall of the
+/// sites known runs some 60 at once.
+const ROOM_ALONE: f64 = 75.0;
+/// Requests of the usual size that an engine has room for that shares its layers with another.
+const ROOM_PAIRED: f64 = 36.0;
+/// Requests of the usual size that an engine has room for that takes more layers in need.
+const ROOM_AT_LEAST: f64 = 8.0;
+/// Engines that are given second holdings at once: each load slows others beyond a few.
+const SPARES_AT_ONCE: usize = 3;
+
+/// Layers that an engine is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Target {
+    endpoint: EndpointId,
+    layers: LayerRange,
+    give_up: GiveUp,
+}
+
 /// What is known of one engine by asking it.
 #[derive(Debug, Clone, Default)]
 struct Known {
@@ -225,21 +243,120 @@
         if is_first && now.saturating_duration_since(self.members.1) < SETTLE {
             return;
         }
-        let chains = self.deal(service, &alive, figures);
-        // While layers are missing no request gets through the hall, so none has to be waited for.
-        let how = match self.is_whole(&alive, figures.layers) {
-            true => GiveUp::WhenUnused,
-            false => GiveUp::AtOnce,
+        let targets = match is_first {
+            true => self.first_targets(service, &alive, figures),
+            false => self.mended_targets(service, &alive, figures),
         };
-        for chain in chains {
-            let Some(assignments) = self.plan(&chain, figures) else {
-                tracing::warn!(service, hall, engines = chain.len(), "plan: Layers do not fit.");
-                continue;
-            };
-            for assignment in assignments {
-                self.order(engines[&assignment.endpoint].address, &assignment, how).await;
-            }
+        let Some(targets) = targets else {
+            tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
+            return;
+        };
+        for target in targets {
+            self.order(engines[&target.endpoint].address, &target).await;
+        }
+    }
+
+    /// What engines hold first: whole chains if there is memory for several, else pairs.
+    fn first_targets(
+        &mut self,
+        service: &str,
+        engines: &[&EndpointRecord],
+        figures: &EngineFigures,
+    ) -> Option<Vec<Target>> {
+        let chains = self.deal(service, engines, figures);
+        if chains.len() > 1 {
+            return self.chain_targets(&chains, figures, GiveUp::AtOnce);
+        }
+        let members: Vec<PairMember> = engines
+            .iter()
+            .filter_map(|record| {
+                let kind = figures.accelerator(record.accelerator.as_deref()?)?;
+                let shape = memory_shape(figures, kind);
+                let usual = usual_tokens(figures);
+                Some(PairMember {
+                    endpoint: record.id.clone(),
+                    kind: kind.kind.clone(),
+                    alone: layers_that_fit(&shape, usual * ROOM_ALONE),
+                    paired: layers_that_fit(&shape, usual * ROOM_PAIRED),
+                })
+            })
+            .collect();
+        let placed = place_in_pairs(&members, figures.layers);
+        let Some(placed) = placed else {
+            return self.chain_targets(&chains, figures, GiveUp::AtOnce);
+        };
+        let targets = placed.into_iter().map(|(endpoint, layers)| Target {
+            endpoint,
+            layers,
+            give_up: GiveUp::AtOnce,
+        });
+        Some(targets.collect())
+    }
+
+    /// Whole chains, each planned on its own; `None` if none of them fits.
+    fn chain_targets(
+        &self,
+        chains: &[Vec<&EndpointRecord>],
+        figures: &EngineFigures,
+        give_up: GiveUp,
+    ) -> Option<Vec<Target>> {
+        let plans: Vec<Vec<Assignment>> =
+            chains.iter().filter_map(|chain| self.plan(chain, figures)).collect();
+        if plans.is_empty() {
+            return None;
+        }
+        let targets = plans.into_iter().flatten().map(|assignment| Target {
+            endpoint: assignment.endpoint,
+            layers: assignment.holds,
+            give_up,
+        });
+        Some(targets.collect())
+    }
+
+    /// What has to move after engines were lost or came.
+    fn mended_targets(
+        &mut self,
+        service: &str,
+        engines: &[&EndpointRecord],
+        figures: &EngineFigures,
+    ) -> Option<Vec<Target>> {
+        let now = Instant::now();
+        let members: Vec<RepairMember> = engines
+            .iter()
+            .filter_map(|record| {
+                let kind = figures.accelerator(record.accelerator.as_deref()?)?;
+                let shape = memory_shape(figures, kind);
+                let usual = usual_tokens(figures);
+                let known = self.known.get(&record.id)?;
+                let under_way = known.report.as_ref().is_some_and(|r| r.order_under_way);
+                let ordered = known.ordered.filter(|(_, at)| {
+                    under_way || now.saturating_duration_since(*at) < ORDER_PAUSE
+                });
+                let held = self.layers_of(&record.id);
+                let target = ordered.map(|(layers, _)| layers);
+                Some(RepairMember {
+                    endpoint: record.id.clone(),
+                    comfortable: layers_that_fit(&shape, usual * ROOM_PAIRED),
+                    most: layers_that_fit(&shape, usual * ROOM_AT_LEAST),
+                    held: target.or(held),
+                    is_busy: under_way || (target.is_some() && target != held),
+                })
+            })
+            .collect();
+        if let Some(moves) = repair(&members, figures.layers, SPARES_AT_ONCE) {
+            let targets = moves.into_iter().map(|moved| Target {
+                endpoint: moved.endpoint,
+                layers: moved.layers,
+                give_up: if moved.is_urgent { GiveUp::AtOnce } else { GiveUp::WhenUnused },
+            });
+            return Some(targets.collect());
+        }
+        if members.iter().any(|member| member.is_busy) {
+            // What is under way may mend it.
+            return Some(Vec::new());
         }
+        let chains = self.deal(service, engines, figures);
+        self.chain_targets(&chains, figures, GiveUp::AtOnce)
     }
 
     /// Deals engines to as many chains as hold the model with room for KV cache.
@@ -285,13 +402,6 @@
         chains
     }
 
-    /// Whether the engines hold all layers between them.
-    fn is_whole(&self, engines: &[&EndpointRecord], layers: u16) -> bool {
-        let held: Vec<LayerRange> =
-            engines.iter().filter_map(|record| self.layers_of(&record.id)).collect();
-        (0..layers).all(|layer| held.iter().any(|h| h.first <= layer && layer < h.end))
-    }
-
     fn layers_of(&self, id: &str) -> Option<LayerRange> {
         layers_in(&self.known, id)
     }
@@ -349,16 +459,16 @@
     }
 
     /// Orders an engine to hold its layers, unless it does or is at work on an order.
-    async fn order(&mut self, address: SocketAddr, assignment: &Assignment, how: GiveUp) {
+    async fn order(&mut self, address: SocketAddr, target: &Target) {
         let now = Instant::now();
-        let held = self.layers_of(&assignment.endpoint);
-        let Some(known) = self.known.get_mut(&assignment.endpoint) else {
+        let held = self.layers_of(&target.endpoint);
+        let Some(known) = self.known.get_mut(&target.endpoint) else {
             return;
         };
         let Some(report) = &known.report else {
             return;
         };
-        let layers = assignment.holds;
+        let layers = target.layers;
         if report.order_under_way || layers.is_empty() || held == Some(layers) {
             return;
         }
@@ -368,7 +478,8 @@
             return;
         }
         known.ordered = Some((layers, now));
-        let order = PlaceOrder { layers, give_up: how, expected_orders: report.orders_taken };
+        let order =
+            PlaceOrder { layers, give_up: target.give_up, expected_orders: report.orders_taken };
         let call = W::order_call(&order);
         let ended = self.gateway.engine_calls.call(address, call, ENGINE_CALL_LIMIT).await;
         let end = match &ended {
@@ -381,7 +492,7 @@
             Err(_) => "no_answer",
         };
         if end == "begun"
-            && let Some(known) = self.known.get_mut(&assignment.endpoint)
+            && let Some(known) = self.known.get_mut(&target.endpoint)
             && let Some(report) = known.report.as_mut()
         {
             // What is given up is not to be used from now on; what is new is told by the next report.
@@ -389,13 +500,13 @@
         }
         if end == "conflict" || end == "refused" {
             // It was not carried out, so it may be given again by the next report.
-            if let Some(known) = self.known.get_mut(&assignment.endpoint) {
+            if let Some(known) = self.known.get_mut(&target.endpoint) {
                 known.ordered = None;
             }
         }
         self.gateway.metrics.orders.get_or_create(&KindLabel { kind: end }).inc();
         tracing::info!(
-            endpoint = assignment.endpoint,
+            endpoint = target.endpoint,
             held = held.map(|l| format!("{}-{}", l.first, l.end)),
             layers = format!("{}-{}", layers.first, layers.end),
             expected_orders = order.expected_orders,
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`LayerPath`] runs every layer once and in order; one with a gap or an overlap cannot be made.
 //! [`find_path`] chooses the cheapest path through the layers that endpoints hold now. [`plan`]
-//! says which layers they should hold.
+//! and [`place_in_pairs`] say which
+//! layers they should hold at first, [`repair`] what to move when some are lost or come.
 //!
 //! Pure: no sockets, no clock, no threads, no chance.
 
@@ -10,21 +11,26 @@
 
 mod chains;
 mod find;
+mod pairs;
 mod path;
 mod plan;
+mod repair;
 mod room;
 
 pub use chains::{ChainMember, ChainNumber, deal_chains};
 pub use find::{CrossingCost, Holder, find_path};
+pub use pairs::{PairMember, place_in_pairs};
 pub use path::{LayerPath, MAX_PARTS, PathError, PathPart};
 pub use plan::{Assignment, PlanRunner, PlanWeights, plan};
+pub use repair::{RepairMember, RepairMove, repair};
 pub use room::{MemoryShape, layers_that_fit, tokens_that_fit};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
         Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, MAX_PARTS,
-        MemoryShape, PathError, PathPart, PlanRunner, PlanWeights, deal_chains, find_path,
-        layers_that_fit, plan, tokens_that_fit,
+        MemoryShape, PairMember, PathError, PathPart, PlanRunner, PlanWeights, RepairMember,
+        RepairMove, deal_chains, find_path, layers_that_fit, place_in_pairs, plan, repair,
+        tokens_that_fit,
     };
 }
--- /dev/null
+++ b/crates/sillbank_layers/src/repair.rs
@@ -0,0 +1,200 @@
+//! Mends a placement after endpoints were lost or came: few moves, none that takes a layer's last
+//! holder away.
+
+use sillbank_core::prelude::*;
+
+/// An endpoint as the repair sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RepairMember {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Layers that fit with room for the usual load.
+    pub comfortable: u16,
+    /// Layers that fit with little room, for a while.
+    pub most: u16,
+    /// Layers it holds, or will hold when the order it has is carried out.
+    pub held: Option<LayerRange>,
+    /// Whether it is carrying out an order: it is given no other.
+    pub is_busy: bool,
+}
+
+/// Layers that an endpoint is to hold from now on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RepairMove {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Layers.
+    pub layers: LayerRange,
+    /// Whether some layer has no holder without it.
+    pub is_urgent: bool,
+}
+
+/// Working state: who holds what after the moves so far.
+struct Repair<'a> {
+    members: &'a [RepairMember],
+    held: Vec<Option<LayerRange>>,
+    moved: Vec<bool>,
+    holders: Vec<u32>,
+    moves: Vec<RepairMove>,
+}
+
+/// Says what has to move so that each layer has a holder, and then what may move so that more layers
+/// have two. At most `most_spares` endpoints are given second holdings at once.
+///
+/// `None` if some layer stays without a holder.
+pub fn repair(
+    members: &[RepairMember],
+    layers: u16,
+    most_spares: usize,
+) -> Option<Vec<RepairMove>> {
+    let mut repair = Repair::new(members, layers);
+    while let Some(hole) = repair.longest_run(0) {
+        if !repair.fill(hole) {
+            return None;
+        }
+    }
+    if repair.moves.is_empty() {
+        let busy = members.iter().filter(|member| member.is_busy).count();
+        for _ in busy..most_spares {
+            if !repair.add_spare() {
+                break;
+            }
+        }
+    }
+    Some(repair.moves)
+}
+
+impl<'a> Repair<'a> {
+    fn new(members: &'a [RepairMember], layers: u16) -> Self {
+        let mut repair = Self {
+            members,
+            held: members.iter().map(|m| m.held.filter(|held| !held.is_empty())).collect(),
+            moved: members.iter().map(|m| m.is_busy).collect(),
+            holders: vec![0; usize::from(layers)],
+            moves: Vec::new(),
+        };
+        for held in repair.held.clone().into_iter().flatten() {
+            repair.count(held, true);
+        }
+        repair
+    }
+
+    fn count(&mut self, range: LayerRange, is_added: bool) {
+        let end = usize::from(range.end).min(self.holders.len());
+        for holders in self.holders.iter_mut().take(end).skip(usize::from(range.first)) {
+            *holders = if is_added { *holders + 1 } else { holders.saturating_sub(1) };
+        }
+    }
+
+    /// The longest run of layers with so many holders.
+    fn longest_run(&self, holders: u32) -> Option<LayerRange> {
+        let mut runs: Vec<LayerRange> = Vec::new();
+        for (layer, _) in self.holders.iter().enumerate().filter(|(_, n)| **n == holders) {
+            let layer = layer as u16;
+            match runs.last_mut() {
+                Some(run) if run.end == layer => run.end += 1,
+                _ => runs.push(LayerRange { first: layer, end: layer + 1 }),
+            }
+        }
+        runs.into_iter().max_by_key(|run| (run.len(), u16::MAX - run.first))
+    }
+
+    /// Gives (a beginning of) a hole to the endpoint that fits best; false if there is none.
+    fn fill(&mut self, hole: LayerRange) -> bool {
+        let needed = hole.len() as u16;
+        let free: Vec<usize> = (0..self.members.len()).filter(|at| self.is_free(*at)).collect();
+        let fits = |at: &&usize| self.members[**at].comfortable >= needed;
+        let best_fit = free.iter().filter(fits).min_by_key(|at| {
+            let member = &self.members[**at];
+            (self.held[**at].is_some(), member.comfortable, &member.endpoint)
+        });
+        if let Some(at) = best_fit {
+            self.give(*at, hole, true);
+            return true;
+        }
+        if self.widen_neighbour(hole) {
+            return true;
+        }
+        let widest = free.iter().filter(|at| self.members[**at].most > 0).max_by_key(|at| {
+            let member = &self.members[**at];
+            (member.comfortable, self.held[**at].is_none(), &member.endpoint)
+        });
+        let Some(at) = widest else {
+            return false;
+        };
+        let member = &self.members[*at];
+        let width = match member.most >= needed {
+            true => needed,
+            false => member.comfortable.max(1),
+        };
+        self.give(*at, LayerRange { first: hole.first, end: hole.first + width }, true);
+        true
+    }
+
+    /// Widens an endpoint beside a hole by the whole hole, if it has room.
+    fn widen_neighbour(&mut self, hole: LayerRange) -> bool {
+        let widened = |held: LayerRange| {
+            (held.end == hole.first || held.first == hole.end).then(|| LayerRange {
+                first: held.first.min(hole.first),
+                end: held.end.max(hole.end),
+            })
+        };
+        let found = (0..self.members.len()).filter(|at| !self.moved[*at]).find_map(|at| {
+            let both = widened(self.held[at]?)?;
+            (both.len() <= usize::from(self.members[at].most)).then_some((at, both))
+        });
+        if let Some((at, both)) = found {
+            self.give(at, both, true);
+        }
+        found.is_some()
+    }
+
+    /// Whether an endpoint may be moved: it holds nothing, or nothing that others do not hold too.
+    fn is_free(&self, at: usize) -> bool {
+        !self.moved[at]
+            && self.held[at].is_none_or(|held| {
+                (held.first..held.end).all(|layer| self.holders[usize::from(layer)] > 1)
+            })
+    }
+
+    /// Lets an empty endpoint hold what has one holder only; false if nothing is to be done.
+    fn add_spare(&mut self) -> bool {
+        let Some(run) = self.longest_run(1) else {
+            return false;
+        };
+        let empty = (0..self.members.len())
+            .filter(|at| !self.moved[*at] && self.held[*at].is_none())
+            .max_by_key(|at| self.members[*at].comfortable);
+        let Some(at) = empty.filter(|at| self.members[*at].comfortable > 0) else {
+            return false;
+        };
+        let width = usize::from(self.members[at].comfortable);
+        let window = self.best_window(run, width);
+        self.give(at, window, false);
+        true
+    }
+
+    /// The range of a single holder within a run, if it fits; else the run's beginning.
+    fn best_window(&self, run: LayerRange, width: usize) -> LayerRange {
+        let within = |held: &LayerRange| LayerRange {
+            first: held.first.max(run.first),
+            end: held.end.min(run.end),
+        };
+        let holdings = self.held.iter().flatten().map(within);
+        let fitting = holdings.filter(|window| !window.is_empty() && window.len() <= width);
+        fitting
+            .max_by_key(|window| (window.len(), u16::MAX - window.first))
+            .unwrap_or(LayerRange { first: run.first, end: run.end.min(run.first + width as u16) })
+    }
+
+    fn give(&mut self, at: usize, layers: LayerRange, is_urgent: bool) {
+        if let Some(held) = self.held[at] {
+            self.count(held, false);
+        }
+        self.count(layers, true);
+        self.held[at] = Some(layers);
+        self.moved[at] = true;
+        let endpoint = self.members[at].endpoint.clone();
+        self.moves.push(RepairMove { endpoint, layers, is_urgent });
+    }
+}
