--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -21,8 +21,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// VMs that share the fleet's slack for repeats while leaders have not told how many there are.
-const ASSUMED_VMS: u32 = 16;
+/// Fewest VMs that are taken to share the fleet's slack for repeats: leaders may not have told of
+/// all of them.
+const FEWEST_VMS: u32 = 12;
 
 /// Where the process stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -209,7 +210,7 @@
         let now = Instant::now();
         let mut budgets = self.budgets.borrow_mut();
         let settings = self.settings();
-        let vms = self.hall.fleet_vms(now).unwrap_or(ASSUMED_VMS);
+        let vms = self.hall.fleet_vms(now).unwrap_or(0).max(FEWEST_VMS);
         let limits = RetryLimits {
             window: settings.retry_window,
             ratio: settings.retry_ratio,
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -34,6 +34,7 @@
     confirmed: Cell<Option<Instant>>,
     boards: RefCell<HashMap<HallId, KeptBoard>>,
     askers: RefCell<HashMap<VmId, Instant>>,
+    most_vms: Cell<u32>,
 }
 
 impl Hall {
@@ -109,12 +110,14 @@
         kept.board.engines.iter().find(|engine| engine.id == id).map(look)
     }
 
-    /// VMs of all halls whose boards are believed; `None` if there are none.
+    /// The most VMs that leaders have told of at a time; `None` if none has. Some may be missing in
+    /// what is told now, but they go on serving.
     pub fn fleet_vms(&self, now: Instant) -> Option<u32> {
         let boards = self.boards.borrow();
         let live = boards.values().filter(|kept| is_believed(kept, now));
         let vms: u32 = live.map(|kept| kept.board.vms).sum();
-        (vms > 0).then_some(vms)
+        self.most_vms.set(self.most_vms.get().max(vms));
+        (self.most_vms.get() > 0).then_some(self.most_vms.get())
     }
 
     /// Where the leader of another hall is asked, as last heard.
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -20,6 +20,12 @@
 /// Requests of this VM at an engine by which its time is taken to double. Engines work in passes
 /// over all that waits, so their time grows with what they have.
 const DOUBLING_REQUESTS: f64 = 16.0;
+/// Used part of an engine's KV cache from which it costs more: what is on its way is not in its
+/// report yet, and an engine without room refuses.
+const KV_FREE_SHARE: f64 = 0.65;
+/// Cost of an engine whose KV cache is full, in milliseconds of predicted time: more than going to
+/// another hall.
+const KV_FULL_COST_MS: f64 = 250.0;
 /// Chance's part in the cost of an engine, so that VMs do not all choose alike.
 const CHANCE: f64 = 0.06;
 
@@ -45,9 +51,12 @@
             .usable_of(&service.name)
             .filter(|record| !avoid.contains(&record.id) && book.may_run_part(&record.id))
             .filter_map(|record| {
-                let told = hall.engine(&record.hall, &record.id, now, |engine| {
-                    (!engine.is_lost).then_some(engine.layers).flatten()
-                });
+                let (told, kv_share) = hall
+                    .engine(&record.hall, &record.id, now, |engine| {
+                        let layers = (!engine.is_lost).then_some(engine.layers).flatten();
+                        (Some(layers), f64::from(engine.kv_permille) / 1000.0)
+                    })
+                    .unwrap_or((None, 0.0));
                 // What the hall's leader heard from the engine is newer than its entry in the store.
                 let layers = told.unwrap_or(record.layers);
                 let layers = layers.filter(|layers| !layers.is_empty())?;
@@ -60,7 +69,9 @@
                     address: record.address,
                     hall: record.hall.clone(),
                     layers,
-                    use_cost_ms: PART_COST_MS + book.use_cost_ms(&record.id, now),
+                    use_cost_ms: PART_COST_MS
+                        + kv_cost_ms(kv_share)
+                        + book.use_cost_ms(&record.id, now),
                     layer_cost_ms: layer_ms * factor * busy * (1.0 + CHANCE * fastrand::f64()),
                 })
             })
@@ -68,3 +79,9 @@
     });
     find_path(&holders, figures.layers, home, CROSSING)
 }
+
+/// Cost of an engine by the used part of its KV cache.
+fn kv_cost_ms(kv_share: f64) -> f64 {
+    let over = (kv_share - KV_FREE_SHARE).max(0.0) / (1.0 - KV_FREE_SHARE);
+    over * over * KV_FULL_COST_MS
+}
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -49,7 +49,7 @@
 /// sites known runs some 60 at once.
 const ROOM_ALONE: f64 = 75.0;
 /// Requests of the usual size that an engine has room for that shares its layers with another.
-const ROOM_PAIRED: f64 = 36.0;
+const ROOM_PAIRED: f64 = 45.0;
 /// Requests of the usual size that an engine has room for that takes more layers in need.
 const ROOM_AT_LEAST: f64 = 8.0;
 /// Engines that are given second holdings at once: each load slows others beyond a few.
