--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -18,9 +18,9 @@
 /// How often the lease and the plan are looked at.
 const TICK: Duration = Duration::from_millis(250);
 /// Term of a hall's lease. A holder that is killed is followed by another VM after 9/8 of it.
-const LEASE_TERM: Duration = Duration::from_millis(4_000);
+const LEASE_TERM: Duration = Duration::from_millis(2_600);
 /// How often a VM that does not hold the lease reads it. Each read is a priced call.
-const LEASE_READ_INTERVAL: Duration = Duration::from_millis(1_500);
+const LEASE_READ_INTERVAL: Duration = Duration::from_millis(800);
 /// How often engines are asked for their reports. Each is priced like a status check.
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 /// How long an engine may take to report or to take an order.
@@ -51,7 +51,7 @@
 /// Requests of the usual size that an engine has room for that shares its layers with another.
 const ROOM_PAIRED: f64 = 45.0;
 /// Requests of the usual size that an engine has room for that takes more layers in need.
-const ROOM_AT_LEAST: f64 = 8.0;
+const ROOM_AT_LEAST: f64 = 30.0;
 /// Engines that are given second holdings at once: each load slows others beyond a few.
 const SPARES_AT_ONCE: usize = 3;
 
--- a/crates/sillbank_layers/src/repair.rs
+++ b/crates/sillbank_layers/src/repair.rs
@@ -39,7 +39,7 @@
 }
 
 /// Says what has to move so that each layer has a holder, and then what may move so that more layers
-/// have two. At most `most_spares` endpoints are given second holdings at once.
+/// have two and no endpoint is crowded without need. At most `most_spares` endpoints are moved at once without need.
 ///
 /// `None` if some layer stays without a holder.
 pub fn repair(
@@ -56,7 +56,7 @@
     if repair.moves.is_empty() {
         let busy = members.iter().filter(|member| member.is_busy).count();
         for _ in busy..most_spares {
-            if !repair.add_spare() {
+            if !repair.add_spare() && !repair.trim_one() {
                 break;
             }
         }
@@ -159,7 +159,7 @@
 
     /// Lets an empty endpoint hold what has one holder only; false if nothing is to be done.
     fn add_spare(&mut self) -> bool {
-        let Some(run) = self.longest_run(1) else {
+        let Some(run) = self.crowded_run().or_else(|| self.longest_run(1)) else {
             return false;
         };
         let empty = (0..self.members.len())
@@ -174,6 +174,38 @@
         true
     }
 
+    /// Layers of a crowded endpoint that it holds alone.
+    fn crowded_run(&self) -> Option<LayerRange> {
+        (0..self.members.len()).filter(|at| !self.moved[*at]).find_map(|at| {
+            let held = self.held[at].filter(|held| self.is_crowded(at, *held))?;
+            let is_single = |layer: &u16| self.holders[usize::from(*layer)] == 1;
+            let first = (held.first..held.end).find(is_single)?;
+            let end = (first..held.end).find(|layer| !is_single(layer)).unwrap_or(held.end);
+            Some(LayerRange { first, end })
+        })
+    }
+
+    fn is_crowded(&self, at: usize, held: LayerRange) -> bool {
+        held.len() > usize::from(self.members[at].comfortable)
+    }
+
+    /// Lets a crowded endpoint give up layers at an end of its range that others hold too; false if
+    /// there is none.
+    fn trim_one(&mut self) -> bool {
+        let trimmed = (0..self.members.len()).filter(|at| !self.moved[*at]).find_map(|at| {
+            let held = self.held[at].filter(|held| self.is_crowded(at, *held))?;
+            let is_shared = |layer: &u16| self.holders[usize::from(*layer)] > 1;
+            let first = (held.first..held.end).find(|layer| !is_shared(layer))?;
+            let last = (held.first..held.end).rev().find(|layer| !is_shared(layer))?;
+            let rest = LayerRange { first, end: last + 1 };
+            (rest.len() < held.len()).then_some((at, rest))
+        });
+        if let Some((at, rest)) = trimmed {
+            self.give(at, rest, false);
+        }
+        trimmed.is_some()
+    }
+
     /// The range of a single holder within a run, if it fits; else the run's beginning.
     fn best_window(&self, run: LayerRange, width: usize) -> LayerRange {
         let within = |held: &LayerRange| LayerRange {
--- a/crates/sillbank_layers/tests/repair.rs
+++ b/crates/sillbank_layers/tests/repair.rs
@@ -180,3 +180,17 @@
         Ok(())
     });
 }
+
+#[test]
+fn a_crowded_endpoint_is_relieved_and_then_gives_up_what_others_hold() {
+    let mut crowded = member("a", 10, Some(range(0, 20)));
+    crowded.most = 20;
+    let relieved = [crowded.clone(), member("new", 10, None)];
+    let held_twice = [crowded, member("new", 10, Some(range(0, 10)))];
+
+    let first = repair(&relieved, 20, 1).expect("nothing is missing");
+    let second = repair(&held_twice, 20, 1).expect("nothing is missing");
+
+    assert_eq!((first[0].endpoint.as_str(), first[0].layers), ("new", range(0, 10)));
+    assert_eq!((second[0].endpoint.as_str(), second[0].layers), ("a", range(10, 20)));
+}
