--- a/crates/sillbank_gateway/src/answers.rs
+++ b/crates/sillbank_gateway/src/answers.rs
@@ -1,11 +1,11 @@
 //! Final answers of the gateway's own, chosen by what is known of the work.
 
 use crate::decisions::Outcome;
-use crate::job::Job;
 use crate::wire::Wire;
 use hyper::Response;
 use hyper::header::RETRY_AFTER;
 use sillbank_core::prelude::*;
+use sillbank_core::run::RunLog;
 use sillbank_net::failures::failure_reply;
 use sillbank_net::prelude::*;
 use std::time::Duration;
@@ -26,8 +26,7 @@
 
 /// Gives a request up: a refusal with a time to come back if it is proved that it was not run,
 /// else a failure that promises nothing.
-pub fn give_up(job: &Job, refusal: FailureKind, reason: &str) -> Failure {
-    let run = job.run.get();
+pub fn give_up(run: RunLog, refusal: FailureKind, reason: &str) -> Failure {
     match run.not_run_evidence() {
         Some(_) => Failure::before_work(refusal, reason).retry_after(COME_BACK_NO_ENDPOINT),
         None => Failure::new(FailureKind::ServiceLost, run.state(), reason),
@@ -35,16 +34,19 @@
 }
 
 /// Ends a request whose time is over.
-pub fn out_of_time(job: &Job) -> Failure {
+pub fn out_of_time(run: RunLog) -> Failure {
     let reason = "its time was over before an answer came";
-    match job.run.get().not_run_evidence() {
-        Some(_) => {
-            Failure::before_work(FailureKind::NoChain, reason).retry_after(COME_BACK_NO_ENDPOINT)
-        }
-        None => Failure::new(FailureKind::DeadlineExceeded, job.run.get().state(), reason),
+    match run.not_run_evidence() {
+        Some(_) => give_up(run, FailureKind::NoChain, reason),
+        None => Failure::new(FailureKind::DeadlineExceeded, run.state(), reason),
     }
 }
 
+/// Whether a status promises that a request was not run and will not be.
+pub fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// How a failure counts.
 pub fn outcome_of(failure: &Failure) -> Outcome {
     match failure.run {
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -37,7 +37,7 @@
     let watch = CallWatch { gateway, job, ended: std::cell::Cell::new(false) };
     let late = async {
         smol::Timer::at(job.deadline).await;
-        Err(out_of_time(job))
+        Err(out_of_time(job.run.get()))
     };
     let ended = futures_lite::future::or(work(gateway, job), late).await;
     watch.ended.set(true);
@@ -88,7 +88,11 @@
     loop {
         let Some(choice) = choose(gateway, job, &tried) else {
             return held.ok_or_else(|| {
-                give_up(job, FailureKind::NoChain, "no endpoint of the service can be used")
+                give_up(
+                    job.run.get(),
+                    FailureKind::NoChain,
+                    "no endpoint of the service can be used",
+                )
             });
         };
         job.sends.set(job.sends.get() + 1);
@@ -126,7 +130,7 @@
             End::MayHaveRun => job.may_repeat() && gateway.may_send_again(job),
         };
         if !goes_on {
-            return held.ok_or_else(|| give_up(job, FailureKind::NoChain, &reason));
+            return held.ok_or_else(|| give_up(job.run.get(), FailureKind::NoChain, &reason));
         }
     }
 }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -1,5 +1,6 @@
 //! One sending of a request to an endpoint, up to the head of its reply.
 
+use crate::answers::is_promise;
 use crate::channels::Channel;
 use crate::endpoints::Evidence;
 use crate::gateway::Gateway;
@@ -95,6 +96,10 @@
             job.note_run(RunLog::ran);
             Sent::Success(reply, channel)
         }
+        EndpointReply::Failure if is_promise(reply.status().as_u16()) => Sent::Lost(format!(
+            "status {} without a proof that it was not run",
+            reply.status().as_u16()
+        )),
         EndpointReply::Failure => {
             job.note_run(RunLog::ran);
             Sent::Failure(reply, channel)
--- a/crates/sillbank_gateway/src/streams.rs
+++ b/crates/sillbank_gateway/src/streams.rs
@@ -62,7 +62,7 @@
     let mut watch = StreamWatch::new(gateway, job);
     let late = async {
         smol::Timer::at(job.deadline).await;
-        Err(out_of_time(job))
+        Err(out_of_time(job.run.get()))
     };
     match futures_lite::future::or(begin(gateway, job, None, Vec::new()), late).await {
         Ok(Begun::Stream(upstream, status)) => {
@@ -132,7 +132,7 @@
     let mut unreached = 0;
     loop {
         let Some(target) = choose_target(gateway, job, &avoid) else {
-            return Err(give_up(job, FailureKind::NoChain, "no path covers the model"));
+            return Err(give_up(job.run.get(), FailureKind::NoChain, "no path covers the model"));
         };
         job.sends.set(job.sends.get() + 1);
         let sent_at = Instant::now();
@@ -163,7 +163,7 @@
             Left::MayHaveRun => job.may_repeat() && gateway.may_send_again(job),
         };
         if !goes_on {
-            return Err(give_up(job, FailureKind::NoChain, &end.reason));
+            return Err(give_up(job.run.get(), FailureKind::NoChain, &end.reason));
         }
     }
 }
--- /dev/null
+++ b/crates/sillbank_gateway/tests/endpoints.rs
@@ -0,0 +1,98 @@
+//! What is seen of endpoints decides who is left alone, and for how long.
+
+use sillbank_gateway::endpoints::{EndpointBook, Evidence};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const ID: &str = "e1";
+
+fn book() -> (Rc<EndpointBook>, Instant) {
+    (Rc::default(), Instant::now())
+}
+
+#[test]
+fn lost_answers_and_refusals_exclude_no_engine() {
+    let (book, now) = book();
+
+    book.on_evidence(ID, Evidence::Failed, now);
+    book.on_evidence(ID, Evidence::LacksPart, now);
+
+    assert!(book.may_run_part(ID));
+    assert!(book.use_cost_ms(ID, now) > 100.0);
+    assert!(book.use_cost_ms(ID, now + Duration::from_secs(1)) < 100.0);
+}
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_left_alone_until_it_answers() {
+    let (book, now) = book();
+
+    book.on_evidence(ID, Evidence::Unreachable, now);
+    let due_at_once = book.due_for_probe(now);
+    let due_later = book.due_for_probe(now + Duration::from_secs(1));
+    book.on_evidence(ID, Evidence::Good, now + Duration::from_secs(1));
+
+    assert!(due_at_once.is_empty());
+    assert_eq!(due_later, vec![ID.to_owned()]);
+    assert!(book.may_run_part(ID));
+}
+
+#[test]
+fn only_losses_after_a_send_count_against_it() {
+    let (book, now) = book();
+    let sent_before = now - Duration::from_secs(1);
+    let sent_after = now + Duration::from_secs(1);
+
+    book.on_evidence(ID, Evidence::Unreachable, now);
+
+    assert!(book.ejected_since(ID, sent_before));
+    assert!(!book.ejected_since(ID, sent_after));
+}
+
+#[test]
+fn an_endpoint_that_fails_most_requests_is_left_alone() {
+    let (book, now) = book();
+
+    let changes = (0..10).filter(|_| book.on_evidence(ID, Evidence::Failed, now)).count();
+
+    assert!(changes > 0);
+    assert!(book.is_ejected(ID));
+}
+
+#[test]
+fn an_endpoint_that_fails_one_request_in_seven_is_not() {
+    let (book, now) = book();
+
+    for number in 0..200 {
+        let evidence = if number % 7 == 0 { Evidence::Failed } else { Evidence::Good };
+        book.on_evidence(ID, evidence, now);
+    }
+
+    assert!(!book.is_ejected(ID));
+}
+
+#[test]
+fn a_lost_plain_endpoint_is_tried_by_one_request_at_a_time() {
+    let (book, now) = book();
+    book.on_evidence(ID, Evidence::Unreachable, now);
+    let later = now + Duration::from_secs(2);
+
+    let may_first = book.takes_work(ID, later);
+    let _first = book.begin(vec![ID.to_owned()], later);
+    let may_second = book.takes_work(ID, later);
+
+    assert!(may_first);
+    assert!(!may_second);
+}
+
+#[test]
+fn work_in_flight_ends_when_it_is_dropped() {
+    let (book, now) = book();
+
+    let first = book.begin(vec![ID.to_owned(), "e2".to_owned()], now);
+    let second = book.begin(vec![ID.to_owned()], now);
+    drop(first);
+
+    assert_eq!(book.in_flight(ID), 1);
+    drop(second);
+    assert_eq!(book.in_flight(ID), 0);
+}
--- /dev/null
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -0,0 +1,76 @@
+//! For how long what leaders tell is believed.
+
+use sillbank_gateway::feed::{EngineState, HallBoard};
+use sillbank_gateway::hall::Hall;
+use std::time::{Duration, Instant};
+
+fn board(hall: &str, age_ms: u64, vms: u32, running: u32) -> HallBoard {
+    let engine = EngineState {
+        id: "e1".to_owned(),
+        is_lost: false,
+        layers: None,
+        waiting: 0,
+        running,
+        kv_permille: 0,
+        pace_permille: 1000,
+    };
+    let leader = "10.0.0.1:7000".parse().expect("an address");
+    HallBoard { hall: hall.to_owned(), age_ms, vms, leader, engines: vec![engine] }
+}
+
+#[test]
+fn a_leader_suffices_while_it_is_heard_and_its_confirmation_is_fresh() {
+    let (hall, now) = (Hall::default(), Instant::now());
+
+    hall.on_news(now, Some(now));
+
+    assert!(hall.leader_suffices(now + Duration::from_millis(1_100)));
+    assert!(!hall.leader_suffices(now + Duration::from_millis(1_300)));
+    hall.on_news(now + Duration::from_secs(3), Some(now));
+    assert!(hall.leader_is_live(now + Duration::from_secs(3)));
+    assert!(!hall.leader_suffices(now + Duration::from_secs(3)));
+}
+
+#[test]
+fn a_vm_that_leads_follows_the_store_itself() {
+    let (hall, now) = (Hall::default(), Instant::now());
+    hall.on_news(now, Some(now));
+
+    hall.leads.set(Some(7));
+
+    assert!(!hall.leader_suffices(now));
+}
+
+#[test]
+fn an_older_board_does_not_replace_a_newer_one() {
+    let (hall, now) = (Hall::default(), Instant::now());
+
+    hall.keep_board(now, board("a", 100, 1, 5));
+    hall.keep_board(now, board("a", 900, 1, 9));
+
+    assert_eq!(hall.engine("a", "e1", now, |engine| engine.running), Some(5));
+}
+
+#[test]
+fn a_board_is_believed_for_two_seconds() {
+    let (hall, now) = (Hall::default(), Instant::now());
+
+    hall.keep_board(now, board("a", 500, 1, 5));
+
+    let at = |ms| hall.engine("a", "e1", now + Duration::from_millis(ms), |engine| engine.running);
+    assert_eq!(at(1_400), Some(5));
+    assert_eq!(at(1_600), None);
+}
+
+#[test]
+fn the_fleet_is_as_large_as_it_was_ever_seen() {
+    let (hall, now) = (Hall::default(), Instant::now());
+
+    hall.keep_board(now, board("a", 0, 4, 0));
+    hall.keep_board(now, board("b", 0, 3, 0));
+    let all = hall.fleet_vms(now);
+    let later = hall.fleet_vms(now + Duration::from_secs(60));
+
+    assert_eq!(all, Some(7));
+    assert_eq!(later, Some(7));
+}
--- /dev/null
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -0,0 +1,88 @@
+//! What a VM believes, and for how long it may act on it.
+
+use sillbank_catalog::prelude::*;
+use sillbank_fleet::prelude::*;
+use sillbank_gateway::knowledge::Knowledge;
+use sillbank_gateway::store::Snapshot;
+use sillbank_testing::for_fixed_seeds;
+use std::time::{Duration, Instant};
+
+const REVOCATION: Duration = Duration::from_secs(5);
+
+fn offer(knowledge: &Knowledge, version: u64) -> bool {
+    let parts = CatalogParts { version, ..CatalogParts::default() };
+    let catalog = Catalog::new(parts.clone()).expect("it is valid");
+    knowledge.offer_catalog(catalog, parts)
+}
+
+fn record(id: &str) -> EndpointRecord {
+    EndpointRecord {
+        id: id.to_owned(),
+        service: "quotes".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: "a".to_owned(),
+        standing: Standing::Ready,
+        slots: 1,
+        accelerator: None,
+        layers: None,
+    }
+}
+
+#[test]
+fn a_configuration_is_fresh_for_less_than_a_revocation_may_take() {
+    let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
+    offer(&knowledge, 1);
+
+    knowledge.confirm_catalog(now);
+
+    assert!(knowledge.is_fresh(now + Duration::from_millis(4_700)));
+    assert!(!knowledge.is_fresh(now + Duration::from_millis(4_800)));
+}
+
+#[test]
+fn a_confirmation_without_a_configuration_means_nothing() {
+    let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
+
+    knowledge.confirm_catalog(now);
+
+    assert!(!knowledge.is_fresh(now));
+}
+
+#[test]
+fn versions_only_rise_whatever_order_they_come_in() {
+    for_fixed_seeds(200, 128, |u| {
+        let knowledge = Knowledge::new(REVOCATION);
+        let mut newest = 0;
+        for _ in 0..u.int_in_range(1..=20)? {
+            let version = u.int_in_range(1..=30)?;
+            let taken = offer(&knowledge, version);
+            assert_eq!(taken, version > newest);
+            newest = newest.max(version);
+            assert_eq!(knowledge.catalog().map(|catalog| catalog.version()), Some(newest));
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn an_older_list_from_a_leader_is_left() {
+    let knowledge = Knowledge::new(REVOCATION);
+    let list = Snapshot { at: 9, value: vec![record("a"), record("b")] };
+    knowledge.take_endpoints(Instant::now(), list);
+
+    let gone = knowledge.take_relayed(8, vec![]);
+
+    assert!(gone.is_empty());
+    assert_eq!(knowledge.endpoints(Directory::len), 2);
+}
+
+#[test]
+fn a_newer_list_from_a_leader_replaces_all() {
+    let knowledge = Knowledge::new(REVOCATION);
+    let list = Snapshot { at: 9, value: vec![record("a"), record("b")] };
+    knowledge.take_endpoints(Instant::now(), list);
+
+    let gone = knowledge.take_relayed(10, vec![record("b")]);
+
+    assert_eq!(gone, vec!["a".to_owned()]);
+}
