--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -6,6 +6,7 @@
 use crate::job::Job;
 use crate::knowledge::KnowledgeStamp;
 use crate::store::Revision;
+use crate::wire::OrderEnd;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -138,6 +139,27 @@
         }
     }
 
+    /// A running request is moved to a path on which others run a lost part.
+    pub fn moved(
+        &self,
+        job: &Job,
+        lost: &str,
+        path: &LayerPath,
+        end: OrderEnd,
+        stamp: KnowledgeStamp,
+    ) {
+        if self.fits() {
+            tracing::info!(
+                request = job.head.request_id,
+                at_fault = lost,
+                path = describe_path(path),
+                end = end.name(),
+                endpoints_at = stamp.endpoints_at,
+                "route: Moved."
+            );
+        }
+    }
+
     /// A request ended.
     pub fn ended(&self, job: &Job, outcome: Outcome, status: u16, events: u64, reason: &str) {
         if self.fits() {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::job::Job;
 use crate::knowledge::Knowledge;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
+use crate::paths::Views;
 use crate::settings::GatewaySettings;
 use crate::store::{Revision, StoreError};
 use crate::wire::Wire;
@@ -16,14 +17,14 @@
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Fewest VMs that are taken to share the fleet's slack for repeats: leaders may not have told of
-/// all of them.
-const FEWEST_VMS: u32 = 12;
+/// VMs that are taken to share the fleet's slack for repeats while the leaders of some halls have not
+/// told of theirs.
+const ASSUMED_VMS: u32 = 16;
 
 /// Where the process stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,6 +101,11 @@
         self.settings.borrow().clone()
     }
 
+    /// What paths are chosen from.
+    pub fn views(&self, now: Instant) -> Views<'_> {
+        Views { knowledge: &self.knowledge, hall: &self.hall, book: &self.book, now }
+    }
+
     /// Whether new work should come to this VM.
     pub fn is_ready(&self, now: Instant) -> bool {
         self.life.get() == Life::Serving
@@ -202,6 +208,14 @@
         self.metrics.first_answer_s.get_or_create(&kind).observe(job.began.elapsed().as_secs_f64());
     }
 
+    /// VMs of the fleet as far as known, cautiously.
+    fn fleet_vms(&self, now: Instant) -> u32 {
+        let halls: BTreeSet<HallId> = self
+            .knowledge
+            .endpoints(|directory| directory.iter().map(|record| record.hall.clone()).collect());
+        self.hall.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
+    }
+
     fn with_budget<T>(
         &self,
         service: &str,
@@ -210,7 +224,7 @@
         let now = Instant::now();
         let mut budgets = self.budgets.borrow_mut();
         let settings = self.settings();
-        let vms = self.hall.fleet_vms(now).unwrap_or(0).max(FEWEST_VMS);
+        let vms = self.fleet_vms(now);
         let limits = RetryLimits {
             window: settings.retry_window,
             ratio: settings.retry_ratio,
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -3,7 +3,7 @@
 use crate::feed::{EngineState, HallBoard};
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -110,13 +110,15 @@
         kept.board.engines.iter().find(|engine| engine.id == id).map(look)
     }
 
-    /// The most VMs that leaders have told of at a time; `None` if none has. Some may be missing in
-    /// what is told now, but they go on serving.
-    pub fn fleet_vms(&self, now: Instant) -> Option<u32> {
+    /// The most VMs that the leaders of all `halls` have told of at a time; `None` if they have not.
+    /// Some may be missing in what is told now, but they go on serving.
+    pub fn fleet_vms(&self, halls: &BTreeSet<HallId>, now: Instant) -> Option<u32> {
         let boards = self.boards.borrow();
-        let live = boards.values().filter(|kept| is_believed(kept, now));
-        let vms: u32 = live.map(|kept| kept.board.vms).sum();
-        self.most_vms.set(self.most_vms.get().max(vms));
+        let live = |hall: &HallId| boards.get(hall).filter(|kept| is_believed(kept, now));
+        if !halls.is_empty() && halls.iter().all(|hall| live(hall).is_some()) {
+            let vms: u32 = halls.iter().filter_map(live).map(|kept| kept.board.vms).sum();
+            self.most_vms.set(self.most_vms.get().max(vms));
+        }
         (self.most_vms.get() > 0).then_some(self.most_vms.get())
     }
 
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub repeats_denied: Counter,
     /// Streams that went on at another path.
     pub resumes: Counter,
+    /// Requests moved to another path, by how that ended.
+    pub moves: Family<KindLabel, Counter>,
     /// Calls to the store that failed.
     pub store_errors: Family<KindLabel, Counter>,
     /// Configurations that could not be used.
@@ -70,6 +72,7 @@
         let sends = Family::default();
         let repeats_denied = Counter::default();
         let resumes = Counter::default();
+        let moves = Family::default();
         let store_errors = Family::default();
         let catalog_faults = Counter::default();
         let connections = Family::default();
@@ -81,6 +84,7 @@
         registry.register("sends", "Sends to endpoints", sends.clone());
         registry.register("repeats_denied", "Repeats beyond the budget", repeats_denied.clone());
         registry.register("resumes", "Streams resumed elsewhere", resumes.clone());
+        registry.register("moves", "Requests moved to another path", moves.clone());
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
@@ -94,6 +98,7 @@
             sends,
             repeats_denied,
             resumes,
+            moves,
             store_errors,
             catalog_faults,
             connections,
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -32,21 +32,63 @@
 const CROSSING: CrossingCost =
     CrossingCost { request_ms: REQUEST_CROSSING_MS, activations_ms: ACTIVATIONS_CROSSING_MS };
 
+/// Cost of handing the activations of a few requests over to another hall: the way, at each token.
+const MENDING_CROSSING_MS: f64 = 5.0;
+
+const MENDING: CrossingCost =
+    CrossingCost { request_ms: MENDING_CROSSING_MS, activations_ms: MENDING_CROSSING_MS };
+
 /// The cheapest path for a request that begins in the hall `home`.
 ///
 /// Endpoints in `avoid` and those that are left alone at the moment are not used.
 pub fn choose_path(
-    knowledge: &Knowledge,
-    hall: &Hall,
-    book: &EndpointBook,
+    views: Views<'_>,
     service: &Service,
     figures: &EngineFigures,
     home: &str,
     avoid: &[EndpointId],
-    now: Instant,
 ) -> Option<LayerPath> {
+    let holders = holders(views, service, figures, avoid);
+    find_path(&holders, figures.layers, home, CROSSING)
+}
+
+/// A path in use with its lost part run by others. Few requests need one at a time, so handing
+/// activations over to another hall costs little here.
+pub fn choose_mended_path(
+    views: Views<'_>,
+    service: &Service,
+    figures: &EngineFigures,
+    home: &str,
+    path: &LayerPath,
+    lost: &str,
+) -> Option<LayerPath> {
+    let holders = holders(views, service, figures, &[lost.to_owned()]);
+    mend_path(path, lost, &holders, figures.layers, home, MENDING)
+}
+
+/// What paths are chosen from.
+#[derive(Debug, Clone, Copy)]
+pub struct Views<'a> {
+    /// Endpoints as listed.
+    pub knowledge: &'a Knowledge,
+    /// Engines as leaders tell of them.
+    pub hall: &'a Hall,
+    /// Endpoints as seen.
+    pub book: &'a EndpointBook,
+    /// Now.
+    pub now: Instant,
+}
+
+/// Engines that may be part of a path, with their costs.
+fn holders(
+    views: Views<'_>,
+    service: &Service,
+    figures: &EngineFigures,
+    avoid: &[EndpointId],
+) -> Vec<Holder> {
+    let Views { knowledge, hall, book, now } = views;
     let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
-    let holders = knowledge.endpoints(|directory| {
+    knowledge.endpoints(|directory| {
         directory
             .usable_of(&service.name)
             .filter(|record| !avoid.contains(&record.id) && book.may_run_part(&record.id))
@@ -75,9 +117,8 @@
                     layer_cost_ms: layer_ms * factor * busy * (1.0 + CHANCE * fastrand::f64()),
                 })
             })
-            .collect::<Vec<_>>()
-    });
-    find_path(&holders, figures.layers, home, CROSSING)
+            .collect()
+    })
 }
 
 /// Cost of an engine by the used part of its KV cache.
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::gateway::{Gateway, Life};
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
-use crate::wire::{EngineReport, GiveUp, OrderEnd, PlaceOrder, Wire};
+use crate::wire::{EngineReport, GiveUp, PlaceOrder, Wire};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -483,12 +483,7 @@
         let call = W::order_call(&order);
         let ended = self.gateway.engine_calls.call(address, call, ENGINE_CALL_LIMIT).await;
         let end = match &ended {
-            Ok(reply) => match W::read_order_end(reply.status) {
-                OrderEnd::Begun => "begun",
-                OrderEnd::Done => "done",
-                OrderEnd::Conflict => "conflict",
-                OrderEnd::Refused => "refused",
-            },
+            Ok(reply) => W::read_order_end(reply.status).name(),
             Err(_) => "no_answer",
         };
         if end == "begun"
--- a/crates/sillbank_gateway/src/streams.rs
+++ b/crates/sillbank_gateway/src/streams.rs
@@ -8,10 +8,11 @@
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::{Job, endpoints_of};
-use crate::paths::choose_path;
+use crate::metrics::KindLabel;
+use crate::paths::{choose_mended_path, choose_path};
 use crate::sending::{Destination, Sent, caller_head, send};
 use crate::store::MetadataStore;
-use crate::wire::{EventNumber, Wire};
+use crate::wire::{EventNumber, OrderEnd, Wire};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -27,6 +28,8 @@
 /// Silence after which a stream's first endpoint is asked what it waits for. Events come every few
 /// tens of milliseconds; callers give a stream up after two seconds.
 const DOUBT: Duration = Duration::from_millis(450);
+/// How long an engine may take to move a request to another path.
+const MOVE_LIMIT: Duration = Duration::from_millis(400);
 /// How often a stream may fail to reach an endpoint before it is given up.
 const MAX_UNREACHED: usize = 3;
 /// Bytes that may wait for a slow caller before the endpoint is made to wait too.
@@ -191,16 +194,7 @@
             Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
         });
     };
-    let path = choose_path(
-        &gateway.knowledge,
-        &gateway.hall,
-        &gateway.book,
-        &job.service,
-        figures,
-        &home,
-        avoid,
-        now,
-    )?;
+    let path = choose_path(gateway.views(now), &job.service, figures, &home, avoid)?;
     let first = path.first();
     Some(Target { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) })
 }
@@ -229,7 +223,7 @@
 async fn send_once<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    target: Target,
+    mut target: Target,
     resume_after: Option<EventNumber>,
 ) -> SendOnce {
     let sent_at = Instant::now();
@@ -238,20 +232,17 @@
         None => vec![target.endpoint.clone()],
     };
     let in_flight = gateway.book.begin(members, sent_at);
-    let to = Destination {
-        endpoint: &target.endpoint,
-        address: target.address,
-        path: target.path.as_ref(),
-    };
-    let lost = doubt(gateway, job, &target);
+    let endpoint = target.endpoint.clone();
+    let sent_path = target.path.clone();
+    let to = Destination { endpoint: &endpoint, address: target.address, path: sent_path.as_ref() };
+    let lost = doubt(gateway, job, &mut target);
     let sent =
         futures_lite::future::or(async { Ok(send(gateway, job, to, resume_after).await) }, async {
             Err(lost.await)
         })
         .await;
-    let endpoint = target.endpoint.clone();
     let ended = |at_fault, left, reason| {
-        SendOnce::Ended(SendFailed { endpoint: target.endpoint.clone(), at_fault, left, reason })
+        SendOnce::Ended(SendFailed { endpoint: endpoint.clone(), at_fault, left, reason })
     };
     match sent {
         Err((at_fault, reason)) => ended(Some(at_fault), Left::MayHaveRun, reason),
@@ -264,7 +255,7 @@
                 head: head.headers,
                 channel,
                 path: target.path,
-                endpoint,
+                endpoint: target.endpoint,
                 address: target.address,
                 splitter: EventSplitter::default(),
                 _in_flight: in_flight,
@@ -309,13 +300,14 @@
     }
 }
 
-/// Waits until an endpoint of the target is found to be lost; answers which, and why.
+/// Waits until an endpoint of the target is found to be lost and cannot be replaced; answers which,
+/// and why.
 async fn doubt<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    target: &Target,
+    target: &mut Target,
 ) -> (EndpointId, String) {
-    let sent_at = Instant::now();
+    let mut sent_at = Instant::now();
     loop {
         smol::Timer::after(DOUBT).await;
         let found = look_for_loss(
@@ -327,8 +319,15 @@
             sent_at,
         )
         .await;
-        if let Some(found) = found {
-            return found;
+        let Some((lost, reason)) = found else {
+            continue;
+        };
+        match move_request(gateway, job, target.address, target.path.as_ref(), &lost).await {
+            Some(path) => {
+                target.path = Some(path);
+                sent_at = Instant::now();
+            }
+            None => return (lost, reason),
         }
     }
 }
@@ -364,6 +363,30 @@
     }
 }
 
+/// Moves a request to a path on which others run the lost part; answers the path if that was taken.
+async fn move_request<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    first: SocketAddr,
+    path: Option<&LayerPath>,
+    lost: &str,
+) -> Option<LayerPath> {
+    let (path, figures) = (path?, job.service.engine.as_ref()?);
+    let home = gateway.settings().hall.clone();
+    let views = gateway.views(Instant::now());
+    let mended = choose_mended_path(views, &job.service, figures, &home, path, lost)?;
+    let call = W::move_call(&job.head.request_id, &mended);
+    let ended = gateway.engine_calls.call(first, call, MOVE_LIMIT).await;
+    let end = match &ended {
+        Ok(reply) => W::read_order_end(reply.status),
+        Err(_) => OrderEnd::Refused,
+    };
+    let is_moved = matches!(end, OrderEnd::Begun | OrderEnd::Done);
+    gateway.metrics.moves.get_or_create(&KindLabel { kind: end.name() }).inc();
+    gateway.decisions.moved(job, lost, &mended, end, gateway.knowledge.stamp(Instant::now()));
+    is_moved.then_some(mended)
+}
+
 async fn read_failure(
     reply: Response<Incoming>,
 ) -> Result<(Response<ReplyBody>, HeaderMap), String> {
@@ -481,8 +504,14 @@
                     upstream.sent_at,
                 )
                 .await;
-                if let Some((at_fault, reason)) = found {
-                    return PartEnd::Broken(Some(at_fault), reason);
+                if let Some((lost, reason)) = found {
+                    let (address, path) = (upstream.address, upstream.path.as_ref());
+                    let moved = move_request(&self.gateway, &self.job, address, path, &lost).await;
+                    let Some(path) = moved else {
+                        return PartEnd::Broken(Some(lost), reason);
+                    };
+                    upstream.path = Some(path);
+                    upstream.sent_at = Instant::now();
                 }
                 silence.set_after(DOUBT);
                 continue;
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -124,6 +124,18 @@
     Refused,
 }
 
+impl OrderEnd {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::Done => "done",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// A request that stands still on its path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StalledRequest {
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -66,11 +66,14 @@
 fn the_fleet_is_as_large_as_it_was_ever_seen() {
     let (hall, now) = (Hall::default(), Instant::now());
 
+    let halls = ["a".to_owned(), "b".to_owned()].into();
     hall.keep_board(now, board("a", 0, 4, 0));
+    let before_all = hall.fleet_vms(&halls, now);
     hall.keep_board(now, board("b", 0, 3, 0));
-    let all = hall.fleet_vms(now);
-    let later = hall.fleet_vms(now + Duration::from_secs(60));
+    let all = hall.fleet_vms(&halls, now);
+    let later = hall.fleet_vms(&halls, now + Duration::from_secs(60));
 
+    assert_eq!(before_all, None);
     assert_eq!(all, Some(7));
     assert_eq!(later, Some(7));
 }
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod chains;
 mod find;
+mod mend;
 mod pairs;
 mod path;
 mod plan;
@@ -19,6 +20,7 @@
 
 pub use chains::{ChainMember, ChainNumber, deal_chains};
 pub use find::{CrossingCost, Holder, find_path};
+pub use mend::mend_path;
 pub use pairs::{PairMember, place_in_pairs};
 pub use path::{LayerPath, MAX_PARTS, PathError, PathPart};
 pub use plan::{Assignment, PlanRunner, PlanWeights, plan};
@@ -30,7 +32,7 @@
     pub use crate::{
         Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, MAX_PARTS,
         MemoryShape, PairMember, PathError, PathPart, PlanRunner, PlanWeights, RepairMember,
-        RepairMove, deal_chains, find_path, layers_that_fit, place_in_pairs, plan, repair,
-        tokens_that_fit,
+        RepairMove, deal_chains, find_path, layers_that_fit, mend_path, place_in_pairs, plan,
+        repair, tokens_that_fit,
     };
 }
--- a/crates/sillbank_layers/tests/layers.rs
+++ b/crates/sillbank_layers/tests/layers.rs
@@ -273,3 +273,25 @@
 
     assert_eq!((dealt["a"], dealt["b"]), (1, 0));
 }
+
+#[test]
+fn only_the_lost_part_of_a_path_is_replaced() {
+    let old = vec![part("a", 0, 4), part("lost", 4, 8), part("c", 8, 10)];
+    let old = LayerPath::new(old, 10).expect("it is whole");
+    let holders = [holder("a", "a", 0, 10), holder("x", "a", 2, 6), holder("y", "b", 5, 9)];
+
+    let mended = mend_path(&old, "lost", &holders, 10, "a", CROSSING).expect("others hold it");
+
+    assert_eq!(mended.parts()[0], part("a", 0, 4));
+    assert_eq!(mended.parts().last(), Some(&part("c", 8, 10)));
+    let names: Vec<&str> = mended.parts().iter().map(|part| part.endpoint.as_str()).collect();
+    assert_eq!(names, ["a", "x", "y", "c"]);
+}
+
+#[test]
+fn a_first_part_cannot_be_replaced() {
+    let old = LayerPath::new(vec![part("a", 0, 4), part("b", 4, 10)], 10).expect("it is whole");
+    let holders = [holder("x", "a", 0, 4)];
+
+    assert!(mend_path(&old, "a", &holders, 10, "a", CROSSING).is_none());
+}
