--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -47,9 +47,9 @@
 
 /// Requests of the usual size that an engine has room for that holds its layers alone. A hall of the
 /// sites known runs some 60 at once.
-const ROOM_ALONE: f64 = 75.0;
+const ROOM_ALONE: f64 = 95.0;
 /// Requests of the usual size that an engine has room for that shares its layers with another.
-const ROOM_PAIRED: f64 = 45.0;
+const ROOM_PAIRED: f64 = 50.0;
 /// Requests of the usual size that an engine has room for that takes more layers in need.
 const ROOM_AT_LEAST: f64 = 30.0;
 /// Engines that are given second holdings at once: each load slows others beyond a few.
@@ -204,9 +204,8 @@
         let services: Vec<Rc<Service>> =
             catalog.services().filter(|service| service.engine.is_some()).cloned().collect();
         let now = Instant::now();
-        let ask =
-            self.asked_at.is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
-        if !ask {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
+        if !self.asked_at.is_none_or(is_due) && !self.has_new_suspect() {
             return;
         }
         self.asked_at = Some(now);
@@ -218,6 +217,12 @@
         self.post_board();
     }
 
+    /// Whether this VM's own exchanges found an engine lost that still counts as well.
+    fn has_new_suspect(&self) -> bool {
+        let counts = |known: &Known| known.report.is_some() && known.missed == 0;
+        self.known.iter().any(|(id, known)| counts(known) && self.gateway.book.is_ejected(id))
+    }
+
     async fn place_service(&mut self, service: &str, figures: &EngineFigures) {
         let hall = self.gateway.settings().hall.clone();
         let engines: BTreeMap<EndpointId, EndpointRecord> =
@@ -418,6 +423,7 @@
             .collect();
         for (id, task) in asking {
             let report = task.await;
+            let is_suspect = self.gateway.book.is_ejected(&id);
             let known = self.known.entry(id).or_default();
             match report {
                 Some(report) => {
@@ -426,7 +432,8 @@
                 }
                 None => {
                     known.missed += 1;
-                    if known.missed >= MISSED_REPORTS {
+                    // Own exchanges and a missing report agree.
+                    if is_suspect || known.missed >= MISSED_REPORTS {
                         known.report = None;
                     }
                 }
