--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -47,9 +47,9 @@
 
 /// Requests of the usual size that an engine has room for that holds its layers alone. A hall of the
 /// sites known runs some 60 at once.
-const ROOM_ALONE: f64 = 95.0;
+const ROOM_ALONE: f64 = 140.0;
 /// Requests of the usual size that an engine has room for that shares its layers with another.
-const ROOM_PAIRED: f64 = 50.0;
+const ROOM_PAIRED: f64 = 75.0;
 /// Requests of the usual size that an engine has room for that takes more layers in need.
 const ROOM_AT_LEAST: f64 = 30.0;
 /// Engines that are given second holdings at once: each load slows others beyond a few.
