--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -36,8 +36,6 @@
     pub retry_slack: f64,
     /// Window in which repeats are counted.
     pub retry_window: Duration,
-    /// How long engines let a request wait for a lost part of its path.
-    pub engine_stall: Duration,
     /// Logs.
     pub log: LogSettings,
 }
@@ -73,14 +71,17 @@
         metrics_listen: reader.address("metrics_listen"),
         peer_listen: reader.address("peer_listen"),
         store: reader.address("store"),
-        key_revocation: reader.millis("key_revocation_ms", 5_000, 500..=600_000),
-        stop_grace: reader.millis("stop_grace_ms", 8_000, 500..=600_000),
+        key_revocation: seconds(reader.fraction("key_revocation_ms", 5e3, 500.0..=6e5) / 1e3),
+        stop_grace: seconds(reader.fraction("stop_grace_s", 8.0, 0.5..=600.0)),
         max_open_files: reader.number("max_open_files", 4_096, 64..=1 << 20) as usize,
         retry_ratio: reader.fraction("retry_ratio", 0.2, 0.0..=10.0),
         retry_slack: reader.fraction("retry_slack", 100.0, 0.0..=1e6),
-        retry_window: reader.millis("retry_window_ms", 10_000, 100..=600_000),
-        engine_stall: reader.millis("engine_stall_ms", 2_500, 100..=60_000),
+        retry_window: seconds(reader.fraction("retry_window_s", 10.0, 0.1..=600.0)),
         log: read_log(&mut reader),
     };
     reader.finish().map(|()| settings)
 }
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
