--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -5,13 +5,11 @@
 use crate::endpoints::Evidence;
 use crate::gateway::Gateway;
 use crate::job::Job;
-use crate::sending::{Destination, Sent, caller_head, evidence_of, send};
+use crate::sending::{Destination, Sent, evidence_of, read_whole, send};
 use crate::store::MetadataStore;
+use crate::tries::{Left, Tries};
 use crate::wire::Wire;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
-use hyper::body::Incoming;
 use sillbank_core::prelude::*;
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
@@ -20,8 +18,6 @@
 
 /// Longest answer to a call that is held in memory.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// How often a call may fail to reach an endpoint before it is given up.
-const MAX_UNREACHED: usize = 3;
 /// How many times the route's objective a call that may be repeated waits for one endpoint while
 /// another can be asked. Work of the sites known is over in that time but for one in a hundred.
 const PATIENCE: f64 = 1.5;
@@ -83,7 +79,7 @@
     job: &Rc<Job>,
 ) -> Result<Response<ReplyBody>, Failure> {
     let mut tried: Vec<EndpointId> = Vec::new();
-    let mut unreached = 0;
+    let mut tries = Tries::default();
     let mut held: Option<Response<ReplyBody>> = None;
     loop {
         let Some(choice) = choose(gateway, job, &tried) else {
@@ -95,18 +91,18 @@
                 )
             });
         };
-        job.sends.set(job.sends.get() + 1);
+        tries.begin(job);
         let sent_at = Instant::now();
-        let (end, reason) = match try_once(gateway, job, &choice).await {
+        let (left, reason) = match try_once(gateway, job, &choice).await {
             Try::Done(reply) => return Ok(reply),
             Try::Failed(reply) => {
                 let reason = format!("status {}", reply.status().as_u16());
                 held = Some(reply);
-                (End::MayHaveRun, reason)
+                (Left::MayHaveRun, reason)
             }
-            Try::NotRun(reason) => (End::NotRun, reason),
-            Try::NotSent(reason) => (End::NotSent, reason),
-            Try::Lost(reason) => (End::MayHaveRun, reason),
+            Try::NotRun(reason) => (Left::NotRun, reason),
+            Try::NotSent(reason) => (Left::NotSent, reason),
+            Try::Lost(reason) => (Left::MayHaveRun, reason),
         };
         gateway.decisions.send_failed(
             job,
@@ -119,30 +115,13 @@
             },
         );
         tried.push(choice.endpoint);
-        let goes_on = match end {
-            End::NotSent => {
-                // It did not arrive anywhere, so it is no repeat.
-                job.sends.set(job.sends.get() - 1);
-                unreached += 1;
-                unreached < MAX_UNREACHED
-            }
-            End::NotRun => gateway.may_send_again(job),
-            End::MayHaveRun => job.may_repeat() && gateway.may_send_again(job),
-        };
+        let goes_on = tries.goes_on(gateway, job, left);
         if !goes_on {
             return held.ok_or_else(|| give_up(job.run.get(), FailureKind::NoChain, &reason));
         }
     }
 }
 
-/// What is known of the work after a send that brought no answer.
-#[derive(Clone, Copy)]
-enum End {
-    NotSent,
-    NotRun,
-    MayHaveRun,
-}
-
 /// What came of one send.
 enum Try {
     /// The whole answer.
@@ -187,14 +166,14 @@
         gateway.on_evidence(&choice.endpoint, evidence, "a call");
     }
     match sent {
-        Sent::Success(reply, channel) => match read_whole(reply).await {
+        Sent::Success(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
             Ok((reply, head)) => {
                 gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
                 Try::Done(reply)
             }
             Err(reason) => Try::Lost(reason),
         },
-        Sent::Failure(reply, channel) => match read_whole(reply).await {
+        Sent::Failure(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
             Ok((reply, head)) => {
                 gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
                 Try::Failed(reply)
@@ -212,21 +191,6 @@
     }
 }
 
-/// Reads a reply whole; answers it with its head as it came.
-async fn read_whole(
-    reply: Response<Incoming>,
-) -> Result<(Response<ReplyBody>, hyper::HeaderMap), String> {
-    let (head, body) = reply.into_parts();
-    let headers = head.headers.clone();
-    let whole: Bytes = Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|error| format!("the answer broke off: {error}"))?
-        .to_bytes();
-    let reply = Response::from_parts(head, ReplyBody::Whole(Full::new(whole)));
-    Ok((caller_head(reply), headers))
-}
-
 /// The endpoint with the least work in flight, preferably at home, that was not tried.
 fn choose<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod settings;
 pub mod store;
 pub mod streams;
+pub mod tries;
 pub mod wire;
 
 /// The few types most users need.
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -55,7 +55,13 @@
     mut signals: Signals,
     path: PathBuf,
 ) {
-    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    let mut text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) => {
+            tracing::warn!(%error, "program: The settings cannot be read again yet.");
+            String::new()
+        }
+    };
     loop {
         let by_signal = async {
             signals.next().await;
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -8,8 +8,10 @@
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
 use crate::wire::{EndpointReply, Refusal, Wire};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use sillbank_core::run::RunLog;
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
@@ -126,7 +128,6 @@
     reply: Response<Incoming>,
     channel: Channel,
 ) {
-    use http_body_util::{BodyExt, Limited};
     let (head, body) = reply.into_parts();
     if Limited::new(body, MAX_REFUSAL_BYTES).collect().await.is_ok() {
         gateway.channels.give_back(&endpoint, channel, &head.headers, Instant::now());
@@ -145,7 +146,27 @@
     }
 }
 
-/// The connection's head of a reply, ready for the caller.
+/// Reads a reply of up to `limit_bytes` whole; answers it ready for the caller, and its head as it
+/// came, which says whether the connection stands.
+///
+/// # Errors
+/// Why it is not whole.
+pub async fn read_whole(
+    reply: Response<Incoming>,
+    limit_bytes: usize,
+) -> Result<(Response<ReplyBody>, HeaderMap), String> {
+    let (head, body) = reply.into_parts();
+    let headers = head.headers.clone();
+    let whole = Limited::new(body, limit_bytes)
+        .collect()
+        .await
+        .map_err(|error| format!("the answer broke off: {error}"))?
+        .to_bytes();
+    let reply = Response::from_parts(head, ReplyBody::Whole(Full::new(whole)));
+    Ok((caller_head(reply), headers))
+}
+
+/// A reply without what concerns its connection only.
 pub fn caller_head(mut reply: Response<ReplyBody>) -> Response<ReplyBody> {
     crate::job::strip_connection_headers(reply.headers_mut());
     reply
--- a/crates/sillbank_gateway/src/streams.rs
+++ b/crates/sillbank_gateway/src/streams.rs
@@ -10,10 +10,11 @@
 use crate::job::{Job, endpoints_of};
 use crate::metrics::KindLabel;
 use crate::paths::{choose_mended_path, choose_path};
-use crate::sending::{Destination, Sent, caller_head, send};
+use crate::sending::{Destination, Sent, caller_head, read_whole, send};
 use crate::store::MetadataStore;
+use crate::tries::{Left, Tries};
 use crate::wire::{EventNumber, OrderEnd, Wire};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
@@ -30,8 +31,6 @@
 const DOUBT: Duration = Duration::from_millis(450);
 /// How long an engine may take to move a request to another path.
 const MOVE_LIMIT: Duration = Duration::from_millis(400);
-/// How often a stream may fail to reach an endpoint before it is given up.
-const MAX_UNREACHED: usize = 3;
 /// Bytes that may wait for a slow caller before the endpoint is made to wait too.
 const MAX_WAITING_BYTES: usize = 64 << 10;
 /// Longest body of a failure that is passed on.
@@ -132,12 +131,12 @@
     resume_after: Option<EventNumber>,
     mut avoid: Vec<EndpointId>,
 ) -> Result<Begun, Failure> {
-    let mut unreached = 0;
+    let mut tries = Tries::default();
     loop {
         let Some(target) = choose_target(gateway, job, &avoid) else {
             return Err(give_up(job.run.get(), FailureKind::NoChain, "no path covers the model"));
         };
-        job.sends.set(job.sends.get() + 1);
+        tries.begin(job);
         let sent_at = Instant::now();
         let stamp = gateway.knowledge.stamp(sent_at);
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
@@ -156,15 +155,7 @@
             },
         );
         avoid.push(end.at_fault.unwrap_or(end.endpoint));
-        let goes_on = match end.left {
-            Left::NotSent => {
-                job.sends.set(job.sends.get() - 1);
-                unreached += 1;
-                unreached < MAX_UNREACHED
-            }
-            Left::NotRun => gateway.may_send_again(job),
-            Left::MayHaveRun => job.may_repeat() && gateway.may_send_again(job),
-        };
+        let goes_on = tries.goes_on(gateway, job, end.left);
         if !goes_on {
             return Err(give_up(job.run.get(), FailureKind::NoChain, &end.reason));
         }
@@ -199,14 +190,6 @@
     Some(Target { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) })
 }
 
-/// What is known of the work after a send that began no stream.
-#[derive(Clone, Copy)]
-enum Left {
-    NotSent,
-    NotRun,
-    MayHaveRun,
-}
-
 /// A send that began no stream.
 struct SendFailed {
     endpoint: EndpointId,
@@ -270,7 +253,7 @@
                 let reason = format!("the endpoint failed with status {}", status.as_u16());
                 return ended(None, Left::MayHaveRun, reason);
             }
-            match read_failure(reply).await {
+            match read_whole(reply, MAX_FAILURE_BYTES).await {
                 Ok((reply, head)) => {
                     gateway.channels.give_back(&endpoint, channel, &head, Instant::now());
                     SendOnce::Begun(Begun::Failure(reply))
@@ -387,20 +370,6 @@
     is_moved.then_some(mended)
 }
 
-async fn read_failure(
-    reply: Response<Incoming>,
-) -> Result<(Response<ReplyBody>, HeaderMap), String> {
-    let (head, body) = reply.into_parts();
-    let headers = head.headers.clone();
-    let whole = Limited::new(body, MAX_FAILURE_BYTES)
-        .collect()
-        .await
-        .map_err(|error| format!("the answer broke off: {error}"))?
-        .to_bytes();
-    let reply = Response::from_parts(head, ReplyBody::Whole(Full::new(whole)));
-    Ok((caller_head(reply), headers))
-}
-
 /// Moves events from endpoints to one caller.
 struct Pump<W: Wire, S: MetadataStore> {
     gateway: Rc<Gateway<W, S>>,
