--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -136,7 +136,11 @@
     if let Some(list) = news.endpoints.filter(|_| takes_endpoints) {
         gateway.on_relayed_endpoints(list.at, list.records);
     }
+    let own = gateway.settings().hall.clone();
     for board in news.boards {
+        if board.hall == own {
+            gateway.hall.note_hall_vms(board.vms);
+        }
         gateway.hall.keep_board(now, board);
     }
     let age = Duration::from_millis(news.confirmed_age_ms?);
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the store: configuration and endpoints, by watches that are never left to hang.
 
 use crate::gateway::Gateway;
+use crate::hall::Hall;
 use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
@@ -22,9 +23,11 @@
 /// First pause after a call that failed; doubled up to [`PAUSE_MAX`], and drawn from half to whole
 /// so that VMs do not come back all at once.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
-/// Longest pause between calls to a store that does not answer. The letter wants knowledge back
-/// soon after the store; at 330 VMs this is below 700 calls a second.
+/// Longest pause between calls to a store that does not answer, for each few VMs of a hall: knowledge
+/// is wanted back soon after the store, and each call is priced, also one that fails.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Longest pause of a VM whose leader can be asked: the leader hears of the store's return first.
+const PAUSE_MAX_LED: Duration = Duration::from_millis(4_000);
 
 /// Pauses between failing calls.
 #[derive(Debug, Default)]
@@ -33,8 +36,12 @@
 }
 
 impl Backoff {
-    async fn pause(&mut self) {
-        let longest = PAUSE_MIN.saturating_mul(1 << self.failures.min(8)).min(PAUSE_MAX);
+    async fn pause(&mut self, hall: &Hall) {
+        let most = match hall.leader_is_live(Instant::now()) {
+            true => PAUSE_MAX_LED,
+            false => PAUSE_MAX * hall.crowd_factor(),
+        };
+        let longest = PAUSE_MIN.saturating_mul(1 << self.failures.min(8)).min(most);
         self.failures += 1;
         smol::Timer::after(longest.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
     }
@@ -72,11 +79,11 @@
                     since = None;
                 }
                 gateway.on_store_error("configuration", &error);
-                backoff.pause().await;
+                backoff.pause(&gateway.hall).await;
             }
         }
         if gateway.knowledge.catalog().is_none() {
-            backoff.pause().await;
+            backoff.pause(&gateway.hall).await;
         }
     }
 }
@@ -132,7 +139,7 @@
                 gateway.on_store_error("endpoints", &error);
                 // What was missed is read again whole: a watch that was cut may have missed changes.
                 since = None;
-                backoff.pause().await;
+                backoff.pause(&gateway.hall).await;
             }
         }
     }
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -16,6 +16,10 @@
 /// How long a VM counts that has asked its leader.
 const ASKER_LIVE: Duration = Duration::from_secs(3);
 
+/// VMs of a hall up to which each of them may call the store as if it were alone. Beyond, calls that
+/// fail are spread out, so that a hall's calls in an outage do not grow with it.
+const FEW_VMS: u32 = 4;
+
 /// A board and when it held.
 #[derive(Debug, Clone)]
 struct KeptBoard {
@@ -35,6 +39,7 @@
     boards: RefCell<HashMap<HallId, KeptBoard>>,
     askers: RefCell<HashMap<VmId, Instant>>,
     most_vms: Cell<u32>,
+    most_hall_vms: Cell<u32>,
 }
 
 impl Hall {
@@ -74,6 +79,17 @@
         askers.len() as u32 + 1
     }
 
+    /// How many times longer than alone a VM of this hall pauses between calls that many VMs make for
+    /// the same reason.
+    pub fn crowd_factor(&self) -> u32 {
+        (self.most_hall_vms.get() / FEW_VMS).max(1)
+    }
+
+    /// Notes how many VMs a leader of this hall tells of.
+    pub fn note_hall_vms(&self, vms: u32) {
+        self.most_hall_vms.set(self.most_hall_vms.get().max(vms));
+    }
+
     /// Keeps a board unless a newer one is known.
     pub fn keep_board(&self, now: Instant, board: HallBoard) {
         let Some(as_of) = now.checked_sub(Duration::from_millis(board.age_ms)) else {
--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -142,7 +142,8 @@
 
     /// A VM that is told by the hall's leader need not read the lease: the leader holds it.
     fn read_is_due(&self, now: Instant) -> bool {
-        let is_due = |at: Instant| now.saturating_duration_since(at) >= LEASE_READ_INTERVAL;
+        let interval = LEASE_READ_INTERVAL * self.gateway.hall.crowd_factor();
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= interval;
         !self.gateway.hall.leader_is_live(now) && self.lease_read_at.is_none_or(is_due)
     }
 
@@ -187,10 +188,12 @@
                 pace_permille: report.map_or(1000, |report| (report.pace * 1000.0) as u32),
             }
         });
+        let vms = self.gateway.hall.vms(now);
+        self.gateway.hall.note_hall_vms(vms);
         let board = HallBoard {
             hall: settings.hall.clone(),
             age_ms: 0,
-            vms: self.gateway.hall.vms(now),
+            vms,
             leader: settings.peer_listen,
             engines: engines.collect(),
         };
