--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -49,7 +49,15 @@
 
 /// Waits while the hall's leader tells enough.
 async fn wait_for_need<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) {
-    while gateway.hall.leader_suffices(Instant::now()) {
+    loop {
+        let now = Instant::now();
+        // Before the first configuration there is nothing to confirm: one VM of the hall asks for it.
+        let knows_nothing = gateway.knowledge.catalog().is_none();
+        let is_told = gateway.hall.leader_suffices(now)
+            || (knows_nothing && gateway.hall.leader_is_live(now));
+        if !is_told {
+            return;
+        }
         smol::Timer::after(NEED_POLL).await;
     }
 }
