Move an engine only when its mate serves, and let what passes end first

Ruled out: the change of configuration beside it (a time-out only). Two tests of the repair were red before.

--- a/crates/sillbank_gateway/src/placement.rs
+++ b/crates/sillbank_gateway/src/placement.rs
@@ -321,7 +321,8 @@
         Some(targets.collect())
     }
 
-    /// What has to move after engines were lost or came.
+    /// What has to move after engines were lost or came. Requests may still pass through what is given
+    /// up: an engine that leaves ends its own, and running requests are moved around one that is lost.
     fn mended_targets(
         &mut self,
         service: &str,
@@ -355,7 +356,7 @@
             let targets = moves.into_iter().map(|moved| Target {
                 endpoint: moved.endpoint,
                 layers: moved.layers,
-                give_up: if moved.is_urgent { GiveUp::AtOnce } else { GiveUp::WhenUnused },
+                give_up: GiveUp::WhenUnused,
             });
             return Some(targets.collect());
         }
@@ -364,7 +365,7 @@
             return Some(Vec::new());
         }
         let chains = self.deal(service, engines, figures);
-        self.chain_targets(&chains, figures, GiveUp::AtOnce)
+        self.chain_targets(&chains, figures, GiveUp::WhenUnused)
     }
 
     /// Deals engines to as many chains as hold the model with room for KV cache.
--- a/crates/sillbank_layers/src/repair.rs
+++ b/crates/sillbank_layers/src/repair.rs
@@ -34,7 +34,10 @@
     members: &'a [RepairMember],
     held: Vec<Option<LayerRange>>,
     moved: Vec<bool>,
+    /// Holders of each layer, those included that are still loading it.
     holders: Vec<u32>,
+    /// Holders of each layer that serve it now.
+    serving: Vec<u32>,
     moves: Vec<RepairMove>,
 }
 
@@ -71,21 +74,19 @@
             held: members.iter().map(|m| m.held.filter(|held| !held.is_empty())).collect(),
             moved: members.iter().map(|m| m.is_busy).collect(),
             holders: vec![0; usize::from(layers)],
+            serving: vec![0; usize::from(layers)],
             moves: Vec::new(),
         };
-        for held in repair.held.clone().into_iter().flatten() {
-            repair.count(held, true);
+        for (at, member) in members.iter().enumerate() {
+            let Some(held) = repair.held[at] else { continue };
+            add(&mut repair.holders, held);
+            if !member.is_busy {
+                add(&mut repair.serving, held);
+            }
         }
         repair
     }
 
-    fn count(&mut self, range: LayerRange, is_added: bool) {
-        let end = usize::from(range.end).min(self.holders.len());
-        for holders in self.holders.iter_mut().take(end).skip(usize::from(range.first)) {
-            *holders = if is_added { *holders + 1 } else { holders.saturating_sub(1) };
-        }
-    }
-
     /// The longest run of layers with so many holders.
     fn longest_run(&self, holders: u32) -> Option<LayerRange> {
         let mut runs: Vec<LayerRange> = Vec::new();
@@ -153,7 +154,7 @@
     fn is_free(&self, at: usize) -> bool {
         !self.moved[at]
             && self.held[at].is_none_or(|held| {
-                (held.first..held.end).all(|layer| self.holders[usize::from(layer)] > 1)
+                (held.first..held.end).all(|layer| self.serving[usize::from(layer)] > 1)
             })
     }
 
@@ -194,7 +195,7 @@
     fn trim_one(&mut self) -> bool {
         let trimmed = (0..self.members.len()).filter(|at| !self.moved[*at]).find_map(|at| {
             let held = self.held[at].filter(|held| self.is_crowded(at, *held))?;
-            let is_shared = |layer: &u16| self.holders[usize::from(*layer)] > 1;
+            let is_shared = |layer: &u16| self.serving[usize::from(*layer)] > 1;
             let first = (held.first..held.end).find(|layer| !is_shared(layer))?;
             let last = (held.first..held.end).rev().find(|layer| !is_shared(layer))?;
             let rest = LayerRange { first, end: last + 1 };
@@ -221,12 +222,30 @@
 
     fn give(&mut self, at: usize, layers: LayerRange, is_urgent: bool) {
         if let Some(held) = self.held[at] {
-            self.count(held, false);
+            remove(&mut self.holders, held);
+            remove(&mut self.serving, held);
         }
-        self.count(layers, true);
+        add(&mut self.holders, layers);
         self.held[at] = Some(layers);
         self.moved[at] = true;
         let endpoint = self.members[at].endpoint.clone();
         self.moves.push(RepairMove { endpoint, layers, is_urgent });
     }
 }
+
+fn add(counts: &mut [u32], range: LayerRange) {
+    for count in within(counts, range) {
+        *count += 1;
+    }
+}
+
+fn remove(counts: &mut [u32], range: LayerRange) {
+    for count in within(counts, range) {
+        *count = count.saturating_sub(1);
+    }
+}
+
+fn within(counts: &mut [u32], range: LayerRange) -> impl Iterator<Item = &mut u32> {
+    let end = usize::from(range.end).min(counts.len());
+    counts.iter_mut().take(end).skip(usize::from(range.first))
+}
--- a/crates/sillbank_layers/tests/repair.rs
+++ b/crates/sillbank_layers/tests/repair.rs
@@ -194,3 +194,22 @@
     assert_eq!((first[0].endpoint.as_str(), first[0].layers), ("new", range(0, 10)));
     assert_eq!((second[0].endpoint.as_str(), second[0].layers), ("a", range(10, 20)));
 }
+
+#[test]
+fn an_endpoint_whose_mate_is_still_loading_is_not_moved() {
+    let mut mate = member("mate", 10, Some(range(0, 10)));
+    mate.is_busy = true;
+    let members = [member("a", 10, Some(range(0, 10))), mate];
+
+    assert_eq!(repair(&members, 20, 2), None);
+}
+
+#[test]
+fn a_crowded_endpoint_keeps_what_its_mate_is_still_loading() {
+    let mut crowded = member("a", 10, Some(range(0, 20)));
+    crowded.most = 20;
+    let mut mate = member("mate", 10, Some(range(0, 10)));
+    mate.is_busy = true;
+
+    assert_eq!(repair(&[crowded, mate], 20, 3), Some(vec![]));
+}
