--- /dev/null
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -0,0 +1,301 @@
+//! Gives the engines of this hall their layers, while this VM holds the hall's lease.
+
+mod leadership;
+mod targets;
+
+pub use leadership::lease_name;
+pub use targets::{Chains, EngineView, Target, first_targets, mended_targets};
+
+use crate::feed::{EngineState, HallBoard};
+use crate::gateway::Gateway;
+use crate::metrics::KindLabel;
+use crate::store::MetadataStore;
+use crate::wire::{EngineReport, PlaceOrder, Wire};
+use leadership::Leadership;
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often the lease and the plan are looked at.
+const TICK: Duration = Duration::from_millis(250);
+/// How often engines are asked for their reports. Each is priced like a status check.
+const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+/// How long an engine may take to report or to take an order.
+const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Reports in a row that may be missing before an engine is taken for lost.
+const MISSED_REPORTS: u32 = 2;
+/// How long the set of engines must stand still before layers are given out for the first time.
+const SETTLE: Duration = Duration::from_millis(700);
+/// How long an order that got no answer may still be carried out before it is given again. The
+/// engine refuses it if the first one came through after all.
+const ORDER_PAUSE: Duration = Duration::from_millis(3_000);
+/// What is known of one engine by asking it.
+#[derive(Debug, Clone, Default)]
+struct Known {
+    report: Option<EngineReport>,
+    missed: u32,
+    ordered: Option<(LayerRange, Instant)>,
+}
+
+/// State of the placement on one VM.
+struct Placement<W: Wire, S: MetadataStore> {
+    gateway: Rc<Gateway<W, S>>,
+    leadership: Leadership<W, S>,
+    known: HashMap<EndpointId, Known>,
+    asked_at: Option<Instant>,
+    members: (Vec<EndpointId>, Instant),
+    chains: BTreeMap<ServiceId, Chains>,
+}
+
+/// Keeps the layers of this hall's engines placed for as long as the program runs.
+pub async fn place_layers<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
+    let mut placement = Placement {
+        leadership: Leadership::new(&gateway),
+        known: HashMap::new(),
+        asked_at: None,
+        members: (Vec::new(), Instant::now()),
+        chains: BTreeMap::new(),
+        gateway,
+    };
+    loop {
+        smol::Timer::after(TICK).await;
+        placement.leadership.keep().await;
+        if placement.leadership.is_held() {
+            placement.place().await;
+        } else {
+            // Another leads meanwhile: what was known may be out of date.
+            placement.known.clear();
+            placement.chains.clear();
+        }
+    }
+}
+
+impl<W: Wire, S: MetadataStore> Placement<W, S> {
+    /// Tells what is known of the hall's engines.
+    fn post_board(&self) {
+        let settings = self.gateway.settings();
+        let now = Instant::now();
+        let engines = self.known.iter().map(|(id, known)| {
+            let report = known.report.as_ref();
+            EngineState {
+                id: id.clone(),
+                is_lost: report.is_none(),
+                layers: report.and_then(|report| report.layers),
+                waiting: report.map_or(0, |report| report.waiting),
+                running: report.map_or(0, |report| report.running),
+                kv_permille: report.map_or(0, |report| (report.kv_share * 1000.0) as u16),
+                pace_permille: report.map_or(1000, |report| (report.pace * 1000.0) as u32),
+            }
+        });
+        let vms = self.gateway.hall.vms(now);
+        self.gateway.hall.note_hall_vms(vms);
+        let board = HallBoard {
+            hall: settings.hall.clone(),
+            age_ms: 0,
+            vms,
+            leader: settings.peer_listen,
+            engines: engines.collect(),
+        };
+        self.gateway.hall.keep_board(now, board);
+    }
+
+    async fn place(&mut self) {
+        let Some(catalog) = self.gateway.knowledge.catalog() else {
+            return;
+        };
+        let services: Vec<Rc<Service>> =
+            catalog.services().filter(|service| service.engine.is_some()).cloned().collect();
+        let now = Instant::now();
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
+        if !self.asked_at.is_none_or(is_due) && !self.has_new_suspect() {
+            return;
+        }
+        self.asked_at = Some(now);
+        for service in services {
+            if let Some(figures) = &service.engine {
+                self.place_service(&service.name, figures).await;
+            }
+        }
+        self.post_board();
+    }
+
+    /// Whether this VM's own exchanges found an engine lost that still counts as well.
+    fn has_new_suspect(&self) -> bool {
+        let counts = |known: &Known| known.report.is_some();
+        self.known.iter().any(|(id, known)| counts(known) && self.gateway.book.is_ejected(id))
+    }
+
+    async fn place_service(&mut self, service: &str, figures: &EngineFigures) {
+        let hall = self.gateway.settings().hall.clone();
+        let engines: BTreeMap<EndpointId, EndpointRecord> =
+            self.gateway.knowledge.endpoints(|directory| {
+                let in_hall = directory.usable_of(service).filter(|record| record.hall == hall);
+                in_hall.map(|record| (record.id.clone(), record.clone())).collect()
+            });
+        self.ask_all(&engines).await;
+        let now = Instant::now();
+        let ids: Vec<EndpointId> = engines.keys().cloned().collect();
+        if self.members.0 != ids {
+            self.members = (ids, now);
+        }
+        let alive: Vec<&EndpointRecord> = engines
+            .values()
+            .filter(|record| self.known.get(&record.id).is_some_and(|k| k.report.is_some()))
+            .collect();
+        if alive.len() * 2 <= engines.len() || !self.leadership.is_held() {
+            // More likely this VM is cut off than most engines lost.
+            return;
+        }
+        let is_first = alive.iter().all(|record| self.layers_of(&record.id).is_none());
+        if is_first && now.saturating_duration_since(self.members.1) < SETTLE {
+            return;
+        }
+        let views: Vec<EngineView> =
+            alive.iter().filter_map(|record| self.view(record, now)).collect();
+        let chains = self.chains.entry(service.to_owned()).or_default();
+        let targets = match is_first {
+            true => first_targets(&views, figures, chains),
+            false => mended_targets(&views, figures, chains),
+        };
+        let Some(targets) = targets else {
+            tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
+            return;
+        };
+        for target in targets {
+            self.order(engines[&target.endpoint].address, &target).await;
+        }
+    }
+
+    fn view(&self, record: &EndpointRecord, now: Instant) -> Option<EngineView> {
+        let known = self.known.get(&record.id)?;
+        let order_under_way = known.report.as_ref()?.order_under_way;
+        let may_come =
+            |at: Instant| order_under_way || now.saturating_duration_since(at) < ORDER_PAUSE;
+        Some(EngineView {
+            id: record.id.clone(),
+            kind: record.accelerator.clone()?,
+            serves: self.layers_of(&record.id),
+            ordered: known.ordered.filter(|(_, at)| may_come(*at)).map(|(layers, _)| layers),
+            order_under_way,
+        })
+    }
+
+    fn layers_of(&self, id: &str) -> Option<LayerRange> {
+        let report = self.known.get(id)?.report.as_ref()?;
+        report.layers.filter(|layers| !layers.is_empty())
+    }
+
+    /// Asks all engines for their reports at once.
+    async fn ask_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>) {
+        self.known.retain(|id, _| engines.contains_key(id));
+        let asking: Vec<(EndpointId, smol::Task<Option<EngineReport>>)> = engines
+            .values()
+            .map(|record| {
+                let asked = ask(self.gateway.clone(), record.address);
+                (record.id.clone(), self.gateway.executor.spawn(asked))
+            })
+            .collect();
+        for (id, task) in asking {
+            let report = task.await;
+            let is_suspect = self.gateway.book.is_ejected(&id);
+            let known = self.known.entry(id).or_default();
+            match report {
+                Some(report) => {
+                    known.report = Some(report);
+                    known.missed = 0;
+                }
+                None => {
+                    known.missed += 1;
+                    // Own exchanges and a missing report agree.
+                    if is_suspect || known.missed >= MISSED_REPORTS {
+                        known.report = None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Orders an engine to hold its layers, unless it does or is at work on an order.
+    async fn order(&mut self, address: SocketAddr, target: &Target) {
+        let now = Instant::now();
+        let held = self.layers_of(&target.endpoint);
+        let Some(known) = self.known.get_mut(&target.endpoint) else {
+            return;
+        };
+        let Some(report) = &known.report else {
+            return;
+        };
+        let layers = target.layers;
+        if report.order_under_way || layers.is_empty() || held == Some(layers) {
+            return;
+        }
+        let is_pending =
+            |(_, at): &(LayerRange, Instant)| now.saturating_duration_since(*at) < ORDER_PAUSE;
+        if known.ordered.as_ref().is_some_and(is_pending) {
+            return;
+        }
+        known.ordered = Some((layers, now));
+        let order =
+            PlaceOrder { layers, give_up: target.give_up, expected_orders: report.orders_taken };
+        let call = W::order_call(&order);
+        let ended = self.gateway.engine_calls.call(address, call, ENGINE_CALL_LIMIT).await;
+        let end = match &ended {
+            Ok(reply) => W::read_order_end(reply.status).name(),
+            Err(_) => "no_answer",
+        };
+        if end == "begun"
+            && let Some(known) = self.known.get_mut(&target.endpoint)
+            && let Some(report) = known.report.as_mut()
+        {
+            // What is given up is not to be used from now on; what is new is told by the next report.
+            report.layers = held.and_then(|held| common(held, layers));
+        }
+        if end == "conflict" || end == "refused" {
+            // It was not carried out, so it may be given again by the next report.
+            if let Some(known) = self.known.get_mut(&target.endpoint) {
+                known.ordered = None;
+            }
+        }
+        self.gateway.metrics.orders.get_or_create(&KindLabel { kind: end }).inc();
+        tracing::info!(
+            endpoint = target.endpoint,
+            held = held.map(|l| format!("{}-{}", l.first, l.end)),
+            layers = format!("{}-{}", layers.first, layers.end),
+            expected_orders = order.expected_orders,
+            end,
+            error = ended.err().map(|error| error.to_string()),
+            "order: Given."
+        );
+    }
+}
+
+/// Layers in both ranges.
+fn common(a: LayerRange, b: LayerRange) -> Option<LayerRange> {
+    let both = LayerRange { first: a.first.max(b.first), end: a.end.min(b.end) };
+    (!both.is_empty()).then_some(both)
+}
+
+async fn ask<W: Wire, S: MetadataStore>(
+    gateway: Rc<Gateway<W, S>>,
+    address: SocketAddr,
+) -> Option<EngineReport> {
+    let reply = gateway.engine_calls.call(address, W::report_call(), ENGINE_CALL_LIMIT).await;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(error) => {
+            tracing::info!(endpoint = %address, %error, "endpoint: No report.");
+            return None;
+        }
+    };
+    match W::read_report(&reply.body) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -0,0 +1,233 @@
+//! What the engines of a hall should hold. Pure: what is known of them comes in, targets go out.
+
+use crate::wire::GiveUp;
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_layers::prelude::*;
+use std::collections::BTreeMap;
+
+/// What the planner weighs, in layers loaded. A layer given up ends paths of requests that pass, so
+/// it costs more than a load; even shares count less, so that nothing moves for them alone.
+const WEIGHTS: PlanWeights = PlanWeights { load: 1.0, give_up: 2.0, balance: 0.1 };
+/// Costs of little room for KV cache, in layers loaded: below this many requests of the usual size,
+/// this much more. A hall of the sites known runs some 60 requests at once, and preempts when its
+/// tightest engine has no room for them.
+const ROOM_COSTS: [(f64, f64); 4] = [(120.0, 2.0), (80.0, 8.0), (40.0, 20.0), (15.0, 60.0)];
+/// Requests of the usual size that each engine of a chain has room for when chains are counted.
+const ROOM_IN_CHAINS: f64 = 80.0;
+/// Most chains in a hall.
+const MAX_CHAINS: usize = 8;
+/// Chains more that the memory must allow before another is begun, and the part of them below which
+/// one is given up: engines come and go.
+const CHAIN_MORE: f64 = 1.3;
+const CHAIN_LESS: f64 = 0.8;
+/// Requests of the usual size that an engine has room for that holds its layers alone. A hall of the
+/// sites known runs some 60 at once, and twice as many while another hall is out. At 95 halls refused
+/// while one was out, and scale-1 of rafiq-core was worth 0.53; at 140 it was worth 0.64.
+const ROOM_ALONE: f64 = 140.0;
+/// Requests of the usual size that an engine has room for that shares its layers with another.
+const ROOM_PAIRED: f64 = 75.0;
+/// Requests of the usual size that an engine has room for that takes more layers in need. At 8 an
+/// engine refused for the rest of the day.
+const ROOM_AT_LEAST: f64 = 30.0;
+/// Engines that are moved at once without need: each load slows others beyond a few.
+const SPARES_AT_ONCE: usize = 3;
+
+/// One engine as the placement knows it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineView {
+    /// Engine.
+    pub id: EndpointId,
+    /// Accelerator kind.
+    pub kind: AcceleratorKind,
+    /// Layers it serves.
+    pub serves: Option<LayerRange>,
+    /// Layers it was ordered to hold, while that may still come true.
+    pub ordered: Option<LayerRange>,
+    /// Whether it says that it is carrying out an order.
+    pub order_under_way: bool,
+}
+
+/// Layers that an engine is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Engine.
+    pub endpoint: EndpointId,
+    /// Layers.
+    pub layers: LayerRange,
+    /// When it gives up what it holds beside them.
+    pub give_up: GiveUp,
+}
+
+/// Which chain each engine of a service belongs to.
+pub type Chains = BTreeMap<EndpointId, ChainNumber>;
+
+/// What engines hold first: whole chains if there is memory for several, else pairs. `None` if the
+/// layers do not fit.
+pub fn first_targets(
+    engines: &[EngineView],
+    figures: &EngineFigures,
+    chains: &mut Chains,
+) -> Option<Vec<Target>> {
+    let dealt = deal(engines, figures, chains);
+    if dealt.len() > 1 {
+        return chain_targets(&dealt, figures, GiveUp::AtOnce);
+    }
+    let members: Vec<PairMember> =
+        engines.iter().filter_map(|engine| pair_member(engine, figures)).collect();
+    let Some(placed) = place_in_pairs(&members, figures.layers) else {
+        return chain_targets(&dealt, figures, GiveUp::AtOnce);
+    };
+    let give_up = GiveUp::AtOnce;
+    let targets = placed.into_iter().map(|(endpoint, layers)| Target { endpoint, layers, give_up });
+    Some(targets.collect())
+}
+
+/// What has to move after engines were lost or came. Requests may still pass through what is given
+/// up: an engine that leaves ends its own, and running requests are moved around one that is lost.
+/// `None` if the layers do not fit.
+pub fn mended_targets(
+    engines: &[EngineView],
+    figures: &EngineFigures,
+    chains: &mut Chains,
+) -> Option<Vec<Target>> {
+    let members: Vec<RepairMember> =
+        engines.iter().filter_map(|engine| repair_member(engine, figures)).collect();
+    if let Some(moves) = repair(&members, figures.layers, SPARES_AT_ONCE) {
+        let targets = moves.into_iter().map(|moved| Target {
+            endpoint: moved.endpoint,
+            layers: moved.layers,
+            give_up: GiveUp::WhenUnused,
+        });
+        return Some(targets.collect());
+    }
+    if members.iter().any(|member| member.is_busy) {
+        // What is under way may mend it.
+        return Some(Vec::new());
+    }
+    let dealt = deal(engines, figures, chains);
+    chain_targets(&dealt, figures, GiveUp::WhenUnused)
+}
+
+/// Whole chains, each planned on its own; `None` if none of them fits.
+fn chain_targets(
+    chains: &[Vec<&EngineView>],
+    figures: &EngineFigures,
+    give_up: GiveUp,
+) -> Option<Vec<Target>> {
+    let plans: Vec<Vec<Assignment>> =
+        chains.iter().filter_map(|chain| plan_chain(chain, figures)).collect();
+    if plans.is_empty() {
+        return None;
+    }
+    let targets = plans.into_iter().flatten().map(|assignment| Target {
+        endpoint: assignment.endpoint,
+        layers: assignment.holds,
+        give_up,
+    });
+    Some(targets.collect())
+}
+
+fn plan_chain(chain: &[&EngineView], figures: &EngineFigures) -> Option<Vec<Assignment>> {
+    let runners: Vec<PlanRunner> =
+        chain.iter().filter_map(|engine| plan_runner(engine, figures)).collect();
+    plan(&runners, figures.layers, WEIGHTS)
+}
+
+/// Deals engines to as many chains as hold the model with room for KV cache.
+fn deal<'a>(
+    engines: &'a [EngineView],
+    figures: &EngineFigures,
+    chains: &mut Chains,
+) -> Vec<Vec<&'a EngineView>> {
+    let count = chain_count(engines, figures, chains);
+    let members: Vec<ChainMember> = engines
+        .iter()
+        .map(|engine| ChainMember {
+            endpoint: engine.id.clone(),
+            weight: figures.accelerator(&engine.kind).map_or(0.0, |kind| kind.memory_mb),
+            held: engine.serves,
+        })
+        .collect();
+    *chains = deal_chains(&members, count, chains);
+    let mut dealt: Vec<Vec<&EngineView>> = vec![Vec::new(); count];
+    for engine in engines {
+        dealt[chains[&engine.id]].push(engine);
+    }
+    dealt
+}
+
+fn chain_count(engines: &[EngineView], figures: &EngineFigures, chains: &Chains) -> usize {
+    let fits: u32 = engines
+        .iter()
+        .filter_map(|engine| figures.accelerator(&engine.kind))
+        .map(|kind| {
+            let tokens = usual_tokens(figures) * ROOM_IN_CHAINS;
+            u32::from(layers_that_fit(&memory_shape(figures, kind), tokens))
+        })
+        .sum();
+    let possible = f64::from(fits) / f64::from(figures.layers.max(1));
+    let wanted = (possible.floor() as usize).clamp(1, MAX_CHAINS);
+    let before = chains.values().max().map_or(0, |most| most + 1);
+    let stays = possible < before as f64 + CHAIN_MORE && possible >= before as f64 * CHAIN_LESS;
+    if before > 0 && stays { before } else { wanted }
+}
+
+fn pair_member(engine: &EngineView, figures: &EngineFigures) -> Option<PairMember> {
+    let kind = figures.accelerator(&engine.kind)?;
+    let shape = memory_shape(figures, kind);
+    let usual = usual_tokens(figures);
+    Some(PairMember {
+        endpoint: engine.id.clone(),
+        kind: kind.kind.clone(),
+        alone: layers_that_fit(&shape, usual * ROOM_ALONE),
+        paired: layers_that_fit(&shape, usual * ROOM_PAIRED),
+    })
+}
+
+fn repair_member(engine: &EngineView, figures: &EngineFigures) -> Option<RepairMember> {
+    let kind = figures.accelerator(&engine.kind)?;
+    let shape = memory_shape(figures, kind);
+    let usual = usual_tokens(figures);
+    let is_changing = engine.ordered.is_some() && engine.ordered != engine.serves;
+    Some(RepairMember {
+        endpoint: engine.id.clone(),
+        comfortable: layers_that_fit(&shape, usual * ROOM_PAIRED),
+        most: layers_that_fit(&shape, usual * ROOM_AT_LEAST),
+        held: engine.ordered.or(engine.serves),
+        is_busy: engine.order_under_way || is_changing,
+    })
+}
+
+fn plan_runner(engine: &EngineView, figures: &EngineFigures) -> Option<PlanRunner> {
+    let kind = figures.accelerator(&engine.kind)?;
+    let shape = memory_shape(figures, kind);
+    let most_layers = layers_that_fit(&shape, usual_tokens(figures));
+    let size_costs = (0..=most_layers).map(|held| room_cost(&shape, held, figures)).collect();
+    Some(PlanRunner {
+        endpoint: engine.id.clone(),
+        size_costs,
+        weight: kind.memory_mb,
+        held: engine.serves,
+    })
+}
+
+/// Cost of the room that is left for KV cache beside so many layers.
+fn room_cost(shape: &MemoryShape, held: u16, figures: &EngineFigures) -> f64 {
+    let requests = tokens_that_fit(shape, held) / usual_tokens(figures).max(1.0);
+    let costs = ROOM_COSTS.iter().filter(|(least, _)| held > 0 && requests < *least);
+    costs.map(|(_, cost)| cost).sum()
+}
+
+fn usual_tokens(figures: &EngineFigures) -> f64 {
+    f64::from(figures.usual_prompt_tokens + figures.usual_answer_tokens)
+}
+
+fn memory_shape(figures: &EngineFigures, kind: &AcceleratorFigures) -> MemoryShape {
+    MemoryShape {
+        memory_mb: kind.memory_mb,
+        layer_mb: figures.layer_mb,
+        layers: figures.layers,
+        kv_token_bytes: figures.kv_token_bytes,
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -0,0 +1,237 @@
+//! Begins a stream: sends its request until an endpoint takes it.
+
+use super::loss::{DOUBT, look_for_loss, move_request};
+use crate::answers::give_up;
+use crate::channels::Channel;
+use crate::decisions::SendEnd;
+use crate::endpoints::{Evidence, InFlight};
+use crate::events::EventSplitter;
+use crate::gateway::Gateway;
+use crate::job::{Job, endpoints_of};
+use crate::paths::choose_path;
+use crate::sending::{Destination, Sent, read_whole, send};
+use crate::store::MetadataStore;
+use crate::tries::{Left, Tries};
+use crate::wire::{EventNumber, Wire};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use sillbank_core::prelude::*;
+use sillbank_layers::prelude::*;
+use sillbank_net::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Longest body of a failure that is passed on.
+const MAX_FAILURE_BYTES: usize = 1 << 20;
+
+/// A stream that an endpoint sends.
+pub(super) struct Upstream {
+    pub(super) body: Incoming,
+    pub(super) head: HeaderMap,
+    pub(super) channel: Channel,
+    pub(super) path: Option<LayerPath>,
+    pub(super) endpoint: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) splitter: EventSplitter,
+    pub(super) _in_flight: InFlight,
+    pub(super) sent_at: Instant,
+}
+
+/// A stream that was begun, with the head for the caller, or an endpoint's own failure.
+pub(super) enum Begun {
+    Stream(Box<Upstream>, StatusCode),
+    Failure(Response<ReplyBody>),
+}
+
+/// Sends a stream's request until an endpoint takes it. `avoid` are endpoints not to be used.
+pub(super) async fn begin<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    resume_after: Option<EventNumber>,
+    mut avoid: Vec<EndpointId>,
+) -> Result<Begun, Failure> {
+    let mut tries = Tries::default();
+    loop {
+        let Some(target) = choose_target(gateway, job, &avoid) else {
+            return Err(give_up(job.run.get(), FailureKind::NoChain, "no path covers the model"));
+        };
+        tries.begin(job);
+        let sent_at = Instant::now();
+        let stamp = gateway.knowledge.stamp(sent_at);
+        gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
+        let end = match send_once(gateway, job, target, resume_after).await {
+            SendOnce::Begun(begun) => return Ok(begun),
+            SendOnce::Ended(end) => end,
+        };
+        gateway.decisions.send_failed(
+            job,
+            &SendEnd {
+                endpoint: &end.endpoint,
+                at_fault: end.at_fault.as_deref(),
+                run: job.run.get().state(),
+                reason: &end.reason,
+                after: sent_at.elapsed(),
+            },
+        );
+        avoid.push(end.at_fault.unwrap_or(end.endpoint));
+        let goes_on = tries.goes_on(gateway, job, end.left);
+        if !goes_on {
+            return Err(give_up(job.run.get(), FailureKind::NoChain, &end.reason));
+        }
+    }
+}
+
+/// Where a stream's request goes.
+struct Target {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    path: Option<LayerPath>,
+}
+
+fn choose_target<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    avoid: &[EndpointId],
+) -> Option<Target> {
+    let now = Instant::now();
+    let home = gateway.settings().hall.clone();
+    let Some(figures) = &job.service.engine else {
+        return gateway.knowledge.endpoints(|directory| {
+            let usable = directory.usable_of(&job.service.name);
+            let fits =
+                usable.filter(|r| !avoid.contains(&r.id) && gateway.book.takes_work(&r.id, now));
+            let best = fits.min_by_key(|r| (gateway.book.in_flight(&r.id), r.hall != home))?;
+            Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
+        });
+    };
+    let path = choose_path(gateway.views(now), &job.service, figures, &home, avoid)?;
+    let first = path.first();
+    Some(Target { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) })
+}
+
+/// A send that began no stream.
+struct SendFailed {
+    endpoint: EndpointId,
+    at_fault: Option<EndpointId>,
+    left: Left,
+    reason: String,
+}
+
+enum SendOnce {
+    Begun(Begun),
+    Ended(SendFailed),
+}
+
+async fn send_once<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    mut target: Target,
+    resume_after: Option<EventNumber>,
+) -> SendOnce {
+    let sent_at = Instant::now();
+    let members = match &target.path {
+        Some(path) => endpoints_of(path),
+        None => vec![target.endpoint.clone()],
+    };
+    let in_flight = gateway.book.begin(members, sent_at);
+    let endpoint = target.endpoint.clone();
+    let sent_path = target.path.clone();
+    let to = Destination { endpoint: &endpoint, address: target.address, path: sent_path.as_ref() };
+    let lost = doubt(gateway, job, &mut target);
+    let sent =
+        futures_lite::future::or(async { Ok(send(gateway, job, to, resume_after).await) }, async {
+            Err(lost.await)
+        })
+        .await;
+    let ended = |at_fault, left, reason| {
+        SendOnce::Ended(SendFailed { endpoint: endpoint.clone(), at_fault, left, reason })
+    };
+    match sent {
+        Err((at_fault, reason)) => ended(Some(at_fault), Left::MayHaveRun, reason),
+        Ok(Sent::Success(reply, channel)) => {
+            gateway.on_evidence(&endpoint, Evidence::Good, "a stream");
+            let status = reply.status();
+            let (head, body) = reply.into_parts();
+            let upstream = Upstream {
+                body,
+                head: head.headers,
+                channel,
+                path: target.path,
+                endpoint: target.endpoint,
+                address: target.address,
+                splitter: EventSplitter::default(),
+                _in_flight: in_flight,
+                sent_at,
+            };
+            SendOnce::Begun(Begun::Stream(Box::new(upstream), status))
+        }
+        Ok(Sent::Failure(reply, channel)) => {
+            gateway.on_evidence(&endpoint, Evidence::Failed, "a stream");
+            let status = reply.status();
+            if job.may_repeat() && job.may_send_again(Instant::now()) {
+                let reason = format!("the endpoint failed with status {}", status.as_u16());
+                return ended(None, Left::MayHaveRun, reason);
+            }
+            match read_whole(reply, MAX_FAILURE_BYTES).await {
+                Ok((reply, head)) => {
+                    gateway.channels.give_back(&endpoint, channel, &head, Instant::now());
+                    SendOnce::Begun(Begun::Failure(reply))
+                }
+                Err(reason) => ended(None, Left::MayHaveRun, reason),
+            }
+        }
+        Ok(Sent::NotRun(refusal)) => {
+            let at_fault = refusal
+                .at_fault
+                .and_then(|address| Some(target.path.as_ref()?.at(address)?.endpoint.clone()));
+            let reason = format!("refused with status {}", refusal.status);
+            let blamed = at_fault.as_deref().unwrap_or(&endpoint);
+            if refusal.misdirected || at_fault.is_some() {
+                gateway.on_evidence(blamed, Evidence::LacksPart, &reason);
+            }
+            ended(at_fault, Left::NotRun, reason)
+        }
+        Ok(Sent::NotSent(reason)) => {
+            gateway.on_evidence(&endpoint, Evidence::Unreachable, &reason);
+            ended(None, Left::NotSent, reason)
+        }
+        Ok(Sent::Lost(reason)) => {
+            gateway.on_evidence(&endpoint, Evidence::Failed, &reason);
+            ended(None, Left::MayHaveRun, reason)
+        }
+    }
+}
+
+/// Waits until an endpoint of the target is found to be lost and cannot be replaced; answers which,
+/// and why.
+async fn doubt<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    target: &mut Target,
+) -> (EndpointId, String) {
+    let mut sent_at = Instant::now();
+    loop {
+        smol::Timer::after(DOUBT).await;
+        let found = look_for_loss(
+            gateway,
+            job,
+            &target.endpoint,
+            target.address,
+            target.path.as_ref(),
+            sent_at,
+        )
+        .await;
+        let Some((lost, reason)) = found else {
+            continue;
+        };
+        match move_request(gateway, job, target.address, target.path.as_ref(), &lost).await {
+            Some(path) => {
+                target.path = Some(path);
+                sent_at = Instant::now();
+            }
+            None => return (lost, reason),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -0,0 +1,88 @@
+//! Streams: begun on a path, relayed event by event, taken up elsewhere when the path breaks.
+
+mod begin;
+mod loss;
+mod pump;
+
+use crate::answers::{out_of_time, outcome_of, reply_of};
+use crate::decisions::Outcome;
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::sending::caller_head;
+use crate::store::MetadataStore;
+use crate::wire::Wire;
+use begin::{Begun, begin};
+use hyper::Response;
+use pump::Pump;
+use sillbank_catalog::prelude::*;
+use sillbank_net::prelude::*;
+use std::rc::Rc;
+
+/// Answers a stream's request.
+pub async fn answer<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    rules: StreamRules,
+) -> Response<ReplyBody> {
+    let mut watch = StreamWatch::new(gateway, job);
+    let late = async {
+        smol::Timer::at(job.deadline).await;
+        Err(out_of_time(job.run.get()))
+    };
+    match futures_lite::future::or(begin(gateway, job, None, Vec::new()), late).await {
+        Ok(Begun::Stream(upstream, status)) => {
+            gateway.on_first_answer(job);
+            let (outbox, body) = Outbox::new();
+            let mut reply = Response::new(ReplyBody::Stream(body));
+            *reply.status_mut() = status;
+            *reply.headers_mut() = upstream.head.clone();
+            let pump = Pump {
+                gateway: gateway.clone(),
+                job: job.clone(),
+                rules,
+                outbox,
+                last: job.head.resume_after,
+                events: 0,
+            };
+            gateway.executor.spawn(pump.run(*upstream, watch)).detach();
+            caller_head(reply)
+        }
+        Ok(Begun::Failure(reply)) => {
+            watch.end(Outcome::Answered, reply.status().as_u16(), 0, "the endpoint's own failure");
+            reply
+        }
+        Err(failure) => {
+            let status = failure.kind.http_status();
+            watch.end(outcome_of(&failure), status, 0, &failure.reason);
+            reply_of::<W>(&failure)
+        }
+    }
+}
+
+/// Logs how a stream ended; if nothing else ended it, its caller left.
+struct StreamWatch<W: Wire, S: MetadataStore> {
+    gateway: Rc<Gateway<W, S>>,
+    job: Rc<Job>,
+    ended: bool,
+}
+
+impl<W: Wire, S: MetadataStore> StreamWatch<W, S> {
+    fn new(gateway: &Rc<Gateway<W, S>>, job: &Rc<Job>) -> Self {
+        gateway.in_progress.set(gateway.in_progress.get() + 1);
+        Self { gateway: gateway.clone(), job: job.clone(), ended: false }
+    }
+
+    fn end(&mut self, outcome: Outcome, status: u16, events: u64, reason: &str) {
+        self.ended = true;
+        self.gateway.on_end(&self.job, outcome, status, events, reason);
+    }
+}
+
+impl<W: Wire, S: MetadataStore> Drop for StreamWatch<W, S> {
+    fn drop(&mut self) {
+        self.gateway.in_progress.set(self.gateway.in_progress.get() - 1);
+        if !self.ended {
+            self.end(Outcome::CallerLeft, 0, 0, "the caller left");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -0,0 +1,180 @@
+//! Relays a stream's events, and takes the stream up elsewhere when its endpoint is lost.
+
+use super::StreamWatch;
+use super::begin::{Begun, Upstream, begin};
+use super::loss::{DOUBT, look_for_loss, move_request};
+use crate::decisions::{Outcome, SendEnd};
+use crate::events::EventSplitter;
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::store::MetadataStore;
+use crate::wire::{EventNumber, Wire};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_net::prelude::*;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Bytes that may wait for a slow caller before the endpoint is made to wait too.
+const MAX_WAITING_BYTES: usize = 64 << 10;
+
+/// Moves events from endpoints to one caller.
+pub(super) struct Pump<W: Wire, S: MetadataStore> {
+    pub(super) gateway: Rc<Gateway<W, S>>,
+    pub(super) job: Rc<Job>,
+    pub(super) rules: StreamRules,
+    pub(super) outbox: Outbox,
+    /// Number of the last event that went to the caller.
+    pub(super) last: Option<EventNumber>,
+    pub(super) events: u64,
+}
+
+/// How one endpoint's part of a stream ended.
+enum PartEnd {
+    /// It was whole.
+    Whole,
+    /// It broke; the endpoint at fault if another than the first, and why.
+    Broken(Option<EndpointId>, String),
+}
+
+impl<W: Wire, S: MetadataStore> Pump<W, S> {
+    pub(super) async fn run(mut self, upstream: Upstream, mut watch: StreamWatch<W, S>) {
+        let outbox = self.outbox.clone();
+        let deadline = self.job.deadline;
+        let gone = async {
+            std::future::poll_fn(|context| outbox.poll_gone(context)).await;
+            (Outcome::CallerLeft, "the caller left".to_owned())
+        };
+        let late = async {
+            smol::Timer::at(deadline).await;
+            (Outcome::BrokenOff, "its time was over".to_owned())
+        };
+        let relay = self.relay(upstream);
+        let ending = futures_lite::future::or(relay, futures_lite::future::or(gone, late)).await;
+        let (outcome, reason) = ending;
+        if outcome == Outcome::Answered {
+            self.outbox.close();
+        } else {
+            self.outbox.break_off();
+        }
+        watch.end(outcome, StatusCode::OK.as_u16(), self.events, &reason);
+    }
+
+    async fn relay(&mut self, mut upstream: Upstream) -> (Outcome, String) {
+        loop {
+            let (at_fault, reason) = match self.relay_part(&mut upstream).await {
+                PartEnd::Whole => {
+                    let Upstream { channel, endpoint, head, .. } = upstream;
+                    self.gateway.channels.give_back(&endpoint, channel, &head, Instant::now());
+                    return (Outcome::Answered, String::new());
+                }
+                PartEnd::Broken(at_fault, reason) => (at_fault, reason),
+            };
+            self.gateway.decisions.send_failed(
+                &self.job,
+                &SendEnd {
+                    endpoint: &upstream.endpoint,
+                    at_fault: at_fault.as_deref(),
+                    run: self.job.run.get().state(),
+                    reason: &reason,
+                    after: upstream.sent_at.elapsed(),
+                },
+            );
+            let avoid = vec![at_fault.unwrap_or_else(|| upstream.endpoint.clone())];
+            drop(upstream);
+            match self.resume(avoid).await {
+                Some(next) => upstream = next,
+                None => return (Outcome::BrokenOff, reason),
+            }
+        }
+    }
+
+    /// Takes the stream up at another path, if that is allowed.
+    async fn resume(&self, avoid: Vec<EndpointId>) -> Option<Upstream> {
+        if !self.rules.resumable || !self.gateway.may_send_again(&self.job) {
+            return None;
+        }
+        match begin(&self.gateway, &self.job, self.last, avoid).await {
+            Ok(Begun::Stream(upstream, _)) => {
+                self.gateway.metrics.resumes.inc();
+                Some(*upstream)
+            }
+            Ok(Begun::Failure(_)) | Err(_) => None,
+        }
+    }
+
+    async fn relay_part(&mut self, upstream: &mut Upstream) -> PartEnd {
+        let mut silence = smol::Timer::after(DOUBT);
+        loop {
+            let next = async { Some(upstream.body.frame().await) };
+            let silent = async {
+                (&mut silence).await;
+                None
+            };
+            let Some(frame) = futures_lite::future::or(next, silent).await else {
+                let found = look_for_loss(
+                    &self.gateway,
+                    &self.job,
+                    &upstream.endpoint,
+                    upstream.address,
+                    upstream.path.as_ref(),
+                    upstream.sent_at,
+                )
+                .await;
+                if let Some((lost, reason)) = found {
+                    let (address, path) = (upstream.address, upstream.path.as_ref());
+                    let moved = move_request(&self.gateway, &self.job, address, path, &lost).await;
+                    let Some(path) = moved else {
+                        return PartEnd::Broken(Some(lost), reason);
+                    };
+                    upstream.path = Some(path);
+                    upstream.sent_at = Instant::now();
+                }
+                silence.set_after(DOUBT);
+                continue;
+            };
+            match frame {
+                None if upstream.splitter.holds_part() => {
+                    return PartEnd::Broken(None, "the stream ended within an event".to_owned());
+                }
+                None => return PartEnd::Whole,
+                Some(Err(error)) => {
+                    return PartEnd::Broken(None, format!("the stream broke: {error}"));
+                }
+                Some(Ok(frame)) => {
+                    silence.set_after(DOUBT);
+                    if let Some(data) = frame.data_ref()
+                        && let Err(reason) = self.relay_bytes(&mut upstream.splitter, data)
+                    {
+                        return PartEnd::Broken(None, reason);
+                    }
+                }
+            }
+            if self.outbox.waiting_bytes() > MAX_WAITING_BYTES {
+                self.outbox.drained_to(MAX_WAITING_BYTES / 2).await;
+                silence.set_after(DOUBT);
+            }
+        }
+    }
+
+    /// Hands whole events on; an event the caller has already is left out.
+    fn relay_bytes(&mut self, splitter: &mut EventSplitter, data: &[u8]) -> Result<(), String> {
+        splitter.push(data).map_err(|error| error.to_string())?;
+        while let Some(event) = splitter.next_event() {
+            if let (Some(last), Some(number)) = (self.last, event.number) {
+                if number <= last {
+                    continue;
+                }
+                if number > last + 1 {
+                    return Err(format!("event {number} came after event {last}"));
+                }
+            }
+            self.last = event.number.or(self.last);
+            self.events += 1;
+            self.outbox.write(&event.bytes);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/tests/targets.rs
@@ -0,0 +1,171 @@
+//! What engines should hold: within their memory, every layer held, few moves.
+
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_gateway::placement::{Chains, EngineView, Target, first_targets, mended_targets};
+use sillbank_gateway::prelude::*;
+use sillbank_testing::for_fixed_seeds;
+
+const LAYERS: u16 = 80;
+const LAYER_MB: f64 = 1750.0;
+const CARDS: [(&str, f64); 3] = [("a100s", 36_000.0), ("l4", 21_600.0), ("t4", 14_400.0)];
+
+fn figures() -> EngineFigures {
+    let accelerators = CARDS.map(|(kind, memory_mb)| AcceleratorFigures {
+        kind: kind.to_owned(),
+        memory_mb,
+        step_factor: 1.0,
+        prefill_factor: 1.0,
+    });
+    EngineFigures {
+        slots: 192,
+        layers: LAYERS,
+        layer_mb: LAYER_MB,
+        kv_token_bytes: 459_000.0,
+        step_ms: 0.85,
+        step_ms_per_request: 0.003,
+        prefill_tokens_per_s: 252_000.0,
+        usual_prompt_tokens: 772,
+        usual_answer_tokens: 154,
+        load_ms: 14_000.0,
+        loads_at_once: 6,
+        report_lag_ms: 200.0,
+        accelerators: accelerators.to_vec(),
+    }
+}
+
+fn hall(counts: [usize; 3]) -> Vec<EngineView> {
+    let engines = CARDS.iter().zip(counts).flat_map(|((kind, _), count)| {
+        (0..count).map(move |number| EngineView {
+            id: format!("{kind}-{number}"),
+            kind: (*kind).to_owned(),
+            serves: None,
+            ordered: None,
+            order_under_way: false,
+        })
+    });
+    engines.collect()
+}
+
+/// The engines after they have carried all orders out.
+fn carried_out(engines: &[EngineView], targets: &[Target]) -> Vec<EngineView> {
+    let after = |engine: &EngineView| {
+        let target = targets.iter().find(|target| target.endpoint == engine.id);
+        let serves = target.map(|target| target.layers).or(engine.serves);
+        EngineView { serves, ..engine.clone() }
+    };
+    engines.iter().map(after).collect()
+}
+
+fn holders(engines: &[EngineView], layer: u16) -> usize {
+    let holds = |held: &LayerRange| held.first <= layer && layer < held.end;
+    engines.iter().filter_map(|engine| engine.serves).filter(|held| holds(held)).count()
+}
+
+fn assert_within_memory(engines: &[EngineView]) {
+    for engine in engines {
+        let (_, memory_mb) = CARDS.iter().find(|(kind, _)| *kind == engine.kind).expect("known");
+        let held = engine.serves.map_or(0, |held| held.len()) as f64;
+        assert!(held * LAYER_MB <= *memory_mb, "{engine:?}");
+    }
+}
+
+#[test]
+fn halls_of_the_core_sites_hold_every_layer_and_some_twice() {
+    for counts in [[3, 3, 5], [1, 5, 8], [1, 7, 5]] {
+        let engines = hall(counts);
+
+        let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+        let after = carried_out(&engines, &targets);
+
+        assert_within_memory(&after);
+        assert!((0..LAYERS).all(|layer| holders(&after, layer) >= 1), "{counts:?}");
+        assert!((0..LAYERS).any(|layer| holders(&after, layer) >= 2), "{counts:?}");
+    }
+}
+
+#[test]
+fn a_large_hall_holds_the_model_more_than_once() {
+    let engines = hall([2, 13, 22]);
+
+    let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let after = carried_out(&engines, &targets);
+
+    assert!((0..LAYERS).all(|layer| holders(&after, layer) >= 2));
+}
+
+#[test]
+fn the_loss_of_any_one_engine_is_mended_by_few_moves() {
+    let engines = hall([1, 7, 5]);
+    let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let placed = carried_out(&engines, &targets);
+
+    for lost in 0..placed.len() {
+        let mut left = placed.clone();
+        left.remove(lost);
+        let mut moves = 0;
+        for _ in 0..5 {
+            let targets = mended_targets(&left, &figures(), &mut Chains::new()).expect("it fits");
+            moves += targets.len();
+            left = carried_out(&left, &targets);
+        }
+
+        assert!((0..LAYERS).all(|layer| holders(&left, layer) >= 1), "without {lost}");
+        assert!(moves <= 4, "{moves} moves without {lost}");
+        assert_within_memory(&left);
+    }
+}
+
+#[test]
+fn nothing_moves_in_calm_times() {
+    let engines = hall([3, 3, 5]);
+    let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let placed = carried_out(&engines, &targets);
+
+    let moves = mended_targets(&placed, &figures(), &mut Chains::new()).expect("it fits");
+
+    assert_eq!(moves, vec![]);
+}
+
+#[test]
+fn whatever_is_lost_and_comes_nobody_is_over_its_memory() {
+    for_fixed_seeds(100, 512, |u| {
+        let counts = [u.int_in_range(0..=3)?, u.int_in_range(2..=8)?, u.int_in_range(2..=9)?];
+        let mut engines = hall(counts);
+        let mut chains = Chains::new();
+        let Some(targets) = first_targets(&engines, &figures(), &mut chains) else {
+            return Ok(());
+        };
+        engines = carried_out(&engines, &targets);
+        for _ in 0..8 {
+            if u.ratio(1, 2)? && engines.len() > 1 {
+                engines.remove(u.int_in_range(0..=engines.len() - 1)?);
+            } else {
+                let at = u.int_in_range(0..=engines.len() - 1)?;
+                engines[at].serves = None;
+            }
+            if let Some(targets) = mended_targets(&engines, &figures(), &mut chains) {
+                engines = carried_out(&engines, &targets);
+                assert!(engines.is_empty() || (0..LAYERS).all(|l| holders(&engines, l) >= 1));
+            }
+            assert_within_memory(&engines);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn an_engine_that_is_loading_gets_no_second_order() {
+    let mut engines = hall([0, 9, 0]);
+    for (number, engine) in engines.iter_mut().enumerate().take(8) {
+        let first = number as u16 * 10;
+        engine.serves = Some(LayerRange { first, end: first + 10 });
+    }
+    engines[8].ordered = Some(LayerRange { first: 0, end: 10 });
+    engines[8].order_under_way = true;
+
+    let targets = mended_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+
+    assert!(targets.iter().all(|target| target.endpoint != "l4-8"));
+    assert!(targets.iter().all(|target| target.give_up == GiveUp::WhenUnused));
+}
