--- a/crates/sillbank_gateway/src/doctor.rs
+++ b/crates/sillbank_gateway/src/doctor.rs
@@ -27,6 +27,13 @@
     WaitsFor(SocketAddr),
 }
 
+/// Whether an endpoint that does not report is lost to a request that runs there. One that leaves, or
+/// whose entry is gone, takes no connections any more but ends what it has; if it is lost after all,
+/// its connection ends.
+pub fn silence_means_loss(standing: Option<Standing>) -> bool {
+    standing == Some(Standing::Ready)
+}
+
 /// Asks an endpoint about a request.
 pub async fn diagnose<W: Wire, S>(
     gateway: &Gateway<W, S>,
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -1,6 +1,6 @@
 //! Finds out which engine of a path is lost, and moves the request around it.
 
-use crate::doctor::{Diagnosis, diagnose};
+use crate::doctor::{Diagnosis, diagnose, silence_means_loss};
 use crate::endpoints::Evidence;
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -9,6 +9,7 @@
 use crate::store::MetadataStore;
 use crate::wire::{OrderEnd, Wire};
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +39,7 @@
     }
     match diagnose(gateway, address, &job.head.request_id).await {
         Diagnosis::Working => None,
+        Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
             gateway.on_evidence(first, Evidence::Unreachable, &reason);
             Some((first.to_owned(), reason))
@@ -74,3 +76,7 @@
     gateway.decisions.moved(job, lost, &mended, end, gateway.knowledge.stamp(Instant::now()));
     is_moved.then_some(mended)
 }
+
+fn standing<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, id: &str) -> Option<Standing> {
+    gateway.knowledge.endpoints(|directory| directory.get(id).map(|record| record.standing))
+}
--- a/crates/sillbank_gateway/tests/endpoints.rs
+++ b/crates/sillbank_gateway/tests/endpoints.rs
@@ -1,5 +1,7 @@
 //! What is seen of endpoints decides who is left alone, and for how long.
 
+use sillbank_fleet::prelude::*;
+use sillbank_gateway::doctor::silence_means_loss;
 use sillbank_gateway::endpoints::{EndpointBook, Evidence};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -96,3 +98,10 @@
     drop(second);
     assert_eq!(book.in_flight(ID), 0);
 }
+
+#[test]
+fn an_endpoint_that_leaves_may_fall_silent_while_it_ends_what_it_has() {
+    assert!(silence_means_loss(Some(Standing::Ready)));
+    assert!(!silence_means_loss(Some(Standing::Leaving)));
+    assert!(!silence_means_loss(None));
+}
