Keep what leaders pass on fresh enough, so that only they follow the store

Cause: a VM follows the store itself when its leader's confirmation is older than 2.6 s. Ruled out: leaders that are not heard (heard 0.2 s ago in each case), reads of leases (73 calls).

Now the leader's wait follows from the time a configuration has to be in force, an ask that was held for news is not counted as age, and a VM that takes over from a blind leader asks at once instead of waiting for a watch. Boards are passed on once. Test: freshness.rs, red with the old constants.

--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -120,6 +120,7 @@
     takes_endpoints: bool,
 ) -> Option<Instant> {
     let now = Instant::now();
+    let confirmed = news.confirmed_at(sent);
     if let Some(parts) = news.catalog {
         let version = parts.version;
         match Catalog::new(parts.clone()) {
@@ -143,10 +144,8 @@
         }
         gateway.hall.keep_board(now, board);
     }
-    let age = Duration::from_millis(news.confirmed_age_ms?);
-    let confirmed = sent.checked_sub(age)?;
-    gateway.knowledge.confirm_catalog(confirmed);
-    Some(confirmed)
+    gateway.knowledge.confirm_catalog(confirmed?);
+    confirmed
 }
 
 /// Links of a leader to the leaders of other halls.
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -5,6 +5,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 /// What a VM has seen of a leader's knowledge.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,6 +14,8 @@
     pub term: u64,
     /// Generation of the leader's knowledge.
     pub generation: u64,
+    /// Number of the newest board that was passed on.
+    pub boards: u64,
 }
 
 /// A VM asks a leader for what is new.
@@ -76,16 +79,27 @@
 pub struct FeedNews {
     /// What the asking VM has seen after this.
     pub mark: SeenMark,
+    /// How long the ask was held for news, in milliseconds.
+    pub held_ms: u64,
     /// Time since the leader's configuration was last confirmed, in milliseconds.
     pub confirmed_age_ms: Option<u64>,
     /// The configuration, if it is newer.
     pub catalog: Option<CatalogParts>,
     /// All endpoints, if something changed.
     pub endpoints: Option<EndpointList>,
-    /// Engines of this hall and of others.
+    /// Engines of this hall and of others, as far as they are new to the asking VM.
     pub boards: Vec<HallBoard>,
 }
 
+impl FeedNews {
+    /// When the leader's configuration was confirmed, by the clock of a VM that sent its ask at
+    /// `sent`. The leader answered no sooner than `held_ms` later.
+    pub fn confirmed_at(&self, sent: Instant) -> Option<Instant> {
+        let age = Duration::from_millis(self.confirmed_age_ms?);
+        (sent + Duration::from_millis(self.held_ms)).checked_sub(age)
+    }
+}
+
 /// Answer to [`FeedAsk`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FeedReply {
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -1,6 +1,7 @@
 //! A leader's side of the feed.
 
 use super::messages::{EndpointList, FeedAsk, FeedNews, FeedReply, SeenMark};
+use crate::freshness::NEWS_WAIT;
 use crate::gateway::Gateway;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
@@ -9,8 +10,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long an ask waits for something new.
-const NEWS_WAIT: Duration = Duration::from_millis(400);
 /// How long a connection may rest between asks.
 const ASK_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted.
@@ -59,6 +58,7 @@
 }
 
 async fn answer<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> FeedReply {
+    let began = Instant::now();
     let knowledge = &gateway.knowledge;
     let term = gateway.hall.leads.get();
     let is_news = |term: u64| {
@@ -82,11 +82,14 @@
         at: knowledge.endpoints_at(),
         records: knowledge.endpoints(|directory| directory.iter().cloned().collect()),
     });
+    let seen_boards = ask.seen.filter(|seen| seen.term == term).map_or(0, |seen| seen.boards);
+    let (newest_board, boards) = gateway.hall.boards_since(seen_boards, now);
     FeedReply::News(Box::new(FeedNews {
-        mark: SeenMark { term, generation: knowledge.generation() },
+        mark: SeenMark { term, generation: knowledge.generation(), boards: newest_board },
+        held_ms: began.elapsed().as_millis() as u64,
         confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
         catalog: is_newer.then(|| knowledge.catalog_parts()).flatten().map(|p| (*p).clone()),
         endpoints: endpoints.filter(|list| list.at > 0),
-        boards: gateway.hall.boards(now),
+        boards,
     }))
 }
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the store: configuration and endpoints, by watches that are never left to hang.
 
+use crate::freshness::NEED_POLL;
 use crate::gateway::Gateway;
 use crate::hall::Hall;
 use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
@@ -9,8 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a watch of the configuration waits. Each return confirms it, so this and the way of a
-/// call is how old it gets; at 5 s for a revocation more than 3 s are left when the store is lost.
+/// How long a watch of the configuration waits on a VM that does not lead. Each return confirms it, so
+/// this and the way of a call is how old it gets; at 5 s for a revocation more than 3 s are left when
+/// the store is lost. A leader's watch waits as [`crate::freshness`] says.
 pub const CATALOG_WAIT: Duration = Duration::from_millis(1_500);
 /// How long a watch of endpoints waits. A watch that was cut off without a word is noticed after
 /// this and the store's own limit for an answer.
@@ -18,8 +20,9 @@
 /// Pause after changes of endpoints before the next watch, so that changes that come together cost
 /// one call. An endpoint that leaves must get no work after two seconds.
 const GATHER: Duration = Duration::from_millis(300);
-/// How often a VM that is told by its leader looks whether it has to ask the store itself.
-const NEED_POLL: Duration = Duration::from_millis(250);
+/// How long the first watch waits of a VM that was told by its leader so far: it wants to know at once
+/// whether something changed.
+const FIRST_WAIT: Duration = Duration::from_millis(10);
 /// First pause after a call that failed; doubled up to [`PAUSE_MAX`], and drawn from half to whole
 /// so that VMs do not come back all at once.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
@@ -47,17 +50,19 @@
     }
 }
 
-/// Waits while the hall's leader tells enough.
-async fn wait_for_need<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) {
+/// Waits while the hall's leader tells enough; answers whether it did so far.
+async fn wait_for_need<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) -> bool {
+    let mut was_told = false;
     loop {
         let now = Instant::now();
         // Before the first configuration there is nothing to confirm: one VM of the hall asks for it.
         let knows_nothing = gateway.knowledge.catalog().is_none();
-        let is_told = gateway.hall.leader_suffices(now)
+        let is_told = gateway.hall.leader_suffices(now, gateway.freshness())
             || (knows_nothing && gateway.hall.leader_is_live(now));
         if !is_told {
-            return;
+            return was_told;
         }
+        was_told = true;
         smol::Timer::after(NEED_POLL).await;
     }
 }
@@ -67,11 +72,16 @@
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
-        wait_for_need(&gateway).await;
+        let was_told = wait_for_need(&gateway).await;
         let sent = Instant::now();
+        let wait = match gateway.hall.leads.get() {
+            _ if was_told => FIRST_WAIT,
+            Some(_) => gateway.freshness().leader_wait,
+            None => CATALOG_WAIT,
+        };
         let read = match since {
             None => gateway.store.read_catalog().await,
-            Some(since) => gateway.store.watch_catalog(since, CATALOG_WAIT).await,
+            Some(since) => gateway.store.watch_catalog(since, wait).await,
         };
         match read {
             Ok(read) => {
@@ -133,7 +143,10 @@
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
-        wait_for_need(&gateway).await;
+        if wait_for_need(&gateway).await {
+            // The leader's list is newer than what was last watched here.
+            since = Some(gateway.knowledge.endpoints_at()).filter(|at| *at > 0);
+        }
         let changed = match since {
             None => list_endpoints(&gateway).await,
             Some(since) => watch_endpoints(&gateway, since).await,
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::channels::ChannelPool;
 use crate::decisions::{Decisions, Outcome};
 use crate::endpoints::{EndpointBook, Evidence};
+use crate::freshness::Freshness;
 use crate::hall::Hall;
 use crate::job::Job;
 use crate::knowledge::Knowledge;
@@ -101,6 +102,11 @@
         self.settings.borrow().clone()
     }
 
+    /// How fresh a leader keeps what it passes on.
+    pub fn freshness(&self) -> Freshness {
+        Freshness::new(self.settings.borrow().config_in_force)
+    }
+
     /// What paths are chosen from.
     pub fn views(&self, now: Instant) -> Views<'_> {
         Views { knowledge: &self.knowledge, hall: &self.hall, book: &self.book, now }
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -1,6 +1,7 @@
 //! Who leads this VM's hall, and what is known of engines by their leaders.
 
 use crate::feed::{EngineState, HallBoard};
+use crate::freshness::Freshness;
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -9,8 +10,6 @@
 
 /// How long news of a leader are relied on. Leaders answer within 400 ms also if nothing is new.
 pub const FEED_LIVE: Duration = Duration::from_millis(1_200);
-/// How old the leader's confirmation may be while this VM does not ask the store itself.
-const CONFIRMATION_LIVE: Duration = Duration::from_millis(2_600);
 /// How long a board is believed. Leaders ask engines every 700 ms.
 const BOARD_LIVE: Duration = Duration::from_millis(2_000);
 /// How long a VM counts that has asked its leader.
@@ -25,6 +24,8 @@
 struct KeptBoard {
     board: HallBoard,
     as_of: Instant,
+    /// Rises with each board that this VM keeps.
+    number: u64,
 }
 
 /// The hall as one VM sees it.
@@ -37,6 +38,7 @@
     heard: Cell<Option<Instant>>,
     confirmed: Cell<Option<Instant>>,
     boards: RefCell<HashMap<HallId, KeptBoard>>,
+    boards_kept: Cell<u64>,
     askers: RefCell<HashMap<VmId, Instant>>,
     most_vms: Cell<u32>,
     most_hall_vms: Cell<u32>,
@@ -61,9 +63,14 @@
     }
 
     /// Whether the leader tells enough for this VM not to ask the store itself.
-    pub fn leader_suffices(&self, now: Instant) -> bool {
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < CONFIRMATION_LIVE;
-        self.leader_is_live(now) && self.confirmed.get().is_some_and(is_fresh)
+    pub fn leader_suffices(&self, now: Instant, freshness: Freshness) -> bool {
+        let is_fresh = |age: Duration| age < freshness.enough_for;
+        self.leader_is_live(now) && self.confirmation_age(now).is_some_and(is_fresh)
+    }
+
+    /// Time since the leader's configuration was last confirmed, as far as it told.
+    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.get().map(|at| now.saturating_duration_since(at))
     }
 
     /// Notes that a VM of this hall asked; answers how many did lately, this VM included.
@@ -98,19 +105,23 @@
         let mut boards = self.boards.borrow_mut();
         let is_newer = boards.get(&board.hall).is_none_or(|kept| kept.as_of < as_of);
         if is_newer {
-            boards.insert(board.hall.clone(), KeptBoard { board, as_of });
+            let number = self.boards_kept.get() + 1;
+            self.boards_kept.set(number);
+            boards.insert(board.hall.clone(), KeptBoard { board, as_of, number });
         }
     }
 
-    /// All boards that are believed, with their ages of now.
-    pub fn boards(&self, now: Instant) -> Vec<HallBoard> {
+    /// The boards that are believed and newer than a number, with their ages of now, and the number of
+    /// the newest.
+    pub fn boards_since(&self, number: u64, now: Instant) -> (u64, Vec<HallBoard>) {
         let boards = self.boards.borrow();
-        let live = boards.values().filter(|kept| is_believed(kept, now));
+        let is_news = |kept: &&KeptBoard| kept.number > number && is_believed(kept, now);
+        let live = boards.values().filter(is_news);
         let aged = live.map(|kept| HallBoard {
             age_ms: now.saturating_duration_since(kept.as_of).as_millis() as u64,
             ..kept.board.clone()
         });
-        aged.collect()
+        (self.boards_kept.get(), aged.collect())
     }
 
     /// What a board tells of an engine of a hall, if it is believed.
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them.
-//! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads.
+//! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`freshness`] says for how
+//!   long what a leader tells is enough.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
@@ -22,6 +23,7 @@
 pub mod events;
 pub mod feed;
 pub mod follow;
+pub mod freshness;
 pub mod gateway;
 pub mod hall;
 pub mod job;
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub store: SocketAddr,
     /// How long a key that was taken away may still be accepted.
     pub key_revocation: Duration,
+    /// Time within which a configuration that the store took must be in force.
+    pub config_in_force: Duration,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Duration,
     /// Most open files; two are needed for each request at most.
@@ -72,6 +74,7 @@
         peer_listen: reader.address("peer_listen"),
         store: reader.address("store"),
         key_revocation: seconds(reader.fraction("key_revocation_ms", 5e3, 500.0..=6e5) / 1e3),
+        config_in_force: seconds(reader.fraction("config_in_force_ms", 2e3, 500.0..=6e5) / 1e3),
         stop_grace: seconds(reader.fraction("stop_grace_s", 8.0, 0.5..=600.0)),
         max_open_files: reader.number("max_open_files", 4_096, 64..=1 << 20) as usize,
         retry_ratio: reader.fraction("retry_ratio", 0.2, 0.0..=10.0),
--- /dev/null
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -0,0 +1,73 @@
+//! While all is well nobody but the leader asks the store; when the leader is blind, others ask in time.
+
+use sillbank_gateway::feed::{FeedNews, SeenMark};
+use sillbank_gateway::freshness::{Freshness, NEED_POLL, NEWS_WAIT};
+use sillbank_gateway::hall::Hall;
+use std::time::{Duration, Instant};
+
+/// Bounds for configurations to be in force on the sites known.
+const BOUNDS_MS: [u64; 2] = [2_000, 3_000];
+/// A way between two VMs, with a wait for a busy processor.
+const WAY: Duration = Duration::from_millis(50);
+
+/// Ages of the leader's confirmation as a VM knows it right before each news, over some seconds.
+fn ages_before_news(freshness: Freshness, phase: Duration) -> Vec<Duration> {
+    let began = Instant::now();
+    let (hall, mut ages) = (Hall::default(), Vec::new());
+    let mut confirmed = began;
+    let mut watch_sent = began;
+    let mut told = began + phase;
+    hall.on_news(told, Some(confirmed));
+    while told < began + Duration::from_secs(20) {
+        told += NEWS_WAIT + WAY;
+        while watch_sent + freshness.leader_wait + WAY <= told - WAY {
+            confirmed = watch_sent;
+            watch_sent += freshness.leader_wait + WAY;
+        }
+        ages.push(hall.confirmation_age(told).expect("it was told"));
+        hall.on_news(told, Some(confirmed));
+    }
+    ages
+}
+
+#[test]
+fn a_leader_that_sees_the_store_suffices_without_a_gap() {
+    for bound_ms in BOUNDS_MS {
+        let freshness = Freshness::new(Duration::from_millis(bound_ms));
+        for phase_ms in (0..1_000).step_by(50) {
+            let ages = ages_before_news(freshness, Duration::from_millis(phase_ms));
+
+            let oldest = ages.iter().max().expect("there are some");
+            assert!(*oldest < freshness.enough_for, "{bound_ms} {phase_ms}: {oldest:?}");
+        }
+    }
+}
+
+#[test]
+fn a_vm_whose_leader_is_blind_asks_in_time_for_the_bound() {
+    for bound_ms in BOUNDS_MS {
+        let bound = Duration::from_millis(bound_ms);
+
+        let freshness = Freshness::new(bound);
+
+        assert!(freshness.enough_for + NEED_POLL + 4 * WAY <= bound);
+    }
+}
+
+#[test]
+fn a_confirmation_that_waited_for_news_is_not_taken_for_older_than_it_is() {
+    let sent = Instant::now();
+    let news = FeedNews {
+        mark: SeenMark { term: 1, generation: 1, boards: 0 },
+        held_ms: 400,
+        confirmed_age_ms: Some(700),
+        catalog: None,
+        endpoints: None,
+        boards: Vec::new(),
+    };
+
+    let confirmed = news.confirmed_at(sent);
+
+    // 300 ms before the ask was sent, and not 700.
+    assert_eq!(confirmed, sent.checked_sub(Duration::from_millis(300)));
+}
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -1,6 +1,7 @@
 //! For how long what leaders tell is believed.
 
 use sillbank_gateway::feed::{EngineState, HallBoard};
+use sillbank_gateway::freshness::Freshness;
 use sillbank_gateway::hall::Hall;
 use std::time::{Duration, Instant};
 
@@ -18,27 +19,32 @@
     HallBoard { hall: hall.to_owned(), age_ms, vms, leader, engines: vec![engine] }
 }
 
+/// The least age of a confirmation at which it is not enough any more is then above a second.
+fn freshness() -> Freshness {
+    Freshness::new(Duration::from_secs(2))
+}
+
 #[test]
 fn a_leader_suffices_while_it_is_heard_and_its_confirmation_is_fresh() {
-    let (hall, now) = (Hall::default(), Instant::now());
+    let (hall, now, freshness) = (Hall::default(), Instant::now(), freshness());
 
     hall.on_news(now, Some(now));
 
-    assert!(hall.leader_suffices(now + Duration::from_millis(1_100)));
-    assert!(!hall.leader_suffices(now + Duration::from_millis(1_300)));
+    assert!(hall.leader_suffices(now + Duration::from_millis(1_100), freshness));
+    assert!(!hall.leader_suffices(now + Duration::from_millis(1_300), freshness));
     hall.on_news(now + Duration::from_secs(3), Some(now));
     assert!(hall.leader_is_live(now + Duration::from_secs(3)));
-    assert!(!hall.leader_suffices(now + Duration::from_secs(3)));
+    assert!(!hall.leader_suffices(now + Duration::from_secs(3), freshness));
 }
 
 #[test]
 fn a_vm_that_leads_follows_the_store_itself() {
-    let (hall, now) = (Hall::default(), Instant::now());
+    let (hall, now, freshness) = (Hall::default(), Instant::now(), freshness());
     hall.on_news(now, Some(now));
 
     hall.leads.set(Some(7));
 
-    assert!(!hall.leader_suffices(now));
+    assert!(!hall.leader_suffices(now, freshness));
 }
 
 #[test]
@@ -77,3 +83,19 @@
     assert_eq!(all, Some(7));
     assert_eq!(later, Some(7));
 }
+
+#[test]
+fn boards_are_passed_on_once() {
+    let (hall, now) = (Hall::default(), Instant::now());
+    hall.keep_board(now, board("a", 100, 1, 5));
+    hall.keep_board(now, board("b", 100, 1, 5));
+
+    let (seen, first) = hall.boards_since(0, now);
+    let (_, again) = hall.boards_since(seen, now);
+    hall.keep_board(now, board("b", 50, 1, 6));
+    let (_, changed) = hall.boards_since(seen, now);
+
+    assert_eq!(first.len(), 2);
+    assert_eq!(again, []);
+    assert_eq!(changed.iter().map(|board| board.hall.as_str()).collect::<Vec<_>>(), ["b"]);
+}
