Leave engines without places alone as first of a path, and slow ones

Cause: a path's cost knew an engine's KV cache but not its places. Ruled out: KV cache (at most 0.62 used there), lost layers, orders. An engine's reported pace was not used either.

Tests: paths.rs (places red before; pace red in half of its draws).

--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -1,6 +1,7 @@
 //! Chooses a path through the layers that endpoints hold.
 
 use crate::endpoints::EndpointBook;
+use crate::feed::EngineState;
 use crate::hall::Hall;
 use crate::knowledge::Knowledge;
 use sillbank_catalog::prelude::*;
@@ -21,12 +22,13 @@
 /// Requests of this VM at an engine by which its time is taken to double. Engines work in passes
 /// over all that waits, so their time grows with what they have.
 const DOUBLING_REQUESTS: f64 = 16.0;
-/// Used part of an engine's KV cache from which it costs more: what is on its way is not in its
-/// report yet, and an engine without room refuses.
-const KV_FREE_SHARE: f64 = 0.65;
-/// Cost of an engine whose KV cache is full, in milliseconds of predicted time: more than going to
-/// another hall.
-const KV_FULL_COST_MS: f64 = 250.0;
+/// Used part of an engine's KV cache, or of its places, from which it costs more: what is on its way
+/// is not in its report yet, and an engine without room refuses.
+const FREE_SHARE: f64 = 0.65;
+/// Cost of an engine that is full, in milliseconds of predicted time: more than going to another hall.
+const FULL_COST_MS: f64 = 250.0;
+/// Slowest pace of an engine that is believed, as a factor on its usual times.
+const MAX_PACE: f64 = 20.0;
 /// Chance's part in the cost of an engine, so that VMs do not all choose alike.
 const CHANCE: f64 = 0.06;
 
@@ -94,15 +96,13 @@
             .usable_of(&service.name)
             .filter(|record| !avoid.contains(&record.id) && book.may_run_part(&record.id))
             .filter_map(|record| {
-                let (told, kv_share) = hall
-                    .engine(&record.hall, &record.id, now, |engine| {
-                        let layers = (!engine.is_lost).then_some(engine.layers).flatten();
-                        (Some(layers), f64::from(engine.kv_permille) / 1000.0)
-                    })
-                    .unwrap_or((None, 0.0));
+                let told = hall.engine(&record.hall, &record.id, now, |engine| Told::from(engine));
                 // What the hall's leader heard from the engine is newer than its entry in the store.
-                let layers = told.unwrap_or(record.layers);
+                let layers = told.as_ref().map_or(record.layers, |told| told.layers);
                 let layers = layers.filter(|layers| !layers.is_empty())?;
+                let told = told.unwrap_or_default();
+                let is_first = layers.first == 0;
+                let places = if is_first { told.places_share(record.slots) } else { 0.0 };
                 let kind = record.accelerator.as_deref().and_then(|k| figures.accelerator(k));
                 let factor = kind.map_or(1.0, |kind| kind.step_factor);
                 let in_flight = f64::from(book.in_flight(&record.id));
@@ -113,17 +113,58 @@
                     hall: record.hall.clone(),
                     layers,
                     use_cost_ms: PART_COST_MS
-                        + kv_cost_ms(kv_share)
+                        + crowd_cost_ms(told.kv_share.max(places))
                         + book.use_cost_ms(&record.id, now),
-                    layer_cost_ms: layer_ms * factor * busy * (1.0 + CHANCE * fastrand::f64()),
+                    layer_cost_ms: layer_ms
+                        * factor
+                        * told.pace
+                        * busy
+                        * (1.0 + CHANCE * fastrand::f64()),
                 })
             })
             .collect()
     })
 }
 
-/// Cost of an engine by the used part of its KV cache.
-fn kv_cost_ms(kv_share: f64) -> f64 {
-    let over = (kv_share - KV_FREE_SHARE).max(0.0) / (1.0 - KV_FREE_SHARE);
-    over * over * KV_FULL_COST_MS
+/// What a hall's leader tells of an engine, as far as it bears on paths.
+#[derive(Debug)]
+struct Told {
+    layers: Option<LayerRange>,
+    /// Used part of its KV cache.
+    kv_share: f64,
+    /// Requests that run or wait there.
+    requests: f64,
+    /// Factor on its usual times.
+    pace: f64,
+}
+
+impl Default for Told {
+    /// An engine of which nothing was told is taken for idle and well.
+    fn default() -> Self {
+        Self { layers: None, kv_share: 0.0, requests: 0.0, pace: 1.0 }
+    }
+}
+
+impl From<&EngineState> for Told {
+    fn from(engine: &EngineState) -> Self {
+        Self {
+            layers: (!engine.is_lost).then_some(engine.layers).flatten(),
+            kv_share: f64::from(engine.kv_permille) / 1000.0,
+            requests: f64::from(engine.running) + f64::from(engine.waiting),
+            pace: (f64::from(engine.pace_permille) / 1000.0).clamp(1.0, MAX_PACE),
+        }
+    }
+}
+
+impl Told {
+    /// Used part of the places that an engine has for requests that begin with it.
+    fn places_share(&self, slots: u32) -> f64 {
+        self.requests / f64::from(slots.max(1))
+    }
+}
+
+/// Cost of an engine by the used part of its KV cache or of its places, whichever is more.
+fn crowd_cost_ms(share: f64) -> f64 {
+    let over = (share - FREE_SHARE).max(0.0) / (1.0 - FREE_SHARE);
+    over * over * FULL_COST_MS
 }
--- /dev/null
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -0,0 +1,140 @@
+//! Which engines a request's path takes: those with places, room and their usual speed.
+
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
+use sillbank_gateway::endpoints::EndpointBook;
+use sillbank_gateway::feed::{EngineState, HallBoard};
+use sillbank_gateway::hall::Hall;
+use sillbank_gateway::knowledge::Knowledge;
+use sillbank_gateway::paths::{Views, choose_path};
+use sillbank_gateway::store::Snapshot;
+use std::time::{Duration, Instant};
+
+const HOME: &str = "a";
+const LAYERS: u16 = 20;
+const SLOTS: u32 = 192;
+
+fn service() -> Service {
+    let accelerators = [("quick", 3.1), ("slow", 16.0)].map(|(kind, factor)| AcceleratorFigures {
+        kind: kind.to_owned(),
+        memory_mb: 36_000.0,
+        step_factor: factor,
+        prefill_factor: factor,
+    });
+    let engine = EngineFigures {
+        slots: SLOTS,
+        layers: LAYERS,
+        layer_mb: 1750.0,
+        kv_token_bytes: 459_000.0,
+        step_ms: 0.85,
+        step_ms_per_request: 0.003,
+        prefill_tokens_per_s: 252_000.0,
+        usual_prompt_tokens: 772,
+        usual_answer_tokens: 154,
+        load_ms: 14_000.0,
+        loads_at_once: 6,
+        report_lag_ms: 200.0,
+        accelerators: accelerators.to_vec(),
+    };
+    Service {
+        name: "gen".to_owned(),
+        health_path: "/healthz".to_owned(),
+        max_connections: 100,
+        engine: Some(engine),
+    }
+}
+
+fn record(id: &str, kind: &str, first: u16, end: u16) -> EndpointRecord {
+    EndpointRecord {
+        id: id.to_owned(),
+        service: "gen".to_owned(),
+        address: "10.0.0.9:80".parse().expect("an address"),
+        hall: HOME.to_owned(),
+        standing: Standing::Ready,
+        slots: SLOTS,
+        accelerator: Some(kind.to_owned()),
+        layers: Some(LayerRange { first, end }),
+    }
+}
+
+/// What an engine of `record` reports when nothing runs there.
+fn idle(record: &EndpointRecord) -> EngineState {
+    EngineState {
+        id: record.id.clone(),
+        is_lost: false,
+        layers: record.layers,
+        waiting: 0,
+        running: 0,
+        kv_permille: 0,
+        pace_permille: 1000,
+    }
+}
+
+/// Endpoints of the path that is chosen when engines report so.
+fn chosen(records: &[EndpointRecord], engines: Vec<EngineState>) -> Vec<EndpointId> {
+    let now = Instant::now();
+    let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::default());
+    knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
+    let leader = "10.0.0.1:7000".parse().expect("an address");
+    hall.keep_board(now, HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, engines });
+    let book = EndpointBook::default();
+    let views = Views { knowledge: &knowledge, hall: &hall, book: &book, now };
+    let service = service();
+    let figures = service.engine.as_ref().expect("it has one");
+    let path = choose_path(views, &service, figures, HOME, &[]).expect("there is one");
+    path.parts().iter().map(|part| part.endpoint.clone()).collect()
+}
+
+#[test]
+fn a_first_engine_without_places_is_left_to_those_it_has() {
+    // Arrange
+    let records = [
+        record("quick", "quick", 0, 10),
+        record("slow", "slow", 0, 10),
+        record("last", "slow", 10, 20),
+    ];
+    let mut full = idle(&records[0]);
+    full.running = SLOTS;
+    full.waiting = 10;
+    let engines = vec![full, idle(&records[1]), idle(&records[2])];
+
+    // Act
+    let path = chosen(&records, engines);
+
+    // Assert
+    assert_eq!(path, ["slow", "last"]);
+}
+
+#[test]
+fn places_bind_only_the_first_engine_of_a_path() {
+    let records = [
+        record("first", "slow", 0, 10),
+        record("quick", "quick", 10, 20),
+        record("slow", "slow", 10, 20),
+    ];
+    let mut busy = idle(&records[1]);
+    busy.running = SLOTS;
+    let engines = vec![idle(&records[0]), busy, idle(&records[2])];
+
+    let path = chosen(&records, engines);
+
+    assert_eq!(path, ["first", "quick"]);
+}
+
+#[test]
+fn an_engine_that_reports_that_it_is_slow_is_used_less() {
+    let records = [
+        record("first", "slow", 0, 10),
+        record("slowed", "slow", 10, 20),
+        record("well", "slow", 10, 20),
+    ];
+    let mut slowed = idle(&records[1]);
+    slowed.pace_permille = 4_000;
+    let engines = vec![idle(&records[0]), slowed, idle(&records[2])];
+
+    // Chance has a part in the cost, so it is chosen many times.
+    let paths: Vec<Vec<EndpointId>> = (0..50).map(|_| chosen(&records, engines.clone())).collect();
+
+    assert!(paths.iter().all(|path| path == &["first", "well"]), "{paths:?}");
+}
