Go on from where the leader stood when asking the store again; ask a slow store more often

The leader now tells up to which revision its configuration is confirmed. A leader whose watches come back late waits less, so that confirmations grow no older. Test: a_leader_of_a_slow_store_asks_more_often.

--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -120,7 +120,7 @@
     takes_endpoints: bool,
 ) -> Option<Instant> {
     let now = Instant::now();
-    let confirmed = news.confirmed_at(sent);
+    let confirmed = news.confirmed_since(sent);
     if let Some(parts) = news.catalog {
         let version = parts.version;
         match Catalog::new(parts.clone()) {
@@ -144,7 +144,7 @@
         }
         gateway.hall.keep_board(now, board);
     }
-    gateway.knowledge.confirm_catalog(confirmed?);
+    gateway.knowledge.confirm_catalog(confirmed?, news.confirmed_at);
     confirmed
 }
 
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -83,6 +83,8 @@
     pub held_ms: u64,
     /// Time since the leader's configuration was last confirmed, in milliseconds.
     pub confirmed_age_ms: Option<u64>,
+    /// Revision of the store up to which it was confirmed.
+    pub confirmed_at: u64,
     /// The configuration, if it is newer.
     pub catalog: Option<CatalogParts>,
     /// All endpoints, if something changed.
@@ -94,7 +96,7 @@
 impl FeedNews {
     /// When the leader's configuration was confirmed, by the clock of a VM that sent its ask at
     /// `sent`. The leader answered no sooner than `held_ms` later.
-    pub fn confirmed_at(&self, sent: Instant) -> Option<Instant> {
+    pub fn confirmed_since(&self, sent: Instant) -> Option<Instant> {
         let age = Duration::from_millis(self.confirmed_age_ms?);
         (sent + Duration::from_millis(self.held_ms)).checked_sub(age)
     }
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -88,6 +88,7 @@
         mark: SeenMark { term, generation: knowledge.generation(), boards: newest_board },
         held_ms: began.elapsed().as_millis() as u64,
         confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
+        confirmed_at: knowledge.catalog_at(),
         catalog: is_newer.then(|| knowledge.catalog_parts()).flatten().map(|p| (*p).clone()),
         endpoints: endpoints.filter(|list| list.at > 0),
         boards,
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -71,12 +71,17 @@
 pub async fn follow_catalog<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
+    let mut excess = Duration::ZERO;
     loop {
         let was_told = wait_for_need(&gateway).await;
+        if was_told {
+            // What the leader told is newer than what was last watched here.
+            since = Some(gateway.knowledge.catalog_at()).filter(|at| *at > 0);
+        }
         let sent = Instant::now();
         let wait = match gateway.hall.leads.get() {
             _ if was_told => FIRST_WAIT,
-            Some(_) => gateway.freshness().leader_wait,
+            Some(_) => gateway.freshness().leader_wait_after(excess),
             None => CATALOG_WAIT,
         };
         let read = match since {
@@ -88,8 +93,13 @@
                 backoff = Backoff::default();
                 gateway.on_store_answer("configuration");
                 since = Some(read.at);
+                let at = read.at;
+                let is_news = read.value.is_some();
+                if !is_news {
+                    excess = sent.elapsed().saturating_sub(wait);
+                }
                 if take_catalog(&gateway, read) {
-                    gateway.knowledge.confirm_catalog(sent);
+                    gateway.knowledge.confirm_catalog(sent, at);
                 }
             }
             Err(error) => {
--- a/crates/sillbank_gateway/src/freshness.rs
+++ b/crates/sillbank_gateway/src/freshness.rs
@@ -38,4 +38,10 @@
         let for_waits = enough_for.saturating_sub(NEWS_WAIT + RELAY_DELAY);
         Self { leader_wait: (for_waits / 2).max(LEADER_WAIT_MIN), enough_for }
     }
+
+    /// How long a leader's next watch waits when the one before took so long beyond its wait. A slow
+    /// store makes confirmations older; shorter waits make up for it.
+    pub fn leader_wait_after(&self, excess: Duration) -> Duration {
+        self.leader_wait.saturating_sub(excess).max(LEADER_WAIT_MIN)
+    }
 }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -29,6 +29,7 @@
     catalog: RefCell<Option<Rc<Catalog>>>,
     lease: RefCell<KnowledgeLease>,
     directory: RefCell<Directory>,
+    catalog_at: Cell<Revision>,
     endpoints_at: Cell<Revision>,
     generation: Cell<u64>,
     parts: RefCell<Option<Rc<CatalogParts>>>,
@@ -42,6 +43,7 @@
             catalog: RefCell::default(),
             lease: RefCell::new(KnowledgeLease::new(lease_term(key_revocation))),
             directory: RefCell::default(),
+            catalog_at: Cell::new(0),
             endpoints_at: Cell::new(0),
             generation: Cell::new(0),
             parts: RefCell::default(),
@@ -77,9 +79,15 @@
         true
     }
 
-    /// Notes that a call sent at this moment confirmed the configuration.
-    pub fn confirm_catalog(&self, sent: Instant) {
+    /// Notes that a call sent at this moment confirmed the configuration as of a revision.
+    pub fn confirm_catalog(&self, sent: Instant, at: Revision) {
         self.lease.borrow_mut().confirm(sent);
+        self.catalog_at.set(self.catalog_at.get().max(at));
+    }
+
+    /// Revision of the store up to which the configuration was confirmed; 0 if it never was.
+    pub fn catalog_at(&self) -> Revision {
+        self.catalog_at.get()
     }
 
     /// Whether the configuration is fresh enough to accept keys and to deny requests.
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -61,13 +61,25 @@
         mark: SeenMark { term: 1, generation: 1, boards: 0 },
         held_ms: 400,
         confirmed_age_ms: Some(700),
+        confirmed_at: 9,
         catalog: None,
         endpoints: None,
         boards: Vec::new(),
     };
 
-    let confirmed = news.confirmed_at(sent);
+    let confirmed = news.confirmed_since(sent);
 
     // 300 ms before the ask was sent, and not 700.
     assert_eq!(confirmed, sent.checked_sub(Duration::from_millis(300)));
 }
+
+#[test]
+fn a_leader_of_a_slow_store_asks_more_often() {
+    let freshness = Freshness::new(Duration::from_secs(3));
+
+    let wait = freshness.leader_wait_after(Duration::from_millis(250));
+
+    // Two calls that take 250 ms more are as far apart as two that do not.
+    assert_eq!(wait + Duration::from_millis(250), freshness.leader_wait);
+    assert!(!freshness.leader_wait_after(Duration::from_secs(9)).is_zero());
+}
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -33,7 +33,7 @@
     let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
     offer(&knowledge, 1);
 
-    knowledge.confirm_catalog(now);
+    knowledge.confirm_catalog(now, 1);
 
     assert!(knowledge.is_fresh(now + Duration::from_millis(4_700)));
     assert!(!knowledge.is_fresh(now + Duration::from_millis(4_800)));
@@ -43,7 +43,7 @@
 fn a_confirmation_without_a_configuration_means_nothing() {
     let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
 
-    knowledge.confirm_catalog(now);
+    knowledge.confirm_catalog(now, 1);
 
     assert!(!knowledge.is_fresh(now));
 }
