Log errors that the older crates dropped

Datagrams, orders and replies that cannot be written, paths that cannot be sent, ends of claims that were not told, heads and answers nobody waits for: each gets a line with its reason. A reply that cannot be written is a 500 now and not an empty body.

--- a/crates/sillbank_control/src/entry_link.rs
+++ b/crates/sillbank_control/src/entry_link.rs
@@ -41,14 +41,14 @@
             EntryToControl::InForce(version) => control.in_force.set(version),
             EntryToControl::Mint { id } => {
                 let key = once::mint_key(control);
-                answers.try_send(ControlToEntry::Minted { id, key }).ok();
+                answer(&answers, ControlToEntry::Minted { id, key });
             }
             EntryToControl::Claim { id, organisation, key } => {
                 let (control, answers) = (control.clone(), answers.clone());
                 let spawner = control.executor.clone();
                 let work = async move {
-                    let answer = once::claim(&control, &organisation, &key).await;
-                    answers.try_send(ControlToEntry::ClaimAnswer { id, answer }).ok();
+                    let claimed = once::claim(&control, &organisation, &key).await;
+                    answer(&answers, ControlToEntry::ClaimAnswer { id, answer: claimed });
                 };
                 spawner.spawn(work).detach();
             }
@@ -111,3 +111,11 @@
     }
     all
 }
+
+/// Hands an answer to the connection's writer.
+fn answer(answers: &Sender<ControlToEntry>, answer: ControlToEntry) {
+    if let Err(error) = answers.try_send(answer) {
+        // The connection has ended; the entry asks again on its next one.
+        tracing::debug!(%error, "control: An answer came after the entry had gone.");
+    }
+}
--- a/crates/sillbank_control/src/gossip.rs
+++ b/crates/sillbank_control/src/gossip.rs
@@ -79,7 +79,10 @@
                 };
                 control.metrics.bytes_sent.inc_by(bytes.len() as u64);
                 control.metrics.datagrams_sent.inc();
-                control.socket.send_to(&bytes, to).await.ok();
+                if let Err(error) = control.socket.send_to(&bytes, to).await {
+                    // The next round sends again; a peer that stays away is told by its silence.
+                    tracing::debug!(%to, %error, "control: A datagram was not sent.");
+                }
             }
             MembershipAction::Heard { vm, peer, summary, .. } => {
                 let now = Instant::now();
--- a/crates/sillbank_control/src/once.rs
+++ b/crates/sillbank_control/src/once.rs
@@ -241,7 +241,10 @@
     let peer = control.slots.holders.borrow().get(&key.slot).copied();
     if let Some(peer) = peer {
         let request = PeerRequest::ClaimEnded { slot: key.slot, uid: key.uid, claim, run };
-        ask::<bool>(control, peer, &request, ASK_TIMEOUT).await.ok();
+        if let Err(error) = ask::<bool>(control, peer, &request, ASK_TIMEOUT).await {
+            // The holder keeps the claim as running until its retention ends: no key runs twice by it.
+            tracing::info!(%peer, %error, "once: The end of a claim was not told.");
+        }
     }
 }
 
--- a/crates/sillbank_control/src/orders.rs
+++ b/crates/sillbank_control/src/orders.rs
@@ -194,7 +194,13 @@
             return;
         };
         let order = LoadOrder { fence, layers: view.wanted };
-        let body = serde_json::to_vec(&order).unwrap_or_default();
+        let body = match serde_json::to_vec(&order) {
+            Ok(body) => body,
+            Err(error) => {
+                tracing::error!(%error, "orders: An order cannot be written; it is not given.");
+                return;
+            }
+        };
         let call = request(Method::POST, ORDERS_PATH, body.into());
         let (first, end) = (view.wanted.first, view.wanted.end);
         match self.control.http.call(address, call, ORDER_FLIGHT).await {
--- a/crates/sillbank_entry/src/sink.rs
+++ b/crates/sillbank_entry/src/sink.rs
@@ -85,7 +85,7 @@
             Mode::Whole { .. } => {}
             Mode::Stream { begun } => {
                 if !std::mem::replace(begun, true) {
-                    self.head.try_send(Ok(Head::Stream)).ok();
+                    self.send_head(Ok(Head::Stream));
                 }
                 if !ends {
                     let text = sillbank_model::detokenize(token);
@@ -100,11 +100,11 @@
         if let Mode::Whole { text } = &mut self.mode {
             let text = std::mem::take(text);
             let head = Head::Whole { text, tokens: self.tokens, reason: self.reason };
-            self.head.try_send(Ok(head)).ok();
+            self.send_head(Ok(head));
             return;
         }
         // A resumed answer may be whole without any token left to deliver.
-        self.head.try_send(Ok(Head::Stream)).ok();
+        self.send_head(Ok(Head::Stream));
         self.write_chunk(None, Some(self.reason));
         self.outbox.write(b"data: [DONE]\n\n");
         self.outbox.close();
@@ -118,7 +118,7 @@
             self.outbox.close();
             return;
         }
-        self.head.try_send(Err(failure)).ok();
+        self.send_head(Err(failure));
     }
 
     /// Tells the caller to go on with another VM from what it has.
@@ -131,7 +131,15 @@
             return;
         }
         let reason = "The VM stops and the answer is not whole; the same X-Request-Id goes on.";
-        self.head.try_send(Err(Failure::new(FailureKind::Stopping, run, reason))).ok();
+        self.send_head(Err(Failure::new(FailureKind::Stopping, run, reason)));
+    }
+
+    /// Hands the head over to the task that answers the caller, once.
+    fn send_head(&self, head: Result<Head, Failure>) {
+        if let Err(error) = self.head.try_send(head) {
+            // A head went before, or the caller has gone: nobody waits for this one.
+            tracing::debug!(answer = %self.answer_id, %error, "caller: A head was not needed.");
+        }
     }
 
     /// Bytes the caller has not read.
--- a/crates/sillbank_net/src/body.rs
+++ b/crates/sillbank_net/src/body.rs
@@ -186,8 +186,13 @@
 
 /// A reply with a JSON body.
 pub fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> Response<ReplyBody> {
-    let text = serde_json::to_vec(value).unwrap_or_default();
-    reply(status, "application/json", text.into())
+    match serde_json::to_vec(value) {
+        Ok(text) => reply(status, "application/json", text.into()),
+        Err(error) => {
+            tracing::error!(%error, "net: A reply cannot be written as JSON.");
+            text_reply(StatusCode::INTERNAL_SERVER_ERROR, "the reply cannot be written")
+        }
+    }
 }
 
 /// A reply with a text body.
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -224,7 +224,11 @@
 pub fn request(method: Method, path: &str, body: Bytes) -> Request<Bytes> {
     let mut request = Request::new(body);
     *request.method_mut() = method;
-    *request.uri_mut() = path.parse().unwrap_or_default();
+    match path.parse() {
+        Ok(target) => *request.uri_mut() = target,
+        // It goes to the root, where it is refused: the caller hears of it.
+        Err(error) => tracing::error!(path, %error, "net: A path cannot be sent."),
+    }
     let headers = request.headers_mut();
     headers.insert("host", hyper::header::HeaderValue::from_static("sillbank"));
     headers.insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
