Weigh the time that engines have left when a path is chosen

Ruled out: KV cache, places, lost layers.

A model of an engine's time (figures, layers, pace, requests that run there) now bears on the cost.

--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -1,11 +1,13 @@
 //! Chooses a path through the layers that endpoints hold.
 
 use crate::endpoints::EndpointBook;
+use crate::engine_model::{time_share, work_ms};
 use crate::feed::EngineState;
 use crate::hall::Hall;
 use crate::knowledge::Knowledge;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use std::time::Instant;
 
@@ -22,7 +24,7 @@
 /// Requests of this VM at an engine by which its time is taken to double. Engines work in passes
 /// over all that waits, so their time grows with what they have.
 const DOUBLING_REQUESTS: f64 = 16.0;
-/// Used part of an engine's KV cache, or of its places, from which it costs more: what is on its way
+/// Used part of an engine's KV cache, of its places or of its time, from which it costs more: what is on its way
 /// is not in its report yet, and an engine without room refuses.
 const FREE_SHARE: f64 = 0.65;
 /// Cost of an engine that is full, in milliseconds of predicted time: more than going to another hall.
@@ -103,8 +105,11 @@
                 let told = told.unwrap_or_default();
                 let is_first = layers.first == 0;
                 let places = if is_first { told.places_share(record.slots) } else { 0.0 };
-                let kind = record.accelerator.as_deref().and_then(|k| figures.accelerator(k));
-                let factor = kind.map_or(1.0, |kind| kind.step_factor);
+                let time = kind_of(record, figures).map_or(0.0, |kind| {
+                    let work_ms = work_ms(figures, kind, layers.len(), told.pace);
+                    time_share(figures, told.requests, work_ms)
+                });
+                let factor = kind_of(record, figures).map_or(1.0, |kind| kind.step_factor);
                 let in_flight = f64::from(book.in_flight(&record.id));
                 let busy = 1.0 + in_flight / DOUBLING_REQUESTS;
                 Some(Holder {
@@ -113,7 +118,7 @@
                     hall: record.hall.clone(),
                     layers,
                     use_cost_ms: PART_COST_MS
-                        + crowd_cost_ms(told.kv_share.max(places))
+                        + crowd_cost_ms(told.kv_share.max(places).max(time))
                         + book.use_cost_ms(&record.id, now),
                     layer_cost_ms: layer_ms
                         * factor
@@ -163,7 +168,14 @@
     }
 }
 
-/// Cost of an engine by the used part of its KV cache or of its places, whichever is more.
+fn kind_of<'a>(
+    record: &EndpointRecord,
+    figures: &'a EngineFigures,
+) -> Option<&'a AcceleratorFigures> {
+    record.accelerator.as_deref().and_then(|kind| figures.accelerator(kind))
+}
+
+/// Cost of an engine by the used part of its KV cache, of its places or of its time, whichever is most.
 fn crowd_cost_ms(share: f64) -> f64 {
     let over = (share - FREE_SHARE).max(0.0) / (1.0 - FREE_SHARE);
     over * over * FULL_COST_MS
--- /dev/null
+++ b/crates/sillbank_gateway/tests/engine_model.rs
@@ -0,0 +1,60 @@
+//! How busy engines are, by the figures of a site known.
+
+use sillbank_catalog::prelude::*;
+use sillbank_gateway::engine_model::{time_share, usual_run_ms, work_ms};
+
+/// Figures of the grown sites.
+fn figures() -> EngineFigures {
+    let accelerators = [("a100s", 3.1, 3.2), ("l4", 16.0, 8.2), ("t4", 15.0, 15.0)];
+    let accelerators = accelerators.map(|(kind, step_factor, prefill_factor)| AcceleratorFigures {
+        kind: kind.to_owned(),
+        memory_mb: 14_400.0,
+        step_factor,
+        prefill_factor,
+    });
+    EngineFigures {
+        slots: 192,
+        layers: 80,
+        layer_mb: 1750.0,
+        kv_token_bytes: 459_000.0,
+        step_ms: 0.85,
+        step_ms_per_request: 0.00234,
+        prefill_tokens_per_s: 321_000.0,
+        usual_prompt_tokens: 772,
+        usual_answer_tokens: 142,
+        load_ms: 14_000.0,
+        loads_at_once: 6,
+        report_lag_ms: 200.0,
+        accelerators: accelerators.to_vec(),
+    }
+}
+
+#[test]
+fn engines_that_are_well_have_time_left_for_the_load_of_a_hall() {
+    let figures = figures();
+
+    for (kind, layers, running) in [("a100s", 13, 190.0), ("l4", 8, 100.0), ("t4", 5, 100.0)] {
+        let kind = figures.accelerator(kind).expect("it is known");
+        let share = time_share(&figures, running, work_ms(&figures, kind, layers, 1.0));
+        assert!(share < 0.65, "{}: {share}", kind.kind);
+    }
+}
+
+#[test]
+fn an_engine_at_a_twelfth_of_its_speed_has_none_left() {
+    let figures = figures();
+
+    for (kind, layers, running) in [("a100s", 13, 150.0), ("l4", 8, 60.0), ("t4", 5, 60.0)] {
+        let kind = figures.accelerator(kind).expect("it is known");
+        let share = time_share(&figures, running, work_ms(&figures, kind, layers, 12.0));
+        assert!(share > 0.9, "{}: {share}", kind.kind);
+    }
+}
+
+#[test]
+fn a_usual_answer_runs_for_about_as_long_as_it_was_seen_to() {
+    // Seen on the grown sites' quiet days: answers of the usual size take some 2 s.
+    let run_ms = usual_run_ms(&figures());
+
+    assert!((1_000.0..2_500.0).contains(&run_ms), "{run_ms}");
+}
