Make the test of a slow engine fail without the model of time

With 100 requests instead of 150 it fails on the older paths.rs (run: FAILED at paths.rs:163) and passes now.

--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -150,7 +150,7 @@
     ];
     let mut slowed = idle(&records[0]);
     slowed.pace_permille = 12_000;
-    slowed.running = 150;
+    slowed.running = 100;
     let mut well = idle(&records[1]);
     well.running = 20;
     well.kv_permille = 760;
