Tell engines only when they differ, and leave long lists of endpoints to the store

Beyond 200 endpoints each VM watches them in the store, which tells changes. An engine is told again when its layers, loss, room (4 in 100), requests (8) or pace (0.2) differ.

--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -2,6 +2,7 @@
 
 use super::messages::{FeedAsk, FeedNews, FeedReply, SeenMark};
 use crate::gateway::Gateway;
+use crate::hall::LeaderRole;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
@@ -61,9 +62,12 @@
         let sent = Instant::now();
         match ask_once(&gateway, &mut link, leader).await {
             Ok(FeedReply::News(news)) => {
-                let holds_lease = news.holds_lease;
+                let role = LeaderRole {
+                    holds_lease: news.holds_lease,
+                    relays_endpoints: news.relays_endpoints,
+                };
                 let confirmed = take_news(&gateway, *news, sent, true);
-                gateway.hall.on_news(Instant::now(), confirmed, holds_lease);
+                gateway.hall.on_news(Instant::now(), confirmed, role);
             }
             Ok(FeedReply::NotLeading) => {
                 gateway.hall.on_leader_lost();
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -70,10 +70,34 @@
     pub vms: u32,
     /// Where the hall's leader is asked.
     pub leader: SocketAddr,
+    /// Whether all engines are told of, and those that are missing are gone. If not, those that are
+    /// missing are as told before.
+    pub is_whole: bool,
     /// Engines.
     pub engines: Vec<EngineState>,
 }
 
+/// Change of an engine's KV cache from which it is told again, in thousandths.
+const KV_CHANGE_PERMILLE: u16 = 40;
+/// Change of an engine's requests from which they are told again.
+const REQUESTS_CHANGE: u32 = 8;
+/// Change of an engine's pace from which it is told again, in thousandths.
+const PACE_CHANGE_PERMILLE: u32 = 200;
+
+impl EngineState {
+    /// Whether the choice of paths is the same by another state of the engine. Engines are told of only
+    /// when they differ, so that what a leader tells does not grow with engines times VMs.
+    pub fn is_about(&self, other: &Self) -> bool {
+        let requests = |state: &Self| state.running + state.waiting;
+        self.is_lost == other.is_lost
+            && self.layers == other.layers
+            && (self.waiting > 0) == (other.waiting > 0)
+            && self.kv_permille.abs_diff(other.kv_permille) < KV_CHANGE_PERMILLE
+            && requests(self).abs_diff(requests(other)) < REQUESTS_CHANGE
+            && self.pace_permille.abs_diff(other.pace_permille) < PACE_CHANGE_PERMILLE
+    }
+}
+
 /// What a leader knows that the asking VM may not.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FeedNews {
@@ -89,6 +113,9 @@
     pub confirmed_at: u64,
     /// The configuration, if it is newer.
     pub catalog: Option<CatalogParts>,
+    /// Whether the leader passes endpoints on. With many it does not: each VM watches them in the store,
+    /// which tells changes only.
+    pub relays_endpoints: bool,
     /// All endpoints, if something changed.
     pub endpoints: Option<EndpointList>,
     /// Engines of this hall and of others, as far as they are new to the asking VM.
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -10,6 +10,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Most endpoints that are passed on, as a list whenever one changes. A list of 200 has some 18 KB; to
+/// 24 VMs that is a fifth of a second of the smallest link known (20 Mbit/s). With 1,000 engines and 33
+/// VMs in a hall lists took the leader's whole link, and 0.55 of all requests were refused (sweep).
+const MAX_RELAYED: usize = 200;
 /// How long a connection may rest between asks.
 const ASK_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted.
@@ -78,7 +82,8 @@
         gateway.hall.on_asker(&ask.vm, now);
     }
     let is_newer = knowledge.catalog().is_some_and(|known| Some(known.version()) > ask.catalog);
-    let endpoints = is_news(term).then(|| EndpointList {
+    let relays_endpoints = knowledge.endpoints(|directory| directory.iter().count()) <= MAX_RELAYED;
+    let endpoints = (relays_endpoints && is_news(term)).then(|| EndpointList {
         at: knowledge.endpoints_at(),
         records: knowledge.endpoints(|directory| directory.iter().cloned().collect()),
     });
@@ -91,6 +96,7 @@
         confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
         confirmed_at: knowledge.catalog_at(),
         catalog: is_newer.then(|| knowledge.catalog_parts()).flatten().map(|p| (*p).clone()),
+        relays_endpoints,
         endpoints: endpoints.filter(|list| list.at > 0),
         boards,
     }))
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -50,27 +50,33 @@
     }
 }
 
-/// Who looks for the store's return on a VM whose leader is there but has lost the store too.
+/// What a task follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Probes {
-    /// This task does, now and then.
-    Itself,
-    /// The one that follows the configuration does: one call that fails tells as much as two.
-    LeftToOther,
+enum Followed {
+    /// The configuration. This task also looks for the store's return on a VM whose leader is there but
+    /// has lost the store too.
+    Catalog,
+    /// The endpoints. This task leaves that to the other: one call that fails tells as much as two.
+    Endpoints,
 }
 
 /// Waits while the hall's leader tells enough; answers whether it did so far.
-async fn wait_for_need<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, probes: Probes) -> bool {
+async fn wait_for_need<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    followed: Followed,
+) -> bool {
     let mut was_told = false;
     loop {
         let now = Instant::now();
         // Before the first configuration there is nothing to confirm: one VM of the hall asks for it.
         let knows_nothing = gateway.knowledge.catalog().is_none();
-        let is_told = gateway.hall.leader_suffices(now, gateway.freshness())
-            || (knows_nothing && gateway.hall.leader_is_live(now))
-            || (probes == Probes::LeftToOther
-                && gateway.hall.leader_is_live(now)
-                && !gateway.store_is_reached());
+        let hall = &gateway.hall;
+        let waits_for_other = hall.leader_is_live(now) && !gateway.store_is_reached();
+        let suffices = hall.leader_suffices(now, gateway.freshness());
+        let is_told = match followed {
+            Followed::Catalog => suffices || (knows_nothing && hall.leader_is_live(now)),
+            Followed::Endpoints => (suffices && hall.leader_relays_endpoints()) || waits_for_other,
+        };
         if !is_told {
             return was_told;
         }
@@ -85,7 +91,7 @@
     let mut backoff = Backoff::default();
     let mut excess = Duration::ZERO;
     loop {
-        let was_told = wait_for_need(&gateway, Probes::Itself).await;
+        let was_told = wait_for_need(&gateway, Followed::Catalog).await;
         if was_told {
             // What the leader told is newer than what was last watched here.
             since = Some(gateway.knowledge.catalog_at()).filter(|at| *at > 0);
@@ -165,7 +171,7 @@
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
-        if wait_for_need(&gateway, Probes::LeftToOther).await {
+        if wait_for_need(&gateway, Followed::Endpoints).await {
             // The leader's list is newer than what was last watched here.
             since = Some(gateway.knowledge.endpoints_at()).filter(|at| *at > 0);
         }
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -4,7 +4,7 @@
 use crate::freshness::Freshness;
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -19,12 +19,29 @@
 /// fail are spread out, so that a hall's calls in an outage do not grow with it.
 const FEW_VMS: u32 = 4;
 
+/// What a leader says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LeaderRole {
+    /// Whether it holds the hall's lease.
+    pub holds_lease: bool,
+    /// Whether it passes endpoints on.
+    pub relays_endpoints: bool,
+}
+
 /// A board and when it held.
 #[derive(Debug, Clone)]
 struct KeptBoard {
-    board: HallBoard,
     as_of: Instant,
-    /// Rises with each board that this VM keeps.
+    vms: u32,
+    leader: SocketAddr,
+    engines: BTreeMap<EndpointId, KeptEngine>,
+}
+
+/// An engine as it is passed on.
+#[derive(Debug, Clone)]
+struct KeptEngine {
+    state: EngineState,
+    /// Rises with each state that this VM keeps.
     number: u64,
 }
 
@@ -40,7 +57,7 @@
     pub leader: Cell<Option<SocketAddr>>,
     heard: Cell<Option<Instant>>,
     confirmed: Cell<Option<Instant>>,
-    leader_holds_lease: Cell<bool>,
+    leader_role: Cell<LeaderRole>,
     boards: RefCell<HashMap<HallId, KeptBoard>>,
     boards_kept: Cell<u64>,
     askers: RefCell<HashMap<VmId, Instant>>,
@@ -50,10 +67,10 @@
 
 impl Hall {
     /// The leader answered; `confirmed` is when its configuration was last confirmed.
-    pub fn on_news(&self, now: Instant, confirmed: Option<Instant>, holds_lease: bool) {
+    pub fn on_news(&self, now: Instant, confirmed: Option<Instant>, role: LeaderRole) {
         self.heard.set(Some(now));
         self.confirmed.set(confirmed);
-        self.leader_holds_lease.set(holds_lease);
+        self.leader_role.set(role);
     }
 
     /// The leader is lost or leads no more.
@@ -69,7 +86,12 @@
 
     /// Whether the leader has said lately that it holds the hall's lease.
     pub fn leader_holds_lease(&self, now: Instant) -> bool {
-        self.leader_is_live(now) && self.leader_holds_lease.get()
+        self.leader_is_live(now) && self.leader_role.get().holds_lease
+    }
+
+    /// Whether the leader passes endpoints on.
+    pub fn leader_relays_endpoints(&self) -> bool {
+        self.leader_role.get().relays_endpoints
     }
 
     /// Whether the leader tells enough for this VM not to ask the store itself.
@@ -113,25 +135,45 @@
             return;
         };
         let mut boards = self.boards.borrow_mut();
-        let is_newer = boards.get(&board.hall).is_none_or(|kept| kept.as_of < as_of);
-        if is_newer {
-            let number = self.boards_kept.get() + 1;
-            self.boards_kept.set(number);
-            boards.insert(board.hall.clone(), KeptBoard { board, as_of, number });
+        let HallBoard { hall, vms, leader, is_whole, engines, .. } = board;
+        let new = || KeptBoard { as_of, vms, leader, engines: BTreeMap::new() };
+        let is_known = boards.contains_key(&hall);
+        let kept = boards.entry(hall).or_insert_with(new);
+        if is_known && kept.as_of >= as_of {
+            return;
+        }
+        (kept.as_of, kept.vms, kept.leader) = (as_of, vms, leader);
+        let number = self.boards_kept.get() + 1;
+        self.boards_kept.set(number);
+        if is_whole {
+            let told: BTreeSet<&EndpointId> = engines.iter().map(|engine| &engine.id).collect();
+            kept.engines.retain(|id, _| told.contains(id));
+        }
+        for state in engines {
+            let known = kept.engines.get(&state.id);
+            if known.is_none_or(|known| !known.state.is_about(&state)) {
+                kept.engines.insert(state.id.clone(), KeptEngine { state, number });
+            }
         }
     }
 
-    /// The boards that are believed and newer than a number, with their ages of now, and the number of
-    /// the newest.
+    /// The boards that are believed, with the engines that are newer than a number and their ages of now,
+    /// and the number of the newest.
     pub fn boards_since(&self, number: u64, now: Instant) -> (u64, Vec<HallBoard>) {
         let boards = self.boards.borrow();
-        let is_news = |kept: &&KeptBoard| kept.number > number && is_believed(kept, now);
-        let live = boards.values().filter(is_news);
-        let aged = live.map(|kept| HallBoard {
-            age_ms: now.saturating_duration_since(kept.as_of).as_millis() as u64,
-            ..kept.board.clone()
+        let live = boards.iter().filter(|(_, kept)| is_believed(kept, now));
+        let news = live.map(|(hall, kept)| {
+            let new = kept.engines.values().filter(|engine| engine.number > number);
+            HallBoard {
+                hall: hall.clone(),
+                age_ms: now.saturating_duration_since(kept.as_of).as_millis() as u64,
+                vms: kept.vms,
+                leader: kept.leader,
+                is_whole: number == 0,
+                engines: new.map(|engine| engine.state.clone()).collect(),
+            }
         });
-        (self.boards_kept.get(), aged.collect())
+        (self.boards_kept.get(), news.collect())
     }
 
     /// What a board tells of an engine of a hall, if it is believed.
@@ -144,7 +186,7 @@
     ) -> Option<T> {
         let boards = self.boards.borrow();
         let kept = boards.get(hall).filter(|kept| is_believed(kept, now))?;
-        kept.board.engines.iter().find(|engine| engine.id == id).map(look)
+        kept.engines.get(id).map(|engine| look(&engine.state))
     }
 
     /// The most VMs that the leaders of all `halls` have told of at a time; `None` if they have not.
@@ -153,7 +195,7 @@
         let boards = self.boards.borrow();
         let live = |hall: &HallId| boards.get(hall).filter(|kept| is_believed(kept, now));
         if !halls.is_empty() && halls.iter().all(|hall| live(hall).is_some()) {
-            let vms: u32 = halls.iter().filter_map(live).map(|kept| kept.board.vms).sum();
+            let vms: u32 = halls.iter().filter_map(live).map(|kept| kept.vms).sum();
             self.most_vms.set(self.most_vms.get().max(vms));
         }
         (self.most_vms.get() > 0).then_some(self.most_vms.get())
@@ -161,7 +203,7 @@
 
     /// Where the leader of another hall is asked, as last heard.
     pub fn other_leader(&self, hall: &str) -> Option<SocketAddr> {
-        self.boards.borrow().get(hall).map(|kept| kept.board.leader)
+        self.boards.borrow().get(hall).map(|kept| kept.leader)
     }
 }
 
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -98,6 +98,7 @@
             age_ms: 0,
             vms,
             leader: settings.peer_listen,
+            is_whole: true,
             engines: engines.collect(),
         };
         self.gateway.hall.keep_board(now, board);
