--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -23,14 +23,9 @@
 /// How long the first watch waits of a VM that was told by its leader so far: it wants to know at once
 /// whether something changed.
 const FIRST_WAIT: Duration = Duration::from_millis(10);
-/// First pause after a call that failed; doubled up to [`PAUSE_MAX`], and drawn from half to whole
+/// First pause after a call that failed; doubled up to [`Hall::longest_pause`], and drawn from half to whole
 /// so that VMs do not come back all at once.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
-/// Longest pause between calls to a store that does not answer, for each few VMs of a hall: knowledge
-/// is wanted back soon after the store, and each call is priced, also one that fails.
-const PAUSE_MAX: Duration = Duration::from_millis(500);
-/// Longest pause of a VM whose leader can be asked: the leader hears of the store's return first.
-const PAUSE_MAX_LED: Duration = Duration::from_millis(4_000);
 
 /// Pauses between failing calls.
 #[derive(Debug, Default)]
@@ -40,10 +35,7 @@
 
 impl Backoff {
     async fn pause(&mut self, hall: &Hall) {
-        let most = match hall.leader_is_live(Instant::now()) {
-            true => PAUSE_MAX_LED,
-            false => PAUSE_MAX * hall.crowd_factor(),
-        };
+        let most = hall.longest_pause(Instant::now());
         let longest = PAUSE_MIN.saturating_mul(1 << self.failures.min(8)).min(most);
         self.failures += 1;
         smol::Timer::after(longest.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -19,6 +19,15 @@
 /// fail are spread out, so that a hall's calls in an outage do not grow with it.
 const FEW_VMS: u32 = 4;
 
+/// Longest pause between calls to a store that does not answer: knowledge is wanted back soon after the
+/// store, and each call is priced, also one that fails.
+const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Longest pause of a VM of a large hall that nobody tells of the store's return. At 2.5 s VMs refused
+/// for 2 s after an outage (trouble-3 of tfcs-sillbank-grown).
+const PAUSE_MAX_ALONE: Duration = Duration::from_millis(1_200);
+/// Longest pause of a VM whose leader can be asked: the leader hears of the store's return first.
+const PAUSE_MAX_LED: Duration = Duration::from_millis(4_000);
+
 /// What a leader says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LeaderRole {
@@ -124,6 +133,16 @@
         (self.most_hall_vms.get() / FEW_VMS).max(1)
     }
 
+    /// The longest pause between this VM's calls to a store that does not answer. The VM that tells the
+    /// others calls most often: all of them wait for it.
+    pub fn longest_pause(&self, now: Instant) -> Duration {
+        match self.tells.get() {
+            Some(_) => PAUSE_MAX,
+            None if self.leader_is_live(now) => PAUSE_MAX_LED,
+            None => (PAUSE_MAX * self.crowd_factor()).min(PAUSE_MAX_ALONE),
+        }
+    }
+
     /// Notes how many VMs a leader of this hall tells of.
     pub fn note_hall_vms(&self, vms: u32) {
         self.most_hall_vms.set(self.most_hall_vms.get().max(vms));
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -147,3 +147,20 @@
 
     assert_eq!(hall.engine("a", "e1", now, |engine| engine.running), None);
 }
+
+#[test]
+fn the_vm_that_tells_others_looks_most_often_for_a_store_that_is_away() {
+    let (alone, led, tells) = (Hall::default(), Hall::default(), Hall::default());
+    let now = Instant::now();
+    for hall in [&alone, &led, &tells] {
+        hall.note_hall_vms(24);
+    }
+
+    led.on_news(now, Some(now), TELLS_ALL);
+    tells.tells.set(Some(7));
+
+    let pauses = [&tells, &alone, &led].map(|hall| hall.longest_pause(now));
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert!(pauses[0] <= Duration::from_millis(500));
+    assert!(pauses[1] <= Duration::from_millis(1_500));
+}
