--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -91,46 +91,55 @@
     figures: &EngineFigures,
     avoid: &[EndpointId],
 ) -> Vec<Holder> {
-    let Views { knowledge, hall, book, now } = views;
-    let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
-    knowledge.endpoints(|directory| {
+    views.knowledge.endpoints(|directory| {
         directory
             .usable_of(&service.name)
-            .filter(|record| !avoid.contains(&record.id) && book.may_run_part(&record.id))
-            .filter_map(|record| {
-                let told = hall.engine(&record.hall, &record.id, now, |engine| Told::from(engine));
-                // What the hall's leader heard from the engine is newer than its entry in the store.
-                let layers = told.as_ref().map_or(record.layers, |told| told.layers);
-                let layers = layers.filter(|layers| !layers.is_empty())?;
-                let told = told.unwrap_or_default();
-                let is_first = layers.first == 0;
-                let places = if is_first { told.places_share(record.slots) } else { 0.0 };
-                let time = kind_of(record, figures).map_or(0.0, |kind| {
-                    let work_ms = work_ms(figures, kind, layers.len(), told.pace);
-                    time_share(figures, told.requests, work_ms)
-                });
-                let factor = kind_of(record, figures).map_or(1.0, |kind| kind.step_factor);
-                let in_flight = f64::from(book.in_flight(&record.id));
-                let busy = 1.0 + in_flight / DOUBLING_REQUESTS;
-                Some(Holder {
-                    endpoint: record.id.clone(),
-                    address: record.address,
-                    hall: record.hall.clone(),
-                    layers,
-                    use_cost_ms: PART_COST_MS
-                        + crowd_cost_ms(told.kv_share.max(places).max(time))
-                        + book.use_cost_ms(&record.id, now),
-                    layer_cost_ms: layer_ms
-                        * factor
-                        * told.pace
-                        * busy
-                        * (1.0 + CHANCE * fastrand::f64()),
-                })
-            })
+            .filter(|record| !avoid.contains(&record.id) && views.book.may_run_part(&record.id))
+            .filter_map(|record| holder(views, figures, record))
             .collect()
     })
 }
 
+/// An engine with its costs; `None` if it holds no layers.
+fn holder(views: Views<'_>, figures: &EngineFigures, record: &EndpointRecord) -> Option<Holder> {
+    let Views { hall, book, now, .. } = views;
+    let told = hall.engine(&record.hall, &record.id, now, |engine| Told::from(engine));
+    // What the hall's leader heard from the engine is newer than its entry in the store.
+    let layers = told.as_ref().map_or(record.layers, |told| told.layers);
+    let layers = layers.filter(|layers| !layers.is_empty())?;
+    let told = told.unwrap_or_default();
+    let kind = record.accelerator.as_deref().and_then(|kind| figures.accelerator(kind));
+    let factor = kind.map_or(1.0, |kind| kind.step_factor);
+    let busy = 1.0 + f64::from(book.in_flight(&record.id)) / DOUBLING_REQUESTS;
+    let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
+    let chance = 1.0 + CHANCE * fastrand::f64();
+    Some(Holder {
+        endpoint: record.id.clone(),
+        address: record.address,
+        hall: record.hall.clone(),
+        layers,
+        use_cost_ms: PART_COST_MS
+            + crowd_cost_ms(taken_share(&told, figures, kind, layers, record.slots))
+            + book.use_cost_ms(&record.id, now),
+        layer_cost_ms: layer_ms * factor * told.pace * busy * chance,
+    })
+}
+
+/// The part that is taken of what an engine is shortest of: KV cache, time, or, where paths begin, places.
+fn taken_share(
+    told: &Told,
+    figures: &EngineFigures,
+    kind: Option<&AcceleratorFigures>,
+    layers: LayerRange,
+    slots: u32,
+) -> f64 {
+    let places = if layers.first == 0 { told.places_share(slots) } else { 0.0 };
+    let time = kind.map_or(0.0, |kind| {
+        time_share(figures, told.requests, work_ms(figures, kind, layers.len(), told.pace))
+    });
+    told.kv_share.max(places).max(time)
+}
+
 /// What a hall's leader tells of an engine, as far as it bears on paths.
 #[derive(Debug)]
 struct Told {
@@ -168,14 +177,7 @@
     }
 }
 
-fn kind_of<'a>(
-    record: &EndpointRecord,
-    figures: &'a EngineFigures,
-) -> Option<&'a AcceleratorFigures> {
-    record.accelerator.as_deref().and_then(|kind| figures.accelerator(kind))
-}
-
-/// Cost of an engine by the used part of its KV cache, of its places or of its time, whichever is most.
+/// Cost of an engine by the part that is taken of what it is shortest of.
 fn crowd_cost_ms(share: f64) -> f64 {
     let over = (share - FREE_SHARE).max(0.0) / (1.0 - FREE_SHARE);
     over * over * FULL_COST_MS
