Keep repeats within the budget in every window, whichever VMs draw them

A new process drew slack that the one before it had drawn within the same window. Ruled out: sends that reach nobody are no arrivals; resumed streams are counted.

--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -26,6 +26,9 @@
 /// VMs that are taken to share the fleet's slack for repeats while the leaders of some halls have not
 /// told of theirs.
 const ASSUMED_VMS: u32 = 16;
+/// Shares of the fleet's slack for repeats that are left to VMs of which leaders have not told yet: a VM
+/// that replaces another begins before that one ends.
+const SPARE_SHARES: u32 = 1;
 
 /// Where the process stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +70,7 @@
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    began: Instant,
     wire: PhantomData<W>,
 }
 
@@ -93,6 +97,7 @@
             in_progress: Cell::new(0),
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
+            began: Instant::now(),
             wire: PhantomData,
         }
     }
@@ -230,17 +235,17 @@
         let now = Instant::now();
         let mut budgets = self.budgets.borrow_mut();
         let settings = self.settings();
-        let vms = self.fleet_vms(now);
+        let shares = self.fleet_vms(now) + SPARE_SHARES;
         let limits = RetryLimits {
             window: settings.retry_window,
             ratio: settings.retry_ratio,
-            slack: settings.retry_slack / f64::from(vms),
+            slack: settings.retry_slack / f64::from(shares),
         };
         if let Some(budget) = budgets.get_mut(service) {
             budget.set_limits(limits);
             return change(budget, now);
         }
-        let mut budget = RetryBudget::new(limits, now);
+        let mut budget = RetryBudget::new(limits, self.began);
         let answer = change(&mut budget, now);
         budgets.insert(service.to_owned(), budget);
         answer
