Send a request only where its KV cache and its place fit, by fresher reports

Hypothesis: engines reject and preempt because VMs send to engines that are full by what they could know. Change: each VM counts its own sends since the state that a report tells, times the VMs that send alike, and chooses only paths whose engines have room for the prompt and the likely answer; places at the first engine bind too. Reports are asked for each 250 ms while an engine is nearly full, are told to VMs as they come, and halls' leaders ask each other apart and at once. Ruled out: room by the reports as they were (0.7 s apart, 2 s old in other halls) did not help: traces showed 34 requests waiting a second at a first engine that three halls took for three quarters full.

--- a/crates/sillbank_gateway/tests/engine_model.rs
+++ b/crates/sillbank_engines/tests/time.rs
@@ -1,7 +1,7 @@
 //! How busy engines are, by the figures of a site known.
 
 use sillbank_catalog::prelude::*;
-use sillbank_gateway::engine_model::{time_share, usual_run_ms, work_ms};
+use sillbank_engines::prelude::*;
 
 /// Figures of the grown sites.
 fn figures() -> EngineFigures {
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::answers::{give_up, out_of_time, outcome_of, reply_of};
 use crate::decisions::{Outcome, SendEnd};
-use crate::endpoints::Evidence;
+use crate::endpoints::{Evidence, Share};
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::sending::{Destination, Sent, evidence_of, read_whole, send};
@@ -140,7 +140,8 @@
 ) -> Try {
     let now = Instant::now();
     gateway.decisions.sent(job, &choice.endpoint, None, None, gateway.knowledge.stamp(now));
-    let _in_flight = gateway.book.begin(vec![choice.endpoint.clone()], now);
+    let _in_flight =
+        gateway.book.begin(vec![Share { endpoint: choice.endpoint.clone(), kv: 0.0 }], now);
     let exchange = exchange(gateway, job, choice);
     let may_turn = job.may_repeat() && choice.has_other && job.may_send_again(now);
     if !may_turn {
--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! What this VM has seen of endpoints itself: work in flight and health.
 
 use sillbank_core::prelude::*;
+use sillbank_engines::prelude::*;
 use sillbank_routing::prelude::*;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -54,6 +55,16 @@
     on_trial: bool,
     ejected_at: Option<Instant>,
     shunned_until: Option<Instant>,
+    sends: SendLog,
+}
+
+/// A part of a request at one endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Share {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// KV cache that it will take there, in tokens times layers; 0 at an endpoint that is no engine.
+    pub kv: f64,
 }
 
 /// What this VM has seen of each endpoint.
@@ -66,15 +77,17 @@
 #[derive(Debug)]
 pub struct InFlight {
     book: Rc<EndpointBook>,
-    endpoints: Vec<EndpointId>,
+    shares: Vec<Share>,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        let now = Instant::now();
         let mut seen = self.book.seen.borrow_mut();
-        for endpoint in &self.endpoints {
-            if let Some(seen) = seen.get_mut(endpoint) {
+        for share in &self.shares {
+            if let Some(seen) = seen.get_mut(&share.endpoint) {
                 seen.in_flight = seen.in_flight.saturating_sub(1);
+                seen.sends.on_end(now, share.kv);
             }
         }
     }
@@ -82,14 +95,21 @@
 
 impl EndpointBook {
     /// Notes work that is sent to endpoints, until the answer is dropped.
-    pub fn begin(self: &Rc<Self>, endpoints: Vec<EndpointId>, now: Instant) -> InFlight {
-        for endpoint in &endpoints {
-            self.with(endpoint, now, |seen| {
+    pub fn begin(self: &Rc<Self>, shares: Vec<Share>, now: Instant) -> InFlight {
+        for share in &shares {
+            self.with(&share.endpoint, now, |seen| {
                 seen.in_flight += 1;
                 seen.on_trial |= seen.health.state() == HealthState::Ejected;
+                seen.sends.on_send(now, share.kv);
             });
         }
-        InFlight { book: self.clone(), endpoints }
+        InFlight { book: self.clone(), shares }
+    }
+
+    /// What this VM sent to an engine since a moment, less what was given back.
+    pub fn sent_since(&self, endpoint: &str, moment: Instant) -> Unseen {
+        let seen = self.seen.borrow();
+        seen.get(endpoint).map_or_else(Unseen::default, |seen| seen.sends.since(moment))
     }
 
     /// Requests of this VM that are in flight at an endpoint.
@@ -185,6 +205,7 @@
                 on_trial: false,
                 ejected_at: None,
                 shunned_until: None,
+                sends: SendLog::default(),
             };
             all.insert(endpoint.to_owned(), new);
         }
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -9,7 +9,7 @@
 use sillbank_core::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use smol::net::TcpStream;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,8 +18,10 @@
 const REPLY_LIMIT: Duration = Duration::from_millis(1_000);
 /// Pause before a leader is looked for or asked again.
 const PAUSE: Duration = Duration::from_millis(200);
-/// How often a leader asks the leaders of other halls.
-const OTHER_HALLS_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause of a leader before it asks another hall's leader again, which answers when it has news.
+const OTHER_HALL_PAUSE: Duration = Duration::from_millis(100);
+/// How often a leader looks for halls that it does not follow yet.
+const NEW_HALLS_INTERVAL: Duration = Duration::from_millis(500);
 /// How often the lease of another hall is read while its leader is not heard of.
 const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
 
@@ -47,12 +49,12 @@
 /// runs.
 pub async fn follow_leader<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let mut link: Option<Link> = None;
-    let mut others = OtherHalls::default();
+    let mut followed = BTreeSet::new();
     loop {
         if gateway.hall.tells.get().is_some() {
             link = None;
-            others.ask_all(&gateway).await;
-            smol::Timer::after(OTHER_HALLS_INTERVAL).await;
+            follow_new_halls(&gateway, &mut followed);
+            smol::Timer::after(NEW_HALLS_INTERVAL).await;
             continue;
         }
         let Some(leader) = gateway.hall.leader.get() else {
@@ -153,63 +155,78 @@
     confirmed
 }
 
-/// Links of a leader to the leaders of other halls.
-#[derive(Default)]
-struct OtherHalls {
-    links: BTreeMap<HallId, Option<Link>>,
-    lease_read_at: BTreeMap<HallId, Instant>,
-    leaders: BTreeMap<HallId, SocketAddr>,
+/// Begins to follow the leaders of halls that endpoints are listed in.
+fn follow_new_halls<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    followed: &mut BTreeSet<HallId>,
+) {
+    let own = gateway.settings().hall.clone();
+    let halls: BTreeSet<HallId> = gateway.knowledge.endpoints(|directory| {
+        directory.iter().map(|record| record.hall.clone()).filter(|hall| *hall != own).collect()
+    });
+    for hall in halls {
+        if followed.insert(hall.clone()) {
+            gateway.executor.spawn(follow_other_hall(gateway.clone(), hall)).detach();
+        }
+    }
 }
 
-impl OtherHalls {
-    async fn ask_all<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>) {
-        let own = gateway.settings().hall.clone();
-        let halls: BTreeSet<HallId> = gateway.knowledge.endpoints(|directory| {
-            directory.iter().map(|record| record.hall.clone()).filter(|h| *h != own).collect()
-        });
-        for hall in halls {
-            self.ask(gateway, &hall).await;
+/// Asks the leader of another hall whenever this VM leads its own, for as long as the program runs.
+/// Each hall is asked apart: one that does not answer keeps no news of the others back.
+async fn follow_other_hall<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, hall: HallId) {
+    let mut other = OtherHall { hall, link: None, leader: None, lease_read_at: None };
+    loop {
+        if gateway.hall.tells.get().is_some() {
+            other.ask(&gateway).await;
+            smol::Timer::after(OTHER_HALL_PAUSE).await;
+        } else {
+            other.link = None;
+            smol::Timer::after(PAUSE).await;
         }
     }
+}
+
+/// A leader's link to the leader of another hall.
+struct OtherHall {
+    hall: HallId,
+    link: Option<Link>,
+    leader: Option<SocketAddr>,
+    lease_read_at: Option<Instant>,
+}
 
-    async fn ask<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>, hall: &HallId) {
-        let Some(leader) = self.leaders.get(hall).copied() else {
-            self.look_up(gateway, hall).await;
+impl OtherHall {
+    async fn ask<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>) {
+        let Some(leader) = self.leader else {
+            self.look_up(gateway).await;
             return;
         };
-        let link = self.links.entry(hall.clone()).or_default();
         let sent = Instant::now();
-        match ask_once(gateway, link, leader).await {
+        match ask_once(gateway, &mut self.link, leader).await {
             Ok(FeedReply::News(news)) => {
                 let takes_endpoints = !gateway.store_is_reached();
                 take_news(gateway, *news, sent, takes_endpoints);
             }
-            Ok(FeedReply::NotLeading) => {
-                self.leaders.remove(hall);
-            }
+            Ok(FeedReply::NotLeading) => self.leader = None,
             Err(error) => {
-                *link = None;
-                self.leaders.remove(hall);
+                self.link = None;
+                self.leader = None;
+                let hall = &self.hall;
                 tracing::debug!(hall, %leader, %error, "feed: Another hall's leader is lost.");
             }
         }
     }
 
-    async fn look_up<W: Wire, S: MetadataStore>(
-        &mut self,
-        gateway: &Rc<Gateway<W, S>>,
-        hall: &HallId,
-    ) {
+    /// Reads who leads the hall, if it was not read lately.
+    async fn look_up<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>) {
         let now = Instant::now();
-        let is_due = |at: &Instant| now.saturating_duration_since(*at) >= OTHER_LEASE_INTERVAL;
-        if !self.lease_read_at.get(hall).is_none_or(is_due) {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= OTHER_LEASE_INTERVAL;
+        if !self.lease_read_at.is_none_or(is_due) {
             return;
         }
-        self.lease_read_at.insert(hall.clone(), now);
+        self.lease_read_at = Some(now);
+        let hall = &self.hall;
         match gateway.store.read_lease(&crate::placement::lease_name(hall)).await {
-            Ok(Some((_, record))) if !record.owner.is_empty() => {
-                self.leaders.insert(hall.clone(), record.peer);
-            }
+            Ok(Some((_, record))) if !record.owner.is_empty() => self.leader = Some(record.peer),
             Ok(_) => {}
             Err(error) => tracing::debug!(hall, %error, "lease: It could not be read."),
         }
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -77,10 +77,21 @@
     pub engines: Vec<EngineState>,
 }
 
-/// Change of an engine's KV cache from which it is told again, in thousandths.
-const KV_CHANGE_PERMILLE: u16 = 40;
-/// Change of an engine's requests from which they are told again.
-const REQUESTS_CHANGE: u32 = 8;
+/// Changes of an engine's state from which it is told again.
+struct TellFrom {
+    /// Of its KV cache, in thousandths.
+    kv_permille: u16,
+    /// Of its requests.
+    requests: u32,
+}
+
+/// While an engine has room to spare: the choice of paths is about the same.
+const TELL_FROM: TellFrom = TellFrom { kv_permille: 40, requests: 8 };
+/// While its KV cache is nearly full: what is told decides who is refused.
+const TELL_FROM_NEARLY_FULL: TellFrom = TellFrom { kv_permille: 10, requests: 2 };
+/// Used part of the KV cache from which an engine is nearly full, in thousandths. Costs of paths rise
+/// from about there.
+pub const NEARLY_FULL_PERMILLE: u16 = 600;
 /// Change of an engine's pace from which it is told again, in thousandths.
 const PACE_CHANGE_PERMILLE: u32 = 200;
 
@@ -89,11 +100,13 @@
     /// when they differ, so that what a leader tells does not grow with engines times VMs.
     pub fn is_about(&self, other: &Self) -> bool {
         let requests = |state: &Self| state.running + state.waiting;
+        let is_nearly_full = self.kv_permille.max(other.kv_permille) >= NEARLY_FULL_PERMILLE;
+        let tell_from = if is_nearly_full { TELL_FROM_NEARLY_FULL } else { TELL_FROM };
         self.is_lost == other.is_lost
             && self.layers == other.layers
             && (self.waiting > 0) == (other.waiting > 0)
-            && self.kv_permille.abs_diff(other.kv_permille) < KV_CHANGE_PERMILLE
-            && requests(self).abs_diff(requests(other)) < REQUESTS_CHANGE
+            && self.kv_permille.abs_diff(other.kv_permille) < tell_from.kv_permille
+            && requests(self).abs_diff(requests(other)) < tell_from.requests
             && self.pace_permille.abs_diff(other.pace_permille) < PACE_CHANGE_PERMILLE
     }
 }
--- a/crates/sillbank_gateway/src/feed/mod.rs
+++ b/crates/sillbank_gateway/src/feed/mod.rs
@@ -10,5 +10,8 @@
 mod server;
 
 pub use client::follow_leader;
-pub use messages::{EndpointList, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, SeenMark};
+pub use messages::{
+    EndpointList, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, NEARLY_FULL_PERMILLE,
+    SeenMark,
+};
 pub use server::serve_feed;
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -72,7 +72,8 @@
         let wait = async {
             smol::Timer::after(NEWS_WAIT).await;
         };
-        futures_lite::future::or(knowledge.changed(), wait).await;
+        let news = futures_lite::future::or(knowledge.changed(), gateway.hall.posted());
+        futures_lite::future::or(news, wait).await;
     }
     let Some(term) = gateway.hall.tells.get() else {
         return FeedReply::NotLeading;
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 /// How long news of a leader are relied on. Leaders answer within 400 ms also if nothing is new.
@@ -37,6 +38,17 @@
     pub relays_endpoints: bool,
 }
 
+/// What a board tells of one engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineNews<'a> {
+    /// The engine.
+    pub state: &'a EngineState,
+    /// When it was asked.
+    pub as_of: Instant,
+    /// VMs of its hall.
+    pub vms: u32,
+}
+
 /// A board and when it held.
 #[derive(Debug, Clone)]
 struct KeptBoard {
@@ -72,6 +84,7 @@
     askers: RefCell<HashMap<VmId, Instant>>,
     most_vms: Cell<u32>,
     most_hall_vms: Cell<u32>,
+    waiting: RefCell<Vec<Waker>>,
 }
 
 impl Hall {
@@ -148,6 +161,27 @@
         self.most_hall_vms.set(self.most_hall_vms.get().max(vms));
     }
 
+    /// Keeps what this VM found out about its own hall, and tells those that wait for it.
+    pub fn post_board(&self, now: Instant, board: HallBoard) {
+        self.keep_board(now, board);
+        for waker in self.waiting.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until this VM posts a board.
+    pub async fn posted(&self) {
+        let seen = self.boards_kept.get();
+        std::future::poll_fn(|context| {
+            if self.boards_kept.get() != seen {
+                return Poll::Ready(());
+            }
+            self.waiting.borrow_mut().push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Keeps a board unless a newer one is known.
     pub fn keep_board(&self, now: Instant, board: HallBoard) {
         let Some(as_of) = now.checked_sub(Duration::from_millis(board.age_ms)) else {
@@ -201,11 +235,12 @@
         hall: &str,
         id: &str,
         now: Instant,
-        look: impl FnOnce(&EngineState) -> T,
+        look: impl FnOnce(EngineNews<'_>) -> T,
     ) -> Option<T> {
         let boards = self.boards.borrow();
         let kept = boards.get(hall).filter(|kept| is_believed(kept, now))?;
-        kept.engines.get(id).map(|engine| look(&engine.state))
+        let engine = kept.engines.get(id)?;
+        Some(look(EngineNews { state: &engine.state, as_of: kept.as_of, vms: kept.vms }))
     }
 
     /// The most VMs that the leaders of all `halls` have told of at a time; `None` if they have not.
@@ -220,6 +255,11 @@
         (self.most_vms.get() > 0).then_some(self.most_vms.get())
     }
 
+    /// The most VMs of the fleet that leaders have told of at a time; 0 if they have not.
+    pub fn most_fleet_vms(&self) -> u32 {
+        self.most_vms.get()
+    }
+
     /// Where the leader of another hall is asked, as last heard.
     pub fn other_leader(&self, hall: &str) -> Option<SocketAddr> {
         self.boards.borrow().get(hall).map(|kept| kept.leader)
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -1,5 +1,7 @@
 //! A request that was admitted, and what is known of its work.
 
+use crate::endpoints::Share;
+use crate::paths::PathAsk;
 use crate::wire::{CallerHead, Sending, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -8,6 +10,7 @@
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
+use sillbank_engines::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
 use std::cell::Cell;
@@ -96,6 +99,17 @@
         request
     }
 
+    /// What it asks of engines: its size as the caller tells it, or the service's usual size.
+    pub fn demand(&self, figures: &EngineFigures) -> Demand {
+        let usual = Demand::usual(figures);
+        let Some(tokens) = self.head.tokens else {
+            return usual;
+        };
+        let most = f64::from(tokens.most_output);
+        let likely = tokens.likely_output.map_or(usual.answer_tokens, f64::from);
+        Demand { prompt_tokens: f64::from(tokens.prompt), answer_tokens: likely.min(most) }
+    }
+
     fn priority(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority.min(USUAL_PRIORITY))
@@ -133,7 +147,21 @@
     headers.remove("content-length");
 }
 
-/// Ids of the endpoints that a path passes.
-pub fn endpoints_of(path: &LayerPath) -> Vec<EndpointId> {
-    path.parts().iter().map(|part| part.endpoint.clone()).collect()
+/// What a path is chosen for.
+pub fn path_ask<'a>(
+    job: &'a Job,
+    figures: &'a EngineFigures,
+    home: &'a str,
+    avoid: &'a [EndpointId],
+) -> PathAsk<'a> {
+    PathAsk { service: &job.service, figures, home, avoid, demand: job.demand(figures) }
+}
+
+/// What a request takes of the engines on its path.
+pub fn shares_of(path: &LayerPath, demand: Demand) -> Vec<Share> {
+    let share = |part: &PathPart| Share {
+        endpoint: part.endpoint.clone(),
+        kv: demand.kv_tokens() * part.layers.len() as f64,
+    };
+    path.parts().iter().map(share).collect()
 }
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -5,8 +5,8 @@
 //!
 //! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
-//! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`engine_model`] says how
-//!   busy an engine is.
+//! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
+//!   engines by the model of `sillbank_engines`.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`freshness`] says for how
 //!   long what a leader tells is enough.
 //! - [`placement`] gives engines their layers under a lease.
@@ -21,7 +21,6 @@
 pub mod decisions;
 pub mod doctor;
 pub mod endpoints;
-pub mod engine_model;
 pub mod events;
 pub mod feed;
 pub mod follow;
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -1,15 +1,14 @@
 //! Chooses a path through the layers that endpoints hold.
 
 use crate::endpoints::EndpointBook;
-use crate::engine_model::{time_share, work_ms};
-use crate::feed::EngineState;
-use crate::hall::Hall;
+use crate::hall::{EngineNews, Hall};
 use crate::knowledge::Knowledge;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_engines::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Cost of beginning a request in another hall. The way is half a millisecond; the rest keeps a
 /// hall's load at home while it has a path of its own.
@@ -43,32 +42,58 @@
 const MENDING: CrossingCost =
     CrossingCost { request_ms: MENDING_CROSSING_MS, activations_ms: MENDING_CROSSING_MS };
 
-/// The cheapest path for a request that begins in the hall `home`.
-///
-/// Endpoints in `avoid` and those that are left alone at the moment are not used.
-pub fn choose_path(
-    views: Views<'_>,
-    service: &Service,
-    figures: &EngineFigures,
-    home: &str,
-    avoid: &[EndpointId],
+/// Part of an engine's KV cache and of its places that new requests may fill. The rest is for requests that were begun
+/// and go on elsewhere, and for answers longer than was likely.
+const NEW_LIMIT_SHARE: f64 = 0.95;
+
+/// What a path is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct PathAsk<'a> {
+    /// Service.
+    pub service: &'a Service,
+    /// Its figures.
+    pub figures: &'a EngineFigures,
+    /// Hall in which the request begins.
+    pub home: &'a str,
+    /// Endpoints that are not to be used.
+    pub avoid: &'a [EndpointId],
+    /// What the request takes of each engine.
+    pub demand: Demand,
+}
+
+/// The cheapest path on which every engine has room for the request; engines that are left alone at
+/// the moment are not used.
+pub fn choose_path(views: Views<'_>, ask: PathAsk<'_>) -> Option<LayerPath> {
+    let mut candidates = candidates(views, ask);
+    candidates.retain(|candidate| candidate.fits(ask.demand));
+    cheapest(candidates, ask, CROSSING)
+}
+
+/// The cheapest path, whether or not its engines have room.
+pub fn choose_any_path(views: Views<'_>, ask: PathAsk<'_>) -> Option<LayerPath> {
+    cheapest(candidates(views, ask), ask, CROSSING)
+}
+
+fn cheapest(
+    candidates: Vec<Candidate>,
+    ask: PathAsk<'_>,
+    crossing: CrossingCost,
 ) -> Option<LayerPath> {
-    let holders = holders(views, service, figures, avoid);
-    find_path(&holders, figures.layers, home, CROSSING)
+    let holders: Vec<Holder> = candidates.into_iter().map(|candidate| candidate.holder).collect();
+    find_path(&holders, ask.figures.layers, ask.home, crossing)
 }
 
 /// A path in use with its lost part run by others. Few requests need one at a time, so handing
 /// activations over to another hall costs little here.
 pub fn choose_mended_path(
     views: Views<'_>,
-    service: &Service,
-    figures: &EngineFigures,
-    home: &str,
+    ask: PathAsk<'_>,
     path: &LayerPath,
     lost: &str,
 ) -> Option<LayerPath> {
-    let holders = holders(views, service, figures, &[lost.to_owned()]);
-    mend_path(path, lost, &holders, figures.layers, home, MENDING)
+    let holders: Vec<Holder> =
+        candidates(views, ask).into_iter().map(|candidate| candidate.holder).collect();
+    mend_path(path, lost, &holders, ask.figures.layers, ask.home, MENDING)
 }
 
 /// What paths are chosen from.
@@ -84,26 +109,40 @@
     pub now: Instant,
 }
 
+/// An engine that may be part of a path.
+struct Candidate {
+    /// Its layers and costs.
+    holder: Holder,
+    /// Its KV cache; `None` if the service does not tell the memory of its kind.
+    room: Option<KvRoom>,
+    /// Taken part of its places, where paths begin; else 0.
+    places_share: f64,
+}
+
+impl Candidate {
+    fn fits(&self, demand: Demand) -> bool {
+        let more = demand.kv_tokens() * self.holder.layers.len() as f64;
+        let has_kv = self.room.is_none_or(|room| room.fits(more, NEW_LIMIT_SHARE));
+        has_kv && self.places_share < NEW_LIMIT_SHARE
+    }
+}
+
 /// Engines that may be part of a path, with their costs.
-fn holders(
-    views: Views<'_>,
-    service: &Service,
-    figures: &EngineFigures,
-    avoid: &[EndpointId],
-) -> Vec<Holder> {
+fn candidates(views: Views<'_>, ask: PathAsk<'_>) -> Vec<Candidate> {
     views.knowledge.endpoints(|directory| {
         directory
-            .usable_of(&service.name)
-            .filter(|record| !avoid.contains(&record.id) && views.book.may_run_part(&record.id))
-            .filter_map(|record| holder(views, figures, record))
+            .usable_of(&ask.service.name)
+            .filter(|record| !ask.avoid.contains(&record.id) && views.book.may_run_part(&record.id))
+            .filter_map(|record| candidate(views, ask, record))
             .collect()
     })
 }
 
 /// An engine with its costs; `None` if it holds no layers.
-fn holder(views: Views<'_>, figures: &EngineFigures, record: &EndpointRecord) -> Option<Holder> {
+fn candidate(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord) -> Option<Candidate> {
     let Views { hall, book, now, .. } = views;
-    let told = hall.engine(&record.hall, &record.id, now, |engine| Told::from(engine));
+    let figures = ask.figures;
+    let told = hall.engine(&record.hall, &record.id, now, |news| Told::new(news, figures));
     // What the hall's leader heard from the engine is newer than its entry in the store.
     let layers = told.as_ref().map_or(record.layers, |told| told.layers);
     let layers = layers.filter(|layers| !layers.is_empty())?;
@@ -113,31 +152,43 @@
     let busy = 1.0 + f64::from(book.in_flight(&record.id)) / DOUBLING_REQUESTS;
     let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
     let chance = 1.0 + CHANCE * fastrand::f64();
-    Some(Holder {
+    let unseen = unseen(views, ask, record, &told);
+    let room = kind.map(|kind| {
+        let capacity = kv_capacity(figures, kind, layers.len());
+        KvRoom::new(capacity, told.kv_share, unseen.kv)
+    });
+    let places_share = match layers.first {
+        0 => (told.requests + unseen.requests) / f64::from(record.slots.max(1)),
+        _ => 0.0,
+    };
+    let time = kind.map_or(0.0, |kind| {
+        time_share(figures, told.requests, work_ms(figures, kind, layers.len(), told.pace))
+    });
+    // What it is shortest of decides.
+    let kv_share = room.map_or(told.kv_share, |room| room.taken_share());
+    let taken_share = kv_share.max(places_share).max(time);
+    let holder = Holder {
         endpoint: record.id.clone(),
         address: record.address,
         hall: record.hall.clone(),
         layers,
-        use_cost_ms: PART_COST_MS
-            + crowd_cost_ms(taken_share(&told, figures, kind, layers, record.slots))
-            + book.use_cost_ms(&record.id, now),
+        use_cost_ms: PART_COST_MS + crowd_cost_ms(taken_share) + book.use_cost_ms(&record.id, now),
         layer_cost_ms: layer_ms * factor * told.pace * busy * chance,
-    })
+    };
+    Some(Candidate { holder, room, places_share })
 }
 
-/// The part that is taken of what an engine is shortest of: KV cache, time, or, where paths begin, places.
-fn taken_share(
-    told: &Told,
-    figures: &EngineFigures,
-    kind: Option<&AcceleratorFigures>,
-    layers: LayerRange,
-    slots: u32,
-) -> f64 {
-    let places = if layers.first == 0 { told.places_share(slots) } else { 0.0 };
-    let time = kind.map_or(0.0, |kind| {
-        time_share(figures, told.requests, work_ms(figures, kind, layers.len(), told.pace))
-    });
-    told.kv_share.max(places).max(time)
+/// What an engine was sent since the state that it reported, by all VMs.
+fn unseen(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord, told: &Told) -> Unseen {
+    let reported_at = told.reported_at.unwrap_or(views.now);
+    let own = views.book.sent_since(&record.id, reported_at);
+    // Like VMs get like shares of callers and choose by the same reports: those of this hall at its
+    // engines, and those of all other halls at the engines of a hall that has room left.
+    let senders = match record.hall == ask.home {
+        true => told.vms,
+        false => views.hall.most_fleet_vms().saturating_sub(told.vms),
+    };
+    own.times(f64::from(senders.max(1)))
 }
 
 /// What a hall's leader tells of an engine, as far as it bears on paths.
@@ -150,33 +201,34 @@
     requests: f64,
     /// Factor on its usual times.
     pace: f64,
+    /// When its report held.
+    reported_at: Option<Instant>,
+    /// VMs of its hall.
+    vms: u32,
 }
 
 impl Default for Told {
     /// An engine of which nothing was told is taken for idle and well.
     fn default() -> Self {
-        Self { layers: None, kv_share: 0.0, requests: 0.0, pace: 1.0 }
+        Self { layers: None, kv_share: 0.0, requests: 0.0, pace: 1.0, reported_at: None, vms: 1 }
     }
 }
 
-impl From<&EngineState> for Told {
-    fn from(engine: &EngineState) -> Self {
+impl Told {
+    fn new(news: EngineNews<'_>, figures: &EngineFigures) -> Self {
+        let engine = news.state;
+        let lag = Duration::from_secs_f64(figures.report_lag_ms.max(0.0) / 1000.0);
         Self {
             layers: (!engine.is_lost).then_some(engine.layers).flatten(),
             kv_share: f64::from(engine.kv_permille) / 1000.0,
             requests: f64::from(engine.running) + f64::from(engine.waiting),
             pace: (f64::from(engine.pace_permille) / 1000.0).clamp(1.0, MAX_PACE),
+            reported_at: news.as_of.checked_sub(lag),
+            vms: news.vms,
         }
     }
 }
 
-impl Told {
-    /// Used part of the places that an engine has for requests that begin with it.
-    fn places_share(&self, slots: u32) -> f64 {
-        self.requests / f64::from(slots.max(1))
-    }
-}
-
 /// Cost of an engine by the part that is taken of what it is shortest of.
 fn crowd_cost_ms(share: f64) -> f64 {
     let over = (share - FREE_SHARE).max(0.0) / (1.0 - FREE_SHARE);
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -6,7 +6,7 @@
 pub use leadership::lease_name;
 pub use targets::{Chains, EngineView, Target, first_targets, mended_targets};
 
-use crate::feed::{EngineState, HallBoard};
+use crate::feed::{EngineState, HallBoard, NEARLY_FULL_PERMILLE};
 use crate::gateway::Gateway;
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
@@ -24,6 +24,10 @@
 const TICK: Duration = Duration::from_millis(250);
 /// How often engines are asked for their reports. Each is priced like a status check.
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+/// How often engines are asked while one of them is nearly full: VMs then refuse by what was told, and
+/// send too much or too little by what it leaves out. At a tick each, a hall of 13 engines is asked 52
+/// times a second.
+const REPORT_INTERVAL_NEARLY_FULL: Duration = TICK;
 /// How long an engine may take to report or to take an order.
 const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Reports in a row that may be missing before an engine is taken for lost.
@@ -101,7 +105,7 @@
             is_whole: true,
             engines: engines.collect(),
         };
-        self.gateway.hall.keep_board(now, board);
+        self.gateway.hall.post_board(now, board);
     }
 
     async fn place(&mut self) {
@@ -111,7 +115,11 @@
         let services: Vec<Rc<Service>> =
             catalog.services().filter(|service| service.engine.is_some()).cloned().collect();
         let now = Instant::now();
-        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
+        let interval = match self.is_any_nearly_full() {
+            true => REPORT_INTERVAL_NEARLY_FULL,
+            false => REPORT_INTERVAL,
+        };
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= interval;
         if !self.asked_at.is_none_or(is_due) && !self.has_new_suspect() {
             return;
         }
@@ -124,6 +132,14 @@
         self.post_board();
     }
 
+    /// Whether an engine has little KV cache left by its last report, or lets requests wait.
+    fn is_any_nearly_full(&self) -> bool {
+        let nearly_full = |report: &EngineReport| {
+            report.waiting > 0 || report.kv_share * 1000.0 >= f64::from(NEARLY_FULL_PERMILLE)
+        };
+        self.known.values().any(|known| known.report.as_ref().is_some_and(nearly_full))
+    }
+
     /// Whether this VM's own exchanges found an engine lost that still counts as well.
     fn has_new_suspect(&self) -> bool {
         let counts = |known: &Known| known.report.is_some();
--- a/crates/sillbank_gateway/src/placement/targets.rs
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -3,6 +3,7 @@
 use crate::wire::GiveUp;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_engines::prelude::*;
 use sillbank_layers::prelude::*;
 use std::collections::BTreeMap;
 
@@ -222,14 +223,5 @@
 }
 
 fn usual_tokens(figures: &EngineFigures) -> f64 {
-    f64::from(figures.usual_prompt_tokens + figures.usual_answer_tokens)
-}
-
-fn memory_shape(figures: &EngineFigures, kind: &AcceleratorFigures) -> MemoryShape {
-    MemoryShape {
-        memory_mb: kind.memory_mb,
-        layer_mb: figures.layer_mb,
-        layers: figures.layers,
-        kv_token_bytes: figures.kv_token_bytes,
-    }
+    Demand::usual(figures).kv_tokens()
 }
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -4,11 +4,11 @@
 use crate::answers::give_up;
 use crate::channels::Channel;
 use crate::decisions::SendEnd;
-use crate::endpoints::{Evidence, InFlight};
+use crate::endpoints::{Evidence, InFlight, Share};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
-use crate::job::{Job, endpoints_of};
-use crate::paths::choose_path;
+use crate::job::{Job, path_ask, shares_of};
+use crate::paths::{choose_any_path, choose_path};
 use crate::sending::{Destination, Sent, read_whole, send};
 use crate::store::MetadataStore;
 use crate::tries::{Left, Tries};
@@ -54,8 +54,11 @@
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
     loop {
-        let Some(target) = choose_target(gateway, job, &avoid) else {
-            return Err(give_up(job.run.get(), FailureKind::NoChain, "no path covers the model"));
+        let target = match choose_target(gateway, job, resume_after, &avoid) {
+            Ok(target) => target,
+            Err(reason) => {
+                return Err(give_up(job.run.get(), FailureKind::NoChain, reason.text()));
+            }
         };
         tries.begin(job);
         let sent_at = Instant::now();
@@ -90,25 +93,69 @@
     path: Option<LayerPath>,
 }
 
+/// Why a request cannot be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NoTarget {
+    /// Some layers are held by no engine that can be used.
+    NoPath,
+    /// There is a path, but some of its engines have no room.
+    NoRoom,
+}
+
+impl NoTarget {
+    fn text(self) -> &'static str {
+        match self {
+            Self::NoPath => "no path covers the model",
+            Self::NoRoom => "no path has room",
+        }
+    }
+}
+
+/// The target of a request. One that was begun goes on also where room is short: it has more to lose.
 fn choose_target<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
+    resume_after: Option<EventNumber>,
     avoid: &[EndpointId],
-) -> Option<Target> {
+) -> Result<Target, NoTarget> {
     let now = Instant::now();
     let home = gateway.settings().hall.clone();
     let Some(figures) = &job.service.engine else {
-        return gateway.knowledge.endpoints(|directory| {
-            let usable = directory.usable_of(&job.service.name);
-            let fits =
-                usable.filter(|r| !avoid.contains(&r.id) && gateway.book.takes_work(&r.id, now));
-            let best = fits.min_by_key(|r| (gateway.book.in_flight(&r.id), r.hall != home))?;
-            Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
-        });
+        return choose_endpoint(gateway, job, avoid, now).ok_or(NoTarget::NoPath);
     };
-    let path = choose_path(gateway.views(now), &job.service, figures, &home, avoid)?;
-    let first = path.first();
-    Some(Target { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) })
+    let ask = path_ask(job, figures, &home, avoid);
+    let views = gateway.views(now);
+    if let Some(path) = choose_path(views, ask) {
+        return Ok(Target::on(path));
+    }
+    match choose_any_path(views, ask) {
+        Some(path) if resume_after.is_some() => Ok(Target::on(path)),
+        Some(_) => Err(NoTarget::NoRoom),
+        None => Err(NoTarget::NoPath),
+    }
+}
+
+impl Target {
+    fn on(path: LayerPath) -> Self {
+        let first = path.first();
+        Self { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) }
+    }
+}
+
+/// The endpoint of a service without layers that has the least in flight.
+fn choose_endpoint<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    avoid: &[EndpointId],
+    now: Instant,
+) -> Option<Target> {
+    let home = gateway.settings().hall.clone();
+    gateway.knowledge.endpoints(|directory| {
+        let usable = directory.usable_of(&job.service.name);
+        let fits = usable.filter(|r| !avoid.contains(&r.id) && gateway.book.takes_work(&r.id, now));
+        let best = fits.min_by_key(|r| (gateway.book.in_flight(&r.id), r.hall != home))?;
+        Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
+    })
 }
 
 /// A send that began no stream.
@@ -131,11 +178,11 @@
     resume_after: Option<EventNumber>,
 ) -> SendOnce {
     let sent_at = Instant::now();
-    let members = match &target.path {
-        Some(path) => endpoints_of(path),
-        None => vec![target.endpoint.clone()],
+    let shares = match (&target.path, &job.service.engine) {
+        (Some(path), Some(figures)) => shares_of(path, job.demand(figures)),
+        _ => vec![Share { endpoint: target.endpoint.clone(), kv: 0.0 }],
     };
-    let in_flight = gateway.book.begin(members, sent_at);
+    let in_flight = gateway.book.begin(shares, sent_at);
     let endpoint = target.endpoint.clone();
     let sent_path = target.path.clone();
     let to = Destination { endpoint: &endpoint, address: target.address, path: sent_path.as_ref() };
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -3,7 +3,7 @@
 use crate::doctor::{Diagnosis, diagnose, silence_means_loss};
 use crate::endpoints::Evidence;
 use crate::gateway::Gateway;
-use crate::job::Job;
+use crate::job::{Job, path_ask};
 use crate::metrics::KindLabel;
 use crate::paths::choose_mended_path;
 use crate::store::MetadataStore;
@@ -64,7 +64,8 @@
     let (path, figures) = (path?, job.service.engine.as_ref()?);
     let home = gateway.settings().hall.clone();
     let views = gateway.views(Instant::now());
-    let mended = choose_mended_path(views, &job.service, figures, &home, path, lost)?;
+    let avoid = [lost.to_owned()];
+    let mended = choose_mended_path(views, path_ask(job, figures, &home, &avoid), path, lost)?;
     let call = W::move_call(&job.head.request_id, &mended);
     let ended = gateway.engine_calls.call(first, call, MOVE_LIMIT).await;
     let end = match &ended {
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -38,6 +38,8 @@
     pub prompt: u32,
     /// Most tokens that come out.
     pub most_output: u32,
+    /// The caller's guess of how many come out, if it made one: right at the median, often far off.
+    pub likely_output: Option<u32>,
 }
 
 /// Why the head of a request cannot be read.
--- a/crates/sillbank_gateway/tests/endpoints.rs
+++ b/crates/sillbank_gateway/tests/endpoints.rs
@@ -2,12 +2,16 @@
 
 use sillbank_fleet::prelude::*;
 use sillbank_gateway::doctor::silence_means_loss;
-use sillbank_gateway::endpoints::{EndpointBook, Evidence};
+use sillbank_gateway::endpoints::{EndpointBook, Evidence, Share};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 const ID: &str = "e1";
 
+fn share(endpoint: &str) -> Share {
+    Share { endpoint: endpoint.to_owned(), kv: 0.0 }
+}
+
 fn book() -> (Rc<EndpointBook>, Instant) {
     (Rc::default(), Instant::now())
 }
@@ -79,7 +83,7 @@
     let later = now + Duration::from_secs(2);
 
     let may_first = book.takes_work(ID, later);
-    let _first = book.begin(vec![ID.to_owned()], later);
+    let _first = book.begin(vec![share(ID)], later);
     let may_second = book.takes_work(ID, later);
 
     assert!(may_first);
@@ -90,8 +94,8 @@
 fn work_in_flight_ends_when_it_is_dropped() {
     let (book, now) = book();
 
-    let first = book.begin(vec![ID.to_owned(), "e2".to_owned()], now);
-    let second = book.begin(vec![ID.to_owned()], now);
+    let first = book.begin(vec![share(ID), share("e2")], now);
+    let second = book.begin(vec![share(ID)], now);
     drop(first);
 
     assert_eq!(book.in_flight(ID), 1);
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -56,7 +56,7 @@
     hall.keep_board(now, board("a", 100, 1, 5));
     hall.keep_board(now, board("a", 900, 1, 9));
 
-    assert_eq!(hall.engine("a", "e1", now, |engine| engine.running), Some(5));
+    assert_eq!(hall.engine("a", "e1", now, |engine| engine.state.running), Some(5));
 }
 
 #[test]
@@ -65,7 +65,8 @@
 
     hall.keep_board(now, board("a", 500, 1, 5));
 
-    let at = |ms| hall.engine("a", "e1", now + Duration::from_millis(ms), |engine| engine.running);
+    let at =
+        |ms| hall.engine("a", "e1", now + Duration::from_millis(ms), |engine| engine.state.running);
     assert_eq!(at(1_400), Some(5));
     assert_eq!(at(1_600), None);
 }
@@ -133,7 +134,7 @@
     leader.boards_since(0, end).1.into_iter().for_each(|whole| once.keep_board(end, whole));
 
     // Assert
-    let running = |hall: &Hall| hall.engine("a", "e1", end, |engine| engine.running);
+    let running = |hall: &Hall| hall.engine("a", "e1", end, |engine| engine.state.running);
     assert_eq!(running(&often), Some(10));
     assert_eq!(running(&once), Some(10));
 }
@@ -145,7 +146,7 @@
 
     hall.keep_board(now, HallBoard { engines: Vec::new(), ..board("a", 0, 1, 5) });
 
-    assert_eq!(hall.engine("a", "e1", now, |engine| engine.running), None);
+    assert_eq!(hall.engine("a", "e1", now, |engine| engine.state.running), None);
 }
 
 #[test]
@@ -164,3 +165,21 @@
     assert!(pauses[0] <= Duration::from_millis(500));
     assert!(pauses[1] <= Duration::from_millis(1_500));
 }
+
+#[test]
+fn those_who_wait_hear_of_a_board_that_this_vm_posts() {
+    let hall = Hall::default();
+    let now = Instant::now();
+
+    smol::block_on(async {
+        let posted = async {
+            hall.posted().await;
+            true
+        };
+        let post = async {
+            hall.post_board(now, board("a", 0, 1, 5));
+            std::future::pending::<bool>().await
+        };
+        assert!(futures_lite::future::or(posted, post).await);
+    });
+}
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -2,13 +2,16 @@
 
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_engines::prelude::*;
 use sillbank_fleet::prelude::*;
-use sillbank_gateway::endpoints::EndpointBook;
+use sillbank_gateway::endpoints::{EndpointBook, Share};
 use sillbank_gateway::feed::{EngineState, HallBoard};
 use sillbank_gateway::hall::Hall;
 use sillbank_gateway::knowledge::Knowledge;
-use sillbank_gateway::paths::{Views, choose_path};
+use sillbank_gateway::paths::{PathAsk, Views, choose_path};
 use sillbank_gateway::store::Snapshot;
+use sillbank_layers::prelude::*;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 const HOME: &str = "a";
@@ -73,6 +76,16 @@
 
 /// Endpoints of the path that is chosen when engines report so.
 fn chosen(records: &[EndpointRecord], engines: Vec<EngineState>) -> Vec<EndpointId> {
+    let path = path_beside(records, engines, &Rc::default()).expect("there is one");
+    path.parts().iter().map(|part| part.endpoint.clone()).collect()
+}
+
+/// The path that is chosen when engines report so and this VM has work in flight.
+fn path_beside(
+    records: &[EndpointRecord],
+    engines: Vec<EngineState>,
+    book: &Rc<EndpointBook>,
+) -> Option<LayerPath> {
     let now = Instant::now();
     let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::default());
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
@@ -81,12 +94,12 @@
         now,
         HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, is_whole: true, engines },
     );
-    let book = EndpointBook::default();
-    let views = Views { knowledge: &knowledge, hall: &hall, book: &book, now };
+    let views = Views { knowledge: &knowledge, hall: &hall, book, now };
     let service = service();
     let figures = service.engine.as_ref().expect("it has one");
-    let path = choose_path(views, &service, figures, HOME, &[]).expect("there is one");
-    path.parts().iter().map(|part| part.endpoint.clone()).collect()
+    let demand = Demand::usual(figures);
+    let ask = PathAsk { service: &service, figures, home: HOME, avoid: &[], demand };
+    choose_path(views, ask)
 }
 
 #[test]
@@ -165,3 +178,44 @@
     // Assert
     assert!(paths.iter().all(|path| path == &["well", "last"]), "{paths:?}");
 }
+
+#[test]
+fn no_path_is_chosen_through_an_engine_without_room() {
+    let records = [record("first", "slow", 0, 10), record("last", "slow", 10, 20)];
+    let mut full = idle(&records[1]);
+    full.kv_permille = 960;
+
+    let path = path_beside(&records, vec![idle(&records[0]), full], &Rc::default());
+
+    assert_eq!(path, None);
+}
+
+#[test]
+fn what_this_vm_sent_since_the_report_counts_until_it_ends() {
+    // Arrange: an engine that reports no use, and a request of this VM that takes all it has.
+    let records = [record("first", "slow", 0, 10), record("last", "slow", 10, 20)];
+    let engines = || records.iter().map(idle).collect::<Vec<_>>();
+    let book = Rc::<EndpointBook>::default();
+    let whole = Share { endpoint: "last".to_owned(), kv: 1e12 };
+
+    // Act
+    let in_flight = book.begin(vec![whole], Instant::now());
+    let beside_it = path_beside(&records, engines(), &book);
+    drop(in_flight);
+    let after_it = path_beside(&records, engines(), &book);
+
+    // Assert
+    assert_eq!(beside_it, None);
+    assert!(after_it.is_some());
+}
+
+#[test]
+fn no_path_begins_at_an_engine_whose_places_are_taken() {
+    let records = [record("first", "slow", 0, 10), record("last", "slow", 10, 20)];
+    let mut full = idle(&records[0]);
+    full.running = SLOTS;
+
+    let path = path_beside(&records, vec![full, idle(&records[1])], &Rc::default());
+
+    assert_eq!(path, None);
+}
