Tell refused callers to come back after as long as a shortage has lasted, one after the other

Hypothesis: callers told 700 ms, all alike, come back into the same shortage and are refused again. Change: the time told is as long as the shortage has lasted (it is likely to last as long again), and callers come back at a quarter of the rate at which requests are let in. Ruled out: a fixed longer time; it is too long for a short burst.

--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::store::{Revision, StoreError};
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
+use sillbank_admission::returns::ReturnTimes;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
@@ -21,7 +22,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::marker::PhantomData;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// VMs that are taken to share the fleet's slack for repeats while the leaders of some halls have not
 /// told of theirs.
@@ -70,6 +71,7 @@
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    returns: RefCell<HashMap<ServiceId, ReturnTimes>>,
     began: Instant,
     wire: PhantomData<W>,
 }
@@ -97,6 +99,7 @@
             in_progress: Cell::new(0),
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
+            returns: RefCell::default(),
             began: Instant::now(),
             wire: PhantomData,
         }
@@ -199,6 +202,32 @@
         fits
     }
 
+    /// A request of a service was let in by an endpoint.
+    pub fn on_let_in(&self, service: &str) {
+        self.with_returns(service, |returns, now| returns.on_let_in(now));
+    }
+
+    /// When the caller of a request that is refused for want of room should come back.
+    pub fn come_back(&self, service: &str) -> Duration {
+        self.with_returns(service, |returns, now| returns.on_refused(now))
+    }
+
+    fn with_returns<T>(
+        &self,
+        service: &str,
+        change: impl FnOnce(&mut ReturnTimes, Instant) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let mut all = self.returns.borrow_mut();
+        if let Some(returns) = all.get_mut(service) {
+            return change(returns, now);
+        }
+        let mut returns = ReturnTimes::new(now);
+        let answer = change(&mut returns, now);
+        all.insert(service.to_owned(), returns);
+        answer
+    }
+
     /// Whether a request that was sent before may be sent once more, which then counts as done.
     pub fn may_send_again(&self, job: &Job) -> bool {
         job.may_send_again(Instant::now()) && self.try_repeat(&job.service.name)
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -57,7 +57,7 @@
         let target = match choose_target(gateway, job, resume_after, &avoid) {
             Ok(target) => target,
             Err(reason) => {
-                return Err(give_up(job.run.get(), FailureKind::NoChain, reason.text()));
+                return Err(refuse(gateway, job, reason.text()));
             }
         };
         tries.begin(job);
@@ -65,7 +65,10 @@
         let stamp = gateway.knowledge.stamp(sent_at);
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
         let end = match send_once(gateway, job, target, resume_after).await {
-            SendOnce::Begun(begun) => return Ok(begun),
+            SendOnce::Begun(begun) => {
+                gateway.on_let_in(&job.service.name);
+                return Ok(begun);
+            }
             SendOnce::Ended(end) => end,
         };
         gateway.decisions.send_failed(
@@ -81,11 +84,20 @@
         avoid.push(end.at_fault.unwrap_or(end.endpoint));
         let goes_on = tries.goes_on(gateway, job, end.left);
         if !goes_on {
-            return Err(give_up(job.run.get(), FailureKind::NoChain, &end.reason));
+            return Err(refuse(gateway, job, &end.reason));
         }
     }
 }
 
+/// Gives a request up; one that was not run is told when there may be room.
+fn refuse<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, job: &Job, reason: &str) -> Failure {
+    let failure = give_up(job.run.get(), FailureKind::NoChain, reason);
+    match failure.retry_after {
+        Some(_) => failure.retry_after(gateway.come_back(&job.service.name)),
+        None => failure,
+    }
+}
+
 /// Where a stream's request goes.
 struct Target {
     endpoint: EndpointId,
