--- a/crates/sillbank_admission/src/returns.rs
+++ b/crates/sillbank_admission/src/returns.rs
@@ -39,11 +39,6 @@
         self.rate.count(now);
     }
 
-    /// Requests that are let in a second, over the last seconds.
-    pub fn let_in_per_s(&self, now: Instant) -> f64 {
-        self.rate.per_s(now)
-    }
-
     /// A request is refused; answers when its caller should come back.
     pub fn on_refused(&mut self, now: Instant) -> Duration {
         let goes_on = |at: Instant| now.saturating_duration_since(at) < OVER_AFTER;
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -13,7 +13,6 @@
 use crate::store::{Revision, StoreError};
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
-use sillbank_admission::line::WaitingLine;
 use sillbank_admission::returns::ReturnTimes;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -73,8 +72,6 @@
     store_reached: Cell<bool>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     returns: RefCell<HashMap<ServiceId, ReturnTimes>>,
-    /// Requests that wait for room, by service.
-    pub lines: RefCell<HashMap<ServiceId, WaitingLine>>,
     began: Instant,
     wire: PhantomData<W>,
 }
@@ -103,7 +100,6 @@
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
             returns: RefCell::default(),
-            lines: RefCell::default(),
             began: Instant::now(),
             wire: PhantomData,
         }
@@ -211,11 +207,6 @@
         self.with_returns(service, |returns, now| returns.on_let_in(now));
     }
 
-    /// Requests of a service that this VM lets in a second.
-    pub fn let_in_per_s(&self, service: &str) -> f64 {
-        self.with_returns(service, |returns, now| returns.let_in_per_s(now))
-    }
-
     /// When the caller of a request that is refused for want of room should come back.
     pub fn come_back(&self, service: &str) -> Duration {
         self.with_returns(service, |returns, now| returns.on_refused(now))
--- a/crates/sillbank_gateway/src/placement/targets.rs
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -27,9 +27,9 @@
 /// Requests of the usual size that an engine has room for that holds its layers alone. A hall of the
 /// sites known runs some 60 at once, and twice as many while another hall is out. At 95 halls refused
 /// while one was out, and scale-1 of rafiq-core was worth 0.53; at 140 it was worth 0.64.
-const ROOM_ALONE: f64 = 110.0;
+const ROOM_ALONE: f64 = 140.0;
 /// Requests of the usual size that an engine has room for that shares its layers with another.
-const ROOM_PAIRED: f64 = 60.0;
+const ROOM_PAIRED: f64 = 75.0;
 /// Requests of the usual size that an engine has room for that takes more layers in need. At 8 an
 /// engine refused for the rest of the day.
 const ROOM_AT_LEAST: f64 = 30.0;
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -1,7 +1,6 @@
 //! Begins a stream: sends its request until an endpoint takes it.
 
 use super::loss::{DOUBT, look_for_loss, move_request};
-use super::room::find_target;
 use crate::answers::give_up;
 use crate::channels::Channel;
 use crate::decisions::SendEnd;
@@ -55,7 +54,7 @@
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
     loop {
-        let target = match find_target(gateway, job, resume_after, &avoid).await {
+        let target = match choose_target(gateway, job, resume_after, &avoid) {
             Ok(target) => target,
             Err(reason) => {
                 return Err(refuse(gateway, job, reason.text()));
@@ -100,7 +99,7 @@
 }
 
 /// Where a stream's request goes.
-pub(super) struct Target {
+struct Target {
     endpoint: EndpointId,
     address: SocketAddr,
     path: Option<LayerPath>,
@@ -108,7 +107,7 @@
 
 /// Why a request cannot be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum NoTarget {
+enum NoTarget {
     /// Some layers are held by no engine that can be used.
     NoPath,
     /// There is a path, but some of its engines have no room.
@@ -125,7 +124,7 @@
 }
 
 /// The target of a request. One that was begun goes on also where room is short: it has more to lose.
-pub(super) fn choose_target<W: Wire, S: MetadataStore>(
+fn choose_target<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
     resume_after: Option<EventNumber>,
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -3,7 +3,6 @@
 mod begin;
 mod loss;
 mod pump;
-mod room;
 
 use crate::answers::{out_of_time, outcome_of, reply_of};
 use crate::decisions::Outcome;
