Give first placements room for 110 requests alone and 60 in pairs; switches for mechanisms

Hypothesis: with room known, requests are refused where a layer's second holder is gone; more layers held twice serve more.

--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -12,7 +12,7 @@
 
 /// Most endpoints that are passed on, as a list whenever one changes. A list of 200 has some 18 KB; to
 /// 24 VMs that is a fifth of a second of the smallest link known (20 Mbit/s). With 1,000 engines and 33
-/// VMs in a hall lists took the leader's whole link, and 0.55 of all requests were refused (sweep).
+/// VMs in a hall lists took the leader's whole link, and 0.55 of all requests were refused.
 const MAX_RELAYED: usize = 200;
 /// How long a connection may rest between asks.
 const ASK_WAIT: Duration = Duration::from_secs(5);
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -117,7 +117,8 @@
 
     /// What paths are chosen from.
     pub fn views(&self, now: Instant) -> Views<'_> {
-        Views { knowledge: &self.knowledge, hall: &self.hall, book: &self.book, now }
+        let mechanisms = self.settings.borrow().mechanisms;
+        Views { knowledge: &self.knowledge, hall: &self.hall, book: &self.book, mechanisms, now }
     }
 
     /// Whether new work should come to this VM.
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -24,7 +24,7 @@
 /// store, and each call is priced, also one that fails.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 /// Longest pause of a VM of a large hall that nobody tells of the store's return. At 2.5 s VMs refused
-/// for 2 s after an outage (trouble-3 of tfcs-sillbank-grown).
+/// for 2 s after an outage of the store.
 const PAUSE_MAX_ALONE: Duration = Duration::from_millis(1_200);
 /// Longest pause of a VM whose leader can be asked: the leader hears of the store's return first.
 const PAUSE_MAX_LED: Duration = Duration::from_millis(4_000);
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod job;
 pub mod knowledge;
 pub mod lifecycle;
+pub mod mechanisms;
 pub mod metrics;
 pub mod operate;
 pub mod paths;
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -3,6 +3,7 @@
 use crate::endpoints::EndpointBook;
 use crate::hall::{EngineNews, Hall};
 use crate::knowledge::Knowledge;
+use crate::mechanisms::Mechanisms;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_engines::prelude::*;
@@ -15,8 +16,9 @@
 const REQUEST_CROSSING_MS: f64 = 20.0;
 /// Cost of handing activations over to another hall. One way out and back for a whole hall's load
 /// takes 1.0 GB/s (worked out: 24 requests a second of 930 tokens, 23 KB a token), which is all that
-/// the pipe carries. At 40 ms it was used too much: first events took 0.8 s in scale-1 of rafiq-core.
-/// So a hole is bridged only when the other halls are nearly full.
+/// the pipe carries. At a third of this it was used too much while
+/// a hall was short of engines, and first events took 0.8 s. So a hole is bridged only when the other
+/// halls are nearly full.
 const ACTIVATIONS_CROSSING_MS: f64 = 120.0;
 /// Cost of one more part in a path, in milliseconds: the way there and an engine's pass.
 const PART_COST_MS: f64 = 0.5;
@@ -65,7 +67,9 @@
 /// the moment are not used.
 pub fn choose_path(views: Views<'_>, ask: PathAsk<'_>) -> Option<LayerPath> {
     let mut candidates = candidates(views, ask);
-    candidates.retain(|candidate| candidate.fits(ask.demand));
+    if views.mechanisms.room {
+        candidates.retain(|candidate| candidate.fits(ask.demand));
+    }
     cheapest(candidates, ask, CROSSING)
 }
 
@@ -105,6 +109,8 @@
     pub hall: &'a Hall,
     /// Endpoints as seen.
     pub book: &'a EndpointBook,
+    /// Which mechanisms are on.
+    pub mechanisms: Mechanisms,
     /// Now.
     pub now: Instant,
 }
@@ -140,7 +146,7 @@
 
 /// An engine with its costs; `None` if it holds no layers.
 fn candidate(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord) -> Option<Candidate> {
-    let Views { hall, book, now, .. } = views;
+    let Views { hall, book, mechanisms, now, .. } = views;
     let figures = ask.figures;
     let told = hall.engine(&record.hall, &record.id, now, |news| Told::new(news, figures));
     // What the hall's leader heard from the engine is newer than its entry in the store.
@@ -161,18 +167,23 @@
         0 => (told.requests + unseen.requests) / f64::from(record.slots.max(1)),
         _ => 0.0,
     };
-    let time = kind.map_or(0.0, |kind| {
+    let time = kind.filter(|_| mechanisms.time_share).map_or(0.0, |kind| {
         time_share(figures, told.requests, work_ms(figures, kind, layers.len(), told.pace))
     });
     // What it is shortest of decides.
     let kv_share = room.map_or(told.kv_share, |room| room.taken_share());
     let taken_share = kv_share.max(places_share).max(time);
+    let crowd_ms = if mechanisms.crowd_cost { crowd_cost_ms(taken_share) } else { 0.0 };
+    let health_ms = match mechanisms.health_cost {
+        true => book.use_cost_ms(&record.id, now),
+        false => 0.0,
+    };
     let holder = Holder {
         endpoint: record.id.clone(),
         address: record.address,
         hall: record.hall.clone(),
         layers,
-        use_cost_ms: PART_COST_MS + crowd_cost_ms(taken_share) + book.use_cost_ms(&record.id, now),
+        use_cost_ms: PART_COST_MS + crowd_ms + health_ms,
         layer_cost_ms: layer_ms * factor * told.pace * busy * chance,
     };
     Some(Candidate { holder, room, places_share })
@@ -181,6 +192,9 @@
 /// What an engine was sent since the state that it reported, by all VMs.
 fn unseen(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord, told: &Told) -> Unseen {
     let reported_at = told.reported_at.unwrap_or(views.now);
+    if !views.mechanisms.unseen_sends {
+        return Unseen::default();
+    }
     let own = views.book.sent_since(&record.id, reported_at);
     // Like VMs get like shares of callers and choose by the same reports: those of this hall at its
     // engines, and those of all other halls at the engines of a hall that has room left.
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -105,7 +105,10 @@
             is_whole: true,
             engines: engines.collect(),
         };
-        self.gateway.hall.post_board(now, board);
+        match settings.mechanisms.prompt_news {
+            true => self.gateway.hall.post_board(now, board),
+            false => self.gateway.hall.keep_board(now, board),
+        }
     }
 
     async fn place(&mut self) {
@@ -115,7 +118,8 @@
         let services: Vec<Rc<Service>> =
             catalog.services().filter(|service| service.engine.is_some()).cloned().collect();
         let now = Instant::now();
-        let interval = match self.is_any_nearly_full() {
+        let is_pressed = self.gateway.settings().mechanisms.pressed_reports;
+        let interval = match is_pressed && self.is_any_nearly_full() {
             true => REPORT_INTERVAL_NEARLY_FULL,
             false => REPORT_INTERVAL,
         };
@@ -175,7 +179,10 @@
             alive.iter().filter_map(|record| self.view(record, now)).collect();
         let chains = self.chains.entry(service.to_owned()).or_default();
         let targets = match is_first {
-            true => first_targets(&views, figures, chains),
+            true => {
+                let in_pairs = self.gateway.settings().mechanisms.pairs;
+                first_targets(&views, figures, chains, in_pairs)
+            }
             false => mended_targets(&views, figures, chains),
         };
         let Some(targets) = targets else {
--- a/crates/sillbank_gateway/src/placement/targets.rs
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -17,19 +17,21 @@
 /// Requests of the usual size that each engine of a chain has room for when chains are counted.
 const ROOM_IN_CHAINS: f64 = 80.0;
 /// Most chains in a hall; only a guard, memory and the lengths of chains decide. At 8 the chains of a
-/// hall of 333 engines had 41 engines each, and engines refuse paths of more than 32 parts (sweep at 100
-/// VMs: 0.05 served in two halls of three).
+/// hall of 333 engines had 41 engines each, and engines refuse paths of more than 32 parts: 0.05 of the
+/// requests of two such halls were served.
 const MAX_CHAINS: usize = 256;
 /// Chains more that the memory must allow before another is begun, and the part of them below which
 /// one is given up: engines come and go.
 const CHAIN_MORE: f64 = 1.3;
 const CHAIN_LESS: f64 = 0.8;
-/// Requests of the usual size that an engine has room for that holds its layers alone. A hall of the
-/// sites known runs some 60 at once, and twice as many while another hall is out. At 95 halls refused
-/// while one was out, and scale-1 of rafiq-core was worth 0.53; at 140 it was worth 0.64.
-const ROOM_ALONE: f64 = 140.0;
+/// Requests of the usual size that an engine has room for that holds its layers alone. A hall is to run
+/// so many at once; more room means fewer layers that are held twice. Mean worth of the days with
+/// trouble on three deployments: 0.527, 0.598, 0.632 at 85 (45 in pairs), 0.582, 0.616, 0.642 at 110,
+/// 0.558, 0.580, 0.640 at 140 (75). With twice the requests that a hall is made for, 140 serves more:
+/// 0.710 and 0.598 at 110.
+const ROOM_ALONE: f64 = 110.0;
 /// Requests of the usual size that an engine has room for that shares its layers with another.
-const ROOM_PAIRED: f64 = 75.0;
+const ROOM_PAIRED: f64 = 60.0;
 /// Requests of the usual size that an engine has room for that takes more layers in need. At 8 an
 /// engine refused for the rest of the day.
 const ROOM_AT_LEAST: f64 = 30.0;
@@ -65,15 +67,16 @@
 /// Which chain each engine of a service belongs to.
 pub type Chains = BTreeMap<EndpointId, ChainNumber>;
 
-/// What engines hold first: whole chains if there is memory for several, else pairs. `None` if the
-/// layers do not fit.
+/// What engines hold first: whole chains if there is memory for several, else pairs, if these are
+/// wanted. `None` if the layers do not fit.
 pub fn first_targets(
     engines: &[EngineView],
     figures: &EngineFigures,
     chains: &mut Chains,
+    in_pairs: bool,
 ) -> Option<Vec<Target>> {
     let dealt = deal(engines, figures, chains);
-    if dealt.len() > 1 {
+    if dealt.len() > 1 || !in_pairs {
         return chain_targets(&dealt, figures, GiveUp::AtOnce);
     }
     let members: Vec<PairMember> =
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -128,6 +128,7 @@
         hall = settings.hall,
         callers = %settings.callers_listen,
         store = %settings.store,
+        mechanisms = ?settings.mechanisms,
         version = env!("CARGO_PKG_VERSION"),
         "program: Started."
     );
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway.
 
+use crate::mechanisms::Mechanisms;
 use sillbank_core::prelude::*;
 use sillbank_settings::process::{LogSettings, read_log};
 use sillbank_settings::reader::{FieldReader, Problem, Problems};
@@ -38,6 +39,8 @@
     pub retry_slack: f64,
     /// Window in which repeats are counted.
     pub retry_window: Duration,
+    /// What the gateway does beyond the plain way.
+    pub mechanisms: Mechanisms,
     /// Logs.
     pub log: LogSettings,
 }
@@ -80,6 +83,7 @@
         retry_ratio: reader.fraction("retry_ratio", 0.2, 0.0..=10.0),
         retry_slack: reader.fraction("retry_slack", 100.0, 0.0..=1e6),
         retry_window: seconds(reader.fraction("retry_window_s", 10.0, 0.1..=600.0)),
+        mechanisms: reader.table("mechanisms", Mechanisms::read),
         log: read_log(&mut reader),
     };
     reader.finish().map(|()| settings)
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -93,8 +93,10 @@
 fn refuse<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, job: &Job, reason: &str) -> Failure {
     let failure = give_up(job.run.get(), FailureKind::NoChain, reason);
     match failure.retry_after {
-        Some(_) => failure.retry_after(gateway.come_back(&job.service.name)),
-        None => failure,
+        Some(_) if gateway.settings().mechanisms.return_times => {
+            failure.retry_after(gateway.come_back(&job.service.name))
+        }
+        _ => failure,
     }
 }
 
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -61,6 +61,9 @@
     path: Option<&LayerPath>,
     lost: &str,
 ) -> Option<LayerPath> {
+    if !gateway.settings().mechanisms.moves {
+        return None;
+    }
     let (path, figures) = (path?, job.service.engine.as_ref()?);
     let home = gateway.settings().hall.clone();
     let views = gateway.views(Instant::now());
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -8,6 +8,7 @@
 use sillbank_gateway::feed::{EngineState, HallBoard};
 use sillbank_gateway::hall::Hall;
 use sillbank_gateway::knowledge::Knowledge;
+use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::paths::{PathAsk, Views, choose_path};
 use sillbank_gateway::store::Snapshot;
 use sillbank_layers::prelude::*;
@@ -94,7 +95,8 @@
         now,
         HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, is_whole: true, engines },
     );
-    let views = Views { knowledge: &knowledge, hall: &hall, book, now };
+    let mechanisms = Mechanisms::default();
+    let views = Views { knowledge: &knowledge, hall: &hall, book, mechanisms, now };
     let service = service();
     let figures = service.engine.as_ref().expect("it has one");
     let demand = Demand::usual(figures);
--- a/crates/sillbank_gateway/tests/settings.rs
+++ b/crates/sillbank_gateway/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings are checked, and what is left out has a value.
 
+use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::settings::read_text;
 use std::time::Duration;
 
@@ -42,3 +43,15 @@
     assert_eq!(paths, ["hall", "store", "stop_grace_s", "stop_grace_ms"]);
     assert!(problems.iter().all(|problem| !problem.remedy.is_empty()));
 }
+
+#[test]
+fn mechanisms_are_on_unless_their_section_says_otherwise() {
+    let text = format!("{LEAST}[mechanisms]\nmoves = false\n");
+
+    let settings = read_text("test", &text).expect("it is whole");
+    let unknown = read_text("test", &format!("{LEAST}[mechanisms]\nluck = true\n"));
+
+    let expected = Mechanisms { moves: false, ..Mechanisms::default() };
+    assert_eq!(settings.mechanisms, expected);
+    assert_eq!(unknown.expect_err("it is faulty").0[0].path, "mechanisms.luck");
+}
--- a/crates/sillbank_gateway/tests/targets.rs
+++ b/crates/sillbank_gateway/tests/targets.rs
@@ -75,7 +75,8 @@
     for counts in [[3, 3, 5], [1, 5, 8], [1, 7, 5]] {
         let engines = hall(counts);
 
-        let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+        let targets =
+            first_targets(&engines, &figures(), &mut Chains::new(), true).expect("it fits");
         let after = carried_out(&engines, &targets);
 
         assert_within_memory(&after);
@@ -88,7 +89,7 @@
 fn a_large_hall_holds_the_model_more_than_once() {
     let engines = hall([2, 13, 22]);
 
-    let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let targets = first_targets(&engines, &figures(), &mut Chains::new(), true).expect("it fits");
     let after = carried_out(&engines, &targets);
 
     assert!((0..LAYERS).all(|layer| holders(&after, layer) >= 2));
@@ -97,7 +98,7 @@
 #[test]
 fn the_loss_of_any_one_engine_is_mended_by_few_moves() {
     let engines = hall([1, 7, 5]);
-    let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let targets = first_targets(&engines, &figures(), &mut Chains::new(), true).expect("it fits");
     let placed = carried_out(&engines, &targets);
 
     for lost in 0..placed.len() {
@@ -119,7 +120,7 @@
 #[test]
 fn nothing_moves_in_calm_times() {
     let engines = hall([3, 3, 5]);
-    let targets = first_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let targets = first_targets(&engines, &figures(), &mut Chains::new(), true).expect("it fits");
     let placed = carried_out(&engines, &targets);
 
     let moves = mended_targets(&placed, &figures(), &mut Chains::new()).expect("it fits");
@@ -133,7 +134,7 @@
         let counts = [u.int_in_range(0..=3)?, u.int_in_range(2..=8)?, u.int_in_range(2..=9)?];
         let mut engines = hall(counts);
         let mut chains = Chains::new();
-        let Some(targets) = first_targets(&engines, &figures(), &mut chains) else {
+        let Some(targets) = first_targets(&engines, &figures(), &mut chains, true) else {
             return Ok(());
         };
         engines = carried_out(&engines, &targets);
@@ -178,7 +179,7 @@
     let engines = hall([20, 150, 163]);
     let mut chains = Chains::new();
 
-    let targets = first_targets(&engines, &figures(), &mut chains).expect("it fits");
+    let targets = first_targets(&engines, &figures(), &mut chains, true).expect("it fits");
 
     let mut lengths: std::collections::BTreeMap<usize, usize> = std::collections::BTreeMap::new();
     for target in &targets {
