--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -18,8 +18,6 @@
     pub return_times: bool,
     /// First placements hold layers in pairs.
     pub pairs: bool,
-    /// Layers move so that none have much less room than others.
-    pub levels: bool,
     /// Running requests are moved around a lost engine.
     pub moves: bool,
     /// Paths through engines that are nearly full cost more.
@@ -39,7 +37,6 @@
             prompt_news: true,
             return_times: true,
             pairs: true,
-            levels: true,
             moves: true,
             crowd_cost: true,
             time_share: true,
@@ -58,7 +55,6 @@
             prompt_news: reader.flag("prompt_news", true),
             return_times: reader.flag("return_times", true),
             pairs: reader.flag("pairs", true),
-            levels: reader.flag("levels", true),
             moves: reader.flag("moves", true),
             crowd_cost: reader.flag("crowd_cost", true),
             time_share: reader.flag("time_share", true),
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -183,10 +183,7 @@
                 let in_pairs = self.gateway.settings().mechanisms.pairs;
                 first_targets(&views, figures, chains, in_pairs)
             }
-            false => {
-                let levels = self.gateway.settings().mechanisms.levels;
-                mended_targets(&views, figures, chains, levels)
-            }
+            false => mended_targets(&views, figures, chains),
         };
         let Some(targets) = targets else {
             tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
@@ -199,8 +196,7 @@
 
     fn view(&self, record: &EndpointRecord, now: Instant) -> Option<EngineView> {
         let known = self.known.get(&record.id)?;
-        let report = known.report.as_ref()?;
-        let order_under_way = report.order_under_way;
+        let order_under_way = known.report.as_ref()?.order_under_way;
         let may_come =
             |at: Instant| order_under_way || now.saturating_duration_since(at) < ORDER_PAUSE;
         Some(EngineView {
@@ -209,7 +205,6 @@
             serves: self.layers_of(&record.id),
             ordered: known.ordered.filter(|(_, at)| may_come(*at)).map(|(layers, _)| layers),
             order_under_way,
-            kv_share: report.kv_share,
         })
     }
 
--- a/crates/sillbank_gateway/src/placement/targets.rs
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -51,8 +51,6 @@
     pub ordered: Option<LayerRange>,
     /// Whether it says that it is carrying out an order.
     pub order_under_way: bool,
-    /// Part of its KV cache that is in use.
-    pub kv_share: f64,
 }
 
 /// Layers that an engine is to hold.
@@ -92,20 +90,16 @@
 }
 
 /// What has to move after engines were lost or came. Requests may still pass through what is given
-/// up: an engine that leaves ends its own, and running requests are moved around one that is lost. With `levels`, room is
-/// levelled when nothing has to be mended. `None` if the layers do not fit.
+/// up: an engine that leaves ends its own, and running requests are moved around one that is lost.
+/// `None` if the layers do not fit.
 pub fn mended_targets(
     engines: &[EngineView],
     figures: &EngineFigures,
     chains: &mut Chains,
-    levels: bool,
 ) -> Option<Vec<Target>> {
     let members: Vec<RepairMember> =
         engines.iter().filter_map(|engine| repair_member(engine, figures)).collect();
     if let Some(moves) = repair(&members, figures.layers, SPARES_AT_ONCE) {
-        if moves.is_empty() && levels {
-            return Some(levelled_targets(engines, figures));
-        }
         let targets = moves.into_iter().map(|moved| Target {
             endpoint: moved.endpoint,
             layers: moved.layers,
@@ -121,36 +115,6 @@
     chain_targets(&dealt, figures, GiveUp::WhenUnused)
 }
 
-/// What has to move so that no layers have much less room than others. Nothing while an engine is at work
-/// on an order, or holds nothing yet.
-fn levelled_targets(engines: &[EngineView], figures: &EngineFigures) -> Vec<Target> {
-    let is_changing = |engine: &EngineView| {
-        engine.order_under_way || engine.ordered.is_some_and(|to| Some(to) != engine.serves)
-    };
-    if engines.iter().any(is_changing) {
-        return Vec::new();
-    }
-    let Some(members) = engines.iter().map(|engine| level_member(engine, figures)).collect() else {
-        return Vec::new();
-    };
-    let members: Vec<LevelMember> = members;
-    let moves = level(&members, figures.layers, ROOM_ALONE);
-    let target = |(endpoint, layers)| Target { endpoint, layers, give_up: GiveUp::WhenUnused };
-    moves.into_iter().map(target).collect()
-}
-
-fn level_member(engine: &EngineView, figures: &EngineFigures) -> Option<LevelMember> {
-    let kind = figures.accelerator(&engine.kind)?;
-    let shape = memory_shape(figures, kind);
-    let usual = usual_tokens(figures).max(1.0);
-    Some(LevelMember {
-        endpoint: engine.id.clone(),
-        held: engine.serves?,
-        rooms: (0..=figures.layers).map(|held| tokens_that_fit(&shape, held) / usual).collect(),
-        used_share: engine.kv_share,
-    })
-}
-
 /// Whole chains, each planned on its own; `None` if none of them fits.
 fn chain_targets(
     chains: &[Vec<&EngineView>],
--- a/crates/sillbank_gateway/tests/targets.rs
+++ b/crates/sillbank_gateway/tests/targets.rs
@@ -42,7 +42,6 @@
             serves: None,
             ordered: None,
             order_under_way: false,
-            kv_share: 0.0,
         })
     });
     engines.collect()
@@ -107,8 +106,7 @@
         left.remove(lost);
         let mut moves = 0;
         for _ in 0..5 {
-            let targets =
-                mended_targets(&left, &figures(), &mut Chains::new(), false).expect("it fits");
+            let targets = mended_targets(&left, &figures(), &mut Chains::new()).expect("it fits");
             moves += targets.len();
             left = carried_out(&left, &targets);
         }
@@ -125,7 +123,7 @@
     let targets = first_targets(&engines, &figures(), &mut Chains::new(), true).expect("it fits");
     let placed = carried_out(&engines, &targets);
 
-    let moves = mended_targets(&placed, &figures(), &mut Chains::new(), false).expect("it fits");
+    let moves = mended_targets(&placed, &figures(), &mut Chains::new()).expect("it fits");
 
     assert_eq!(moves, vec![]);
 }
@@ -147,7 +145,7 @@
                 let at = u.int_in_range(0..=engines.len() - 1)?;
                 engines[at].serves = None;
             }
-            if let Some(targets) = mended_targets(&engines, &figures(), &mut chains, false) {
+            if let Some(targets) = mended_targets(&engines, &figures(), &mut chains) {
                 engines = carried_out(&engines, &targets);
                 assert!(engines.is_empty() || (0..LAYERS).all(|l| holders(&engines, l) >= 1));
             }
@@ -167,7 +165,7 @@
     engines[8].ordered = Some(LayerRange { first: 0, end: 10 });
     engines[8].order_under_way = true;
 
-    let targets = mended_targets(&engines, &figures(), &mut Chains::new(), false).expect("it fits");
+    let targets = mended_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
 
     assert!(targets.iter().all(|target| target.endpoint != "l4-8"));
     assert!(targets.iter().all(|target| target.give_up == GiveUp::WhenUnused));
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -3,8 +3,7 @@
 //! A [`LayerPath`] runs every layer once and in order; one with a gap or an overlap cannot be made.
 //! [`find_path`] chooses the cheapest path through the layers that endpoints hold now. [`plan`]
 //! and [`place_in_pairs`] say which
-//! layers they should hold at first, [`repair`] what to move when some are lost or come, and
-//! [`level`] what to move so that no layers have much less room than others.
+//! layers they should hold at first, [`repair`] what to move when some are lost or come.
 //!
 //! Pure: no sockets, no clock, no threads, no chance.
 
@@ -12,18 +11,15 @@
 
 mod chains;
 mod find;
-mod level;
 mod mend;
 mod pairs;
 mod path;
 mod plan;
 mod repair;
 mod room;
-mod slots;
 
 pub use chains::{ChainMember, ChainNumber, deal_chains};
 pub use find::{CrossingCost, Holder, find_path};
-pub use level::{LevelMember, level};
 pub use mend::mend_path;
 pub use pairs::{PairMember, place_in_pairs};
 pub use path::{LayerPath, MAX_PARTS, PathError, PathPart};
@@ -34,9 +30,9 @@
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, LevelMember,
-        MAX_PARTS, MemoryShape, PairMember, PathError, PathPart, PlanRunner, PlanWeights,
-        RepairMember, RepairMove, deal_chains, find_path, layers_that_fit, level, mend_path,
-        place_in_pairs, plan, repair, tokens_that_fit,
+        Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, MAX_PARTS,
+        MemoryShape, PairMember, PathError, PathPart, PlanRunner, PlanWeights, RepairMember,
+        RepairMove, deal_chains, find_path, layers_that_fit, mend_path, place_in_pairs, plan,
+        repair, tokens_that_fit,
     };
 }
