--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -21,13 +21,7 @@
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// How long a stream that was begun waits for a path that has room. Callers give a stream up after two
-/// seconds without an event, and up to 750 ms have passed when an engine is found lost.
-const RESUME_WAIT: Duration = Duration::from_millis(1_000);
-/// How often it looks for one: about as often as reports of engines come.
-const RESUME_LOOK: Duration = Duration::from_millis(100);
+use std::time::Instant;
 
 /// Longest body of a failure that is passed on.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -59,21 +53,13 @@
     mut avoid: Vec<EndpointId>,
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
-    let wait_until =
-        Instant::now() + if resume_after.is_some() { RESUME_WAIT } else { Duration::ZERO };
     loop {
-        let is_last_look = Instant::now() >= wait_until;
-        let target =
-            match choose_target(gateway, job, resume_after.is_some() && is_last_look, &avoid) {
-                Err(_) if !is_last_look => {
-                    smol::Timer::after(RESUME_LOOK).await;
-                    continue;
-                }
-                Ok(target) => target,
-                Err(reason) => {
-                    return Err(refuse(gateway, job, reason.text()));
-                }
-            };
+        let target = match choose_target(gateway, job, resume_after, &avoid) {
+            Ok(target) => target,
+            Err(reason) => {
+                return Err(refuse(gateway, job, reason.text()));
+            }
+        };
         tries.begin(job);
         let sent_at = Instant::now();
         let stamp = gateway.knowledge.stamp(sent_at);
@@ -139,11 +125,11 @@
     }
 }
 
-/// The target of a request; with `any_path` also where room is short.
+/// The target of a request. One that was begun goes on also where room is short: it has more to lose.
 fn choose_target<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
-    any_path: bool,
+    resume_after: Option<EventNumber>,
     avoid: &[EndpointId],
 ) -> Result<Target, NoTarget> {
     let now = Instant::now();
@@ -157,7 +143,7 @@
         return Ok(Target::on(path));
     }
     match choose_any_path(views, ask) {
-        Some(path) if any_path => Ok(Target::on(path)),
+        Some(path) if resume_after.is_some() => Ok(Target::on(path)),
         Some(_) => Err(NoTarget::NoRoom),
         None => Err(NoTarget::NoPath),
     }
