--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod patience;
 pub mod returns;
 
 use sillbank_core::prelude::*;
