--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -10,7 +10,6 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
-pub mod patience;
 pub mod returns;
 
 use sillbank_core::prelude::*;
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -169,11 +169,7 @@
         strip_connection_headers(&mut headers);
         let longest = admitted.route.timeout;
         let deadline = began + head.time_left.map_or(longest, |left| left.min(longest));
-        let is_returning = head
-            .time_left
-            .is_some_and(|left| self.gateway.is_returning(&admitted.route.name, left));
         let job = Rc::new(Job {
-            is_returning,
             head,
             method: parts.method,
             target: parts.uri,
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -13,9 +13,7 @@
 use crate::store::{Revision, StoreError};
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
-use sillbank_admission::patience::Patience;
 use sillbank_admission::returns::ReturnTimes;
-use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
@@ -74,7 +72,6 @@
     store_reached: Cell<bool>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     returns: RefCell<HashMap<ServiceId, ReturnTimes>>,
-    patience: RefCell<HashMap<RouteName, Patience>>,
     began: Instant,
     wire: PhantomData<W>,
 }
@@ -103,7 +100,6 @@
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
             returns: RefCell::default(),
-            patience: RefCell::default(),
             began: Instant::now(),
             wire: PhantomData,
         }
@@ -207,15 +203,6 @@
         fits
     }
 
-    /// Whether a caller comes back after a refusal, by the time that it has left.
-    pub fn is_returning(&self, route: &str, left: Duration) -> bool {
-        let mut all = self.patience.borrow_mut();
-        match all.get_mut(route) {
-            Some(patience) => patience.is_returning(left),
-            None => all.entry(route.to_owned()).or_default().is_returning(left),
-        }
-    }
-
     /// A request of a service was let in by an endpoint.
     pub fn on_let_in(&self, service: &str) {
         self.with_returns(service, |returns, now| returns.on_let_in(now));
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -45,8 +45,6 @@
     pub began: Instant,
     /// When its caller or the operator wants it ended.
     pub deadline: Instant,
-    /// Whether its caller has come back after a refusal.
-    pub is_returning: bool,
     /// What is known of its work.
     pub run: Cell<RunLog>,
     /// How often it was sent.
@@ -156,9 +154,7 @@
     home: &'a str,
     avoid: &'a [EndpointId],
 ) -> PathAsk<'a> {
-    let demand = job.demand(figures);
-    let is_returning = job.is_returning;
-    PathAsk { service: &job.service, figures, home, avoid, demand, is_returning }
+    PathAsk { service: &job.service, figures, home, avoid, demand: job.demand(figures) }
 }
 
 /// What a request takes of the engines on its path.
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -48,7 +48,6 @@
 /// load that fits: 0.57 at 0.9, 0.60 at 0.95, 0.43 at 1, where engines are overfilled and read prompts
 /// twice.
 const NEW_LIMIT_SHARE: f64 = 0.95;
-const RETURNING_LIMIT_SHARE: f64 = 1.0;
 /// Longest lag of reports that is believed; a larger figure is a fault of the configuration.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(10);
 
@@ -65,8 +64,6 @@
     pub avoid: &'a [EndpointId],
     /// What the request takes of each engine.
     pub demand: Demand,
-    /// Whether its caller has come back after a refusal.
-    pub is_returning: bool,
 }
 
 /// The cheapest path on which every engine has room for the request; engines that are left alone at
@@ -74,8 +71,7 @@
 pub fn choose_path(views: Views<'_>, ask: PathAsk<'_>) -> Option<LayerPath> {
     let mut candidates = candidates(views, ask);
     if views.mechanisms.room {
-        let limit = if ask.is_returning { RETURNING_LIMIT_SHARE } else { NEW_LIMIT_SHARE };
-        candidates.retain(|candidate| candidate.fits(ask.demand, limit));
+        candidates.retain(|candidate| candidate.fits(ask.demand));
     }
     cheapest(candidates, ask, CROSSING)
 }
@@ -133,10 +129,10 @@
 }
 
 impl Candidate {
-    fn fits(&self, demand: Demand, limit_share: f64) -> bool {
+    fn fits(&self, demand: Demand) -> bool {
         let more = demand.kv_tokens() * self.holder.layers.len() as f64;
-        let has_kv = self.room.is_none_or(|room| room.fits(more, limit_share));
-        has_kv && self.places_share < limit_share
+        let has_kv = self.room.is_none_or(|room| room.fits(more, NEW_LIMIT_SHARE));
+        has_kv && self.places_share < NEW_LIMIT_SHARE
     }
 }
 
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -103,7 +103,7 @@
 fn path_by(service: &Service, views: Views<'_>) -> Option<LayerPath> {
     let figures = service.engine.as_ref().expect("it has one");
     let demand = Demand::usual(figures);
-    let ask = PathAsk { service, figures, home: HOME, avoid: &[], demand, is_returning: false };
+    let ask = PathAsk { service, figures, home: HOME, avoid: &[], demand };
     choose_path(views, ask)
 }
 
