--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -2,6 +2,7 @@
 
 use crate::feed::{EngineState, HallBoard};
 use crate::freshness::Freshness;
+use crate::knowledge::wait_in;
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -176,7 +177,7 @@
             if self.boards_kept.get() != seen {
                 return Poll::Ready(());
             }
-            self.waiting.borrow_mut().push(context.waker().clone());
+            wait_in(&mut self.waiting.borrow_mut(), context.waker());
             Poll::Pending
         })
         .await;
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -12,6 +12,14 @@
 /// unevenly and for the way from the caller.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(200);
 
+/// Adds a waker to those to be woken, once for each task: tasks that wait again and again before anything
+/// happens would else fill the list.
+pub(crate) fn wait_in(waiting: &mut Vec<Waker>, waker: &Waker) {
+    if !waiting.iter().any(|known| known.will_wake(waker)) {
+        waiting.push(waker.clone());
+    }
+}
+
 /// Age and version of what a decision was made from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnowledgeStamp {
@@ -134,7 +142,7 @@
             if self.generation.get() != seen {
                 return Poll::Ready(());
             }
-            self.waiting.borrow_mut().push(context.waker().clone());
+            wait_in(&mut self.waiting.borrow_mut(), context.waker());
             Poll::Pending
         })
         .await;
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -3,6 +3,11 @@
 use sillbank_gateway::feed::{EngineState, HallBoard};
 use sillbank_gateway::freshness::Freshness;
 use sillbank_gateway::hall::{Hall, LeaderRole};
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Wake, Waker};
 use std::time::{Duration, Instant};
 
 fn board(hall: &str, age_ms: u64, vms: u32, running: u32) -> HallBoard {
@@ -183,3 +188,29 @@
         assert!(futures_lite::future::or(posted, post).await);
     });
 }
+
+#[test]
+fn a_task_that_waits_again_and_again_is_woken_once() {
+    let hall = Hall::default();
+    let woken = Arc::new(CountingWaker::default());
+    let waker = Waker::from(woken.clone());
+    let mut context = Context::from_waker(&waker);
+
+    for _ in 0..1_000 {
+        let mut waiting = pin!(hall.posted());
+        assert!(waiting.as_mut().poll(&mut context).is_pending());
+    }
+    hall.post_board(Instant::now(), board("a", 0, 1, 5));
+
+    assert_eq!(woken.0.load(Ordering::Relaxed), 1);
+}
+
+/// Counts how often it wakes.
+#[derive(Debug, Default)]
+struct CountingWaker(AtomicUsize);
+
+impl Wake for CountingWaker {
+    fn wake(self: Arc<Self>) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
