Take a refusal for the rate of calls for no outage: what is missing then is gone

Cause: every failed call to the store counted as the store being away, so a VM that was turned away with 429 took an entry that went meanwhile for one that had lapsed, and used its endpoint for 2.3 s.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -29,6 +29,16 @@
     Unknown,
 }
 
+/// Why a call to the store failed, as far as it bears on the entries of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// The store may be out of reach for endpoints too: their entries may lapse.
+    Away,
+    /// The store refuses this VM for the rate of calls. Endpoints go on writing their entries, so one
+    /// that is missing is gone.
+    TurnsAway,
+}
+
 #[derive(Debug, Clone)]
 struct Known {
     record: EndpointRecord,
@@ -57,9 +67,12 @@
 }
 
 impl Directory {
-    /// The store could not be reached, or reached this VM only in part.
-    pub fn on_store_lost(&mut self) {
-        self.reach = StoreReach::Away;
+    /// A call to the store failed.
+    pub fn on_store_trouble(&mut self, trouble: StoreTrouble) {
+        match trouble {
+            StoreTrouble::Away => self.reach = StoreReach::Away,
+            StoreTrouble::TurnsAway => {}
+        }
     }
 
     /// The store answered again.
--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -11,10 +11,12 @@
 mod directory;
 mod record;
 
-pub use directory::{Change, Directory, LAPSE_GRACE, Removal};
+pub use directory::{Change, Directory, LAPSE_GRACE, Removal, StoreTrouble};
 pub use record::{EndpointRecord, Standing};
 
 /// The few types most users need.
 pub mod prelude {
-    pub use crate::{Change, Directory, EndpointRecord, LAPSE_GRACE, Removal, Standing};
+    pub use crate::{
+        Change, Directory, EndpointRecord, LAPSE_GRACE, Removal, Standing, StoreTrouble,
+    };
 }
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -131,7 +131,7 @@
     /// The store answered a call.
     pub fn on_store_answer(&self, follower: &'static str) {
         if !self.store_reached.replace(true) {
-            self.knowledge.on_store(Instant::now(), true);
+            self.knowledge.on_store_back(Instant::now());
             tracing::info!(follower, "store: Back.");
         }
     }
@@ -143,7 +143,7 @@
             tracing::info!(follower, "store: History gone; everything is read again.");
             return;
         }
-        self.knowledge.on_store(Instant::now(), false);
+        self.knowledge.on_store_trouble(error.trouble());
         if self.store_reached.replace(false) {
             tracing::warn!(follower, %error, "store: Lost.");
         }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -173,13 +173,14 @@
         removals
     }
 
-    /// The store was lost, or answered again.
-    pub fn on_store(&self, now: Instant, reached: bool) {
-        let mut directory = self.directory.borrow_mut();
-        match reached {
-            true => directory.on_store_back(now),
-            false => directory.on_store_lost(),
-        }
+    /// The store answered again.
+    pub fn on_store_back(&self, now: Instant) {
+        self.directory.borrow_mut().on_store_back(now);
+    }
+
+    /// A call to the store failed.
+    pub fn on_store_trouble(&self, trouble: StoreTrouble) {
+        self.directory.borrow_mut().on_store_trouble(trouble);
     }
 
     /// Ends the grace of lapsed entries; answers the ids of those that did not come back.
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -38,6 +38,19 @@
     Unreadable(String),
 }
 
+/// Status of a refusal for the rate of calls. A store that is away answers 503 or nothing.
+const TOO_MANY_CALLS: u16 = 429;
+
+impl StoreError {
+    /// What the failure tells of the entries of endpoints.
+    pub fn trouble(&self) -> StoreTrouble {
+        match self {
+            Self::Refused(TOO_MANY_CALLS) => StoreTrouble::TurnsAway,
+            _ => StoreTrouble::Away,
+        }
+    }
+}
+
 /// A configuration as it was read, or why it cannot be.
 pub type CatalogRead = Result<CatalogParts, String>;
 
