Pass endpoints on as differences, at any number of endpoints

Found on the way: what a VM had seen was named by the fence of the leader's lease, which changes with each renewal, so whole lists and whole boards went to every VM each 0.9 s. It is named by the leader's process now.

--- /dev/null
+++ b/crates/sillbank_fleet/src/difference.rs
@@ -0,0 +1,71 @@
+//! What one directory has that another lacks, by numbers of changes.
+//!
+//! A VM that passes its directory on numbers its changes. Another VM names the newest number it has
+//! seen, and is told what came since. Removals are remembered for that, up to [`MAX_REMOVALS`].
+
+use crate::directory::Change;
+use serde::{Deserialize, Serialize};
+use sillbank_core::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// Number of a change within one directory; the first is 1.
+pub type ChangeNumber = u64;
+
+/// Removals that are remembered. A VM that asks each 400 ms misses a few at most; one that has missed
+/// more is told everything, which costs some 90 bytes an endpoint.
+pub const MAX_REMOVALS: usize = 1_024;
+
+/// Changes that bring another directory up to date, or nearer to it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// Whether the list of all entries begins with it: what is not told until its end is gone.
+    pub begins_anew: bool,
+    /// Changes, oldest first.
+    pub changes: Vec<Change>,
+    /// Whether there are more after it.
+    pub goes_on: bool,
+    /// The newest change that the other directory has seen with it.
+    pub seen: ChangeNumber,
+}
+
+/// Entries that went, by the numbers of the changes.
+#[derive(Debug, Default)]
+pub(crate) struct Removals {
+    by_number: BTreeMap<ChangeNumber, EndpointId>,
+    by_id: HashMap<EndpointId, ChangeNumber>,
+    /// Removals up to this number may be forgotten.
+    forgotten: ChangeNumber,
+}
+
+impl Removals {
+    /// Notes that an entry went.
+    pub(crate) fn note(&mut self, number: ChangeNumber, id: EndpointId) {
+        self.by_id.insert(id.clone(), number);
+        self.by_number.insert(number, id);
+        while self.by_number.len() > MAX_REMOVALS {
+            let Some((number, id)) = self.by_number.pop_first() else { return };
+            self.by_id.remove(&id);
+            self.forgotten = number;
+        }
+    }
+
+    /// An entry came back: that it went needs no telling.
+    pub(crate) fn forget(&mut self, id: &str) {
+        if let Some(number) = self.by_id.remove(id) {
+            self.by_number.remove(&number);
+        }
+    }
+
+    /// Whether some removals after a number may be forgotten.
+    pub(crate) fn are_forgotten_after(&self, number: ChangeNumber) -> bool {
+        number < self.forgotten
+    }
+
+    /// Removals after a number, oldest first.
+    pub(crate) fn since(
+        &self,
+        number: ChangeNumber,
+    ) -> impl Iterator<Item = (ChangeNumber, &EndpointId)> {
+        self.by_number.range(number + 1..).map(|(number, id)| (*number, id))
+    }
+}
--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -1,6 +1,8 @@
 //! The endpoints this VM believes in.
 
+use crate::difference::{ChangeNumber, Difference, Removals};
 use crate::record::{EndpointRecord, Standing};
+use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -10,7 +12,7 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 
 /// A change of one entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The entry is new or says something else.
     Put(EndpointRecord),
@@ -43,6 +45,8 @@
 struct Known {
     record: EndpointRecord,
     lapsed: bool,
+    /// Number of the change that made the record what it is.
+    number: ChangeNumber,
 }
 
 /// What this VM knows of the store's reachability.
@@ -58,11 +62,18 @@
 pub struct Directory {
     entries: BTreeMap<EndpointId, Known>,
     reach: StoreReach,
+    newest: ChangeNumber,
+    removals: Removals,
 }
 
 impl Default for Directory {
     fn default() -> Self {
-        Self { entries: BTreeMap::new(), reach: StoreReach::Steady }
+        Self {
+            entries: BTreeMap::new(),
+            reach: StoreReach::Steady,
+            newest: 0,
+            removals: Removals::default(),
+        }
     }
 }
 
@@ -97,14 +108,55 @@
         missing.into_iter().map(|id| (id.clone(), self.remove(now, &id))).collect()
     }
 
-    /// Takes a list from a VM that has decided what lapsed and what is gone; answers the ids of the
-    /// entries that are missing in it.
-    pub fn replace(&mut self, records: Vec<EndpointRecord>) -> Vec<EndpointId> {
-        let before = std::mem::take(&mut self.entries);
-        for record in records {
-            self.put(record);
+    /// Takes a change from a VM that has decided what lapsed and what is gone; answers whether an entry
+    /// went.
+    pub fn on_told_change(&mut self, change: Change) -> bool {
+        match change {
+            Change::Put(record) => {
+                self.put(record);
+                false
+            }
+            Change::Removed(id) => self.take_out(&id),
+        }
+    }
+
+    /// Ends all entries but those that a VM has told of; answers the ids of those that went.
+    pub fn retain_told(&mut self, told: &BTreeSet<EndpointId>) -> Vec<EndpointId> {
+        let is_missing = |id: &&EndpointId| !told.contains(*id);
+        let missing: Vec<EndpointId> = self.entries.keys().filter(is_missing).cloned().collect();
+        for id in &missing {
+            self.take_out(id);
         }
-        before.into_keys().filter(|id| !self.entries.contains_key(id)).collect()
+        missing
+    }
+
+    /// Number of the newest change; 0 if there was none.
+    pub fn newest_change(&self) -> ChangeNumber {
+        self.newest
+    }
+
+    /// What another directory lacks that has seen the changes up to `since`: at most `most` changes, in
+    /// the order of their numbers. One that has seen less than what is still remembered of removals is
+    /// told everything anew.
+    pub fn difference(&self, since: ChangeNumber, most: usize) -> Difference {
+        let begins_anew = since == 0 || self.removals.are_forgotten_after(since);
+        let since = if begins_anew { 0 } else { since };
+        let puts = self.entries.values().filter(|known| known.number > since);
+        let mut changes: Vec<(ChangeNumber, Change)> =
+            puts.map(|known| (known.number, Change::Put(known.record.clone()))).collect();
+        if !begins_anew {
+            let gone = self.removals.since(since);
+            changes.extend(gone.map(|(number, id)| (number, Change::Removed(id.clone()))));
+        }
+        changes.sort_unstable_by_key(|(number, _)| *number);
+        let goes_on = changes.len() > most;
+        changes.truncate(most);
+        let seen = match changes.last() {
+            Some((number, _)) if goes_on => *number,
+            _ => self.newest,
+        };
+        let changes = changes.into_iter().map(|(_, change)| change).collect();
+        Difference { begins_anew, changes, goes_on, seen }
     }
 
     /// Takes one change; answers what a removal means.
@@ -133,7 +185,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &over {
-            self.entries.remove(id);
+            self.take_out(id);
         }
         over
     }
@@ -172,7 +224,26 @@
     }
 
     fn put(&mut self, record: EndpointRecord) {
-        self.entries.insert(record.id.clone(), Known { record, lapsed: false });
+        if let Some(known) = self.entries.get_mut(&record.id)
+            && known.record == record
+        {
+            known.lapsed = false;
+            return;
+        }
+        self.newest += 1;
+        self.removals.forget(&record.id);
+        let known = Known { lapsed: false, number: self.newest, record };
+        self.entries.insert(known.record.id.clone(), known);
+    }
+
+    /// Takes an entry out and remembers that it went; answers whether there was one.
+    fn take_out(&mut self, id: &str) -> bool {
+        let Some((id, _)) = self.entries.remove_entry(id) else {
+            return false;
+        };
+        self.newest += 1;
+        self.removals.note(self.newest, id);
+        true
     }
 
     fn remove(&mut self, now: Instant, id: &str) -> Removal {
@@ -184,7 +255,7 @@
             known.lapsed = true;
             return Removal::Lapsed;
         }
-        self.entries.remove(id);
+        self.take_out(id);
         Removal::Gone
     }
 
--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -4,19 +4,26 @@
 //! leaves the store while the store was out of reach may only have lapsed, so its endpoint stays
 //! usable until a short time after the store's return.
 //!
+//! A directory numbers its changes, so that another VM is told only what it lacks.
+//!
 //! Pure: no sockets, no clock, no threads.
 
 #![forbid(unsafe_code)]
 
+mod difference;
 mod directory;
 mod record;
+mod replication;
 
+pub use difference::{ChangeNumber, Difference, MAX_REMOVALS};
 pub use directory::{Change, Directory, LAPSE_GRACE, Removal, StoreTrouble};
 pub use record::{EndpointRecord, Standing};
+pub use replication::{Replication, Standpoint};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Change, Directory, EndpointRecord, LAPSE_GRACE, Removal, Standing, StoreTrouble,
+        Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE, Removal,
+        Replication, Standing, Standpoint, StoreTrouble,
     };
 }
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -102,18 +102,6 @@
     assert_eq!(removal, Some(Removal::Gone));
 }
 
-#[test]
-fn a_list_from_a_leader_ends_what_it_lacks_also_during_an_outage() {
-    let (mut directory, _) = directory(&["a", "b"]);
-    directory.on_store_trouble(StoreTrouble::Away);
-
-    let gone = directory.replace(vec![record("b", Standing::Ready)]);
-
-    assert_eq!(gone, vec!["a".to_owned()]);
-    assert!(directory.usable("a").is_none());
-    assert!(directory.usable("b").is_some());
-}
-
 #[test]
 fn a_vm_that_the_store_turns_away_takes_a_missing_entry_for_gone() {
     let (mut directory, now) = directory(&["a", "b"]);
--- /dev/null
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -0,0 +1,202 @@
+//! A directory that is told in differences becomes what its source is.
+
+use sillbank_fleet::prelude::*;
+use sillbank_fleet::{MAX_REMOVALS, Replication};
+use sillbank_testing::for_fixed_seeds;
+use std::time::Instant;
+
+fn record(id: &str, slots: u32) -> EndpointRecord {
+    EndpointRecord {
+        id: id.to_owned(),
+        service: "quotes".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: "a".to_owned(),
+        standing: Standing::Ready,
+        slots,
+        accelerator: None,
+        layers: None,
+    }
+}
+
+fn source(ids: &[&str]) -> Directory {
+    let mut directory = Directory::default();
+    directory.on_listing(Instant::now(), ids.iter().map(|id| record(id, 1)).collect());
+    directory
+}
+
+fn records(directory: &Directory) -> Vec<EndpointRecord> {
+    directory.iter().cloned().collect()
+}
+
+/// Asks until nothing is left; answers the ids that went.
+fn catch_up(
+    replication: &mut Replication,
+    copy: &mut Directory,
+    source: &Directory,
+    most: usize,
+) -> Vec<String> {
+    let mut gone = Vec::new();
+    loop {
+        let difference = source.difference(replication.seen(), most);
+        let goes_on = difference.goes_on;
+        gone.extend(replication.on_difference(copy, difference, Standpoint::Newer));
+        if !goes_on {
+            return gone;
+        }
+    }
+}
+
+#[test]
+fn a_newcomer_is_told_everything_in_pieces() {
+    let source = source(&["a", "b", "c", "d", "e"]);
+    let (mut replication, mut copy) = (Replication::default(), Directory::default());
+
+    let first = source.difference(replication.seen(), 2);
+
+    assert_eq!((first.changes.len(), first.goes_on, first.begins_anew), (2, true, true));
+
+    catch_up(&mut replication, &mut copy, &source, 2);
+
+    assert_eq!(records(&copy), records(&source));
+    assert!(replication.is_complete());
+}
+
+#[test]
+fn one_that_is_up_to_date_is_told_nothing() {
+    let source = source(&["a", "b"]);
+    let (mut replication, mut copy) = (Replication::default(), Directory::default());
+    catch_up(&mut replication, &mut copy, &source, 10);
+
+    let difference = source.difference(replication.seen(), 10);
+
+    assert!(difference.changes.is_empty() && !difference.goes_on && !difference.begins_anew);
+}
+
+#[test]
+fn an_entry_that_is_written_again_as_it_was_is_no_change() {
+    let mut source = source(&["a"]);
+    let before = source.newest_change();
+
+    source.on_change(Instant::now(), Change::Put(record("a", 1)));
+
+    assert_eq!(source.newest_change(), before);
+}
+
+#[test]
+fn a_removal_is_told_and_so_is_a_return() {
+    let now = Instant::now();
+    let mut source = source(&["a", "b"]);
+    let (mut replication, mut copy) = (Replication::default(), Directory::default());
+    catch_up(&mut replication, &mut copy, &source, 10);
+    source.on_change(now, Change::Removed("a".to_owned()));
+
+    let gone = catch_up(&mut replication, &mut copy, &source, 10);
+
+    assert_eq!(gone, vec!["a".to_owned()]);
+    assert!(copy.get("a").is_none());
+
+    source.on_change(now, Change::Put(record("a", 2)));
+    catch_up(&mut replication, &mut copy, &source, 10);
+
+    assert_eq!(records(&copy), records(&source));
+}
+
+#[test]
+fn a_new_source_ends_what_it_does_not_list_also_during_an_outage() {
+    let (mut replication, mut copy) = (Replication::default(), source(&["a", "b"]));
+    copy.on_store_trouble(StoreTrouble::Away);
+
+    let gone = catch_up(&mut replication, &mut copy, &source(&["b"]), 1);
+
+    assert_eq!(gone, vec!["a".to_owned()]);
+    assert!(copy.usable("a").is_none());
+    assert!(copy.usable("b").is_some());
+}
+
+#[test]
+fn an_entry_that_goes_while_the_list_is_told_is_gone_at_its_end() {
+    let mut source = source(&["a", "b", "c"]);
+    let (mut replication, mut copy) = (Replication::default(), Directory::default());
+    replication.on_difference(&mut copy, source.difference(0, 1), Standpoint::Newer);
+
+    source.on_change(Instant::now(), Change::Removed("a".to_owned()));
+    catch_up(&mut replication, &mut copy, &source, 1);
+
+    assert_eq!(records(&copy), records(&source));
+}
+
+#[test]
+fn one_that_missed_more_removals_than_are_remembered_is_told_everything() {
+    let now = Instant::now();
+    let mut source = source(&["a", "b"]);
+    let (mut replication, mut copy) = (Replication::default(), Directory::default());
+    catch_up(&mut replication, &mut copy, &source, 10);
+    source.on_change(now, Change::Removed("a".to_owned()));
+    for number in 0..=MAX_REMOVALS {
+        source.on_change(now, Change::Put(record(&format!("e{number}"), 1)));
+        source.on_change(now, Change::Removed(format!("e{number}")));
+    }
+
+    let difference = source.difference(replication.seen(), 10);
+    assert!(difference.begins_anew);
+    catch_up(&mut replication, &mut copy, &source, 10);
+
+    assert_eq!(records(&copy), records(&source));
+}
+
+#[test]
+fn what_is_older_is_left_out_and_asked_for_again_later() {
+    let now = Instant::now();
+    let mut source = source(&["a", "b"]);
+    let (mut replication, mut copy) = (Replication::default(), Directory::default());
+    catch_up(&mut replication, &mut copy, &source, 10);
+    source.on_change(now, Change::Removed("a".to_owned()));
+
+    let difference = source.difference(replication.seen(), 10);
+    let gone = replication.on_difference(&mut copy, difference, Standpoint::Older);
+
+    assert!(gone.is_empty() && copy.get("a").is_some());
+    assert!(!replication.is_complete());
+
+    catch_up(&mut replication, &mut copy, &source, 10);
+    catch_up(&mut replication, &mut copy, &source, 10);
+
+    assert_eq!(records(&copy), records(&source));
+    assert!(replication.is_complete());
+}
+
+#[test]
+fn a_copy_becomes_its_source_whatever_came_between() {
+    for_fixed_seeds(300, 256, |u| {
+        let now = Instant::now();
+        let mut source = Directory::default();
+        let (mut replication, mut copy) = (Replication::default(), Directory::default());
+        for _ in 0..u.int_in_range(1..=40)? {
+            let id = format!("e{}", u.int_in_range(0..=6)?);
+            let most = u.int_in_range(1..=4)?;
+            match u.int_in_range(0..=7)? {
+                0..=2 => {
+                    source.on_change(now, Change::Put(record(&id, u.int_in_range(1..=3)?)));
+                }
+                3 | 4 => {
+                    source.on_change(now, Change::Removed(id));
+                }
+                5 => {
+                    let piece = source.difference(replication.seen(), most);
+                    replication.on_difference(&mut copy, piece, Standpoint::Newer);
+                }
+                6 => {
+                    let piece = source.difference(replication.seen(), most);
+                    replication.on_difference(&mut copy, piece, Standpoint::Older);
+                }
+                // The source is asked over a new connection.
+                _ => replication = Replication::default(),
+            }
+        }
+        catch_up(&mut replication, &mut copy, &source, 3);
+        catch_up(&mut replication, &mut copy, &source, 3);
+
+        assert_eq!(records(&copy), records(&source));
+        Ok(())
+    });
+}
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -1,12 +1,12 @@
 //! The asking side of the feed: VMs ask their leader, leaders ask those of other halls.
 
-use super::messages::{FeedAsk, FeedNews, FeedReply, SeenMark};
+use super::messages::{EndpointNews, FeedAsk, FeedNews, FeedReply, ProcessLife, SeenMark};
 use crate::gateway::Gateway;
-use crate::hall::LeaderRole;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use smol::net::TcpStream;
 use std::collections::BTreeSet;
@@ -29,14 +29,29 @@
 struct Link {
     stream: TcpStream,
     address: SocketAddr,
-    seen: Option<SeenMark>,
+    /// Life of the leader's process and the newest of its boards that was seen.
+    boards_seen: Option<(ProcessLife, u64)>,
+    endpoints: Replication,
 }
 
 impl Link {
     async fn open(address: SocketAddr) -> Result<Self, FrameError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(Self { stream, address, seen: None })
+        Ok(Self { stream, address, boards_seen: None, endpoints: Replication::default() })
+    }
+
+    fn seen(&self) -> Option<SeenMark> {
+        let (life, boards) = self.boards_seen?;
+        Some(SeenMark { life, endpoints: self.endpoints.seen(), boards })
+    }
+
+    /// Notes what a leader's news bring; what was seen of another process counts no more.
+    fn on_news(&mut self, news: &FeedNews) {
+        if self.boards_seen.is_some_and(|(life, _)| life != news.life) {
+            self.endpoints = Replication::default();
+        }
+        self.boards_seen = Some((news.life, news.boards_seen));
     }
 
     async fn ask(&mut self, ask: &FeedAsk) -> Result<FeedReply, FrameError> {
@@ -64,12 +79,9 @@
         let sent = Instant::now();
         match ask_once(&gateway, &mut link, leader).await {
             Ok(FeedReply::News(news)) => {
-                let role = LeaderRole {
-                    holds_lease: news.holds_lease,
-                    relays_endpoints: news.relays_endpoints,
-                };
-                let confirmed = take_news(&gateway, *news, sent, true);
-                gateway.hall.on_news(Instant::now(), confirmed, role);
+                let holds_lease = news.holds_lease;
+                let confirmed = take_news(&gateway, &mut link, *news, sent, true);
+                gateway.hall.on_news(Instant::now(), confirmed, holds_lease);
             }
             Ok(FeedReply::NotLeading) => {
                 gateway.hall.on_leader_lost();
@@ -108,11 +120,11 @@
             vm: settings.vm.clone(),
             hall: settings.hall.clone(),
             catalog: gateway.knowledge.catalog().map(|catalog| catalog.version()),
-            seen: link.seen,
+            seen: link.seen(),
         };
         let reply = link.ask(&ask).await?;
         if let FeedReply::News(news) = &reply {
-            link.seen = Some(news.mark);
+            link.on_news(news);
         }
         Ok(reply)
     };
@@ -122,6 +134,7 @@
 /// Takes what a leader tells; answers when the configuration that is in force now was confirmed.
 fn take_news<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
+    link: &mut Option<Link>,
     news: FeedNews,
     sent: Instant,
     takes_endpoints: bool,
@@ -133,7 +146,7 @@
         match Catalog::new(parts.clone()) {
             Ok(catalog) => {
                 let taken = gateway.knowledge.offer_catalog(catalog, parts);
-                gateway.decisions.catalog_read(Some(version), news.mark.generation, taken);
+                gateway.decisions.catalog_read(Some(version), news.confirmed_at, taken);
             }
             Err(error) => {
                 tracing::error!(version, %error, "feed: A configuration cannot be used.");
@@ -141,8 +154,9 @@
             }
         }
     }
-    if let Some(list) = news.endpoints.filter(|_| takes_endpoints) {
-        gateway.on_relayed_endpoints(list.at, list.records);
+    if let (Some(link), Some(endpoints)) = (link, news.endpoints) {
+        let EndpointNews { at, difference } = endpoints;
+        gateway.on_told_endpoints(&mut link.endpoints, at, difference, takes_endpoints);
     }
     let own = gateway.settings().hall.clone();
     for board in news.boards {
@@ -204,7 +218,7 @@
         match ask_once(gateway, &mut self.link, leader).await {
             Ok(FeedReply::News(news)) => {
                 let takes_endpoints = !gateway.store_is_reached();
-                take_news(gateway, *news, sent, takes_endpoints);
+                take_news(gateway, &mut self.link, *news, sent, takes_endpoints);
             }
             Ok(FeedReply::NotLeading) => self.leader = None,
             Err(error) => {
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -7,13 +7,17 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Number that a process draws at its start: what it numbers counts within its life only. The fence of
+/// its lease would not do, as that changes with each renewal.
+pub type ProcessLife = u64;
+
 /// What a VM has seen of a leader's knowledge.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenMark {
-    /// Fence of the leader's lease.
-    pub term: u64,
-    /// Generation of the leader's knowledge.
-    pub generation: u64,
+    /// Life of the leader's process.
+    pub life: ProcessLife,
+    /// Newest change of the leader's directory.
+    pub endpoints: ChangeNumber,
     /// Number of the newest board that was passed on.
     pub boards: u64,
 }
@@ -31,13 +35,13 @@
     pub seen: Option<SeenMark>,
 }
 
-/// A list of all endpoints.
+/// What a leader's directory has that the asking VM lacks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointList {
+pub struct EndpointNews {
     /// Revision of the store as of which it holds.
     pub at: u64,
-    /// Endpoints.
-    pub records: Vec<EndpointRecord>,
+    /// The difference, or a piece of it.
+    pub difference: Difference,
 }
 
 /// What an engine reported, or that it is lost.
@@ -114,8 +118,10 @@
 /// What a leader knows that the asking VM may not.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FeedNews {
-    /// What the asking VM has seen after this.
-    pub mark: SeenMark,
+    /// Life of the leader's process.
+    pub life: ProcessLife,
+    /// Number of the newest board that the asking VM has seen after this.
+    pub boards_seen: u64,
     /// Whether the leader holds the hall's lease. If not, the store is away, or another VM may take it.
     pub holds_lease: bool,
     /// How long the ask was held for news, in milliseconds.
@@ -126,11 +132,8 @@
     pub confirmed_at: u64,
     /// The configuration, if it is newer.
     pub catalog: Option<CatalogParts>,
-    /// Whether the leader passes endpoints on. With many it does not: each VM watches them in the store,
-    /// which tells changes only.
-    pub relays_endpoints: bool,
-    /// All endpoints, if something changed.
-    pub endpoints: Option<EndpointList>,
+    /// What is new of endpoints; `None` if the leader has not read them yet.
+    pub endpoints: Option<EndpointNews>,
     /// Engines of this hall and of others, as far as they are new to the asking VM.
     pub boards: Vec<HallBoard>,
 }
--- a/crates/sillbank_gateway/src/feed/mod.rs
+++ b/crates/sillbank_gateway/src/feed/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The holder of a hall's lease follows the store and asks the hall's engines. The other VMs of the
 //! hall ask it instead of the store, which is counted and priced; leaders of halls ask each other.
-//! What is passed on is configuration, endpoints, how old their confirmation is, and what engines
-//! report. A VM whose leader falls silent, or knows too little, follows the store itself.
+//! What is passed on is configuration, changes of endpoints, how old their confirmation is, and what
+//! engines report. A VM whose leader falls silent, or knows too little, follows the store itself.
 
 mod client;
 mod messages;
@@ -11,7 +11,7 @@
 
 pub use client::follow_leader;
 pub use messages::{
-    EndpointList, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, NEARLY_FULL_PERMILLE,
-    SeenMark,
+    EndpointNews, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, NEARLY_FULL_PERMILLE,
+    ProcessLife, SeenMark,
 };
 pub use server::serve_feed;
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -1,19 +1,20 @@
 //! A leader's side of the feed.
 
-use super::messages::{EndpointList, FeedAsk, FeedNews, FeedReply, SeenMark};
+use super::messages::{EndpointNews, FeedAsk, FeedNews, FeedReply, SeenMark};
 use crate::freshness::NEWS_WAIT;
 use crate::gateway::Gateway;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
+use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Most endpoints that are passed on, as a list whenever one changes. A list of 200 has some 18 KB; to
-/// 24 VMs that is a fifth of a second of the smallest link known (20 Mbit/s). With 1,000 engines and 33
-/// VMs in a hall lists took the leader's whole link, and 0.55 of all requests were refused.
-const MAX_RELAYED: usize = 200;
+/// Most changes of endpoints in one answer; the rest follows when the VM asks again. A change has some 90
+/// bytes, so 60 VMs that are new to a leader take 0.2 s of the smallest link known (20 Mbit/s) for a
+/// piece each, and requests run in between.
+const MOST_CHANGES: usize = 100;
 /// How long a connection may rest between asks.
 const ASK_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted.
@@ -64,41 +65,58 @@
 async fn answer<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> FeedReply {
     let began = Instant::now();
     let knowledge = &gateway.knowledge;
-    let term = gateway.hall.tells.get();
-    let is_news = |term: u64| {
-        ask.seen.is_none_or(|seen| seen.term != term || seen.generation != knowledge.generation())
-    };
-    if term.is_some_and(|term| !is_news(term)) {
+    let seen = ask.seen.filter(|seen| seen.life == gateway.life_number);
+    if gateway.hall.tells.get().is_some() && !has_news(gateway, ask, seen) {
         let wait = async {
             smol::Timer::after(NEWS_WAIT).await;
         };
         let news = futures_lite::future::or(knowledge.changed(), gateway.hall.posted());
         futures_lite::future::or(news, wait).await;
     }
-    let Some(term) = gateway.hall.tells.get() else {
+    if gateway.hall.tells.get().is_none() {
         return FeedReply::NotLeading;
-    };
+    }
     let now = Instant::now();
     if ask.hall == gateway.settings().hall {
         gateway.hall.on_asker(&ask.vm, now);
     }
-    let is_newer = knowledge.catalog().is_some_and(|known| Some(known.version()) > ask.catalog);
-    let relays_endpoints = knowledge.endpoints(|directory| directory.iter().count()) <= MAX_RELAYED;
-    let endpoints = (relays_endpoints && is_news(term)).then(|| EndpointList {
-        at: knowledge.endpoints_at(),
-        records: knowledge.endpoints(|directory| directory.iter().cloned().collect()),
-    });
-    let seen_boards = ask.seen.filter(|seen| seen.term == term).map_or(0, |seen| seen.boards);
-    let (newest_board, boards) = gateway.hall.boards_since(seen_boards, now);
+    let catalog = has_newer_catalog(gateway, ask).then(|| knowledge.catalog_parts()).flatten();
+    let (boards_seen, boards) = gateway.hall.boards_since(seen.map_or(0, |seen| seen.boards), now);
     FeedReply::News(Box::new(FeedNews {
-        mark: SeenMark { term, generation: knowledge.generation(), boards: newest_board },
+        life: gateway.life_number,
+        boards_seen,
         holds_lease: gateway.hall.leads.get().is_some(),
         held_ms: began.elapsed().as_millis() as u64,
         confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
         confirmed_at: knowledge.catalog_at(),
-        catalog: is_newer.then(|| knowledge.catalog_parts()).flatten().map(|p| (*p).clone()),
-        relays_endpoints,
-        endpoints: endpoints.filter(|list| list.at > 0),
+        catalog: catalog.map(|parts| (*parts).clone()),
+        endpoints: endpoint_news(gateway, seen),
         boards,
     }))
 }
+
+fn has_news<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    ask: &FeedAsk,
+    seen: Option<SeenMark>,
+) -> bool {
+    let newest = gateway.knowledge.endpoints(Directory::newest_change);
+    has_newer_catalog(gateway, ask) || seen.is_none_or(|seen| seen.endpoints != newest)
+}
+
+fn has_newer_catalog<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> bool {
+    let known = gateway.knowledge.catalog();
+    known.is_some_and(|known| Some(known.version()) > ask.catalog)
+}
+
+fn endpoint_news<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    seen: Option<SeenMark>,
+) -> Option<EndpointNews> {
+    let knowledge = &gateway.knowledge;
+    let since = seen.map_or(0, |seen| seen.endpoints);
+    knowledge.knows_endpoints().then(|| EndpointNews {
+        at: knowledge.endpoints_at(),
+        difference: knowledge.endpoints(|directory| directory.difference(since, MOST_CHANGES)),
+    })
+}
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::freshness::NEED_POLL;
 use crate::gateway::Gateway;
 use crate::hall::Hall;
+use crate::sources::{Followed, SourceView, is_told};
 use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
@@ -42,14 +43,15 @@
     }
 }
 
-/// What a task follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Followed {
-    /// The configuration. This task also looks for the store's return on a VM whose leader is there but
-    /// has lost the store too.
-    Catalog,
-    /// The endpoints. This task leaves that to the other: one call that fails tells as much as two.
-    Endpoints,
+fn source_view<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) -> SourceView {
+    let (now, hall) = (Instant::now(), &gateway.hall);
+    SourceView {
+        leader_is_live: hall.leader_is_live(now),
+        leader_holds_lease: hall.leader_holds_lease(now),
+        leader_suffices: hall.leader_suffices(now, gateway.freshness()),
+        has_catalog: gateway.knowledge.catalog().is_some(),
+        store_is_reached: gateway.store_is_reached(),
+    }
 }
 
 /// Waits while the hall's leader tells enough; answers whether it did so far.
@@ -58,23 +60,11 @@
     followed: Followed,
 ) -> bool {
     let mut was_told = false;
-    loop {
-        let now = Instant::now();
-        // Before the first configuration there is nothing to confirm: one VM of the hall asks for it.
-        let knows_nothing = gateway.knowledge.catalog().is_none();
-        let hall = &gateway.hall;
-        let waits_for_other = hall.leader_is_live(now) && !gateway.store_is_reached();
-        let suffices = hall.leader_suffices(now, gateway.freshness());
-        let is_told = match followed {
-            Followed::Catalog => suffices || (knows_nothing && hall.leader_is_live(now)),
-            Followed::Endpoints => (suffices && hall.leader_relays_endpoints()) || waits_for_other,
-        };
-        if !is_told {
-            return was_told;
-        }
+    while is_told(followed, source_view(gateway)) {
         was_told = true;
         smol::Timer::after(NEED_POLL).await;
     }
+    was_told
 }
 
 /// Follows the configuration for as long as the program runs.
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::channels::ChannelPool;
 use crate::decisions::{Decisions, Outcome};
 use crate::endpoints::{EndpointBook, Evidence};
+use crate::feed::ProcessLife;
 use crate::freshness::Freshness;
 use crate::hall::Hall;
 use crate::job::Job;
@@ -67,6 +68,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Where the process stands.
     pub life: Cell<Life>,
+    /// Drawn at the start, to tell this process from others on the same VM.
+    pub life_number: ProcessLife,
     /// Requests in progress.
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
@@ -96,6 +99,7 @@
             metrics: Metrics::default(),
             executor,
             life: Cell::new(Life::Serving),
+            life_number: fastrand::u64(..),
             in_progress: Cell::new(0),
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
@@ -160,9 +164,15 @@
         }
     }
 
-    /// Takes a list of endpoints that a leader passed on.
-    pub fn on_relayed_endpoints(&self, at: Revision, records: Vec<EndpointRecord>) {
-        let gone = self.knowledge.take_relayed(at, records);
+    /// Takes what a leader told of endpoints; with `is_wanted` false only notes that it was told.
+    pub fn on_told_endpoints(
+        &self,
+        replication: &mut Replication,
+        at: Revision,
+        difference: Difference,
+        is_wanted: bool,
+    ) {
+        let gone = self.knowledge.take_told(replication, at, difference, is_wanted);
         let removals: Vec<_> = gone.into_iter().map(|id| (id, Removal::Gone)).collect();
         self.on_removals(&removals);
     }
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -30,15 +30,6 @@
 /// Longest pause of a VM whose leader can be asked: the leader hears of the store's return first.
 const PAUSE_MAX_LED: Duration = Duration::from_millis(4_000);
 
-/// What a leader says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct LeaderRole {
-    /// Whether it holds the hall's lease.
-    pub holds_lease: bool,
-    /// Whether it passes endpoints on.
-    pub relays_endpoints: bool,
-}
-
 /// What a board tells of one engine.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineNews<'a> {
@@ -79,7 +70,7 @@
     pub leader: Cell<Option<SocketAddr>>,
     heard: Cell<Option<Instant>>,
     confirmed: Cell<Option<Instant>>,
-    leader_role: Cell<LeaderRole>,
+    leader_holds_lease: Cell<bool>,
     boards: RefCell<HashMap<HallId, KeptBoard>>,
     boards_kept: Cell<u64>,
     askers: RefCell<HashMap<VmId, Instant>>,
@@ -89,11 +80,12 @@
 }
 
 impl Hall {
-    /// The leader answered; `confirmed` is when its configuration was last confirmed.
-    pub fn on_news(&self, now: Instant, confirmed: Option<Instant>, role: LeaderRole) {
+    /// The leader answered; `confirmed` is when its configuration was last confirmed, `holds_lease`
+    /// whether it holds the hall's lease.
+    pub fn on_news(&self, now: Instant, confirmed: Option<Instant>, holds_lease: bool) {
         self.heard.set(Some(now));
         self.confirmed.set(confirmed);
-        self.leader_role.set(role);
+        self.leader_holds_lease.set(holds_lease);
     }
 
     /// The leader is lost or leads no more.
@@ -109,12 +101,7 @@
 
     /// Whether the leader has said lately that it holds the hall's lease.
     pub fn leader_holds_lease(&self, now: Instant) -> bool {
-        self.leader_is_live(now) && self.leader_role.get().holds_lease
-    }
-
-    /// Whether the leader passes endpoints on.
-    pub fn leader_relays_endpoints(&self) -> bool {
-        self.leader_role.get().relays_endpoints
+        self.leader_is_live(now) && self.leader_holds_lease.get()
     }
 
     /// Whether the leader tells enough for this VM not to ask the store itself.
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -2,6 +2,7 @@
 
 use crate::store::{Revision, Snapshot};
 use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -119,15 +120,31 @@
         self.directory.borrow_mut().on_listing(now, list.value)
     }
 
-    /// Takes a list of endpoints from a VM that follows the store, unless it is older than what is
-    /// known; answers the ids of those that are missing in it.
-    pub fn take_relayed(&self, at: Revision, records: Vec<EndpointRecord>) -> Vec<String> {
-        if at < self.endpoints_at.get() {
-            return Vec::new();
+    /// Takes a difference from a VM that follows the store, unless it is older than what is known or
+    /// `is_wanted` is false; answers the ids of the entries that went.
+    pub fn take_told(
+        &self,
+        replication: &mut Replication,
+        at: Revision,
+        difference: Difference,
+        is_wanted: bool,
+    ) -> Vec<EndpointId> {
+        let standpoint = match is_wanted && at >= self.endpoints_at.get() {
+            true => Standpoint::Newer,
+            false => Standpoint::Older,
+        };
+        let mut directory = self.directory.borrow_mut();
+        let before = directory.newest_change();
+        let gone = replication.on_difference(&mut directory, difference, standpoint);
+        let has_changed = directory.newest_change() != before;
+        drop(directory);
+        if standpoint == Standpoint::Newer && replication.is_complete() {
+            self.endpoints_at.set(at);
         }
-        self.endpoints_at.set(at);
-        self.change();
-        self.directory.borrow_mut().replace(records)
+        if has_changed {
+            self.change();
+        }
+        gone
     }
 
     /// Revision of the list of endpoints; 0 if none is known.
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`freshness`] says for how
-//!   long what a leader tells is enough.
+//!   long what a leader tells is enough, [`sources`] who asks the store.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
@@ -38,6 +38,7 @@
 pub mod plugins;
 pub mod sending;
 pub mod settings;
+pub mod sources;
 pub mod store;
 pub mod streams;
 pub mod tries;
--- /dev/null
+++ b/crates/sillbank_gateway/src/sources.rs
@@ -0,0 +1,42 @@
+//! Whether a VM takes what it knows from its hall's leader or follows the store itself.
+//!
+//! Two tasks follow, one the configuration and one the endpoints. Whenever the leader does not tell
+//! enough, at least one of them asks the store: the configuration's, whose calls also show that the store
+//! is back. So there is no state in which nobody follows for a VM.
+
+/// What a task follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followed {
+    /// The configuration. This task also looks for the store's return on a VM whose leader is there but
+    /// has lost the store too.
+    Catalog,
+    /// The endpoints. This task leaves that to the other: one call that fails tells as much as two.
+    Endpoints,
+}
+
+/// What a VM sees of its sources.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SourceView {
+    /// Whether the leader has been heard of lately.
+    pub leader_is_live: bool,
+    /// Whether it has said lately that it holds the hall's lease, and so reaches the store.
+    pub leader_holds_lease: bool,
+    /// Whether what it tells was confirmed lately enough.
+    pub leader_suffices: bool,
+    /// Whether this VM has a configuration.
+    pub has_catalog: bool,
+    /// Whether this VM's last call to the store was answered.
+    pub store_is_reached: bool,
+}
+
+/// Whether a task need not ask the store.
+pub fn is_told(followed: Followed, view: SourceView) -> bool {
+    // Before the first configuration there is nothing to confirm: one VM of the hall asks for it.
+    let awaits_first = !view.has_catalog && view.leader_holds_lease;
+    match followed {
+        Followed::Catalog => view.leader_suffices || awaits_first,
+        Followed::Endpoints => {
+            view.leader_suffices || (view.leader_is_live && !view.store_is_reached)
+        }
+    }
+}
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -1,8 +1,8 @@
 //! While all is well nobody but the leader asks the store; when the leader is blind, others ask in time.
 
-use sillbank_gateway::feed::{FeedNews, SeenMark};
+use sillbank_gateway::feed::FeedNews;
 use sillbank_gateway::freshness::{Freshness, NEED_POLL, NEWS_WAIT};
-use sillbank_gateway::hall::{Hall, LeaderRole};
+use sillbank_gateway::hall::Hall;
 use std::time::{Duration, Instant};
 
 /// Bounds for configurations to be in force on the sites known.
@@ -17,7 +17,7 @@
     let mut confirmed = began;
     let mut watch_sent = began;
     let mut told = began + phase;
-    hall.on_news(told, Some(confirmed), LeaderRole::default());
+    hall.on_news(told, Some(confirmed), false);
     while told < began + Duration::from_secs(20) {
         told += NEWS_WAIT + WAY;
         while watch_sent + freshness.leader_wait + WAY <= told - WAY {
@@ -25,7 +25,7 @@
             watch_sent += freshness.leader_wait + WAY;
         }
         ages.push(hall.confirmation_age(told).expect("it was told"));
-        hall.on_news(told, Some(confirmed), LeaderRole::default());
+        hall.on_news(told, Some(confirmed), false);
     }
     ages
 }
@@ -58,13 +58,13 @@
 fn a_confirmation_that_waited_for_news_is_not_taken_for_older_than_it_is() {
     let sent = Instant::now();
     let news = FeedNews {
-        mark: SeenMark { term: 1, generation: 1, boards: 0 },
+        life: 1,
+        boards_seen: 0,
         holds_lease: true,
         held_ms: 400,
         confirmed_age_ms: Some(700),
         confirmed_at: 9,
         catalog: None,
-        relays_endpoints: true,
         endpoints: None,
         boards: Vec::new(),
     };
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -2,7 +2,7 @@
 
 use sillbank_gateway::feed::{EngineState, HallBoard};
 use sillbank_gateway::freshness::Freshness;
-use sillbank_gateway::hall::{Hall, LeaderRole};
+use sillbank_gateway::hall::Hall;
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -24,7 +24,7 @@
     HallBoard { hall: hall.to_owned(), age_ms, vms, leader, is_whole: true, engines: vec![engine] }
 }
 
-const TELLS_ALL: LeaderRole = LeaderRole { holds_lease: true, relays_endpoints: true };
+const HOLDS_LEASE: bool = true;
 
 /// The least age of a confirmation at which it is not enough any more is then above a second.
 fn freshness() -> Freshness {
@@ -35,11 +35,11 @@
 fn a_leader_suffices_while_it_is_heard_and_its_confirmation_is_fresh() {
     let (hall, now, freshness) = (Hall::default(), Instant::now(), freshness());
 
-    hall.on_news(now, Some(now), TELLS_ALL);
+    hall.on_news(now, Some(now), HOLDS_LEASE);
 
     assert!(hall.leader_suffices(now + Duration::from_millis(1_100), freshness));
     assert!(!hall.leader_suffices(now + Duration::from_millis(1_300), freshness));
-    hall.on_news(now + Duration::from_secs(3), Some(now), TELLS_ALL);
+    hall.on_news(now + Duration::from_secs(3), Some(now), HOLDS_LEASE);
     assert!(hall.leader_is_live(now + Duration::from_secs(3)));
     assert!(!hall.leader_suffices(now + Duration::from_secs(3), freshness));
 }
@@ -47,7 +47,7 @@
 #[test]
 fn a_vm_that_leads_follows_the_store_itself() {
     let (hall, now, freshness) = (Hall::default(), Instant::now(), freshness());
-    hall.on_news(now, Some(now), TELLS_ALL);
+    hall.on_news(now, Some(now), HOLDS_LEASE);
 
     hall.tells.set(Some(7));
 
@@ -114,7 +114,7 @@
 fn a_leader_without_the_lease_is_heard_but_does_not_hold_it() {
     let (hall, now) = (Hall::default(), Instant::now());
 
-    hall.on_news(now, Some(now), LeaderRole { holds_lease: false, ..TELLS_ALL });
+    hall.on_news(now, Some(now), !HOLDS_LEASE);
 
     assert!(hall.leader_is_live(now));
     assert!(!hall.leader_holds_lease(now));
@@ -162,7 +162,7 @@
         hall.note_hall_vms(24);
     }
 
-    led.on_news(now, Some(now), TELLS_ALL);
+    led.on_news(now, Some(now), HOLDS_LEASE);
     tells.tells.set(Some(7));
 
     let pauses = [&tells, &alone, &led].map(|hall| hall.longest_pause(now));
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -64,25 +64,58 @@
     });
 }
 
-#[test]
-fn an_older_list_from_a_leader_is_left() {
+/// What a leader that knows only these endpoints tells a VM that has seen nothing of it.
+fn told_by_leader(ids: &[&str], most: usize) -> Difference {
+    let mut leader = Directory::default();
+    leader.on_listing(Instant::now(), ids.iter().map(|id| record(id)).collect());
+    leader.difference(0, most)
+}
+
+fn knowledge_of_two() -> Knowledge {
     let knowledge = Knowledge::new(REVOCATION);
     let list = Snapshot { at: 9, value: vec![record("a"), record("b")] };
     knowledge.take_endpoints(Instant::now(), list);
+    knowledge
+}
 
-    let gone = knowledge.take_relayed(8, vec![]);
+#[test]
+fn an_older_list_from_a_leader_is_left() {
+    let (knowledge, mut replication) = (knowledge_of_two(), Replication::default());
+
+    let gone = knowledge.take_told(&mut replication, 8, told_by_leader(&["b"], 10), true);
 
     assert!(gone.is_empty());
     assert_eq!(knowledge.endpoints(Directory::len), 2);
+    assert_eq!(knowledge.endpoints_at(), 9);
 }
 
 #[test]
 fn a_newer_list_from_a_leader_replaces_all() {
-    let knowledge = Knowledge::new(REVOCATION);
-    let list = Snapshot { at: 9, value: vec![record("a"), record("b")] };
-    knowledge.take_endpoints(Instant::now(), list);
+    let (knowledge, mut replication) = (knowledge_of_two(), Replication::default());
 
-    let gone = knowledge.take_relayed(10, vec![record("b")]);
+    let gone = knowledge.take_told(&mut replication, 10, told_by_leader(&["b"], 10), true);
 
     assert_eq!(gone, vec!["a".to_owned()]);
+    assert_eq!(knowledge.endpoints_at(), 10);
+}
+
+#[test]
+fn a_list_of_which_a_piece_was_told_is_not_known_yet() {
+    let (knowledge, mut replication) = (Knowledge::new(REVOCATION), Replication::default());
+
+    knowledge.take_told(&mut replication, 10, told_by_leader(&["a", "b"], 1), true);
+
+    assert!(!knowledge.knows_endpoints());
+}
+
+#[test]
+fn a_list_that_is_not_wanted_is_asked_for_anew_when_it_is() {
+    let (knowledge, mut replication) = (knowledge_of_two(), Replication::default());
+    knowledge.take_told(&mut replication, 10, told_by_leader(&["b"], 10), false);
+    assert_eq!(knowledge.endpoints(Directory::len), 2);
+
+    let nothing_new = Difference { begins_anew: false, changes: vec![], goes_on: false, seen: 1 };
+    knowledge.take_told(&mut replication, 10, nothing_new, true);
+
+    assert_eq!(replication.seen(), 0);
 }
