End an outage by what a leader saw of the store, not only by this VM's own calls

A confirmation that was sent to the store after the failed call ends the outage, whoever sent it. Tests first: red with the old rule.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -53,7 +53,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreReach {
     Steady,
-    Away,
+    /// Calls failed, the last one at this moment.
+    Away(Instant),
     BackSince(Instant),
 }
 
@@ -79,16 +80,24 @@
 
 impl Directory {
     /// A call to the store failed.
-    pub fn on_store_trouble(&mut self, trouble: StoreTrouble) {
+    pub fn on_store_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
         match trouble {
-            StoreTrouble::Away => self.reach = StoreReach::Away,
+            StoreTrouble::Away => self.reach = StoreReach::Away(now),
             StoreTrouble::TurnsAway => {}
         }
     }
 
-    /// The store answered again.
+    /// The store answered this VM or another one that tells of it, to a call that was sent at a moment.
+    /// Only what was sent after the last failed call ends an outage.
+    pub fn on_store_seen(&mut self, sent: Instant) {
+        if matches!(self.reach, StoreReach::Away(since) if sent > since) {
+            self.reach = StoreReach::BackSince(sent);
+        }
+    }
+
+    /// The store answered this VM, to a call that may have been sent before others failed.
     pub fn on_store_back(&mut self, now: Instant) {
-        if self.reach == StoreReach::Away {
+        if matches!(self.reach, StoreReach::Away(_)) {
             self.reach = StoreReach::BackSince(now);
         }
     }
@@ -262,7 +271,7 @@
     fn may_lapse(&self, now: Instant) -> bool {
         match self.reach {
             StoreReach::Steady => false,
-            StoreReach::Away => true,
+            StoreReach::Away(_) => true,
             StoreReach::BackSince(back) => now.saturating_duration_since(back) < LAPSE_GRACE,
         }
     }
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -38,7 +38,7 @@
 #[test]
 fn an_entry_that_lapsed_during_an_outage_stays_until_the_grace_is_over() {
     let (mut directory, now) = directory(&["a"]);
-    directory.on_store_trouble(StoreTrouble::Away);
+    directory.on_store_trouble(now, StoreTrouble::Away);
     directory.on_store_back(now);
 
     let removals = directory.on_listing(now, vec![]);
@@ -57,7 +57,7 @@
 #[test]
 fn an_entry_that_comes_back_within_the_grace_stays() {
     let (mut directory, now) = directory(&["a"]);
-    directory.on_store_trouble(StoreTrouble::Away);
+    directory.on_store_trouble(now, StoreTrouble::Away);
     directory.on_store_back(now);
     directory.on_listing(now, vec![]);
 
@@ -72,7 +72,7 @@
 fn an_endpoint_that_was_leaving_does_not_lapse() {
     let (mut directory, now) = directory(&["a"]);
     directory.on_change(now, Change::Put(record("a", Standing::Leaving)));
-    directory.on_store_trouble(StoreTrouble::Away);
+    directory.on_store_trouble(now, StoreTrouble::Away);
 
     let removal = directory.on_change(now, Change::Removed("a".to_owned()));
 
@@ -93,7 +93,7 @@
 #[test]
 fn a_removal_after_the_grace_ends_the_endpoint_at_once() {
     let (mut directory, now) = directory(&["a"]);
-    directory.on_store_trouble(StoreTrouble::Away);
+    directory.on_store_trouble(now, StoreTrouble::Away);
     directory.on_store_back(now);
     directory.on_time(now + LAPSE_GRACE);
 
@@ -105,7 +105,7 @@
 #[test]
 fn a_vm_that_the_store_turns_away_takes_a_missing_entry_for_gone() {
     let (mut directory, now) = directory(&["a", "b"]);
-    directory.on_store_trouble(StoreTrouble::TurnsAway);
+    directory.on_store_trouble(now, StoreTrouble::TurnsAway);
     directory.on_store_back(now);
 
     let removals = directory.on_listing(now, vec![record("b", Standing::Ready)]);
@@ -117,11 +117,38 @@
 #[test]
 fn being_turned_away_does_not_end_an_outage() {
     let (mut directory, now) = directory(&["a"]);
-    directory.on_store_trouble(StoreTrouble::Away);
-    directory.on_store_trouble(StoreTrouble::TurnsAway);
+    directory.on_store_trouble(now, StoreTrouble::Away);
+    directory.on_store_trouble(now, StoreTrouble::TurnsAway);
     directory.on_store_back(now);
 
     let removals = directory.on_listing(now, vec![]);
 
     assert_eq!(removals, vec![("a".to_owned(), Removal::Lapsed)]);
 }
+
+/// Its leader tells it all the while, so it makes no call of its own that would show the store's return.
+#[test]
+fn an_outage_that_a_leader_saw_the_end_of_excuses_no_later_removal() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_store_trouble(now, StoreTrouble::Away);
+    directory.on_store_seen(now + Duration::from_secs(1));
+    let later = now + Duration::from_secs(17);
+    directory.on_time(later);
+    directory.on_store_back(later);
+
+    let removal = directory.on_change(later, Change::Removed("a".to_owned()));
+
+    assert_eq!(removal, Some(Removal::Gone));
+}
+
+#[test]
+fn an_answer_to_a_call_before_the_outage_does_not_end_it() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_store_trouble(now + Duration::from_secs(1), StoreTrouble::Away);
+    directory.on_store_seen(now);
+    let later = now + Duration::from_secs(17);
+
+    let removal = directory.on_change(later, Change::Removed("a".to_owned()));
+
+    assert_eq!(removal, Some(Removal::Lapsed));
+}
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -104,7 +104,7 @@
 #[test]
 fn a_new_source_ends_what_it_does_not_list_also_during_an_outage() {
     let (mut replication, mut copy) = (Replication::default(), source(&["a", "b"]));
-    copy.on_store_trouble(StoreTrouble::Away);
+    copy.on_store_trouble(Instant::now(), StoreTrouble::Away);
 
     let gone = catch_up(&mut replication, &mut copy, &source(&["b"]), 1);
 
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -147,7 +147,7 @@
             tracing::info!(follower, "store: History gone; everything is read again.");
             return;
         }
-        self.knowledge.on_store_trouble(error.trouble());
+        self.knowledge.on_store_trouble(Instant::now(), error.trouble());
         if self.store_reached.replace(false) {
             tracing::warn!(follower, %error, "store: Lost.");
         }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -88,9 +88,11 @@
         true
     }
 
-    /// Notes that a call sent at this moment confirmed the configuration as of a revision.
+    /// Notes that a call sent at this moment, by this VM or one that tells of it, confirmed the
+    /// configuration as of a revision. It also shows that the store was there.
     pub fn confirm_catalog(&self, sent: Instant, at: Revision) {
         self.lease.borrow_mut().confirm(sent);
+        self.directory.borrow_mut().on_store_seen(sent);
         self.catalog_at.set(self.catalog_at.get().max(at));
     }
 
@@ -196,8 +198,8 @@
     }
 
     /// A call to the store failed.
-    pub fn on_store_trouble(&self, trouble: StoreTrouble) {
-        self.directory.borrow_mut().on_store_trouble(trouble);
+    pub fn on_store_trouble(&self, now: Instant, trouble: StoreTrouble) {
+        self.directory.borrow_mut().on_store_trouble(now, trouble);
     }
 
     /// Ends the grace of lapsed entries; answers the ids of those that did not come back.
