--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::freshness::NEED_POLL;
 use crate::gateway::Gateway;
 use crate::hall::Hall;
-use crate::sources::{Followed, SourceView, is_told};
+use crate::sources::{FIRST_LEADER_WAIT, Followed, SourceView, is_told};
 use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
@@ -51,6 +51,7 @@
         leader_suffices: hall.leader_suffices(now, gateway.freshness()),
         has_catalog: gateway.knowledge.catalog().is_some(),
         store_is_reached: gateway.store_is_reached(),
+        awaits_leader: gateway.age(now) < FIRST_LEADER_WAIT && !hall.has_leader(now),
     }
 }
 
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -125,6 +125,11 @@
         Views { knowledge: &self.knowledge, hall: &self.hall, book: &self.book, mechanisms, now }
     }
 
+    /// Time since the process began.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.began)
+    }
+
     /// Whether new work should come to this VM.
     pub fn is_ready(&self, now: Instant) -> bool {
         self.life.get() == Life::Serving
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -99,6 +99,11 @@
         self.tells.get().is_none() && self.heard.get().is_some_and(is_live)
     }
 
+    /// Whether this VM leads or hears of the VM that does.
+    pub fn has_leader(&self, now: Instant) -> bool {
+        self.tells.get().is_some() || self.leader_is_live(now)
+    }
+
     /// Whether the leader has said lately that it holds the hall's lease.
     pub fn leader_holds_lease(&self, now: Instant) -> bool {
         self.leader_is_live(now) && self.leader_holds_lease.get()
@@ -128,6 +133,11 @@
         askers.len() as u32 + 1
     }
 
+    /// The most VMs that this hall was known to have at a time.
+    pub fn most_hall_vms(&self) -> u32 {
+        self.most_hall_vms.get()
+    }
+
     /// How many times longer than alone a VM of this hall pauses between calls that many VMs make for
     /// the same reason.
     pub fn crowd_factor(&self) -> u32 {
--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -3,16 +3,25 @@
 use crate::gateway::{Gateway, Life};
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use sillbank_lease::{Candidate, Lease, Moment};
+use sillbank_lease::{Candidate, Lease, LeaseWrite, Moment};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
 /// Term of a hall's lease. A holder that is killed is followed by another VM after 9/8 of it.
 const LEASE_TERM: Duration = Duration::from_millis(2_600);
-/// How often a VM that does not hold the lease reads it. Each read is a priced call.
-const LEASE_READ_INTERVAL: Duration = Duration::from_millis(800);
-/// How often the VM that held the lease last reads it, to take it again once the store is back.
-const LEASE_RETAKE_INTERVAL: Duration = Duration::from_millis(400);
+/// Shortest time between reads of the lease by a VM. One that held it last reads so often, to take it
+/// again once the store is back. Each read is a priced call.
+const LEASE_READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause after a read that failed, of a VM whose hall has few VMs.
+const FAILED_READ_PAUSE: Duration = Duration::from_millis(800);
+/// How long a VM that has begun waits for an answer of the leader that the store names before it reads the
+/// lease in earnest. An ask is answered within 100 ms where the leader is there.
+const NAMED_LEADER_WAIT: Duration = Duration::from_millis(500);
+/// VMs of a hall read a lease that has lapsed one after the other, so that the first of them takes it and
+/// the others find it taken: time for one VM, in which it reads and writes, and least time for all.
+const TURN_OF_VM: Duration = Duration::from_millis(10);
+const LEAST_TURNS: Duration = Duration::from_millis(200);
 
 /// Name of the lease of a hall.
 pub fn lease_name(hall: &str) -> String {
@@ -28,7 +37,13 @@
     gateway: Rc<Gateway<W, S>>,
     lease: Lease,
     name: String,
-    read_at: Option<Instant>,
+    /// Where the leader is asked by what the store told at the start; the lease itself goes before it.
+    named: Option<SocketAddr>,
+    /// Earliest time of the next read, unless it is known when the lease lapses.
+    read_from: Instant,
+    /// Time after the lease has lapsed at which it is this VM's turn to read it.
+    turn: Duration,
+    was_looked_up: bool,
 }
 
 impl<W: Wire, S: MetadataStore> Leadership<W, S> {
@@ -40,7 +55,10 @@
             gateway: gateway.clone(),
             lease: Lease::new(candidate).retaking_own(),
             name: lease_name(&settings.hall),
-            read_at: None,
+            named: None,
+            read_from: Instant::now(),
+            turn: Duration::ZERO,
+            was_looked_up: false,
         }
     }
 
@@ -56,13 +74,12 @@
             self.give_up().await;
             return;
         }
+        if !self.was_looked_up {
+            self.look_up().await;
+        }
         let mut write = self.lease.on_tick(moment(), fastrand::u64(..));
         if write.is_none() && self.lease.wants_read() && self.read_is_due(now) {
-            self.read_at = Some(now);
-            match self.gateway.store.read_lease(&self.name).await {
-                Ok(read) => write = self.lease.on_read(moment(), read, fastrand::u64(..)),
-                Err(error) => tracing::debug!(%error, "lease: It could not be read."),
-            }
+            write = self.read().await;
         }
         if let Some(write) = write {
             let end = self.gateway.store.write_lease(&self.name, &write).await;
@@ -71,19 +88,60 @@
         self.note();
     }
 
+    /// Looks up who leads when this VM begins: most begin while somebody does, and need not read the lease.
+    async fn look_up(&mut self) {
+        self.was_looked_up = true;
+        let own = self.gateway.settings().peer_listen;
+        match self.gateway.store.peek_lease(&self.name).await {
+            Ok(Some(record)) if !record.owner.is_empty() && record.peer != own => {
+                self.named = Some(record.peer);
+                self.read_from = Instant::now() + NAMED_LEADER_WAIT;
+            }
+            // Free, never held, or held by the process before this one, which may take it again.
+            Ok(Some(record)) if record.peer == own => {}
+            Ok(_) => self.read_from = Instant::now() + LEAST_TURNS.mul_f64(fastrand::f64()),
+            Err(error) => tracing::debug!(%error, "lease: It could not be looked up."),
+        }
+    }
+
+    /// Reads the lease; answers the write to make, if any.
+    async fn read(&mut self) -> Option<LeaseWrite> {
+        let hall = &self.gateway.hall;
+        let turns = (TURN_OF_VM * hall.most_hall_vms()).max(LEAST_TURNS);
+        self.turn = turns.mul_f64(fastrand::f64());
+        match self.gateway.store.read_lease(&self.name).await {
+            Ok(read) => {
+                self.read_from = Instant::now() + LEASE_READ_INTERVAL;
+                self.lease.on_read(moment(), read, fastrand::u64(..))
+            }
+            Err(error) => {
+                self.read_from = Instant::now() + self.pause_after_failure();
+                tracing::debug!(%error, "lease: It could not be read.");
+                None
+            }
+        }
+    }
+
+    fn pause_after_failure(&self) -> Duration {
+        let hall = &self.gateway.hall;
+        match hall.tells.get() {
+            Some(_) => LEASE_READ_INTERVAL,
+            None => FAILED_READ_PAUSE * hall.crowd_factor(),
+        }
+    }
+
     /// A VM whose leader holds the lease need not read it, nor one that has lost the store as its leader
-    /// has.
+    /// has. One that has lost its leader reads the lease, and again when it will have lapsed.
     fn read_is_due(&self, now: Instant) -> bool {
         let hall = &self.gateway.hall;
         let store_is_away = hall.leader_is_live(now) && !self.gateway.store_is_reached();
-        if hall.leader_holds_lease(now) || store_is_away {
+        if hall.leader_holds_lease(now) || store_is_away || now < self.read_from {
             return false;
         }
-        let interval = match hall.tells.get() {
-            Some(_) => LEASE_RETAKE_INTERVAL,
-            None => LEASE_READ_INTERVAL * hall.crowd_factor(),
-        };
-        self.read_at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+        if hall.tells.get().is_some() {
+            return true;
+        }
+        self.lease.lapses_at().is_none_or(|lapses_at| now >= lapses_at + self.turn)
     }
 
     /// Frees the lease of a VM that stops, so that another takes it at once.
@@ -99,7 +157,7 @@
         let fence = self.lease.fence(moment());
         let hall = &self.gateway.hall;
         let own = self.gateway.settings().peer_listen;
-        let leader = self.lease.holder().map(|record| record.peer);
+        let leader = self.lease.holder().map(|record| record.peer).or(self.named);
         hall.leader.set(leader.filter(|leader| *leader != own));
         let held_before = hall.leads.replace(fence).is_some();
         let other_leads = hall.leader.get().is_some();
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -66,7 +66,6 @@
         gateway,
     };
     loop {
-        smol::Timer::after(TICK).await;
         placement.leadership.keep().await;
         if placement.leadership.is_held() {
             placement.place().await;
@@ -75,6 +74,7 @@
             placement.known.clear();
             placement.chains.clear();
         }
+        smol::Timer::after(TICK).await;
     }
 }
 
--- a/crates/sillbank_gateway/src/sources.rs
+++ b/crates/sillbank_gateway/src/sources.rs
@@ -4,6 +4,12 @@
 //! enough, at least one of them asks the store: the configuration's, whose calls also show that the store
 //! is back. So there is no state in which nobody follows for a VM.
 
+use std::time::Duration;
+
+/// How long a VM that begins waits for a leader before it asks the store itself: a hall's leader that is
+/// there answers within 300 ms, one that begins too has the lease after about as long. Saves two calls a VM.
+pub const FIRST_LEADER_WAIT: Duration = Duration::from_millis(700);
+
 /// What a task follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Followed {
@@ -27,10 +33,15 @@
     pub has_catalog: bool,
     /// Whether this VM's last call to the store was answered.
     pub store_is_reached: bool,
+    /// Whether this VM has just begun and has not heard of a leader yet.
+    pub awaits_leader: bool,
 }
 
 /// Whether a task need not ask the store.
 pub fn is_told(followed: Followed, view: SourceView) -> bool {
+    if view.awaits_leader {
+        return true;
+    }
     // Before the first configuration there is nothing to confirm: one VM of the hall asks for it.
     let awaits_first = !view.has_catalog && view.leader_holds_lease;
     match followed {
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -86,6 +86,13 @@
         name: &str,
     ) -> impl Future<Output = Result<Option<(Revision, LeaseRecord)>, StoreError>>;
 
+    /// Reads who held a lease some seconds ago at the most. Costs less than [`Self::read_lease`], and is
+    /// no ground for taking the lease.
+    fn peek_lease(
+        &self,
+        name: &str,
+    ) -> impl Future<Output = Result<Option<LeaseRecord>, StoreError>>;
+
     /// Carries out the write of a lease.
     fn write_lease(&self, name: &str, write: &LeaseWrite) -> impl Future<Output = WriteEnd>;
 }
--- a/crates/sillbank_gateway/tests/sources.rs
+++ b/crates/sillbank_gateway/tests/sources.rs
@@ -9,6 +9,7 @@
     leader_suffices: true,
     has_catalog: true,
     store_is_reached: true,
+    awaits_leader: false,
 };
 
 fn asks(followed: Followed, view: SourceView) -> bool {
@@ -53,6 +54,21 @@
     assert!(asks(Followed::Catalog, view));
 }
 
+#[test]
+fn a_vm_that_begins_waits_for_its_leader() {
+    let view = SourceView {
+        leader_is_live: false,
+        leader_holds_lease: false,
+        leader_suffices: false,
+        has_catalog: false,
+        awaits_leader: true,
+        ..ALL_WELL
+    };
+
+    assert!(!asks(Followed::Catalog, view));
+    assert!(!asks(Followed::Endpoints, view));
+}
+
 /// Each step is a poll of both tasks: one that asks learns whether the store answers this VM.
 #[test]
 fn endpoints_are_followed_two_polls_after_the_leader_fails_if_the_store_answers() {
@@ -69,6 +85,7 @@
                 leader_suffices: leader_is_live && u.arbitrary()?,
                 has_catalog: u.arbitrary()?,
                 store_is_reached,
+                awaits_leader: false,
             };
             let catalog_asks = asks(Followed::Catalog, view);
             let endpoints_ask = asks(Followed::Endpoints, view);
--- a/crates/sillbank_lease/src/lib.rs
+++ b/crates/sillbank_lease/src/lib.rs
@@ -172,6 +172,16 @@
         self.seen.as_ref().map(|(_, record, _)| record).filter(|record| !record.owner.is_empty())
     }
 
+    /// When the lease of another VM will have lapsed, unless it was renewed since it was last read. `None`
+    /// if it is free, held here or was never read.
+    pub fn lapses_at(&self) -> Option<Instant> {
+        if self.held.is_some() {
+            return None;
+        }
+        let (_, record, first_seen) = self.seen.as_ref()?;
+        (!record.owner.is_empty()).then(|| first_seen.monotonic + lapse_time(record))
+    }
+
     /// Whether the object should be read before anything else.
     pub fn wants_read(&self) -> bool {
         matches!(self.state, LeaseState::Idle | LeaseState::Unsure | LeaseState::RenewUnsure)
@@ -261,8 +271,8 @@
         if self.retakes_own && names_own {
             return LeaseEvent::OthersLapsed;
         }
-        let term = Duration::from_millis(record.term_ms);
-        match now.monotonic.saturating_duration_since(first_seen.monotonic) >= term * 9 / 8 {
+        let seen_for = now.monotonic.saturating_duration_since(first_seen.monotonic);
+        match seen_for >= lapse_time(&record) {
             true => LeaseEvent::OthersLapsed,
             false => LeaseEvent::Others,
         }
@@ -318,3 +328,8 @@
         }
     }
 }
+
+/// How long a version of the lease must have been seen before it counts as lapsed.
+fn lapse_time(record: &LeaseRecord) -> Duration {
+    Duration::from_millis(record.term_ms) * 9 / 8
+}
--- a/crates/sillbank_lease/tests/leases.rs
+++ b/crates/sillbank_lease/tests/leases.rs
@@ -64,6 +64,26 @@
     assert_eq!(heir.origin(), Some(Origin::Inherited));
 }
 
+#[test]
+fn anothers_lease_lapses_a_term_and_an_eighth_after_its_version_was_first_read() {
+    let start = Instant::now();
+    let mut lease = Lease::new(candidate(2));
+    assert_eq!(lease.lapses_at(), None, "nothing was read");
+    let mut other = Lease::new(candidate(1));
+    let write = other.on_read(moment(start, 0), None, 7).expect("it is free");
+
+    lease.on_read(moment(start, 100), Some((1, write.record.clone())), 8);
+    lease.on_read(moment(start, 500), Some((1, write.record.clone())), 9);
+
+    let of_first_read = moment(start, 100).monotonic + TERM * 9 / 8;
+    assert_eq!(lease.lapses_at(), Some(of_first_read));
+
+    lease.on_read(moment(start, 900), Some((2, write.record)), 10);
+
+    let of_renewal = moment(start, 900).monotonic + TERM * 9 / 8;
+    assert_eq!(lease.lapses_at(), Some(of_renewal));
+}
+
 #[test]
 fn the_term_counts_from_before_the_write_left() {
     let start = Instant::now();
