Date a confirmation from the end of a watch that waited in vain; keep keys known for 0.6 of their bound

Cause: the store answers a watch without news only when its wait is over, so what is known held then; it was dated from when the watch was sent, and so was up to two waits old at the VMs of a hall. The first watch after calls that failed waited whole too, so VMs came back 1.8 s after the store (read; told on the issue). Tests: ages at a VM before each news, over all phases, at three bounds.

--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the store: configuration and endpoints, by watches that are never left to hang.
 
-use crate::freshness::NEED_POLL;
+use crate::freshness::{NEED_POLL, confirmed_by_watch};
 use crate::gateway::Gateway;
 use crate::hall::Hall;
 use crate::sources::{FIRST_LEADER_WAIT, Followed, SourceView, is_told};
@@ -21,8 +21,9 @@
 /// Pause after changes of endpoints before the next watch, so that changes that come together cost
 /// one call. An endpoint that leaves must get no work after two seconds.
 const GATHER: Duration = Duration::from_millis(300);
-/// How long the first watch waits of a VM that was told by its leader so far: it wants to know at once
-/// whether something changed.
+/// How long the first watch waits after calls that failed, or of a VM that was told by its leader so far:
+/// it wants to know at once whether something changed. With a whole wait VMs served again 1.8 s after the
+/// end of an outage.
 const FIRST_WAIT: Duration = Duration::from_millis(10);
 /// First pause after a call that failed; doubled up to [`Hall::longest_pause`], and drawn from half to whole
 /// so that VMs do not come back all at once.
@@ -73,6 +74,7 @@
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     let mut excess = Duration::ZERO;
+    let mut has_failed = false;
     loop {
         let was_told = wait_for_need(&gateway, Followed::Catalog).await;
         if was_told {
@@ -81,29 +83,34 @@
         }
         let sent = Instant::now();
         let wait = match gateway.hall.tells.get() {
-            _ if was_told => FIRST_WAIT,
+            _ if was_told || has_failed => FIRST_WAIT,
             Some(_) => gateway.freshness().leader_wait_after(excess),
             None => CATALOG_WAIT,
         };
+        let is_watch = since.is_some();
         let read = match since {
             None => gateway.store.read_catalog().await,
             Some(since) => gateway.store.watch_catalog(since, wait).await,
         };
         match read {
             Ok(read) => {
+                let answered = Instant::now();
                 backoff = Backoff::default();
+                has_failed = false;
                 gateway.on_store_answer("configuration");
                 since = Some(read.at);
                 let at = read.at;
-                let is_news = read.value.is_some();
-                if !is_news {
-                    excess = sent.elapsed().saturating_sub(wait);
+                let mut confirmed = sent;
+                if is_watch && read.value.is_none() {
+                    confirmed = confirmed_by_watch(sent, wait, answered);
+                    excess = answered.saturating_duration_since(sent + wait);
                 }
                 if take_catalog(&gateway, read) {
-                    gateway.knowledge.confirm_catalog(sent, at);
+                    gateway.knowledge.confirm_catalog(confirmed, at);
                 }
             }
             Err(error) => {
+                has_failed = true;
                 if error == StoreError::HistoryGone {
                     since = None;
                 }
--- a/crates/sillbank_gateway/src/freshness.rs
+++ b/crates/sillbank_gateway/src/freshness.rs
@@ -3,9 +3,10 @@
 //! A configuration must be in force a given time after the store took it, also on a VM whose leader
 //! has lost the store without noticing. So a VM asks the store itself as soon as what its leader
 //! confirms is older than that time less the time for an ask of its own. The leader confirms often
-//! enough that this does not happen while all is well.
+//! enough that this does not happen while all is well, and that keys are known for long enough when the
+//! store is lost.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long an ask waits at the leader for something new.
 pub const NEWS_WAIT: Duration = Duration::from_millis(400);
@@ -17,6 +18,12 @@
 /// What a confirmation may be late by: its watch, its news and the ask for it, each some 50 ms on VMs
 /// that wait for the processor.
 const RELAY_DELAY: Duration = Duration::from_millis(250);
+/// Time by which a key is given up before its revocation must be in force, for clocks that run
+/// unevenly and for the way from the caller.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(200);
+/// Part of the time within which a revocation must be in force for which requests with keys are to be
+/// served after the store was lost. The platform's operators hold a VM to that.
+const KEYS_OUTLAST: f64 = 0.6;
 /// Shortest wait of a leader's watch. Each return is a priced call.
 const LEADER_WAIT_MIN: Duration = Duration::from_millis(200);
 
@@ -30,13 +37,15 @@
 }
 
 impl Freshness {
-    /// For a platform on which a configuration must be in force this time after it was taken.
-    pub fn new(config_in_force: Duration) -> Self {
+    /// For a platform on which a configuration must be in force `config_in_force` after it was taken, and
+    /// the revocation of a key within `key_revocation`.
+    pub fn new(config_in_force: Duration, key_revocation: Duration) -> Self {
         let enough_for = config_in_force.saturating_sub(NEED_POLL + OWN_ASK);
-        // A confirmation dates from when its watch was sent. It is as old as one wait when the watch
-        // returns, and as old as two when the next one does; then it waits to be passed on.
-        let for_waits = enough_for.saturating_sub(NEWS_WAIT + RELAY_DELAY);
-        Self { leader_wait: (for_waits / 2).max(LEADER_WAIT_MIN), enough_for }
+        let keys_outlast = key_revocation.mul_f64(KEYS_OUTLAST);
+        let oldest_for_keys = lease_term(key_revocation).saturating_sub(keys_outlast);
+        // A confirmation is as old as one wait when the next watch returns; then it waits to be passed on.
+        let for_wait = enough_for.min(oldest_for_keys).saturating_sub(NEWS_WAIT + RELAY_DELAY);
+        Self { leader_wait: for_wait.max(LEADER_WAIT_MIN), enough_for }
     }
 
     /// How long a leader's next watch waits when the one before took so long beyond its wait. A slow
@@ -45,3 +54,18 @@
         self.leader_wait.saturating_sub(excess).max(LEADER_WAIT_MIN)
     }
 }
+
+/// For how long a configuration may be relied on after it was confirmed.
+pub fn lease_term(key_revocation: Duration) -> Duration {
+    key_revocation.saturating_sub(REVOCATION_MARGIN)
+}
+
+/// As of when a watch without news confirms what is known: the store answers nothing before the whole
+/// wait is over, so it held at the end of it. An answer that came sooner tells only of the moment at
+/// which the watch was sent.
+pub fn confirmed_by_watch(sent: Instant, wait: Duration, answered: Instant) -> Instant {
+    match answered >= sent + wait {
+        true => sent + wait,
+        false => sent,
+    }
+}
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -116,7 +116,8 @@
 
     /// How fresh a leader keeps what it passes on.
     pub fn freshness(&self) -> Freshness {
-        Freshness::new(self.settings.borrow().config_in_force)
+        let settings = self.settings.borrow();
+        Freshness::new(settings.config_in_force, settings.key_revocation)
     }
 
     /// What paths are chosen from.
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -1,5 +1,6 @@
 //! What the VM believes of the platform, and since when.
 
+use crate::freshness::lease_term;
 use crate::store::{Revision, Snapshot};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -9,10 +10,6 @@
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
-/// Time by which a key is given up before its revocation must be in force, for clocks that run
-/// unevenly and for the way from the caller.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(200);
-
 /// Adds a waker to those to be woken, once for each task: tasks that wait again and again before anything
 /// happens would else fill the list.
 pub(crate) fn wait_in(waiting: &mut Vec<Waker>, waker: &Waker) {
@@ -91,8 +88,13 @@
     /// Notes that a call sent at this moment, by this VM or one that tells of it, confirmed the
     /// configuration as of a revision. It also shows that the store was there.
     pub fn confirm_catalog(&self, sent: Instant, at: Revision) {
+        let was_fresh = self.is_fresh(Instant::now());
         self.lease.borrow_mut().confirm(sent);
         self.directory.borrow_mut().on_store_seen(sent);
+        if !was_fresh {
+            // Others that are told by this VM wait for it too.
+            self.change();
+        }
         self.catalog_at.set(self.catalog_at.get().max(at));
     }
 
@@ -154,7 +156,8 @@
         self.endpoints_at.get()
     }
 
-    /// Waits until configuration or endpoints change.
+    /// Waits until configuration or endpoints change, or the configuration is confirmed after it could not
+    /// be relied on.
     pub async fn changed(&self) {
         let seen = self.generation.get();
         std::future::poll_fn(|context| {
@@ -216,11 +219,6 @@
         look(&self.directory.borrow())
     }
 
-    /// A number that changes whenever configuration or endpoints do.
-    pub fn generation(&self) -> u64 {
-        self.generation.get()
-    }
-
     /// Age and version, for logs.
     pub fn stamp(&self, now: Instant) -> KnowledgeStamp {
         KnowledgeStamp {
@@ -237,7 +235,3 @@
         }
     }
 }
-
-fn lease_term(key_revocation: Duration) -> Duration {
-    key_revocation.saturating_sub(REVOCATION_MARGIN)
-}
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -1,14 +1,18 @@
 //! While all is well nobody but the leader asks the store; when the leader is blind, others ask in time.
 
 use sillbank_gateway::feed::FeedNews;
-use sillbank_gateway::freshness::{Freshness, NEED_POLL, NEWS_WAIT};
+use sillbank_gateway::freshness::{
+    Freshness, NEED_POLL, NEWS_WAIT, confirmed_by_watch, lease_term,
+};
 use sillbank_gateway::hall::Hall;
 use std::time::{Duration, Instant};
 
 /// Bounds for configurations to be in force on the sites known.
-const BOUNDS_MS: [u64; 2] = [2_000, 3_000];
+const BOUNDS_MS: [u64; 3] = [2_000, 3_000, 4_000];
 /// A way between two VMs, with a wait for a busy processor.
 const WAY: Duration = Duration::from_millis(50);
+/// Bound for revocations on the sites known.
+const REVOCATION: Duration = Duration::from_secs(5);
 
 /// Ages of the leader's confirmation as a VM knows it right before each news, over some seconds.
 fn ages_before_news(freshness: Freshness, phase: Duration) -> Vec<Duration> {
@@ -21,7 +25,7 @@
     while told < began + Duration::from_secs(20) {
         told += NEWS_WAIT + WAY;
         while watch_sent + freshness.leader_wait + WAY <= told - WAY {
-            confirmed = watch_sent;
+            confirmed = watch_sent + freshness.leader_wait;
             watch_sent += freshness.leader_wait + WAY;
         }
         ages.push(hall.confirmation_age(told).expect("it was told"));
@@ -33,7 +37,7 @@
 #[test]
 fn a_leader_that_sees_the_store_suffices_without_a_gap() {
     for bound_ms in BOUNDS_MS {
-        let freshness = Freshness::new(Duration::from_millis(bound_ms));
+        let freshness = Freshness::new(Duration::from_millis(bound_ms), REVOCATION);
         for phase_ms in (0..1_000).step_by(50) {
             let ages = ages_before_news(freshness, Duration::from_millis(phase_ms));
 
@@ -48,7 +52,7 @@
     for bound_ms in BOUNDS_MS {
         let bound = Duration::from_millis(bound_ms);
 
-        let freshness = Freshness::new(bound);
+        let freshness = Freshness::new(bound, REVOCATION);
 
         assert!(freshness.enough_for + NEED_POLL + 4 * WAY <= bound);
     }
@@ -77,7 +81,7 @@
 
 #[test]
 fn a_leader_of_a_slow_store_asks_more_often() {
-    let freshness = Freshness::new(Duration::from_secs(3));
+    let freshness = Freshness::new(Duration::from_secs(3), REVOCATION);
 
     let wait = freshness.leader_wait_after(Duration::from_millis(250));
 
@@ -85,3 +89,33 @@
     assert_eq!(wait + Duration::from_millis(250), freshness.leader_wait);
     assert!(!freshness.leader_wait_after(Duration::from_secs(9)).is_zero());
 }
+
+#[test]
+fn keys_are_known_for_three_fifths_of_the_bound_after_the_store_was_lost() {
+    for bound_ms in BOUNDS_MS {
+        let freshness = Freshness::new(Duration::from_millis(bound_ms), REVOCATION);
+        for phase_ms in (0..1_000).step_by(50) {
+            let ages = ages_before_news(freshness, Duration::from_millis(phase_ms));
+
+            let oldest = ages.iter().max().expect("there are some");
+            let left = lease_term(REVOCATION) - *oldest;
+            assert!(left >= REVOCATION.mul_f64(0.6), "{bound_ms} {phase_ms}: {left:?}");
+        }
+    }
+}
+
+#[test]
+fn a_watch_that_waited_in_vain_confirms_as_of_its_end() {
+    let (sent, wait) = (Instant::now(), Duration::from_millis(900));
+    let answered = sent + Duration::from_millis(905);
+
+    assert_eq!(confirmed_by_watch(sent, wait, answered), sent + wait);
+}
+
+#[test]
+fn a_watch_that_was_answered_early_confirms_as_of_its_beginning() {
+    let (sent, wait) = (Instant::now(), Duration::from_millis(900));
+    let answered = sent + Duration::from_millis(500);
+
+    assert_eq!(confirmed_by_watch(sent, wait, answered), sent);
+}
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -28,7 +28,7 @@
 
 /// The least age of a confirmation at which it is not enough any more is then above a second.
 fn freshness() -> Freshness {
-    Freshness::new(Duration::from_secs(2))
+    Freshness::new(Duration::from_secs(2), Duration::from_secs(5))
 }
 
 #[test]
