Ask engines and tell of them in an outage of the store too; a refused call is a loss; one refusal is no crowd

Cause: a leader that goes on telling while nobody can hold the lease asked no engines and posted no board, so two seconds into an outage VMs used what the entries said: requests went through an engine lost 13 s before. Orders are still given under the lease only. Cause: a refused caller was told to come back after the spacing of its VM's callers, also when it was the only one: 4 s where a VM lets one in a second, 30 s after an outage in which it let nobody in; clients wait a third of their time at most, so they came back after 6.8 s, late.

--- a/crates/sillbank_admission/src/returns.rs
+++ b/crates/sillbank_admission/src/returns.rs
@@ -13,6 +13,9 @@
 const SHORTEST: Duration = Duration::from_millis(500);
 /// Longest time that is told: beyond it nothing is known.
 const LONGEST: Duration = Duration::from_secs(30);
+/// Longest time between two callers who come back to one VM. A VM of a fleet of hundreds sees a request a
+/// second; what was let in there in the last seconds says little, and nothing after an outage.
+const LONGEST_SPACING: Duration = Duration::from_secs(2);
 /// Time without a refusal after which a shortage is over.
 const OVER_AFTER: Duration = Duration::from_millis(1_000);
 /// Part of the requests that are let in that is left to callers who come back.
@@ -49,11 +52,15 @@
         self.last_refused = Some(now);
         let lasted = now.saturating_duration_since(self.short_since);
         let earliest = now + lasted.max(SHORTEST);
-        let per_s = (self.rate.per_s(now) * RETURNING_SHARE).max(1.0 / LONGEST.as_secs_f64());
-        self.next = self.next.max(earliest) + Duration::from_secs_f64(1.0 / per_s);
-        self.next = self.next.min(now + LONGEST);
+        self.next = (self.next + self.spacing(now)).max(earliest).min(now + LONGEST);
         self.next.saturating_duration_since(now)
     }
+
+    /// Time between two callers who come back.
+    fn spacing(&self, now: Instant) -> Duration {
+        let per_s = self.rate.per_s(now) * RETURNING_SHARE;
+        Duration::from_secs_f64((1.0 / per_s).min(LONGEST_SPACING.as_secs_f64()))
+    }
 }
 
 /// Events a second, over the last seconds.
--- a/crates/sillbank_admission/tests/returns.rs
+++ b/crates/sillbank_admission/tests/returns.rs
@@ -65,3 +65,25 @@
 
     assert!(told.iter().all(|told| *told <= Duration::from_secs(30)), "{told:?}");
 }
+
+/// A VM of a large fleet sees a request a second, or none for a while: one refusal is no crowd.
+#[test]
+fn a_single_caller_at_a_vm_that_let_nobody_in_comes_back_soon() {
+    let now = Instant::now();
+    let mut times = ReturnTimes::new(now);
+
+    let told = times.on_refused(now + Duration::from_secs(8));
+
+    assert_eq!(told, Duration::from_millis(500));
+}
+
+#[test]
+fn callers_at_a_vm_that_lets_nobody_in_come_back_two_seconds_apart() {
+    let now = Instant::now();
+    let mut times = ReturnTimes::new(now);
+
+    let told: Vec<Duration> = (0..3).map(|_| times.on_refused(now)).collect();
+
+    let pauses: Vec<Duration> = told.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(pauses, vec![Duration::from_secs(2); 2]);
+}
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -15,6 +15,7 @@
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
+use sillbank_net::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -45,6 +46,36 @@
     ordered: Option<(LayerRange, Instant)>,
 }
 
+/// What came of asking an engine for its report.
+#[derive(Debug)]
+enum Asked {
+    /// It reported.
+    Reported(EngineReport),
+    /// Nothing listens at its address.
+    Refused,
+    /// No report came, or none that can be read.
+    Missed,
+}
+
+impl Known {
+    /// Takes what came of asking; `is_suspect` says whether this VM's own exchanges with the engine failed.
+    fn on_asked(&mut self, asked: Asked, is_suspect: bool) {
+        match asked {
+            Asked::Reported(report) => {
+                self.report = Some(report);
+                self.missed = 0;
+            }
+            Asked::Refused => self.report = None,
+            Asked::Missed => {
+                self.missed += 1;
+                if is_suspect || self.missed >= MISSED_REPORTS {
+                    self.report = None;
+                }
+            }
+        }
+    }
+}
+
 /// State of the placement on one VM.
 struct Placement<W: Wire, S: MetadataStore> {
     gateway: Rc<Gateway<W, S>>,
@@ -67,7 +98,7 @@
     };
     loop {
         placement.leadership.keep().await;
-        if placement.leadership.is_held() {
+        if placement.gateway.hall.tells.get().is_some() {
             placement.place().await;
         } else {
             // Another leads meanwhile: what was known may be out of date.
@@ -111,6 +142,8 @@
         }
     }
 
+    /// Asks the hall's engines and tells of them, also while the store is away and nobody can hold the
+    /// lease; gives orders only under the lease.
     async fn place(&mut self) {
         let Some(catalog) = self.gateway.knowledge.catalog() else {
             return;
@@ -216,7 +249,7 @@
     /// Asks all engines for their reports at once.
     async fn ask_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>) {
         self.known.retain(|id, _| engines.contains_key(id));
-        let asking: Vec<(EndpointId, smol::Task<Option<EngineReport>>)> = engines
+        let asking: Vec<(EndpointId, smol::Task<Asked>)> = engines
             .values()
             .map(|record| {
                 let asked = ask(self.gateway.clone(), record.address);
@@ -224,22 +257,9 @@
             })
             .collect();
         for (id, task) in asking {
-            let report = task.await;
+            let asked = task.await;
             let is_suspect = self.gateway.book.is_ejected(&id);
-            let known = self.known.entry(id).or_default();
-            match report {
-                Some(report) => {
-                    known.report = Some(report);
-                    known.missed = 0;
-                }
-                None => {
-                    known.missed += 1;
-                    // Own exchanges and a missing report agree.
-                    if is_suspect || known.missed >= MISSED_REPORTS {
-                        known.report = None;
-                    }
-                }
-            }
+            self.known.entry(id).or_default().on_asked(asked, is_suspect);
         }
     }
 
@@ -303,23 +323,23 @@
     (!both.is_empty()).then_some(both)
 }
 
-async fn ask<W: Wire, S: MetadataStore>(
-    gateway: Rc<Gateway<W, S>>,
-    address: SocketAddr,
-) -> Option<EngineReport> {
+async fn ask<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, address: SocketAddr) -> Asked {
+    let began = Instant::now();
     let reply = gateway.engine_calls.call(address, W::report_call(), ENGINE_CALL_LIMIT).await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
             tracing::info!(endpoint = %address, %error, "endpoint: No report.");
-            return None;
+            let is_refusal =
+                matches!(error, CallError::NotSent { .. }) && began.elapsed() < ENGINE_CALL_LIMIT;
+            return if is_refusal { Asked::Refused } else { Asked::Missed };
         }
     };
     match W::read_report(&reply.body) {
-        Ok(report) => Some(report),
+        Ok(report) => Asked::Reported(report),
         Err(error) => {
             tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
-            None
+            Asked::Missed
         }
     }
 }
