End connections that have gone silent; tell differences without copying all of a directory

Cause: a connection may go silent without a reset. Calls have limits, streams did not: one sent over a kept connection that had gone silent waited until its caller left, as the engine, asked over another connection, says that it works. Entries are now found by the numbers of their changes.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -64,6 +64,8 @@
     entries: BTreeMap<EndpointId, Known>,
     reach: StoreReach,
     newest: ChangeNumber,
+    /// Entries by the numbers of the changes that made them what they are.
+    by_number: BTreeMap<ChangeNumber, EndpointId>,
     removals: Removals,
 }
 
@@ -73,6 +75,7 @@
             entries: BTreeMap::new(),
             reach: StoreReach::Steady,
             newest: 0,
+            by_number: BTreeMap::new(),
             removals: Removals::default(),
         }
     }
@@ -150,21 +153,21 @@
     pub fn difference(&self, since: ChangeNumber, most: usize) -> Difference {
         let begins_anew = since == 0 || self.removals.are_forgotten_after(since);
         let since = if begins_anew { 0 } else { since };
-        let puts = self.entries.values().filter(|known| known.number > since);
-        let mut changes: Vec<(ChangeNumber, Change)> =
-            puts.map(|known| (known.number, Change::Put(known.record.clone()))).collect();
+        // One more than wanted tells whether there are more.
+        let mut numbered: Vec<(ChangeNumber, Change)> =
+            self.puts_since(since).take(most + 1).collect();
         if !begins_anew {
-            let gone = self.removals.since(since);
-            changes.extend(gone.map(|(number, id)| (number, Change::Removed(id.clone()))));
+            let gone = self.removals.since(since).take(most + 1);
+            numbered.extend(gone.map(|(number, id)| (number, Change::Removed(id.clone()))));
+            numbered.sort_unstable_by_key(|(number, _)| *number);
         }
-        changes.sort_unstable_by_key(|(number, _)| *number);
-        let goes_on = changes.len() > most;
-        changes.truncate(most);
-        let seen = match changes.last() {
+        let goes_on = numbered.len() > most;
+        numbered.truncate(most);
+        let seen = match numbered.last() {
             Some((number, _)) if goes_on => *number,
             _ => self.newest,
         };
-        let changes = changes.into_iter().map(|(_, change)| change).collect();
+        let changes = numbered.into_iter().map(|(_, change)| change).collect();
         Difference { begins_anew, changes, goes_on, seen }
     }
 
@@ -232,6 +235,13 @@
         self.entries.is_empty()
     }
 
+    fn puts_since(&self, since: ChangeNumber) -> impl Iterator<Item = (ChangeNumber, Change)> {
+        self.by_number.range(since + 1..).filter_map(|(number, id)| {
+            let known = self.entries.get(id)?;
+            Some((*number, Change::Put(known.record.clone())))
+        })
+    }
+
     fn put(&mut self, record: EndpointRecord) {
         if let Some(known) = self.entries.get_mut(&record.id)
             && known.record == record
@@ -241,15 +251,19 @@
         }
         self.newest += 1;
         self.removals.forget(&record.id);
+        self.by_number.insert(self.newest, record.id.clone());
         let known = Known { lapsed: false, number: self.newest, record };
-        self.entries.insert(known.record.id.clone(), known);
+        if let Some(before) = self.entries.insert(known.record.id.clone(), known) {
+            self.by_number.remove(&before.number);
+        }
     }
 
     /// Takes an entry out and remembers that it went; answers whether there was one.
     fn take_out(&mut self, id: &str) -> bool {
-        let Some((id, _)) = self.entries.remove_entry(id) else {
+        let Some((id, known)) = self.entries.remove_entry(id) else {
             return false;
         };
+        self.by_number.remove(&known.number);
         self.newest += 1;
         self.removals.note(self.newest, id);
         true
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -8,6 +8,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_net::liveness::end_when_silent;
 use smol::net::TcpStream;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -38,6 +39,7 @@
     async fn open(address: SocketAddr) -> Result<Self, FrameError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        end_when_silent(&stream)?;
         Ok(Self { stream, address, boards_seen: None, endpoints: Replication::default() })
     }
 
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 calls over kept connections.
 
 use crate::body::ReplyBody;
+use crate::liveness::end_when_silent;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
@@ -196,6 +197,9 @@
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!("net: A connection to {address} may wait for small packets: {error}.");
         }
+        if let Err(error) = end_when_silent(&stream) {
+            tracing::debug!("net: A connection to {address} may go silent unseen: {error}.");
+        }
         let (sender, connection) =
             http1::handshake(FuturesIo::new(stream)).await.map_err(std::io::Error::other)?;
         let drive = async move {
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod failures;
 pub mod frames;
+pub mod liveness;
 pub mod serve;
 pub mod signals;
 pub mod telemetry;
