--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -19,6 +19,9 @@
 const REPLY_LIMIT: Duration = Duration::from_millis(1_000);
 /// Pause before a leader is looked for or asked again.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Pause before the VM is asked that another named as leader. Two that name each other, until one of them
+/// has read the lease, are asked 20 times a second at most.
+const REDIRECT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause of a leader before it asks another hall's leader again, which answers when it has news.
 const OTHER_HALL_PAUSE: Duration = Duration::from_millis(100);
 /// How often a leader looks for halls that it does not follow yet.
@@ -87,6 +90,7 @@
             }
             Ok(FeedReply::NotLeading { leader: Some(other) }) if other != leader => {
                 gateway.hall.on_redirect(other, gateway.settings().peer_listen);
+                smol::Timer::after(REDIRECT_PAUSE).await;
             }
             Ok(FeedReply::NotLeading { .. }) => {
                 gateway.hall.on_redirect_failed();
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The parts of a gateway that its tasks share.
 
 use crate::channels::ChannelPool;
+use crate::counted_store::CountedStore;
 use crate::decisions::{Decisions, Outcome};
 use crate::endpoints::{EndpointBook, Evidence};
 use crate::feed::ProcessLife;
@@ -50,7 +51,7 @@
     /// Settings in force.
     pub settings: RefCell<Rc<GatewaySettings>>,
     /// The platform's store.
-    pub store: S,
+    pub store: CountedStore<S>,
     /// Configuration and endpoints.
     pub knowledge: Knowledge,
     /// Who leads this hall, and what leaders tell of engines.
@@ -90,17 +91,18 @@
         engine_calls: HttpClient,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Self {
+        let metrics = Metrics::default();
         Self {
             knowledge: Knowledge::new(settings.key_revocation),
             settings: RefCell::new(Rc::new(settings)),
-            store,
+            store: CountedStore::new(store, metrics.store_calls.clone()),
             hall: Hall::default(),
             book: Rc::default(),
             heard: Rc::default(),
             channels: ChannelPool::new(executor.clone()),
             engine_calls,
             decisions: Decisions::default(),
-            metrics: Metrics::default(),
+            metrics,
             executor,
             life: Cell::new(Life::Serving),
             life_number: fastrand::u64(..),
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -165,6 +165,7 @@
     pub fn on_redirect(&self, leader: SocketAddr, own: SocketAddr) {
         if leader == own {
             self.is_called.set(true);
+            self.leader.set(None);
             return;
         }
         self.redirect.set(Some(leader));
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod callers;
 pub mod calls;
 pub mod channels;
+pub mod counted_store;
 pub mod decisions;
 pub mod doctor;
 pub mod endpoints;
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms.
 
+use crate::counted_store::StoreCalls;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -49,6 +50,8 @@
     pub resumes: Counter,
     /// Requests moved to another path, by how that ended.
     pub moves: Family<KindLabel, Counter>,
+    /// Calls to the store by kind.
+    pub store_calls: StoreCalls,
     /// Calls to the store that failed.
     pub store_errors: Family<KindLabel, Counter>,
     /// Configurations that could not be used.
@@ -73,6 +76,7 @@
         let repeats_denied = Counter::default();
         let resumes = Counter::default();
         let moves = Family::default();
+        let store_calls = StoreCalls::default();
         let store_errors = Family::default();
         let catalog_faults = Counter::default();
         let connections = Family::default();
@@ -85,6 +89,7 @@
         registry.register("repeats_denied", "Repeats beyond the budget", repeats_denied.clone());
         registry.register("resumes", "Streams resumed elsewhere", resumes.clone());
         registry.register("moves", "Requests moved to another path", moves.clone());
+        registry.register("store_calls", "Store calls by kind", store_calls.clone());
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
@@ -99,6 +104,7 @@
             repeats_denied,
             resumes,
             moves,
+            store_calls,
             store_errors,
             catalog_faults,
             connections,
