--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -175,7 +175,7 @@
         if board.hall == own {
             gateway.hall.note_hall_vms(board.vms);
         }
-        gateway.hall.keep_board(now, board);
+        gateway.hall.boards.keep(now, board);
     }
     gateway.knowledge.confirm_catalog(confirmed?, news.confirmed_at);
     confirmed
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -89,7 +89,7 @@
         gateway.hall.on_asker(&ask.vm, ask.peer, ask.strength, now);
     }
     let catalog = has_newer_catalog(gateway, ask).then(|| knowledge.catalog_parts()).flatten();
-    let (boards_seen, boards) = gateway.hall.boards_since(seen.map_or(0, |seen| seen.boards), now);
+    let (boards_seen, boards) = gateway.hall.boards.since(seen.map_or(0, |seen| seen.boards), now);
     FeedReply::News(Box::new(FeedNews {
         life: gateway.life_number,
         boards_seen,
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -291,7 +291,7 @@
         let halls: BTreeSet<HallId> = self
             .knowledge
             .endpoints(|directory| directory.iter().map(|record| record.hall.clone()).collect());
-        self.hall.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
+        self.hall.boards.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
     }
 
     fn with_budget<T>(
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -1,19 +1,18 @@
-//! Who leads this VM's hall, and what is known of engines by their leaders.
+//! Who leads this VM's hall, and who asks it if this VM does.
 
-use crate::feed::{EngineState, HallBoard};
+use crate::boards::Boards;
+use crate::feed::HallBoard;
 use crate::freshness::Freshness;
 use crate::knowledge::wait_in;
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 /// How long news of a leader are relied on. Leaders answer within 400 ms also if nothing is new.
 pub const FEED_LIVE: Duration = Duration::from_millis(1_200);
-/// How long a board is believed. Leaders ask engines every 700 ms.
-const BOARD_LIVE: Duration = Duration::from_millis(2_000);
 /// How long a VM counts that has asked its leader.
 const ASKER_LIVE: Duration = Duration::from_secs(3);
 
@@ -53,34 +52,6 @@
     follows_store: bool,
 }
 
-/// What a board tells of one engine.
-#[derive(Debug, Clone, Copy)]
-pub struct EngineNews<'a> {
-    /// The engine.
-    pub state: &'a EngineState,
-    /// When it was asked.
-    pub as_of: Instant,
-    /// VMs of its hall.
-    pub vms: u32,
-}
-
-/// A board and when it held.
-#[derive(Debug, Clone)]
-struct KeptBoard {
-    as_of: Instant,
-    vms: u32,
-    leader: SocketAddr,
-    engines: BTreeMap<EndpointId, KeptEngine>,
-}
-
-/// An engine as it is passed on.
-#[derive(Debug, Clone)]
-struct KeptEngine {
-    state: EngineState,
-    /// Rises with each state that this VM keeps.
-    number: u64,
-}
-
 /// The hall as one VM sees it.
 #[derive(Debug, Default)]
 pub struct Hall {
@@ -95,14 +66,13 @@
     confirmed: Cell<Option<Instant>>,
     leader_holds_lease: Cell<bool>,
     other_leaders: RefCell<BTreeMap<HallId, OtherLeader>>,
-    boards: RefCell<HashMap<HallId, KeptBoard>>,
-    boards_kept: Cell<u64>,
+    /// What leaders tell of engines.
+    pub boards: Boards,
     askers: RefCell<HashMap<VmId, Asker>>,
     /// Where the leader is asked by the word of the one before; goes before what was read of the lease.
     redirect: Cell<Option<SocketAddr>>,
     /// Whether the leader before named this VM as its heir.
     is_called: Cell<bool>,
-    most_vms: Cell<u32>,
     most_hall_vms: Cell<u32>,
     wakes: Cell<u64>,
     waiting: RefCell<Vec<Waker>>,
@@ -268,7 +238,7 @@
 
     /// Keeps what this VM found out about its own hall, and tells those that wait for it.
     pub fn post_board(&self, now: Instant, board: HallBoard) {
-        self.keep_board(now, board);
+        self.boards.keep(now, board);
         self.wake_askers();
     }
 
@@ -284,91 +254,4 @@
         })
         .await;
     }
-
-    /// Keeps a board unless a newer one is known.
-    pub fn keep_board(&self, now: Instant, board: HallBoard) {
-        let Some(as_of) = now.checked_sub(Duration::from_millis(board.age_ms)) else {
-            return;
-        };
-        let mut boards = self.boards.borrow_mut();
-        let HallBoard { hall, vms, leader, is_whole, engines, .. } = board;
-        let new = || KeptBoard { as_of, vms, leader, engines: BTreeMap::new() };
-        let is_known = boards.contains_key(&hall);
-        let kept = boards.entry(hall).or_insert_with(new);
-        if is_known && kept.as_of >= as_of {
-            return;
-        }
-        (kept.as_of, kept.vms, kept.leader) = (as_of, vms, leader);
-        let number = self.boards_kept.get() + 1;
-        self.boards_kept.set(number);
-        if is_whole {
-            let told: BTreeSet<&EndpointId> = engines.iter().map(|engine| &engine.id).collect();
-            kept.engines.retain(|id, _| told.contains(id));
-        }
-        for state in engines {
-            let known = kept.engines.get(&state.id);
-            if known.is_none_or(|known| !known.state.is_about(&state)) {
-                kept.engines.insert(state.id.clone(), KeptEngine { state, number });
-            }
-        }
-    }
-
-    /// The boards that are believed, with the engines that are newer than a number and their ages of now,
-    /// and the number of the newest.
-    pub fn boards_since(&self, number: u64, now: Instant) -> (u64, Vec<HallBoard>) {
-        let boards = self.boards.borrow();
-        let live = boards.iter().filter(|(_, kept)| is_believed(kept, now));
-        let news = live.map(|(hall, kept)| {
-            let new = kept.engines.values().filter(|engine| engine.number > number);
-            HallBoard {
-                hall: hall.clone(),
-                age_ms: now.saturating_duration_since(kept.as_of).as_millis() as u64,
-                vms: kept.vms,
-                leader: kept.leader,
-                is_whole: number == 0,
-                engines: new.map(|engine| engine.state.clone()).collect(),
-            }
-        });
-        (self.boards_kept.get(), news.collect())
-    }
-
-    /// What a board tells of an engine of a hall, if it is believed.
-    pub fn engine<T>(
-        &self,
-        hall: &str,
-        id: &str,
-        now: Instant,
-        look: impl FnOnce(EngineNews<'_>) -> T,
-    ) -> Option<T> {
-        let boards = self.boards.borrow();
-        let kept = boards.get(hall).filter(|kept| is_believed(kept, now))?;
-        let engine = kept.engines.get(id)?;
-        Some(look(EngineNews { state: &engine.state, as_of: kept.as_of, vms: kept.vms }))
-    }
-
-    /// The most VMs that the leaders of all `halls` have told of at a time; `None` if they have not.
-    /// Some may be missing in what is told now, but they go on serving.
-    pub fn fleet_vms(&self, halls: &BTreeSet<HallId>, now: Instant) -> Option<u32> {
-        let boards = self.boards.borrow();
-        let live = |hall: &HallId| boards.get(hall).filter(|kept| is_believed(kept, now));
-        if !halls.is_empty() && halls.iter().all(|hall| live(hall).is_some()) {
-            let vms: u32 = halls.iter().filter_map(live).map(|kept| kept.vms).sum();
-            self.most_vms.set(self.most_vms.get().max(vms));
-        }
-        (self.most_vms.get() > 0).then_some(self.most_vms.get())
-    }
-
-    /// The most VMs of the fleet that leaders have told of at a time; 0 if they have not.
-    pub fn most_fleet_vms(&self) -> u32 {
-        self.most_vms.get()
-    }
-
-    /// Where the leader of another hall is asked, as last heard.
-    pub fn other_leader(&self, hall: &str) -> Option<SocketAddr> {
-        self.boards.borrow().get(hall).map(|kept| kept.leader)
-    }
-}
-
-fn is_believed(kept: &KeptBoard, now: Instant) -> bool {
-    now.saturating_duration_since(kept.as_of) < BOARD_LIVE
 }
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
-//! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`freshness`] says for how
+//! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
+//!   engines, [`freshness`] says for how
 //!   long what a leader tells is enough, [`sources`] who asks the store.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`decisions`] and [`metrics`] tell what was decided and how long it took.
@@ -15,6 +16,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answers;
+pub mod boards;
 pub mod callers;
 pub mod calls;
 pub mod channels;
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -1,7 +1,8 @@
 //! Chooses a path through the layers that endpoints hold.
 
+use crate::boards::EngineNews;
 use crate::endpoints::EndpointBook;
-use crate::hall::{EngineNews, Hall};
+use crate::hall::Hall;
 use crate::knowledge::Knowledge;
 use crate::mechanisms::Mechanisms;
 use sillbank_catalog::prelude::*;
@@ -190,7 +191,7 @@
 fn candidate(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord) -> Option<Candidate> {
     let Views { hall, book, mechanisms, now, .. } = views;
     let figures = ask.figures;
-    let told = hall.engine(&record.hall, &record.id, now, |news| Told::new(news, figures));
+    let told = hall.boards.engine(&record.hall, &record.id, now, |news| Told::new(news, figures));
     // What the hall's leader heard from the engine is newer than its entry in the store.
     let layers = told.as_ref().map_or(record.layers, |told| told.layers);
     let layers = layers.filter(|layers| !layers.is_empty())?;
@@ -240,7 +241,7 @@
     // engines, and those of all other halls at the engines of a hall that has room left.
     let senders = match record.hall == ask.home {
         true => told.vms,
-        false => views.hall.most_fleet_vms().saturating_sub(told.vms),
+        false => views.hall.boards.most_fleet_vms().saturating_sub(told.vms),
     };
     own.times(f64::from(senders.max(1)))
 }
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -1,9 +1,11 @@
 //! Gives the engines of this hall their layers, while this VM holds the hall's lease.
 
 mod leadership;
+mod reports;
 mod targets;
 
 pub use leadership::lease_name;
+pub use reports::{Asked, KnownEngine};
 pub use targets::{Chains, EngineView, Target, first_targets, mended_targets};
 
 use crate::feed::{EngineState, HallBoard, NEARLY_FULL_PERMILLE};
@@ -12,10 +14,10 @@
 use crate::store::MetadataStore;
 use crate::wire::{EngineReport, PlaceOrder, Wire};
 use leadership::Leadership;
+use reports::{ENGINE_CALL_LIMIT, ask};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
-use sillbank_net::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,58 +31,17 @@
 /// send too much or too little by what it leaves out. At a tick each, a hall of 13 engines is asked 52
 /// times a second.
 const REPORT_INTERVAL_NEARLY_FULL: Duration = TICK;
-/// How long an engine may take to report or to take an order.
-const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(500);
-/// Reports in a row that may be missing before an engine is taken for lost.
-const MISSED_REPORTS: u32 = 2;
 /// How long the set of engines must stand still before layers are given out for the first time.
 const SETTLE: Duration = Duration::from_millis(700);
 /// How long an order that got no answer may still be carried out before it is given again. The
 /// engine refuses it if the first one came through after all.
 const ORDER_PAUSE: Duration = Duration::from_millis(3_000);
-/// What is known of one engine by asking it.
-#[derive(Debug, Clone, Default)]
-struct Known {
-    report: Option<EngineReport>,
-    missed: u32,
-    ordered: Option<(LayerRange, Instant)>,
-}
-
-/// What came of asking an engine for its report.
-#[derive(Debug)]
-enum Asked {
-    /// It reported.
-    Reported(EngineReport),
-    /// Nothing listens at its address.
-    Refused,
-    /// No report came, or none that can be read.
-    Missed,
-}
-
-impl Known {
-    /// Takes what came of asking; `is_suspect` says whether this VM's own exchanges with the engine failed.
-    fn on_asked(&mut self, asked: Asked, is_suspect: bool) {
-        match asked {
-            Asked::Reported(report) => {
-                self.report = Some(report);
-                self.missed = 0;
-            }
-            Asked::Refused => self.report = None,
-            Asked::Missed => {
-                self.missed += 1;
-                if is_suspect || self.missed >= MISSED_REPORTS {
-                    self.report = None;
-                }
-            }
-        }
-    }
-}
 
 /// State of the placement on one VM.
 struct Placement<W: Wire, S: MetadataStore> {
     gateway: Rc<Gateway<W, S>>,
     leadership: Leadership<W, S>,
-    known: HashMap<EndpointId, Known>,
+    known: HashMap<EndpointId, KnownEngine>,
     asked_at: Option<Instant>,
     members: (Vec<EndpointId>, Instant),
     chains: BTreeMap<ServiceId, Chains>,
@@ -138,7 +99,7 @@
         };
         match settings.mechanisms.prompt_news {
             true => self.gateway.hall.post_board(now, board),
-            false => self.gateway.hall.keep_board(now, board),
+            false => self.gateway.hall.boards.keep(now, board),
         }
     }
 
@@ -179,7 +140,7 @@
 
     /// Whether this VM's own exchanges found an engine lost that still counts as well.
     fn has_new_suspect(&self) -> bool {
-        let counts = |known: &Known| known.report.is_some();
+        let counts = |known: &KnownEngine| known.report.is_some();
         self.known.iter().any(|(id, known)| counts(known) && self.gateway.book.is_ejected(id))
     }
 
@@ -322,24 +283,3 @@
     let both = LayerRange { first: a.first.max(b.first), end: a.end.min(b.end) };
     (!both.is_empty()).then_some(both)
 }
-
-async fn ask<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, address: SocketAddr) -> Asked {
-    let began = Instant::now();
-    let reply = gateway.engine_calls.call(address, W::report_call(), ENGINE_CALL_LIMIT).await;
-    let reply = match reply {
-        Ok(reply) => reply,
-        Err(error) => {
-            tracing::info!(endpoint = %address, %error, "endpoint: No report.");
-            let is_refusal =
-                matches!(error, CallError::NotSent { .. }) && began.elapsed() < ENGINE_CALL_LIMIT;
-            return if is_refusal { Asked::Refused } else { Asked::Missed };
-        }
-    };
-    match W::read_report(&reply.body) {
-        Ok(report) => Asked::Reported(report),
-        Err(error) => {
-            tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
-            Asked::Missed
-        }
-    }
-}
--- /dev/null
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -0,0 +1,81 @@
+//! What a hall's leader knows of engines by asking them for reports.
+
+use crate::gateway::Gateway;
+use crate::store::MetadataStore;
+use crate::wire::{EngineReport, Wire};
+use sillbank_core::prelude::*;
+use sillbank_net::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long an engine may take to report or to take an order.
+pub(super) const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Reports in a row that may be missing before an engine is taken for lost.
+const MISSED_REPORTS: u32 = 2;
+
+/// What is known of one engine by asking it.
+#[derive(Debug, Clone, Default)]
+pub struct KnownEngine {
+    /// Its newest report, unless it is lost.
+    pub report: Option<EngineReport>,
+    /// Reports in a row that are missing.
+    missed: u32,
+    /// Layers it was ordered to hold last, and when.
+    pub ordered: Option<(LayerRange, Instant)>,
+}
+
+/// What came of asking an engine for its report.
+#[derive(Debug)]
+pub enum Asked {
+    /// It reported.
+    Reported(EngineReport),
+    /// Nothing listens at its address.
+    Refused,
+    /// No report came, or none that can be read.
+    Missed,
+}
+
+impl KnownEngine {
+    /// Takes what came of asking; `is_suspect` says whether this VM's own exchanges with the engine failed.
+    pub fn on_asked(&mut self, asked: Asked, is_suspect: bool) {
+        match asked {
+            Asked::Reported(report) => {
+                self.report = Some(report);
+                self.missed = 0;
+            }
+            Asked::Refused => self.report = None,
+            Asked::Missed => {
+                self.missed += 1;
+                if is_suspect || self.missed >= MISSED_REPORTS {
+                    self.report = None;
+                }
+            }
+        }
+    }
+}
+
+/// Asks an engine for its report.
+pub(super) async fn ask<W: Wire, S: MetadataStore>(
+    gateway: Rc<Gateway<W, S>>,
+    address: SocketAddr,
+) -> Asked {
+    let began = Instant::now();
+    let reply = gateway.engine_calls.call(address, W::report_call(), ENGINE_CALL_LIMIT).await;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(error) => {
+            tracing::info!(endpoint = %address, %error, "endpoint: No report.");
+            let is_refusal =
+                matches!(error, CallError::NotSent { .. }) && began.elapsed() < ENGINE_CALL_LIMIT;
+            return if is_refusal { Asked::Refused } else { Asked::Missed };
+        }
+    };
+    match W::read_report(&reply.body) {
+        Ok(report) => Asked::Reported(report),
+        Err(error) => {
+            tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
+            Asked::Missed
+        }
+    }
+}
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -58,20 +58,22 @@
 fn an_older_board_does_not_replace_a_newer_one() {
     let (hall, now) = (Hall::default(), Instant::now());
 
-    hall.keep_board(now, board("a", 100, 1, 5));
-    hall.keep_board(now, board("a", 900, 1, 9));
+    hall.boards.keep(now, board("a", 100, 1, 5));
+    hall.boards.keep(now, board("a", 900, 1, 9));
 
-    assert_eq!(hall.engine("a", "e1", now, |engine| engine.state.running), Some(5));
+    assert_eq!(hall.boards.engine("a", "e1", now, |engine| engine.state.running), Some(5));
 }
 
 #[test]
 fn a_board_is_believed_for_two_seconds() {
     let (hall, now) = (Hall::default(), Instant::now());
 
-    hall.keep_board(now, board("a", 500, 1, 5));
+    hall.boards.keep(now, board("a", 500, 1, 5));
 
-    let at =
-        |ms| hall.engine("a", "e1", now + Duration::from_millis(ms), |engine| engine.state.running);
+    let at = |ms| {
+        hall.boards
+            .engine("a", "e1", now + Duration::from_millis(ms), |engine| engine.state.running)
+    };
     assert_eq!(at(1_400), Some(5));
     assert_eq!(at(1_600), None);
 }
@@ -81,11 +83,11 @@
     let (hall, now) = (Hall::default(), Instant::now());
 
     let halls = ["a".to_owned(), "b".to_owned()].into();
-    hall.keep_board(now, board("a", 0, 4, 0));
-    let before_all = hall.fleet_vms(&halls, now);
-    hall.keep_board(now, board("b", 0, 3, 0));
-    let all = hall.fleet_vms(&halls, now);
-    let later = hall.fleet_vms(&halls, now + Duration::from_secs(60));
+    hall.boards.keep(now, board("a", 0, 4, 0));
+    let before_all = hall.boards.fleet_vms(&halls, now);
+    hall.boards.keep(now, board("b", 0, 3, 0));
+    let all = hall.boards.fleet_vms(&halls, now);
+    let later = hall.boards.fleet_vms(&halls, now + Duration::from_secs(60));
 
     assert_eq!(before_all, None);
     assert_eq!(all, Some(7));
@@ -95,13 +97,13 @@
 #[test]
 fn boards_are_passed_on_once() {
     let (hall, now) = (Hall::default(), Instant::now());
-    hall.keep_board(now, board("a", 100, 1, 5));
-    hall.keep_board(now, board("b", 100, 1, 5));
+    hall.boards.keep(now, board("a", 100, 1, 5));
+    hall.boards.keep(now, board("b", 100, 1, 5));
 
-    let (seen, first) = hall.boards_since(0, now);
-    let (_, again) = hall.boards_since(seen, now);
-    hall.keep_board(now, board("b", 50, 1, 50));
-    let (_, changed) = hall.boards_since(seen, now);
+    let (seen, first) = hall.boards.since(0, now);
+    let (_, again) = hall.boards.since(seen, now);
+    hall.boards.keep(now, board("b", 50, 1, 50));
+    let (_, changed) = hall.boards.since(seen, now);
 
     let told =
         |boards: &[HallBoard]| -> usize { boards.iter().map(|board| board.engines.len()).sum() };
@@ -130,16 +132,16 @@
     // Act
     for (step, running) in [0, 3, 40, 41, 90, 10].into_iter().enumerate() {
         let at = now + Duration::from_millis(100 * step as u64);
-        leader.keep_board(at, board("a", 0, 1, running));
-        let (number, parts) = leader.boards_since(seen, at);
+        leader.boards.keep(at, board("a", 0, 1, running));
+        let (number, parts) = leader.boards.since(seen, at);
         seen = number;
-        parts.into_iter().for_each(|part| often.keep_board(at, part));
+        parts.into_iter().for_each(|part| often.boards.keep(at, part));
     }
     let end = now + Duration::from_millis(500);
-    leader.boards_since(0, end).1.into_iter().for_each(|whole| once.keep_board(end, whole));
+    leader.boards.since(0, end).1.into_iter().for_each(|whole| once.boards.keep(end, whole));
 
     // Assert
-    let running = |hall: &Hall| hall.engine("a", "e1", end, |engine| engine.state.running);
+    let running = |hall: &Hall| hall.boards.engine("a", "e1", end, |engine| engine.state.running);
     assert_eq!(running(&often), Some(10));
     assert_eq!(running(&once), Some(10));
 }
@@ -147,11 +149,11 @@
 #[test]
 fn an_engine_that_is_missing_in_a_whole_board_is_forgotten() {
     let (hall, now) = (Hall::default(), Instant::now());
-    hall.keep_board(now, board("a", 100, 1, 5));
+    hall.boards.keep(now, board("a", 100, 1, 5));
 
-    hall.keep_board(now, HallBoard { engines: Vec::new(), ..board("a", 0, 1, 5) });
+    hall.boards.keep(now, HallBoard { engines: Vec::new(), ..board("a", 0, 1, 5) });
 
-    assert_eq!(hall.engine("a", "e1", now, |engine| engine.state.running), None);
+    assert_eq!(hall.boards.engine("a", "e1", now, |engine| engine.state.running), None);
 }
 
 #[test]
@@ -321,3 +323,13 @@
 
     assert!(!hall.senior_suffices("c", now, freshness()));
 }
+
+#[test]
+fn engines_that_are_listed_no_more_leave_no_trace() {
+    let (hall, now) = (Hall::default(), Instant::now());
+    hall.boards.keep(now, board("a", 0, 1, 5));
+
+    hall.boards.retain(|id| id != "e1");
+
+    assert_eq!(hall.boards.engine("a", "e1", now, |engine| engine.state.running), None);
+}
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -91,7 +91,7 @@
     let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::default());
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
     let leader = "10.0.0.1:7000".parse().expect("an address");
-    hall.keep_board(
+    hall.boards.keep(
         now,
         HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, is_whole: true, engines },
     );
@@ -236,7 +236,7 @@
     let engines = records.iter().map(idle).collect();
     let board =
         HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, is_whole: true, engines };
-    hall.keep_board(now, board);
+    hall.boards.keep(now, board);
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
     let views = Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, now };
     let spoils: [fn(&mut EngineFigures); 6] = [
@@ -274,8 +274,8 @@
         is_whole: true,
         engines: vec![EngineState { kv_permille, ..idle(record) }],
     };
-    hall.keep_board(now, board(&at_home, at_home_permille));
-    hall.keep_board(now, board(&elsewhere, elsewhere_permille));
+    hall.boards.keep(now, board(&at_home, at_home_permille));
+    hall.boards.keep(now, board(&elsewhere, elsewhere_permille));
     knowledge.take_endpoints(now, Snapshot { at: 1, value: vec![at_home, elsewhere] });
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
     path_by(&service(), Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, now })
