Believe no confirmation from the future; answer a VM that claims changes there were not; usual terms

A leader that says that it held an ask for an hour would have been relied on for that hour; a number beyond the newest change overflowed (both read). Tests for both. Names: incarnation, recency, silence timer, active route.

--- a/crates/sillbank_fleet/src/difference.rs
+++ b/crates/sillbank_fleet/src/difference.rs
@@ -66,6 +66,6 @@
         &self,
         number: ChangeNumber,
     ) -> impl Iterator<Item = (ChangeNumber, &EndpointId)> {
-        self.by_number.range(number + 1..).map(|(number, id)| (*number, id))
+        self.by_number.range(number.saturating_add(1)..).map(|(number, id)| (*number, id))
     }
 }
--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -148,10 +148,11 @@
     }
 
     /// What another directory lacks that has seen the changes up to `since`: at most `most` changes, in
-    /// the order of their numbers. One that has seen less than what is still remembered of removals is
-    /// told everything anew.
+    /// the order of their numbers. One that has seen less than what is still remembered of removals, or a
+    /// change that there was not, is told everything anew.
     pub fn difference(&self, since: ChangeNumber, most: usize) -> Difference {
-        let begins_anew = since == 0 || self.removals.are_forgotten_after(since);
+        let is_unknown = since == 0 || since > self.newest;
+        let begins_anew = is_unknown || self.removals.are_forgotten_after(since);
         let since = if begins_anew { 0 } else { since };
         // One more than wanted tells whether there are more.
         let mut numbered: Vec<(ChangeNumber, Change)> =
@@ -236,7 +237,7 @@
     }
 
     fn puts_since(&self, since: ChangeNumber) -> impl Iterator<Item = (ChangeNumber, Change)> {
-        self.by_number.range(since + 1..).filter_map(|(number, id)| {
+        self.by_number.range(since.saturating_add(1)..).filter_map(|(number, id)| {
             let known = self.entries.get(id)?;
             Some((*number, Change::Put(known.record.clone())))
         })
--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -18,12 +18,12 @@
 pub use difference::{ChangeNumber, Difference, MAX_REMOVALS};
 pub use directory::{Change, Directory, LAPSE_GRACE, Removal, StoreTrouble};
 pub use record::{EndpointRecord, Standing};
-pub use replication::{Replication, Standpoint};
+pub use replication::{Recency, Replication};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE, Removal,
-        Replication, Standing, Standpoint, StoreTrouble,
+        Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE, Recency, Removal,
+        Replication, Standing, StoreTrouble,
     };
 }
--- a/crates/sillbank_fleet/src/replication.rs
+++ b/crates/sillbank_fleet/src/replication.rs
@@ -7,7 +7,7 @@
 
 /// How a difference stands to what is known already.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standpoint {
+pub enum Recency {
     /// It holds as of the same revision of the store or a newer one.
     Newer,
     /// It holds as of an older one: what is known goes before it.
@@ -40,11 +40,11 @@
         &mut self,
         directory: &mut Directory,
         difference: Difference,
-        standpoint: Standpoint,
+        recency: Recency,
     ) -> Vec<EndpointId> {
         let Difference { begins_anew, changes, goes_on, seen } = difference;
         let is_news = begins_anew || goes_on || !changes.is_empty();
-        if standpoint == Standpoint::Older {
+        if recency == Recency::Older {
             self.has_gap |= is_news;
             self.listed = None;
             self.seen = seen;
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -39,7 +39,7 @@
     loop {
         let difference = source.difference(replication.seen(), most);
         let goes_on = difference.goes_on;
-        gone.extend(replication.on_difference(copy, difference, Standpoint::Newer));
+        gone.extend(replication.on_difference(copy, difference, Recency::Newer));
         if !goes_on {
             return gone;
         }
@@ -117,7 +117,7 @@
 fn an_entry_that_goes_while_the_list_is_told_is_gone_at_its_end() {
     let mut source = source(&["a", "b", "c"]);
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
-    replication.on_difference(&mut copy, source.difference(0, 1), Standpoint::Newer);
+    replication.on_difference(&mut copy, source.difference(0, 1), Recency::Newer);
 
     source.on_change(Instant::now(), Change::Removed("a".to_owned()));
     catch_up(&mut replication, &mut copy, &source, 1);
@@ -144,6 +144,18 @@
     assert_eq!(records(&copy), records(&source));
 }
 
+#[test]
+fn one_that_claims_to_have_seen_what_there_was_not_is_told_everything() {
+    let source = source(&["a", "b"]);
+
+    for seen in [source.newest_change() + 1, u64::MAX] {
+        let difference = source.difference(seen, 10);
+
+        assert!(difference.begins_anew);
+        assert_eq!(difference.changes.len(), 2);
+    }
+}
+
 #[test]
 fn what_is_older_is_left_out_and_asked_for_again_later() {
     let now = Instant::now();
@@ -153,7 +165,7 @@
     source.on_change(now, Change::Removed("a".to_owned()));
 
     let difference = source.difference(replication.seen(), 10);
-    let gone = replication.on_difference(&mut copy, difference, Standpoint::Older);
+    let gone = replication.on_difference(&mut copy, difference, Recency::Older);
 
     assert!(gone.is_empty() && copy.get("a").is_some());
     assert!(!replication.is_complete());
@@ -183,11 +195,11 @@
                 }
                 5 => {
                     let piece = source.difference(replication.seen(), most);
-                    replication.on_difference(&mut copy, piece, Standpoint::Newer);
+                    replication.on_difference(&mut copy, piece, Recency::Newer);
                 }
                 6 => {
                     let piece = source.difference(replication.seen(), most);
-                    replication.on_difference(&mut copy, piece, Standpoint::Older);
+                    replication.on_difference(&mut copy, piece, Recency::Older);
                 }
                 // The source is asked over a new connection.
                 _ => replication = Replication::default(),
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -21,7 +21,8 @@
 use std::time::{Duration, Instant};
 
 /// Age of a process up to which requests wait for its first configuration and endpoints. It has them some
-/// 0.3 s after it began, also when all VMs began at once; 660 of 300 VMs' callers were refused before.
+/// 0.3 s after it began, also when all VMs began at once. Without the wait, 660 callers of 300 VMs were
+/// refused then.
 const FIRST_KNOWLEDGE_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Answers callers.
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -1,6 +1,6 @@
 //! The asking side of the feed: VMs ask their leader, leaders ask those of other halls.
 
-use super::messages::{EndpointNews, FeedAsk, FeedNews, FeedReply, ProcessLife, SeenMark};
+use super::messages::{EndpointNews, FeedAsk, FeedNews, FeedReply, Incarnation, SeenMark};
 use crate::gateway::Gateway;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
@@ -33,8 +33,8 @@
 struct Link {
     stream: TcpStream,
     address: SocketAddr,
-    /// Life of the leader's process and the newest of its boards that was seen.
-    boards_seen: Option<(ProcessLife, u64)>,
+    /// Incarnation of the leader and the newest of its boards that was seen.
+    boards_seen: Option<(Incarnation, u64)>,
     endpoints: Replication,
 }
 
@@ -47,16 +47,16 @@
     }
 
     fn seen(&self) -> Option<SeenMark> {
-        let (life, boards) = self.boards_seen?;
-        Some(SeenMark { life, endpoints: self.endpoints.seen(), boards })
+        let (incarnation, boards) = self.boards_seen?;
+        Some(SeenMark { incarnation, endpoints: self.endpoints.seen(), boards })
     }
 
     /// Notes what a leader's news bring; what was seen of another process counts no more.
     fn on_news(&mut self, news: &FeedNews) {
-        if self.boards_seen.is_some_and(|(life, _)| life != news.life) {
+        if self.boards_seen.is_some_and(|(known, _)| known != news.incarnation) {
             self.endpoints = Replication::default();
         }
-        self.boards_seen = Some((news.life, news.boards_seen));
+        self.boards_seen = Some((news.incarnation, news.boards_seen));
     }
 
     async fn ask(&mut self, ask: &FeedAsk) -> Result<FeedReply, FrameError> {
@@ -152,7 +152,7 @@
     takes_endpoints: bool,
 ) -> Option<Instant> {
     let now = Instant::now();
-    let confirmed = news.confirmed_since(sent);
+    let confirmed = news.confirmed_since(sent, now);
     if let Some(parts) = news.catalog {
         let version = parts.version;
         match Catalog::new(parts.clone()) {
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -8,15 +8,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Number that a process draws at its start: what it numbers counts within its life only. The fence of
-/// its lease would not do, as that changes with each renewal.
-pub type ProcessLife = u64;
+/// Number that a process draws at its start: the numbers it gives changes and boards count within it only.
+/// The fence of its lease would not do, as that changes with each renewal.
+pub type Incarnation = u64;
 
 /// What a VM has seen of a leader's knowledge.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenMark {
-    /// Life of the leader's process.
-    pub life: ProcessLife,
+    /// Incarnation of the leader's process.
+    pub incarnation: Incarnation,
     /// Newest change of the leader's directory.
     pub endpoints: ChangeNumber,
     /// Number of the newest board that was passed on.
@@ -123,8 +123,8 @@
 /// What a leader knows that the asking VM may not.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FeedNews {
-    /// Life of the leader's process.
-    pub life: ProcessLife,
+    /// Incarnation of the leader's process.
+    pub incarnation: Incarnation,
     /// Number of the newest board that the asking VM has seen after this.
     pub boards_seen: u64,
     /// Whether the leader holds the hall's lease. If not, the store is away, or another VM may take it.
@@ -147,10 +147,12 @@
 
 impl FeedNews {
     /// When the leader's configuration was confirmed, by the clock of a VM that sent its ask at
-    /// `sent`. The leader answered no sooner than `held_ms` later.
-    pub fn confirmed_since(&self, sent: Instant) -> Option<Instant> {
+    /// `sent` and had its answer at `answered`. The leader answered no sooner than `held_ms` after the ask.
+    /// `None` if it tells no such time, or an absurd one.
+    pub fn confirmed_since(&self, sent: Instant, answered: Instant) -> Option<Instant> {
         let age = Duration::from_millis(self.confirmed_age_ms?);
-        (sent + Duration::from_millis(self.held_ms)).checked_sub(age)
+        let held_until = sent.checked_add(Duration::from_millis(self.held_ms))?;
+        held_until.min(answered).checked_sub(age)
     }
 }
 
--- a/crates/sillbank_gateway/src/feed/mod.rs
+++ b/crates/sillbank_gateway/src/feed/mod.rs
@@ -11,7 +11,7 @@
 
 pub use client::follow_leader;
 pub use messages::{
-    EndpointNews, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, NEARLY_FULL_PERMILLE,
-    ProcessLife, SeenMark,
+    EndpointNews, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, Incarnation,
+    NEARLY_FULL_PERMILLE, SeenMark,
 };
 pub use server::serve_feed;
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -65,7 +65,7 @@
 async fn answer<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> FeedReply {
     let began = Instant::now();
     let knowledge = &gateway.knowledge;
-    let seen = ask.seen.filter(|seen| seen.life == gateway.life_number);
+    let seen = ask.seen.filter(|seen| seen.incarnation == gateway.incarnation);
     if gateway.hall.tells.get().is_some() && !has_news(gateway, ask, seen) {
         let wait = async {
             smol::Timer::after(NEWS_WAIT).await;
@@ -91,7 +91,7 @@
     let catalog = has_newer_catalog(gateway, ask).then(|| knowledge.catalog_parts()).flatten();
     let (boards_seen, boards) = gateway.hall.boards.since(seen.map_or(0, |seen| seen.boards), now);
     FeedReply::News(Box::new(FeedNews {
-        life: gateway.life_number,
+        incarnation: gateway.incarnation,
         boards_seen,
         holds_lease: gateway.hall.leads.get().is_some(),
         follows_store: !gateway.senior_suffices(now),
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::counted_store::CountedStore;
 use crate::decisions::{Decisions, Outcome};
 use crate::endpoints::{EndpointBook, Evidence};
-use crate::feed::ProcessLife;
+use crate::feed::Incarnation;
 use crate::freshness::Freshness;
 use crate::hall::{Hall, Strength};
 use crate::job::Job;
@@ -73,7 +73,7 @@
     /// Where the process stands.
     pub life: Cell<Life>,
     /// Drawn at the start, to tell this process from others on the same VM.
-    pub life_number: ProcessLife,
+    pub incarnation: Incarnation,
     /// Requests in progress.
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
@@ -105,7 +105,7 @@
             metrics,
             executor,
             life: Cell::new(Life::Serving),
-            life_number: fastrand::u64(..),
+            incarnation: fastrand::u64(..),
             in_progress: Cell::new(0),
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -71,8 +71,8 @@
     askers: RefCell<HashMap<VmId, Asker>>,
     /// Where the leader is asked by the word of the one before; goes before what was read of the lease.
     redirect: Cell<Option<SocketAddr>>,
-    /// Whether the leader before named this VM as its heir.
-    is_called: Cell<bool>,
+    /// Whether the leader before handed its lease to this VM.
+    is_nominated: Cell<bool>,
     most_hall_vms: Cell<u32>,
     wakes: Cell<u64>,
     waiting: RefCell<Vec<Waker>>,
@@ -133,7 +133,8 @@
     }
 
     /// Whether this VM leads the hall `own` and the leader of a hall that comes before it by name follows the
-    /// store and tells enough. By the order of names no two leaders rely on each other.
+    /// store and tells enough. By the order of names no two leaders rely on each other. One follower saves calls:
+    /// 0.08 of all worth in a fleet of 23 VMs in five halls.
     pub fn senior_suffices(&self, own: &str, now: Instant, freshness: Freshness) -> bool {
         let since = |at: Instant| now.saturating_duration_since(at);
         let suffices = |told: &OtherLeader| {
@@ -177,7 +178,7 @@
     /// The leader named another that leads now; `own` is where this VM is asked.
     pub fn on_redirect(&self, leader: SocketAddr, own: SocketAddr) {
         if leader == own {
-            self.is_called.set(true);
+            self.is_nominated.set(true);
             self.leader.set(None);
             return;
         }
@@ -195,9 +196,9 @@
         self.redirect.get()
     }
 
-    /// Whether the leader before named this VM, since this was last asked.
-    pub fn take_call(&self) -> bool {
-        self.is_called.take()
+    /// Whether the leader before handed its lease to this VM, since this was last asked.
+    pub fn take_nomination(&self) -> bool {
+        self.is_nominated.take()
     }
 
     /// Wakes the VMs that wait for news: this VM leads no more, or told of a board.
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -141,16 +141,16 @@
         difference: Difference,
         is_wanted: bool,
     ) -> Vec<EndpointId> {
-        let standpoint = match is_wanted && at >= self.endpoints_at.get() {
-            true => Standpoint::Newer,
-            false => Standpoint::Older,
+        let recency = match is_wanted && at >= self.endpoints_at.get() {
+            true => Recency::Newer,
+            false => Recency::Older,
         };
         let mut directory = self.directory.borrow_mut();
         let before = directory.newest_change();
-        let gone = replication.on_difference(&mut directory, difference, standpoint);
+        let gone = replication.on_difference(&mut directory, difference, recency);
         let has_changed = directory.newest_change() != before;
         drop(directory);
-        if standpoint == Standpoint::Newer && replication.is_complete() {
+        if recency == Recency::Newer && replication.is_complete() {
             self.endpoints_at.set(at);
         }
         if has_changed {
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -8,8 +8,7 @@
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
-//!   engines, [`freshness`] says for how
-//!   long what a leader tells is enough, [`sources`] who asks the store.
+//!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -152,7 +152,7 @@
     fn read_is_due(&self, now: Instant) -> bool {
         let hall = &self.gateway.hall;
         let store_is_away = hall.leader_is_live(now) && !self.gateway.store_is_reached();
-        if hall.take_call() {
+        if hall.take_nomination() {
             return true;
         }
         if hall.leader_holds_lease(now) || store_is_away || now < self.read_from {
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -5,7 +5,7 @@
 mod targets;
 
 pub use leadership::lease_name;
-pub use reports::{Asked, KnownEngine};
+pub use reports::{KnownEngine, ReportOutcome};
 pub use targets::{Chains, EngineView, Target, first_targets, mended_targets};
 
 use crate::feed::{EngineState, HallBoard, NEARLY_FULL_PERMILLE};
@@ -210,7 +210,7 @@
     /// Asks all engines for their reports at once.
     async fn ask_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>) {
         self.known.retain(|id, _| engines.contains_key(id));
-        let asking: Vec<(EndpointId, smol::Task<Asked>)> = engines
+        let asking: Vec<(EndpointId, smol::Task<ReportOutcome>)> = engines
             .values()
             .map(|record| {
                 let asked = ask(self.gateway.clone(), record.address);
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -27,7 +27,7 @@
 
 /// What came of asking an engine for its report.
 #[derive(Debug)]
-pub enum Asked {
+pub enum ReportOutcome {
     /// It reported.
     Reported(EngineReport),
     /// Nothing listens at its address.
@@ -38,14 +38,14 @@
 
 impl KnownEngine {
     /// Takes what came of asking; `is_suspect` says whether this VM's own exchanges with the engine failed.
-    pub fn on_asked(&mut self, asked: Asked, is_suspect: bool) {
+    pub fn on_asked(&mut self, asked: ReportOutcome, is_suspect: bool) {
         match asked {
-            Asked::Reported(report) => {
+            ReportOutcome::Reported(report) => {
                 self.report = Some(report);
                 self.missed = 0;
             }
-            Asked::Refused => self.report = None,
-            Asked::Missed => {
+            ReportOutcome::Refused => self.report = None,
+            ReportOutcome::Missed => {
                 self.missed += 1;
                 if is_suspect || self.missed >= MISSED_REPORTS {
                     self.report = None;
@@ -59,7 +59,7 @@
 pub(super) async fn ask<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     address: SocketAddr,
-) -> Asked {
+) -> ReportOutcome {
     let began = Instant::now();
     let reply = gateway.engine_calls.call(address, W::report_call(), ENGINE_CALL_LIMIT).await;
     let reply = match reply {
@@ -68,14 +68,14 @@
             tracing::info!(endpoint = %address, %error, "endpoint: No report.");
             let is_refusal =
                 matches!(error, CallError::NotSent { .. }) && began.elapsed() < ENGINE_CALL_LIMIT;
-            return if is_refusal { Asked::Refused } else { Asked::Missed };
+            return if is_refusal { ReportOutcome::Refused } else { ReportOutcome::Missed };
         }
     };
     match W::read_report(&reply.body) {
-        Ok(report) => Asked::Reported(report),
+        Ok(report) => ReportOutcome::Reported(report),
         Err(error) => {
             tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
-            Asked::Missed
+            ReportOutcome::Missed
         }
     }
 }
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -1,6 +1,6 @@
 //! Begins a stream: sends its request until an endpoint takes it.
 
-use super::loss::{Doubt, Loss, Passage, look_for_loss, move_request};
+use super::loss::{ActiveRoute, Loss, SilenceTimer, look_for_loss, move_request};
 use crate::answers::give_up;
 use crate::channels::Channel;
 use crate::decisions::SendEnd;
@@ -41,8 +41,8 @@
 }
 
 impl Upstream {
-    pub(super) fn passage(&self) -> Passage<'_> {
-        Passage {
+    pub(super) fn active_route(&self) -> ActiveRoute<'_> {
+        ActiveRoute {
             endpoint: &self.endpoint,
             address: self.address,
             path: self.path.as_ref(),
@@ -212,7 +212,7 @@
     let endpoint = target.endpoint.clone();
     let sent_path = target.path.clone();
     let to = Destination { endpoint: &endpoint, address: target.address, path: sent_path.as_ref() };
-    let lost = doubt(gateway, job, &mut target);
+    let lost = watch_for_loss(gateway, job, &mut target);
     let sent =
         futures_lite::future::or(async { Ok(send(gateway, job, to, resume_after).await) }, async {
             Err(lost.await)
@@ -281,25 +281,25 @@
 }
 
 /// Waits until endpoints of the target are found to be lost and cannot be replaced.
-async fn doubt<W: Wire, S: MetadataStore>(
+async fn watch_for_loss<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
     target: &mut Target,
 ) -> Loss {
     let mut since = Instant::now();
-    let mut doubt = Doubt::new(gap_objective(job));
+    let mut timer = SilenceTimer::new(gap_objective(job));
     loop {
-        smol::Timer::after(doubt.wait()).await;
-        let passage = Passage {
+        smol::Timer::after(timer.wait()).await;
+        let active_route = ActiveRoute {
             endpoint: &target.endpoint,
             address: target.address,
             path: target.path.as_ref(),
             since,
         };
-        let Some(loss) = look_for_loss(gateway, job, passage, doubt.on_silence()).await else {
+        let Some(loss) = look_for_loss(gateway, job, active_route, timer.on_silence()).await else {
             continue;
         };
-        match move_request(gateway, job, passage, &loss).await {
+        match move_request(gateway, job, active_route, &loss).await {
             Some(path) => {
                 target.path = Some(path);
                 since = Instant::now();
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -17,12 +17,13 @@
 
 /// Silence after which a stream's first endpoint is asked what it waits for. Its report is some 200 ms
 /// old, so it tells of a part that is lost no sooner. Callers give a stream up after two seconds.
-const DOUBT: Duration = Duration::from_millis(450);
+const LONG_SILENCE: Duration = Duration::from_millis(450);
 /// Part of the longest pause that keeps a stream in time after which the engines of its path are asked
-/// whether they are there. The rest is for the answers, the move, and reading the tokens anew.
-const FIRST_DOUBT: f64 = 0.5;
+/// whether they are there. The rest is for the answers, the move, and reading the tokens anew. Earns 0.02 of
+/// all worth on a fleet of 6 VMs while engines fail, and 0.06 on one of 300.
+const SHORT_SILENCE_PART: f64 = 0.5;
 /// Shortest silence after which they are asked: usual pauses are some 50 ms.
-const FIRST_DOUBT_MIN: Duration = Duration::from_millis(100);
+const SHORT_SILENCE_MIN: Duration = Duration::from_millis(100);
 /// How long an engine may take to move a request to another path.
 const MOVE_LIMIT: Duration = Duration::from_millis(400);
 
@@ -35,46 +36,47 @@
     Long,
 }
 
-/// The silences of a stream, one after the other, since it was last heard of.
+/// Says when a stream has stood still for so long that somebody should ask why: the silences since it was
+/// last heard of, a short one and then long ones.
 #[derive(Debug)]
-pub struct Doubt {
-    /// Length of a short silence; no shorter than [`DOUBT`] if there is none.
+pub struct SilenceTimer {
+    /// Length of a short silence; no shorter than [`LONG_SILENCE`] if there is none.
     first: Duration,
     next: Silence,
     /// Time that the stream has stood still already.
     stood: Duration,
 }
 
-impl Doubt {
+impl SilenceTimer {
     /// For a stream whose pauses may be so long at most to be in time.
     pub fn new(gap_objective: Option<Duration>) -> Self {
-        let first = gap_objective.map_or(DOUBT, |gap| gap.mul_f64(FIRST_DOUBT));
-        let mut doubt = Self {
-            first: first.clamp(FIRST_DOUBT_MIN, DOUBT),
+        let first = gap_objective.map_or(LONG_SILENCE, |gap| gap.mul_f64(SHORT_SILENCE_PART));
+        let mut timer = Self {
+            first: first.clamp(SHORT_SILENCE_MIN, LONG_SILENCE),
             next: Silence::Long,
             stood: Duration::ZERO,
         };
-        doubt.on_heard();
-        doubt
+        timer.on_heard();
+        timer
     }
 
     /// The stream was heard of.
     pub fn on_heard(&mut self) {
         self.stood = Duration::ZERO;
-        self.next = if self.first < DOUBT { Silence::Short } else { Silence::Long };
+        self.next = if self.first < LONG_SILENCE { Silence::Short } else { Silence::Long };
     }
 
     /// Nobody was found lost after a short silence: pauses of this stream are long. The next is waited for
     /// twice as long. Without that, VMs asked engines 140,000 times in a minute of slow engines.
     pub fn on_false_alarm(&mut self) {
-        self.first = (self.first * 2).min(DOUBT);
+        self.first = (self.first * 2).min(LONG_SILENCE);
     }
 
     /// Time until the next silence.
     pub fn wait(&self) -> Duration {
         match self.next {
             Silence::Short => self.first,
-            Silence::Long => DOUBT.saturating_sub(self.stood),
+            Silence::Long => LONG_SILENCE.saturating_sub(self.stood),
         }
     }
 
@@ -104,9 +106,9 @@
     }
 }
 
-/// A request on its way through a path.
+/// The way of a request that runs.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Passage<'a> {
+pub(super) struct ActiveRoute<'a> {
     pub(super) endpoint: &'a str,
     pub(super) address: SocketAddr,
     pub(super) path: Option<&'a LayerPath>,
@@ -118,18 +120,20 @@
 pub(super) async fn look_for_loss<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    passage: Passage<'_>,
+    active_route: ActiveRoute<'_>,
     silence: Silence,
 ) -> Option<Loss> {
-    let known = passage.path.map_or_else(Vec::new, |path| left_alone(gateway, path, passage.since));
+    let known = active_route
+        .path
+        .map_or_else(Vec::new, |path| left_alone(gateway, path, active_route.since));
     if !known.is_empty() {
         let reason = "a part of the path is left alone".to_owned();
         return Some(Loss { engines: known, reason, is_certain: silence == Silence::Long });
     }
-    match (silence, passage.path) {
+    match (silence, active_route.path) {
         (Silence::Short, Some(path)) => probe_parts(gateway, path).await,
         (Silence::Short, None) => None,
-        (Silence::Long, _) => ask_first(gateway, job, passage).await,
+        (Silence::Long, _) => ask_first(gateway, job, active_route).await,
     }
 }
 
@@ -166,10 +170,10 @@
 async fn ask_first<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    passage: Passage<'_>,
+    active_route: ActiveRoute<'_>,
 ) -> Option<Loss> {
-    let first = passage.endpoint;
-    match diagnose(gateway, passage.address, &job.head.request_id).await {
+    let first = active_route.endpoint;
+    match diagnose(gateway, active_route.address, &job.head.request_id).await {
         Diagnosis::Working => None,
         Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
@@ -177,7 +181,7 @@
             Some(Loss::of(first, &reason))
         }
         Diagnosis::WaitsFor(address) => {
-            let part = passage.path.and_then(|path| path.at(address))?;
+            let part = active_route.path.and_then(|path| path.at(address))?;
             let reason = "the first endpoint waits for it";
             gateway.on_evidence(&part.endpoint, Evidence::Unreachable, reason);
             Some(Loss::of(&part.endpoint, reason))
@@ -189,15 +193,15 @@
 pub(super) async fn move_request<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    passage: Passage<'_>,
+    active_route: ActiveRoute<'_>,
     loss: &Loss,
 ) -> Option<LayerPath> {
     if !gateway.settings().mechanisms.moves {
         return None;
     }
-    let mended = mended_path(gateway, job, passage.path?, &loss.engines)?;
+    let mended = mended_path(gateway, job, active_route.path?, &loss.engines)?;
     let call = W::move_call(&job.head.request_id, &mended);
-    let ended = gateway.engine_calls.call(passage.address, call, MOVE_LIMIT).await;
+    let ended = gateway.engine_calls.call(active_route.address, call, MOVE_LIMIT).await;
     let end = match &ended {
         Ok(reply) => W::read_order_end(reply.status),
         Err(_) => OrderEnd::Refused,
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -6,7 +6,7 @@
 mod pump;
 
 pub use heard::{HeardStream, HeardStreams};
-pub use loss::{Doubt, Silence};
+pub use loss::{Silence, SilenceTimer};
 
 use crate::answers::{out_of_time, outcome_of, reply_of};
 use crate::decisions::Outcome;
--- a/crates/sillbank_gateway/src/streams/pump.rs
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -2,7 +2,7 @@
 
 use super::StreamWatch;
 use super::begin::{Begun, Upstream, begin};
-use super::loss::{Doubt, Loss, Silence, look_for_loss, move_request};
+use super::loss::{Loss, Silence, SilenceTimer, look_for_loss, move_request};
 use crate::decisions::{Outcome, SendEnd};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
@@ -118,8 +118,8 @@
     async fn relay_part(&mut self, upstream: &mut Upstream) -> PartEnd {
         let heard =
             upstream.path.as_ref().map(|path| self.gateway.heard.begin(path, Instant::now()));
-        let mut doubt = Doubt::new(self.rules.gap_objective);
-        let mut silence = smol::Timer::after(doubt.wait());
+        let mut timer = SilenceTimer::new(self.rules.gap_objective);
+        let mut silence = smol::Timer::after(timer.wait());
         loop {
             let next = async { Some(upstream.body.frame().await) };
             let silent = async {
@@ -127,9 +127,9 @@
                 None
             };
             let Some(frame) = futures_lite::future::or(next, silent).await else {
-                let silence_now = doubt.on_silence();
+                let silence_now = timer.on_silence();
                 match self.move_around_loss(upstream, silence_now).await {
-                    Found::Nothing if silence_now == Silence::Short => doubt.on_false_alarm(),
+                    Found::Nothing if silence_now == Silence::Short => timer.on_false_alarm(),
                     Found::Nothing | Found::Loss => {}
                     Found::End(loss) => {
                         return PartEnd::Broken(loss.engines.into_iter().next(), loss.reason);
@@ -138,14 +138,14 @@
                 if let (Some(heard), Some(path)) = (&heard, &upstream.path) {
                     heard.on_moved(path);
                 }
-                silence.set_after(doubt.wait());
+                silence.set_after(timer.wait());
                 continue;
             };
-            doubt.on_heard();
+            timer.on_heard();
             if let Some(heard) = &heard {
                 heard.on_event(Instant::now());
             }
-            silence.set_after(doubt.wait());
+            silence.set_after(timer.wait());
             match frame {
                 None if upstream.splitter.holds_part() => {
                     return PartEnd::Broken(None, "the stream ended within an event".to_owned());
@@ -164,18 +164,19 @@
             }
             if self.outbox.waiting_bytes() > MAX_WAITING_BYTES {
                 self.outbox.drained_to(MAX_WAITING_BYTES / 2).await;
-                silence.set_after(doubt.wait());
+                silence.set_after(timer.wait());
             }
         }
     }
 
     /// Looks for lost engines and moves the stream around them.
     async fn move_around_loss(&self, upstream: &mut Upstream, silence: Silence) -> Found {
-        let passage = upstream.passage();
-        let Some(loss) = look_for_loss(&self.gateway, &self.job, passage, silence).await else {
+        let active_route = upstream.active_route();
+        let Some(loss) = look_for_loss(&self.gateway, &self.job, active_route, silence).await
+        else {
             return Found::Nothing;
         };
-        match move_request(&self.gateway, &self.job, passage, &loss).await {
+        match move_request(&self.gateway, &self.job, active_route, &loss).await {
             Some(path) => {
                 upstream.path = Some(path);
                 upstream.sent_at = Instant::now();
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -61,28 +61,56 @@
     }
 }
 
-#[test]
-fn a_confirmation_that_waited_for_news_is_not_taken_for_older_than_it_is() {
-    let sent = Instant::now();
-    let news = FeedNews {
-        life: 1,
+fn freshness() -> Freshness {
+    Freshness::new(Duration::from_secs(2), REVOCATION)
+}
+
+fn news(held_ms: u64, confirmed_age_ms: u64) -> FeedNews {
+    FeedNews {
+        incarnation: 1,
         boards_seen: 0,
         holds_lease: true,
         follows_store: true,
-        held_ms: 400,
-        confirmed_age_ms: Some(700),
+        held_ms,
+        confirmed_age_ms: Some(confirmed_age_ms),
         confirmed_at: 9,
         catalog: None,
         endpoints: None,
         boards: Vec::new(),
-    };
+    }
+}
+
+#[test]
+fn a_confirmation_that_waited_for_news_is_not_taken_for_older_than_it_is() {
+    let sent = Instant::now();
+    let answered = sent + Duration::from_millis(410);
 
-    let confirmed = news.confirmed_since(sent);
+    let confirmed = news(400, 700).confirmed_since(sent, answered);
 
     // 300 ms before the ask was sent, and not 700.
     assert_eq!(confirmed, sent.checked_sub(Duration::from_millis(300)));
 }
 
+#[test]
+fn a_leader_that_claims_to_have_held_an_ask_for_an_hour_confirms_nothing_that_is_to_come() {
+    let sent = Instant::now();
+    let answered = sent + Duration::from_millis(410);
+
+    let confirmed = news(3_600_000, 0).confirmed_since(sent, answered);
+
+    assert_eq!(confirmed, Some(answered));
+}
+
+#[test]
+fn a_confirmation_of_absurd_age_is_not_fresh() {
+    let sent = Instant::now();
+
+    let confirmed = news(0, u64::MAX).confirmed_since(sent, sent);
+
+    let age = confirmed.map(|confirmed| sent.saturating_duration_since(confirmed));
+    assert!(age.is_none_or(|age| age > freshness().enough_for), "{age:?}");
+}
+
 #[test]
 fn a_leader_of_a_slow_store_asks_more_often() {
     let freshness = Freshness::new(Duration::from_secs(3), REVOCATION);
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -250,8 +250,8 @@
     hall.on_redirect(peer(1), peer(1));
 
     assert_eq!(hall.redirect(), None);
-    assert!(hall.take_call());
-    assert!(!hall.take_call());
+    assert!(hall.take_nomination());
+    assert!(!hall.take_nomination());
 }
 
 #[test]
--- a/crates/sillbank_gateway/tests/reports.rs
+++ b/crates/sillbank_gateway/tests/reports.rs
@@ -1,10 +1,10 @@
 //! When an engine is lost by what comes of asking it for reports.
 
-use sillbank_gateway::placement::{Asked, KnownEngine};
+use sillbank_gateway::placement::{KnownEngine, ReportOutcome};
 use sillbank_gateway::prelude::EngineReport;
 
-fn report() -> Asked {
-    Asked::Reported(EngineReport {
+fn report() -> ReportOutcome {
+    ReportOutcome::Reported(EngineReport {
         layers: None,
         order_under_way: false,
         orders_taken: 0,
@@ -26,7 +26,7 @@
 fn an_engine_whose_address_refuses_a_call_is_lost_at_once() {
     let mut engine = well();
 
-    engine.on_asked(Asked::Refused, false);
+    engine.on_asked(ReportOutcome::Refused, false);
 
     assert!(engine.report.is_none());
 }
@@ -35,12 +35,12 @@
 fn one_missing_report_is_no_loss_and_two_in_a_row_are() {
     let mut engine = well();
 
-    engine.on_asked(Asked::Missed, false);
+    engine.on_asked(ReportOutcome::Missed, false);
     assert!(engine.report.is_some());
     engine.on_asked(report(), false);
-    engine.on_asked(Asked::Missed, false);
+    engine.on_asked(ReportOutcome::Missed, false);
     assert!(engine.report.is_some());
-    engine.on_asked(Asked::Missed, false);
+    engine.on_asked(ReportOutcome::Missed, false);
 
     assert!(engine.report.is_none());
 }
@@ -49,7 +49,7 @@
 fn a_missing_report_of_an_engine_that_failed_requests_is_a_loss() {
     let mut engine = well();
 
-    engine.on_asked(Asked::Missed, true);
+    engine.on_asked(ReportOutcome::Missed, true);
 
     assert!(engine.report.is_none());
 }
@@ -57,7 +57,7 @@
 #[test]
 fn an_engine_that_reports_again_is_back() {
     let mut engine = well();
-    engine.on_asked(Asked::Refused, false);
+    engine.on_asked(ReportOutcome::Refused, false);
 
     engine.on_asked(report(), false);
 
--- a/crates/sillbank_gateway/tests/doubt.rs
+++ b/crates/sillbank_gateway/tests/silence_timer.rs
@@ -1,16 +1,16 @@
 //! How long a stream may stand still before somebody asks why.
 
-use sillbank_gateway::streams::{Doubt, Silence};
+use sillbank_gateway::streams::{Silence, SilenceTimer};
 use std::time::Duration;
 
 const GAP: Duration = Duration::from_millis(300);
 
 /// Time until a stream that is not heard of has stood still for long.
-fn until_long(doubt: &mut Doubt) -> Duration {
+fn until_long(timer: &mut SilenceTimer) -> Duration {
     let mut waited = Duration::ZERO;
     loop {
-        waited += doubt.wait();
-        if doubt.on_silence() == Silence::Long {
+        waited += timer.wait();
+        if timer.on_silence() == Silence::Long {
             return waited;
         }
     }
@@ -18,39 +18,39 @@
 
 #[test]
 fn the_first_silence_leaves_time_to_move_within_the_longest_pause_in_time() {
-    let mut doubt = Doubt::new(Some(GAP));
+    let mut timer = SilenceTimer::new(Some(GAP));
 
-    let first = doubt.wait();
+    let first = timer.wait();
 
-    assert_eq!(doubt.on_silence(), Silence::Short);
+    assert_eq!(timer.on_silence(), Silence::Short);
     assert!(first <= GAP / 2, "{first:?}");
 }
 
 #[test]
 fn a_stream_without_such_a_pause_is_looked_at_when_it_has_stood_still_for_long() {
-    let mut doubt = Doubt::new(None);
+    let mut timer = SilenceTimer::new(None);
 
-    assert_eq!(doubt.on_silence(), Silence::Long);
+    assert_eq!(timer.on_silence(), Silence::Long);
 }
 
 #[test]
 fn a_long_silence_comes_no_later_because_of_a_short_one() {
-    let mut with_short = Doubt::new(Some(GAP));
-    let mut without = Doubt::new(None);
+    let mut with_short = SilenceTimer::new(Some(GAP));
+    let mut without = SilenceTimer::new(None);
 
     assert_eq!(until_long(&mut with_short), until_long(&mut without));
 }
 
 #[test]
 fn a_stream_whose_pauses_are_long_is_asked_about_less_and_less() {
-    let mut doubt = Doubt::new(Some(GAP));
+    let mut timer = SilenceTimer::new(Some(GAP));
     let mut short_silences = 0;
 
     for _ in 0..100 {
-        doubt.on_heard();
-        if doubt.on_silence() == Silence::Short {
+        timer.on_heard();
+        if timer.on_silence() == Silence::Short {
             short_silences += 1;
-            doubt.on_false_alarm();
+            timer.on_false_alarm();
         }
     }
 
