--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -113,8 +113,9 @@
                 self.named = Some(record.peer);
                 self.read_from = Instant::now() + NAMED_LEADER_WAIT;
             }
-            // Free, never held, or held by the process before this one, which may take it again.
+            // It was held by the process before this one, which may take it again at once.
             Ok(Some(record)) if record.peer == own => {}
+            // Free or never held: the VMs of the hall read it one after the other.
             Ok(_) => self.read_from = Instant::now() + LEAST_TURNS.mul_f64(fastrand::f64()),
             Err(error) => tracing::debug!(%error, "lease: It could not be looked up."),
         }
@@ -201,6 +202,7 @@
         self.note();
     }
 
+    /// Notes who leads, for the other parts of this VM.
     fn note(&mut self) {
         let fence = self.lease.fence(moment());
         self.leads_since = fence.and(self.leads_since.or_else(|| Some(Instant::now())));
--- a/crates/sillbank_gateway/tests/settings.rs
+++ b/crates/sillbank_gateway/tests/settings.rs
@@ -55,3 +55,13 @@
     assert_eq!(settings.mechanisms, expected);
     assert_eq!(unknown.expect_err("it is faulty").0[0].path, "mechanisms.luck");
 }
+
+#[test]
+fn a_vm_without_processors_or_link_is_refused() {
+    let text = format!("{LEAST}processors = 0\nlink_mbps = -20\n");
+
+    let problems = read_text("test", &text).expect_err("it is faulty").0;
+
+    let paths: Vec<&str> = problems.iter().map(|problem| problem.path.as_str()).collect();
+    assert_eq!(paths, ["processors", "link_mbps"]);
+}
