Serve what was pulled from peers as soon as enough of them were heard, also after the only pull

Cause (read, and it fits the logs of all nine VMs): whether enough peers were heard was looked at after a pull only; this one ended before a third peer was heard, and nothing newer came that would have made it pull again. It is looked at with each peer that is heard now. Rule and test in sillbank_spread.

--- a/crates/sillbank_control/src/gossip.rs
+++ b/crates/sillbank_control/src/gossip.rs
@@ -93,9 +93,12 @@
                 };
                 let wanted =
                     control.follower.borrow_mut().on_peer(now, peer, &summary, complete, digest);
-                if let Some(FollowAction::Pull { peer, after }) = wanted {
-                    let pull = peers::pull(control.clone(), peer, after);
-                    control.executor.spawn(pull).detach();
+                match wanted {
+                    Some(FollowAction::Pull { peer, after }) => {
+                        let pull = peers::pull(control.clone(), peer, after);
+                        control.executor.spawn(pull).detach();
+                    }
+                    None => peers::settle_from_peers(control),
                 }
             }
         }
--- a/crates/sillbank_control/src/peers.rs
+++ b/crates/sillbank_control/src/peers.rs
@@ -7,7 +7,7 @@
 use sillbank_net::frames::{FrameError, read_message};
 use sillbank_net::prelude::*;
 use sillbank_protocol::peer::{PeerRequest, PullPart, ToControl};
-use sillbank_spread::FollowAction;
+use sillbank_spread::{FollowAction, PeerView, may_serve};
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::net::SocketAddr;
@@ -17,8 +17,6 @@
 /// Time a peer has for its first message, and for a whole pull.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 const PULL_TIMEOUT: Duration = Duration::from_secs(30);
-/// VMs to hear from before a new VM serves without the platform's own word.
-const HEARD_ENOUGH: usize = 3;
 
 /// Serves entries of this VM and peers.
 pub(crate) struct PeersPlugin {
@@ -103,13 +101,16 @@
 }
 
 /// Without the platform's own word, serves once enough VMs were heard and nobody holds more.
-fn settle_from_peers(control: &Control) {
+pub(crate) fn settle_from_peers(control: &Control) {
     let heard = control.heard.borrow();
-    let known = control.membership.borrow().members().all().filter(|m| m.is_live()).count();
-    let complete = control.store.objects().complete().unwrap_or(0);
     let recent = |at: Instant| at.elapsed() < control.settings.gossip_interval * 30;
-    let newest = heard.values().filter(|h| recent(h.at)).map(|h| h.summary.complete).max();
-    if heard.len() >= HEARD_ENOUGH.min(known) && newest.is_none_or(|newest| newest <= complete) {
+    let view = PeerView {
+        heard: heard.len(),
+        known: control.membership.borrow().members().all().filter(|m| m.is_live()).count(),
+        newest: heard.values().filter(|h| recent(h.at)).map(|h| h.summary.complete).max(),
+        complete: control.store.objects().complete(),
+    };
+    if may_serve(view) {
         control.store.set_settled();
     }
 }
--- a/crates/sillbank_spread/src/lib.rs
+++ b/crates/sillbank_spread/src/lib.rs
@@ -6,7 +6,9 @@
 #![forbid(unsafe_code)]
 
 pub mod follow;
+pub mod settling;
 pub mod store;
 
 pub use follow::{FollowAction, Follower};
+pub use settling::{PeerView, may_serve};
 pub use store::ObjectStore;
