Act on old news at half of the bound, and tell a leader that lost the store by a VM of its hall

A leader without the store said that it followed it, as others had told it what it knew, so these stopped following. Leaders looked others up in the store only.

--- a/crates/sillbank_catalog/src/freshness.rs
+++ b/crates/sillbank_catalog/src/freshness.rs
@@ -45,6 +45,11 @@
         self.age(now).is_some_and(|age| age < self.term)
     }
 
+    /// When it was last known to be true; `None` if it never was.
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
     /// Time since it was last known to be true; `None` if it never was.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.saturating_duration_since(confirmed))
--- a/crates/sillbank_gateway/src/boards.rs
+++ b/crates/sillbank_gateway/src/boards.rs
@@ -109,6 +109,12 @@
         Some(look(EngineNews { state: &engine.state, as_of: kept.as_of, vms: kept.vms }))
     }
 
+    /// Where the leader of a hall is asked, by its board, if that is believed.
+    pub fn leader(&self, hall: &str, now: Instant) -> Option<SocketAddr> {
+        let boards = self.by_hall.borrow();
+        boards.get(hall).filter(|kept| is_believed(kept, now)).map(|kept| kept.leader)
+    }
+
     /// The most VMs that the leaders of all `halls` have told of at a time; `None` if they have not.
     /// Some may be missing in what is told now, but they go on serving.
     pub fn fleet_vms(&self, halls: &BTreeSet<HallId>, now: Instant) -> Option<u32> {
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -29,8 +29,17 @@
 /// How often the lease of another hall is read while its leader is not heard of.
 const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
 
-/// A connection to one leader.
-struct Link {
+/// What a VM asks another for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AskFor {
+    /// What a leader tells.
+    News,
+    /// What a VM of the asking leader's hall knows by itself.
+    SourceNews,
+}
+
+/// A connection to one leader, or of a leader to its source.
+pub(super) struct Link {
     stream: TcpStream,
     address: SocketAddr,
     /// Incarnation of the leader and the newest of its boards that was seen.
@@ -82,7 +91,7 @@
             continue;
         };
         let sent = Instant::now();
-        match ask_once(&gateway, &mut link, leader).await {
+        match ask_once(&gateway, &mut link, leader, AskFor::News).await {
             Ok(FeedReply::News(news)) => {
                 let holds_lease = news.holds_lease;
                 let confirmed = take_news(&gateway, &mut link, *news, sent, true);
@@ -109,10 +118,11 @@
     }
 }
 
-async fn ask_once<W: Wire, S: MetadataStore>(
+pub(super) async fn ask_once<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     link: &mut Option<Link>,
     address: SocketAddr,
+    ask_for: AskFor,
 ) -> Result<FeedReply, FrameError> {
     let late = async {
         smol::Timer::after(REPLY_LIMIT).await;
@@ -131,6 +141,8 @@
             hall: settings.hall.clone(),
             peer: settings.peer_listen,
             strength: gateway.strength(),
+            confirmed_age_ms: gateway.knowledge.stamp(Instant::now()).catalog_age_ms,
+            asks_source: ask_for == AskFor::SourceNews,
             catalog: gateway.knowledge.catalog().map(|catalog| catalog.version()),
             seen: link.seen(),
         };
@@ -143,8 +155,8 @@
     futures_lite::future::or(exchange, late).await
 }
 
-/// Takes what a leader tells; answers when the configuration that is in force now was confirmed.
-fn take_news<W: Wire, S: MetadataStore>(
+/// Takes what a leader or a source tells; answers when the configuration that is in force now was confirmed.
+pub(super) fn take_news<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     link: &mut Option<Link>,
     news: FeedNews,
@@ -200,7 +212,7 @@
 /// Asks the leader of another hall whenever this VM leads its own, for as long as the program runs.
 /// Each hall is asked apart: one that does not answer keeps no news of the others back.
 async fn follow_other_hall<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, hall: HallId) {
-    let mut other = OtherHall { hall, link: None, leader: None, lease_read_at: None };
+    let mut other = OtherHall { hall, link: None, leader: None, lost: None, lease_read_at: None };
     loop {
         if gateway.hall.tells.get().is_some() {
             other.ask(&gateway).await;
@@ -217,6 +229,8 @@
     hall: HallId,
     link: Option<Link>,
     leader: Option<SocketAddr>,
+    /// The leader that was lost last.
+    lost: Option<SocketAddr>,
     lease_read_at: Option<Instant>,
 }
 
@@ -227,7 +241,7 @@
             return;
         };
         let sent = Instant::now();
-        match ask_once(gateway, &mut self.link, leader).await {
+        match ask_once(gateway, &mut self.link, leader, AskFor::News).await {
             Ok(FeedReply::News(news)) => {
                 let takes_endpoints = !gateway.store_is_reached() || gateway.senior_suffices(sent);
                 let follows_store = news.follows_store;
@@ -242,6 +256,7 @@
             Err(error) => {
                 self.link = None;
                 self.leader = None;
+                self.lost = Some(leader);
                 let hall = &self.hall;
                 gateway.hall.on_other_lost(hall);
                 tracing::debug!(hall, %leader, %error, "feed: Another hall's leader is lost.");
@@ -249,9 +264,15 @@
         }
     }
 
-    /// Reads who leads the hall, if it was not read lately.
+    /// Finds out who leads the hall, by what the leaders of further halls tell, which works also while the
+    /// store is away, or by its lease, if that was not read lately.
     async fn look_up<W: Wire, S: MetadataStore>(&mut self, gateway: &Rc<Gateway<W, S>>) {
         let now = Instant::now();
+        let told = gateway.hall.boards.leader(&self.hall, now);
+        if told.is_some() && told != self.lost {
+            self.leader = told;
+            return;
+        }
         let is_due = |at: Instant| now.saturating_duration_since(at) >= OTHER_LEASE_INTERVAL;
         if !self.lease_read_at.is_none_or(is_due) {
             return;
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -34,6 +34,10 @@
     pub peer: SocketAddr,
     /// How fit it is to lead; 0 if it does not want to.
     pub strength: Strength,
+    /// Time since its configuration was last confirmed, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
+    /// Whether it leads and asks a VM of its hall, as it has lost the store.
+    pub asks_source: bool,
     /// Version of the configuration it has.
     pub catalog: Option<CatalogVersion>,
     /// What it has seen of this leader.
@@ -129,7 +133,8 @@
     pub boards_seen: u64,
     /// Whether the leader holds the hall's lease. If not, the store is away, or another VM may take it.
     pub holds_lease: bool,
-    /// Whether the leader asks the store itself. If not, the leader of another hall does for it.
+    /// Whether the leader asks the store itself and is answered. If not, another VM does for it. Said by a
+    /// leader that had lost the store, it made others rely on what they had told it themselves.
     pub follows_store: bool,
     /// How long the ask was held for news, in milliseconds.
     pub held_ms: u64,
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -66,27 +66,26 @@
     let began = Instant::now();
     let knowledge = &gateway.knowledge;
     let seen = ask.seen.filter(|seen| seen.incarnation == gateway.incarnation);
-    if gateway.hall.tells.get().is_some() && !has_news(gateway, ask, seen) {
+    if ask.asks_source {
+        gateway.hall.on_asked_as_source(began);
+    }
+    let may_answer = || ask.asks_source || gateway.hall.tells.get().is_some();
+    if may_answer() && !has_news(gateway, ask, seen) {
         let wait = async {
             smol::Timer::after(NEWS_WAIT).await;
         };
         let news = futures_lite::future::or(knowledge.changed(), gateway.hall.posted());
-        let confirmed = async {
-            match ask.hall == gateway.settings().hall {
-                true => std::future::pending().await,
-                // It passes on how old the confirmation is.
-                false => knowledge.confirmed().await,
-            }
-        };
-        let news = futures_lite::future::or(news, confirmed);
+        // Whoever asks acts by how old the confirmation is, or passes it on.
+        let news = futures_lite::future::or(news, knowledge.confirmed());
         futures_lite::future::or(news, wait).await;
     }
-    if gateway.hall.tells.get().is_none() {
+    if !may_answer() {
         return FeedReply::NotLeading { leader: gateway.hall.leader.get() };
     }
     let now = Instant::now();
-    if ask.hall == gateway.settings().hall {
-        gateway.hall.on_asker(&ask.vm, ask.peer, ask.strength, now);
+    if ask.hall == gateway.settings().hall && !ask.asks_source {
+        let confirmed_age = ask.confirmed_age_ms.map(Duration::from_millis);
+        gateway.hall.on_asker(&ask.vm, ask.peer, ask.strength, confirmed_age, now);
     }
     let catalog = has_newer_catalog(gateway, ask).then(|| knowledge.catalog_parts()).flatten();
     let (boards_seen, boards) = gateway.hall.boards.since(seen.map_or(0, |seen| seen.boards), now);
@@ -94,7 +93,7 @@
         incarnation: gateway.incarnation,
         boards_seen,
         holds_lease: gateway.hall.leads.get().is_some(),
-        follows_store: !gateway.senior_suffices(now),
+        follows_store: gateway.store_is_reached() && !gateway.senior_suffices(now),
         held_ms: began.elapsed().as_millis() as u64,
         confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
         confirmed_at: knowledge.catalog_at(),
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the store: configuration and endpoints, by watches that are never left to hang.
 
+use crate::backoff::Backoff;
 use crate::freshness::{NEED_POLL, confirmed_by_watch};
 use crate::gateway::Gateway;
 use crate::hall::Hall;
@@ -11,10 +12,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a watch of the configuration waits on a VM that does not lead. Each return confirms it, so
-/// this and the way of a call is how old it gets; at 5 s for a revocation more than 3 s are left when
-/// the store is lost. A leader's watch waits as [`crate::freshness`] says.
-pub const CATALOG_WAIT: Duration = Duration::from_millis(1_500);
 /// How long a watch of endpoints waits. A watch that was cut off without a word is noticed after
 /// this and the store's own limit for an answer.
 pub const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_500);
@@ -25,35 +22,15 @@
 /// it wants to know at once whether something changed. With a whole wait VMs served again 1.8 s after the
 /// end of an outage.
 const FIRST_WAIT: Duration = Duration::from_millis(10);
-/// First pause after a call that failed; doubled up to [`Hall::longest_pause`], and drawn from half to whole
-/// so that VMs do not come back all at once.
-const PAUSE_MIN: Duration = Duration::from_millis(100);
-
-/// Pauses between failing calls.
-#[derive(Debug, Default)]
-struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    /// Waits before the next call. What is sufficient while the leader is there is too long when it is lost,
-    /// so that is looked at again and again.
-    async fn pause(&mut self, hall: &Hall) {
-        let began = Instant::now();
-        let share = 0.5 + 0.5 * fastrand::f64();
-        let by_failures = PAUSE_MIN.saturating_mul(1 << self.failures.min(8));
-        self.failures += 1;
-        loop {
-            let now = Instant::now();
-            let longest = hall.longest_pause(now);
-            // One call in vain shows that the store is away for both; the leader goes on looking.
-            let whole = if hall.leader_is_live(now) { longest } else { by_failures.min(longest) };
-            let left = (began + whole.mul_f64(share)).saturating_duration_since(now);
-            if left.is_zero() {
-                return;
-            }
-            smol::Timer::after(left.min(NEED_POLL)).await;
+/// Waits before the next call, and looks again and again whether the leader is still there.
+async fn pause(backoff: &mut Backoff, hall: &Hall) {
+    let pause = backoff.next_pause(Instant::now(), fastrand::f64());
+    loop {
+        let left = pause.left(Instant::now(), hall);
+        if left.is_zero() {
+            return;
         }
+        smol::Timer::after(left.min(NEED_POLL)).await;
     }
 }
 
@@ -64,6 +41,7 @@
         leader_holds_lease: hall.leader_holds_lease(now),
         leader_suffices: hall.leader_suffices(now, gateway.freshness())
             || gateway.senior_suffices(now),
+        is_source: hall.is_source(now),
         has_catalog: gateway.knowledge.catalog().is_some(),
         store_is_reached: gateway.store_is_reached(),
         awaits_leader: gateway.age(now) < FIRST_LEADER_WAIT && !hall.has_leader(now),
@@ -96,10 +74,9 @@
             since = Some(gateway.knowledge.catalog_at()).filter(|at| *at > 0);
         }
         let sent = Instant::now();
-        let wait = match gateway.hall.tells.get() {
-            _ if was_told || has_failed => FIRST_WAIT,
-            Some(_) => gateway.freshness().leader_wait_after(excess),
-            None => CATALOG_WAIT,
+        let wait = match was_told || has_failed {
+            true => FIRST_WAIT,
+            false => gateway.freshness().leader_wait_after(excess),
         };
         let is_watch = since.is_some();
         let read = match since {
@@ -129,11 +106,11 @@
                     since = None;
                 }
                 gateway.on_store_error("configuration", &error);
-                backoff.pause(&gateway.hall).await;
+                pause(&mut backoff, &gateway.hall).await;
             }
         }
         if gateway.knowledge.catalog().is_none() {
-            backoff.pause(&gateway.hall).await;
+            pause(&mut backoff, &gateway.hall).await;
         }
     }
 }
@@ -192,7 +169,7 @@
                 gateway.on_store_error("endpoints", &error);
                 // What was missed is read again whole: a watch that was cut may have missed changes.
                 since = None;
-                backoff.pause(&gateway.hall).await;
+                pause(&mut backoff, &gateway.hall).await;
             }
         }
     }
--- a/crates/sillbank_gateway/src/freshness.rs
+++ b/crates/sillbank_gateway/src/freshness.rs
@@ -1,10 +1,10 @@
 //! How fresh the knowledge is that a hall's leader passes on.
 //!
 //! A configuration must be in force a given time after the store took it, also on a VM whose leader
-//! has lost the store without noticing. So a VM asks the store itself as soon as what its leader
-//! confirms is older than that time less the time for an ask of its own. The leader confirms often
-//! enough that this does not happen while all is well, and that keys are known for long enough when the
-//! store is lost.
+//! has lost the store without noticing. So leaders look for another source when half of that time has
+//! passed since the last confirmation, and the VMs of a hall one after the other from then on: what is left
+//! is for calls in vain and for passing the news on. The leader confirms often enough that this does not
+//! happen while all is well, and that keys are known for long enough when the store is lost.
 
 use std::time::{Duration, Instant};
 
@@ -12,12 +12,19 @@
 pub const NEWS_WAIT: Duration = Duration::from_millis(400);
 /// How often a VM that is told by its leader looks whether it has to ask the store itself.
 pub const NEED_POLL: Duration = Duration::from_millis(150);
-/// Time for an ask of the store: it answers in 4 ms, and a VM with an eighth of a core may have to
-/// wait for the processor.
-const OWN_ASK: Duration = Duration::from_millis(250);
-/// What a confirmation may be late by: its watch, its news and the ask for it, each some 50 ms on VMs
+/// Part of the time within which a configuration must be in force that a leader relies on one confirmation.
+/// Where VMs first asked 0.4 s before the end of that time, one call whose answer was lost made them miss it.
+const ENOUGH_SHARE: f64 = 0.5;
+/// Time between the first asks of two VMs of a hall whose leader tells too little. The store answers
+/// in 4 ms, and the first that has an answer tells the leader, which tells the others: 0.1 to 0.4 s.
+const TURN_OF_VM: Duration = Duration::from_millis(10);
+/// Part of the time within which a configuration must be in force by when all of them have asked.
+const TURNS_SHARE: f64 = 0.2;
+/// VMs of a hall that ask the store without waiting for a turn: fewer calls than that cannot be saved.
+const VMS_WITHOUT_TURNS: u32 = 4;
+/// What a confirmation may be late by: its watch, its news and the ask for it, each some 50 to 100 ms on VMs
 /// that wait for the processor.
-const RELAY_DELAY: Duration = Duration::from_millis(250);
+const RELAY_DELAY: Duration = Duration::from_millis(300);
 /// Time by which a key is given up before its revocation must be in force, for clocks that run
 /// unevenly and for the way from the caller.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(200);
@@ -35,22 +42,35 @@
 pub struct Freshness {
     /// How long a leader's watch of the configuration waits.
     pub leader_wait: Duration,
-    /// Age of the leader's confirmation from which a VM asks the store itself.
+    /// Age of a confirmation from which a leader looks for another source, and the VMs of its hall begin to.
     pub enough_for: Duration,
+    /// Longest time after that in which the VMs of a hall ask one after the other.
+    longest_turns: Duration,
 }
 
 impl Freshness {
     /// For a platform on which a configuration must be in force `config_in_force` after it was taken, and
     /// the revocation of a key within `key_revocation`.
     pub fn new(config_in_force: Duration, key_revocation: Duration) -> Self {
-        let enough_for = config_in_force.saturating_sub(NEED_POLL + OWN_ASK);
+        let enough_for = config_in_force.mul_f64(ENOUGH_SHARE);
         let keys_outlast = key_revocation.mul_f64(KEYS_OUTLAST);
         let oldest_for_keys = lease_term(key_revocation).saturating_sub(keys_outlast);
         // A confirmation is as old as one wait when the next watch returns; then it waits to be passed on
-        // by the leader of another hall and by that of this one.
-        let for_passing_on = NEWS_WAIT + RELAY_DELAY + OTHER_HALL_DELAY;
+        // by the leader of another hall and by that of this one, which both answer with each confirmation.
+        let for_passing_on = RELAY_DELAY + OTHER_HALL_DELAY;
         let for_wait = enough_for.min(oldest_for_keys).saturating_sub(for_passing_on);
-        Self { leader_wait: for_wait.max(LEADER_WAIT_MIN), enough_for }
+        let longest_turns = config_in_force.mul_f64(TURNS_SHARE);
+        Self { leader_wait: for_wait.max(LEADER_WAIT_MIN), enough_for, longest_turns }
+    }
+
+    /// Age of the leader's confirmation from which a VM of a hall asks the store itself. `turn`, from 0 to 1,
+    /// says when it is this VM's turn among the `vms` of the hall.
+    pub fn enough_for_member(&self, vms: u32, turn: f64) -> Duration {
+        if vms <= VMS_WITHOUT_TURNS {
+            return self.enough_for;
+        }
+        let turns = (TURN_OF_VM * vms).min(self.longest_turns);
+        self.enough_for + turns.mul_f64(turn.clamp(0.0, 1.0))
     }
 
     /// How long a leader's next watch waits when the one before took so long beyond its wait. A slow
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -42,6 +42,9 @@
     at: Instant,
     peer: SocketAddr,
     strength: Strength,
+    /// When its configuration was last confirmed, by its word and the time at which it came. Only a hint:
+    /// it may have been on its way for long.
+    confirmed: Option<Instant>,
 }
 
 /// What the leader of another hall said of itself.
@@ -74,6 +77,10 @@
     /// Whether the leader before handed its lease to this VM.
     is_nominated: Cell<bool>,
     most_hall_vms: Cell<u32>,
+    /// When it is this VM's turn to ask the store if the leader tells too little, from 0 to 1.
+    turn: Cell<f64>,
+    /// When the leader last asked this VM for what it knows.
+    asked_as_source: Cell<Option<Instant>>,
     wakes: Cell<u64>,
     waiting: RefCell<Vec<Waker>>,
 }
@@ -83,7 +90,10 @@
     /// whether it holds the hall's lease.
     pub fn on_news(&self, now: Instant, confirmed: Option<Instant>, holds_lease: bool) {
         self.heard.set(Some(now));
-        self.confirmed.set(confirmed);
+        if self.confirmed.replace(confirmed) != confirmed {
+            // Few come first, as the root of an even number is seldom small.
+            self.turn.set(fastrand::f64().sqrt());
+        }
         self.leader_holds_lease.set(holds_lease);
     }
 
@@ -110,7 +120,8 @@
 
     /// Whether the leader tells enough for this VM not to ask the store itself.
     pub fn leader_suffices(&self, now: Instant, freshness: Freshness) -> bool {
-        let is_fresh = |age: Duration| age < freshness.enough_for;
+        let enough_for = freshness.enough_for_member(self.most_hall_vms.get(), self.turn.get());
+        let is_fresh = |age: Duration| age < enough_for;
         self.leader_is_live(now) && self.confirmation_age(now).is_some_and(is_fresh)
     }
 
@@ -151,9 +162,18 @@
         self.confirmed.get().map(|at| now.saturating_duration_since(at))
     }
 
-    /// Notes that a VM of this hall asked; answers how many did lately, this VM included.
-    pub fn on_asker(&self, vm: &str, peer: SocketAddr, strength: Strength, now: Instant) -> u32 {
-        let asker = Asker { at: now, peer, strength };
+    /// Notes that a VM of this hall asked, whose configuration was confirmed `confirmed_age` ago; answers how
+    /// many did lately, this VM included.
+    pub fn on_asker(
+        &self,
+        vm: &str,
+        peer: SocketAddr,
+        strength: Strength,
+        confirmed_age: Option<Duration>,
+        now: Instant,
+    ) -> u32 {
+        let confirmed = confirmed_age.and_then(|age| now.checked_sub(age));
+        let asker = Asker { at: now, peer, strength, confirmed };
         self.askers.borrow_mut().insert(vm.to_owned(), asker);
         self.vms(now)
     }
@@ -175,6 +195,26 @@
         Some((strongest.0.clone(), strongest.1.peer))
     }
 
+    /// The VM of this hall whose configuration was confirmed last, if that was after `since`.
+    pub fn best_informed_asker(&self, now: Instant, since: Instant) -> Option<SocketAddr> {
+        let askers = self.askers.borrow();
+        let is_here = |asker: &&Asker| now.saturating_duration_since(asker.at) < FEED_LIVE;
+        let informed =
+            askers.values().filter(is_here).filter(|asker| asker.confirmed > Some(since));
+        informed.max_by_key(|asker| (asker.confirmed, asker.peer)).map(|asker| asker.peer)
+    }
+
+    /// The leader asked this VM for what it knows, as it has lost the store.
+    pub fn on_asked_as_source(&self, now: Instant) {
+        self.asked_as_source.set(Some(now));
+    }
+
+    /// Whether the leader has lately asked this VM for what it knows, and so relies on it.
+    pub fn is_source(&self, now: Instant) -> bool {
+        let is_late = |at: Instant| now.saturating_duration_since(at) < FEED_LIVE;
+        self.asked_as_source.get().is_some_and(is_late)
+    }
+
     /// The leader named another that leads now; `own` is where this VM is asked.
     pub fn on_redirect(&self, leader: SocketAddr, own: SocketAddr) {
         if leader == own {
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -106,6 +106,11 @@
         self.catalog_at.set(self.catalog_at.get().max(at));
     }
 
+    /// When the configuration was last confirmed; `None` if it never was.
+    pub fn catalog_confirmed(&self) -> Option<Instant> {
+        self.lease.borrow().confirmed()
+    }
+
     /// Revision of the store up to which the configuration was confirmed; 0 if it never was.
     pub fn catalog_at(&self) -> Revision {
         self.catalog_at.get()
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -8,13 +8,15 @@
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
-//!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store.
+//!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store, [`backoff`] how
+//!   often while it does not answer.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
 #![forbid(unsafe_code)]
 
 pub mod answers;
+pub mod backoff;
 pub mod boards;
 pub mod callers;
 pub mod calls;
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -47,6 +47,7 @@
     fn build(self, app: &App<Gateway<W, S>>) {
         app.spawn(feed::serve_feed(app.state(), self.listener));
         app.spawn(feed::follow_leader(app.state()));
+        app.spawn(feed::follow_source(app.state()));
     }
 }
 
--- a/crates/sillbank_gateway/tests/sources.rs
+++ b/crates/sillbank_gateway/tests/sources.rs
@@ -9,6 +9,7 @@
     leader_suffices: true,
     has_catalog: true,
     store_is_reached: true,
+    is_source: false,
     awaits_leader: false,
 };
 
@@ -54,6 +55,21 @@
     assert!(asks(Followed::Catalog, view));
 }
 
+#[test]
+fn a_vm_that_its_leader_relies_on_follows_both() {
+    let view = SourceView { is_source: true, leader_holds_lease: false, ..ALL_WELL };
+
+    assert!(asks(Followed::Catalog, view));
+    assert!(asks(Followed::Endpoints, view));
+}
+
+#[test]
+fn a_vm_that_its_leader_relied_on_and_that_lost_the_store_does_as_the_others() {
+    let view = SourceView { is_source: true, store_is_reached: false, ..ALL_WELL };
+
+    assert!(!asks(Followed::Catalog, view));
+}
+
 #[test]
 fn a_vm_that_begins_waits_for_its_leader() {
     let view = SourceView {
@@ -85,6 +101,7 @@
                 leader_suffices: leader_is_live && u.arbitrary()?,
                 has_catalog: u.arbitrary()?,
                 store_is_reached,
+                is_source: u.arbitrary()?,
                 awaits_leader: false,
             };
             let catalog_asks = asks(Followed::Catalog, view);
--- /dev/null
+++ b/crates/sillbank_gateway/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What tests of the gateway share.
+
+pub(crate) mod fleet;
