Deal engines that hold nothing to chains of like pace, the quickest first

Cause: chains were dealt by memory, so each mixed all cards and a token passed slow ones on each path (98 ms to the first event, 56 to 85 ms an event).

--- a/crates/sillbank_gateway/src/placement/targets.rs
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -75,7 +75,7 @@
     chains: &mut Chains,
     in_pairs: bool,
 ) -> Option<Vec<Target>> {
-    let dealt = deal(engines, figures, chains);
+    let dealt = deal_first(engines, figures, chains);
     if dealt.len() > 1 || !in_pairs {
         return chain_targets(&dealt, figures, GiveUp::AtOnce);
     }
@@ -163,6 +163,32 @@
     dealt
 }
 
+/// Deals engines that hold nothing to chains of like pace.
+fn deal_first<'a>(
+    engines: &'a [EngineView],
+    figures: &EngineFigures,
+    chains: &mut Chains,
+) -> Vec<Vec<&'a EngineView>> {
+    let tokens = usual_tokens(figures) * ROOM_IN_CHAINS;
+    let members: Vec<PacedMember> = engines
+        .iter()
+        .filter_map(|engine| {
+            let kind = figures.accelerator(&engine.kind)?;
+            let fits = layers_that_fit(&memory_shape(figures, kind), tokens);
+            Some(PacedMember { endpoint: engine.id.clone(), pace: kind.step_factor, fits })
+        })
+        .collect();
+    *chains = deal_by_pace(&members, figures.layers);
+    let count = chains.values().max().map_or(1, |most| most + 1);
+    let mut dealt: Vec<Vec<&EngineView>> = vec![Vec::new(); count];
+    for engine in engines {
+        if let Some(chain) = chains.get(&engine.id) {
+            dealt[*chain].push(engine);
+        }
+    }
+    dealt
+}
+
 fn chain_count(engines: &[EngineView], figures: &EngineFigures, chains: &Chains) -> usize {
     let fits: u32 = engines
         .iter()
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -15,6 +15,7 @@
 mod pairs;
 mod path;
 mod plan;
+mod quick;
 mod repair;
 mod room;
 
@@ -24,6 +25,7 @@
 pub use pairs::{PairMember, place_in_pairs};
 pub use path::{LayerPath, MAX_PARTS, PathError, PathPart};
 pub use plan::{Assignment, PlanRunner, PlanWeights, plan};
+pub use quick::{PacedMember, deal_by_pace};
 pub use repair::{RepairMember, RepairMove, repair};
 pub use room::{MemoryShape, layers_that_fit, tokens_that_fit};
 
@@ -31,8 +33,8 @@
 pub mod prelude {
     pub use crate::{
         Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, MAX_PARTS,
-        MemoryShape, PairMember, PathError, PathPart, PlanRunner, PlanWeights, RepairMember,
-        RepairMove, deal_chains, find_path, layers_that_fit, mend_path, place_in_pairs, plan,
+        MemoryShape, PacedMember, PairMember, PathError, PathPart, PlanRunner, PlanWeights,
+        RepairMember, RepairMove, deal_by_pace, deal_chains, find_path, layers_that_fit, mend_path, place_in_pairs, plan,
         repair, tokens_that_fit,
     };
 }
