Give empty engines the layers by which a hall's requests pass most quickly

Cause: an engine that came was given what just one other held, often a layer or two (33-34, 74-75), and nothing if all was held twice; so quick engines that were replaced stayed away from the quick chain, and paths grew to 13 parts. Now a layout has a cost: the time of a token when the hall's requests fill the quickest holders of each layer first, also without the quickest; empty engines, and those that hold little, get the window that lowers it most.

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -37,6 +37,9 @@
 /// engine refuses it if the first one came through after all.
 const ORDER_PAUSE: Duration = Duration::from_millis(3_000);
 
+/// Factor on the requests that run in a hall which it is laid out for: crowds come, and other halls are lost.
+const LOAD_MARGIN: f64 = 1.5;
+
 /// State of the placement on one VM.
 struct Placement<W: Wire, S: MetadataStore> {
     gateway: Rc<Gateway<W, S>>,
@@ -171,13 +174,14 @@
         }
         let views: Vec<EngineView> =
             alive.iter().filter_map(|record| self.view(record, now)).collect();
+        let load = self.load();
         let chains = self.chains.entry(service.to_owned()).or_default();
         let targets = match is_first {
             true => {
                 let in_pairs = self.gateway.settings().mechanisms.pairs;
                 first_targets(&views, figures, chains, in_pairs)
             }
-            false => mended_targets(&views, figures, chains),
+            false => mended_targets(&views, figures, chains, load),
         };
         let Some(targets) = targets else {
             tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
@@ -188,6 +192,14 @@
         }
     }
 
+    /// Requests that the hall is to have room for: those that begin at its engines now, and more.
+    fn load(&self) -> f64 {
+        let reports = self.known.values().filter_map(|known| known.report.as_ref());
+        let firsts = reports.filter(|report| report.layers.is_some_and(|layers| layers.first == 0));
+        let requests: f64 = firsts.map(|report| f64::from(report.running + report.waiting)).sum();
+        requests * LOAD_MARGIN
+    }
+
     fn view(&self, record: &EndpointRecord, now: Instant) -> Option<EngineView> {
         let known = self.known.get(&record.id)?;
         let order_under_way = known.report.as_ref()?.order_under_way;
--- a/crates/sillbank_gateway/src/placement/targets.rs
+++ b/crates/sillbank_gateway/src/placement/targets.rs
@@ -35,6 +35,8 @@
 /// Requests of the usual size that an engine has room for that takes more layers in need. At 8 an
 /// engine refused for the rest of the day.
 const ROOM_AT_LEAST: f64 = 30.0;
+/// Requests at once that a hall is laid out for at least, also while fewer run.
+const LEAST_LOAD: f64 = 110.0;
 /// Engines that are moved at once without need: each load slows others beyond a few.
 const SPARES_AT_ONCE: usize = 3;
 
@@ -89,17 +91,18 @@
     Some(targets.collect())
 }
 
-/// What has to move after engines were lost or came. Requests may still pass through what is given
+/// What has to move after engines were lost or came, in a hall that is to run `load` requests at once. Requests may still pass through what is given
 /// up: an engine that leaves ends its own, and running requests are moved around one that is lost.
 /// `None` if the layers do not fit.
 pub fn mended_targets(
     engines: &[EngineView],
     figures: &EngineFigures,
     chains: &mut Chains,
+    load: f64,
 ) -> Option<Vec<Target>> {
     let members: Vec<RepairMember> =
         engines.iter().filter_map(|engine| repair_member(engine, figures)).collect();
-    if let Some(moves) = repair(&members, figures.layers, SPARES_AT_ONCE) {
+    if let Some(moves) = repair(&members, figures.layers, load.max(LEAST_LOAD), SPARES_AT_ONCE) {
         let targets = moves.into_iter().map(|moved| Target {
             endpoint: moved.endpoint,
             layers: moved.layers,
@@ -226,11 +229,19 @@
         endpoint: engine.id.clone(),
         comfortable: layers_that_fit(&shape, usual * ROOM_PAIRED),
         most: layers_that_fit(&shape, usual * ROOM_AT_LEAST),
+        pace: kind.step_factor,
+        rooms: rooms(&shape, usual),
         held: engine.ordered.or(engine.serves),
         is_busy: engine.order_under_way || is_changing,
     })
 }
 
+/// Requests of the usual size for which there is room beside 0, 1, 2 ... layers.
+fn rooms(shape: &MemoryShape, usual_tokens: f64) -> Vec<f64> {
+    let most = layers_that_fit(shape, 0.0);
+    (0..=most).map(|held| tokens_that_fit(shape, held) / usual_tokens.max(1.0)).collect()
+}
+
 fn plan_runner(engine: &EngineView, figures: &EngineFigures) -> Option<PlanRunner> {
     let kind = figures.accelerator(&engine.kind)?;
     let shape = memory_shape(figures, kind);
--- a/crates/sillbank_gateway/tests/targets.rs
+++ b/crates/sillbank_gateway/tests/targets.rs
@@ -10,6 +10,8 @@
 const LAYER_MB: f64 = 1750.0;
 const CARDS: [(&str, f64); 3] = [("a100s", 36_000.0), ("l4", 21_600.0), ("t4", 14_400.0)];
 
+const LOAD: f64 = 60.0;
+
 fn figures() -> EngineFigures {
     let accelerators = CARDS.map(|(kind, memory_mb)| AcceleratorFigures {
         kind: kind.to_owned(),
@@ -106,7 +108,8 @@
         left.remove(lost);
         let mut moves = 0;
         for _ in 0..5 {
-            let targets = mended_targets(&left, &figures(), &mut Chains::new()).expect("it fits");
+            let targets =
+                mended_targets(&left, &figures(), &mut Chains::new(), LOAD).expect("it fits");
             moves += targets.len();
             left = carried_out(&left, &targets);
         }
@@ -123,7 +126,7 @@
     let targets = first_targets(&engines, &figures(), &mut Chains::new(), true).expect("it fits");
     let placed = carried_out(&engines, &targets);
 
-    let moves = mended_targets(&placed, &figures(), &mut Chains::new()).expect("it fits");
+    let moves = mended_targets(&placed, &figures(), &mut Chains::new(), LOAD).expect("it fits");
 
     assert_eq!(moves, vec![]);
 }
@@ -145,7 +148,7 @@
                 let at = u.int_in_range(0..=engines.len() - 1)?;
                 engines[at].serves = None;
             }
-            if let Some(targets) = mended_targets(&engines, &figures(), &mut chains) {
+            if let Some(targets) = mended_targets(&engines, &figures(), &mut chains, LOAD) {
                 engines = carried_out(&engines, &targets);
                 assert!(engines.is_empty() || (0..LAYERS).all(|l| holders(&engines, l) >= 1));
             }
@@ -165,7 +168,7 @@
     engines[8].ordered = Some(LayerRange { first: 0, end: 10 });
     engines[8].order_under_way = true;
 
-    let targets = mended_targets(&engines, &figures(), &mut Chains::new()).expect("it fits");
+    let targets = mended_targets(&engines, &figures(), &mut Chains::new(), LOAD).expect("it fits");
 
     assert!(targets.iter().all(|target| target.endpoint != "l4-8"));
     assert!(targets.iter().all(|target| target.give_up == GiveUp::WhenUnused));
--- a/crates/sillbank_layers/src/lib.rs
+++ b/crates/sillbank_layers/src/lib.rs
@@ -18,6 +18,7 @@
 mod quick;
 mod repair;
 mod room;
+mod supply;
 
 pub use chains::{ChainMember, ChainNumber, deal_chains};
 pub use find::{CrossingCost, FoundPath, Holder, find_path};
@@ -28,13 +29,14 @@
 pub use quick::{PacedMember, deal_by_pace};
 pub use repair::{RepairMember, RepairMove, repair};
 pub use room::{MemoryShape, layers_that_fit, tokens_that_fit};
+pub use supply::{LayerShare, Supply};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, MAX_PARTS,
-        MemoryShape, PacedMember, PairMember, PathError, PathPart, PlanRunner, PlanWeights,
-        RepairMember, RepairMove, deal_by_pace, deal_chains, find_path, layers_that_fit, mend_path, place_in_pairs, plan,
-        repair, tokens_that_fit,
+        Assignment, ChainMember, ChainNumber, CrossingCost, Holder, LayerPath, LayerShare,
+        MAX_PARTS, MemoryShape, PacedMember, PairMember, PathError, PathPart, PlanRunner,
+        PlanWeights, RepairMember, RepairMove, Supply, deal_by_pace, deal_chains, find_path,
+        layers_that_fit, mend_path, place_in_pairs, plan, repair, tokens_that_fit,
     };
 }
--- a/crates/sillbank_layers/src/repair.rs
+++ b/crates/sillbank_layers/src/repair.rs
@@ -1,10 +1,18 @@
 //! Mends a placement after endpoints were lost or came: few moves, none that takes a layer's last
 //! holder away.
 
+use crate::supply::{LayerShare, Supply};
 use sillbank_core::prelude::*;
 
+/// Requests for which an endpoint must have room beside layers that it is given without need: with fewer it
+/// is full as soon as a stream or two run longer than usual.
+const LEAST_ROOM: f64 = 30.0;
+/// Part of the cost of a layout by which the move of an endpoint that holds layers has to lower it. A load takes
+/// seconds and ends nothing, but each is priced.
+const MOVE_GAIN: f64 = 0.02;
+
 /// An endpoint as the repair sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RepairMember {
     /// Endpoint.
     pub endpoint: EndpointId,
@@ -12,6 +20,10 @@
     pub comfortable: u16,
     /// Layers that fit with little room, for a while.
     pub most: u16,
+    /// Time of a layer, as a factor on that of other endpoints; more is slower.
+    pub pace: f64,
+    /// Requests for which it has room beside 0, 1, 2 ... layers; as many as fit its memory.
+    pub rooms: Vec<f64>,
     /// Layers it holds, or will hold when the order it has is carried out.
     pub held: Option<LayerRange>,
     /// Whether it is carrying out an order: it is given no other.
@@ -41,13 +53,14 @@
     moves: Vec<RepairMove>,
 }
 
-/// Says what has to move so that each layer has a holder, and then what may move so that more layers
-/// have two and no endpoint is crowded without need. At most `most_spares` endpoints are moved at once without need.
+/// Says what has to move so that each layer has a holder, and then what may move so that `load` requests pass the
+/// layers more quickly, also after a loss, and no endpoint is crowded without need. At most `most_spares` endpoints are moved at once without need.
 ///
 /// `None` if some layer stays without a holder.
 pub fn repair(
     members: &[RepairMember],
     layers: u16,
+    load: f64,
     most_spares: usize,
 ) -> Option<Vec<RepairMove>> {
     let mut repair = Repair::new(members, layers);
@@ -59,7 +72,7 @@
     if repair.moves.is_empty() {
         let busy = members.iter().filter(|member| member.is_busy).count();
         for _ in busy..most_spares {
-            if !repair.add_spare() && !repair.trim_one() {
+            if !repair.improve(load) && !repair.trim_one() {
                 break;
             }
         }
@@ -158,32 +171,55 @@
             })
     }
 
-    /// Lets an empty endpoint hold what has one holder only; false if nothing is to be done.
-    fn add_spare(&mut self) -> bool {
-        let Some(run) = self.crowded_run().or_else(|| self.longest_run(1)) else {
-            return false;
-        };
-        let empty = (0..self.members.len())
-            .filter(|at| !self.moved[*at] && self.held[*at].is_none())
-            .max_by_key(|at| self.members[*at].comfortable);
-        let Some(at) = empty.filter(|at| self.members[*at].comfortable > 0) else {
-            return false;
+    /// Gives an endpoint the layers by which the layout gains most: an empty one, or one that holds less than
+    /// half of what it could and that others hold too. False if nothing is gained.
+    fn improve(&mut self, load: f64) -> bool {
+        let supply = self.supply(load);
+        let cost = supply.cost();
+        let candidates = (0..self.members.len()).filter(|at| self.may_improve(*at));
+        let gains = candidates.filter_map(|at| {
+            let (layers, gain) = self.best_move(&supply, at)?;
+            let least = if self.held[at].is_none() { 0.0 } else { MOVE_GAIN * cost };
+            (gain > least).then_some((at, layers, gain))
+        });
+        let best = gains.max_by(|a, b| a.2.total_cmp(&b.2).then(b.0.cmp(&a.0)));
+        if let Some((at, layers, _)) = best {
+            self.give(at, layers, false);
+        }
+        best.is_some()
+    }
+
+    fn may_improve(&self, at: usize) -> bool {
+        let holds_little =
+            |held: LayerRange| held.len() * 2 <= usize::from(self.members[at].comfortable);
+        !self.moved[at] && self.held[at].is_none_or(|held| holds_little(held) && self.is_free(at))
+    }
+
+    /// The layers that an endpoint should hold in place of its own, and what that gains.
+    fn best_move(&self, supply: &Supply, at: usize) -> Option<(LayerRange, f64)> {
+        let member = &self.members[at];
+        let Some(held) = self.held[at] else {
+            return supply.best_window(member.pace, &member.rooms, LEAST_ROOM);
         };
-        let width = usize::from(self.members[at].comfortable);
-        let window = self.best_window(run, width);
-        self.give(at, window, false);
-        true
+        let mut without = supply.clone();
+        without.remove(held, share(member, held));
+        let given_up = without.cost() - supply.cost();
+        // What it gives up stays in its memory until nobody passes it any more.
+        let rooms = &member.rooms[..member.rooms.len().saturating_sub(held.len())];
+        let (layers, gain) = without.best_window(member.pace, rooms, LEAST_ROOM)?;
+        Some((layers, gain - given_up))
     }
 
-    /// Layers of a crowded endpoint that it holds alone.
-    fn crowded_run(&self) -> Option<LayerRange> {
-        (0..self.members.len()).filter(|at| !self.moved[*at]).find_map(|at| {
-            let held = self.held[at].filter(|held| self.is_crowded(at, *held))?;
-            let is_single = |layer: &u16| self.holders[usize::from(*layer)] == 1;
-            let first = (held.first..held.end).find(is_single)?;
-            let end = (first..held.end).find(|layer| !is_single(layer)).unwrap_or(held.end);
-            Some(LayerRange { first, end })
-        })
+    /// Who serves each layer after the moves so far.
+    fn supply(&self, load: f64) -> Supply {
+        let paces = self.members.iter().map(|member| member.pace);
+        let mut supply = Supply::new(self.holders.len() as u16, load, paces);
+        for (at, member) in self.members.iter().enumerate() {
+            if let Some(held) = self.held[at] {
+                supply.add(held, share(member, held));
+            }
+        }
+        supply
     }
 
     fn is_crowded(&self, at: usize, held: LayerRange) -> bool {
@@ -207,19 +243,6 @@
         trimmed.is_some()
     }
 
-    /// The range of a single holder within a run, if it fits; else the run's beginning.
-    fn best_window(&self, run: LayerRange, width: usize) -> LayerRange {
-        let within = |held: &LayerRange| LayerRange {
-            first: held.first.max(run.first),
-            end: held.end.min(run.end),
-        };
-        let holdings = self.held.iter().flatten().map(within);
-        let fitting = holdings.filter(|window| !window.is_empty() && window.len() <= width);
-        fitting
-            .max_by_key(|window| (window.len(), u16::MAX - window.first))
-            .unwrap_or(LayerRange { first: run.first, end: run.end.min(run.first + width as u16) })
-    }
-
     fn give(&mut self, at: usize, layers: LayerRange, is_urgent: bool) {
         if let Some(held) = self.held[at] {
             remove(&mut self.holders, held);
@@ -233,6 +256,12 @@
     }
 }
 
+/// What an endpoint does for each layer of a range.
+fn share(member: &RepairMember, held: LayerRange) -> LayerShare {
+    let room = member.rooms.get(held.len()).copied().unwrap_or(0.0);
+    LayerShare { pace: member.pace, room }
+}
+
 fn add(counts: &mut [u32], range: LayerRange) {
     for count in within(counts, range) {
         *count += 1;
--- a/crates/sillbank_layers/tests/repair.rs
+++ b/crates/sillbank_layers/tests/repair.rs
@@ -22,11 +22,22 @@
     members.collect()
 }
 
+/// Room for 100 requests beside as many layers as are comfortable, and for 30 beside one more.
+fn rooms(comfortable: u16) -> Vec<f64> {
+    let mut rooms = vec![100.0; usize::from(comfortable) + 1];
+    rooms.push(30.0);
+    rooms
+}
+
+const LOAD: f64 = 100.0;
+
 fn member(id: &str, comfortable: u16, held: Option<LayerRange>) -> RepairMember {
     RepairMember {
         endpoint: id.to_owned(),
         comfortable,
         most: comfortable + 1,
+        pace: 1.0,
+        rooms: rooms(comfortable),
         held,
         is_busy: false,
     }
@@ -89,7 +100,7 @@
 fn a_lost_endpoint_of_a_pair_moves_nothing_without_spares() {
     let members = [member("a", 10, Some(range(0, 10))), member("b", 10, Some(range(10, 20)))];
 
-    assert_eq!(repair(&members, 20, 2), Some(vec![]));
+    assert_eq!(repair(&members, 20, LOAD, 2), Some(vec![]));
 }
 
 #[test]
@@ -100,7 +111,7 @@
         member("new", 10, None),
     ];
 
-    let moves = repair(&members, 20, 2).expect("it can be mended");
+    let moves = repair(&members, 20, LOAD, 2).expect("it can be mended");
 
     let expected =
         RepairMove { endpoint: "new".to_owned(), layers: range(10, 20), is_urgent: true };
@@ -115,7 +126,7 @@
         member("c", 5, Some(range(15, 20))),
     ];
 
-    let moves = repair(&members, 20, 2).expect("it can be mended");
+    let moves = repair(&members, 20, LOAD, 2).expect("it can be mended");
 
     assert_eq!(moves.len(), 1);
     assert_eq!((moves[0].layers, moves[0].is_urgent), (range(10, 15), true));
@@ -125,7 +136,7 @@
 fn a_small_hole_is_filled_by_its_neighbour() {
     let members = [member("a", 10, Some(range(0, 10))), member("b", 9, Some(range(11, 20)))];
 
-    let moves = repair(&members, 20, 2).expect("it can be mended");
+    let moves = repair(&members, 20, LOAD, 2).expect("it can be mended");
 
     assert_eq!((moves[0].endpoint.as_str(), moves[0].layers), ("a", range(0, 11)));
 }
@@ -138,7 +149,7 @@
         member("new", 10, None),
     ];
 
-    let moves = repair(&members, 20, 2).expect("nothing is missing");
+    let moves = repair(&members, 20, LOAD, 2).expect("nothing is missing");
 
     assert_eq!((moves[0].layers, moves[0].is_urgent), (range(0, 10), false));
 }
@@ -149,7 +160,7 @@
     busy.is_busy = true;
     let members = [member("a", 10, Some(range(0, 10))), busy, member("new", 10, None)];
 
-    let moves = repair(&members, 20, 1).expect("nothing is missing");
+    let moves = repair(&members, 20, LOAD, 1).expect("nothing is missing");
 
     assert_eq!(moves, vec![]);
 }
@@ -168,7 +179,7 @@
             members.push(one);
         }
 
-        let moves = repair(&members, LAYERS, 2);
+        let moves = repair(&members, LAYERS, LOAD, 2);
 
         let Some(moves) = moves else { return Ok(()) };
         assert!(holders_after(&members, &moves, LAYERS).iter().all(|holders| *holders > 0));
@@ -188,8 +199,8 @@
     let relieved = [crowded.clone(), member("new", 10, None)];
     let held_twice = [crowded, member("new", 10, Some(range(0, 10)))];
 
-    let first = repair(&relieved, 20, 1).expect("nothing is missing");
-    let second = repair(&held_twice, 20, 1).expect("nothing is missing");
+    let first = repair(&relieved, 20, LOAD, 1).expect("nothing is missing");
+    let second = repair(&held_twice, 20, LOAD, 1).expect("nothing is missing");
 
     assert_eq!((first[0].endpoint.as_str(), first[0].layers), ("new", range(0, 10)));
     assert_eq!((second[0].endpoint.as_str(), second[0].layers), ("a", range(10, 20)));
@@ -201,7 +212,7 @@
     mate.is_busy = true;
     let members = [member("a", 10, Some(range(0, 10))), mate];
 
-    assert_eq!(repair(&members, 20, 2), None);
+    assert_eq!(repair(&members, 20, LOAD, 2), None);
 }
 
 #[test]
@@ -211,5 +222,5 @@
     let mut mate = member("mate", 10, Some(range(0, 10)));
     mate.is_busy = true;
 
-    assert_eq!(repair(&[crowded, mate], 20, 3), Some(vec![]));
+    assert_eq!(repair(&[crowded, mate], 20, LOAD, 3), Some(vec![]));
 }
