Let in the most urgent first: a ladder by the fullness of the fleet's engines

Cause: beyond the load that fits, requests of all ranks competed for room by chance, late callers took what new ones could have had in time, and engines put back what they had begun.

--- /dev/null
+++ b/crates/sillbank_admission/src/level.rs
@@ -0,0 +1,86 @@
+//! Which share of what is asked for fits: held so that the engines stay nearly full and no more.
+//!
+//! What is seen of the engines is half a second old, and they fill within a second of a burst, so a share
+//! that followed their fullness alone would swing between all and nothing. The share is controlled by how far
+//! fullness is from where it should be, by the sum of that over time, and by where fullness will be soon
+//! as it rises or falls now.
+//!
+//! A VM that has just begun lets everybody in and comes to the others' share within about a second.
+
+use std::time::{Duration, Instant};
+
+/// Fullness that is aimed at. The rest is for answers that become longer than was likely: engines that run out
+/// of memory put requests back that they have begun, and read them again.
+const AIM: f64 = 0.90;
+/// Change of the share for a fullness that is off by 1. Above some 2 the share swings, as news of the engines
+/// are half a second old and three times the load that fits fills them within a second.
+const PROPORTIONAL: f64 = 1.5;
+/// Change of the share a second for a fullness that is too high by 1. A step to three times the load is followed
+/// within two seconds.
+const CLOSING_PER_S: f64 = 2.0;
+/// The same for a fullness that is too low. Slower, as too many that are let in harm those that run already, and
+/// too few only themselves.
+const OPENING_PER_S: f64 = 1.0;
+/// How far ahead fullness is foreseen by its trend: as old as news of the engines are.
+const AHEAD_S: f64 = 0.5;
+/// Time over which the trend is taken: some news of the engines, each of which has errors.
+const TREND_TIME_S: f64 = 0.4;
+/// Time without a new fullness after which the trend counts no more.
+const TREND_KEPT: Duration = Duration::from_secs(2);
+
+/// Control of the share that is let in.
+#[derive(Debug, Clone)]
+pub struct Level {
+    /// What the error summed over time has made of the share.
+    base: f64,
+    share: f64,
+    seen: Option<Seen>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    at: Instant,
+    fullness: f64,
+    /// Change of fullness a second.
+    trend: f64,
+}
+
+impl Default for Level {
+    /// Everybody is let in.
+    fn default() -> Self {
+        Self { base: 1.0, share: 1.0, seen: None }
+    }
+}
+
+impl Level {
+    /// Takes how full the engines are now, from 0 to 1.
+    pub fn on_fullness(&mut self, now: Instant, fullness: f64) {
+        let fullness = if fullness.is_nan() { 1.0 } else { fullness.clamp(0.0, 1.0) };
+        let (trend, passed_s) = self.trend(now, fullness);
+        self.seen = Some(Seen { at: now, fullness, trend });
+        let error = AIM - (fullness + AHEAD_S * trend);
+        let per_s = if error < 0.0 { CLOSING_PER_S } else { OPENING_PER_S };
+        self.base = (self.base + per_s * error * passed_s).clamp(0.0, 1.0);
+        self.share = (self.base + PROPORTIONAL * error).clamp(0.0, 1.0);
+    }
+
+    /// Share of what is asked for that is let in, from 0 to 1.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Change of fullness a second, and the time since it was seen before.
+    fn trend(&self, now: Instant, fullness: f64) -> (f64, f64) {
+        let Some(seen) = self.seen else {
+            return (0.0, 0.0);
+        };
+        let passed = now.saturating_duration_since(seen.at);
+        if passed.is_zero() || passed > TREND_KEPT {
+            return (if passed.is_zero() { seen.trend } else { 0.0 }, 0.0);
+        }
+        let passed_s = passed.as_secs_f64();
+        let kept = (-passed_s / TREND_TIME_S).exp();
+        let newest = (fullness - seen.fullness) / passed_s;
+        (seen.trend * kept + newest * (1.0 - kept), passed_s)
+    }
+}
--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -10,6 +10,10 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod evidence;
+pub mod ladder;
+pub mod level;
+pub mod patience;
 pub mod returns;
 
 use sillbank_core::prelude::*;
--- a/crates/sillbank_engines/src/lib.rs
+++ b/crates/sillbank_engines/src/lib.rs
@@ -10,11 +10,13 @@
 #![forbid(unsafe_code)]
 
 mod demand;
+mod fullness;
 mod room;
 mod sends;
 mod time;
 
 pub use demand::Demand;
+pub use fullness::{EngineRoom, HallRoom};
 pub use room::{KvRoom, kv_capacity, memory_shape};
 pub use sends::{SendLog, Unseen};
 pub use time::{time_share, usual_run_ms, work_ms};
@@ -22,7 +24,7 @@
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Demand, KvRoom, SendLog, Unseen, kv_capacity, memory_shape, time_share, usual_run_ms,
-        work_ms,
+        Demand, EngineRoom, HallRoom, KvRoom, SendLog, Unseen, kv_capacity, memory_shape,
+        time_share, usual_run_ms, work_ms,
     };
 }
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -166,6 +166,9 @@
             tracing::info!(
                 request = job.head.request_id,
                 route = job.route.name,
+                rank = job.route.priority,
+                organisation_rank = job.organisation.as_ref().and_then(|o| o.priority),
+                organisation = job.organisation.as_ref().map(|o| o.name.as_str()),
                 outcome = outcome.name(),
                 status,
                 sends = job.sends.get(),
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::hall::{Hall, Strength};
 use crate::job::Job;
 use crate::knowledge::Knowledge;
+use crate::load::FleetLoad;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
 use crate::paths::Views;
 use crate::settings::GatewaySettings;
@@ -60,6 +61,8 @@
     pub book: Rc<EndpointBook>,
     /// Streams in progress, by what was last heard of them.
     pub heard: Rc<HeardStreams>,
+    /// What is known of the load on services.
+    pub load: FleetLoad,
     /// Connections to endpoints.
     pub channels: ChannelPool,
     /// Calls to engines beside requests: reports and orders.
@@ -99,6 +102,7 @@
             hall: Hall::default(),
             book: Rc::default(),
             heard: Rc::default(),
+            load: FleetLoad::default(),
             channels: ChannelPool::new(executor.clone()),
             engine_calls,
             decisions: Decisions::default(),
@@ -242,6 +246,7 @@
 
     /// A request of a service was let in by an endpoint.
     pub fn on_let_in(&self, service: &str) {
+        self.load.on_sent(service, true, Instant::now());
         self.with_returns(service, |returns, now| returns.on_let_in(now));
     }
 
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Request, Uri};
+use sillbank_admission::ladder::Urgency;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
@@ -113,6 +114,11 @@
         Demand { prompt_tokens: f64::from(tokens.prompt), answer_tokens: likely.min(most) }
     }
 
+    /// How urgent it is beside others that ask for the same engines.
+    pub fn urgency(&self) -> Urgency {
+        Urgency { organisation: self.priority(), route: self.route.priority }
+    }
+
     fn priority(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority.min(USUAL_PRIORITY))
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
+//! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
 //!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store, [`backoff`] how
 //!   often while it does not answer.
@@ -35,6 +36,7 @@
 pub mod job;
 pub mod knowledge;
 pub mod lifecycle;
+pub mod load;
 pub mod mechanisms;
 pub mod metrics;
 pub mod operate;
--- /dev/null
+++ b/crates/sillbank_gateway/src/load.rs
@@ -0,0 +1,187 @@
+//! Under load: who is let in, by rank, from how full the fleet's engines are.
+//!
+//! Each VM sums up what leaders tell of engines and asks the ladder of the service. Where nothing is told any
+//! more, it goes by what engines refuse to it.
+
+use crate::endpoints::EndpointBook;
+use crate::feed::EngineState;
+use crate::paths::Views;
+use sillbank_admission::evidence::RefusalShare;
+use sillbank_admission::ladder::{Ladder, Rung, Urgency};
+use sillbank_admission::level::Level;
+use sillbank_admission::patience::UsualTime;
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_engines::prelude::*;
+use sillbank_fleet::prelude::*;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// How often all engines are summed up. Leaders tell of engines each 250 ms at most.
+const FULLNESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two log lines of a service's ladder.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Routes of which the usual time is kept; configurations with more routes than are in use come and go.
+const MAX_ROUTES: usize = 1024;
+
+/// A request that asks to be let in.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadAsk<'a> {
+    /// Service.
+    pub service: &'a Service,
+    /// Its figures.
+    pub figures: &'a EngineFigures,
+    /// Route.
+    pub route: &'a Route,
+    /// How urgent the request is.
+    pub urgency: Urgency,
+    /// Time that its caller has left, if it told.
+    pub left: Option<Duration>,
+    /// Number from 0 to 1.
+    pub draw: f64,
+}
+
+/// Why a request is not let in.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NotLetIn {
+    /// Taken part of the engines.
+    pub fullness: f64,
+    /// Whether it came too late to be answered in time.
+    pub is_late: bool,
+}
+
+/// What a VM knows of the load on each service.
+#[derive(Debug, Default)]
+pub struct FleetLoad {
+    services: RefCell<HashMap<ServiceId, ServiceLoad>>,
+    usual_times: RefCell<HashMap<RouteName, UsualTime>>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceLoad {
+    ladder: Ladder,
+    level: Level,
+    refusals: RefusalShare,
+    /// Taken part of the engines, and when it was summed up.
+    summed: Option<(Instant, f64)>,
+    logged: Option<(Instant, Option<Rung>)>,
+}
+
+impl FleetLoad {
+    /// Decides whether a request is let in.
+    ///
+    /// # Errors
+    /// What the request is not let in for.
+    pub fn admit(&self, views: Views<'_>, ask: LoadAsk<'_>) -> Result<(), NotLetIn> {
+        let rung = Rung { is_late: self.is_late(ask), urgency: ask.urgency };
+        let mut services = self.services.borrow_mut();
+        let load = services.entry(ask.service.name.clone()).or_default();
+        let fullness = load.fullness(views, ask);
+        load.ladder.on_asked(views.now, rung);
+        let share = load.ladder.share(rung, load.level.share());
+        load.log(views.now, &ask.service.name, fullness);
+        match ask.draw < share {
+            true => Ok(()),
+            false => Err(NotLetIn { fullness, is_late: rung.is_late }),
+        }
+    }
+
+    /// An engine of a service took a request, or refused it for want of room.
+    pub fn on_sent(&self, service: &str, was_let_in: bool, now: Instant) {
+        let mut services = self.services.borrow_mut();
+        let Some(load) = services.get_mut(service) else {
+            return;
+        };
+        match was_let_in {
+            true => load.refusals.on_let_in(now),
+            false => load.refusals.on_refused(now),
+        }
+    }
+
+    /// Whether the caller has waited for longer than the time in which an answer is worth most.
+    fn is_late(&self, ask: LoadAsk<'_>) -> bool {
+        let Some(left) = ask.left else {
+            return false;
+        };
+        let mut usual_times = self.usual_times.borrow_mut();
+        if usual_times.len() >= MAX_ROUTES && !usual_times.contains_key(&ask.route.name) {
+            usual_times.clear();
+        }
+        let usual = usual_times.entry(ask.route.name.clone()).or_default();
+        usual.on_request(left);
+        usual.waited(left) > ask.route.objective
+    }
+}
+
+impl ServiceLoad {
+    /// Taken part of the engines: as leaders tell, else by what engines refused to this VM.
+    fn fullness(&mut self, views: Views<'_>, ask: LoadAsk<'_>) -> f64 {
+        let now = views.now;
+        if let Some((at, fullness)) = self.summed
+            && now.saturating_duration_since(at) < FULLNESS_INTERVAL
+        {
+            return fullness;
+        }
+        let told = fleet_room(views, ask.service, ask.figures).fullness();
+        let fullness = told.unwrap_or_else(|| self.refusals.fullness(now));
+        self.level.on_fullness(now, fullness);
+        self.summed = Some((now, fullness));
+        fullness
+    }
+
+    /// Tells when other rungs are open than were, at most once in a while.
+    fn log(&mut self, now: Instant, service: &str, fullness: f64) {
+        let share = self.level.share();
+        let lowest_open = self.ladder.lowest_open(share);
+        let (at, before) = self.logged.unwrap_or((now, lowest_open));
+        self.logged = Some((at, before));
+        if lowest_open == before || now.saturating_duration_since(at) < LOG_INTERVAL {
+            return;
+        }
+        tracing::info!(service, fullness, share, ?lowest_open, ?before, "ladder: Moved.");
+        self.logged = Some((now, lowest_open));
+    }
+}
+
+/// Room of all halls whose leaders tell of their engines.
+pub fn fleet_room(views: Views<'_>, service: &Service, figures: &EngineFigures) -> HallRoom {
+    let mut by_hall: BTreeMap<HallId, Vec<EngineRoom>> = BTreeMap::new();
+    views.knowledge.endpoints(|directory| {
+        for record in directory.usable_of(&service.name) {
+            if let Some(room) = engine_room(views, views.book, record, figures) {
+                by_hall.entry(record.hall.clone()).or_default().push(room);
+            }
+        }
+    });
+    let rooms = by_hall.values().map(|engines| HallRoom::of(engines, figures.layers));
+    rooms.fold(HallRoom::default(), HallRoom::plus)
+}
+
+/// Room of an engine; `None` if its leader does not tell of it or it cannot be used.
+fn engine_room(
+    views: Views<'_>,
+    book: &EndpointBook,
+    record: &EndpointRecord,
+    figures: &EngineFigures,
+) -> Option<EngineRoom> {
+    if !book.may_run_part(&record.id) {
+        return None;
+    }
+    let kind = figures.accelerator(record.accelerator.as_deref()?)?;
+    let boards = &views.hall.boards;
+    boards.engine(&record.hall, &record.id, views.now, |news| room_of(news.state, figures, kind))?
+}
+
+fn room_of(
+    engine: &EngineState,
+    figures: &EngineFigures,
+    kind: &AcceleratorFigures,
+) -> Option<EngineRoom> {
+    let layers = engine.layers.filter(|layers| !engine.is_lost && !layers.is_empty())?;
+    let usual_kv = Demand::usual(figures).kv_tokens() * layers.len() as f64;
+    let capacity = kv_capacity(figures, kind, layers.len())? / usual_kv.max(1.0);
+    let requests = f64::from(engine.running) + f64::from(engine.waiting);
+    let kv_share = f64::from(engine.kv_permille) / 1000.0;
+    Some(EngineRoom { layers, capacity, taken_share: kv_share.max(requests / capacity.max(1.0)) })
+}
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -26,6 +26,8 @@
     pub time_share: bool,
     /// Paths through engines that failed or refused cost more.
     pub health_cost: bool,
+    /// The more urgent requests are let in first when not all fit.
+    pub ladder: bool,
 }
 
 impl Default for Mechanisms {
@@ -41,6 +43,7 @@
             crowd_cost: true,
             time_share: true,
             health_cost: true,
+            ladder: true,
         }
     }
 }
@@ -59,6 +62,7 @@
             crowd_cost: reader.flag("crowd_cost", true),
             time_share: reader.flag("time_share", true),
             health_cost: reader.flag("health_cost", true),
+            ladder: reader.flag("ladder", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -8,6 +8,7 @@
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::{Job, path_ask, shares_of};
+use crate::load::LoadAsk;
 use crate::paths::{choose_any_path, choose_path};
 use crate::sending::{Destination, Sent, read_whole, send};
 use crate::store::MetadataStore;
@@ -65,6 +66,11 @@
     mut avoid: Vec<EndpointId>,
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
+    if resume_after.is_none()
+        && let Err(closed) = ask_ladder(gateway, job)
+    {
+        return Err(refuse(gateway, job, closed));
+    }
     loop {
         let target = match choose_target(gateway, job, resume_after, &avoid) {
             Ok(target) => target,
@@ -101,6 +107,32 @@
     }
 }
 
+/// Asks whether there is room for a request of its rank; answers why not.
+fn ask_ladder<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+) -> Result<(), &'static str> {
+    let Some(figures) = &job.service.engine else {
+        return Ok(());
+    };
+    if !gateway.settings().mechanisms.ladder {
+        return Ok(());
+    }
+    let ask = LoadAsk {
+        service: &job.service,
+        figures,
+        route: &job.route,
+        urgency: job.urgency(),
+        left: job.head.time_left,
+        draw: fastrand::f64(),
+    };
+    let admitted = gateway.load.admit(gateway.views(Instant::now()), ask);
+    admitted.map_err(|closed| match closed.is_late {
+        true => "no room for its rank, and it comes too late to be in time",
+        false => "no room for its rank",
+    })
+}
+
 /// Gives a request up; one that was not run is told when there may be room.
 fn refuse<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, job: &Job, reason: &str) -> Failure {
     let failure = give_up(job.run.get(), FailureKind::NoChain, reason);
@@ -264,6 +296,9 @@
                 .and_then(|address| Some(target.path.as_ref()?.at(address)?.endpoint.clone()));
             let reason = format!("refused with status {}", refusal.status);
             let blamed = at_fault.as_deref().unwrap_or(&endpoint);
+            if !refusal.misdirected {
+                gateway.load.on_sent(&job.service.name, false, Instant::now());
+            }
             if refusal.misdirected || at_fault.is_some() {
                 gateway.on_evidence(blamed, Evidence::LacksPart, &reason);
             }
