Tell callers who came back too late by the shortest time of first tries

Cause: callers each have a time of their own (17 to 20 s), so the most frequent one was chance, and new callers were taken for late ones.

--- a/crates/sillbank_admission/src/patience.rs
+++ b/crates/sillbank_admission/src/patience.rs
@@ -1,46 +1,44 @@
 //! How long a caller has waited already, as far as the time tells that it has left.
 //!
-//! Callers tell how much time is left to them, not when they began. First tries of a route have its callers'
-//! usual time, all of them the same; those that were refused and come back have less, each a different rest.
-//! So the time that comes most often among the last requests is the usual one, also while most requests are
-//! tries of callers who came back, and one caller with a time of its own moves nobody.
+//! Callers tell how much time is left to them, not when they began, and each has a time of its own. While
+//! nobody is refused all requests are first tries, so the shortest time of these is what a first try has at
+//! least. A caller with less has spent the difference: it was refused before and came back.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Requests of which the usual time is taken.
-const KEPT: usize = 31;
-/// How often a time must come among them to be believed.
-const LEAST: usize = 3;
-/// Times that differ by less count as the same, in milliseconds: the way from the caller takes some of it.
-const SAME_WITHIN_MS: u128 = 50;
+/// Requests after which the shortest time is taken anew: callers with little time are few, and the callers of a
+/// route change.
+const RENEWED_AFTER: u32 = 128;
+/// Requests from which on the shortest time is believed.
+const LEAST: u32 = 8;
 
-/// The usual time of one route's callers at one VM.
+/// The time that first tries of one route have at least, at one VM.
 #[derive(Debug, Clone, Default)]
 pub struct UsualTime {
-    last: VecDeque<Duration>,
+    seen: u32,
+    shortest: Option<Duration>,
+    /// The shortest of the requests before these.
+    shortest_before: Option<Duration>,
 }
 
 impl UsualTime {
-    /// Notes a request with so much time left.
-    pub fn on_request(&mut self, left: Duration) {
-        if self.last.len() == KEPT {
-            self.last.pop_front();
+    /// Notes a first try that has so much time left.
+    pub fn on_first_try(&mut self, left: Duration) {
+        if self.seen == RENEWED_AFTER {
+            self.shortest_before = self.shortest.take();
+            self.seen = 0;
         }
-        self.last.push_back(left);
+        self.seen += 1;
+        self.shortest = Some(self.shortest.map_or(left, |shortest| shortest.min(left)));
     }
 
-    /// How long a caller has waited who has so much time left; zero if no time is usual.
+    /// How long a caller has waited at least who has so much time left; zero while too little is known.
     pub fn waited(&self, left: Duration) -> Duration {
-        let mut counts: BTreeMap<u128, (usize, Duration)> = BTreeMap::new();
-        for time in &self.last {
-            let same = counts.entry(time.as_millis() / SAME_WITHIN_MS).or_default();
-            same.0 += 1;
-            same.1 = same.1.max(*time);
+        if self.seen < LEAST && self.shortest_before.is_none() {
+            return Duration::ZERO;
         }
-        let usual = counts.values().max();
-        usual
-            .filter(|(count, _)| *count >= LEAST)
-            .map_or(Duration::ZERO, |(_, usual)| usual.saturating_sub(left))
+        let known = [self.shortest, self.shortest_before];
+        let shortest = known.into_iter().flatten().min();
+        shortest.map_or(Duration::ZERO, |shortest| shortest.saturating_sub(left))
     }
 }
--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -58,6 +58,10 @@
     usual_times: RefCell<HashMap<RouteName, UsualTime>>,
 }
 
+/// How long nobody must have been held back for all requests to count as first tries: callers who were refused
+/// come back within this time.
+const CALM_AFTER: Duration = Duration::from_secs(10);
+
 #[derive(Debug, Default)]
 struct ServiceLoad {
     ladder: Ladder,
@@ -65,6 +69,8 @@
     refusals: RefusalShare,
     /// Taken part of the engines, and when it was summed up.
     summed: Option<(Instant, f64)>,
+    /// When somebody was held back last.
+    held_back: Option<Instant>,
     logged: Option<(Instant, Option<Rung>)>,
 }
 
@@ -74,10 +80,11 @@
     /// # Errors
     /// What the request is not let in for.
     pub fn admit(&self, views: Views<'_>, ask: LoadAsk<'_>) -> Result<(), NotLetIn> {
-        let rung = Rung { is_late: self.is_late(ask), urgency: ask.urgency };
         let mut services = self.services.borrow_mut();
         let load = services.entry(ask.service.name.clone()).or_default();
         let fullness = load.fullness(views, ask);
+        let is_late = self.is_late(ask, load.is_calm(views.now));
+        let rung = Rung { is_late, urgency: ask.urgency };
         load.ladder.on_asked(views.now, rung);
         let share = load.ladder.share(rung, load.level.share());
         load.log(views.now, &ask.service.name, fullness);
@@ -100,7 +107,7 @@
     }
 
     /// Whether the caller has waited for longer than the time in which an answer is worth most.
-    fn is_late(&self, ask: LoadAsk<'_>) -> bool {
+    fn is_late(&self, ask: LoadAsk<'_>, is_calm: bool) -> bool {
         let Some(left) = ask.left else {
             return false;
         };
@@ -109,7 +116,9 @@
             usual_times.clear();
         }
         let usual = usual_times.entry(ask.route.name.clone()).or_default();
-        usual.on_request(left);
+        if is_calm {
+            usual.on_first_try(left);
+        }
         usual.waited(left) > ask.route.objective
     }
 }
@@ -126,10 +135,18 @@
         let told = fleet_room(views, ask.service, ask.figures).fullness();
         let fullness = told.unwrap_or_else(|| self.refusals.fullness(now));
         self.level.on_fullness(now, fullness);
+        if self.level.share() < 1.0 {
+            self.held_back = Some(now);
+        }
         self.summed = Some((now, fullness));
         fullness
     }
 
+    /// Whether nobody was held back for so long that all requests are first tries.
+    fn is_calm(&self, now: Instant) -> bool {
+        self.held_back.is_none_or(|at| now.saturating_duration_since(at) >= CALM_AFTER)
+    }
+
     /// Tells when other rungs are open than were, at most once in a while.
     fn log(&mut self, now: Instant, service: &str, fullness: f64) {
         let share = self.level.share();
