--- a/crates/sillbank_catalog/src/service.rs
+++ b/crates/sillbank_catalog/src/service.rs
@@ -32,8 +32,17 @@
     pub step_ms: f64,
     /// Time added to a step for each request in it, in milliseconds.
     pub step_ms_per_request: f64,
+    /// Time added to a step for each thousand tokens of context of the requests in it, in milliseconds.
+    pub step_ms_per_k_context: f64,
+    /// Token steps that an engine plays in one pass; an event holds the tokens of one pass.
+    pub steps_per_pass: u32,
     /// Prompt tokens read in a second over all layers.
     pub prefill_tokens_per_s: f64,
+    /// Time added to the reading of a prompt for each million pairs of a token and one before it, in
+    /// milliseconds.
+    pub prefill_ms_per_m_pairs: f64,
+    /// Most prompt tokens that are read beside one token step.
+    pub prefill_tokens_per_step: u32,
     /// Usual tokens of a prompt.
     pub usual_prompt_tokens: u32,
     /// Usual tokens of an answer.
