Plain calls: sent only where they can end in time, refused at once where none can

A call went to the endpoint with the least of this VM's calls in flight, whether it was full or ten times slower, and stayed there to its deadline. What this VM saw of answers, refusals and its own calls now decides (sillbank_admission::calls, pure; CallBook keeps it by service); calls that run once need two deviations more time; the last free endpoint is kept for the most urgent rank that calls while others are full. Switch: calls_in_time; metric: calls_refused.

--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod calls;
 pub mod returns;
 
 use sillbank_core::prelude::*;
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -5,11 +5,15 @@
 use crate::endpoints::{Evidence, Share};
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::metrics::KindLabel;
 use crate::sending::{Destination, Sent, evidence_of, read_whole, send};
 use crate::store::MetadataStore;
 use crate::tries::{Left, Tries};
 use crate::wire::Wire;
 use hyper::Response;
+use sillbank_admission::calls::{
+    CallAsk, CallCandidate, CallChoice, CallRefusal, CallRefused, CallTimes,
+};
 use sillbank_core::prelude::*;
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
@@ -22,9 +26,6 @@
 /// another can be asked. Work of the sites known is over in that time but for one in a hundred.
 const PATIENCE: f64 = 1.5;
 
-/// Cost of going to another hall, in requests in flight: a little is better than queueing.
-const OTHER_HALL_COST: f64 = 2.0;
-
 /// Answers a call.
 pub async fn answer<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
@@ -82,14 +83,9 @@
     let mut tries = Tries::default();
     let mut held: Option<Response<ReplyBody>> = None;
     loop {
-        let Some(choice) = choose(gateway, job, &tried) else {
-            return held.ok_or_else(|| {
-                give_up(
-                    job.run.get(),
-                    FailureKind::NoChain,
-                    "no endpoint of the service can be used",
-                )
-            });
+        let choice = match choose(gateway, job, &tried) {
+            Ok(choice) => choice,
+            Err(refused) => return held.ok_or_else(|| refuse(gateway, job, refused)),
         };
         tries.begin(job);
         let sent_at = Instant::now();
@@ -122,6 +118,23 @@
     }
 }
 
+/// Refuses a call that is sent nowhere, or gives it up if it may have run.
+fn refuse<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    refused: CallRefused,
+) -> Failure {
+    let kind = KindLabel { kind: refused.reason.name() };
+    gateway.metrics.calls_refused.get_or_create(&kind).inc();
+    let failure = give_up(job.run.get(), FailureKind::NoChain, refused.reason.text());
+    match failure.retry_after {
+        Some(_) if refused.reason != CallRefusal::NoEndpoint => {
+            failure.retry_after(refused.come_back)
+        }
+        _ => failure,
+    }
+}
+
 /// What came of one send.
 enum Try {
     /// The whole answer.
@@ -162,6 +175,7 @@
     choice: &Choice,
 ) -> Try {
     let to = Destination { endpoint: &choice.endpoint, address: choice.address, path: None };
+    let watch = gateway.call_book.watch(&job.service.name, &choice.endpoint, Instant::now());
     let sent = send(gateway, job, to, None).await;
     if let Some(evidence) = evidence_of(&sent) {
         gateway.on_evidence(&choice.endpoint, evidence, "a call");
@@ -169,6 +183,7 @@
     match sent {
         Sent::Success(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
             Ok((reply, head)) => {
+                watch.on_answer();
                 gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
                 Try::Done(reply)
             }
@@ -182,45 +197,64 @@
             Err(reason) => Try::Lost(reason),
         },
         Sent::NotRun(refusal) => {
-            if refusal.misdirected {
-                gateway.on_evidence(&choice.endpoint, Evidence::Unreachable, "misdirected");
+            match refusal.misdirected {
+                true => {
+                    watch.on_nothing();
+                    gateway.on_evidence(&choice.endpoint, Evidence::Unreachable, "misdirected");
+                }
+                false => watch.on_full(),
             }
             Try::NotRun(format!("the endpoint refused with status {}", refusal.status))
         }
-        Sent::NotSent(reason) => Try::NotSent(reason),
+        Sent::NotSent(reason) => {
+            watch.on_nothing();
+            Try::NotSent(reason)
+        }
         Sent::Lost(reason) => Try::Lost(reason),
     }
 }
 
-/// The endpoint with the least work in flight, preferably at home, that was not tried.
+/// The endpoint that a call goes to: one that was not tried and can end it in time, preferably at home.
 fn choose<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
     tried: &[EndpointId],
-) -> Option<Choice> {
+) -> Result<Choice, CallRefused> {
     let now = Instant::now();
-    let home = gateway.settings().hall.clone();
-    let cost = |id: &str, hall: &str| {
-        let away = if hall == home { 0.0 } else { OTHER_HALL_COST };
-        f64::from(gateway.book.in_flight(id)) + away + fastrand::f64()
-    };
+    let settings = gateway.settings();
     gateway.knowledge.endpoints(|directory| {
-        let mut usable: Vec<(f64, &EndpointId, SocketAddr)> = directory
-            .usable_of(&job.service.name)
-            .filter(|record| !tried.contains(&record.id))
-            .filter(|record| gateway.book.takes_work(&record.id, now))
-            .map(|record| (cost(&record.id, &record.hall), &record.id, record.address))
-            .collect();
-        if usable.is_empty() {
-            // All are left alone: the least bad is better than none.
-            usable = directory
-                .usable_of(&job.service.name)
-                .filter(|record| !tried.contains(&record.id))
-                .map(|record| (cost(&record.id, &record.hall), &record.id, record.address))
-                .collect();
+        let usable = directory.usable_of(&job.service.name);
+        let mut records: Vec<_> = usable.filter(|record| !tried.contains(&record.id)).collect();
+        // While all are left alone, the least bad is better than none.
+        if records.iter().any(|record| gateway.book.takes_work(&record.id, now)) {
+            records.retain(|record| gateway.book.takes_work(&record.id, now));
+        }
+        let candidates = records.iter().map(|record| CallCandidate {
+            endpoint: &record.id,
+            is_home: record.hall == settings.hall,
+            in_flight: gateway.book.in_flight(&record.id),
+            places: record.slots,
+        });
+        let candidates: Vec<CallCandidate<'_>> = candidates.collect();
+        let ask = CallAsk {
+            time_left: job.time_left(now),
+            may_repeat: job.may_repeat(),
+            rank: job.priority(),
+        };
+        let choice = match settings.mechanisms.calls_in_time {
+            true => gateway.call_book.with(&job.service.name, |times| {
+                times.choose(&candidates, ask, now, fastrand::f64)
+            }),
+            // By what is in flight alone.
+            false => CallTimes::default().choose(&candidates, ask, now, fastrand::f64),
+        };
+        match choice {
+            CallChoice::Refuse(refused) => Err(refused),
+            CallChoice::Send(at) => Ok(Choice {
+                endpoint: records[at].id.clone(),
+                address: records[at].address,
+                has_other: records.len() > 1,
+            }),
         }
-        let has_other = usable.len() > 1;
-        let best = usable.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))?;
-        Some(Choice { endpoint: best.1.clone(), address: best.2, has_other })
     })
 }
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The parts of a gateway that its tasks share.
 
+use crate::call_book::CallBook;
 use crate::channels::ChannelPool;
 use crate::counted_store::CountedStore;
 use crate::decisions::{Decisions, Outcome};
@@ -60,6 +61,8 @@
     pub hall: Hall,
     /// What was seen of endpoints.
     pub book: Rc<EndpointBook>,
+    /// What was seen of endpoints of plain services.
+    pub call_book: CallBook,
     /// What was learnt of forecasts of streams.
     pub forecasts: Forecasts,
     /// Streams in progress, by what was last heard of them.
@@ -102,6 +105,7 @@
             store: CountedStore::new(store, metrics.store_calls.clone()),
             hall: Hall::default(),
             book: Rc::default(),
+            call_book: CallBook::default(),
             forecasts: Forecasts::default(),
             heard: Rc::default(),
             channels: ChannelPool::new(executor.clone()),
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -121,7 +121,8 @@
         Demand { prompt_tokens: f64::from(tokens.prompt), answer_tokens: likely.min(most) }
     }
 
-    fn priority(&self) -> u8 {
+    /// Its rank; 0 goes first.
+    pub fn priority(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority.min(USUAL_PRIORITY))
     }
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! All that is decided here is decided in the project's own words. What a platform calls things is
 //! translated by an adapter that implements [`wire::Wire`] and [`store::MetadataStore`].
 //!
-//! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
+//! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out; [`call_book`] keeps how long calls took.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
@@ -18,6 +18,7 @@
 pub mod answers;
 pub mod backoff;
 pub mod boards;
+pub mod call_book;
 pub mod callers;
 pub mod calls;
 pub mod channels;
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -28,6 +28,8 @@
     pub health_cost: bool,
     /// What streams will show is foretold, and compared with what they show.
     pub forecasts: bool,
+    /// Calls are sent only to endpoints that are likely to answer in time.
+    pub calls_in_time: bool,
     /// Forecasts are corrected by how earlier ones came true.
     pub forecast_learning: bool,
 }
@@ -47,6 +49,7 @@
             health_cost: true,
             forecasts: true,
             forecast_learning: true,
+            calls_in_time: true,
         }
     }
 }
@@ -67,6 +70,7 @@
             health_cost: reader.flag("health_cost", true),
             forecasts: reader.flag("forecasts", true),
             forecast_learning: reader.flag("forecast_learning", true),
+            calls_in_time: reader.flag("calls_in_time", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -69,6 +69,8 @@
     pub connections: Family<KindLabel, Counter>,
     /// Orders to engines, by how they ended.
     pub orders: Family<KindLabel, Counter>,
+    /// Calls that were sent nowhere, by why.
+    pub calls_refused: Family<KindLabel, Counter>,
     /// Time to a call's answer or a stream's head, in seconds.
     pub first_answer_s: Family<KindLabel, Histogram, MakeHistogram>,
     /// Time to the end of the answer, in seconds.
@@ -109,6 +111,8 @@
         registry.register("orders", "Orders to engines", orders.clone());
         registry.register("first_answer_s", "Time to the first answer", first_answer_s.clone());
         registry.register("whole_answer_s", "Time to the whole answer", whole_answer_s.clone());
+        let calls_refused = Family::default();
+        registry.register("calls_refused", "Calls sent nowhere", calls_refused.clone());
         let forecast_first_ratio = ratios();
         registry.register(
             "forecast_first_ratio",
@@ -134,6 +138,7 @@
             catalog_faults,
             connections,
             orders,
+            calls_refused,
             first_answer_s,
             whole_answer_s,
             forecast_first_ratio,
--- /dev/null
+++ b/crates/sillbank_gateway/tests/call_book.rs
@@ -0,0 +1,68 @@
+//! What is noted of a call that was sent, also if nobody waits for it any more.
+
+use sillbank_admission::calls::{CallAsk, CallCandidate, CallChoice};
+use sillbank_gateway::call_book::CallBook;
+use std::time::{Duration, Instant};
+
+const SERVICE: &str = "quotes";
+const QUICK: &str = "quick";
+const WATCHED: &str = "watched";
+
+/// A book in which one of two endpoints is known to answer in 20 ms.
+fn book() -> CallBook {
+    let book = CallBook::default();
+    let now = Instant::now();
+    book.with(SERVICE, |times| times.on_answer(QUICK, Duration::from_millis(20), now));
+    book
+}
+
+fn long_ago() -> Instant {
+    Instant::now().checked_sub(Duration::from_secs(2)).expect("the machine runs for longer")
+}
+
+/// Whether a call with 800 ms left may go to the watched endpoint.
+fn takes_calls(book: &CallBook) -> bool {
+    let watched = CallCandidate { endpoint: WATCHED, is_home: true, in_flight: 0, places: 6 };
+    let ask = CallAsk { time_left: Duration::from_millis(800), may_repeat: false, rank: 0 };
+    let choose = |times: &mut sillbank_admission::calls::CallTimes| {
+        times.choose(&[watched], ask, Instant::now(), || 0.5)
+    };
+    book.with(SERVICE, choose) == CallChoice::Send(0)
+}
+
+#[test]
+fn a_call_that_was_given_up_after_long_tells_that_its_endpoint_is_slow() {
+    let book = book();
+
+    drop(book.watch(SERVICE, WATCHED, long_ago()));
+
+    assert!(!takes_calls(&book));
+}
+
+#[test]
+fn a_call_that_never_arrived_tells_nothing_of_its_endpoint() {
+    let book = book();
+
+    book.watch(SERVICE, WATCHED, long_ago()).on_nothing();
+
+    assert!(takes_calls(&book));
+}
+
+#[test]
+fn an_endpoint_that_was_full_is_left_for_a_moment() {
+    let book = book();
+
+    book.watch(SERVICE, WATCHED, Instant::now()).on_full();
+
+    assert!(!takes_calls(&book));
+}
+
+#[test]
+fn an_endpoint_that_is_not_listed_any_more_is_forgotten() {
+    let book = book();
+    book.watch(SERVICE, WATCHED, long_ago()).on_answer();
+
+    book.retain(|id| id != WATCHED);
+
+    assert!(takes_calls(&book));
+}
