Routing: the few endpoints that a VM keeps to

Nothing uses it yet: how engines beyond the few are to cost more is for the paths to say. Checked: cargo test -p sillbank_routing, clippy of it.

--- a/crates/sillbank_routing/src/lib.rs
+++ b/crates/sillbank_routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cost;
 pub mod endpoint;
 pub mod health;
+pub mod subset;
 pub mod table;
 
 /// The few types most users need.
