--- a/crates/sillbank_admission/src/lib.rs
+++ b/crates/sillbank_admission/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request is let in if it can still end in time. When that is in doubt, room goes to the
 //! organisations that use less than their share of the tokens in work; the others are refused at
 //! once and told when to come back. Nothing waits here: what is let in goes to engines, which
-//! queue by priority.
+//! queue by priority. [`calls`] says where calls of plain services go, [`budget`] how often requests are
+//! sent again, [`returns`] when refused callers come back.
 //!
 //! Pure: no sockets, no clock, no threads.
 
