Tests: what a call book notes is asked for as of a moment before it was noted

The test of an endpoint that was full asked with a newer clock than noted it, and full lasts 100 ms: a pause of the machine between the two turned its verdict; the one of a call that was given up turns after a second. Nothing is eased: what was noted can only have aged more by a later clock.

--- a/crates/sillbank_gateway/tests/call_book.rs
+++ b/crates/sillbank_gateway/tests/call_book.rs
@@ -16,53 +16,54 @@
     book
 }
 
-fn long_ago() -> Instant {
-    Instant::now().checked_sub(Duration::from_secs(2)).expect("the machine runs for longer")
+fn long_before(now: Instant) -> Instant {
+    now.checked_sub(Duration::from_secs(2)).expect("the machine runs for longer")
 }
 
-/// Whether a call with 800 ms left may go to the watched endpoint.
-fn takes_calls(book: &CallBook) -> bool {
+/// Whether a call with 800 ms left may go to the watched endpoint, asked as of a moment before anything was noted of
+/// it, so that nothing has aged however long the test takes.
+fn takes_calls(book: &CallBook, now: Instant) -> bool {
     let watched = CallCandidate { endpoint: WATCHED, is_home: true, in_flight: 0, places: 6 };
     let ask = CallAsk { time_left: Duration::from_millis(800), may_repeat: false, rank: 0 };
     let choose = |times: &mut sillbank_admission::calls::CallTimes| {
-        times.choose(&[watched], ask, Instant::now(), || 0.5)
+        times.choose(&[watched], ask, now, || 0.5)
     };
     book.with(SERVICE, choose) == CallChoice::Send(0)
 }
 
 #[test]
 fn a_call_that_was_given_up_after_long_tells_that_its_endpoint_is_slow() {
-    let book = book();
+    let (book, now) = (book(), Instant::now());
 
-    drop(book.watch(SERVICE, WATCHED, long_ago()));
+    drop(book.watch(SERVICE, WATCHED, long_before(now)));
 
-    assert!(!takes_calls(&book));
+    assert!(!takes_calls(&book, now));
 }
 
 #[test]
 fn a_call_that_never_arrived_tells_nothing_of_its_endpoint() {
-    let book = book();
+    let (book, now) = (book(), Instant::now());
 
-    book.watch(SERVICE, WATCHED, long_ago()).on_nothing();
+    book.watch(SERVICE, WATCHED, long_before(now)).on_nothing();
 
-    assert!(takes_calls(&book));
+    assert!(takes_calls(&book, now));
 }
 
 #[test]
 fn an_endpoint_that_was_full_is_left_for_a_moment() {
-    let book = book();
+    let (book, now) = (book(), Instant::now());
 
-    book.watch(SERVICE, WATCHED, Instant::now()).on_full();
+    book.watch(SERVICE, WATCHED, now).on_full();
 
-    assert!(!takes_calls(&book));
+    assert!(!takes_calls(&book, now));
 }
 
 #[test]
 fn an_endpoint_that_is_not_listed_any_more_is_forgotten() {
-    let book = book();
-    book.watch(SERVICE, WATCHED, long_ago()).on_answer();
+    let (book, now) = (book(), Instant::now());
+    book.watch(SERVICE, WATCHED, long_before(now)).on_answer();
 
     book.retain(|id| id != WATCHED);
 
-    assert!(takes_calls(&book));
+    assert!(takes_calls(&book, now));
 }
