--- a/crates/sillbank_catalog/src/service.rs
+++ b/crates/sillbank_catalog/src/service.rs
@@ -32,8 +32,17 @@
     pub step_ms: f64,
     /// Time added to a step for each request in it, in milliseconds.
     pub step_ms_per_request: f64,
+    /// Time added to a step for each thousand tokens of context of the requests in it, in milliseconds.
+    pub step_ms_per_k_context: f64,
+    /// Token steps that an engine plays in one pass; an event holds the tokens of one pass.
+    pub steps_per_pass: u32,
     /// Prompt tokens read in a second over all layers.
     pub prefill_tokens_per_s: f64,
+    /// Time added to the reading of a prompt for each million pairs of a token and one before it, in
+    /// milliseconds.
+    pub prefill_ms_per_m_pairs: f64,
+    /// Most prompt tokens that are read beside one token step.
+    pub prefill_tokens_per_step: u32,
     /// Usual tokens of a prompt.
     pub usual_prompt_tokens: u32,
     /// Usual tokens of an answer.
@@ -53,6 +62,29 @@
     pub fn accelerator(&self, kind: &str) -> Option<&AcceleratorFigures> {
         self.accelerators.iter().find(|figures| figures.kind == kind)
     }
+
+    /// Names of the figures of an engine's time that are missing or cannot be: 0, below 0, or no number.
+    pub fn unusable(&self) -> Vec<&'static str> {
+        let is_positive = |value: f64| value > 0.0 && value.is_finite();
+        let mut figures = vec![
+            ("step_ms", self.step_ms),
+            ("step_ms_per_request", self.step_ms_per_request),
+            ("step_ms_per_k_context", self.step_ms_per_k_context),
+            ("steps_per_pass", f64::from(self.steps_per_pass)),
+            ("prefill_tokens_per_s", self.prefill_tokens_per_s),
+            ("prefill_ms_per_m_pairs", self.prefill_ms_per_m_pairs),
+            ("prefill_tokens_per_step", f64::from(self.prefill_tokens_per_step)),
+            ("usual_prompt_tokens", f64::from(self.usual_prompt_tokens)),
+            ("usual_answer_tokens", f64::from(self.usual_answer_tokens)),
+        ];
+        let kinds = &self.accelerators;
+        figures.extend(kinds.iter().map(|kind| ("step_factor", kind.step_factor)));
+        figures.extend(kinds.iter().map(|kind| ("prefill_factor", kind.prefill_factor)));
+        figures.retain(|(_, value)| !is_positive(*value));
+        let mut names: Vec<&str> = figures.into_iter().map(|(name, _)| name).collect();
+        names.dedup();
+        names
+    }
 }
 
 /// One service.
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! All that is decided here is decided in the project's own words. What a platform calls things is
 //! translated by an adapter that implements [`wire::Wire`] and [`store::MetadataStore`].
 //!
-//! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
+//! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out; [`call_book`] keeps how long calls took.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
@@ -12,13 +12,14 @@
 //!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store, [`backoff`] how
 //!   often while it does not answer.
 //! - [`placement`] gives engines their layers under a lease.
-//! - [`delivery`] keeps what a caller saw of its stream; [`decisions`] and [`metrics`] tell what was decided and how long it took.
+//! - [`delivery`] keeps what a caller saw of its stream; [`forecasts`] tells it beforehand and learns from it; [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
 #![forbid(unsafe_code)]
 
 pub mod answers;
 pub mod backoff;
 pub mod boards;
+pub mod call_book;
 pub mod callers;
 pub mod calls;
 pub mod channels;
@@ -30,6 +31,7 @@
 pub mod events;
 pub mod feed;
 pub mod follow;
+pub mod forecasts;
 pub mod freshness;
 pub mod gateway;
 pub mod hall;
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -28,6 +28,12 @@
     pub health_cost: bool,
     /// The more urgent requests are let in first when not all fit.
     pub ladder: bool,
+    /// What streams will show is foretold, and compared with what they show.
+    pub forecasts: bool,
+    /// Calls are sent only to endpoints that are likely to answer in time.
+    pub calls_in_time: bool,
+    /// Forecasts are corrected by how earlier ones came true.
+    pub forecast_learning: bool,
 }
 
 impl Default for Mechanisms {
@@ -44,6 +50,9 @@
             time_share: true,
             health_cost: true,
             ladder: true,
+            forecasts: true,
+            forecast_learning: true,
+            calls_in_time: true,
         }
     }
 }
@@ -63,6 +72,9 @@
             time_share: reader.flag("time_share", true),
             health_cost: reader.flag("health_cost", true),
             ladder: reader.flag("ladder", true),
+            forecasts: reader.flag("forecasts", true),
+            forecast_learning: reader.flag("forecast_learning", true),
+            calls_in_time: reader.flag("calls_in_time", true),
         }
     }
 }
