--- a/crates/sillbank_control/src/admin.rs
+++ b/crates/sillbank_control/src/admin.rs
@@ -201,6 +201,10 @@
         json_reply(StatusCode::OK, &values)
     }
 
+    fn new_mark(&self) -> String {
+        format!("{:032x}", self.control.draw_mark())
+    }
+
     async fn put(
         &self,
         operator: &Operator,
@@ -216,7 +220,7 @@
         let object = read_object_value(key, value.clone()).map_err(invalid)?;
         self.check_right(operator, key, Some(&object.place(key)))?;
         self.control.store.tree().check_references(key, &object).map_err(invalid)?;
-        let mark = new_mark();
+        let mark = self.new_mark();
         let note = WriteNote { by: operator.name.clone(), why: why(headers), mark: mark.clone() };
         if let Some(fields) = value.as_object_mut() {
             fields.insert("note".to_owned(), serde_json::json!(note));
@@ -233,7 +237,8 @@
     ) -> Result<Response<ReplyBody>, AdminFailure> {
         let expected = expected_version(headers)?;
         self.check_right(operator, key, None)?;
-        self.write(Write { key: key.to_owned(), expected, value: None, mark: new_mark() }).await
+        self.write(Write { key: key.to_owned(), expected, value: None, mark: self.new_mark() })
+            .await
     }
 
     async fn write(&self, write: Write) -> Result<Response<ReplyBody>, AdminFailure> {
@@ -297,7 +302,3 @@
 fn why(headers: &HeaderMap) -> String {
     headers.get("x-why").and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
 }
-
-fn new_mark() -> String {
-    format!("{:032x}", fastrand::u128(..))
-}
--- a/crates/sillbank_control/src/peers.rs
+++ b/crates/sillbank_control/src/peers.rs
@@ -87,7 +87,7 @@
 
 async fn pull_parts(control: &Control, peer: SocketAddr, after: u64) -> Result<usize, FrameError> {
     let request = PeerRequest::Pull { after };
-    let mut exchange = Exchange::start(&control.keys[0], peer, &request).await?;
+    let mut exchange = Exchange::start(control, peer, &request).await?;
     let mut taken = 0;
     loop {
         let (part, bytes): (PullPart, usize) = exchange.next().await?;
--- a/crates/sillbank_control/src/requests.rs
+++ b/crates/sillbank_control/src/requests.rs
@@ -83,13 +83,14 @@
 impl<'a> Exchange<'a> {
     /// Sends a request to a peer.
     pub(crate) async fn start(
-        key: &'a SealKey,
+        control: &'a Control,
         peer: SocketAddr,
         request: &PeerRequest,
     ) -> Result<Exchange<'a>, FrameError> {
         let mut stream = TcpStream::connect(peer).await?;
         drop(stream.set_nodelay(true));
-        let nonce = fastrand::u128(..).to_le_bytes();
+        let key = &control.keys[0];
+        let nonce = control.draw_mark().to_le_bytes();
         let sealed = SealedRequest::new(key, nonce, request)?;
         write_message(&mut stream, &ToControl::Peer(sealed)).await?;
         Ok(Self { stream, key, nonce, number: 0 })
@@ -118,7 +119,7 @@
     T: for<'b> serde::Deserialize<'b>,
 {
     let asked = async {
-        let mut exchange = Exchange::start(&control.keys[0], peer, request).await?;
+        let mut exchange = Exchange::start(control, peer, request).await?;
         Ok(exchange.next().await?.0)
     };
     asked.or(timed_out(timeout)).await
--- a/crates/sillbank_control/src/state.rs
+++ b/crates/sillbank_control/src/state.rs
@@ -40,6 +40,8 @@
     /// Whether this VM holds the lease under which its hall's engines are ordered.
     pub(crate) gives_orders: Cell<bool>,
     pub(crate) slots: crate::once::Slots,
+    /// What is decided by chance is drawn here.
+    pub(crate) chance: Chance,
 }
 
 impl Control {
@@ -59,6 +61,7 @@
             interval: settings.gossip_interval,
             incarnation: since_epoch.map_or(0, |since| since.as_millis() as u64),
         };
+        let chance = Chance::from_entropy();
         let metrics = crate::metrics::Metrics::new();
         let mut platform = PlatformClient::new(client.clone(), settings.platform);
         platform.bytes = metrics.platform_bytes.clone();
@@ -66,7 +69,7 @@
             platform,
             keys: settings.peer_keys.iter().map(|text| SealKey::from_text(text)).collect(),
             store: Store::default(),
-            membership: RefCell::new(Membership::new(config, fastrand::u64(..))),
+            membership: RefCell::new(Membership::new(config, chance.number())),
             follower: RefCell::default(),
             heard: RefCell::default(),
             in_force: Cell::new(0),
@@ -74,12 +77,18 @@
             http: client,
             gives_orders: Cell::new(false),
             slots: crate::once::Slots::default(),
+            chance,
             executor,
             settings,
             socket,
         })
     }
 
+    /// A number that no other VM draws.
+    pub(crate) fn draw_mark(&self) -> u128 {
+        u128::from(self.chance.number()) << u64::BITS | u128::from(self.chance.number())
+    }
+
     /// What this VM says of itself.
     pub(crate) fn summary(&self) -> Summary {
         let age = self.follower.borrow().platform_age(Instant::now());
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -146,7 +146,7 @@
             }
         };
         let service = route
-            .choose_service(fastrand::f64())
+            .choose_service(self.gateway.chance.fraction())
             .and_then(|name| catalog.service(name))
             .ok_or_else(|| uninformed("the route's service is not configured"))?;
         Ok(Admitted { route, service, organisation, limits: catalog.limits() })
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -202,7 +202,7 @@
     let home = gateway.settings().hall.clone();
     let cost = |id: &str, hall: &str| {
         let away = if hall == home { 0.0 } else { OTHER_HALL_COST };
-        f64::from(gateway.book.in_flight(id)) + away + fastrand::f64()
+        f64::from(gateway.book.in_flight(id)) + away + gateway.chance.fraction()
     };
     gateway.knowledge.endpoints(|directory| {
         let mut usable: Vec<(f64, &EndpointId, SocketAddr)> = directory
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -3,7 +3,6 @@
 use crate::backoff::Backoff;
 use crate::freshness::{NEED_POLL, confirmed_by_watch};
 use crate::gateway::Gateway;
-use crate::hall::Hall;
 use crate::sources::{FIRST_LEADER_WAIT, Followed, SourceView, is_told};
 use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
 use crate::wire::Wire;
@@ -22,11 +21,12 @@
 /// it wants to know at once whether something changed. With a whole wait VMs served again 1.8 s after the
 /// end of an outage.
 const FIRST_WAIT: Duration = Duration::from_millis(10);
+
 /// Waits before the next call, and looks again and again whether the leader is still there.
-async fn pause(backoff: &mut Backoff, hall: &Hall) {
-    let pause = backoff.next_pause(Instant::now(), fastrand::f64());
+async fn pause<W: Wire, S: MetadataStore>(backoff: &mut Backoff, gateway: &Gateway<W, S>) {
+    let pause = backoff.next_pause(Instant::now(), gateway.chance.fraction());
     loop {
-        let left = pause.left(Instant::now(), hall);
+        let left = pause.left(Instant::now(), &gateway.hall);
         if left.is_zero() {
             return;
         }
@@ -106,11 +106,11 @@
                     since = None;
                 }
                 gateway.on_store_error("configuration", &error);
-                pause(&mut backoff, &gateway.hall).await;
+                pause(&mut backoff, &gateway).await;
             }
         }
         if gateway.knowledge.catalog().is_none() {
-            pause(&mut backoff, &gateway.hall).await;
+            pause(&mut backoff, &gateway).await;
         }
     }
 }
@@ -169,7 +169,7 @@
                 gateway.on_store_error("endpoints", &error);
                 // What was missed is read again whole: a watch that was cut may have missed changes.
                 since = None;
-                pause(&mut backoff, &gateway.hall).await;
+                pause(&mut backoff, &gateway).await;
             }
         }
     }
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -74,6 +74,8 @@
     pub life: Cell<Life>,
     /// Drawn at the start, to tell this process from others on the same VM.
     pub incarnation: Incarnation,
+    /// What is decided by chance is drawn here.
+    pub chance: Chance,
     /// Requests in progress.
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
@@ -84,19 +86,20 @@
 }
 
 impl<W: Wire, S> Gateway<W, S> {
-    /// A gateway that knows nothing yet.
+    /// A gateway that knows nothing yet, and draws from `chance` whatever it decides by chance.
     pub fn new(
         settings: GatewaySettings,
         store: S,
         engine_calls: HttpClient,
         executor: Rc<LocalExecutor<'static>>,
+        chance: Chance,
     ) -> Self {
         let metrics = Metrics::default();
         Self {
             knowledge: Knowledge::new(settings.key_revocation),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
-            hall: Hall::default(),
+            hall: Hall::new(chance.clone()),
             book: Rc::default(),
             heard: Rc::default(),
             channels: ChannelPool::new(executor.clone()),
@@ -105,7 +108,8 @@
             metrics,
             executor,
             life: Cell::new(Life::Serving),
-            incarnation: fastrand::u64(..),
+            incarnation: chance.number(),
+            chance,
             in_progress: Cell::new(0),
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
@@ -129,7 +133,14 @@
     /// What paths are chosen from.
     pub fn views(&self, now: Instant) -> Views<'_> {
         let mechanisms = self.settings.borrow().mechanisms;
-        Views { knowledge: &self.knowledge, hall: &self.hall, book: &self.book, mechanisms, now }
+        Views {
+            knowledge: &self.knowledge,
+            hall: &self.hall,
+            book: &self.book,
+            mechanisms,
+            chance: &self.chance,
+            now,
+        }
     }
 
     /// Whether this VM leads and the leader of another hall follows the store for it.
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -6,7 +6,7 @@
 use crate::knowledge::wait_in;
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
@@ -56,7 +56,7 @@
 }
 
 /// The hall as one VM sees it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Hall {
     /// Fence of the hall's lease while this VM holds it.
     pub leads: Cell<Option<u64>>,
@@ -71,7 +71,8 @@
     other_leaders: RefCell<BTreeMap<HallId, OtherLeader>>,
     /// What leaders tell of engines.
     pub boards: Boards,
-    askers: RefCell<HashMap<VmId, Asker>>,
+    chance: Chance,
+    askers: RefCell<BTreeMap<VmId, Asker>>,
     /// Where the leader is asked by the word of the one before; goes before what was read of the lease.
     redirect: Cell<Option<SocketAddr>>,
     /// Whether the leader before handed its lease to this VM.
@@ -86,13 +87,36 @@
 }
 
 impl Hall {
+    /// A hall of which nothing is known yet; a VM's turns to ask the store are drawn from `chance`.
+    pub fn new(chance: Chance) -> Self {
+        Self {
+            leads: Cell::default(),
+            tells: Cell::default(),
+            leader: Cell::default(),
+            heard: Cell::default(),
+            confirmed: Cell::default(),
+            leader_holds_lease: Cell::default(),
+            other_leaders: RefCell::default(),
+            boards: Boards::default(),
+            chance,
+            askers: RefCell::default(),
+            redirect: Cell::default(),
+            is_nominated: Cell::default(),
+            most_hall_vms: Cell::default(),
+            turn: Cell::default(),
+            asked_as_source: Cell::default(),
+            wakes: Cell::default(),
+            waiting: RefCell::default(),
+        }
+    }
+
     /// The leader answered; `confirmed` is when its configuration was last confirmed, `holds_lease`
     /// whether it holds the hall's lease.
     pub fn on_news(&self, now: Instant, confirmed: Option<Instant>, holds_lease: bool) {
         self.heard.set(Some(now));
         if self.confirmed.replace(confirmed) != confirmed {
             // Few VMs draw an early turn: the root of a number drawn evenly from 0 to 1 is seldom small.
-            self.turn.set(fastrand::f64().sqrt());
+            self.turn.set(self.chance.fraction().sqrt());
         }
         self.leader_holds_lease.set(holds_lease);
     }
@@ -185,14 +209,16 @@
         askers.len() as u32 + 1
     }
 
-    /// The strongest VM that asked just now and is at least as strong as wanted, and where it is asked.
+    /// The strongest VM that asked just now and is at least as strong as wanted, and where it is asked. Of those
+    /// that are alike one is drawn.
     pub fn strongest_asker(&self, now: Instant, least: Strength) -> Option<(VmId, SocketAddr)> {
         let askers = self.askers.borrow();
         let is_here = |asker: &Asker| now.saturating_duration_since(asker.at) < FEED_LIVE;
-        let fit =
-            askers.iter().filter(|(_, a)| is_here(a) && a.strength > 0.0 && a.strength >= least);
-        let strongest = fit.max_by(|a, b| a.1.strength.total_cmp(&b.1.strength))?;
-        Some((strongest.0.clone(), strongest.1.peer))
+        let is_fit = |asker: &Asker| asker.strength > 0.0 && asker.strength >= least;
+        let fit = askers.iter().filter(|(_, asker)| is_here(asker) && is_fit(asker));
+        let drawn = fit.map(|(vm, asker)| (asker.strength, self.chance.number(), vm, asker.peer));
+        let strongest = drawn.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
+        Some((strongest.2.clone(), strongest.3))
     }
 
     /// The VM of this hall whose configuration was confirmed last, if that was after `since`.
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -155,6 +155,8 @@
     pub book: &'a EndpointBook,
     /// Which mechanisms are on.
     pub mechanisms: Mechanisms,
+    /// What chance adds to costs is drawn here.
+    pub chance: &'a Chance,
     /// Now.
     pub now: Instant,
 }
@@ -191,7 +193,7 @@
 
 /// An engine with its costs; `None` if it holds no layers.
 fn candidate(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord) -> Option<Candidate> {
-    let Views { hall, book, mechanisms, now, .. } = views;
+    let Views { hall, book, mechanisms, chance, now, .. } = views;
     let figures = ask.figures;
     let told = hall.boards.engine(&record.hall, &record.id, now, |news| Told::new(news, figures));
     // What the hall's leader heard from the engine is newer than its entry in the store.
@@ -202,7 +204,7 @@
     let factor = kind.map_or(1.0, |kind| kind.step_factor);
     let busy = 1.0 + f64::from(book.in_flight(&record.id)) / DOUBLING_REQUESTS;
     let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
-    let chance = 1.0 + CHANCE * fastrand::f64();
+    let drawn = 1.0 + CHANCE * chance.fraction();
     let unseen = unseen(views, ask, record, &told);
     let capacity = kind.and_then(|kind| kv_capacity(figures, kind, layers.len()));
     let room = capacity.map(|capacity| KvRoom::new(capacity, told.kv_share, unseen.kv));
@@ -227,7 +229,7 @@
         hall: record.hall.clone(),
         layers,
         use_cost_ms: PART_COST_MS + crowd_ms + health_ms,
-        layer_cost_ms: layer_ms * factor * told.pace * busy * chance,
+        layer_cost_ms: layer_ms * factor * told.pace * busy * drawn,
     };
     Some(Candidate { holder, room, places_share })
 }
--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -43,6 +43,7 @@
 pub(super) struct Leadership<W: Wire, S: MetadataStore> {
     gateway: Rc<Gateway<W, S>>,
     lease: Lease,
+    chance: Chance,
     name: String,
     /// Where the leader is asked by what the store told at the start; the lease itself goes before it.
     named: Option<SocketAddr>,
@@ -64,6 +65,7 @@
         Self {
             gateway: gateway.clone(),
             lease: Lease::new(candidate).retaking_own(),
+            chance: gateway.chance.clone(),
             name: lease_name(&settings.hall),
             named: None,
             read_from: Instant::now(),
@@ -93,7 +95,7 @@
             self.hand_over(vm, peer).await;
             return;
         }
-        let mut write = self.lease.on_tick(moment(), fastrand::u64(..));
+        let mut write = self.lease.on_tick(moment(), self.chance.number());
         if write.is_none() && self.lease.wants_read() && self.read_is_due(now) {
             write = self.read().await;
         }
@@ -116,7 +118,7 @@
             // It was held by the process before this one, which may take it again at once.
             Ok(Some(record)) if record.peer == own => {}
             // Free or never held: the VMs of the hall read it one after the other.
-            Ok(_) => self.read_from = Instant::now() + LEAST_TURNS.mul_f64(fastrand::f64()),
+            Ok(_) => self.read_from = Instant::now() + LEAST_TURNS.mul_f64(self.chance.fraction()),
             Err(error) => tracing::debug!(%error, "lease: It could not be looked up."),
         }
     }
@@ -126,11 +128,11 @@
         self.handed_to = None;
         let hall = &self.gateway.hall;
         let turns = (TURN_OF_VM * hall.most_hall_vms()).max(LEAST_TURNS);
-        self.turn = turns.mul_f64(fastrand::f64());
+        self.turn = turns.mul_f64(self.chance.fraction());
         match self.gateway.store.read_lease(&self.name).await {
             Ok(read) => {
                 self.read_from = Instant::now() + LEASE_READ_INTERVAL;
-                self.lease.on_read(moment(), read, fastrand::u64(..))
+                self.lease.on_read(moment(), read, self.chance.number())
             }
             Err(error) => {
                 self.read_from = Instant::now() + self.pause_after_failure();
@@ -175,7 +177,7 @@
     }
 
     async fn hand_over(&mut self, vm: VmId, peer: SocketAddr) {
-        let write = self.lease.hand_over(moment(), fastrand::u64(..), vm.clone(), peer);
+        let write = self.lease.hand_over(moment(), self.chance.number(), vm.clone(), peer);
         let Some(write) = write else { return };
         let end = self.gateway.store.write_lease(&self.name, &write).await;
         self.lease.on_write_end(moment(), end);
@@ -195,7 +197,7 @@
             self.hand_over(vm, peer).await;
             return;
         }
-        if let Some(write) = self.lease.give_up(moment(), fastrand::u64(..), None) {
+        if let Some(write) = self.lease.give_up(moment(), self.chance.number(), None) {
             let end = self.gateway.store.write_lease(&self.name, &write).await;
             self.lease.on_write_end(moment(), end);
         }
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -7,6 +7,7 @@
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use crate::{doctor, feed, follow, lifecycle, placement};
+use sillbank_core::chance::Chance;
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
@@ -134,7 +135,8 @@
         "program: Started."
     );
     let engine_calls = HttpClient::new(executor.clone(), MAX_ENGINE_REPLY_BYTES);
-    let gateway = Gateway::<W, S>::new(settings, store, engine_calls, executor.clone());
+    let chance = Chance::from_entropy();
+    let gateway = Gateway::<W, S>::new(settings, store, engine_calls, executor.clone(), chance);
     let stopper = Stopper::default();
     let app = App::new(executor, Rc::new(gateway))
         .add_plugin(FollowPlugin)
