--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -222,6 +222,7 @@
 ) -> Result<Choice, CallRefused> {
     let now = Instant::now();
     let settings = gateway.settings();
+    let draw = || gateway.chance.fraction();
     gateway.knowledge.endpoints(|directory| {
         let usable = directory.usable_of(&job.service.name);
         let mut records: Vec<_> = usable.filter(|record| !tried.contains(&record.id)).collect();
@@ -242,11 +243,11 @@
             rank: job.priority(),
         };
         let choice = match settings.mechanisms.calls_in_time {
-            true => gateway.call_book.with(&job.service.name, |times| {
-                times.choose(&candidates, ask, now, fastrand::f64)
-            }),
+            true => gateway
+                .call_book
+                .with(&job.service.name, |times| times.choose(&candidates, ask, now, draw)),
             // By what is in flight alone.
-            false => CallTimes::default().choose(&candidates, ask, now, fastrand::f64),
+            false => CallTimes::default().choose(&candidates, ask, now, draw),
         };
         match choice {
             CallChoice::Refuse(refused) => Err(refused),
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -124,7 +124,7 @@
         route: &job.route,
         urgency: job.urgency(),
         left: job.head.time_left,
-        draw: fastrand::f64(),
+        draw: gateway.chance.fraction(),
     };
     let admitted = gateway.load.admit(gateway.views(Instant::now()), ask);
     admitted.map_err(|closed| match closed.is_late {
--- a/crates/sillbank_gateway/tests/forecasts.rs
+++ b/crates/sillbank_gateway/tests/forecasts.rs
@@ -15,6 +15,8 @@
 use sillbank_gateway::store::Snapshot;
 use std::time::{Duration, Instant};
 
+/// Seed of what chance adds to costs.
+const SEED: u64 = 1;
 const HOME: &str = "a";
 const LAYERS: LayerRange = LayerRange { first: 0, end: 20 };
 
@@ -84,7 +86,8 @@
     told: Option<EngineState>,
 ) -> Option<Foretold> {
     let now = Instant::now();
-    let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::default());
+    let chance = Chance::with_seed(SEED);
+    let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
     knowledge.take_endpoints(now, Snapshot { at: 1, value: vec![record] });
     if let Some(state) = told {
         let leader = "10.0.0.1:7000".parse().expect("an address");
@@ -95,7 +98,8 @@
     }
     let (book, service) = (EndpointBook::default(), service());
     let mechanisms = Mechanisms::default();
-    let views = Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, now };
+    let views =
+        Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, chance: &chance, now };
     let figures = service.engine.as_ref().expect("it has one");
     let demand = Demand::usual(figures);
     let ask = PathAsk { service: &service, figures, home: HOME, avoid: &[], demand };
