--- a/crates/sillbank_fleet/src/difference.rs
+++ b/crates/sillbank_fleet/src/difference.rs
@@ -4,6 +4,7 @@
 //! seen, and is told what came since. Removals are remembered for that, up to [`MAX_REMOVALS`].
 
 use crate::directory::Change;
+use crate::record::BornMs;
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::collections::{BTreeMap, HashMap};
@@ -28,10 +29,18 @@
     pub seen: ChangeNumber,
 }
 
+/// An entry that went.
+#[derive(Debug)]
+struct Removed {
+    id: EndpointId,
+    /// The newest life of its endpoint that was heard of.
+    born_ms: Option<BornMs>,
+}
+
 /// Entries that went, by the numbers of the changes.
 #[derive(Debug, Default)]
 pub(crate) struct Removals {
-    by_number: BTreeMap<ChangeNumber, EndpointId>,
+    by_number: BTreeMap<ChangeNumber, Removed>,
     by_id: HashMap<EndpointId, ChangeNumber>,
     /// Removals up to this number may be forgotten.
     forgotten: ChangeNumber,
@@ -39,12 +48,12 @@
 
 impl Removals {
     /// Notes that an entry went.
-    pub(crate) fn note(&mut self, number: ChangeNumber, id: EndpointId) {
+    pub(crate) fn note(&mut self, number: ChangeNumber, id: EndpointId, born_ms: Option<BornMs>) {
         self.by_id.insert(id.clone(), number);
-        self.by_number.insert(number, id);
+        self.by_number.insert(number, Removed { id, born_ms });
         while self.by_number.len() > MAX_REMOVALS {
-            let Some((number, id)) = self.by_number.pop_first() else { return };
-            self.by_id.remove(&id);
+            let Some((number, removed)) = self.by_number.pop_first() else { return };
+            self.by_id.remove(&removed.id);
             self.forgotten = number;
         }
     }
@@ -56,6 +65,11 @@
         }
     }
 
+    /// The newest life of an endpoint whose entry went, as far as that is remembered.
+    pub(crate) fn newest_life(&self, id: &str) -> Option<BornMs> {
+        self.by_number.get(self.by_id.get(id)?)?.born_ms
+    }
+
     /// Whether some removals after a number may be forgotten.
     pub(crate) fn are_forgotten_after(&self, number: ChangeNumber) -> bool {
         number < self.forgotten
@@ -65,7 +79,10 @@
     pub(crate) fn since(
         &self,
         number: ChangeNumber,
-    ) -> impl Iterator<Item = (ChangeNumber, &EndpointId)> {
-        self.by_number.range(number.saturating_add(1)..).map(|(number, id)| (*number, id))
+    ) -> impl Iterator<Item = (ChangeNumber, Change)> {
+        self.by_number.range(number.saturating_add(1)..).map(|(number, removed)| {
+            let Removed { id, born_ms } = removed;
+            (*number, Change::Removed { id: id.clone(), born_ms: *born_ms })
+        })
     }
 }
--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -1,15 +1,13 @@
 //! The endpoints this VM believes in.
 
 use crate::difference::{ChangeNumber, Difference, Removals};
-use crate::record::{EndpointRecord, Standing};
+use crate::lives::{LifeOrder, compare_lives};
+use crate::reach::{StoreReach, StoreTrouble};
+use crate::record::{BornMs, EndpointRecord, Standing};
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
-
-/// How long after the store's return a missing entry may still come back. The platform names about
-/// two seconds; the rest is for the way of the news.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+use std::time::Instant;
 
 /// A change of one entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,7 +15,12 @@
     /// The entry is new or says something else.
     Put(EndpointRecord),
     /// The entry is gone.
-    Removed(EndpointId),
+    Removed {
+        /// Whose entry it was.
+        id: EndpointId,
+        /// Life that had written it; `None` if that is not known.
+        born_ms: Option<BornMs>,
+    },
 }
 
 /// What the removal of an entry means.
@@ -29,35 +32,20 @@
     Lapsed,
     /// Nothing was known of it.
     Unknown,
-}
-
-/// Why a call to the store failed, as far as it bears on the entries of endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StoreTrouble {
-    /// The store may be out of reach for endpoints too: their entries may lapse.
-    Away,
-    /// The store refuses this VM for the rate of calls. Endpoints go on writing their entries, so one
-    /// that is missing is gone.
-    TurnsAway,
+    /// An older life of the endpoint has left; the newer one that is known stays.
+    OlderLife,
 }
 
 #[derive(Debug, Clone)]
 struct Known {
     record: EndpointRecord,
+    /// The newest life that was heard of, by the entry or by the endpoint's own report.
+    newest_life: Option<BornMs>,
     lapsed: bool,
     /// Number of the change that made the record what it is.
     number: ChangeNumber,
 }
 
-/// What this VM knows of the store's reachability.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StoreReach {
-    Steady,
-    /// Calls failed, the last one at this moment.
-    Away(Instant),
-    BackSince(Instant),
-}
-
 /// Endpoints by their ids.
 #[derive(Debug)]
 pub struct Directory {
@@ -67,6 +55,8 @@
     /// Entries by the numbers of the changes that made them what they are.
     by_number: BTreeMap<ChangeNumber, EndpointId>,
     removals: Removals,
+    /// Endpoints that were found to have started again, until somebody asks.
+    renewed: Vec<EndpointId>,
 }
 
 impl Default for Directory {
@@ -77,6 +67,7 @@
             newest: 0,
             by_number: BTreeMap::new(),
             removals: Removals::default(),
+            renewed: Vec::new(),
         }
     }
 }
@@ -84,25 +75,18 @@
 impl Directory {
     /// A call to the store failed.
     pub fn on_store_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
-        match trouble {
-            StoreTrouble::Away => self.reach = StoreReach::Away(now),
-            StoreTrouble::TurnsAway => {}
-        }
+        self.reach.on_trouble(now, trouble);
     }
 
     /// The store answered this VM or another one that tells of it, to a call that was sent at a moment.
     /// Only what was sent after the last failed call ends an outage.
     pub fn on_store_seen(&mut self, sent: Instant) {
-        if matches!(self.reach, StoreReach::Away(since) if sent > since) {
-            self.reach = StoreReach::BackSince(sent);
-        }
+        self.reach.on_seen(sent);
     }
 
     /// The store answered this VM, to a call that may have been sent before others failed.
     pub fn on_store_back(&mut self, now: Instant) {
-        if matches!(self.reach, StoreReach::Away(_)) {
-            self.reach = StoreReach::BackSince(now);
-        }
+        self.reach.on_back(now);
     }
 
     /// Takes a whole listing; answers what became of each entry that is missing in it.
@@ -128,8 +112,39 @@
                 self.put(record);
                 false
             }
-            Change::Removed(id) => self.take_out(&id),
+            Change::Removed { id, born_ms } => {
+                !self.is_of_older_life(&id, born_ms) && self.take_out(&id)
+            }
+        }
+    }
+
+    /// An endpoint told of its life itself. What its entry says of layers is believed no more if that was
+    /// written by an older one; all else of the entry holds until the newer life writes its own.
+    pub fn on_life(&mut self, id: &str, born_ms: BornMs) {
+        let Some(known) = self.entries.get_mut(id) else {
+            return;
+        };
+        let order = compare_lives(Some(born_ms), known.newest_life);
+        if order == LifeOrder::Older {
+            return;
         }
+        known.newest_life = Some(born_ms);
+        if order == LifeOrder::Same {
+            return;
+        }
+        let (record, lapsed) = (known.record.clone(), known.lapsed);
+        self.renewed.push(id.to_owned());
+        self.keep(EndpointRecord { layers: None, ..record }, Some(born_ms), lapsed);
+    }
+
+    /// The newest life of an endpoint that was heard of.
+    pub fn newest_life(&self, id: &str) -> Option<BornMs> {
+        self.entries.get(id)?.newest_life
+    }
+
+    /// Endpoints that were found to have started again since this was last asked.
+    pub fn take_renewed(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.renewed)
     }
 
     /// Ends all entries but those that a VM has told of; answers the ids of those that went.
@@ -159,7 +174,7 @@
             self.puts_since(since).take(most + 1).collect();
         if !begins_anew {
             let gone = self.removals.since(since).take(most + 1);
-            numbered.extend(gone.map(|(number, id)| (number, Change::Removed(id.clone()))));
+            numbered.extend(gone);
             numbered.sort_unstable_by_key(|(number, _)| *number);
         }
         let goes_on = numbered.len() > most;
@@ -179,18 +194,19 @@
                 self.put(record);
                 None
             }
-            Change::Removed(id) => Some(self.remove(now, &id)),
+            Change::Removed { id, born_ms } => match self.is_of_older_life(&id, born_ms) {
+                true => Some(Removal::OlderLife),
+                false => Some(self.remove(now, &id)),
+            },
         }
     }
 
     /// Ends the grace of lapsed entries that did not come back; answers their ids.
     pub fn on_time(&mut self, now: Instant) -> Vec<EndpointId> {
-        if self.may_lapse(now) {
+        if self.reach.may_lapse(now) {
             return Vec::new();
         }
-        if matches!(self.reach, StoreReach::BackSince(_)) {
-            self.reach = StoreReach::Steady;
-        }
+        self.reach.end_grace();
         let over: Vec<EndpointId> = self
             .entries
             .iter()
@@ -243,22 +259,52 @@
         })
     }
 
-    fn put(&mut self, record: EndpointRecord) {
+    /// Takes an entry unless an older life wrote it.
+    fn put(&mut self, mut record: EndpointRecord) {
+        let known = self.entries.get(&record.id);
+        let written_by = known.and_then(|known| known.record.born_ms);
+        let newest_life = match known {
+            Some(known) => known.newest_life,
+            None => self.removals.newest_life(&record.id),
+        };
+        // Of an endpoint without an entry the newest life that went is all that is known.
+        let known_life = if known.is_some() { written_by } else { newest_life };
+        if compare_lives(record.born_ms, known_life) == LifeOrder::Older {
+            return;
+        }
+        record.born_ms = record.born_ms.or(written_by);
+        match compare_lives(record.born_ms, newest_life) {
+            LifeOrder::Newer => self.renewed.push(record.id.clone()),
+            LifeOrder::Older => record.layers = None,
+            LifeOrder::Same => {}
+        }
+        let newest_life = record.born_ms.max(newest_life);
+        self.keep(record, newest_life, false);
+    }
+
+    fn keep(&mut self, record: EndpointRecord, newest_life: Option<BornMs>, lapsed: bool) {
         if let Some(known) = self.entries.get_mut(&record.id)
             && known.record == record
         {
-            known.lapsed = false;
+            known.lapsed = lapsed;
+            known.newest_life = newest_life;
             return;
         }
         self.newest += 1;
         self.removals.forget(&record.id);
         self.by_number.insert(self.newest, record.id.clone());
-        let known = Known { lapsed: false, number: self.newest, record };
+        let known = Known { lapsed, newest_life, number: self.newest, record };
         if let Some(before) = self.entries.insert(known.record.id.clone(), known) {
             self.by_number.remove(&before.number);
         }
     }
 
+    /// Whether news are of a life that is older than the one that wrote the entry.
+    fn is_of_older_life(&self, id: &str, born_ms: Option<BornMs>) -> bool {
+        let written_by = self.get(id).and_then(|record| record.born_ms);
+        compare_lives(born_ms, written_by) == LifeOrder::Older
+    }
+
     /// Takes an entry out and remembers that it went; answers whether there was one.
     fn take_out(&mut self, id: &str) -> bool {
         let Some((id, known)) = self.entries.remove_entry(id) else {
@@ -266,12 +312,12 @@
         };
         self.by_number.remove(&known.number);
         self.newest += 1;
-        self.removals.note(self.newest, id);
+        self.removals.note(self.newest, id, known.newest_life);
         true
     }
 
     fn remove(&mut self, now: Instant, id: &str) -> Removal {
-        let may_lapse = self.may_lapse(now);
+        let may_lapse = self.reach.may_lapse(now);
         let Some(known) = self.entries.get_mut(id) else {
             return Removal::Unknown;
         };
@@ -282,12 +328,4 @@
         self.take_out(id);
         Removal::Gone
     }
-
-    fn may_lapse(&self, now: Instant) -> bool {
-        match self.reach {
-            StoreReach::Steady => false,
-            StoreReach::Away(_) => true,
-            StoreReach::BackSince(back) => now.saturating_duration_since(back) < LAPSE_GRACE,
-        }
-    }
 }
--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -4,6 +4,9 @@
 //! leaves the store while the store was out of reach may only have lapsed, so its endpoint stays
 //! usable until a short time after the store's return.
 //!
+//! An endpoint may start again under its id. News of the life before are left, and whoever keeps anything else
+//! of an endpoint is told which ones have started again ([`Directory::take_renewed`]).
+//!
 //! A directory numbers its changes, so that another VM is told only what it lacks.
 //!
 //! Pure: no sockets, no clock, no threads.
@@ -12,18 +15,22 @@
 
 mod difference;
 mod directory;
+mod lives;
+mod reach;
 mod record;
 mod replication;
 
 pub use difference::{ChangeNumber, Difference, MAX_REMOVALS};
-pub use directory::{Change, Directory, LAPSE_GRACE, Removal, StoreTrouble};
-pub use record::{EndpointRecord, Standing};
+pub use directory::{Change, Directory, Removal};
+pub use lives::{LifeOrder, compare_lives};
+pub use reach::{LAPSE_GRACE, StoreTrouble};
+pub use record::{BornMs, EndpointRecord, Standing};
 pub use replication::{Recency, Replication};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
-        Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE, Recency, Removal,
-        Replication, Standing, StoreTrouble,
+        BornMs, Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE,
+        LifeOrder, Recency, Removal, Replication, Standing, StoreTrouble, compare_lives,
     };
 }
--- /dev/null
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -0,0 +1,67 @@
+//! Whether the store is out of reach, so that entries may lapse.
+
+use std::time::{Duration, Instant};
+
+/// How long after the store's return a missing entry may still come back. The platform names about
+/// two seconds; the rest is for the way of the news.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+
+/// Why a call to the store failed, as far as it bears on the entries of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// The store may be out of reach for endpoints too: their entries may lapse.
+    Away,
+    /// The store refuses this VM for the rate of calls. Endpoints go on writing their entries, so one
+    /// that is missing is gone.
+    TurnsAway,
+}
+
+/// What this VM knows of the store's reachability.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StoreReach {
+    Steady,
+    /// Calls failed, the last one at this moment.
+    Away(Instant),
+    BackSince(Instant),
+}
+
+impl StoreReach {
+    /// A call to the store failed.
+    pub(crate) fn on_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
+        match trouble {
+            StoreTrouble::Away => *self = Self::Away(now),
+            StoreTrouble::TurnsAway => {}
+        }
+    }
+
+    /// The store answered a call that was sent at a moment. Only what was sent after the last failed call
+    /// ends an outage.
+    pub(crate) fn on_seen(&mut self, sent: Instant) {
+        if matches!(*self, Self::Away(since) if sent > since) {
+            *self = Self::BackSince(sent);
+        }
+    }
+
+    /// The store answered a call that may have been sent before others failed.
+    pub(crate) fn on_back(&mut self, now: Instant) {
+        if matches!(*self, Self::Away(_)) {
+            *self = Self::BackSince(now);
+        }
+    }
+
+    /// The grace after the store's return is over.
+    pub(crate) fn end_grace(&mut self) {
+        if matches!(*self, Self::BackSince(_)) {
+            *self = Self::Steady;
+        }
+    }
+
+    /// Whether an entry that is missing may have lapsed.
+    pub(crate) fn may_lapse(self, now: Instant) -> bool {
+        match self {
+            Self::Steady => false,
+            Self::Away(_) => true,
+            Self::BackSince(back) => now.saturating_duration_since(back) < LAPSE_GRACE,
+        }
+    }
+}
--- a/crates/sillbank_fleet/src/record.rs
+++ b/crates/sillbank_fleet/src/record.rs
@@ -4,6 +4,9 @@
 use sillbank_core::prelude::*;
 use std::net::SocketAddr;
 
+/// Unix millisecond at which a life of an endpoint began.
+pub type BornMs = u64;
+
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
@@ -16,8 +19,10 @@
 /// One endpoint's entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
-    /// Id of this life of the endpoint; a restart has another.
+    /// Its id, which it may keep when it starts again.
     pub id: EndpointId,
+    /// Start of the life that wrote the entry; `None` if it does not say.
+    pub born_ms: Option<BornMs>,
     /// Service it belongs to.
     pub service: ServiceId,
     /// Where its requests go.
--- a/crates/sillbank_fleet/src/replication.rs
+++ b/crates/sillbank_fleet/src/replication.rs
@@ -67,7 +67,7 @@
         for change in changes {
             let (id, is_put) = match &change {
                 Change::Put(record) => (record.id.clone(), true),
-                Change::Removed(id) => (id.clone(), false),
+                Change::Removed { id, .. } => (id.clone(), false),
             };
             if let Some(listed) = &mut self.listed {
                 match is_put {
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -3,9 +3,14 @@
 use sillbank_fleet::prelude::*;
 use std::time::{Duration, Instant};
 
+fn removed(id: &str) -> Change {
+    Change::Removed { id: id.to_owned(), born_ms: None }
+}
+
 fn record(id: &str, standing: Standing) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "quotes".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: "a".to_owned(),
@@ -28,7 +33,7 @@
 fn a_removal_in_steady_times_ends_the_endpoint_at_once() {
     let (mut directory, now) = directory(&["a", "b"]);
 
-    let removal = directory.on_change(now, Change::Removed("a".to_owned()));
+    let removal = directory.on_change(now, removed("a"));
 
     assert_eq!(removal, Some(Removal::Gone));
     assert!(directory.usable("a").is_none());
@@ -74,7 +79,7 @@
     directory.on_change(now, Change::Put(record("a", Standing::Leaving)));
     directory.on_store_trouble(now, StoreTrouble::Away);
 
-    let removal = directory.on_change(now, Change::Removed("a".to_owned()));
+    let removal = directory.on_change(now, removed("a"));
 
     assert_eq!(removal, Some(Removal::Gone));
     assert!(directory.get("a").is_none());
@@ -97,7 +102,7 @@
     directory.on_store_back(now);
     directory.on_time(now + LAPSE_GRACE);
 
-    let removal = directory.on_change(now + LAPSE_GRACE, Change::Removed("a".to_owned()));
+    let removal = directory.on_change(now + LAPSE_GRACE, removed("a"));
 
     assert_eq!(removal, Some(Removal::Gone));
 }
@@ -136,7 +141,7 @@
     directory.on_time(later);
     directory.on_store_back(later);
 
-    let removal = directory.on_change(later, Change::Removed("a".to_owned()));
+    let removal = directory.on_change(later, removed("a"));
 
     assert_eq!(removal, Some(Removal::Gone));
 }
@@ -148,7 +153,7 @@
     directory.on_store_seen(now);
     let later = now + Duration::from_secs(17);
 
-    let removal = directory.on_change(later, Change::Removed("a".to_owned()));
+    let removal = directory.on_change(later, removed("a"));
 
     assert_eq!(removal, Some(Removal::Lapsed));
 }
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -5,9 +5,14 @@
 use sillbank_testing::for_fixed_seeds;
 use std::time::Instant;
 
+fn removed(id: &str) -> Change {
+    Change::Removed { id: id.to_owned(), born_ms: None }
+}
+
 fn record(id: &str, slots: u32) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "quotes".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: "a".to_owned(),
@@ -88,7 +93,7 @@
     let mut source = source(&["a", "b"]);
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
     catch_up(&mut replication, &mut copy, &source, 10);
-    source.on_change(now, Change::Removed("a".to_owned()));
+    source.on_change(now, removed("a"));
 
     let gone = catch_up(&mut replication, &mut copy, &source, 10);
 
@@ -119,7 +124,7 @@
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
     replication.on_difference(&mut copy, source.difference(0, 1), Recency::Newer);
 
-    source.on_change(Instant::now(), Change::Removed("a".to_owned()));
+    source.on_change(Instant::now(), removed("a"));
     catch_up(&mut replication, &mut copy, &source, 1);
 
     assert_eq!(records(&copy), records(&source));
@@ -131,10 +136,10 @@
     let mut source = source(&["a", "b"]);
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
     catch_up(&mut replication, &mut copy, &source, 10);
-    source.on_change(now, Change::Removed("a".to_owned()));
+    source.on_change(now, removed("a"));
     for number in 0..=MAX_REMOVALS {
         source.on_change(now, Change::Put(record(&format!("e{number}"), 1)));
-        source.on_change(now, Change::Removed(format!("e{number}")));
+        source.on_change(now, removed(&format!("e{number}")));
     }
 
     let difference = source.difference(replication.seen(), 10);
@@ -162,7 +167,7 @@
     let mut source = source(&["a", "b"]);
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
     catch_up(&mut replication, &mut copy, &source, 10);
-    source.on_change(now, Change::Removed("a".to_owned()));
+    source.on_change(now, removed("a"));
 
     let difference = source.difference(replication.seen(), 10);
     let gone = replication.on_difference(&mut copy, difference, Recency::Older);
@@ -191,7 +196,7 @@
                     source.on_change(now, Change::Put(record(&id, u.int_in_range(1..=3)?)));
                 }
                 3 | 4 => {
-                    source.on_change(now, Change::Removed(id));
+                    source.on_change(now, removed(&id));
                 }
                 5 => {
                     let piece = source.difference(replication.seen(), most);
--- a/crates/sillbank_gateway/src/boards.rs
+++ b/crates/sillbank_gateway/src/boards.rs
@@ -2,6 +2,7 @@
 
 use crate::feed::{EngineState, HallBoard};
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -70,6 +71,10 @@
         }
         for state in engines {
             let known = kept.engines.get(&state.id);
+            let known_life = known.and_then(|known| known.state.born_ms);
+            if compare_lives(state.born_ms, known_life) == LifeOrder::Older {
+                continue;
+            }
             if known.is_none_or(|known| !known.state.is_about(&state)) {
                 kept.engines.insert(state.id.clone(), KeptEngine { state, number });
             }
@@ -132,6 +137,16 @@
         self.most_vms.get()
     }
 
+    /// Forgets what was told of the lives of an engine before its newest one.
+    pub fn on_new_life(&self, id: &str, newest_life: Option<BornMs>) {
+        let is_older = |state: &EngineState| {
+            state.id == id && compare_lives(state.born_ms, newest_life) == LifeOrder::Older
+        };
+        for kept in self.by_hall.borrow_mut().values_mut() {
+            kept.engines.retain(|_, engine| !is_older(&engine.state));
+        }
+    }
+
     /// Forgets engines that are not listed any more.
     pub fn retain(&self, is_known: impl Fn(&str) -> bool) {
         for kept in self.by_hall.borrow_mut().values_mut() {
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -150,7 +150,7 @@
     let patience = job.route.objective.mul_f64(PATIENCE);
     let impatient = async {
         smol::Timer::after(patience).await;
-        gateway.on_evidence(&choice.endpoint, Evidence::Failed, "no answer in time");
+        gateway.on_evidence(&choice.endpoint, Evidence::Failed, now, "no answer in time");
         Try::Lost(format!("no answer within {} ms", patience.as_millis()))
     };
     futures_lite::future::or(exchange, impatient).await
@@ -162,28 +162,34 @@
     choice: &Choice,
 ) -> Try {
     let to = Destination { endpoint: &choice.endpoint, address: choice.address, path: None };
+    let sent_at = Instant::now();
     let sent = send(gateway, job, to, None).await;
     if let Some(evidence) = evidence_of(&sent) {
-        gateway.on_evidence(&choice.endpoint, evidence, "a call");
+        gateway.on_evidence(&choice.endpoint, evidence, sent_at, "a call");
     }
     match sent {
         Sent::Success(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
             Ok((reply, head)) => {
-                gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
+                gateway.keep_channel(&choice.endpoint, channel, &head);
                 Try::Done(reply)
             }
             Err(reason) => Try::Lost(reason),
         },
         Sent::Failure(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
             Ok((reply, head)) => {
-                gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
+                gateway.keep_channel(&choice.endpoint, channel, &head);
                 Try::Failed(reply)
             }
             Err(reason) => Try::Lost(reason),
         },
         Sent::NotRun(refusal) => {
             if refusal.misdirected {
-                gateway.on_evidence(&choice.endpoint, Evidence::Unreachable, "misdirected");
+                gateway.on_evidence(
+                    &choice.endpoint,
+                    Evidence::Unreachable,
+                    sent_at,
+                    "misdirected",
+                );
             }
             Try::NotRun(format!("the endpoint refused with status {}", refusal.status))
         }
--- a/crates/sillbank_gateway/src/channels.rs
+++ b/crates/sillbank_gateway/src/channels.rs
@@ -29,6 +29,10 @@
     pub connection: Connection,
     /// Whether it carried a request before.
     pub reused: bool,
+    /// Where it leads.
+    pub address: SocketAddr,
+    /// When it was opened.
+    pub opened_at: Instant,
     rest_until: Instant,
 }
 
@@ -45,12 +49,13 @@
         Self { executor, resting: RefCell::default() }
     }
 
-    /// The connection that was used last and still stands.
-    pub fn take(&self, endpoint: &str, now: Instant) -> Option<Channel> {
+    /// The connection to an endpoint at an address that was used last and still stands. An endpoint that
+    /// starts again may have another address; connections to the one before are closed.
+    pub fn take(&self, endpoint: &str, address: SocketAddr, now: Instant) -> Option<Channel> {
         let mut resting = self.resting.borrow_mut();
         let kept = resting.get_mut(endpoint)?;
         while let Some(channel) = kept.pop() {
-            if is_usable(&channel, now) {
+            if channel.address == address && is_usable(&channel, now) {
                 return Some(channel);
             }
         }
@@ -68,7 +73,8 @@
         };
         let open = Connection::open(&self.executor, address);
         let connection = futures_lite::future::or(open, late).await?;
-        Ok(Channel { connection, reused: false, rest_until: Instant::now() })
+        let now = Instant::now();
+        Ok(Channel { connection, reused: false, address, opened_at: now, rest_until: now })
     }
 
     /// Keeps a connection after a whole answer, unless the answer's head says that it ends.
--- a/crates/sillbank_gateway/src/doctor.rs
+++ b/crates/sillbank_gateway/src/doctor.rs
@@ -113,7 +113,7 @@
         if heard.contains(&part.endpoint) || gateway.book.answered_since(&part.endpoint, since) {
             probes.push((part.endpoint.clone(), Probe::Answered));
         } else {
-            let call = probe_once(gateway.clone(), part.address);
+            let call = probe_once(gateway.clone(), part.endpoint.clone(), part.address);
             asked.push((part.endpoint.clone(), gateway.executor.spawn(call)));
         }
     }
@@ -129,11 +129,21 @@
 
 async fn probe_once<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
+    endpoint: EndpointId,
     address: SocketAddr,
 ) -> Probe {
     let began = Instant::now();
     match gateway.engine_calls.call(address, W::report_call(), PROBE_LIMIT).await {
-        Ok(_) => Probe::Answered,
+        Ok(reply) => {
+            if let Ok(report) = W::read_report(&reply.body) {
+                gateway.hear_life(&endpoint, report.born_ms);
+            }
+            // One that has started again knows nothing of what stands still.
+            match gateway.book.renewed_since(&endpoint, began) {
+                true => Probe::Refused,
+                false => Probe::Answered,
+            }
+        }
         Err(_) if began.elapsed() >= PROBE_LIMIT => Probe::Silent,
         Err(error) => {
             tracing::debug!(endpoint = %address, %error, "endpoint: It refused a call.");
@@ -158,11 +168,13 @@
 }
 
 async fn probe<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, engine: EndpointRecord) {
+    let began = Instant::now();
     let call = gateway.engine_calls.call(engine.address, W::report_call(), REPORT_LIMIT);
     match call.await {
-        Ok(_) => gateway.on_evidence(&engine.id, Evidence::Good, "it reports again"),
+        Ok(_) => gateway.on_evidence(&engine.id, Evidence::Good, began, "it reports again"),
         Err(error) => {
-            gateway.on_evidence(&engine.id, Evidence::Unreachable, &error.to_string());
+            let reason = error.to_string();
+            gateway.on_evidence(&engine.id, Evidence::Unreachable, began, &reason);
         }
     }
 }
--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -47,8 +47,14 @@
     Unreachable,
 }
 
+/// Number of a life of an endpoint, counted by this VM from the first that it heard of.
+type LifeNumber = u32;
+
 #[derive(Debug, Clone)]
 struct Seen {
+    life: LifeNumber,
+    /// When this VM heard that the endpoint had started again; `None` if it never did.
+    renewed_at: Option<Instant>,
     in_flight: u32,
     health: Health,
     failure_share: f64,
@@ -59,6 +65,23 @@
     sends: SendLog,
 }
 
+impl Seen {
+    fn new(now: Instant) -> Self {
+        Self {
+            life: 0,
+            renewed_at: None,
+            in_flight: 0,
+            health: Health::new(now),
+            failure_share: 0.0,
+            on_trial: false,
+            ejected_at: None,
+            shunned_until: None,
+            answered_at: None,
+            sends: SendLog::default(),
+        }
+    }
+}
+
 /// A part of a request at one endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Share {
@@ -78,15 +101,16 @@
 #[derive(Debug)]
 pub struct InFlight {
     book: Rc<EndpointBook>,
-    shares: Vec<Share>,
+    /// Shares, and the lives of their endpoints that they were sent to.
+    shares: Vec<(Share, LifeNumber)>,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = Instant::now();
         let mut seen = self.book.seen.borrow_mut();
-        for share in &self.shares {
-            if let Some(seen) = seen.get_mut(&share.endpoint) {
+        for (share, life) in &self.shares {
+            if let Some(seen) = seen.get_mut(&share.endpoint).filter(|seen| seen.life == *life) {
                 seen.in_flight = seen.in_flight.saturating_sub(1);
                 seen.sends.on_end(now, share.kv);
             }
@@ -97,14 +121,30 @@
 impl EndpointBook {
     /// Notes work that is sent to endpoints, until the answer is dropped.
     pub fn begin(self: &Rc<Self>, shares: Vec<Share>, now: Instant) -> InFlight {
-        for share in &shares {
-            self.with(&share.endpoint, now, |seen| {
+        let begin = |share: Share| {
+            let life = self.with(&share.endpoint, now, |seen| {
                 seen.in_flight += 1;
                 seen.on_trial |= seen.health.state() == HealthState::Ejected;
                 seen.sends.on_send(now, share.kv);
+                seen.life
             });
-        }
-        InFlight { book: self.clone(), shares }
+            (share, life)
+        };
+        InFlight { book: self.clone(), shares: shares.into_iter().map(begin).collect() }
+    }
+
+    /// An endpoint has started again: nothing that was seen of it says anything of its new life.
+    pub fn on_new_life(&self, endpoint: &str, now: Instant) {
+        self.with(endpoint, now, |seen| {
+            *seen = Seen { life: seen.life + 1, renewed_at: Some(now), ..Seen::new(now) };
+        });
+    }
+
+    /// Whether an endpoint was found to have started again at a moment or later. What was sent to it before
+    /// is lost there.
+    pub fn renewed_since(&self, endpoint: &str, since: Instant) -> bool {
+        let seen = self.seen.borrow();
+        seen.get(endpoint).and_then(|seen| seen.renewed_at).is_some_and(|at| at >= since)
     }
 
     /// What this VM sent to an engine since a moment, less what was given back.
@@ -210,17 +250,7 @@
     fn with<T>(&self, endpoint: &str, now: Instant, change: impl FnOnce(&mut Seen) -> T) -> T {
         let mut all = self.seen.borrow_mut();
         if !all.contains_key(endpoint) {
-            let new = Seen {
-                in_flight: 0,
-                health: Health::new(now),
-                failure_share: 0.0,
-                on_trial: false,
-                ejected_at: None,
-                shunned_until: None,
-                answered_at: None,
-                sends: SendLog::default(),
-            };
-            all.insert(endpoint.to_owned(), new);
+            all.insert(endpoint.to_owned(), Seen::new(now));
         }
         match all.get_mut(endpoint) {
             Some(seen) => change(seen),
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -187,6 +187,7 @@
         if board.hall == own {
             gateway.hall.note_hall_vms(board.vms);
         }
+        gateway.hear_lives(&board);
         gateway.hall.boards.keep(now, board);
     }
     gateway.knowledge.confirm_catalog(confirmed?, news.confirmed_at);
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -58,6 +58,8 @@
 pub struct EngineState {
     /// Engine.
     pub id: EndpointId,
+    /// Start of the life that is told of; `None` if it is not known.
+    pub born_ms: Option<BornMs>,
     /// Whether it did not answer several times.
     pub is_lost: bool,
     /// Layers it serves.
@@ -115,7 +117,8 @@
         let requests = |state: &Self| state.running + state.waiting;
         let is_nearly_full = self.kv_permille.max(other.kv_permille) >= NEARLY_FULL_PERMILLE;
         let tell_from = if is_nearly_full { TELL_FROM_NEARLY_FULL } else { TELL_FROM };
-        self.is_lost == other.is_lost
+        self.born_ms == other.born_ms
+            && self.is_lost == other.is_lost
             && self.layers == other.layers
             && (self.waiting > 0) == (other.waiting > 0)
             && self.kv_permille.abs_diff(other.kv_permille) < tell_from.kv_permille
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -182,6 +182,7 @@
     gateway.on_store_answer("endpoints");
     let at = list.at;
     let removals = gateway.knowledge.take_endpoints(Instant::now(), list);
+    gateway.clear_older_lives();
     gateway.on_removals(&removals);
     smol::Timer::after(GATHER).await;
     Ok(at)
@@ -201,6 +202,7 @@
         }
     }
     let removals = gateway.knowledge.take_changes(Instant::now(), changes);
+    gateway.clear_older_lives();
     gateway.on_removals(&removals);
     if has_changes {
         smol::Timer::after(GATHER).await;
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -200,6 +200,7 @@
         is_wanted: bool,
     ) {
         let gone = self.knowledge.take_told(replication, at, difference, is_wanted);
+        self.clear_older_lives();
         let removals: Vec<_> = gone.into_iter().map(|id| (id, Removal::Gone)).collect();
         self.on_removals(&removals);
     }
@@ -209,9 +210,13 @@
         self.store_reached.get()
     }
 
-    /// Takes evidence of an endpoint's health and logs a change of its standing.
-    pub fn on_evidence(&self, endpoint: &str, evidence: Evidence, reason: &str) {
+    /// Takes evidence of an endpoint's health, by an exchange that began at a moment, and logs a change of its
+    /// standing. What began before the endpoint started again tells nothing of it.
+    pub fn on_evidence(&self, endpoint: &str, evidence: Evidence, began: Instant, reason: &str) {
         let now = Instant::now();
+        if self.book.renewed_since(endpoint, began) {
+            return;
+        }
         if !self.book.on_evidence(endpoint, evidence, now) {
             return;
         }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -126,12 +126,17 @@
         self.endpoints_at.get() > 0
     }
 
-    /// Takes a whole list of endpoints; answers what became of each that is missing in it.
+    /// Takes a whole list of endpoints unless it is older than what is known; answers what became of each
+    /// that is missing in it.
     pub fn take_endpoints(
         &self,
         now: Instant,
         list: Snapshot<Vec<EndpointRecord>>,
     ) -> Vec<(String, Removal)> {
+        if list.at < self.endpoints_at.get() {
+            tracing::info!(at = list.at, "endpoint: A list was late; newer entries are known.");
+            return Vec::new();
+        }
         self.endpoints_at.set(list.at);
         self.change();
         self.directory.borrow_mut().on_listing(now, list.value)
@@ -196,12 +201,19 @@
         .await;
     }
 
-    /// Takes changes of endpoints; answers what each removal means.
+    /// Takes changes of endpoints unless they are older than what is known; answers what each removal means.
     pub fn take_changes(
         &self,
         now: Instant,
         changes: Snapshot<Vec<Change>>,
     ) -> Vec<(String, Removal)> {
+        if changes.at < self.endpoints_at.get() {
+            tracing::info!(
+                at = changes.at,
+                "endpoint: Changes were late; newer entries are known."
+            );
+            return Vec::new();
+        }
         self.endpoints_at.set(changes.at);
         if changes.value.is_empty() {
             return Vec::new();
@@ -212,7 +224,7 @@
         for change in changes.value {
             let id = match &change {
                 Change::Put(record) => record.id.clone(),
-                Change::Removed(id) => id.clone(),
+                Change::Removed { id, .. } => id.clone(),
             };
             if let Some(removal) = directory.on_change(now, change) {
                 removals.push((id, removal));
@@ -221,6 +233,23 @@
         removals
     }
 
+    /// An endpoint told of its life itself.
+    pub fn hear_life(&self, id: &str, born_ms: BornMs) {
+        let mut directory = self.directory.borrow_mut();
+        let before = directory.newest_change();
+        directory.on_life(id, born_ms);
+        let has_changed = directory.newest_change() != before;
+        drop(directory);
+        if has_changed {
+            self.change();
+        }
+    }
+
+    /// Endpoints that were found to have started again since this was last asked.
+    pub fn take_renewed(&self) -> Vec<EndpointId> {
+        self.directory.borrow_mut().take_renewed()
+    }
+
     /// The store answered again.
     pub fn on_store_back(&self, now: Instant) {
         self.directory.borrow_mut().on_store_back(now);
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
+//! - [`lives`] ends what is kept of endpoints that start again.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -35,6 +36,7 @@
 pub mod job;
 pub mod knowledge;
 pub mod lifecycle;
+pub mod lives;
 pub mod mechanisms;
 pub mod metrics;
 pub mod operate;
--- /dev/null
+++ b/crates/sillbank_gateway/src/lives.rs
@@ -0,0 +1,56 @@
+//! Endpoints that start again under their id: all that this VM keeps of the life before ends.
+//!
+//! The directory decides which life is the newest one, by entries and by the endpoints' own reports. Whatever
+//! else is kept of an endpoint is cleared here when it starts again. What was begun before ends by itself, and
+//! how it ended says nothing of the new life.
+
+use crate::channels::Channel;
+use crate::feed::HallBoard;
+use crate::gateway::Gateway;
+use crate::wire::Wire;
+use hyper::header::HeaderMap;
+use sillbank_fleet::prelude::*;
+use std::time::Instant;
+
+impl<W: Wire, S> Gateway<W, S> {
+    /// An endpoint told of its life itself.
+    pub fn hear_life(&self, endpoint: &str, born_ms: Option<BornMs>) {
+        if let Some(born_ms) = born_ms {
+            self.knowledge.hear_life(endpoint, born_ms);
+            self.clear_older_lives();
+        }
+    }
+
+    /// Takes the lives that a board tells of.
+    pub fn hear_lives(&self, board: &HallBoard) {
+        for engine in &board.engines {
+            self.hear_life(&engine.id, engine.born_ms);
+        }
+    }
+
+    /// Ends what is kept of the older lives of endpoints that have started again.
+    pub fn clear_older_lives(&self) {
+        let now = Instant::now();
+        for id in self.knowledge.take_renewed() {
+            let newest_life = self.knowledge.endpoints(|directory| directory.newest_life(&id));
+            self.book.on_new_life(&id, now);
+            self.channels.forget(&id);
+            self.heard.on_new_life(&id);
+            self.hall.boards.on_new_life(&id, newest_life);
+            self.metrics.renewed_endpoints.inc();
+            tracing::info!(endpoint = id, born_ms = newest_life, "endpoint: Started again.");
+        }
+    }
+
+    /// Keeps a connection after a whole answer, unless the endpoint has started again since it was opened.
+    pub fn keep_channel(&self, endpoint: &str, channel: Channel, reply: &HeaderMap) {
+        if !self.book.renewed_since(endpoint, channel.opened_at) {
+            self.channels.give_back(endpoint, channel, reply, Instant::now());
+        }
+    }
+}
+
+/// Whether what was told of one life of an endpoint may be believed while `newest` is the newest one known.
+pub fn is_believed(told: Option<BornMs>, newest: Option<BornMs>) -> bool {
+    compare_lives(told, newest) != LifeOrder::Older
+}
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub store_errors: Family<KindLabel, Counter>,
     /// Configurations that could not be used.
     pub catalog_faults: Counter,
+    /// Endpoints that were found to have started again under their id.
+    pub renewed_endpoints: Counter,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
     /// Orders to engines, by how they ended.
@@ -79,6 +81,7 @@
         let store_calls = StoreCalls::default();
         let store_errors = Family::default();
         let catalog_faults = Counter::default();
+        let renewed_endpoints = Counter::default();
         let connections = Family::default();
         let orders = Family::default();
         let first_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
@@ -92,6 +95,8 @@
         registry.register("store_calls", "Store calls by kind", store_calls.clone());
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
+        let help = "Endpoints started again under their id";
+        registry.register("renewed_endpoints", help, renewed_endpoints.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("orders", "Orders to engines", orders.clone());
         registry.register("first_answer_s", "Time to the first answer", first_answer_s.clone());
@@ -107,6 +112,7 @@
             store_calls,
             store_errors,
             catalog_faults,
+            renewed_endpoints,
             connections,
             orders,
             first_answer_s,
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -4,6 +4,7 @@
 use crate::endpoints::EndpointBook;
 use crate::hall::Hall;
 use crate::knowledge::Knowledge;
+use crate::lives::is_believed;
 use crate::mechanisms::Mechanisms;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -184,16 +185,24 @@
             .usable_of(&ask.service.name)
             .filter(|record| halls.includes(&record.hall, ask.home))
             .filter(|record| !ask.avoid.contains(&record.id) && views.book.may_run_part(&record.id))
-            .filter_map(|record| candidate(views, ask, record))
+            .filter_map(|record| candidate(views, ask, record, directory.newest_life(&record.id)))
             .collect()
     })
 }
 
-/// An engine with its costs; `None` if it holds no layers.
-fn candidate(views: Views<'_>, ask: PathAsk<'_>, record: &EndpointRecord) -> Option<Candidate> {
+/// An engine with its costs; `None` if it holds no layers. What was told of an older life is not believed.
+fn candidate(
+    views: Views<'_>,
+    ask: PathAsk<'_>,
+    record: &EndpointRecord,
+    newest_life: Option<BornMs>,
+) -> Option<Candidate> {
     let Views { hall, book, mechanisms, now, .. } = views;
     let figures = ask.figures;
-    let told = hall.boards.engine(&record.hall, &record.id, now, |news| Told::new(news, figures));
+    let read = |news: EngineNews<'_>| {
+        is_believed(news.state.born_ms, newest_life).then(|| Told::new(news, figures))
+    };
+    let told = hall.boards.engine(&record.hall, &record.id, now, read).flatten();
     // What the hall's leader heard from the engine is newer than its entry in the store.
     let layers = told.as_ref().map_or(record.layers, |told| told.layers);
     let layers = layers.filter(|layers| !layers.is_empty())?;
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -82,6 +82,7 @@
             let report = known.report.as_ref();
             EngineState {
                 id: id.clone(),
+                born_ms: known.newest_life(),
                 is_lost: report.is_none(),
                 layers: report.and_then(|report| report.layers),
                 waiting: report.map_or(0, |report| report.waiting),
@@ -100,6 +101,7 @@
             is_whole: true,
             engines: engines.collect(),
         };
+        self.gateway.hear_lives(&board);
         match settings.mechanisms.prompt_news {
             true => self.gateway.hall.post_board(now, board),
             false => self.gateway.hall.boards.keep(now, board),
@@ -222,6 +224,10 @@
     /// Asks all engines for their reports at once.
     async fn ask_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>) {
         self.known.retain(|id, _| engines.contains_key(id));
+        for id in engines.keys() {
+            let newest_life = self.gateway.knowledge.endpoints(|known| known.newest_life(id));
+            self.known.entry(id.clone()).or_default().on_life(newest_life);
+        }
         let asking: Vec<(EndpointId, smol::Task<ReportOutcome>)> = engines
             .values()
             .map(|record| {
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -4,6 +4,7 @@
 use crate::store::MetadataStore;
 use crate::wire::{EngineReport, Wire};
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +18,8 @@
 /// What is known of one engine by asking it.
 #[derive(Debug, Clone, Default)]
 pub struct KnownEngine {
+    /// The newest life that its entry or its reports told of.
+    newest_life: Option<BornMs>,
     /// Its newest report, unless it is lost.
     pub report: Option<EngineReport>,
     /// Reports in a row that are missing.
@@ -37,10 +40,26 @@
 }
 
 impl KnownEngine {
+    /// The newest life that is known of it.
+    pub fn newest_life(&self) -> Option<BornMs> {
+        self.newest_life
+    }
+
+    /// News of one of its lives; a newer one ends what is known of those before, also what they were ordered.
+    pub fn on_life(&mut self, born_ms: Option<BornMs>) {
+        if compare_lives(born_ms, self.newest_life) == LifeOrder::Newer {
+            *self = Self::default();
+        }
+        self.newest_life = born_ms.max(self.newest_life);
+    }
+
     /// Takes what came of asking; `is_suspect` says whether this VM's own exchanges with the engine failed.
     pub fn on_asked(&mut self, asked: ReportOutcome, is_suspect: bool) {
         match asked {
+            ReportOutcome::Reported(report)
+                if compare_lives(report.born_ms, self.newest_life) == LifeOrder::Older => {}
             ReportOutcome::Reported(report) => {
+                self.on_life(report.born_ms);
                 self.report = Some(report);
                 self.missed = 0;
             }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -53,7 +53,7 @@
     resume_after: Option<u64>,
 ) -> Sent {
     loop {
-        let channel = match gateway.channels.take(to.endpoint, Instant::now()) {
+        let channel = match gateway.channels.take(to.endpoint, to.address, Instant::now()) {
             Some(channel) => channel,
             None => match gateway.channels.open(to.address).await {
                 Ok(channel) => channel,
@@ -130,7 +130,7 @@
 ) {
     let (head, body) = reply.into_parts();
     if Limited::new(body, MAX_REFUSAL_BYTES).collect().await.is_ok() {
-        gateway.channels.give_back(&endpoint, channel, &head.headers, Instant::now());
+        gateway.keep_channel(&endpoint, channel, &head.headers);
     }
 }
 
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -227,7 +227,7 @@
             ended(at_fault, Left::MayHaveRun, loss.reason)
         }
         Ok(Sent::Success(reply, channel)) => {
-            gateway.on_evidence(&endpoint, Evidence::Good, "a stream");
+            gateway.on_evidence(&endpoint, Evidence::Good, sent_at, "a stream");
             let status = reply.status();
             let (head, body) = reply.into_parts();
             let upstream = Upstream {
@@ -244,7 +244,7 @@
             SendOnce::Begun(Begun::Stream(Box::new(upstream), status))
         }
         Ok(Sent::Failure(reply, channel)) => {
-            gateway.on_evidence(&endpoint, Evidence::Failed, "a stream");
+            gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, "a stream");
             let status = reply.status();
             if job.may_repeat() && job.may_send_again(Instant::now()) {
                 let reason = format!("the endpoint failed with status {}", status.as_u16());
@@ -252,7 +252,7 @@
             }
             match read_whole(reply, MAX_FAILURE_BYTES).await {
                 Ok((reply, head)) => {
-                    gateway.channels.give_back(&endpoint, channel, &head, Instant::now());
+                    gateway.keep_channel(&endpoint, channel, &head);
                     SendOnce::Begun(Begun::Failure(reply))
                 }
                 Err(reason) => ended(None, Left::MayHaveRun, reason),
@@ -265,16 +265,16 @@
             let reason = format!("refused with status {}", refusal.status);
             let blamed = at_fault.as_deref().unwrap_or(&endpoint);
             if refusal.misdirected || at_fault.is_some() {
-                gateway.on_evidence(blamed, Evidence::LacksPart, &reason);
+                gateway.on_evidence(blamed, Evidence::LacksPart, sent_at, &reason);
             }
             ended(at_fault, Left::NotRun, reason)
         }
         Ok(Sent::NotSent(reason)) => {
-            gateway.on_evidence(&endpoint, Evidence::Unreachable, &reason);
+            gateway.on_evidence(&endpoint, Evidence::Unreachable, sent_at, &reason);
             ended(None, Left::NotSent, reason)
         }
         Ok(Sent::Lost(reason)) => {
-            gateway.on_evidence(&endpoint, Evidence::Failed, &reason);
+            gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, &reason);
             ended(None, Left::MayHaveRun, reason)
         }
     }
--- a/crates/sillbank_gateway/src/streams/heard.rs
+++ b/crates/sillbank_gateway/src/streams/heard.rs
@@ -15,10 +15,15 @@
 
 #[derive(Debug)]
 struct Heard {
-    path: LayerPath,
+    /// Engines on its path that its events show to work.
+    engines: BTreeSet<EndpointId>,
     at: Instant,
 }
 
+fn engines_of(path: &LayerPath) -> BTreeSet<EndpointId> {
+    path.parts().iter().map(|part| part.endpoint.clone()).collect()
+}
+
 /// Streams in progress, by what was last heard of them.
 #[derive(Debug, Default)]
 pub struct HeardStreams {
@@ -38,7 +43,7 @@
     pub fn begin(self: &Rc<Self>, path: &LayerPath, now: Instant) -> HeardStream {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let heard = Heard { path: path.clone(), at: now };
+        let heard = Heard { engines: engines_of(path), at: now };
         self.streams.borrow_mut().insert(number, heard);
         HeardStream { all: self.clone(), number }
     }
@@ -47,7 +52,14 @@
     pub fn engines_since(&self, since: Instant) -> BTreeSet<EndpointId> {
         let streams = self.streams.borrow();
         let lively = streams.values().filter(|heard| heard.at >= since);
-        lively.flat_map(|heard| heard.path.parts()).map(|part| part.endpoint.clone()).collect()
+        lively.flat_map(|heard| heard.engines.iter().cloned()).collect()
+    }
+
+    /// An engine has started again: streams that were begun or moved before say nothing of it any more.
+    pub fn on_new_life(&self, engine: &str) {
+        for heard in self.streams.borrow_mut().values_mut() {
+            heard.engines.remove(engine);
+        }
     }
 }
 
@@ -62,7 +74,7 @@
     /// The stream goes another way from now on; nothing was heard of it yet.
     pub fn on_moved(&self, path: &LayerPath) {
         if let Some(heard) = self.all.streams.borrow_mut().get_mut(&self.number) {
-            heard.path = path.clone();
+            heard.engines = engines_of(path);
         }
     }
 }
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -174,7 +174,10 @@
     path: &LayerPath,
     since: Instant,
 ) -> Vec<EndpointId> {
-    let is_lost = |part: &&PathPart| gateway.book.ejected_since(&part.endpoint, since);
+    let is_lost = |part: &&PathPart| {
+        let (id, book) = (&part.endpoint, &gateway.book);
+        book.ejected_since(id, since) || book.renewed_since(id, since)
+    };
     path.parts().iter().filter(is_lost).map(|part| part.endpoint.clone()).collect()
 }
 
@@ -185,6 +188,7 @@
     path: &LayerPath,
     stood: Duration,
 ) -> Option<Loss> {
+    let began = Instant::now();
     let mut lost = probe_path(gateway, path, stood).await;
     lost.retain(|(id, _)| silence_means_loss(standing(gateway, id)));
     if lost.is_empty() {
@@ -192,7 +196,7 @@
     }
     let reason = "it takes no calls while a stream stands still";
     for (id, _) in &lost {
-        gateway.on_evidence(id, Evidence::Unreachable, reason);
+        gateway.on_evidence(id, Evidence::Unreachable, began, reason);
     }
     let is_certain = lost.iter().any(|(_, probe)| *probe == Probe::Refused);
     let engines = lost.into_iter().map(|(id, _)| id).collect();
@@ -206,17 +210,18 @@
     active_route: ActiveRoute<'_>,
 ) -> Option<Loss> {
     let first = active_route.endpoint;
+    let began = Instant::now();
     match diagnose(gateway, active_route.address, &job.head.request_id).await {
         Diagnosis::Working => None,
         Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
-            gateway.on_evidence(first, Evidence::Unreachable, &reason);
+            gateway.on_evidence(first, Evidence::Unreachable, began, &reason);
             Some(Loss::of(first, &reason))
         }
         Diagnosis::WaitsFor(address) => {
             let part = active_route.path.and_then(|path| path.at(address))?;
             let reason = "the first endpoint waits for it";
-            gateway.on_evidence(&part.endpoint, Evidence::Unreachable, reason);
+            gateway.on_evidence(&part.endpoint, Evidence::Unreachable, began, reason);
             Some(Loss::of(&part.endpoint, reason))
         }
     }
--- a/crates/sillbank_gateway/src/streams/pump.rs
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -77,7 +77,7 @@
             let (at_fault, reason) = match self.relay_part(&mut upstream).await {
                 PartEnd::Whole => {
                     let Upstream { channel, endpoint, head, .. } = upstream;
-                    self.gateway.channels.give_back(&endpoint, channel, &head, Instant::now());
+                    self.gateway.keep_channel(&endpoint, channel, &head);
                     return (Outcome::Answered, String::new());
                 }
                 PartEnd::Broken(at_fault, reason) => (at_fault, reason),
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -7,6 +7,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode};
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -150,6 +151,8 @@
 /// State of an engine as it reports it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineReport {
+    /// Start of the life that reports; `None` if it does not say.
+    pub born_ms: Option<BornMs>,
     /// Layers it holds; `None` if it holds none.
     pub layers: Option<LayerRange>,
     /// Whether it is carrying out an order.
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -13,6 +13,7 @@
 fn board(hall: &str, age_ms: u64, vms: u32, running: u32) -> HallBoard {
     let engine = EngineState {
         id: "e1".to_owned(),
+        born_ms: None,
         is_lost: false,
         layers: None,
         waiting: 0,
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -18,6 +18,7 @@
 fn record(id: &str) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "quotes".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: "a".to_owned(),
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -52,6 +52,7 @@
 fn record(id: &str, kind: &str, first: u16, end: u16) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "gen".to_owned(),
         address: "10.0.0.9:80".parse().expect("an address"),
         hall: HOME.to_owned(),
@@ -66,6 +67,7 @@
 fn idle(record: &EndpointRecord) -> EngineState {
     EngineState {
         id: record.id.clone(),
+        born_ms: record.born_ms,
         is_lost: false,
         layers: record.layers,
         waiting: 0,
--- a/crates/sillbank_gateway/tests/reports.rs
+++ b/crates/sillbank_gateway/tests/reports.rs
@@ -5,6 +5,7 @@
 
 fn report() -> ReportOutcome {
     ReportOutcome::Reported(EngineReport {
+        born_ms: None,
         layers: None,
         order_under_way: false,
         orders_taken: 0,
