Entries of another writer: each object is read for itself

One object of a list or a watch that was not as expected spoilt the whole answer, so nobody heard of any endpoint; entries with fields missing or states that are not known named endpoints to use.

What cannot be read is told by name: a known endpoint takes no new work until it can be read again, one line an entry and version, a counter. Halls are those of services that are configured. Reports with absurd figures count as full and usual, ones with layers beyond the model are not believed.

Ruled out: believing the readable fields of a spoilt entry; taking its endpoint out (running streams would be moved for nothing).

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::difference::{ChangeNumber, Difference, Removals};
 use crate::lives::{LifeOrder, compare_lives};
 use crate::reach::{StoreReach, StoreTrouble};
-use crate::record::{BornMs, EndpointRecord, Standing};
+use crate::record::{BornMs, EndpointRecord, Listing, Standing, UnreadableEntry};
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,8 @@
         /// Life that had written it; `None` if that is not known.
         born_ms: Option<BornMs>,
     },
+    /// The entry cannot be read any more.
+    Unreadable(UnreadableEntry),
 }
 
 /// What the removal of an entry means.
@@ -93,14 +95,20 @@
     pub fn on_listing(
         &mut self,
         now: Instant,
-        records: Vec<EndpointRecord>,
+        listing: impl Into<Listing>,
     ) -> Vec<(EndpointId, Removal)> {
-        let listed: BTreeSet<EndpointId> = records.iter().map(|record| record.id.clone()).collect();
+        let Listing { records, unreadable } = listing.into();
+        let ids = records.iter().map(|record| &record.id);
+        let ids = ids.chain(unreadable.iter().map(|entry| &entry.id));
+        let listed: BTreeSet<EndpointId> = ids.cloned().collect();
         let is_missing = |id: &&EndpointId| !listed.contains(*id);
         let missing: Vec<EndpointId> = self.entries.keys().filter(is_missing).cloned().collect();
         for record in records {
             self.put(record);
         }
+        for entry in unreadable {
+            self.on_unreadable(&entry.id);
+        }
         missing.into_iter().map(|id| (id.clone(), self.remove(now, &id))).collect()
     }
 
@@ -115,6 +123,10 @@
             Change::Removed { id, born_ms } => {
                 !self.is_of_older_life(&id, born_ms) && self.take_out(&id)
             }
+            Change::Unreadable(entry) => {
+                self.on_unreadable(&entry.id);
+                false
+            }
         }
     }
 
@@ -198,6 +210,10 @@
                 true => Some(Removal::OlderLife),
                 false => Some(self.remove(now, &id)),
             },
+            Change::Unreadable(entry) => {
+                self.on_unreadable(&entry.id);
+                None
+            }
         }
     }
 
@@ -299,6 +315,15 @@
         }
     }
 
+    /// An endpoint whose entry cannot be read takes no new work until it can be read again.
+    fn on_unreadable(&mut self, id: &str) {
+        if let Some(known) = self.entries.get(id) {
+            let newest_life = known.newest_life;
+            let record = EndpointRecord { standing: Standing::Leaving, ..known.record.clone() };
+            self.keep(record, newest_life, false);
+        }
+    }
+
     /// Whether news are of a life that is older than the one that wrote the entry.
     fn is_of_older_life(&self, id: &str, born_ms: Option<BornMs>) -> bool {
         let written_by = self.get(id).and_then(|record| record.born_ms);
--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -24,13 +24,14 @@
 pub use directory::{Change, Directory, Removal};
 pub use lives::{LifeOrder, compare_lives};
 pub use reach::{LAPSE_GRACE, StoreTrouble};
-pub use record::{BornMs, EndpointRecord, Standing};
+pub use record::{BornMs, EndpointRecord, Listing, Standing, UnreadableEntry};
 pub use replication::{Recency, Replication};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
         BornMs, Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE,
-        LifeOrder, Recency, Removal, Replication, Standing, StoreTrouble, compare_lives,
+        LifeOrder, Listing, Recency, Removal, Replication, Standing, StoreTrouble, UnreadableEntry,
+        compare_lives,
     };
 }
--- a/crates/sillbank_fleet/src/record.rs
+++ b/crates/sillbank_fleet/src/record.rs
@@ -38,3 +38,29 @@
     /// Layers it held when it last wrote its entry, if it runs a model.
     pub layers: Option<LayerRange>,
 }
+
+/// An entry that cannot be read: another writer left it. It names no endpoint to use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnreadableEntry {
+    /// Whose entry it is; empty if not even that can be read.
+    pub id: EndpointId,
+    /// Revision of the store that made the entry what it is, if it can be read.
+    pub version: Option<u64>,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// All entries of the store at a moment.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Entries that can be read.
+    pub records: Vec<EndpointRecord>,
+    /// The others.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+impl From<Vec<EndpointRecord>> for Listing {
+    fn from(records: Vec<EndpointRecord>) -> Self {
+        Self { records, unreadable: Vec::new() }
+    }
+}
--- a/crates/sillbank_fleet/src/replication.rs
+++ b/crates/sillbank_fleet/src/replication.rs
@@ -68,6 +68,8 @@
             let (id, is_put) = match &change {
                 Change::Put(record) => (record.id.clone(), true),
                 Change::Removed { id, .. } => (id.clone(), false),
+                // It is still listed.
+                Change::Unreadable(entry) => (entry.id.clone(), true),
             };
             if let Some(listed) = &mut self.listed {
                 match is_put {
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -24,7 +24,7 @@
 fn directory(ids: &[&str]) -> (Directory, Instant) {
     let now = Instant::now();
     let mut directory = Directory::default();
-    let records = ids.iter().map(|id| record(id, Standing::Ready)).collect();
+    let records: Vec<_> = ids.iter().map(|id| record(id, Standing::Ready)).collect();
     directory.on_listing(now, records);
     (directory, now)
 }
@@ -157,3 +157,36 @@
 
     assert_eq!(removal, Some(Removal::Lapsed));
 }
+
+fn unreadable(id: &str) -> UnreadableEntry {
+    UnreadableEntry { id: id.to_owned(), version: Some(7), reason: "no address".to_owned() }
+}
+
+#[test]
+fn an_endpoint_whose_entry_cannot_be_read_takes_no_new_work_until_it_can_be() {
+    let (mut directory, now) = directory(&["a", "b"]);
+
+    directory.on_change(now, Change::Unreadable(unreadable("a")));
+
+    assert!(directory.usable("a").is_none() && directory.usable("b").is_some());
+    assert!(directory.get("a").is_some(), "it ends what it has");
+
+    directory.on_change(now, Change::Put(record("a", Standing::Ready)));
+
+    assert!(directory.usable("a").is_some());
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_is_listed_and_names_nobody_new() {
+    let (mut directory, now) = directory(&["a", "b"]);
+    let listing = Listing {
+        records: vec![record("b", Standing::Ready)],
+        unreadable: vec![unreadable("a"), unreadable("c"), unreadable("")],
+    };
+
+    let removals = directory.on_listing(now, listing);
+
+    assert!(removals.is_empty());
+    let standings: Vec<_> = directory.iter().map(|r| (r.id.as_str(), r.standing)).collect();
+    assert_eq!(standings, [("a", Standing::Leaving), ("b", Standing::Ready)]);
+}
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -25,7 +25,8 @@
 
 fn source(ids: &[&str]) -> Directory {
     let mut directory = Directory::default();
-    directory.on_listing(Instant::now(), ids.iter().map(|id| record(id, 1)).collect());
+    let records: Vec<_> = ids.iter().map(|id| record(id, 1)).collect();
+    directory.on_listing(Instant::now(), records);
     directory
 }
 
--- a/crates/sillbank_gateway/src/counted_store.rs
+++ b/crates/sillbank_gateway/src/counted_store.rs
@@ -43,7 +43,7 @@
         self.count("watch_configuration").watch_catalog(since, wait).await
     }
 
-    async fn list_endpoints(&self) -> Result<Snapshot<Vec<EndpointRecord>>, StoreError> {
+    async fn list_endpoints(&self) -> Result<Snapshot<Listing>, StoreError> {
         self.count("list_endpoints").list_endpoints().await
     }
 
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -200,12 +200,10 @@
     followed: &mut BTreeSet<HallId>,
 ) {
     let own = gateway.settings().hall.clone();
-    let halls: BTreeSet<HallId> = gateway.knowledge.endpoints(|directory| {
-        directory.iter().map(|record| record.hall.clone()).filter(|hall| *hall != own).collect()
-    });
-    for hall in halls {
+    let halls = gateway.knowledge.halls();
+    for hall in halls.iter().filter(|hall| **hall != own) {
         if followed.insert(hall.clone()) {
-            gateway.executor.spawn(follow_other_hall(gateway.clone(), hall)).detach();
+            gateway.executor.spawn(follow_other_hall(gateway.clone(), hall.clone())).detach();
         }
     }
 }
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -1,6 +1,7 @@
 //! Messages of the feed, as postcard frames over TCP.
 
 use crate::hall::Strength;
+use crate::wire::EngineReport;
 use serde::{Deserialize, Serialize};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -110,11 +111,46 @@
 /// Change of an engine's pace from which it is told again, in thousandths.
 const PACE_CHANGE_PERMILLE: u32 = 200;
 
+/// Largest share and slowest pace that are told, in thousandths.
+const MOST_PERMILLE: f64 = 1_000.0;
+const SLOWEST_PERMILLE: f64 = 1_000_000.0;
+
+/// A share in thousandths. One that is no share is told as full: nobody is sent where it is not known
+/// whether there is room.
+fn kv_permille(share: f64) -> u16 {
+    match share >= 0.0 {
+        true => (share * MOST_PERMILLE).min(MOST_PERMILLE) as u16,
+        false => MOST_PERMILLE as u16,
+    }
+}
+
+/// A pace in thousandths, never quicker than usual.
+fn pace_permille(pace: f64) -> u32 {
+    match pace > 1.0 {
+        true => (pace * 1_000.0).min(SLOWEST_PERMILLE) as u32,
+        false => 1_000,
+    }
+}
+
 impl EngineState {
+    /// An engine by its newest report; `None` if it is lost. `newest_life` is the one that it tells of.
+    pub fn new(id: EndpointId, newest_life: Option<BornMs>, report: Option<&EngineReport>) -> Self {
+        Self {
+            id,
+            born_ms: newest_life,
+            is_lost: report.is_none(),
+            layers: report.and_then(|report| report.layers),
+            waiting: report.map_or(0, |report| report.waiting),
+            running: report.map_or(0, |report| report.running),
+            kv_permille: report.map_or(0, |report| kv_permille(report.kv_share)),
+            pace_permille: report.map_or(1_000, |report| pace_permille(report.pace)),
+        }
+    }
+
     /// Whether the choice of paths is the same by another state of the engine. Engines are told of only
     /// when they differ, so that what a leader tells does not grow with engines times VMs.
     pub fn is_about(&self, other: &Self) -> bool {
-        let requests = |state: &Self| state.running + state.waiting;
+        let requests = |state: &Self| state.running.saturating_add(state.waiting);
         let is_nearly_full = self.kv_permille.max(other.kv_permille) >= NEARLY_FULL_PERMILLE;
         let tell_from = if is_nearly_full { TELL_FROM_NEARLY_FULL } else { TELL_FROM };
         self.born_ms == other.born_ms
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -181,6 +181,10 @@
     let list = gateway.store.list_endpoints().await?;
     gateway.on_store_answer("endpoints");
     let at = list.at;
+    for entry in &list.value.unreadable {
+        gateway.on_unreadable(entry);
+    }
+    gateway.unreadable.retain(&list.value.unreadable);
     let removals = gateway.knowledge.take_endpoints(Instant::now(), list);
     gateway.clear_older_lives();
     gateway.on_removals(&removals);
@@ -197,8 +201,13 @@
     gateway.on_store_answer("endpoints");
     let at = changes.at;
     for change in &changes.value {
-        if let Change::Put(record) = change {
-            gateway.decisions.endpoint_listed(record, at);
+        match change {
+            Change::Put(record) => {
+                gateway.unreadable.forget(&record.id);
+                gateway.decisions.endpoint_listed(record, at);
+            }
+            Change::Unreadable(entry) => gateway.on_unreadable(entry),
+            Change::Removed { .. } => {}
         }
     }
     let removals = gateway.knowledge.take_changes(Instant::now(), changes);
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::{Revision, StoreError};
 use crate::streams::HeardStreams;
+use crate::unreadable::UnreadableEntries;
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
 use sillbank_admission::returns::ReturnTimes;
@@ -22,7 +23,7 @@
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -54,6 +55,8 @@
     pub store: CountedStore<S>,
     /// Configuration and endpoints.
     pub knowledge: Knowledge,
+    /// Entries of endpoints that cannot be read.
+    pub unreadable: UnreadableEntries,
     /// Who leads this hall, and what leaders tell of engines.
     pub hall: Hall,
     /// What was seen of endpoints.
@@ -96,6 +99,7 @@
             knowledge: Knowledge::new(settings.key_revocation),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
+            unreadable: UnreadableEntries::default(),
             hall: Hall::default(),
             book: Rc::default(),
             heard: Rc::default(),
@@ -180,10 +184,18 @@
         }
     }
 
+    /// An entry of an endpoint cannot be read.
+    pub fn on_unreadable(&self, entry: &UnreadableEntry) {
+        if self.unreadable.note(entry) {
+            self.metrics.unreadable.get_or_create(&KindLabel { kind: "entry" }).inc();
+        }
+    }
+
     /// Entries of endpoints are gone.
     pub fn on_removals(&self, removals: &[(EndpointId, Removal)]) {
         let stamp = self.knowledge.stamp(Instant::now());
         for (id, removal) in removals {
+            self.unreadable.forget(id);
             self.decisions.endpoint_removed(id, *removal, stamp);
             if *removal == Removal::Gone {
                 self.channels.forget(id);
@@ -293,9 +305,7 @@
 
     /// VMs of the fleet as far as known, cautiously.
     fn fleet_vms(&self, now: Instant) -> u32 {
-        let halls: BTreeSet<HallId> = self
-            .knowledge
-            .endpoints(|directory| directory.iter().map(|record| record.hall.clone()).collect());
+        let halls = self.knowledge.halls();
         self.hall.boards.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
     }
 
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -6,6 +6,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
@@ -38,6 +39,8 @@
     catalog_at: Cell<Revision>,
     endpoints_at: Cell<Revision>,
     generation: Cell<u64>,
+    /// Halls of the endpoints as of a generation.
+    halls: RefCell<(u64, Rc<BTreeSet<HallId>>)>,
     confirmations: Cell<u64>,
     parts: RefCell<Option<Rc<CatalogParts>>>,
     waiting: RefCell<Vec<Waker>>,
@@ -54,6 +57,7 @@
             catalog_at: Cell::new(0),
             endpoints_at: Cell::new(0),
             generation: Cell::new(0),
+            halls: RefCell::default(),
             confirmations: Cell::new(0),
             parts: RefCell::default(),
             waiting: RefCell::default(),
@@ -131,7 +135,7 @@
     pub fn take_endpoints(
         &self,
         now: Instant,
-        list: Snapshot<Vec<EndpointRecord>>,
+        list: Snapshot<impl Into<Listing>>,
     ) -> Vec<(String, Removal)> {
         if list.at < self.endpoints_at.get() {
             tracing::info!(at = list.at, "endpoint: A list was late; newer entries are known.");
@@ -225,6 +229,7 @@
             let id = match &change {
                 Change::Put(record) => record.id.clone(),
                 Change::Removed { id, .. } => id.clone(),
+                Change::Unreadable(entry) => entry.id.clone(),
             };
             if let Some(removal) = directory.on_change(now, change) {
                 removals.push((id, removal));
@@ -269,6 +274,25 @@
         over
     }
 
+    /// Halls in which endpoints are listed whose service is configured. Entries that another writer left may
+    /// name any hall, and nobody serves there.
+    pub fn halls(&self) -> Rc<BTreeSet<HallId>> {
+        let generation = self.generation.get();
+        let known = self.halls.borrow().clone();
+        if known.0 == generation {
+            return known.1;
+        }
+        let catalog = self.catalog.borrow();
+        let is_served = |record: &&EndpointRecord| {
+            catalog.as_ref().is_some_and(|catalog| catalog.service(&record.service).is_some())
+        };
+        let directory = self.directory.borrow();
+        let served = directory.iter().filter(is_served);
+        let halls = Rc::new(served.map(|record| record.hall.clone()).collect());
+        *self.halls.borrow_mut() = (generation, Rc::clone(&halls));
+        halls
+    }
+
     /// Looks at the endpoints.
     pub fn endpoints<T>(&self, look: impl FnOnce(&Directory) -> T) -> T {
         look(&self.directory.borrow())
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
-//! - [`lives`] ends what is kept of endpoints that start again.
+//! - [`lives`] ends what is kept of endpoints that start again, [`unreadable`] tells of entries that name none.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -49,6 +49,7 @@
 pub mod store;
 pub mod streams;
 pub mod tries;
+pub mod unreadable;
 pub mod wire;
 
 /// The few types most users need.
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub store_errors: Family<KindLabel, Counter>,
     /// Configurations that could not be used.
     pub catalog_faults: Counter,
+    /// Entries and reports of endpoints that could not be read.
+    pub unreadable: Family<KindLabel, Counter>,
     /// Endpoints that were found to have started again under their id.
     pub renewed_endpoints: Counter,
     /// Connections to endpoints: new, reused.
@@ -81,6 +83,7 @@
         let store_calls = StoreCalls::default();
         let store_errors = Family::default();
         let catalog_faults = Counter::default();
+        let unreadable = Family::default();
         let renewed_endpoints = Counter::default();
         let connections = Family::default();
         let orders = Family::default();
@@ -95,6 +98,8 @@
         registry.register("store_calls", "Store calls by kind", store_calls.clone());
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
+        let help = "Entries and reports of endpoints that cannot be read";
+        registry.register("unreadable", help, unreadable.clone());
         let help = "Endpoints started again under their id";
         registry.register("renewed_endpoints", help, renewed_endpoints.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
@@ -112,6 +117,7 @@
             store_calls,
             store_errors,
             catalog_faults,
+            unreadable,
             renewed_endpoints,
             connections,
             orders,
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -205,7 +205,9 @@
     let told = hall.boards.engine(&record.hall, &record.id, now, read).flatten();
     // What the hall's leader heard from the engine is newer than its entry in the store.
     let layers = told.as_ref().map_or(record.layers, |told| told.layers);
-    let layers = layers.filter(|layers| !layers.is_empty())?;
+    // Layers that the model does not have are told by an engine that is not to be believed.
+    let is_of_model = |held: &LayerRange| !held.is_empty() && held.end <= figures.layers;
+    let layers = layers.filter(is_of_model)?;
     let told = told.unwrap_or_default();
     let kind = record.accelerator.as_deref().and_then(|kind| figures.accelerator(kind));
     let factor = kind.map_or(1.0, |kind| kind.step_factor);
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -79,17 +79,7 @@
         let settings = self.gateway.settings();
         let now = Instant::now();
         let engines = self.known.iter().map(|(id, known)| {
-            let report = known.report.as_ref();
-            EngineState {
-                id: id.clone(),
-                born_ms: known.newest_life(),
-                is_lost: report.is_none(),
-                layers: report.and_then(|report| report.layers),
-                waiting: report.map_or(0, |report| report.waiting),
-                running: report.map_or(0, |report| report.running),
-                kv_permille: report.map_or(0, |report| (report.kv_share * 1000.0) as u16),
-                pace_permille: report.map_or(1000, |report| (report.pace * 1000.0) as u32),
-            }
+            EngineState::new(id.clone(), known.newest_life(), known.report.as_ref())
         });
         let vms = self.gateway.hall.vms(now);
         self.gateway.hall.note_hall_vms(vms);
@@ -156,7 +146,7 @@
                 let in_hall = directory.usable_of(service).filter(|record| record.hall == hall);
                 in_hall.map(|record| (record.id.clone(), record.clone())).collect()
             });
-        self.ask_all(&engines).await;
+        self.ask_all(&engines, figures.layers).await;
         let now = Instant::now();
         let ids: Vec<EndpointId> = engines.keys().cloned().collect();
         if self.members.0 != ids {
@@ -198,7 +188,8 @@
     fn load(&self) -> f64 {
         let reports = self.known.values().filter_map(|known| known.report.as_ref());
         let firsts = reports.filter(|report| report.layers.is_some_and(|layers| layers.first == 0));
-        let requests: f64 = firsts.map(|report| f64::from(report.running + report.waiting)).sum();
+        let requests =
+            firsts.map(|report| f64::from(report.running) + f64::from(report.waiting)).sum::<f64>();
         requests * LOAD_MARGIN
     }
 
@@ -221,8 +212,8 @@
         report.layers.filter(|layers| !layers.is_empty())
     }
 
-    /// Asks all engines for their reports at once.
-    async fn ask_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>) {
+    /// Asks all engines for their reports at once; the model has so many layers.
+    async fn ask_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>, layers: u16) {
         self.known.retain(|id, _| engines.contains_key(id));
         for id in engines.keys() {
             let newest_life = self.gateway.knowledge.endpoints(|known| known.newest_life(id));
@@ -236,9 +227,16 @@
             })
             .collect();
         for (id, task) in asking {
-            let asked = task.await;
+            let asked = task.await.within(layers);
             let is_suspect = self.gateway.book.is_ejected(&id);
-            self.known.entry(id).or_default().on_asked(asked, is_suspect);
+            let known = self.known.entry(id.clone()).or_default();
+            if let ReportOutcome::Unreadable(reason) = &asked {
+                self.gateway.metrics.unreadable.get_or_create(&KindLabel { kind: "report" }).inc();
+                if known.is_new_fault(reason) {
+                    tracing::warn!(endpoint = id, reason, "endpoint: Its reports cannot be read.");
+                }
+            }
+            known.on_asked(asked, is_suspect);
         }
     }
 
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -24,6 +24,8 @@
     pub report: Option<EngineReport>,
     /// Reports in a row that are missing.
     missed: u32,
+    /// Why its last report could not be read, since one could be.
+    fault: Option<String>,
     /// Layers it was ordered to hold last, and when.
     pub ordered: Option<(LayerRange, Instant)>,
 }
@@ -35,11 +37,31 @@
     Reported(EngineReport),
     /// Nothing listens at its address.
     Refused,
-    /// No report came, or none that can be read.
+    /// No report came.
     Missed,
+    /// What came is no report; why.
+    Unreadable(String),
+}
+
+impl ReportOutcome {
+    /// The same, but for a report of layers that a model of `layers` layers does not have: it is not believed.
+    pub fn within(self, layers: u16) -> Self {
+        match &self {
+            Self::Reported(report) if report.layers.is_some_and(|held| held.end > layers) => {
+                Self::Unreadable(format!("it tells of layers beyond the {layers} of the model"))
+            }
+            _ => self,
+        }
+    }
 }
 
 impl KnownEngine {
+    /// Notes why a report cannot be read; answers whether that is new since the last one that could be.
+    pub fn is_new_fault(&mut self, reason: &str) -> bool {
+        let before = self.fault.replace(reason.to_owned());
+        before.as_deref() != Some(reason)
+    }
+
     /// The newest life that is known of it.
     pub fn newest_life(&self) -> Option<BornMs> {
         self.newest_life
@@ -61,10 +83,11 @@
             ReportOutcome::Reported(report) => {
                 self.on_life(report.born_ms);
                 self.report = Some(report);
+                self.fault = None;
                 self.missed = 0;
             }
             ReportOutcome::Refused => self.report = None,
-            ReportOutcome::Missed => {
+            ReportOutcome::Missed | ReportOutcome::Unreadable(_) => {
                 self.missed += 1;
                 if is_suspect || self.missed >= MISSED_REPORTS {
                     self.report = None;
@@ -92,9 +115,6 @@
     };
     match W::read_report(&reply.body) {
         Ok(report) => ReportOutcome::Reported(report),
-        Err(error) => {
-            tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
-            ReportOutcome::Missed
-        }
+        Err(error) => ReportOutcome::Unreadable(error.to_string()),
     }
 }
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -69,9 +69,7 @@
     ) -> impl Future<Output = Result<Snapshot<Option<CatalogRead>>, StoreError>>;
 
     /// Lists all endpoints.
-    fn list_endpoints(
-        &self,
-    ) -> impl Future<Output = Result<Snapshot<Vec<EndpointRecord>>, StoreError>>;
+    fn list_endpoints(&self) -> impl Future<Output = Result<Snapshot<Listing>, StoreError>>;
 
     /// Waits for changes of endpoints; empty if there were none within `wait`.
     fn watch_endpoints(
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -68,7 +68,8 @@
 /// What a leader that knows only these endpoints tells a VM that has seen nothing of it.
 fn told_by_leader(ids: &[&str], most: usize) -> Difference {
     let mut leader = Directory::default();
-    leader.on_listing(Instant::now(), ids.iter().map(|id| record(id)).collect());
+    let records: Vec<_> = ids.iter().map(|id| record(id)).collect();
+    leader.on_listing(Instant::now(), records);
     leader.difference(0, most)
 }
 
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -301,3 +301,20 @@
 fn a_request_is_not_sent_when_no_hall_has_room() {
     assert!(beside_another_hall(1_000, 1_000).is_none());
 }
+
+/// Such an engine is not to be believed, whether its entry says so or its hall's leader heard it.
+#[test]
+fn an_engine_that_tells_of_layers_beyond_the_model_runs_none() {
+    let beyond = LayerRange { first: 0, end: LAYERS + 1 };
+    let sound = record("sound", "slow", 0, LAYERS);
+    let liar = record("liar", "quick", 0, LAYERS);
+    let by_entry = EndpointRecord { layers: Some(beyond), ..liar.clone() };
+    let by_report = EngineState { layers: Some(beyond), ..idle(&liar) };
+
+    let paths = [
+        chosen(&[sound.clone(), by_entry], vec![idle(&sound)]),
+        chosen(&[sound.clone(), liar], vec![idle(&sound), by_report]),
+    ];
+
+    assert_eq!(paths, [["sound"], ["sound"]]);
+}
