Refusals: a reply proves that a request was not run only if it can be its own

A refusal whose id could not be read, that named two requests, or that named none in the place where a surplus reply may stand was taken as a proof, and so was a success that says that it was not run: the caller was then told 503, or the request was sent again, though it had run.

Replies are read by all their ids and by their place on the connection. All other paths to 408, 421, 429 and 503 were gone through (answers, calls, sending, callers, streams, serve, lifecycle, RunLog): each says so only with nothing sent or with a proof for each send; nothing else had to be mended.

Existing tests: wire.rs names the place of a reply; the stand-in's refusals carry the id back, as the platform's do.

--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -60,6 +60,6 @@
     pub use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
     pub use crate::wire::{
         BadHead, CallerHead, EndpointReply, EngineReport, GiveUp, OrderEnd, PlaceOrder, Refusal,
-        Sending, StalledRequest, TokenCounts, Unreadable, Wire,
+        ReplyPlace, Sending, StalledRequest, TokenCounts, Unreadable, Wire,
     };
 }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -7,7 +7,7 @@
 use crate::job::Job;
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
-use crate::wire::{EndpointReply, Refusal, Wire};
+use crate::wire::{EndpointReply, Refusal, ReplyPlace, Wire};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
@@ -93,7 +93,11 @@
             };
         }
     };
-    match W::read_reply(reply.status(), reply.headers(), &job.head.request_id) {
+    let place = match channel.reused {
+        true => ReplyPlace::AfterOthers,
+        false => ReplyPlace::First,
+    };
+    match W::read_reply(reply.status(), reply.headers(), &job.head.request_id, place) {
         EndpointReply::Success => {
             job.note_run(RunLog::ran);
             Sent::Success(reply, channel)
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -70,6 +70,15 @@
     pub resume_after: Option<EventNumber>,
 }
 
+/// Where a reply stands on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplyPlace {
+    /// It is the first one, so it can only be the reply to the request that was sent.
+    First,
+    /// Others went before it, so it may be a surplus reply to one of their requests.
+    AfterOthers,
+}
+
 /// What the head of an endpoint's reply says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointReply {
@@ -188,7 +197,12 @@
     fn prepare_sending(headers: &mut HeaderMap, sending: &Sending<'_>);
 
     /// Reads the head of an endpoint's reply to a request.
-    fn read_reply(status: StatusCode, headers: &HeaderMap, request_id: &str) -> EndpointReply;
+    fn read_reply(
+        status: StatusCode,
+        headers: &HeaderMap,
+        request_id: &str,
+        place: ReplyPlace,
+    ) -> EndpointReply;
 
     /// The value of a `Retry-After` header.
     fn retry_after(after: Duration) -> HeaderValue;
