--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::{Revision, StoreError};
 use crate::streams::HeardStreams;
+use crate::unreadable::UnreadableEntries;
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
 use sillbank_admission::returns::ReturnTimes;
@@ -26,7 +27,7 @@
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -58,6 +59,8 @@
     pub store: CountedStore<S>,
     /// Configuration and endpoints.
     pub knowledge: Knowledge,
+    /// Entries of endpoints that cannot be read.
+    pub unreadable: UnreadableEntries,
     /// Who leads this hall, and what leaders tell of engines.
     pub hall: Hall,
     /// What was seen of endpoints.
@@ -109,6 +112,7 @@
             knowledge: Knowledge::new(settings.key_revocation),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
+            unreadable: UnreadableEntries::default(),
             hall: Hall::new(chance.clone()),
             book: Rc::default(),
             call_book: CallBook::default(),
@@ -214,10 +218,18 @@
         }
     }
 
+    /// An entry of an endpoint cannot be read.
+    pub fn on_unreadable(&self, entry: &UnreadableEntry) {
+        if self.unreadable.note(entry) {
+            self.metrics.unreadable.get_or_create(&KindLabel { kind: "entry" }).inc();
+        }
+    }
+
     /// Entries of endpoints are gone.
     pub fn on_removals(&self, removals: &[(EndpointId, Removal)]) {
         let stamp = self.knowledge.stamp(Instant::now());
         for (id, removal) in removals {
+            self.unreadable.forget(id);
             self.decisions.endpoint_removed(id, *removal, stamp);
             if *removal == Removal::Gone {
                 self.channels.forget(id);
@@ -234,6 +246,7 @@
         is_wanted: bool,
     ) {
         let gone = self.knowledge.take_told(replication, at, difference, is_wanted);
+        self.clear_older_lives();
         let removals: Vec<_> = gone.into_iter().map(|id| (id, Removal::Gone)).collect();
         self.on_removals(&removals);
     }
@@ -243,9 +256,13 @@
         self.store_reached.get()
     }
 
-    /// Takes evidence of an endpoint's health and logs a change of its standing.
-    pub fn on_evidence(&self, endpoint: &str, evidence: Evidence, reason: &str) {
+    /// Takes evidence of an endpoint's health, by an exchange that began at a moment, and logs a change of its
+    /// standing. What began before the endpoint started again tells nothing of it.
+    pub fn on_evidence(&self, endpoint: &str, evidence: Evidence, began: Instant, reason: &str) {
         let now = Instant::now();
+        if self.book.renewed_since(endpoint, began) {
+            return;
+        }
         if !self.book.on_evidence(endpoint, evidence, now) {
             return;
         }
@@ -326,9 +343,7 @@
 
     /// VMs of the fleet as far as known, cautiously.
     fn fleet_vms(&self, now: Instant) -> u32 {
-        let halls: BTreeSet<HallId> = self
-            .knowledge
-            .endpoints(|directory| directory.iter().map(|record| record.hall.clone()).collect());
+        let halls = self.knowledge.halls();
         self.hall.boards.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
     }
 
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -6,6 +6,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
@@ -38,6 +39,8 @@
     catalog_at: Cell<Revision>,
     endpoints_at: Cell<Revision>,
     generation: Cell<u64>,
+    /// Halls of the endpoints as of a generation.
+    halls: RefCell<(u64, Rc<BTreeSet<HallId>>)>,
     confirmations: Cell<u64>,
     parts: RefCell<Option<Rc<CatalogParts>>>,
     waiting: RefCell<Vec<Waker>>,
@@ -54,6 +57,7 @@
             catalog_at: Cell::new(0),
             endpoints_at: Cell::new(0),
             generation: Cell::new(0),
+            halls: RefCell::default(),
             confirmations: Cell::new(0),
             parts: RefCell::default(),
             waiting: RefCell::default(),
@@ -126,12 +130,17 @@
         self.endpoints_at.get() > 0
     }
 
-    /// Takes a whole list of endpoints; answers what became of each that is missing in it.
+    /// Takes a whole list of endpoints unless it is older than what is known; answers what became of each
+    /// that is missing in it.
     pub fn take_endpoints(
         &self,
         now: Instant,
-        list: Snapshot<Vec<EndpointRecord>>,
+        list: Snapshot<impl Into<Listing>>,
     ) -> Vec<(String, Removal)> {
+        if list.at < self.endpoints_at.get() {
+            tracing::info!(at = list.at, "endpoint: A list was late; newer entries are known.");
+            return Vec::new();
+        }
         self.endpoints_at.set(list.at);
         self.change();
         self.directory.borrow_mut().on_listing(now, list.value)
@@ -196,12 +205,19 @@
         .await;
     }
 
-    /// Takes changes of endpoints; answers what each removal means.
+    /// Takes changes of endpoints unless they are older than what is known; answers what each removal means.
     pub fn take_changes(
         &self,
         now: Instant,
         changes: Snapshot<Vec<Change>>,
     ) -> Vec<(String, Removal)> {
+        if changes.at < self.endpoints_at.get() {
+            tracing::info!(
+                at = changes.at,
+                "endpoint: Changes were late; newer entries are known."
+            );
+            return Vec::new();
+        }
         self.endpoints_at.set(changes.at);
         if changes.value.is_empty() {
             return Vec::new();
@@ -212,7 +228,8 @@
         for change in changes.value {
             let id = match &change {
                 Change::Put(record) => record.id.clone(),
-                Change::Removed(id) => id.clone(),
+                Change::Removed { id, .. } => id.clone(),
+                Change::Unreadable(entry) => entry.id.clone(),
             };
             if let Some(removal) = directory.on_change(now, change) {
                 removals.push((id, removal));
@@ -221,6 +238,23 @@
         removals
     }
 
+    /// An endpoint told of its life itself.
+    pub fn hear_life(&self, id: &str, born_ms: BornMs) {
+        let mut directory = self.directory.borrow_mut();
+        let before = directory.newest_change();
+        directory.on_life(id, born_ms);
+        let has_changed = directory.newest_change() != before;
+        drop(directory);
+        if has_changed {
+            self.change();
+        }
+    }
+
+    /// Endpoints that were found to have started again since this was last asked.
+    pub fn take_renewed(&self) -> Vec<EndpointId> {
+        self.directory.borrow_mut().take_renewed()
+    }
+
     /// The store answered again.
     pub fn on_store_back(&self, now: Instant) {
         self.directory.borrow_mut().on_store_back(now);
@@ -240,6 +274,25 @@
         over
     }
 
+    /// Halls in which endpoints are listed whose service is configured. Entries that another writer left may
+    /// name any hall, and nobody serves there.
+    pub fn halls(&self) -> Rc<BTreeSet<HallId>> {
+        let generation = self.generation.get();
+        let known = self.halls.borrow().clone();
+        if known.0 == generation {
+            return known.1;
+        }
+        let catalog = self.catalog.borrow();
+        let is_served = |record: &&EndpointRecord| {
+            catalog.as_ref().is_some_and(|catalog| catalog.service(&record.service).is_some())
+        };
+        let directory = self.directory.borrow();
+        let served = directory.iter().filter(is_served);
+        let halls = Rc::new(served.map(|record| record.hall.clone()).collect());
+        *self.halls.borrow_mut() = (generation, Rc::clone(&halls));
+        halls
+    }
+
     /// Looks at the endpoints.
     pub fn endpoints<T>(&self, look: impl FnOnce(&Directory) -> T) -> T {
         look(&self.directory.borrow())
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`callers`] admits a request; [`calls`] and [`streams`] carry it out; [`call_book`] keeps how long calls took.
 //! - [`knowledge`] holds what is believed of the platform, [`follow`] keeps it up to date.
+//! - [`lives`] ends what is kept of endpoints that start again, [`unreadable`] tells of entries that name none.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`load`] says who is let in when not all fit.
@@ -38,6 +39,7 @@
 pub mod job;
 pub mod knowledge;
 pub mod lifecycle;
+pub mod lives;
 pub mod load;
 pub mod mechanisms;
 pub mod metrics;
@@ -51,6 +53,7 @@
 pub mod store;
 pub mod streams;
 pub mod tries;
+pub mod unreadable;
 pub mod wire;
 
 /// The few types most users need.
@@ -61,6 +64,6 @@
     pub use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
     pub use crate::wire::{
         BadHead, CallerHead, EndpointReply, EngineReport, GiveUp, OrderEnd, PlaceOrder, Refusal,
-        Sending, StalledRequest, TokenCounts, Unreadable, Wire,
+        ReplyPlace, Sending, StalledRequest, TokenCounts, Unreadable, Wire,
     };
 }
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -4,6 +4,7 @@
 use crate::store::MetadataStore;
 use crate::wire::{EngineReport, Wire};
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,10 +18,14 @@
 /// What is known of one engine by asking it.
 #[derive(Debug, Clone, Default)]
 pub struct KnownEngine {
+    /// The newest life that its entry or its reports told of.
+    newest_life: Option<BornMs>,
     /// Its newest report, unless it is lost.
     pub report: Option<EngineReport>,
     /// Reports in a row that are missing.
     missed: u32,
+    /// Why its last report could not be read, since one could be.
+    fault: Option<String>,
     /// Layers it was ordered to hold last, and when.
     pub ordered: Option<(LayerRange, Instant)>,
 }
@@ -32,20 +37,57 @@
     Reported(EngineReport),
     /// Nothing listens at its address.
     Refused,
-    /// No report came, or none that can be read.
+    /// No report came.
     Missed,
+    /// What came is no report; why.
+    Unreadable(String),
+}
+
+impl ReportOutcome {
+    /// The same, but for a report of layers that a model of `layers` layers does not have: it is not believed.
+    pub fn within(self, layers: u16) -> Self {
+        match &self {
+            Self::Reported(report) if report.layers.is_some_and(|held| held.end > layers) => {
+                Self::Unreadable(format!("it tells of layers beyond the {layers} of the model"))
+            }
+            _ => self,
+        }
+    }
 }
 
 impl KnownEngine {
+    /// Notes why a report cannot be read; answers whether that is new since the last one that could be.
+    pub fn is_new_fault(&mut self, reason: &str) -> bool {
+        let before = self.fault.replace(reason.to_owned());
+        before.as_deref() != Some(reason)
+    }
+
+    /// The newest life that is known of it.
+    pub fn newest_life(&self) -> Option<BornMs> {
+        self.newest_life
+    }
+
+    /// News of one of its lives; a newer one ends what is known of those before, also what they were ordered.
+    pub fn on_life(&mut self, born_ms: Option<BornMs>) {
+        if compare_lives(born_ms, self.newest_life) == LifeOrder::Newer {
+            *self = Self::default();
+        }
+        self.newest_life = born_ms.max(self.newest_life);
+    }
+
     /// Takes what came of asking; `is_suspect` says whether this VM's own exchanges with the engine failed.
     pub fn on_asked(&mut self, asked: ReportOutcome, is_suspect: bool) {
         match asked {
+            ReportOutcome::Reported(report)
+                if compare_lives(report.born_ms, self.newest_life) == LifeOrder::Older => {}
             ReportOutcome::Reported(report) => {
+                self.on_life(report.born_ms);
                 self.report = Some(report);
+                self.fault = None;
                 self.missed = 0;
             }
             ReportOutcome::Refused => self.report = None,
-            ReportOutcome::Missed => {
+            ReportOutcome::Missed | ReportOutcome::Unreadable(_) => {
                 self.missed += 1;
                 if is_suspect || self.missed >= MISSED_REPORTS {
                     self.report = None;
@@ -73,9 +115,6 @@
     };
     match W::read_report(&reply.body) {
         Ok(report) => ReportOutcome::Reported(report),
-        Err(error) => {
-            tracing::warn!(endpoint = %address, %error, "endpoint: A report cannot be read.");
-            ReportOutcome::Missed
-        }
+        Err(error) => ReportOutcome::Unreadable(error.to_string()),
     }
 }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -7,7 +7,7 @@
 use crate::job::Job;
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
-use crate::wire::{EndpointReply, Refusal, Wire};
+use crate::wire::{EndpointReply, Refusal, ReplyPlace, Wire};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
@@ -53,7 +53,7 @@
     resume_after: Option<u64>,
 ) -> Sent {
     loop {
-        let channel = match gateway.channels.take(to.endpoint, Instant::now()) {
+        let channel = match gateway.channels.take(to.endpoint, to.address, Instant::now()) {
             Some(channel) => channel,
             None => match gateway.channels.open(to.address).await {
                 Ok(channel) => channel,
@@ -93,7 +93,11 @@
             };
         }
     };
-    match W::read_reply(reply.status(), reply.headers(), &job.head.request_id) {
+    let place = match channel.reused {
+        true => ReplyPlace::AfterOthers,
+        false => ReplyPlace::First,
+    };
+    match W::read_reply(reply.status(), reply.headers(), &job.head.request_id, place) {
         EndpointReply::Success => {
             job.note_run(RunLog::ran);
             Sent::Success(reply, channel)
@@ -130,7 +134,7 @@
 ) {
     let (head, body) = reply.into_parts();
     if Limited::new(body, MAX_REFUSAL_BYTES).collect().await.is_ok() {
-        gateway.channels.give_back(&endpoint, channel, &head.headers, Instant::now());
+        gateway.keep_channel(&endpoint, channel, &head.headers);
     }
 }
 
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -7,6 +7,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode};
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -69,6 +70,15 @@
     pub resume_after: Option<EventNumber>,
 }
 
+/// Where a reply stands on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplyPlace {
+    /// It is the first one, so it can only be the reply to the request that was sent.
+    First,
+    /// Others went before it, so it may be a surplus reply to one of their requests.
+    AfterOthers,
+}
+
 /// What the head of an endpoint's reply says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointReply {
@@ -150,6 +160,8 @@
 /// State of an engine as it reports it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineReport {
+    /// Start of the life that reports; `None` if it does not say.
+    pub born_ms: Option<BornMs>,
     /// Layers it holds; `None` if it holds none.
     pub layers: Option<LayerRange>,
     /// Whether it is carrying out an order.
@@ -185,7 +197,12 @@
     fn prepare_sending(headers: &mut HeaderMap, sending: &Sending<'_>);
 
     /// Reads the head of an endpoint's reply to a request.
-    fn read_reply(status: StatusCode, headers: &HeaderMap, request_id: &str) -> EndpointReply;
+    fn read_reply(
+        status: StatusCode,
+        headers: &HeaderMap,
+        request_id: &str,
+        place: ReplyPlace,
+    ) -> EndpointReply;
 
     /// The value of a `Retry-After` header.
     fn retry_after(after: Duration) -> HeaderValue;
--- a/crates/sillbank_gateway/tests/forecasts.rs
+++ b/crates/sillbank_gateway/tests/forecasts.rs
@@ -64,6 +64,7 @@
         slots: 192,
         accelerator: Some(accelerator.to_owned()),
         layers: Some(LAYERS),
+        born_ms: None,
     }
 }
 
@@ -76,6 +77,7 @@
         running,
         kv_permille: 0,
         pace_permille,
+        born_ms: None,
     }
 }
 
