Demand told with asks and boards; refused callers return urgent first, over the fleet

Cause: callers refused in a crowd were told times by each VM's own rate, all ranks in one queue. VMs now tell their leader what they were asked for with each ask for news, leaders tell the sum with their board, and a VM's callers return at its part of what the fleet lets in beside new callers, each rank in its own queue after the more urgent ones. Switch: [mechanisms] fleet_demand.

Ruled out: demand as a plain list on the board (an idle hall could not be told from one whose leader has not heard its VMs yet, so the field is optional and carries its age); a VM's own last refusals as its part (size-biased by one, and all VMs take the whole at the beginning of a crowd).

--- a/crates/sillbank_demand/src/sum.rs
+++ b/crates/sillbank_demand/src/sum.rs
@@ -68,12 +68,12 @@
         }
     }
 
-    /// Rates of the hall over about the last second, by service and rank. Empty while the leader has not yet
+    /// Rates of the hall over about the last second, by service and rank. `None` while the leader cannot have
     /// heard all VMs.
-    pub fn rates(&self, now: Instant) -> Vec<DemandRate> {
+    pub fn rates(&self, now: Instant) -> Option<Vec<DemandRate>> {
         let is_settled = |since: Instant| now.saturating_duration_since(since) >= SETTLE;
         if !self.heard_since.is_some_and(is_settled) {
-            return Vec::new();
+            return None;
         }
         let mut sum = Vec::new();
         for told in self.by_vm.values().filter_map(|lives| newest(lives)) {
@@ -81,7 +81,7 @@
                 add_rates(&mut sum, &told.rates);
             }
         }
-        keep_most_asked(sum)
+        Some(keep_most_asked(sum))
     }
 
     /// Forgets VMs that have been silent for long if no further one fits.
--- a/crates/sillbank_demand/tests/sum.rs
+++ b/crates/sillbank_demand/tests/sum.rs
@@ -19,7 +19,7 @@
 }
 
 fn offered(sum: &DemandSum, now: Instant) -> f64 {
-    sum.rates(now).iter().map(|rate| rate.offered_per_s).sum()
+    sum.rates(now).unwrap_or_default().iter().map(|rate| rate.offered_per_s).sum()
 }
 
 /// A leader that has heard one VM without news for a second, so that it tells its sum.
@@ -119,7 +119,7 @@
     sum.hear(now, "vm-1", &report(7, 5_000, 3));
     sum.hear(now + ASK, "vm-2", &report(8, 5_000, 3));
 
-    assert_eq!(sum.rates(now + ASK), Vec::new());
+    assert_eq!(sum.rates(now + ASK), None);
     assert_eq!(offered(&sum, now + ASK * 2), 6.0);
 }
 
@@ -136,10 +136,11 @@
         DemandReport { incarnation: 1, at_ms: u64::MAX, covers_ms: 0, news: news.collect() };
 
     sum.hear(now, "vm-1", &absurd);
-    let bytes = postcard::to_stdvec(&sum.rates(now)).expect("rates");
+    let rates = sum.rates(now).expect("a settled sum");
+    let bytes = postcard::to_stdvec(&rates).expect("rates");
 
-    assert!(sum.rates(now).len() <= MAX_SERVICES * MAX_RANKS);
-    assert!(sum.rates(now).iter().all(|rate| usize::from(rate.rank) < MAX_RANKS));
+    assert!(rates.len() <= MAX_SERVICES * MAX_RANKS);
+    assert!(rates.iter().all(|rate| usize::from(rate.rank) < MAX_RANKS));
     assert!(bytes.len() < 40_000, "{}", bytes.len());
 }
 
--- a/crates/sillbank_gateway/src/boards.rs
+++ b/crates/sillbank_gateway/src/boards.rs
@@ -1,7 +1,9 @@
-//! What the leaders of halls tell of their engines.
+//! What the leaders of halls tell of their engines, and of what the halls are asked for.
 
-use crate::feed::{EngineState, HallBoard};
+use crate::feed::{EngineState, HallBoard, HallRates};
 use sillbank_core::prelude::*;
+use sillbank_demand::prelude::*;
+use sillbank_demand::{BELIEVED, MAX_RANKS, MAX_SERVICES};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -28,6 +30,29 @@
     vms: u32,
     leader: SocketAddr,
     engines: BTreeMap<EndpointId, KeptEngine>,
+    demand: Option<KeptDemand>,
+}
+
+/// What a hall is asked for, by its last board that told it.
+#[derive(Debug, Clone)]
+struct KeptDemand {
+    as_of: Instant,
+    rates: Vec<DemandRate>,
+    /// Number of the board that told it.
+    number: u64,
+}
+
+/// What a hall is asked for of one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HallDemand {
+    /// Hall.
+    pub hall: HallId,
+    /// Time since it was added up.
+    pub age: Duration,
+    /// VMs of the hall.
+    pub vms: u32,
+    /// Rates by rank, the most urgent first.
+    pub rates: Vec<DemandRate>,
 }
 
 /// An engine as it is passed on.
@@ -54,8 +79,8 @@
             return;
         };
         let mut boards = self.by_hall.borrow_mut();
-        let HallBoard { hall, vms, leader, is_whole, engines, .. } = board;
-        let new = || KeptBoard { as_of, vms, leader, engines: BTreeMap::new() };
+        let HallBoard { hall, vms, leader, is_whole, engines, demand, .. } = board;
+        let new = || KeptBoard { as_of, vms, leader, engines: BTreeMap::new(), demand: None };
         let is_known = boards.contains_key(&hall);
         let kept = boards.entry(hall).or_insert_with(new);
         if is_known && kept.as_of >= as_of {
@@ -64,6 +89,9 @@
         (kept.as_of, kept.vms, kept.leader) = (as_of, vms, leader);
         let number = self.newest.get() + 1;
         self.newest.set(number);
+        if let Some(demand) = demand {
+            kept.keep_demand(now, demand, number);
+        }
         if is_whole {
             let told: BTreeSet<&EndpointId> = engines.iter().map(|engine| &engine.id).collect();
             kept.engines.retain(|id, _| told.contains(id));
@@ -90,6 +118,7 @@
                 leader: kept.leader,
                 is_whole: number == 0,
                 engines: new.map(|engine| engine.state.clone()).collect(),
+                demand: kept.new_demand(number, now),
             }
         });
         (self.newest.get(), news.collect())
@@ -109,6 +138,29 @@
         Some(look(EngineNews { state: &engine.state, as_of: kept.as_of, vms: kept.vms }))
     }
 
+    /// What each hall is asked for of a service, as far as that is believed.
+    pub fn demand(&self, service: &str, now: Instant) -> Vec<HallDemand> {
+        let boards = self.by_hall.borrow();
+        let of_service = |(hall, kept): (&HallId, &KeptBoard)| {
+            let demand = kept.believed_demand(now)?;
+            let rates = demand.rates.iter().filter(|rate| rate.service == service);
+            Some(HallDemand {
+                hall: hall.clone(),
+                age: now.saturating_duration_since(demand.as_of),
+                vms: kept.vms,
+                rates: rates.cloned().collect(),
+            })
+        };
+        boards.iter().filter_map(of_service).collect()
+    }
+
+    /// Services that halls are asked for.
+    pub fn demanded_services(&self, now: Instant) -> BTreeSet<ServiceId> {
+        let boards = self.by_hall.borrow();
+        let believed = boards.values().filter_map(|kept| kept.believed_demand(now));
+        believed.flat_map(|demand| &demand.rates).map(|rate| rate.service.clone()).collect()
+    }
+
     /// Where the leader of a hall is asked, by its board, if that is believed.
     pub fn leader(&self, hall: &str, now: Instant) -> Option<SocketAddr> {
         let boards = self.by_hall.borrow();
@@ -140,6 +192,31 @@
     }
 }
 
+impl KeptBoard {
+    /// Keeps what a board tells of demand, unless newer is known.
+    fn keep_demand(&mut self, now: Instant, demand: HallRates, number: u64) {
+        let Some(as_of) = now.checked_sub(Duration::from_millis(demand.age_ms)) else {
+            return;
+        };
+        if self.demand.as_ref().is_none_or(|kept| kept.as_of < as_of) {
+            let rates = demand.rates.into_iter().take(MAX_SERVICES * MAX_RANKS).collect();
+            self.demand = Some(KeptDemand { as_of, rates, number });
+        }
+    }
+
+    /// What is believed of demand, if the asking VM has not been told.
+    fn new_demand(&self, told: u64, now: Instant) -> Option<HallRates> {
+        let demand = self.believed_demand(now).filter(|demand| demand.number > told)?;
+        let age_ms = now.saturating_duration_since(demand.as_of).as_millis() as u64;
+        Some(HallRates { age_ms, rates: demand.rates.clone() })
+    }
+
+    fn believed_demand(&self, now: Instant) -> Option<&KeptDemand> {
+        let age = |demand: &&KeptDemand| now.saturating_duration_since(demand.as_of);
+        self.demand.as_ref().filter(|demand| age(demand) < BELIEVED)
+    }
+}
+
 fn is_believed(kept: &KeptBoard, now: Instant) -> bool {
     now.saturating_duration_since(kept.as_of) < BOARD_LIVE
 }
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -13,11 +13,13 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use sillbank_admission::returns::CallerMark;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
 use sillbank_net::prelude::*;
 use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -193,6 +195,7 @@
         admitted: Admitted,
         began: Instant,
     ) -> Response<ReplyBody> {
+        let caller = caller_mark(&head, &parts);
         let mut headers = parts.headers;
         strip_connection_headers(&mut headers);
         let longest = admitted.route.timeout;
@@ -211,8 +214,11 @@
             run: Cell::new(RunLog::default()),
             sends: Cell::new(0),
             delivery: Delivery::default(),
+            caller,
+            is_counted: Cell::new(false),
         });
         self.gateway.count_first_send(&job.service.name);
+        self.gateway.count_offered(&job);
         match job.route.kind {
             WorkKind::Call(_) => calls::answer(&self.gateway, &job).await,
             WorkKind::Stream(rules) => streams::answer(&self.gateway, &job, rules).await,
@@ -220,6 +226,15 @@
     }
 }
 
+/// Key and connection of a request as one number.
+fn caller_mark(head: &CallerHead, parts: &Parts) -> Option<CallerMark> {
+    let connection = parts.extensions.get::<ConnectionNumber>()?;
+    let mut hasher = DefaultHasher::new();
+    head.key.hash(&mut hasher);
+    connection.hash(&mut hasher);
+    Some(hasher.finish())
+}
+
 fn uninformed(reason: &str) -> Failure {
     Failure::before_work(FailureKind::NotReady, reason).retry_after(COME_BACK_UNINFORMED)
 }
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -145,6 +145,7 @@
             asks_source: ask_for == AskFor::SourceNews,
             catalog: gateway.knowledge.catalog().map(|catalog| catalog.version()),
             seen: link.seen(),
+            demand: gateway.demand_report(ask_for == AskFor::News),
         };
         let reply = link.ask(&ask).await?;
         if let FeedReply::News(news) = &reply {
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_demand::prelude::*;
 use sillbank_fleet::prelude::*;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -42,6 +43,8 @@
     pub catalog: Option<CatalogVersion>,
     /// What it has seen of this leader.
     pub seen: Option<SeenMark>,
+    /// What it was asked for in the last second, told to the leader of its own hall.
+    pub demand: Option<DemandReport>,
 }
 
 /// What a leader's directory has that the asking VM lacks.
@@ -72,8 +75,8 @@
     pub pace_permille: u32,
 }
 
-/// What is known of a hall's engines.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// What is known of a hall's engines, and what the hall is asked for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HallBoard {
     /// Hall.
     pub hall: HallId,
@@ -88,6 +91,17 @@
     pub is_whole: bool,
     /// Engines.
     pub engines: Vec<EngineState>,
+    /// What the hall is asked for; `None` if its leader has not heard all VMs yet, or if the asking VM knows it.
+    pub demand: Option<HallRates>,
+}
+
+/// Requests a second at all VMs of a hall.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HallRates {
+    /// Time since they were added up, in milliseconds.
+    pub age_ms: u64,
+    /// Rates by service and rank.
+    pub rates: Vec<DemandRate>,
 }
 
 /// Changes of an engine's state from which it is told again.
--- a/crates/sillbank_gateway/src/feed/mod.rs
+++ b/crates/sillbank_gateway/src/feed/mod.rs
@@ -13,7 +13,7 @@
 
 pub use client::follow_leader;
 pub use messages::{
-    EndpointNews, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, Incarnation,
+    EndpointNews, EngineState, FeedAsk, FeedNews, FeedReply, HallBoard, HallRates, Incarnation,
     NEARLY_FULL_PERMILLE, SeenMark,
 };
 pub use server::serve_feed;
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -69,6 +69,7 @@
     if ask.asks_source {
         gateway.hall.on_asked_as_source(began);
     }
+    gateway.on_told_demand(ask, began);
     let may_answer = || ask.asks_source || gateway.hall.tells.get().is_some();
     if may_answer() && !has_news(gateway, ask, seen) {
         let wait = async {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::channels::ChannelPool;
 use crate::counted_store::CountedStore;
 use crate::decisions::{Decisions, Outcome};
+use crate::demand::DemandBook;
 use crate::endpoints::{EndpointBook, Evidence};
 use crate::feed::Incarnation;
 use crate::freshness::Freshness;
@@ -17,7 +18,6 @@
 use crate::streams::HeardStreams;
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
-use sillbank_admission::returns::ReturnTimes;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
@@ -63,6 +63,8 @@
     pub heard: Rc<HeardStreams>,
     /// What is known of the load on services.
     pub load: FleetLoad,
+    /// What this VM and its hall are asked for.
+    pub demand: DemandBook,
     /// Connections to endpoints.
     pub channels: ChannelPool,
     /// Calls to engines beside requests: reports and orders.
@@ -81,7 +83,6 @@
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
-    returns: RefCell<HashMap<ServiceId, ReturnTimes>>,
     began: Instant,
     wire: PhantomData<W>,
 }
@@ -95,6 +96,7 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Self {
         let metrics = Metrics::default();
+        let (incarnation, began) = (fastrand::u64(..), Instant::now());
         Self {
             knowledge: Knowledge::new(settings.key_revocation),
             settings: RefCell::new(Rc::new(settings)),
@@ -103,18 +105,18 @@
             book: Rc::default(),
             heard: Rc::default(),
             load: FleetLoad::default(),
+            demand: DemandBook::new(incarnation, began),
             channels: ChannelPool::new(executor.clone()),
             engine_calls,
             decisions: Decisions::default(),
             metrics,
             executor,
             life: Cell::new(Life::Serving),
-            incarnation: fastrand::u64(..),
+            incarnation,
             in_progress: Cell::new(0),
             store_reached: Cell::new(true),
             budgets: RefCell::default(),
-            returns: RefCell::default(),
-            began: Instant::now(),
+            began,
             wire: PhantomData,
         }
     }
@@ -244,33 +246,6 @@
         fits
     }
 
-    /// A request of a service was let in by an endpoint.
-    pub fn on_let_in(&self, service: &str) {
-        self.load.on_sent(service, true, Instant::now());
-        self.with_returns(service, |returns, now| returns.on_let_in(now));
-    }
-
-    /// When the caller of a request that is refused for want of room should come back.
-    pub fn come_back(&self, service: &str) -> Duration {
-        self.with_returns(service, |returns, now| returns.on_refused(now))
-    }
-
-    fn with_returns<T>(
-        &self,
-        service: &str,
-        change: impl FnOnce(&mut ReturnTimes, Instant) -> T,
-    ) -> T {
-        let now = Instant::now();
-        let mut all = self.returns.borrow_mut();
-        if let Some(returns) = all.get_mut(service) {
-            return change(returns, now);
-        }
-        let mut returns = ReturnTimes::new(now);
-        let answer = change(&mut returns, now);
-        all.insert(service.to_owned(), returns);
-        answer
-    }
-
     /// Whether a request that was sent before may be sent once more, which then counts as done.
     pub fn may_send_again(&self, job: &Job) -> bool {
         job.may_send_again(Instant::now()) && self.try_repeat(&job.service.name)
@@ -280,6 +255,7 @@
     pub fn on_end(&self, job: &Job, outcome: Outcome, status: u16, events: u64, reason: &str) {
         let label = OutcomeLabel { outcome: outcome.name(), status };
         self.metrics.requests.get_or_create(&label).inc();
+        self.count_end(job, outcome);
         let kind = KindLabel { kind: work_name(job) };
         self.metrics.whole_answer_s.get_or_create(&kind).observe(job.began.elapsed().as_secs_f64());
         self.decisions.ended(job, outcome, status, events, reason);
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Request, Uri};
 use sillbank_admission::ladder::Urgency;
+use sillbank_admission::returns::CallerMark;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
@@ -53,6 +54,10 @@
     pub sends: Cell<u32>,
     /// What its caller saw of it.
     pub delivery: Delivery,
+    /// Key and connection that it came with, to tell callers who repeat at once.
+    pub caller: Option<CallerMark>,
+    /// Whether it was counted as let in or refused.
+    pub is_counted: Cell<bool>,
 }
 
 impl Job {
@@ -119,7 +124,8 @@
         Urgency { organisation: self.priority(), route: self.route.priority }
     }
 
-    fn priority(&self) -> u8 {
+    /// Rank, 0 first.
+    pub fn priority(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority.min(USUAL_PRIORITY))
     }
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
 //!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store, [`backoff`] how
 //!   often while it does not answer.
+//! - [`demand`] counts what this VM is asked for, and adds up what the fleet is.
 //! - [`placement`] gives engines their layers under a lease.
 //! - [`delivery`] keeps what a caller saw of its stream; [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
@@ -25,6 +26,7 @@
 pub mod counted_store;
 pub mod decisions;
 pub mod delivery;
+pub mod demand;
 pub mod doctor;
 pub mod endpoints;
 pub mod events;
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -16,6 +16,8 @@
     pub prompt_news: bool,
     /// Callers are told to come back by how long a shortage has lasted, one after the other.
     pub return_times: bool,
+    /// VMs tell their leaders what they are asked for, and leaders tell it on; callers are told to come back by it.
+    pub fleet_demand: bool,
     /// First placements hold layers in pairs.
     pub pairs: bool,
     /// Running requests are moved around a lost engine.
@@ -38,6 +40,7 @@
             pressed_reports: true,
             prompt_news: true,
             return_times: true,
+            fleet_demand: true,
             pairs: true,
             moves: true,
             crowd_cost: true,
@@ -57,6 +60,7 @@
             pressed_reports: reader.flag("pressed_reports", true),
             prompt_news: reader.flag("prompt_news", true),
             return_times: reader.flag("return_times", true),
+            fleet_demand: reader.flag("fleet_demand", true),
             pairs: reader.flag("pairs", true),
             moves: reader.flag("moves", true),
             crowd_cost: reader.flag("crowd_cost", true),
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 
 /// Shortest latency told apart, in seconds.
 const FIRST_BUCKET_S: f64 = 0.005;
@@ -34,6 +35,29 @@
     pub kind: &'static str,
 }
 
+/// Label of what a service is asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DemandLabel {
+    /// Service.
+    pub service: String,
+    /// Rank, 0 first; 15 holds all that are less urgent.
+    pub rank: u8,
+    /// What became of the requests: offered, returning (part of offered), let_in, refused.
+    pub what: &'static str,
+}
+
+/// Label of what is believed of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RateLabel {
+    /// Service.
+    pub service: String,
+    /// 1 if leaders told it, 0 if this VM goes by its own requests.
+    pub is_told: u8,
+}
+
+/// A gauge of a measure that is no whole number.
+pub type FractionGauge = Gauge<f64, AtomicU64>;
+
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -60,6 +84,12 @@
     pub connections: Family<KindLabel, Counter>,
     /// Orders to engines, by how they ended.
     pub orders: Family<KindLabel, Counter>,
+    /// Requests at this VM by service, rank and what became of them.
+    pub demand: Family<DemandLabel, Counter>,
+    /// Requests a second in the fleet, as this VM believes them.
+    pub fleet_demand_per_s: Family<DemandLabel, FractionGauge>,
+    /// Age of the oldest figures among them, in seconds.
+    pub fleet_demand_age_s: Family<RateLabel, FractionGauge>,
     /// Time to a call's answer or a stream's head, in seconds.
     pub first_answer_s: Family<KindLabel, Histogram, MakeHistogram>,
     /// Time to the end of the answer, in seconds.
@@ -81,6 +111,9 @@
         let catalog_faults = Counter::default();
         let connections = Family::default();
         let orders = Family::default();
+        let demand = Family::default();
+        let fleet_demand_per_s = Family::default();
+        let fleet_demand_age_s = Family::default();
         let first_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         let whole_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         registry.register("requests", "Requests that ended", requests.clone());
@@ -94,6 +127,11 @@
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("orders", "Orders to engines", orders.clone());
+        registry.register("demand", "Requests by service, rank and fate", demand.clone());
+        let help = "Requests a second in the fleet";
+        registry.register("fleet_demand_per_s", help, fleet_demand_per_s.clone());
+        let help = "Age of the fleet's demand";
+        registry.register("fleet_demand_age_s", help, fleet_demand_age_s.clone());
         registry.register("first_answer_s", "Time to the first answer", first_answer_s.clone());
         registry.register("whole_answer_s", "Time to the whole answer", whole_answer_s.clone());
         Self {
@@ -109,6 +147,9 @@
             catalog_faults,
             connections,
             orders,
+            demand,
+            fleet_demand_per_s,
+            fleet_demand_age_s,
             first_answer_s,
             whole_answer_s,
         }
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -99,6 +99,7 @@
             leader: settings.peer_listen,
             is_whole: true,
             engines: engines.collect(),
+            demand: self.gateway.hall_demand(now),
         };
         match settings.mechanisms.prompt_news {
             true => self.gateway.hall.post_board(now, board),
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -84,7 +84,7 @@
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
         let end = match send_once(gateway, job, target, resume_after).await {
             SendOnce::Begun(begun) => {
-                gateway.on_let_in(&job.service.name);
+                gateway.on_let_in(job);
                 return Ok(begun);
             }
             SendOnce::Ended(end) => end,
@@ -138,7 +138,7 @@
     let failure = give_up(job.run.get(), FailureKind::NoChain, reason);
     match failure.retry_after {
         Some(_) if gateway.settings().mechanisms.return_times => {
-            failure.retry_after(gateway.come_back(&job.service.name))
+            failure.retry_after(gateway.come_back(job))
         }
         _ => failure,
     }
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -21,7 +21,15 @@
         pace_permille: 1000,
     };
     let leader = "10.0.0.1:7000".parse().expect("an address");
-    HallBoard { hall: hall.to_owned(), age_ms, vms, leader, is_whole: true, engines: vec![engine] }
+    HallBoard {
+        hall: hall.to_owned(),
+        age_ms,
+        vms,
+        leader,
+        is_whole: true,
+        engines: vec![engine],
+        demand: None,
+    }
 }
 
 const HOLDS_LEASE: bool = true;
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -93,7 +93,15 @@
     let leader = "10.0.0.1:7000".parse().expect("an address");
     hall.boards.keep(
         now,
-        HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, is_whole: true, engines },
+        HallBoard {
+            hall: HOME.to_owned(),
+            age_ms: 0,
+            vms: 1,
+            leader,
+            is_whole: true,
+            engines,
+            demand: None,
+        },
     );
     let mechanisms = Mechanisms::default();
     let views = Views { knowledge: &knowledge, hall: &hall, book, mechanisms, now };
@@ -234,8 +242,15 @@
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
     let leader = "10.0.0.1:7000".parse().expect("an address");
     let engines = records.iter().map(idle).collect();
-    let board =
-        HallBoard { hall: HOME.to_owned(), age_ms: 0, vms: 1, leader, is_whole: true, engines };
+    let board = HallBoard {
+        hall: HOME.to_owned(),
+        age_ms: 0,
+        vms: 1,
+        leader,
+        is_whole: true,
+        engines,
+        demand: None,
+    };
     hall.boards.keep(now, board);
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
     let views = Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, now };
@@ -273,6 +288,7 @@
         leader: "10.0.0.1:7000".parse().expect("an address"),
         is_whole: true,
         engines: vec![EngineState { kv_permille, ..idle(record) }],
+        demand: None,
     };
     hall.boards.keep(now, board(&at_home, at_home_permille));
     hall.boards.keep(now, board(&elsewhere, elsewhere_permille));
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -20,6 +20,8 @@
     pub use crate::app::{App, Plugin, run_program};
     pub use crate::body::{BrokenOff, Outbox, ReplyBody, json_reply, text_reply};
     pub use crate::client::{CallError, CallReply, Connection, HttpClient};
-    pub use crate::serve::{Handler, ServerLimits, StopToken, Stopper, serve, serve_until};
+    pub use crate::serve::{
+        ConnectionNumber, Handler, ServerLimits, StopToken, Stopper, serve, serve_until,
+    };
     pub use crate::signals::Signals;
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -109,6 +109,7 @@
     stop: StopToken,
 ) {
     let open = Rc::new(Cell::new(0_usize));
+    let mut number = 0;
     loop {
         if open.get() >= limits.max_connections {
             smol::Timer::after(FULL_PAUSE).await;
@@ -126,11 +127,17 @@
             tracing::debug!("net: A caller's connection may wait for small packets: {error}.");
         }
         let guard = OpenGuard::new(open.clone());
-        let served = serve_connection(stream, limits, handler.clone(), guard, stop.clone());
+        number += 1;
+        let numbered = (stream, ConnectionNumber(number));
+        let served = serve_connection(numbered, limits, handler.clone(), guard, stop.clone());
         executor.spawn(served).detach();
     }
 }
 
+/// Number of a connection among those of its listener; each request carries it among its extensions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ConnectionNumber(u64);
+
 struct OpenGuard(Rc<Cell<usize>>);
 
 impl OpenGuard {
@@ -147,15 +154,16 @@
 }
 
 async fn serve_connection<H: Handler>(
-    stream: smol::net::TcpStream,
+    (stream, number): (smol::net::TcpStream, ConnectionNumber),
     limits: ServerLimits,
     handler: Rc<H>,
     _guard: OpenGuard,
     stop: StopToken,
 ) {
     let begun = Cell::new(false);
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request| {
         begun.set(true);
+        request.extensions_mut().insert(number);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
