--- a/crates/sillbank_admission/src/returns.rs
+++ b/crates/sillbank_admission/src/returns.rs
@@ -72,7 +72,7 @@
     /// the VMs of a fleet refuse come back spread by it.
     pub fn new(now: Instant, phase: f64) -> Self {
         Self {
-            phase: phase.clamp(0.0, 1.0),
+            phase: if phase.is_finite() { phase.clamp(0.0, 1.0) } else { 0.0 },
             let_in: Rate::new(now),
             queues: [Queue::new(now); MAX_RANKS],
             places: Places::default(),
--- a/crates/sillbank_gateway/src/boards.rs
+++ b/crates/sillbank_gateway/src/boards.rs
@@ -154,13 +154,6 @@
         boards.iter().filter_map(of_service).collect()
     }
 
-    /// Services that halls are asked for.
-    pub fn demanded_services(&self, now: Instant) -> BTreeSet<ServiceId> {
-        let boards = self.by_hall.borrow();
-        let believed = boards.values().filter_map(|kept| kept.believed_demand(now));
-        believed.flat_map(|demand| &demand.rates).map(|rate| rate.service.clone()).collect()
-    }
-
     /// Where the leader of a hall is asked, by its board, if that is believed.
     pub fn leader(&self, hall: &str, now: Instant) -> Option<SocketAddr> {
         let boards = self.by_hall.borrow();
--- a/crates/sillbank_gateway/src/demand.rs
+++ b/crates/sillbank_gateway/src/demand.rs
@@ -12,10 +12,10 @@
 use crate::wire::Wire;
 use sillbank_admission::returns::{FleetFlow, Refusal, ReturnTimes};
 use sillbank_core::prelude::*;
-use sillbank_demand::add_rates;
 use sillbank_demand::prelude::*;
+use sillbank_demand::{MAX_SERVICES, add_rates};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// What a VM counts, and what it adds up while it leads its hall.
@@ -188,15 +188,16 @@
 
     /// Brings the gauges of what the fleet is asked for up to date.
     pub fn show_demand(&self, now: Instant) {
-        let own = self.demand.counter.borrow().report(now).news;
-        let mut services: BTreeSet<ServiceId> = own.into_iter().map(|news| news.service).collect();
-        services.extend(self.hall.boards.demanded_services(now));
+        let Some(catalog) = self.knowledge.catalog() else {
+            return;
+        };
         self.metrics.fleet_demand_per_s.clear();
         self.metrics.fleet_demand_age_s.clear();
-        for service in services {
-            let fleet = self.fleet_demand(&service, now);
+        for service in catalog.services().take(MAX_SERVICES) {
+            let fleet = self.fleet_demand(&service.name, now);
             fleet.rates.iter().for_each(|rate| self.show_rate(rate));
-            let label = RateLabel { service, is_told: u8::from(fleet.is_told) };
+            let label =
+                RateLabel { service: service.name.clone(), is_told: u8::from(fleet.is_told) };
             self.metrics.fleet_demand_age_s.get_or_create(&label).set(fleet.age.as_secs_f64());
         }
     }
