--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -10,6 +10,7 @@
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Request, Uri};
 use sillbank_admission::ladder::Urgency;
+use sillbank_admission::returns::CallerMark;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
@@ -56,6 +57,10 @@
     pub delivery: Delivery,
     /// What its caller was likely to see, by its first send; `None` where that cannot be told.
     pub foretold: OnceCell<Option<Foretold>>,
+    /// Key and connection that it came with, to tell callers who repeat at once.
+    pub caller: Option<CallerMark>,
+    /// Whether it was counted as let in or refused.
+    pub is_counted: Cell<bool>,
 }
 
 impl Job {
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -90,6 +90,7 @@
             leader: settings.peer_listen,
             is_whole: true,
             engines: engines.collect(),
+            demand: self.gateway.hall_demand(now),
         };
         self.gateway.hear_lives(&board);
         match settings.mechanisms.prompt_news {
--- a/crates/sillbank_gateway/tests/forecasts.rs
+++ b/crates/sillbank_gateway/tests/forecasts.rs
@@ -94,8 +94,15 @@
     if let Some(state) = told {
         let leader = "10.0.0.1:7000".parse().expect("an address");
         let (hall_name, engines) = (HOME.to_owned(), vec![state]);
-        let board =
-            HallBoard { hall: hall_name, age_ms: 0, vms: 1, leader, is_whole: true, engines };
+        let board = HallBoard {
+            hall: hall_name,
+            age_ms: 0,
+            vms: 1,
+            leader,
+            is_whole: true,
+            engines,
+            demand: None,
+        };
         hall.boards.keep(now, board);
     }
     let (book, service) = (EndpointBook::default(), service());
