Bound what a VM keeps for callers and endpoints that read slowly

Cause: each caller's bytes were bounded (64 KiB in the outbox), those of all callers together were not, nor bodies of requests and whole answers, and hyper took all that waited as one piece. 500 callers that read a byte a second left 49 MB unread (streams), 100 MB (whole answers of 200 KB).

Now `KeptBytes` (sillbank_net) counts what waits on each connection until it is written to the socket, bodies of requests (twice: for another send and in the endpoint connection's buffer), answers that are not whole yet and events whose end has not come. A quarter of `memory_mb` is the bound. When it is reached the connections on which nothing was read for longest are cut with a log line; the stream is broken off.

Ruled out: counting only what an Outbox holds (hyper's buffer held as much again); vectored writes (three writes an event).

--- a/crates/sillbank_core/src/failure.rs
+++ b/crates/sillbank_core/src/failure.rs
@@ -44,11 +44,13 @@
     RequestTimeout,
     /// The caller came back to another VM, which goes on with the request.
     TakenOver,
+    /// The VM is at a limit of its own and takes no more for now.
+    VmAtLimit,
 }
 
 impl FailureKind {
     /// Every kind, in order of its number.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::MalformedBody,
         Self::TooLarge,
         Self::UnknownKey,
@@ -67,6 +69,7 @@
         Self::RequestTimeout,
         Self::TakenOver,
         Self::ClaimUnavailable,
+        Self::VmAtLimit,
     ];
 
     /// Number of the page that explains it.
@@ -90,6 +93,7 @@
             Self::RequestTimeout => "SB0016",
             Self::TakenOver => "SB0017",
             Self::ClaimUnavailable => "SB0018",
+            Self::VmAtLimit => "SB0019",
         }
     }
 
@@ -105,7 +109,11 @@
             Self::CallerStalled | Self::RequestTimeout => 408,
             Self::DeadlineExceeded => 504,
             Self::EndpointsLost | Self::ServiceLost => 502,
-            Self::NoChain | Self::Stopping | Self::NotReady | Self::ClaimUnavailable => 503,
+            Self::NoChain
+            | Self::Stopping
+            | Self::NotReady
+            | Self::ClaimUnavailable
+            | Self::VmAtLimit => 503,
         }
     }
 
@@ -129,6 +137,7 @@
             Self::CallerStalled => "Read the answer as it comes; resume with Last-Event-ID.",
             Self::RequestTimeout => "Send the whole request without a pause.",
             Self::ClaimUnavailable => "Come back after Retry-After with the same key.",
+            Self::VmAtLimit => "Come back after Retry-After; the balancer may choose another VM.",
             Self::TakenOver => "Read the answer on the newer connection.",
         }
     }
--- a/crates/sillbank_gateway/src/answers.rs
+++ b/crates/sillbank_gateway/src/answers.rs
@@ -15,6 +15,9 @@
 /// When to come back if no endpoint can be used: about when an ejection ends.
 pub const COME_BACK_NO_ENDPOINT: Duration = Duration::from_millis(700);
 
+/// When to come back if the VM is at a limit of its own: its figures are of about a second.
+pub const COME_BACK_AT_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// A failure as a reply with the platform's form of `Retry-After`.
 pub fn reply_of<W: Wire>(failure: &Failure) -> Response<ReplyBody> {
     let mut reply = failure_reply(failure);
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers' requests: read, admitted, handed on.
 
-use crate::answers::{COME_BACK_UNINFORMED, reply_of};
+use crate::answers::{COME_BACK_AT_LIMIT, COME_BACK_UNINFORMED, reply_of};
 use crate::delivery::Delivery;
 use crate::gateway::{Gateway, Life};
 use crate::job::{Job, strip_connection_headers};
@@ -26,6 +26,16 @@
 /// refused then.
 const FIRST_KNOWLEDGE_WAIT: Duration = Duration::from_millis(1_000);
 
+/// How often the body of a request is held at most: to send it once more, and in the buffer of the
+/// connection that takes it to an endpoint.
+const BODY_COPIES: usize = 2;
+
+/// A whole body.
+struct ReadBody {
+    bytes: Bytes,
+    kept: KeptShare,
+}
+
 /// Answers callers.
 #[derive(Debug)]
 pub struct CallerHandler<W, S> {
@@ -152,13 +162,18 @@
         Ok(Admitted { route, service, organisation, limits: catalog.limits() })
     }
 
-    async fn read_body(&self, mut body: Incoming, limits: CallerLimits) -> Result<Bytes, Failure> {
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        limits: CallerLimits,
+    ) -> Result<ReadBody, Failure> {
         let too_large = || {
             let reason = format!("the body is longer than {} bytes", limits.max_body_bytes);
             Failure::before_work(FailureKind::TooLarge, reason)
         };
+        let mut kept = self.gateway.kept.try_keep(0).ok_or_else(no_memory)?;
         if body.is_end_stream() {
-            return Ok(Bytes::new());
+            return Ok(ReadBody { bytes: Bytes::new(), kept });
         }
         if body.size_hint().lower() > limits.max_body_bytes as u64 {
             return Err(too_large());
@@ -171,7 +186,7 @@
             };
             let next = async { Ok(body.frame().await) };
             let Some(frame) = futures_lite::future::or(next, late).await? else {
-                return Ok(whole.freeze());
+                return Ok(ReadBody { bytes: whole.freeze(), kept });
             };
             let frame = frame.map_err(|error| {
                 Failure::before_work(FailureKind::MalformedBody, format!("the body broke: {error}"))
@@ -180,6 +195,9 @@
                 if whole.len() + data.len() > limits.max_body_bytes {
                     return Err(too_large());
                 }
+                if !kept.try_grow(BODY_COPIES * data.len()) {
+                    return Err(no_memory());
+                }
                 whole.extend_from_slice(&data);
             }
         }
@@ -189,7 +207,7 @@
         &self,
         head: CallerHead,
         parts: Parts,
-        body: Bytes,
+        body: ReadBody,
         admitted: Admitted,
         began: Instant,
     ) -> Response<ReplyBody> {
@@ -202,7 +220,8 @@
             method: parts.method,
             target: parts.uri,
             headers,
-            body,
+            body: body.bytes,
+            kept: body.kept,
             route: admitted.route,
             service: admitted.service,
             organisation: admitted.organisation,
@@ -223,3 +242,8 @@
 fn uninformed(reason: &str) -> Failure {
     Failure::before_work(FailureKind::NotReady, reason).retry_after(COME_BACK_UNINFORMED)
 }
+
+fn no_memory() -> Failure {
+    let reason = "what the VM keeps for its callers has reached its bound";
+    Failure::before_work(FailureKind::VmAtLimit, reason).retry_after(COME_BACK_AT_LIMIT)
+}
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -1,15 +1,17 @@
 //! Plain calls: one answer, read whole before it goes to the caller.
 
 use crate::answers::{give_up, out_of_time, outcome_of, reply_of};
+use crate::channels::Channel;
 use crate::decisions::{Outcome, SendEnd};
 use crate::endpoints::{Evidence, Share};
 use crate::gateway::Gateway;
 use crate::job::Job;
-use crate::sending::{Destination, Sent, evidence_of, read_whole, send};
+use crate::sending::{Destination, Sent, WholeReply, evidence_of, read_whole, send};
 use crate::store::MetadataStore;
 use crate::tries::{Left, Tries};
 use crate::wire::Wire;
 use hyper::Response;
+use hyper::body::Incoming;
 use sillbank_core::prelude::*;
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
@@ -80,10 +82,10 @@
 ) -> Result<Response<ReplyBody>, Failure> {
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut tries = Tries::default();
-    let mut held: Option<Response<ReplyBody>> = None;
+    let mut held: Option<WholeReply> = None;
     loop {
         let Some(choice) = choose(gateway, job, &tried) else {
-            return held.ok_or_else(|| {
+            return held.map(|whole| whole.reply).ok_or_else(|| {
                 give_up(
                     job.run.get(),
                     FailureKind::NoChain,
@@ -95,9 +97,9 @@
         let sent_at = Instant::now();
         let (left, reason) = match try_once(gateway, job, &choice).await {
             Try::Done(reply) => return Ok(reply),
-            Try::Failed(reply) => {
-                let reason = format!("status {}", reply.status().as_u16());
-                held = Some(reply);
+            Try::Failed(whole) => {
+                let reason = format!("status {}", whole.reply.status().as_u16());
+                held = Some(whole);
                 (Left::MayHaveRun, reason)
             }
             Try::NotRun(reason) => (Left::NotRun, reason),
@@ -117,6 +119,7 @@
         tried.push(choice.endpoint);
         let goes_on = tries.goes_on(gateway, job, left);
         if !goes_on {
+            let held = held.map(|whole| whole.reply);
             return held.ok_or_else(|| give_up(job.run.get(), FailureKind::NoChain, &reason));
         }
     }
@@ -127,7 +130,7 @@
     /// The whole answer.
     Done(Response<ReplyBody>),
     /// The endpoint's own failure, whole.
-    Failed(Response<ReplyBody>),
+    Failed(WholeReply),
     NotRun(String),
     NotSent(String),
     Lost(String),
@@ -167,20 +170,18 @@
         gateway.on_evidence(&choice.endpoint, evidence, "a call");
     }
     match sent {
-        Sent::Success(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
-            Ok((reply, head)) => {
-                gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
-                Try::Done(reply)
+        Sent::Success(reply, channel) => {
+            match whole_answer(gateway, choice, reply, channel).await {
+                Ok(whole) => Try::Done(whole.reply),
+                Err(reason) => Try::Lost(reason),
             }
-            Err(reason) => Try::Lost(reason),
-        },
-        Sent::Failure(reply, channel) => match read_whole(reply, MAX_ANSWER_BYTES).await {
-            Ok((reply, head)) => {
-                gateway.channels.give_back(&choice.endpoint, channel, &head, Instant::now());
-                Try::Failed(reply)
+        }
+        Sent::Failure(reply, channel) => {
+            match whole_answer(gateway, choice, reply, channel).await {
+                Ok(whole) => Try::Failed(whole),
+                Err(reason) => Try::Lost(reason),
             }
-            Err(reason) => Try::Lost(reason),
-        },
+        }
         Sent::NotRun(refusal) => {
             if refusal.misdirected {
                 gateway.on_evidence(&choice.endpoint, Evidence::Unreachable, "misdirected");
@@ -192,6 +193,18 @@
     }
 }
 
+/// Reads an answer whole and keeps its connection.
+async fn whole_answer<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    choice: &Choice,
+    reply: Response<Incoming>,
+    channel: Channel,
+) -> Result<WholeReply, String> {
+    let whole = read_whole(reply, MAX_ANSWER_BYTES, &gateway.kept).await?;
+    gateway.channels.give_back(&choice.endpoint, channel, &whole.head, Instant::now());
+    Ok(whole)
+}
+
 /// The endpoint with the least work in flight, preferably at home, that was not tried.
 fn choose<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
--- a/crates/sillbank_gateway/src/events.rs
+++ b/crates/sillbank_gateway/src/events.rs
@@ -41,6 +41,11 @@
         Ok(())
     }
 
+    /// Bytes that are held.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Takes the next whole event, if there is one.
     pub fn next_event(&mut self) -> Option<WholeEvent> {
         let Some(end) = self.find_end() else {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -68,6 +68,8 @@
     pub decisions: Decisions,
     /// Metrics.
     pub metrics: Metrics,
+    /// What is kept for callers and endpoints.
+    pub kept: KeptBytes,
     /// Runs tasks.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Where the process stands.
@@ -94,6 +96,7 @@
         let metrics = Metrics::default();
         Self {
             knowledge: Knowledge::new(settings.key_revocation),
+            kept: KeptBytes::new(settings.kept_bound_bytes()),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
             hall: Hall::default(),
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -36,6 +36,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// What the body takes of the VM's memory.
+    pub kept: KeptShare,
     /// Route.
     pub route: Rc<Route>,
     /// Service that was chosen for it.
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -104,6 +104,7 @@
         tracing::warn!("program: Names and addresses change only with a new start.");
     }
     gateway.knowledge.set_key_revocation(new.key_revocation);
+    gateway.kept.set_bound(new.kept_bound_bytes());
     *gateway.settings.borrow_mut() = Rc::new(new);
 }
 
@@ -113,6 +114,7 @@
         smol::Timer::after(SWEEP).await;
         let now = Instant::now();
         gateway.channels.sweep(now);
+        gateway.metrics.note_kept(&gateway.kept);
         for id in gateway.knowledge.on_time(now) {
             tracing::info!(endpoint = id, "endpoint: Did not come back after the outage.");
             gateway.channels.forget(&id);
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use sillbank_net::prelude::*;
 
 /// Shortest latency told apart, in seconds.
 const FIRST_BUCKET_S: f64 = 0.005;
@@ -58,6 +59,10 @@
     pub catalog_faults: Counter,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
+    /// Bytes that are kept for callers and endpoints.
+    pub kept_bytes: Gauge,
+    /// Callers that were cut off as they read nothing while that reached its bound.
+    pub callers_cut: Counter,
     /// Orders to engines, by how they ended.
     pub orders: Family<KindLabel, Counter>,
     /// Time to a call's answer or a stream's head, in seconds.
@@ -80,6 +85,8 @@
         let store_errors = Family::default();
         let catalog_faults = Counter::default();
         let connections = Family::default();
+        let kept_bytes = Gauge::default();
+        let callers_cut = Counter::default();
         let orders = Family::default();
         let first_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         let whole_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
@@ -93,6 +100,8 @@
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
+        registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
+        registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
         registry.register("orders", "Orders to engines", orders.clone());
         registry.register("first_answer_s", "Time to the first answer", first_answer_s.clone());
         registry.register("whole_answer_s", "Time to the whole answer", whole_answer_s.clone());
@@ -108,6 +117,8 @@
             store_errors,
             catalog_faults,
             connections,
+            kept_bytes,
+            callers_cut,
             orders,
             first_answer_s,
             whole_answer_s,
@@ -116,6 +127,12 @@
 }
 
 impl Metrics {
+    /// Notes what is kept for callers.
+    pub fn note_kept(&self, kept: &KeptBytes) {
+        self.kept_bytes.set(kept.kept_bytes() as i64);
+        self.callers_cut.inc_by(kept.cut().saturating_sub(self.callers_cut.get()));
+    }
+
     /// What is served on the metrics address.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -89,8 +89,9 @@
             max_connections: settings.max_open_files.saturating_sub(SPARE_DESCRIPTORS)
                 / DESCRIPTORS_PER_CALLER,
         };
+        let kept = gateway.kept.clone();
         let handler = Rc::new(CallerHandler { gateway });
-        app.spawn(serve_until(app.executor(), self.listener, limits, handler, self.stop));
+        app.spawn(serve_until(app.executor(), self.listener, limits, handler, self.stop, kept));
     }
 }
 
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -8,6 +8,7 @@
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
 use crate::wire::{EndpointReply, Refusal, Wire};
+use bytes::BytesMut;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
@@ -146,24 +147,42 @@
     }
 }
 
-/// Reads a reply of up to `limit_bytes` whole; answers it ready for the caller, and its head as it
-/// came, which says whether the connection stands.
+/// A whole reply.
+#[derive(Debug)]
+pub struct WholeReply {
+    /// Ready for the caller.
+    pub reply: Response<ReplyBody>,
+    /// Its head as it came, which says whether the connection stands.
+    pub head: HeaderMap,
+    /// What it takes of the VM's memory until it goes to the caller.
+    pub kept: KeptShare,
+}
+
+/// Reads a reply of up to `limit_bytes` whole.
 ///
 /// # Errors
 /// Why it is not whole.
 pub async fn read_whole(
     reply: Response<Incoming>,
     limit_bytes: usize,
-) -> Result<(Response<ReplyBody>, HeaderMap), String> {
+    kept: &KeptBytes,
+) -> Result<WholeReply, String> {
+    let no_memory = || "the VM keeps no more for its callers".to_owned();
+    let mut kept = kept.try_keep(0).ok_or_else(no_memory)?;
     let (head, body) = reply.into_parts();
     let headers = head.headers.clone();
-    let whole = Limited::new(body, limit_bytes)
-        .collect()
-        .await
-        .map_err(|error| format!("the answer broke off: {error}"))?
-        .to_bytes();
-    let reply = Response::from_parts(head, ReplyBody::Whole(Full::new(whole)));
-    Ok((caller_head(reply), headers))
+    let mut body = Limited::new(body, limit_bytes);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| format!("the answer broke off: {error}"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !kept.try_grow(data.len()) {
+            return Err(no_memory());
+        }
+        whole.extend_from_slice(&data);
+    }
+    let reply = Response::from_parts(head, ReplyBody::Whole(Full::new(whole.freeze())));
+    Ok(WholeReply { reply: caller_head(reply), head: headers, kept })
 }
 
 /// A reply without what concerns its connection only.
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -8,6 +8,13 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// Bytes of a MB.
+const MB: f64 = 1e6;
+/// Part of a process's memory that it keeps for callers and endpoints at most. A quarter: what is kept may
+/// take twice its bytes while buffers grow, connections take some 25 KB each before anything is kept (1,300
+/// of them a third of the smallest VM, 112 MB), and the rest is the program and what it knows.
+const KEPT_SHARE: f64 = 0.25;
+
 /// Settings of one gateway process.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -37,6 +44,8 @@
     pub processors: f64,
     /// Rate of this VM's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory of this process, in MB.
+    pub memory_mb: f64,
     /// Repeats for each first send of a service's requests.
     pub retry_ratio: f64,
     /// Repeats of all VMs beyond that.
@@ -49,6 +58,13 @@
     pub log: LogSettings,
 }
 
+impl GatewaySettings {
+    /// Most bytes that this process keeps for callers and endpoints.
+    pub fn kept_bound_bytes(&self) -> usize {
+        (self.memory_mb * MB * KEPT_SHARE) as usize
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
@@ -86,6 +102,7 @@
         max_open_files: reader.number("max_open_files", 4_096, 64..=1 << 20) as usize,
         processors: reader.fraction("processors", 1.0, 1e-3..=1e3),
         link_mbps: reader.fraction("link_mbps", 1e3, 1e-3..=1e6),
+        memory_mb: reader.fraction("memory_mb", 512.0, 16.0..=1e7),
         retry_ratio: reader.fraction("retry_ratio", 0.2, 0.0..=10.0),
         retry_slack: reader.fraction("retry_slack", 100.0, 0.0..=1e6),
         retry_window: seconds(reader.fraction("retry_window_s", 10.0, 0.1..=600.0)),
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -250,10 +250,10 @@
                 let reason = format!("the endpoint failed with status {}", status.as_u16());
                 return ended(None, Left::MayHaveRun, reason);
             }
-            match read_whole(reply, MAX_FAILURE_BYTES).await {
-                Ok((reply, head)) => {
-                    gateway.channels.give_back(&endpoint, channel, &head, Instant::now());
-                    SendOnce::Begun(Begun::Failure(reply))
+            match read_whole(reply, MAX_FAILURE_BYTES, &gateway.kept).await {
+                Ok(whole) => {
+                    gateway.channels.give_back(&endpoint, channel, &whole.head, Instant::now());
+                    SendOnce::Begun(Begun::Failure(whole.reply))
                 }
                 Err(reason) => ended(None, Left::MayHaveRun, reason),
             }
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -45,6 +45,7 @@
                 job: job.clone(),
                 rules,
                 outbox,
+                held: None,
                 last: job.head.resume_after,
                 events: 0,
             };
--- a/crates/sillbank_gateway/src/streams/pump.rs
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -26,6 +26,8 @@
     pub(super) job: Rc<Job>,
     pub(super) rules: StreamRules,
     pub(super) outbox: Outbox,
+    /// What an event takes of the VM's memory whose end has not come.
+    pub(super) held: Option<KeptShare>,
     /// Number of the last event that went to the caller.
     pub(super) last: Option<EventNumber>,
     pub(super) events: u64,
@@ -55,7 +57,10 @@
         let deadline = self.job.deadline;
         let gone = async {
             std::future::poll_fn(|context| outbox.poll_gone(context)).await;
-            (Outcome::CallerLeft, "the caller left".to_owned())
+            match outbox.reader_cut() {
+                true => (Outcome::BrokenOff, "the caller read nothing for too long".to_owned()),
+                false => (Outcome::CallerLeft, "the caller left".to_owned()),
+            }
         };
         let late = async {
             smol::Timer::at(deadline).await;
@@ -167,6 +172,8 @@
             }
             if self.outbox.waiting_bytes() > MAX_WAITING_BYTES {
                 self.outbox.drained_to(MAX_WAITING_BYTES / 2).await;
+                // The endpoint was not listened to; it did not pause.
+                heard_at = Instant::now();
                 silence.set_after(timer.wait());
             }
         }
@@ -208,6 +215,19 @@
             self.job.delivery.on_event(self.job.began, Instant::now());
             self.outbox.write(&event.bytes);
         }
-        Ok(())
+        self.hold(splitter.held_bytes())
+    }
+
+    /// Counts an event whose end has not come.
+    fn hold(&mut self, bytes: usize) -> Result<(), String> {
+        let Some(held) = &mut self.held else {
+            self.held = self.gateway.kept.try_keep(bytes);
+            return self.held.as_ref().map(|_| ()).ok_or_else(no_memory);
+        };
+        held.try_resize(bytes).then_some(()).ok_or_else(no_memory)
     }
 }
+
+fn no_memory() -> String {
+    "an event's end did not come, and the VM keeps no more".to_owned()
+}
--- a/crates/sillbank_gateway/tests/settings.rs
+++ b/crates/sillbank_gateway/tests/settings.rs
@@ -58,10 +58,17 @@
 
 #[test]
 fn a_vm_without_processors_or_link_is_refused() {
-    let text = format!("{LEAST}processors = 0\nlink_mbps = -20\n");
+    let text = format!("{LEAST}processors = 0\nlink_mbps = -20\nmemory_mb = 0\n");
 
     let problems = read_text("test", &text).expect_err("it is faulty").0;
 
     let paths: Vec<&str> = problems.iter().map(|problem| problem.path.as_str()).collect();
-    assert_eq!(paths, ["processors", "link_mbps"]);
+    assert_eq!(paths, ["processors", "link_mbps", "memory_mb"]);
+}
+
+#[test]
+fn what_is_kept_for_callers_is_bounded_by_the_memory_of_the_vm() {
+    let settings = read_text("test", &format!("{LEAST}memory_mb = 112\n")).expect("it is whole");
+
+    assert_eq!(settings.kept_bound_bytes(), 28_000_000);
 }
--- a/crates/sillbank_net/src/body.rs
+++ b/crates/sillbank_net/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of replies: whole, or written piece by piece through an [`Outbox`].
 
+use crate::kept::UnreadBytes;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
@@ -8,7 +9,10 @@
 use std::cell::RefCell;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
+
+/// Longest piece that a server takes at a time: it keeps what it has taken, and what waits is counted here.
+const PIECE_BYTES: usize = 16 << 10;
 
 /// The body ended before it was whole; the connection is cut so that the reader can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -21,8 +25,12 @@
     closed: bool,
     broken: bool,
     reader_gone: bool,
+    /// Whether the reader has gone as it was cut off.
+    reader_cut: bool,
     reader: Option<Waker>,
     writer: Option<Waker>,
+    /// Where what waits is counted.
+    unread: Option<UnreadBytes>,
 }
 
 /// The writing end of a streamed body. What is written between two polls leaves as one chunk.
@@ -45,7 +53,12 @@
         if state.closed || state.reader_gone {
             return;
         }
+        let waiting_before = state.buffer.len();
         write(&mut state.buffer);
+        let written = state.buffer.len() - waiting_before;
+        if let Some(unread) = &state.unread {
+            unread.on_waiting(written);
+        }
         if let Some(waker) = state.reader.take() {
             waker.wake();
         }
@@ -81,6 +94,11 @@
         self.state.borrow().reader_gone
     }
 
+    /// Whether nobody will read any more as the reader read nothing and was cut off.
+    pub fn reader_cut(&self) -> bool {
+        self.state.borrow().reader_cut
+    }
+
     /// Waits until at most `limit` bytes wait, or the reader has gone.
     pub async fn drained_to(&self, limit: usize) {
         std::future::poll_fn(|context| {
@@ -124,7 +142,8 @@
             state.reader = Some(context.waker().clone());
             return Poll::Pending;
         }
-        let chunk = state.buffer.split().freeze();
+        let length = state.buffer.len().min(PIECE_BYTES);
+        let chunk = state.buffer.split_to(length).freeze();
         if let Some(waker) = state.writer.take() {
             waker.wake();
         }
@@ -136,6 +155,7 @@
     fn drop(&mut self) {
         let mut state = self.state.borrow_mut();
         state.reader_gone = true;
+        state.reader_cut = state.unread.take().is_some_and(|unread| unread.is_cut());
         if let Some(waker) = state.writer.take() {
             waker.wake();
         }
@@ -151,6 +171,66 @@
     Stream(OutboxBody),
 }
 
+impl ReplyBody {
+    /// Counts what waits of it from now on.
+    fn count_in(&self, unread: &UnreadBytes) {
+        match self {
+            Self::Whole(whole) => {
+                unread.on_waiting(whole.size_hint().exact().unwrap_or(0) as usize);
+            }
+            Self::Stream(stream) => {
+                let mut state = stream.state.borrow_mut();
+                unread.on_waiting(state.buffer.len());
+                state.unread = Some(unread.clone());
+            }
+        }
+    }
+}
+
+/// A body whose bytes are counted until its reader has them.
+#[derive(Debug)]
+pub(crate) struct CountedBody {
+    body: ReplyBody,
+    unread: UnreadBytes,
+}
+
+impl CountedBody {
+    pub(crate) fn new(body: ReplyBody, unread: UnreadBytes) -> Self {
+        body.count_in(&unread);
+        Self { body, unread }
+    }
+}
+
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        self.unread.on_dropped();
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if let Some(Ok(frame)) = &frame {
+            self.unread.on_taken(frame.data_ref().map_or(0, Bytes::len));
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Body for ReplyBody {
     type Data = Bytes;
     type Error = BrokenOff;
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -21,6 +21,9 @@
 /// Idle connections kept for one address.
 const KEPT_CONNECTIONS: usize = 16;
 
+/// Most bytes that are read from a connection ahead of whoever takes them; heads may not be longer.
+const MAX_READ_BYTES: usize = 64 << 10;
+
 /// Why a call has no answer. The kind says whether the work may have run.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -200,8 +203,11 @@
         if let Err(error) = end_when_silent(&stream) {
             tracing::debug!("net: A connection to {address} may go silent unseen: {error}.");
         }
-        let (sender, connection) =
-            http1::handshake(FuturesIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
         let drive = async move {
             if let Err(error) = connection.await {
                 tracing::debug!("net: A connection to {address} ended: {error}.");
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod client;
 pub mod failures;
 pub mod frames;
+pub mod kept;
 pub mod liveness;
+mod metered;
 pub mod serve;
 pub mod signals;
 pub mod telemetry;
@@ -20,6 +22,7 @@
     pub use crate::app::{App, Plugin, run_program};
     pub use crate::body::{BrokenOff, Outbox, ReplyBody, json_reply, text_reply};
     pub use crate::client::{CallError, CallReply, Connection, HttpClient};
+    pub use crate::kept::{KeptBytes, KeptShare};
     pub use crate::serve::{Handler, ServerLimits, StopToken, Stopper, serve, serve_until};
     pub use crate::signals::Signals;
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -1,11 +1,14 @@
 //! HTTP/1.1 servers.
 
-use crate::body::ReplyBody;
+use crate::body::{CountedBody, ReplyBody};
+use crate::kept::{KeptBytes, UnreadBytes};
+use crate::metered::Metered;
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol::LocalExecutor;
+use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpListener;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::cell::Cell;
@@ -96,17 +99,19 @@
     handler: Rc<H>,
 ) {
     let stopper = Stopper::default();
-    serve_until(executor, listener, limits, handler, stopper.token()).await;
+    let kept = KeptBytes::default();
+    serve_until(executor, listener, limits, handler, stopper.token(), kept).await;
 }
 
 /// Takes connections until dropped. When told to stop it still takes new ones, but closes each as
-/// soon as it rests.
+/// soon as it rests. What is kept for callers is counted in `kept`.
 pub async fn serve_until<H: Handler>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
     limits: ServerLimits,
     handler: Rc<H>,
     stop: StopToken,
+    kept: KeptBytes,
 ) {
     let open = Rc::new(Cell::new(0_usize));
     loop {
@@ -126,7 +131,11 @@
             tracing::debug!("net: A caller's connection may wait for small packets: {error}.");
         }
         let guard = OpenGuard::new(open.clone());
-        let served = serve_connection(stream, limits, handler.clone(), guard, stop.clone());
+        let served = serve_connection(stream, limits, handler.clone(), stop.clone(), kept.open());
+        let served = async move {
+            served.await;
+            drop(guard);
+        };
         executor.spawn(served).detach();
     }
 }
@@ -146,25 +155,34 @@
     }
 }
 
-async fn serve_connection<H: Handler>(
-    stream: smol::net::TcpStream,
+/// Answers the requests of one connection, until it ends or its peer is cut off as it does not read.
+pub async fn serve_connection<H, C>(
+    connection: C,
     limits: ServerLimits,
     handler: Rc<H>,
-    _guard: OpenGuard,
     stop: StopToken,
-) {
+    unread: UnreadBytes,
+) where
+    H: Handler,
+    C: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     let begun = Cell::new(false);
     let service = service_fn(|request| {
         begun.set(true);
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let unread = unread.clone();
+        async move {
+            let reply = handler.handle(request).await;
+            Ok::<_, Infallible>(reply.map(|body| CountedBody::new(body, unread)))
+        }
     });
+    let metered = Metered::new(connection, unread.clone());
     let mut connection = pin!(
         hyper::server::conn::http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(limits.head_timeout)
             .max_buf_size(limits.max_head_bytes)
-            .serve_connection(FuturesIo::new(stream), service)
+            .serve_connection(FuturesIo::new(metered), service)
     );
     let stopped = async {
         stop.stopped().await;
@@ -174,15 +192,21 @@
         }
         None
     };
-    let ended = async { Some(connection.as_mut().await) };
-    let served = match ended.or(stopped).await {
-        Some(served) => served,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        let ended = async { Some(connection.as_mut().await) };
+        match ended.or(stopped).await {
+            Some(served) => served,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
-    if let Err(error) = served {
+    let cut = async {
+        std::future::poll_fn(|context| unread.poll_cut(context)).await;
+        Ok(())
+    };
+    if let Err(error) = cut.or(served).await {
         tracing::debug!("net: A connection ended early: {error}.");
     }
 }
--- /dev/null
+++ b/crates/sillbank_net/tests/slow_readers.rs
@@ -0,0 +1,239 @@
+//! Callers that hardly read do not take the memory of a process, nor that of callers who read.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use sillbank_net::prelude::*;
+use sillbank_net::serve::serve_connection;
+use smol::LocalExecutor;
+use smol::io::{AsyncRead, AsyncWrite};
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+const BOUND_BYTES: usize = 4 << 20;
+const SLOW_CALLERS: usize = 500;
+/// More than one caller may leave unread.
+const EVENTS: usize = 2_000;
+const EVENT: &[u8; 100] = &[b'e'; 100];
+/// What an endpoint is let send ahead of its caller.
+const AHEAD_BYTES: usize = 64 << 10;
+/// What the network holds for a caller before it holds up the writer.
+const WINDOW_BYTES: usize = 1_000;
+/// Heads and framing of one answer.
+const FRAMING_BYTES: usize = 512;
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// One caller's connection as both its ends see it.
+#[derive(Debug, Default)]
+struct LinkState {
+    request: Vec<u8>,
+    received: Vec<u8>,
+    window_bytes: usize,
+    is_closed: bool,
+    writer: Option<Waker>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Link(Rc<RefCell<LinkState>>);
+
+impl Link {
+    fn read(&self, bytes: usize) {
+        let mut state = self.0.borrow_mut();
+        state.window_bytes += bytes;
+        if let Some(waker) = state.writer.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// The server's end; dropped when it closes the connection.
+struct ServerEnd(Link);
+
+impl Drop for ServerEnd {
+    fn drop(&mut self) {
+        self.0.0.borrow_mut().is_closed = true;
+    }
+}
+
+impl AsyncRead for ServerEnd {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let mut state = self.0.0.borrow_mut();
+        let length = state.request.len().min(buffer.len());
+        if length == 0 {
+            return Poll::Pending;
+        }
+        buffer[..length].copy_from_slice(&state.request[..length]);
+        state.request.drain(..length);
+        Poll::Ready(Ok(length))
+    }
+}
+
+impl AsyncWrite for ServerEnd {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let mut state = self.0.0.borrow_mut();
+        let length = bytes.len().min(state.window_bytes);
+        if length == 0 {
+            state.writer = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        state.window_bytes -= length;
+        state.received.extend_from_slice(&bytes[..length]);
+        Poll::Ready(Ok(length))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Answers with a stream, or with the same bytes whole, and counts what it wrote.
+struct Answers {
+    executor: Rc<LocalExecutor<'static>>,
+    is_whole: bool,
+    written: Rc<RefCell<Vec<usize>>>,
+}
+
+impl Handler for Answers {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let number: usize = request.uri().path()[1..].parse().expect("a number");
+        if self.is_whole {
+            self.written.borrow_mut()[number] = EVENTS * EVENT.len();
+            return Response::new(ReplyBody::Whole(Full::new(Bytes::from(EVENT.repeat(EVENTS)))));
+        }
+        let (outbox, body) = Outbox::new();
+        let written = self.written.clone();
+        let write = async move {
+            for _ in 0..EVENTS {
+                outbox.drained_to(AHEAD_BYTES).await;
+                if outbox.reader_gone() {
+                    return;
+                }
+                outbox.write(EVENT);
+                written.borrow_mut()[number] += EVENT.len();
+            }
+            outbox.close();
+        };
+        self.executor.spawn(write).detach();
+        Response::new(ReplyBody::Stream(body))
+    }
+}
+
+/// Callers of one process.
+struct Callers {
+    executor: Rc<LocalExecutor<'static>>,
+    kept: KeptBytes,
+    links: Vec<Link>,
+    written: Rc<RefCell<Vec<usize>>>,
+}
+
+impl Callers {
+    fn new(bound_bytes: usize, count: usize, is_whole: bool) -> Self {
+        let executor = Rc::new(LocalExecutor::new());
+        let kept = KeptBytes::new(bound_bytes);
+        let written = Rc::new(RefCell::new(vec![0; count]));
+        let handler =
+            Rc::new(Answers { executor: executor.clone(), is_whole, written: written.clone() });
+        let links: Vec<Link> = (0..count).map(|_| Link::default()).collect();
+        let stopper = Stopper::default();
+        for (number, link) in links.iter().enumerate() {
+            let request = format!("GET /{number} HTTP/1.1\r\nhost: a\r\n\r\n").into_bytes();
+            let state = LinkState { request, window_bytes: WINDOW_BYTES, ..LinkState::default() };
+            link.0.replace(state);
+            let limits = ServerLimits { max_head_bytes: 16 << 10, ..ServerLimits::default() };
+            let end = ServerEnd(link.clone());
+            let (handler, stop, unread) = (handler.clone(), stopper.token(), kept.open());
+            executor.spawn(serve_connection(end, limits, handler, stop, unread)).detach();
+        }
+        std::mem::forget(stopper);
+        Self { executor, kept, links, written }
+    }
+
+    fn run(&self) {
+        while self.executor.try_tick() {}
+    }
+
+    /// What was written for open connections and has not been received there, whoever counts it.
+    fn outstanding_bytes(&self) -> usize {
+        let written = self.written.borrow();
+        let of_link = |(link, written): (&Link, &usize)| {
+            let state = link.0.borrow();
+            let received = state.received.len().saturating_sub(FRAMING_BYTES);
+            if state.is_closed { 0 } else { written.saturating_sub(received) }
+        };
+        self.links.iter().zip(written.iter()).map(of_link).sum()
+    }
+
+    fn is_whole(&self, number: usize) -> bool {
+        let state = self.links[number].0.borrow();
+        let body = state.received.iter().filter(|byte| **byte == b'e').count();
+        body >= EVENTS * EVENT.len()
+    }
+}
+
+/// What is kept beyond the ledger: framing, and pieces that are on their way out of it.
+const SLACK_BYTES: usize = SLOW_CALLERS * FRAMING_BYTES;
+
+#[test]
+fn five_hundred_callers_that_read_a_byte_a_second_stay_under_the_bound_and_others_are_served() {
+    let callers = Callers::new(BOUND_BYTES, SLOW_CALLERS + 1, false);
+    let quick = SLOW_CALLERS;
+
+    for _second in 0..60 {
+        callers.run();
+        for link in &callers.links[..SLOW_CALLERS] {
+            link.read(1);
+        }
+        callers.links[quick].read(1 << 20);
+        callers.run();
+        assert!(callers.kept.kept_bytes() <= BOUND_BYTES);
+        assert!(callers.outstanding_bytes() <= BOUND_BYTES + SLACK_BYTES);
+    }
+
+    let cut = callers.links.iter().filter(|link| link.0.borrow().is_closed).count();
+    assert_eq!(cut as u64, callers.kept.cut());
+    assert!(cut > 0);
+    assert!(callers.is_whole(quick));
+    for link in &callers.links[..SLOW_CALLERS] {
+        assert!(!link.0.borrow().received.ends_with(LAST_CHUNK), "broken off, not ended");
+    }
+}
+
+#[test]
+fn whole_answers_that_nobody_reads_are_bounded_too() {
+    let callers = Callers::new(BOUND_BYTES, SLOW_CALLERS + 1, true);
+
+    callers.links[SLOW_CALLERS].read(1 << 20);
+    callers.run();
+
+    assert!(callers.kept.kept_bytes() <= BOUND_BYTES);
+    assert!(callers.outstanding_bytes() <= BOUND_BYTES + SLACK_BYTES);
+    assert!(callers.is_whole(SLOW_CALLERS));
+}
+
+#[test]
+fn callers_that_read_all_leave_nothing_counted() {
+    let callers = Callers::new(BOUND_BYTES, 20, false);
+
+    for link in &callers.links {
+        link.read(1 << 20);
+    }
+    callers.run();
+
+    assert!((0..20).all(|number| callers.is_whole(number)));
+    assert_eq!((callers.kept.kept_bytes(), callers.kept.cut()), (0, 0));
+}
