A VM that nears a limit of its own gives way, and at it refuses at once

Cause: a VM took requests until its link held packets, its memory ran out, its descriptors were used up (new connections then wait in the listener's queue) or its processor was starved, and nobody was told.

Switch: `mechanisms.vm_limits`.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -5,6 +5,7 @@
 use crate::gateway::{Gateway, Life};
 use crate::job::{Job, strip_connection_headers};
 use crate::store::MetadataStore;
+use crate::vm_limits::Standing;
 use crate::wire::{CallerHead, Wire};
 use crate::{calls, streams};
 use bytes::{Bytes, BytesMut};
@@ -76,7 +77,7 @@
         self.await_first_knowledge().await;
         let admitted = self.admit(&head, &parts, Instant::now());
         match admitted {
-            Ok(admitted) => match self.read_body(body, admitted.limits).await {
+            Ok(admitted) => match self.read_body(body, &admitted).await {
                 Ok(body) => self.serve(head, parts, body, admitted, began).await,
                 Err(failure) => self.refuse(&head.request_id, &failure),
             },
@@ -159,14 +160,31 @@
             .choose_service(fastrand::f64())
             .and_then(|name| catalog.service(name))
             .ok_or_else(|| uninformed("the route's service is not configured"))?;
+        if self.gateway.standing() == Standing::Full {
+            return Err(self.at_limit(&service.name, "the VM is at a limit of its own"));
+        }
         Ok(Admitted { route, service, organisation, limits: catalog.limits() })
     }
 
+    /// Refuses a request as this VM is at a limit of its own; those who are refused come back apart.
+    fn at_limit(&self, service: &str, reason: &str) -> Failure {
+        let failure = Failure::before_work(FailureKind::VmAtLimit, reason);
+        match self.gateway.settings().mechanisms.return_times {
+            true => failure.retry_after(self.gateway.come_back(service)),
+            false => failure.retry_after(COME_BACK_AT_LIMIT),
+        }
+    }
+
     async fn read_body(
         &self,
         mut body: Incoming,
-        limits: CallerLimits,
+        admitted: &Admitted,
     ) -> Result<ReadBody, Failure> {
+        let limits = admitted.limits;
+        let no_memory = || {
+            let reason = "what the VM keeps for its callers has reached its bound";
+            self.at_limit(&admitted.service.name, reason)
+        };
         let too_large = || {
             let reason = format!("the body is longer than {} bytes", limits.max_body_bytes);
             Failure::before_work(FailureKind::TooLarge, reason)
@@ -242,8 +260,3 @@
 fn uninformed(reason: &str) -> Failure {
     Failure::before_work(FailureKind::NotReady, reason).retry_after(COME_BACK_UNINFORMED)
 }
-
-fn no_memory() -> Failure {
-    let reason = "what the VM keeps for its callers has reached its bound";
-    Failure::before_work(FailureKind::VmAtLimit, reason).retry_after(COME_BACK_AT_LIMIT)
-}
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -94,6 +94,7 @@
         match ask_once(&gateway, &mut link, leader, AskFor::News).await {
             Ok(FeedReply::News(news)) => {
                 let holds_lease = news.holds_lease;
+                gateway.hall.on_told_vms(news.hall_vms);
                 let confirmed = take_news(&gateway, &mut link, *news, sent, true);
                 gateway.hall.on_news(Instant::now(), confirmed, holds_lease);
             }
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -1,6 +1,6 @@
 //! Messages of the feed, as postcard frames over TCP.
 
-use crate::hall::Strength;
+use crate::hall::{HallVms, Strength};
 use serde::{Deserialize, Serialize};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -136,6 +136,8 @@
     /// Whether the leader asks the store itself and is answered. If not, another VM does for it. Said by a
     /// leader that had lost the store, it made others rely on what they had told it themselves.
     pub follows_store: bool,
+    /// VMs of the leader's hall.
+    pub hall_vms: HallVms,
     /// How long the ask was held for news, in milliseconds.
     pub held_ms: u64,
     /// Time since the leader's configuration was last confirmed, in milliseconds.
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -94,6 +94,7 @@
         boards_seen,
         holds_lease: gateway.hall.leads.get().is_some(),
         follows_store: gateway.store_is_reached() && !gateway.senior_suffices(now),
+        hall_vms: gateway.hall.vm_count(now, gateway.strength()),
         held_ms: began.elapsed().as_millis() as u64,
         confirmed_age_ms: knowledge.stamp(now).catalog_age_ms,
         confirmed_at: knowledge.catalog_at(),
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::{Revision, StoreError};
 use crate::streams::HeardStreams;
+use crate::vm_limits::{LimitMeter, Standing};
 use crate::wire::Wire;
 use sillbank_admission::budget::{RetryBudget, RetryLimits};
 use sillbank_admission::returns::ReturnTimes;
@@ -70,6 +71,8 @@
     pub metrics: Metrics,
     /// What is kept for callers and endpoints.
     pub kept: KeptBytes,
+    /// How near this VM is to its limits.
+    pub limits: RefCell<LimitMeter>,
     /// Runs tasks.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Where the process stands.
@@ -99,6 +102,7 @@
             kept: KeptBytes::new(settings.kept_bound_bytes()),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
+            limits: RefCell::default(),
             hall: Hall::default(),
             book: Rc::default(),
             heard: Rc::default(),
@@ -141,10 +145,20 @@
         self.hall.senior_suffices(&self.settings.borrow().hall, now, freshness)
     }
 
-    /// How fit this VM is to lead its hall; 0 while it does not serve.
+    /// Where this VM stands to its limits, as far as it acts on that.
+    pub fn standing(&self) -> Standing {
+        match self.settings.borrow().mechanisms.vm_limits {
+            true => self.limits.borrow().standing(),
+            false => Standing::Clear,
+        }
+    }
+
+    /// How fit this VM is to lead its hall; 0 while it does not serve, or is near a limit: what a leader
+    /// does for a hall takes link and processor.
     pub fn strength(&self) -> Strength {
         let settings = self.settings.borrow();
         match self.life.get() {
+            Life::Serving if self.standing() != Standing::Clear => 0.0,
             Life::Serving => settings.processors * settings.link_mbps,
             Life::Draining | Life::Stopping => 0.0,
         }
@@ -155,11 +169,12 @@
         now.saturating_duration_since(self.began)
     }
 
-    /// Whether new work should come to this VM.
+    /// Whether new work should come to this VM. One that is near a limit leaves it to others, if they suffice.
     pub fn is_ready(&self, now: Instant) -> bool {
         self.life.get() == Life::Serving
             && self.knowledge.is_fresh(now)
             && self.knowledge.knows_endpoints()
+            && (self.standing() == Standing::Clear || !self.hall.others_suffice(now))
     }
 
     /// The store answered a call.
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -4,6 +4,8 @@
 use crate::feed::HallBoard;
 use crate::freshness::Freshness;
 use crate::knowledge::wait_in;
+use crate::vm_limits::others_suffice;
+use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -36,6 +38,15 @@
 /// a hall takes both; with 60 VMs a link of 20 Mbit/s took 1.8 s to pass a configuration on to all.
 pub type Strength = f64;
 
+/// VMs of a hall as its leader knows them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct HallVms {
+    /// All that ask it, and itself.
+    pub vms: u32,
+    /// Those of them that are near no limit of theirs and are not stopping.
+    pub fit: u32,
+}
+
 /// A VM of this hall that asks its leader.
 #[derive(Debug, Clone, Copy)]
 struct Asker {
@@ -77,6 +88,8 @@
     /// Whether the leader before handed its lease to this VM.
     is_nominated: Cell<bool>,
     most_hall_vms: Cell<u32>,
+    /// What the leader last told of the hall's VMs.
+    told_vms: Cell<HallVms>,
     /// When it is this VM's turn to ask the store if the leader tells too little, from 0 to 1.
     turn: Cell<f64>,
     /// When the leader last asked this VM for what it knows.
@@ -185,6 +198,33 @@
         askers.len() as u32 + 1
     }
 
+    /// VMs of this hall by what they told this leader; `own` is its own strength.
+    pub fn vm_count(&self, now: Instant, own: Strength) -> HallVms {
+        let vms = self.vms(now);
+        let askers = self.askers.borrow();
+        let fit = askers.values().filter(|asker| asker.strength > 0.0).count() as u32;
+        HallVms { vms, fit: fit + u32::from(own > 0.0) }
+    }
+
+    /// The leader told how many VMs of the hall there are.
+    pub fn on_told_vms(&self, told: HallVms) {
+        self.told_vms.set(told);
+    }
+
+    /// Whether enough other VMs of the hall are fit, by what is known of them. One that the leader does not
+    /// know to be unfit yet may count itself, so one is left out.
+    pub fn others_suffice(&self, now: Instant) -> bool {
+        let known = match self.tells.get() {
+            Some(_) => {
+                let HallVms { vms, fit } = self.vm_count(now, 0.0);
+                HallVms { vms, fit: fit + 1 }
+            }
+            None if self.leader_is_live(now) => self.told_vms.get(),
+            None => return false,
+        };
+        others_suffice(known.fit.saturating_sub(1), known.vms)
+    }
+
     /// The strongest VM that asked just now and is at least as strong as wanted, and where it is asked.
     pub fn strongest_asker(&self, now: Instant, least: Strength) -> Option<(VmId, SocketAddr)> {
         let askers = self.askers.borrow();
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store, [`backoff`] how
 //!   often while it does not answer.
 //! - [`placement`] gives engines their layers under a lease.
+//! - [`vm_limits`] says how near the VM is to limits of its own.
 //! - [`delivery`] keeps what a caller saw of its stream; [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
 #![forbid(unsafe_code)]
@@ -47,6 +48,7 @@
 pub mod store;
 pub mod streams;
 pub mod tries;
+pub mod vm_limits;
 pub mod wire;
 
 /// The few types most users need.
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -114,7 +114,6 @@
         smol::Timer::after(SWEEP).await;
         let now = Instant::now();
         gateway.channels.sweep(now);
-        gateway.metrics.note_kept(&gateway.kept);
         for id in gateway.knowledge.on_time(now) {
             tracing::info!(endpoint = id, "endpoint: Did not come back after the outage.");
             gateway.channels.forget(&id);
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -26,6 +26,8 @@
     pub time_share: bool,
     /// Paths through engines that failed or refused cost more.
     pub health_cost: bool,
+    /// A VM that is near a limit of its own gives way to others, and refuses new requests at it.
+    pub vm_limits: bool,
 }
 
 impl Default for Mechanisms {
@@ -41,6 +43,7 @@
             crowd_cost: true,
             time_share: true,
             health_cost: true,
+            vm_limits: true,
         }
     }
 }
@@ -59,6 +62,7 @@
             crowd_cost: reader.flag("crowd_cost", true),
             time_share: reader.flag("time_share", true),
             health_cost: reader.flag("health_cost", true),
+            vm_limits: reader.flag("vm_limits", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use sillbank_net::prelude::*;
+use std::sync::atomic::AtomicU64;
 
 /// Shortest latency told apart, in seconds.
 const FIRST_BUCKET_S: f64 = 0.005;
@@ -35,6 +36,13 @@
     pub kind: &'static str,
 }
 
+/// Label of a limit of the VM.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitLabel {
+    /// Name of the limit.
+    pub limit: &'static str,
+}
+
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -63,6 +71,8 @@
     pub kept_bytes: Gauge,
     /// Callers that were cut off as they read nothing while that reached its bound.
     pub callers_cut: Counter,
+    /// How near the VM is to its limits: 0 is free, 1 is at one.
+    pub vm_pressure: Family<LimitLabel, Gauge<f64, AtomicU64>>,
     /// Orders to engines, by how they ended.
     pub orders: Family<KindLabel, Counter>,
     /// Time to a call's answer or a stream's head, in seconds.
@@ -87,6 +97,7 @@
         let connections = Family::default();
         let kept_bytes = Gauge::default();
         let callers_cut = Counter::default();
+        let vm_pressure = Family::default();
         let orders = Family::default();
         let first_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         let whole_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
@@ -102,6 +113,7 @@
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
         registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
+        registry.register("vm_pressure", "How near limits are, 1 at one", vm_pressure.clone());
         registry.register("orders", "Orders to engines", orders.clone());
         registry.register("first_answer_s", "Time to the first answer", first_answer_s.clone());
         registry.register("whole_answer_s", "Time to the whole answer", whole_answer_s.clone());
@@ -119,6 +131,7 @@
             connections,
             kept_bytes,
             callers_cut,
+            vm_pressure,
             orders,
             first_answer_s,
             whole_answer_s,
--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -126,7 +126,9 @@
         self.handed_to = None;
         let hall = &self.gateway.hall;
         let turns = (TURN_OF_VM * hall.most_hall_vms()).max(LEAST_TURNS);
-        self.turn = turns.mul_f64(fastrand::f64());
+        // A VM that is not fit to lead comes after all others.
+        let before = if self.gateway.strength() > 0.0 { Duration::ZERO } else { turns };
+        self.turn = before + turns.mul_f64(fastrand::f64());
         match self.gateway.store.read_lease(&self.name).await {
             Ok(read) => {
                 self.read_from = Instant::now() + LEASE_READ_INTERVAL;
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -6,7 +6,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use crate::{doctor, feed, follow, lifecycle, placement};
+use crate::{doctor, feed, follow, lifecycle, placement, vm_limits};
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
@@ -14,10 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Descriptors kept for files, timers and the store.
-const SPARE_DESCRIPTORS: usize = 256;
-/// Descriptors that one caller's connection may need: its own and one to an endpoint.
-const DESCRIPTORS_PER_CALLER: usize = 2;
 /// Longest time that a caller's connection may rest until the first configuration says how long.
 const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(20);
 /// Longest head until the first configuration says how long.
@@ -86,8 +82,7 @@
         let limits = ServerLimits {
             head_timeout: FIRST_IDLE_LIMIT,
             max_head_bytes: MAX_HEAD_BYTES,
-            max_connections: settings.max_open_files.saturating_sub(SPARE_DESCRIPTORS)
-                / DESCRIPTORS_PER_CALLER,
+            max_connections: settings.max_caller_connections(),
         };
         let kept = gateway.kept.clone();
         let handler = Rc::new(CallerHandler { gateway });
@@ -105,6 +100,7 @@
     fn build(self, app: &App<Gateway<W, S>>) {
         app.spawn(lifecycle::reload(app.state(), self.reload, self.settings_path));
         app.spawn(lifecycle::sweep(app.state()));
+        app.spawn(vm_limits::watch_limits(app.state()));
         app.spawn(doctor::probe_lost(app.state()));
     }
 }
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -8,6 +8,10 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// Descriptors kept for files, timers and the store.
+const SPARE_DESCRIPTORS: usize = 256;
+/// Descriptors that one caller's connection may need: its own and one to an endpoint.
+const DESCRIPTORS_PER_CALLER: usize = 2;
 /// Bytes of a MB.
 const MB: f64 = 1e6;
 /// Part of a process's memory that it keeps for callers and endpoints at most. A quarter: what is kept may
@@ -59,6 +63,11 @@
 }
 
 impl GatewaySettings {
+    /// Most connections of callers.
+    pub fn max_caller_connections(&self) -> usize {
+        self.max_open_files.saturating_sub(SPARE_DESCRIPTORS) / DESCRIPTORS_PER_CALLER
+    }
+
     /// Most bytes that this process keeps for callers and endpoints.
     pub fn kept_bound_bytes(&self) -> usize {
         (self.memory_mb * MB * KEPT_SHARE) as usize
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -4,7 +4,7 @@
 use sillbank_gateway::freshness::{
     Freshness, NEED_POLL, NEWS_WAIT, confirmed_by_watch, lease_term,
 };
-use sillbank_gateway::hall::Hall;
+use sillbank_gateway::hall::{Hall, HallVms};
 use std::time::{Duration, Instant};
 
 /// Bounds for configurations to be in force on the sites known.
@@ -85,6 +85,7 @@
         boards_seen: 0,
         holds_lease: true,
         follows_store: true,
+        hall_vms: HallVms { vms: 2, fit: 2 },
         held_ms,
         confirmed_age_ms: Some(confirmed_age_ms),
         confirmed_at: 9,
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -2,7 +2,7 @@
 
 use sillbank_gateway::feed::{EngineState, HallBoard};
 use sillbank_gateway::freshness::Freshness;
-use sillbank_gateway::hall::Hall;
+use sillbank_gateway::hall::{Hall, HallVms};
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -347,3 +347,36 @@
     assert_eq!(hall.best_informed_asker(now, ago(10)), None);
     assert_eq!(hall.best_informed_asker(now + Duration::from_secs(2), ago(2_000)), None);
 }
+
+fn asks(hall: &Hall, vm: &str, strength: f64, now: Instant) {
+    let peer = "10.0.0.2:7000".parse().expect("an address");
+    hall.on_asker(vm, peer, strength, None, now);
+}
+
+#[test]
+fn a_leader_counts_the_vms_that_are_fit_and_leaves_its_work_to_them_only_if_they_suffice() {
+    let (hall, now) = (Hall::default(), Instant::now());
+    hall.tells.set(Some(1));
+    asks(&hall, "g2", 10.0, now);
+    asks(&hall, "g3", 0.0, now);
+    asks(&hall, "g4", 0.0, now);
+
+    let counted = hall.vm_count(now, 5.0);
+    let before = hall.others_suffice(now);
+    asks(&hall, "g3", 10.0, now);
+
+    assert_eq!(counted, HallVms { vms: 4, fit: 2 });
+    assert!(!before && hall.others_suffice(now));
+}
+
+#[test]
+fn a_vm_whose_leader_is_not_heard_knows_of_no_others() {
+    let (hall, now) = (Hall::default(), Instant::now());
+    hall.on_told_vms(HallVms { vms: 4, fit: 4 });
+
+    let before = hall.others_suffice(now);
+    hall.on_news(now, Some(now), HOLDS_LEASE);
+
+    assert!(!before && hall.others_suffice(now));
+    assert!(!hall.others_suffice(now + Duration::from_secs(2)));
+}
