--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -7,6 +7,7 @@
 use crate::wire::Wire;
 use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_net::metered::Metered;
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,10 +39,11 @@
     }
 }
 
-async fn serve_one<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, mut stream: TcpStream) {
+async fn serve_one<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, stream: TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "feed: A connection may wait for small packets.");
     }
+    let mut stream = Metered::new(stream, gateway.kept.open());
     loop {
         let late = async {
             smol::Timer::after(ASK_WAIT).await;
--- a/crates/sillbank_gateway/src/vm_limits/meter.rs
+++ b/crates/sillbank_gateway/src/vm_limits/meter.rs
@@ -63,14 +63,15 @@
 /// What a VM uses at a moment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct VmReading {
-    /// Bytes that passed its callers' connections since the process began, either way. What comes from a
-    /// caller goes on to an endpoint and back, so each direction of the link carries both.
+    /// Bytes that passed the connections of callers and of VMs that ask this one since the process began,
+    /// either way. What comes from a caller goes on to an endpoint and back, so each direction of the link
+    /// carries both.
     pub passed_bytes: u64,
     /// Requests in progress.
     pub requests: u64,
     /// Bytes that it keeps for callers and endpoints.
     pub kept_bytes: usize,
-    /// Connections of callers.
+    /// Connections of callers, and of VMs that ask this one.
     pub connections: usize,
     /// How late its timer was.
     pub timer_lag: Duration,
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod frames;
 pub mod kept;
 pub mod liveness;
-mod metered;
+pub mod metered;
 pub mod serve;
 pub mod signals;
 pub mod telemetry;
--- a/crates/sillbank_net/src/metered.rs
+++ b/crates/sillbank_net/src/metered.rs
@@ -8,13 +8,14 @@
 
 /// Counts what passes over a connection, and what its peer has taken.
 #[derive(Debug)]
-pub(crate) struct Metered<C> {
+pub struct Metered<C> {
     connection: C,
     unread: UnreadBytes,
 }
 
 impl<C> Metered<C> {
-    pub(crate) fn new(connection: C, unread: UnreadBytes) -> Self {
+    /// Counts the bytes of a connection in `unread`.
+    pub fn new(connection: C, unread: UnreadBytes) -> Self {
         Self { connection, unread }
     }
 }
