Limits: a VM whose connections are used up still serves those who are connected

At 0.95 of its connections a VM refused every request, also of callers on connections that rest for most of the idle time. Each connection has its second descriptor kept, and a refusal closes none, so that helped nobody. Connections now make a VM near its limits (not ready, no leader) and never full. Red first: a_vm_whose_connections_are_used_up_... (Full where Near is wanted).

--- a/crates/sillbank_gateway/src/vm_limits/meter.rs
+++ b/crates/sillbank_gateway/src/vm_limits/meter.rs
@@ -106,6 +106,13 @@
         let [first, rest @ ..] = self.by_limit();
         rest.into_iter().fold(first, |worst, next| if next.1 > worst.1 { next } else { worst })
     }
+
+    /// How near the VM is to a limit that its work brings nearer. Connections are none: each of them has a
+    /// second descriptor kept for an endpoint, so callers who are connected can be served, and refusing them closes
+    /// no connection.
+    pub fn of_work(&self) -> f64 {
+        self.link.max(self.memory).max(self.processor)
+    }
 }
 
 /// Where a VM stands to its limits.
@@ -180,9 +187,10 @@
 
     fn next_standing(&self) -> Standing {
         let (_, worst) = self.pressures.worst();
+        let of_work = self.pressures.of_work();
         match self.standing {
-            _ if worst >= FULL => Standing::Full,
-            Standing::Full if worst >= NEAR => Standing::Full,
+            _ if of_work >= FULL => Standing::Full,
+            Standing::Full if of_work >= NEAR => Standing::Full,
             _ if worst >= NEAR => Standing::Near,
             Standing::Near | Standing::Full if worst >= CLEAR => Standing::Near,
             _ => Standing::Clear,
--- a/crates/sillbank_gateway/tests/vm_limits.rs
+++ b/crates/sillbank_gateway/tests/vm_limits.rs
@@ -104,6 +104,15 @@
     assert_eq!([kept, open], [Standing::Full, Standing::Near]);
 }
 
+#[test]
+fn a_vm_whose_connections_are_used_up_still_serves_those_who_are_connected() {
+    let used_up = VmReading { connections: SMALL.connections, ..REST };
+
+    let standing = Vm::new().run(5.0, 0.0, used_up);
+
+    assert_eq!(standing, Standing::Near);
+}
+
 /// A steady load has one answer, whatever came before: it does not swing.
 #[test]
 fn a_steady_load_changes_the_standing_at_most_while_the_means_settle() {
