--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -1,10 +1,11 @@
 //! Callers' requests: read, admitted, handed on.
 
-use crate::answers::{COME_BACK_UNINFORMED, reply_of};
+use crate::answers::{COME_BACK_AT_LIMIT, COME_BACK_UNINFORMED, reply_of};
 use crate::delivery::Delivery;
 use crate::gateway::{Gateway, Life};
 use crate::job::{Job, strip_connection_headers};
 use crate::store::MetadataStore;
+use crate::vm_limits::Standing;
 use crate::wire::{CallerHead, Wire};
 use crate::{calls, streams};
 use bytes::{Bytes, BytesMut};
@@ -14,6 +15,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use sillbank_admission::returns::CallerMark;
+use sillbank_admission::returns::Refusal;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
@@ -28,6 +30,16 @@
 /// refused then.
 const FIRST_KNOWLEDGE_WAIT: Duration = Duration::from_millis(1_000);
 
+/// How often the body of a request is held at most: to send it once more, and in the buffer of the
+/// connection that takes it to an endpoint.
+const BODY_COPIES: usize = 2;
+
+/// A whole body.
+struct ReadBody {
+    bytes: Bytes,
+    kept: KeptShare,
+}
+
 /// Answers callers.
 #[derive(Debug)]
 pub struct CallerHandler<W, S> {
@@ -68,7 +80,7 @@
         self.await_first_knowledge().await;
         let admitted = self.admit(&head, &parts, Instant::now());
         match admitted {
-            Ok(admitted) => match self.read_body(body, admitted.limits).await {
+            Ok(admitted) => match self.read_body(body, &admitted).await {
                 Ok(body) => self.serve(head, parts, body, admitted, began).await,
                 Err(failure) => self.refuse(&head.request_id, &failure),
             },
@@ -151,16 +163,43 @@
             .choose_service(self.gateway.chance.fraction())
             .and_then(|name| catalog.service(name))
             .ok_or_else(|| uninformed("the route's service is not configured"))?;
+        if self.gateway.standing() == Standing::Full {
+            return Err(self.at_limit(&route, &service.name, "the VM is at a limit of its own"));
+        }
         Ok(Admitted { route, service, organisation, limits: catalog.limits() })
     }
 
-    async fn read_body(&self, mut body: Incoming, limits: CallerLimits) -> Result<Bytes, Failure> {
+    /// Refuses a request as this VM is at a limit of its own; those who are refused come back apart.
+    fn at_limit(&self, route: &Route, service: &str, reason: &str) -> Failure {
+        let failure = Failure::before_work(FailureKind::VmAtLimit, reason);
+        match self.gateway.settings().mechanisms.return_times {
+            true => {
+                let refusal =
+                    Refusal { rank: route.priority, time_left: route.timeout, caller: None };
+                let now = Instant::now();
+                failure.retry_after(self.gateway.come_back_after(service, refusal, now))
+            }
+            false => failure.retry_after(COME_BACK_AT_LIMIT),
+        }
+    }
+
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        admitted: &Admitted,
+    ) -> Result<ReadBody, Failure> {
+        let limits = admitted.limits;
+        let no_memory = || {
+            let reason = "what the VM keeps for its callers has reached its bound";
+            self.at_limit(&admitted.route, &admitted.service.name, reason)
+        };
         let too_large = || {
             let reason = format!("the body is longer than {} bytes", limits.max_body_bytes);
             Failure::before_work(FailureKind::TooLarge, reason)
         };
+        let mut kept = self.gateway.kept.try_keep(0).ok_or_else(no_memory)?;
         if body.is_end_stream() {
-            return Ok(Bytes::new());
+            return Ok(ReadBody { bytes: Bytes::new(), kept });
         }
         if body.size_hint().lower() > limits.max_body_bytes as u64 {
             return Err(too_large());
@@ -173,7 +212,7 @@
             };
             let next = async { Ok(body.frame().await) };
             let Some(frame) = futures_lite::future::or(next, late).await? else {
-                return Ok(whole.freeze());
+                return Ok(ReadBody { bytes: whole.freeze(), kept });
             };
             let frame = frame.map_err(|error| {
                 Failure::before_work(FailureKind::MalformedBody, format!("the body broke: {error}"))
@@ -182,6 +221,9 @@
                 if whole.len() + data.len() > limits.max_body_bytes {
                     return Err(too_large());
                 }
+                if !kept.try_grow(BODY_COPIES * data.len()) {
+                    return Err(no_memory());
+                }
                 whole.extend_from_slice(&data);
             }
         }
@@ -191,7 +233,7 @@
         &self,
         head: CallerHead,
         parts: Parts,
-        body: Bytes,
+        body: ReadBody,
         admitted: Admitted,
         began: Instant,
     ) -> Response<ReplyBody> {
@@ -205,7 +247,8 @@
             method: parts.method,
             target: parts.uri,
             headers,
-            body,
+            body: body.bytes,
+            kept: body.kept,
             route: admitted.route,
             service: admitted.service,
             organisation: admitted.organisation,
--- a/crates/sillbank_gateway/src/demand.rs
+++ b/crates/sillbank_gateway/src/demand.rs
@@ -136,11 +136,16 @@
         let now = Instant::now();
         let refusal =
             Refusal { rank: job.priority(), time_left: job.time_left(now), caller: job.caller };
-        let fleet = self.fleet_demand(&job.service.name, now);
+        self.come_back_after(&job.service.name, refusal, now)
+    }
+
+    /// When the caller of a refused request of a service should come back.
+    pub fn come_back_after(&self, service: &str, refusal: Refusal, now: Instant) -> Duration {
+        let fleet = self.fleet_demand(service, now);
         let is_used = fleet.is_told && self.settings.borrow().mechanisms.fleet_demand;
         let flow = is_used.then_some(FleetFlow { rates: &fleet.rates, vms: fleet.vms });
         let tell = |returns: &mut ReturnTimes| returns.on_refused(now, refusal, flow);
-        self.demand.with_returns(&job.service.name, now, tell)
+        self.demand.with_returns(service, now, tell)
     }
 
     /// What the fleet is asked for of a service.
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //!   often while it does not answer.
 //! - [`demand`] counts what this VM is asked for, and adds up what the fleet is.
 //! - [`placement`] gives engines their layers under a lease.
+//! - [`vm_limits`] says how near the VM is to limits of its own.
 //! - [`delivery`] keeps what a caller saw of its stream; [`forecasts`] tells it beforehand and learns from it; [`decisions`] and [`metrics`] tell what was decided and how long it took.
 
 #![forbid(unsafe_code)]
@@ -56,6 +57,7 @@
 pub mod streams;
 pub mod tries;
 pub mod unreadable;
+pub mod vm_limits;
 pub mod wire;
 
 /// The few types most users need.
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -36,6 +36,8 @@
     pub calls_in_time: bool,
     /// Forecasts are corrected by how earlier ones came true.
     pub forecast_learning: bool,
+    /// A VM that is near a limit of its own gives way to others, and refuses new requests at it.
+    pub vm_limits: bool,
 }
 
 impl Default for Mechanisms {
@@ -56,6 +58,7 @@
             forecasts: true,
             forecast_learning: true,
             calls_in_time: true,
+            vm_limits: true,
         }
     }
 }
@@ -79,6 +82,7 @@
             forecasts: reader.flag("forecasts", true),
             forecast_learning: reader.flag("forecast_learning", true),
             calls_in_time: reader.flag("calls_in_time", true),
+            vm_limits: reader.flag("vm_limits", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use sillbank_net::prelude::*;
 use std::sync::atomic::AtomicU64;
 
 /// Shortest latency told apart, in seconds.
@@ -67,6 +68,13 @@
 /// A gauge of a measure that is no whole number.
 pub type FractionGauge = Gauge<f64, AtomicU64>;
 
+/// Label of a limit of the VM.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitLabel {
+    /// Name of the limit.
+    pub limit: &'static str,
+}
+
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -95,6 +103,12 @@
     pub renewed_endpoints: Counter,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
+    /// Bytes that are kept for callers and endpoints.
+    pub kept_bytes: Gauge,
+    /// Callers that were cut off as they read nothing while that reached its bound.
+    pub callers_cut: Counter,
+    /// How near the VM is to its limits: 0 is free, 1 is at one.
+    pub vm_pressure: Family<LimitLabel, Gauge<f64, AtomicU64>>,
     /// Orders to engines, by how they ended.
     pub orders: Family<KindLabel, Counter>,
     /// Calls that were sent nowhere, by why.
@@ -131,6 +145,9 @@
         let unreadable = Family::default();
         let renewed_endpoints = Counter::default();
         let connections = Family::default();
+        let kept_bytes = Gauge::default();
+        let callers_cut = Counter::default();
+        let vm_pressure = Family::default();
         let orders = Family::default();
         let demand = Family::default();
         let fleet_demand_per_s = Family::default();
@@ -151,6 +168,9 @@
         let help = "Endpoints started again under their id";
         registry.register("renewed_endpoints", help, renewed_endpoints.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
+        registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
+        registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
+        registry.register("vm_pressure", "How near limits are, 1 at one", vm_pressure.clone());
         registry.register("orders", "Orders to engines", orders.clone());
         registry.register("demand", "Requests by service, rank and fate", demand.clone());
         let help = "Requests a second in the fleet";
@@ -187,6 +207,9 @@
             unreadable,
             renewed_endpoints,
             connections,
+            kept_bytes,
+            callers_cut,
+            vm_pressure,
             orders,
             calls_refused,
             demand,
@@ -201,6 +224,12 @@
 }
 
 impl Metrics {
+    /// Notes what is kept for callers.
+    pub fn note_kept(&self, kept: &KeptBytes) {
+        self.kept_bytes.set(kept.kept_bytes() as i64);
+        self.callers_cut.inc_by(kept.cut().saturating_sub(self.callers_cut.get()));
+    }
+
     /// What is served on the metrics address.
     pub fn registry(&self) -> &Registry {
         &self.registry
