Start: engines are asked once they are known, and callers of a VM without endpoints come back after 0.5 s

Cause, found on the way of a VM and a leader from their start (docs/CAPACITY.md): a VM that has a configuration and not all endpoints yet took that for a shortage of room. And a leader that had its configuration a moment before its endpoints asked no engine for 0.7 s (0.73 s from the list to the first ask in the log of a trial with ten VMs and 1,000 stand-ins of engines), in which VMs choose blindly.

Ruled out, by trials on one machine: planning a hall of 1,000 engines (1.4 ms a round, 5.6 ms the first, release), asking 1,000 engines for reports (67 to 176 ms a round, release, none missed), telling 1,000 endpoints to nine VMs (20 to 60 ms, release).

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -5,7 +5,7 @@
 mod targets;
 
 pub use leadership::lease_name;
-pub use reports::{KnownEngine, ReportOutcome};
+pub use reports::{KnownEngine, ReportOutcome, ReportRounds};
 pub use targets::{Chains, EngineView, Target, first_targets, mended_targets};
 
 use crate::feed::{EngineState, HallBoard, NEARLY_FULL_PERMILLE};
@@ -45,7 +45,7 @@
     gateway: Rc<Gateway<W, S>>,
     leadership: Leadership<W, S>,
     known: HashMap<EndpointId, KnownEngine>,
-    asked_at: Option<Instant>,
+    rounds: ReportRounds,
     members: (Vec<EndpointId>, Instant),
     chains: BTreeMap<ServiceId, Chains>,
 }
@@ -55,7 +55,7 @@
     let mut placement = Placement {
         leadership: Leadership::new(&gateway),
         known: HashMap::new(),
-        asked_at: None,
+        rounds: ReportRounds::default(),
         members: (Vec::new(), Instant::now()),
         chains: BTreeMap::new(),
         gateway,
@@ -113,19 +113,28 @@
             true => REPORT_INTERVAL_NEARLY_FULL,
             false => REPORT_INTERVAL,
         };
-        let is_due = |at: Instant| now.saturating_duration_since(at) >= interval;
-        if !self.asked_at.is_none_or(is_due) && !self.has_new_suspect() {
+        let has_engines = || self.has_engines_of(&services);
+        if !self.rounds.is_due(now, interval, has_engines) && !self.has_new_suspect() {
             return;
         }
-        self.asked_at = Some(now);
         for service in services {
             if let Some(figures) = &service.engine {
                 self.place_service(&service.name, figures).await;
             }
         }
+        self.rounds.on_begun(now, !self.known.is_empty());
         self.post_board();
     }
 
+    /// Whether engines of these services are listed in this hall.
+    fn has_engines_of(&self, services: &[Rc<Service>]) -> bool {
+        let hall = &self.gateway.settings().hall;
+        self.gateway.knowledge.endpoints(|directory| {
+            let mut of_all = services.iter().flat_map(|service| directory.usable_of(&service.name));
+            of_all.any(|record| record.hall == *hall)
+        })
+    }
+
     /// Whether an engine has little KV cache left by its last report, or lets requests wait.
     fn is_any_nearly_full(&self) -> bool {
         let nearly_full = |report: &EngineReport| {
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -97,6 +97,42 @@
     }
 }
 
+/// When the engines of a hall are asked, round by round.
+#[derive(Debug, Default)]
+pub struct ReportRounds {
+    last: Option<ReportRound>,
+}
+
+/// A round in which all engines of a hall are asked.
+#[derive(Debug)]
+struct ReportRound {
+    began: Instant,
+    found_engines: bool,
+}
+
+impl ReportRounds {
+    /// Whether the next round is due: `interval` after the one before. If that one found no engine, it is due as
+    /// soon as there are some: a leader that has just begun knows its endpoints a moment after its
+    /// configuration, and VMs choose blindly until engines were asked.
+    pub fn is_due(
+        &self,
+        now: Instant,
+        interval: Duration,
+        has_engines: impl FnOnce() -> bool,
+    ) -> bool {
+        let Some(last) = &self.last else {
+            return true;
+        };
+        let is_over = now.saturating_duration_since(last.began) >= interval;
+        is_over || (!last.found_engines && has_engines())
+    }
+
+    /// A round began.
+    pub fn on_begun(&mut self, now: Instant, found_engines: bool) {
+        self.last = Some(ReportRound { began: now, found_engines });
+    }
+}
+
 /// Asks an engine for its report.
 pub(super) async fn ask<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -1,7 +1,7 @@
 //! Begins a stream: sends its request until an endpoint takes it.
 
 use super::loss::{ActiveRoute, Loss, SilenceTimer, look_for_loss, move_request};
-use crate::answers::give_up;
+use crate::answers::{COME_BACK_UNINFORMED, give_up};
 use crate::channels::Channel;
 use crate::decisions::SendEnd;
 use crate::endpoints::{Evidence, InFlight, Share};
@@ -133,10 +133,14 @@
     })
 }
 
-/// Gives a request up; one that was not run is told when there may be room.
+/// Gives a request up; one that was not run is told when there may be room. A VM that does not know all
+/// endpoints yet knows of no shortage: spaced out as after one, its callers came back after 2, 4, 6 s.
 fn refuse<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, job: &Job, reason: &str) -> Failure {
     let failure = give_up(job.run.get(), FailureKind::NoChain, reason);
     match failure.retry_after {
+        Some(_) if !gateway.knowledge.knows_endpoints() => {
+            failure.retry_after(COME_BACK_UNINFORMED)
+        }
         Some(_) if gateway.settings().mechanisms.return_times => {
             failure.retry_after(gateway.come_back(job))
         }
--- a/crates/sillbank_gateway/tests/reports.rs
+++ b/crates/sillbank_gateway/tests/reports.rs
@@ -1,7 +1,8 @@
-//! When an engine is lost by what comes of asking it for reports.
+//! When engines are asked for reports, and when one is lost by what comes of that.
 
-use sillbank_gateway::placement::{KnownEngine, ReportOutcome};
+use sillbank_gateway::placement::{KnownEngine, ReportOutcome, ReportRounds};
 use sillbank_gateway::prelude::EngineReport;
+use std::time::{Duration, Instant};
 
 fn report() -> ReportOutcome {
     ReportOutcome::Reported(EngineReport {
@@ -64,3 +65,32 @@
 
     assert!(engine.report.is_some());
 }
+
+const INTERVAL: Duration = Duration::from_millis(700);
+
+/// Rounds of which the last began `ago` before `now`.
+fn rounds_begun(now: Instant, ago: Duration, found_engines: bool) -> ReportRounds {
+    let mut rounds = ReportRounds::default();
+    rounds.on_begun(now.checked_sub(ago).expect("the machine has run for a while"), found_engines);
+    rounds
+}
+
+#[test]
+fn engines_are_asked_again_after_the_interval() {
+    let now = Instant::now();
+    let is_due = |ago| rounds_begun(now, ago, true).is_due(now, INTERVAL, || true);
+
+    assert!(ReportRounds::default().is_due(now, INTERVAL, || false));
+    assert!(!is_due(INTERVAL / 2));
+    assert!(is_due(INTERVAL));
+}
+
+/// A leader that begins has its configuration before its endpoints.
+#[test]
+fn engines_are_asked_as_soon_as_they_are_known() {
+    let now = Instant::now();
+    let rounds = rounds_begun(now, Duration::from_millis(1), false);
+
+    assert!(!rounds.is_due(now, INTERVAL, || false));
+    assert!(rounds.is_due(now, INTERVAL, || true));
+}
