Tests: ports that a test program chooses are its own while it runs

Cause: programs took their part of the ports by their process id, so two that run at once could share one, and a port is free between its choice and the start of its server. A block is claimed now by listening on its last port.

--- a/crates/sillbank_load/tests/support/fleet.rs
+++ b/crates/sillbank_load/tests/support/fleet.rs
@@ -1,20 +1,20 @@
 //! A fleet of real processes on loopback for one test. Everything it started ends with it.
 
 use sillbank_load::fleet::{Addresses, FleetArguments, write};
+use sillbank_testing::ports::PortBlock;
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 
-/// Ports that one fleet may look at.
-const PORTS_OF_A_FLEET: u16 = 200;
-
 /// Processes by name.
 pub(crate) struct Fleet {
     pub(crate) folder: PathBuf,
     pub(crate) addresses: Addresses,
     commands: HashMap<String, Vec<String>>,
     running: HashMap<String, Child>,
+    /// Kept so that no other fleet is given its ports.
+    _ports: PortBlock,
 }
 
 impl Fleet {
@@ -23,13 +23,14 @@
         let folder = temporary_folder();
         let mut arguments = FleetArguments::new(folder.clone(), programs());
         shape(&mut arguments);
-        arguments.first_port = first_port();
+        let ports = PortBlock::claim();
+        arguments.first_port = ports.first();
         write(&arguments).expect("the fleet is laid out");
         let text = std::fs::read_to_string(folder.join("commands.txt")).expect("commands");
         let words = |line: &str| line.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
         let commands = text.lines().map(words).map(|mut words| (words.remove(0), words)).collect();
         let addresses = Addresses::read(&folder).expect("addresses");
-        Self { folder, addresses, commands, running: HashMap::new() }
+        Self { folder, addresses, commands, running: HashMap::new(), _ports: ports }
     }
 
     /// Names of all processes.
@@ -139,13 +140,3 @@
     let number = COUNT.fetch_add(1, Ordering::Relaxed);
     std::env::temp_dir().join(format!("sillbank-{}-{number}", std::process::id()))
 }
-
-/// A part of the port range for one fleet, apart from those of other tests and from the ports
-/// that the system gives to outgoing connections. Taken ports are skipped.
-fn first_port() -> u16 {
-    static COUNT: AtomicU16 = AtomicU16::new(0);
-    let number = COUNT.fetch_add(1, Ordering::Relaxed);
-    let parts = 20_000 / PORTS_OF_A_FLEET;
-    let part = (std::process::id() as u16).wrapping_mul(7).wrapping_add(number) % parts;
-    12_000 + part * PORTS_OF_A_FLEET
-}
--- a/crates/sillbank_testing/src/lib.rs
+++ b/crates/sillbank_testing/src/lib.rs
@@ -1,7 +1,10 @@
-//! What tests share: properties run from fixed seeds, so that the verdict is the same each time.
+//! What tests share: properties run from fixed seeds, and [`ports`] that nobody else uses, so that the verdict is
+//! the same each time.
 
 #![forbid(unsafe_code)]
 
+pub mod ports;
+
 use arbitrary::Unstructured;
 
 /// Runs a property from fixed seeds, with inputs of about `size_bytes` each.
