--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -134,7 +134,7 @@
 }
 
 /// Gives a request up; one that was not run is told when there may be room. A VM that does not know all
-/// endpoints yet knows of no shortage: spaced out as after one, its callers came back after 2, 4, 6 s.
+/// endpoints yet knows of no shortage: spaced out as after one, its callers came back after 2, 30, 30 s.
 fn refuse<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, job: &Job, reason: &str) -> Failure {
     let failure = give_up(job.run.get(), FailureKind::NoChain, reason);
     match failure.retry_after {
