Ladder: VMs that are asked seldom close too, figures that are no numbers close nothing

Causes, each red in a test before: a VM with a request each 3 s never closed (share 0.85 at full engines), as news more than 2 s apart counted for nothing; a fullness that is no number closed as a full one; a share of all that is no number refused everybody; what lies behind the last of 32 rungs got the floor only, though its weight counted in that rung; a moment before the last one made weights fade twice. The log line told "Moved" at each new rank while nobody was held back; it now tells the first rung that is held back, none while everybody is let in. A share of all lets in whatever was drawn.

--- a/crates/sillbank_admission/src/evidence.rs
+++ b/crates/sillbank_admission/src/evidence.rs
@@ -50,6 +50,6 @@
         let kept = (-age.as_secs_f64() / WEIGHT_TIME_S).exp();
         self.sends *= kept;
         self.refusals *= kept;
-        self.at = Some(now);
+        self.at = self.at.max(Some(now));
     }
 }
--- a/crates/sillbank_admission/src/ladder.rs
+++ b/crates/sillbank_admission/src/ladder.rs
@@ -22,7 +22,8 @@
 /// How urgent a request is; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
-    /// Rank of the organisation, which goes before the route's; the route's if it has none.
+    /// Rank of the organisation, which goes before the route's. An organisation without one has that of the route, but
+    /// none behind the middle of 0 to 9.
     pub organisation: Rank,
     /// Rank of the route.
     pub route: Rank,
@@ -70,22 +71,29 @@
         }
     }
 
-    /// Share of the requests of a rung that is let in if so large a share of all is.
+    /// Share of the requests of a rung that is let in if so large a share of all is; all of them if that share is no number.
     pub fn share(&self, rung: Rung, share_of_all: f64) -> f64 {
+        let rung = self.counted_as(rung);
         let total: f64 = self.asked.values().sum();
         let before: f64 = self.asked.range(..rung).map(|(_, weight)| weight).sum();
         let own = self.asked.get(&rung).copied().unwrap_or(0.0);
-        if share_of_all >= 1.0 || total <= 0.0 {
+        if share_of_all.is_nan() || share_of_all >= 1.0 || total <= 0.0 {
             return 1.0;
         }
         let left = share_of_all * total - before;
         (left / own.max(f64::MIN_POSITIVE)).clamp(FLOOR, 1.0)
     }
 
-    /// The last rung all of whose requests are let in; `None` if there is none.
-    pub fn lowest_open(&self, share_of_all: f64) -> Option<Rung> {
-        let is_open = |rung: &&Rung| self.share(**rung, share_of_all) >= 1.0;
-        self.asked.keys().rev().find(is_open).copied()
+    /// The most urgent rung of which not all requests are let in; `None` if everybody is.
+    pub fn first_held_back(&self, share_of_all: f64) -> Option<Rung> {
+        let is_held_back = |rung: &&Rung| self.share(**rung, share_of_all) < 1.0;
+        self.asked.keys().find(is_held_back).copied()
+    }
+
+    /// The rung under which a request counts: the last one for what is less urgent than all that are told apart.
+    fn counted_as(&self, rung: Rung) -> Rung {
+        let last = self.asked.last_key_value().map(|(last, _)| *last);
+        last.filter(|last| self.asked.len() >= MAX_RUNGS && *last < rung).unwrap_or(rung)
     }
 
     fn fade(&mut self, now: Instant) {
@@ -95,6 +103,6 @@
             *weight *= kept;
             *weight > FORGOTTEN_BELOW
         });
-        self.at = Some(now);
+        self.at = self.at.max(Some(now));
     }
 }
--- a/crates/sillbank_admission/src/level.rs
+++ b/crates/sillbank_admission/src/level.rs
@@ -5,7 +5,8 @@
 //! fullness is from where it should be, by the sum of that over time, and by where fullness will be soon
 //! as it rises or falls now.
 //!
-//! A VM that has just begun lets everybody in and comes to the others' share within about a second.
+//! A VM that has just begun lets everybody in. It closes by the same errors as the others from then on, so while they hold
+//! the engines where they should be it stays more open than they are, and they close by as much more.
 
 use std::time::{Duration, Instant};
 
@@ -25,8 +26,9 @@
 const AHEAD_S: f64 = 0.5;
 /// Time over which the trend is taken: some news of the engines, each of which has errors.
 const TREND_TIME_S: f64 = 0.4;
-/// Time without a new fullness after which the trend counts no more.
-const TREND_KEPT: Duration = Duration::from_secs(2);
+/// Time without a new fullness after which the trend counts no more, and the longest that one error counts for: a VM that
+/// is asked seldom closes and opens too, and one that was not asked for minutes does not take all of them for the error of now.
+const LONGEST_STEP: Duration = Duration::from_secs(2);
 
 /// Control of the share that is let in.
 #[derive(Debug, Clone)]
@@ -53,9 +55,12 @@
 }
 
 impl Level {
-    /// Takes how full the engines are now, from 0 to 1.
+    /// Takes how full the engines are now, from 0 to 1. A figure that is no number tells nothing and is left out.
     pub fn on_fullness(&mut self, now: Instant, fullness: f64) {
-        let fullness = if fullness.is_nan() { 1.0 } else { fullness.clamp(0.0, 1.0) };
+        if !fullness.is_finite() {
+            return;
+        }
+        let fullness = fullness.clamp(0.0, 1.0);
         let (trend, passed_s) = self.trend(now, fullness);
         self.seen = Some(Seen { at: now, fullness, trend });
         let error = AIM - (fullness + AHEAD_S * trend);
@@ -69,14 +74,17 @@
         self.share
     }
 
-    /// Change of fullness a second, and the time since it was seen before.
+    /// Change of fullness a second, and the seconds that its error counts for.
     fn trend(&self, now: Instant, fullness: f64) -> (f64, f64) {
         let Some(seen) = self.seen else {
             return (0.0, 0.0);
         };
         let passed = now.saturating_duration_since(seen.at);
-        if passed.is_zero() || passed > TREND_KEPT {
-            return (if passed.is_zero() { seen.trend } else { 0.0 }, 0.0);
+        if passed.is_zero() {
+            return (seen.trend, 0.0);
+        }
+        if passed > LONGEST_STEP {
+            return (0.0, LONGEST_STEP.as_secs_f64());
         }
         let passed_s = passed.as_secs_f64();
         let kept = (-passed_s / TREND_TIME_S).exp();
--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -38,7 +38,7 @@
     pub urgency: Urgency,
     /// Time that its caller has left, if it told.
     pub left: Option<Duration>,
-    /// Number from 0 to 1.
+    /// A number that was drawn evenly from 0 to 1. The request is let in if it is below the share of its rung.
     pub draw: f64,
 }
 
@@ -51,6 +51,15 @@
     pub is_late: bool,
 }
 
+/// What a VM decides by for one service, as of its last request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Believed {
+    /// Taken part of the engines, from 0 to 1.
+    pub fullness: f64,
+    /// Share of all requests that is let in, from 0 to 1.
+    pub share: f64,
+}
+
 /// What a VM knows of the load on each service.
 #[derive(Debug, Default)]
 pub struct FleetLoad {
@@ -71,6 +80,7 @@
     summed: Option<(Instant, f64)>,
     /// When somebody was held back last.
     held_back: Option<Instant>,
+    /// When the log last told which rungs are held back, and the first of them.
     logged: Option<(Instant, Option<Rung>)>,
 }
 
@@ -88,12 +98,20 @@
         load.ladder.on_asked(views.now, rung);
         let share = load.ladder.share(rung, load.level.share());
         load.log(views.now, &ask.service.name, fullness);
-        match ask.draw < share {
+        match share >= 1.0 || ask.draw < share {
             true => Ok(()),
             false => Err(NotLetIn { fullness, is_late: rung.is_late }),
         }
     }
 
+    /// What this VM decides by for a service; `None` before its first request.
+    pub fn believed(&self, service: &str) -> Option<Believed> {
+        let services = self.services.borrow();
+        let load = services.get(service)?;
+        let (_, fullness) = load.summed?;
+        Some(Believed { fullness, share: load.level.share() })
+    }
+
     /// An engine of a service took a request, or refused it for want of room.
     pub fn on_sent(&self, service: &str, was_let_in: bool, now: Instant) {
         let mut services = self.services.borrow_mut();
@@ -147,17 +165,17 @@
         self.held_back.is_none_or(|at| now.saturating_duration_since(at) >= CALM_AFTER)
     }
 
-    /// Tells when other rungs are open than were, at most once in a while.
+    /// Tells when the first rung that is held back changed, at most once in a while.
     fn log(&mut self, now: Instant, service: &str, fullness: f64) {
         let share = self.level.share();
-        let lowest_open = self.ladder.lowest_open(share);
-        let (at, before) = self.logged.unwrap_or((now, lowest_open));
+        let held_back = self.ladder.first_held_back(share);
+        let (at, before) = self.logged.unwrap_or((now, None));
         self.logged = Some((at, before));
-        if lowest_open == before || now.saturating_duration_since(at) < LOG_INTERVAL {
+        if held_back == before || now.saturating_duration_since(at) < LOG_INTERVAL {
             return;
         }
-        tracing::info!(service, fullness, share, ?lowest_open, ?before, "ladder: Moved.");
-        self.logged = Some((now, lowest_open));
+        tracing::info!(service, fullness, share, ?held_back, ?before, "ladder: Moved.");
+        self.logged = Some((now, held_back));
     }
 }
 
