Ladder: the share changes by parts of itself, so that it does not swing in an overload

Cause, shown by traces of load on a fake fleet (news 0.25 s apart and 0.35 s old, answers of 1.8 s at the middle and 5 s at the long end, refused callers back once after 1 to 3 s): what a change of the share sends grows with how much is asked for, so at twice the load and more fullness swung with a period of some 2.5 s, and in each low all ranks were shut out. The constants stay as they were; three of them are parts of the share now.

--- a/crates/sillbank_admission/src/level.rs
+++ b/crates/sillbank_admission/src/level.rs
@@ -5,29 +5,36 @@
 //! fullness is from where it should be, by the sum of that over time, and by where fullness will be soon
 //! as it rises or falls now.
 //!
-//! A VM that has just begun lets everybody in. It closes by the same errors as the others from then on, so while they hold
-//! the engines where they should be it stays more open than they are, and they close by as much more.
+//! What a change of the share sends to the engines grows with how much is asked for: at three times the load that
+//! fits, 0.1 more of the share is 0.3 more of what fits. So the share changes by parts of itself, and an overload
+//! of any size is followed alike. Where the engines have so much room that the error is larger
+//! than the share, it changes by parts of the error, and opens soon after an overload.
+//!
+//! A VM that has just begun lets everybody in. From then on it closes by the same errors as the others, so while they
+//! hold the engines where they should be it stays more open than they are, and they close by as much more.
 
 use std::time::{Duration, Instant};
 
 /// Fullness that is aimed at. The rest is for answers that become longer than was likely: engines that run out
 /// of memory put requests back that they have begun, and read them again.
 const AIM: f64 = 0.90;
-/// Change of the share for a fullness that is off by 1. Above some 2 the share swings, as news of the engines
-/// are half a second old and three times the load that fits fills them within a second.
+/// Change of the share for a fullness that is off by 1, as a part of the share. Above some 2 the share swings, as
+/// news of the engines are half a second old and three times the load that fits fills them within a second.
 const PROPORTIONAL: f64 = 1.5;
-/// Change of the share a second for a fullness that is too high by 1. A step to three times the load is followed
-/// within two seconds.
+/// Change of the share a second for a fullness that is too high by 1, as a part of the share. A step to three times
+/// the load is followed within two seconds.
 const CLOSING_PER_S: f64 = 2.0;
 /// The same for a fullness that is too low. Slower, as too many that are let in harm those that run already, and
 /// too few only themselves.
 const OPENING_PER_S: f64 = 1.0;
+/// Least share that the sum of errors may leave, so that it can rise by parts of itself again.
+const LEAST_BASE: f64 = 0.02;
 /// How far ahead fullness is foreseen by its trend: as old as news of the engines are.
 const AHEAD_S: f64 = 0.5;
 /// Time over which the trend is taken: some news of the engines, each of which has errors.
 const TREND_TIME_S: f64 = 0.4;
-/// Time without a new fullness after which the trend counts no more, and the longest that one error counts for: a VM that
-/// is asked seldom closes and opens too, and one that was not asked for minutes does not take all of them for the error of now.
+/// Time without a new fullness after which the trend counts no more, and the longest that one error counts for: a VM
+/// that is asked seldom closes and opens too, and after a quiet time the error of now does not count for all of it.
 const LONGEST_STEP: Duration = Duration::from_secs(2);
 
 /// Control of the share that is let in.
@@ -65,8 +72,9 @@
         self.seen = Some(Seen { at: now, fullness, trend });
         let error = AIM - (fullness + AHEAD_S * trend);
         let per_s = if error < 0.0 { CLOSING_PER_S } else { OPENING_PER_S };
-        self.base = (self.base + per_s * error * passed_s).clamp(0.0, 1.0);
-        self.share = (self.base + PROPORTIONAL * error).clamp(0.0, 1.0);
+        let part = self.base.max(error);
+        self.base = (self.base + per_s * error * part * passed_s).clamp(LEAST_BASE, 1.0);
+        self.share = (self.base + PROPORTIONAL * error * part).clamp(0.0, 1.0);
     }
 
     /// Share of what is asked for that is let in, from 0 to 1.
