Streams: one that was let in is not asked for room again when it is lost before its first event

Cause, read: a stream that breaks before its first event is begun anew without a number to resume after, which was taken for a new request. In an overload it could be refused by rank, and its caller, who has a head of 200 already, got a broken stream. Not tested by itself: it needs a gateway and an endpoint; cargo check and clippy only.

--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -66,9 +66,9 @@
     mut avoid: Vec<EndpointId>,
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
-    if resume_after.is_none()
-        && let Err(closed) = ask_ladder(gateway, job)
-    {
+    // One that was sent before was let in then, also if no event of it had come.
+    let is_new = resume_after.is_none() && job.sends.get() == 0;
+    if is_new && let Err(closed) = ask_ladder(gateway, job) {
         return Err(refuse(gateway, job, closed));
     }
     loop {
