Ladder: metrics by rank, and tests of what it decides by from boards and engines

ladder_asked by service, rank and end, ladder_fullness and ladder_share by service, in a module of their own.

--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod hall;
 pub mod job;
 pub mod knowledge;
+pub mod ladder_metrics;
 pub mod lifecycle;
 pub mod lives;
 pub mod load;
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms.
 
 use crate::counted_store::StoreCalls;
+use crate::ladder_metrics::LadderMetrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -119,6 +120,8 @@
     pub fleet_demand_per_s: Family<DemandLabel, FractionGauge>,
     /// Age of the oldest figures among them, in seconds.
     pub fleet_demand_age_s: Family<RateLabel, FractionGauge>,
+    /// Who is let in when not all requests fit.
+    pub ladder: LadderMetrics,
     /// Time to a call's answer or a stream's head, in seconds.
     pub first_answer_s: Family<KindLabel, Histogram, MakeHistogram>,
     /// Time to the end of the answer, in seconds.
@@ -152,6 +155,7 @@
         let demand = Family::default();
         let fleet_demand_per_s = Family::default();
         let fleet_demand_age_s = Family::default();
+        let ladder = LadderMetrics::default();
         let first_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         let whole_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         registry.register("requests", "Requests that ended", requests.clone());
@@ -177,6 +181,7 @@
         registry.register("fleet_demand_per_s", help, fleet_demand_per_s.clone());
         let help = "Age of the fleet's demand";
         registry.register("fleet_demand_age_s", help, fleet_demand_age_s.clone());
+        ladder.register(&mut registry);
         registry.register("first_answer_s", "Time to the first answer", first_answer_s.clone());
         registry.register("whole_answer_s", "Time to the whole answer", whole_answer_s.clone());
         let calls_refused = Family::default();
@@ -215,6 +220,7 @@
             demand,
             fleet_demand_per_s,
             fleet_demand_age_s,
+            ladder,
             first_answer_s,
             whole_answer_s,
             forecast_first_ratio,
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -127,6 +127,11 @@
         draw: gateway.chance.fraction(),
     };
     let admitted = gateway.load.admit(gateway.views(Instant::now()), ask);
+    let metrics = &gateway.metrics.ladder;
+    metrics.on_asked(&job.service.name, ask.urgency, admitted);
+    if let Some(believed) = gateway.load.believed(&job.service.name) {
+        metrics.show(&job.service.name, believed);
+    }
     admitted.map_err(|closed| match closed.is_late {
         true => "no room for its rank, and it comes too late to be in time",
         false => "no room for its rank",
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -1,5 +1,9 @@
 //! Which engines a request's path takes: those with places, room and their usual speed.
 
+#[path = "support/engines.rs"]
+mod engines;
+
+use engines::{LAYERS, SLOTS, service};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_engines::prelude::*;
@@ -16,45 +20,9 @@
 use std::time::{Duration, Instant};
 
 const HOME: &str = "a";
-const LAYERS: u16 = 20;
-const SLOTS: u32 = 192;
 /// Sequences of chance, which has a part in the cost of an engine, that a choice is looked at with.
 const SEEDS: std::ops::Range<u64> = 0..1_000;
 
-fn service() -> Service {
-    let accelerators = [("quick", 3.1), ("slow", 16.0)].map(|(kind, factor)| AcceleratorFigures {
-        kind: kind.to_owned(),
-        memory_mb: 36_000.0,
-        step_factor: factor,
-        prefill_factor: factor,
-    });
-    let engine = EngineFigures {
-        slots: SLOTS,
-        layers: LAYERS,
-        layer_mb: 1750.0,
-        kv_token_bytes: 459_000.0,
-        step_ms: 0.85,
-        step_ms_per_request: 0.003,
-        step_ms_per_k_context: 0.006,
-        steps_per_pass: 5,
-        prefill_tokens_per_s: 252_000.0,
-        prefill_ms_per_m_pairs: 0.2,
-        prefill_tokens_per_step: 512,
-        usual_prompt_tokens: 772,
-        usual_answer_tokens: 154,
-        load_ms: 14_000.0,
-        loads_at_once: 6,
-        report_lag_ms: 200.0,
-        accelerators: accelerators.to_vec(),
-    };
-    Service {
-        name: "gen".to_owned(),
-        health_path: "/healthz".to_owned(),
-        max_connections: 100,
-        engine: Some(engine),
-    }
-}
-
 fn record(id: &str, kind: &str, first: u16, end: u16) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
--- a/crates/sillbank_gateway/tests/settings.rs
+++ b/crates/sillbank_gateway/tests/settings.rs
@@ -46,12 +46,12 @@
 
 #[test]
 fn mechanisms_are_on_unless_their_section_says_otherwise() {
-    let text = format!("{LEAST}[mechanisms]\nmoves = false\n");
+    let text = format!("{LEAST}[mechanisms]\nmoves = false\nladder = false\n");
 
     let settings = read_text("test", &text).expect("it is whole");
     let unknown = read_text("test", &format!("{LEAST}[mechanisms]\nluck = true\n"));
 
-    let expected = Mechanisms { moves: false, ..Mechanisms::default() };
+    let expected = Mechanisms { moves: false, ladder: false, ..Mechanisms::default() };
     assert_eq!(settings.mechanisms, expected);
     assert_eq!(unknown.expect_err("it is faulty").0[0].path, "mechanisms.luck");
 }
