Load: room told of an older life of an engine, or for layers that the model does not have, does not count

Cause: paths left both out, the sum of the fleet's room did not, so a VM took engines for room (or full) that no path uses.

--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -3,8 +3,9 @@
 //! Each VM sums up what leaders tell of engines and asks the ladder of the service. Where nothing is told any
 //! more, it goes by what engines refuse to it.
 
-use crate::endpoints::EndpointBook;
+use crate::boards::EngineNews;
 use crate::feed::EngineState;
+use crate::lives::is_believed;
 use crate::paths::Views;
 use sillbank_admission::evidence::RefusalShare;
 use sillbank_admission::ladder::{Ladder, Rung, Urgency};
@@ -184,7 +185,8 @@
     let mut by_hall: BTreeMap<HallId, Vec<EngineRoom>> = BTreeMap::new();
     views.knowledge.endpoints(|directory| {
         for record in directory.usable_of(&service.name) {
-            if let Some(room) = engine_room(views, views.book, record, figures) {
+            let newest_life = directory.newest_life(&record.id);
+            if let Some(room) = engine_room(views, record, newest_life, figures) {
                 by_hall.entry(record.hall.clone()).or_default().push(room);
             }
         }
@@ -193,19 +195,22 @@
     rooms.fold(HallRoom::default(), HallRoom::plus)
 }
 
-/// Room of an engine; `None` if its leader does not tell of it or it cannot be used.
+/// Room of an engine; `None` if its leader does not tell of it, or of an older life, or it cannot be used.
 fn engine_room(
     views: Views<'_>,
-    book: &EndpointBook,
     record: &EndpointRecord,
+    newest_life: Option<BornMs>,
     figures: &EngineFigures,
 ) -> Option<EngineRoom> {
-    if !book.may_run_part(&record.id) {
+    if !views.book.may_run_part(&record.id) {
         return None;
     }
     let kind = figures.accelerator(record.accelerator.as_deref()?)?;
-    let boards = &views.hall.boards;
-    boards.engine(&record.hall, &record.id, views.now, |news| room_of(news.state, figures, kind))?
+    let read = |news: EngineNews<'_>| {
+        let is_of_this_life = is_believed(news.state.born_ms, newest_life);
+        is_of_this_life.then(|| room_of(news.state, figures, kind)).flatten()
+    };
+    views.hall.boards.engine(&record.hall, &record.id, views.now, read)?
 }
 
 fn room_of(
@@ -213,7 +218,9 @@
     figures: &EngineFigures,
     kind: &AcceleratorFigures,
 ) -> Option<EngineRoom> {
-    let layers = engine.layers.filter(|layers| !engine.is_lost && !layers.is_empty())?;
+    // Layers that the model does not have are told by an engine that is not to be believed.
+    let is_of_model = |held: &LayerRange| !held.is_empty() && held.end <= figures.layers;
+    let layers = engine.layers.filter(|held| !engine.is_lost && is_of_model(held))?;
     let usual_kv = Demand::usual(figures).kv_tokens() * layers.len() as f64;
     let capacity = kv_capacity(figures, kind, layers.len())? / usual_kv.max(1.0);
     let requests = f64::from(engine.running) + f64::from(engine.waiting);
--- a/crates/sillbank_gateway/tests/load.rs
+++ b/crates/sillbank_gateway/tests/load.rs
@@ -233,6 +233,38 @@
     assert_eq!(vm.fullness(Duration::ZERO), None);
 }
 
+/// An engine that began again under its id, as its own entry tells, holds nothing of what was told of it before.
+#[test]
+fn what_was_told_of_an_older_life_does_not_count() {
+    let vm = Vm::new();
+    let mut records: Vec<EndpointRecord> = vec![record("low-1", 0, 10), record("high-1", 10, 20)];
+    records[0].born_ms = Some(2);
+    vm.knowledge.take_endpoints(vm.start, Snapshot { at: 2, value: records });
+
+    let told_of = |born_ms| {
+        let low = EngineState { born_ms, ..engine("low-1", 0, 10, 500) };
+        let engines = vec![low, engine("high-1", 10, LAYERS, 500)];
+        let after = Duration::from_millis(born_ms.unwrap_or(0));
+        vm.tell_engines(after, "10.0.0.1:7000", engines);
+        vm.fullness(after)
+    };
+
+    assert_eq!(told_of(Some(1)), None);
+    assert_eq!(told_of(Some(2)), Some(0.5));
+}
+
+/// Its leader tells that an engine holds layers that the model does not have: no path uses it.
+#[test]
+fn an_engine_with_layers_that_the_model_does_not_have_does_not_count() {
+    let vm = Vm::new();
+    let absurd = engine("high-2", 10, LAYERS + 5, 0);
+    let engines = vec![engine("low-1", 0, 10, 500), engine("high-1", 10, LAYERS, 1_000), absurd];
+
+    vm.tell_engines(Duration::ZERO, "10.0.0.1:7000", engines);
+
+    assert_eq!(vm.fullness(Duration::ZERO), Some(1.0));
+}
+
 /// Engines that no request can pass whole have no room to share out.
 #[test]
 fn engines_that_leave_a_layer_out_hold_nobody_back() {
