--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -3,8 +3,9 @@
 //! Each VM sums up what leaders tell of engines and asks the ladder of the service. Where nothing is told any
 //! more, it goes by what engines refuse to it.
 
-use crate::endpoints::EndpointBook;
+use crate::boards::EngineNews;
 use crate::feed::EngineState;
+use crate::lives::is_believed;
 use crate::paths::Views;
 use sillbank_admission::evidence::RefusalShare;
 use sillbank_admission::ladder::{Ladder, Rung, Urgency};
@@ -38,7 +39,7 @@
     pub urgency: Urgency,
     /// Time that its caller has left, if it told.
     pub left: Option<Duration>,
-    /// Number from 0 to 1.
+    /// A number that was drawn evenly from 0 to 1. The request is let in if it is below the share of its rung.
     pub draw: f64,
 }
 
@@ -51,6 +52,15 @@
     pub is_late: bool,
 }
 
+/// What a VM decides by for one service, as of its last request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Believed {
+    /// Taken part of the engines, from 0 to 1.
+    pub fullness: f64,
+    /// Share of all requests that is let in, from 0 to 1.
+    pub share: f64,
+}
+
 /// What a VM knows of the load on each service.
 #[derive(Debug, Default)]
 pub struct FleetLoad {
@@ -71,6 +81,7 @@
     summed: Option<(Instant, f64)>,
     /// When somebody was held back last.
     held_back: Option<Instant>,
+    /// When the log last told which rungs are held back, and the first of them.
     logged: Option<(Instant, Option<Rung>)>,
 }
 
@@ -88,12 +99,20 @@
         load.ladder.on_asked(views.now, rung);
         let share = load.ladder.share(rung, load.level.share());
         load.log(views.now, &ask.service.name, fullness);
-        match ask.draw < share {
+        match share >= 1.0 || ask.draw < share {
             true => Ok(()),
             false => Err(NotLetIn { fullness, is_late: rung.is_late }),
         }
     }
 
+    /// What this VM decides by for a service; `None` before its first request.
+    pub fn believed(&self, service: &str) -> Option<Believed> {
+        let services = self.services.borrow();
+        let load = services.get(service)?;
+        let (_, fullness) = load.summed?;
+        Some(Believed { fullness, share: load.level.share() })
+    }
+
     /// An engine of a service took a request, or refused it for want of room.
     pub fn on_sent(&self, service: &str, was_let_in: bool, now: Instant) {
         let mut services = self.services.borrow_mut();
@@ -147,17 +166,17 @@
         self.held_back.is_none_or(|at| now.saturating_duration_since(at) >= CALM_AFTER)
     }
 
-    /// Tells when other rungs are open than were, at most once in a while.
+    /// Tells when the first rung that is held back changed, at most once in a while.
     fn log(&mut self, now: Instant, service: &str, fullness: f64) {
         let share = self.level.share();
-        let lowest_open = self.ladder.lowest_open(share);
-        let (at, before) = self.logged.unwrap_or((now, lowest_open));
+        let held_back = self.ladder.first_held_back(share);
+        let (at, before) = self.logged.unwrap_or((now, None));
         self.logged = Some((at, before));
-        if lowest_open == before || now.saturating_duration_since(at) < LOG_INTERVAL {
+        if held_back == before || now.saturating_duration_since(at) < LOG_INTERVAL {
             return;
         }
-        tracing::info!(service, fullness, share, ?lowest_open, ?before, "ladder: Moved.");
-        self.logged = Some((now, lowest_open));
+        tracing::info!(service, fullness, share, ?held_back, ?before, "ladder: Moved.");
+        self.logged = Some((now, held_back));
     }
 }
 
@@ -166,7 +185,8 @@
     let mut by_hall: BTreeMap<HallId, Vec<EngineRoom>> = BTreeMap::new();
     views.knowledge.endpoints(|directory| {
         for record in directory.usable_of(&service.name) {
-            if let Some(room) = engine_room(views, views.book, record, figures) {
+            let newest_life = directory.newest_life(&record.id);
+            if let Some(room) = engine_room(views, record, newest_life, figures) {
                 by_hall.entry(record.hall.clone()).or_default().push(room);
             }
         }
@@ -175,19 +195,22 @@
     rooms.fold(HallRoom::default(), HallRoom::plus)
 }
 
-/// Room of an engine; `None` if its leader does not tell of it or it cannot be used.
+/// Room of an engine; `None` if its leader does not tell of it, or of an older life, or it cannot be used.
 fn engine_room(
     views: Views<'_>,
-    book: &EndpointBook,
     record: &EndpointRecord,
+    newest_life: Option<BornMs>,
     figures: &EngineFigures,
 ) -> Option<EngineRoom> {
-    if !book.may_run_part(&record.id) {
+    if !views.book.may_run_part(&record.id) {
         return None;
     }
     let kind = figures.accelerator(record.accelerator.as_deref()?)?;
-    let boards = &views.hall.boards;
-    boards.engine(&record.hall, &record.id, views.now, |news| room_of(news.state, figures, kind))?
+    let read = |news: EngineNews<'_>| {
+        let is_of_this_life = is_believed(news.state.born_ms, newest_life);
+        is_of_this_life.then(|| room_of(news.state, figures, kind)).flatten()
+    };
+    views.hall.boards.engine(&record.hall, &record.id, views.now, read)?
 }
 
 fn room_of(
@@ -195,7 +218,9 @@
     figures: &EngineFigures,
     kind: &AcceleratorFigures,
 ) -> Option<EngineRoom> {
-    let layers = engine.layers.filter(|layers| !engine.is_lost && !layers.is_empty())?;
+    // Layers that the model does not have are told by an engine that is not to be believed.
+    let is_of_model = |held: &LayerRange| !held.is_empty() && held.end <= figures.layers;
+    let layers = engine.layers.filter(|held| !engine.is_lost && is_of_model(held))?;
     let usual_kv = Demand::usual(figures).kv_tokens() * layers.len() as f64;
     let capacity = kv_capacity(figures, kind, layers.len())? / usual_kv.max(1.0);
     let requests = f64::from(engine.running) + f64::from(engine.waiting);
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -66,9 +66,9 @@
     mut avoid: Vec<EndpointId>,
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
-    if resume_after.is_none()
-        && let Err(closed) = ask_ladder(gateway, job)
-    {
+    // One that was sent before was let in then, also if no event of it had come.
+    let is_new = resume_after.is_none() && job.sends.get() == 0;
+    if is_new && let Err(closed) = ask_ladder(gateway, job) {
         return Err(refuse(gateway, job, closed));
     }
     loop {
@@ -127,6 +127,11 @@
         draw: gateway.chance.fraction(),
     };
     let admitted = gateway.load.admit(gateway.views(Instant::now()), ask);
+    let metrics = &gateway.metrics.ladder;
+    metrics.on_asked(&job.service.name, ask.urgency, admitted);
+    if let Some(believed) = gateway.load.believed(&job.service.name) {
+        metrics.show(&job.service.name, believed);
+    }
     admitted.map_err(|closed| match closed.is_late {
         true => "no room for its rank, and it comes too late to be in time",
         false => "no room for its rank",
