Lives: no two lives of an endpoint share a number, also after it was forgotten

Work in flight at a life before could end in the figures of a new one when the endpoint was forgotten in between: the count of lives began anew. Numbers are now given over the whole book. Lives that a board tells of are cleared once a board, not once an engine.

--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -3,7 +3,7 @@
 use sillbank_core::prelude::*;
 use sillbank_engines::prelude::*;
 use sillbank_routing::prelude::*;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -47,8 +47,8 @@
     Unreachable,
 }
 
-/// Number of a life of an endpoint, counted by this VM from the first that it heard of.
-type LifeNumber = u32;
+/// Number that this VM gives a life of an endpoint; no two lives have the same.
+type LifeNumber = u64;
 
 #[derive(Debug, Clone)]
 struct Seen {
@@ -66,9 +66,9 @@
 }
 
 impl Seen {
-    fn new(now: Instant) -> Self {
+    fn new(life: LifeNumber, now: Instant) -> Self {
         Self {
-            life: 0,
+            life,
             renewed_at: None,
             in_flight: 0,
             health: Health::new(now),
@@ -95,6 +95,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointBook {
     seen: RefCell<HashMap<EndpointId, Seen>>,
+    /// The number that was given last.
+    last_life: Cell<LifeNumber>,
 }
 
 /// Work in flight at some endpoints; ends when dropped.
@@ -135,9 +137,13 @@
 
     /// An endpoint has started again: nothing that was seen of it says anything of its new life.
     pub fn on_new_life(&self, endpoint: &str, now: Instant) {
-        self.with(endpoint, now, |seen| {
-            *seen = Seen { life: seen.life + 1, renewed_at: Some(now), ..Seen::new(now) };
-        });
+        let renewed = Seen { renewed_at: Some(now), ..Seen::new(self.next_life(), now) };
+        self.seen.borrow_mut().insert(endpoint.to_owned(), renewed);
+    }
+
+    fn next_life(&self) -> LifeNumber {
+        self.last_life.set(self.last_life.get() + 1);
+        self.last_life.get()
     }
 
     /// Whether an endpoint was found to have started again at a moment or later. What was sent to it before
@@ -250,7 +256,7 @@
     fn with<T>(&self, endpoint: &str, now: Instant, change: impl FnOnce(&mut Seen) -> T) -> T {
         let mut all = self.seen.borrow_mut();
         if !all.contains_key(endpoint) {
-            all.insert(endpoint.to_owned(), Seen::new(now));
+            all.insert(endpoint.to_owned(), Seen::new(self.next_life(), now));
         }
         match all.get_mut(endpoint) {
             Some(seen) => change(seen),
--- a/crates/sillbank_gateway/src/lives.rs
+++ b/crates/sillbank_gateway/src/lives.rs
@@ -24,8 +24,11 @@
     /// Takes the lives that a board tells of.
     pub fn hear_lives(&self, board: &HallBoard) {
         for engine in &board.engines {
-            self.hear_life(&engine.id, engine.born_ms);
+            if let Some(born_ms) = engine.born_ms {
+                self.knowledge.hear_life(&engine.id, born_ms);
+            }
         }
+        self.clear_older_lives();
     }
 
     /// Ends what is kept of the older lives of endpoints that have started again.
@@ -51,7 +54,7 @@
     }
 }
 
-/// Whether what was told of one life of an endpoint may be believed while `newest` is the newest one known.
-pub fn is_believed(told: Option<BornMs>, newest: Option<BornMs>) -> bool {
+/// Whether what was told of one life of an endpoint may hold of its newest one.
+pub fn may_be_current(told: Option<BornMs>, newest: Option<BornMs>) -> bool {
     compare_lives(told, newest) != LifeOrder::Older
 }
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -4,7 +4,7 @@
 use crate::endpoints::EndpointBook;
 use crate::hall::Hall;
 use crate::knowledge::Knowledge;
-use crate::lives::is_believed;
+use crate::lives::may_be_current;
 use crate::mechanisms::Mechanisms;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -202,7 +202,7 @@
     let Views { hall, book, mechanisms, chance, now, .. } = views;
     let figures = ask.figures;
     let read = |news: EngineNews<'_>| {
-        is_believed(news.state.born_ms, newest_life).then(|| Told::new(news, figures))
+        may_be_current(news.state.born_ms, newest_life).then(|| Told::new(news, figures))
     };
     let told = hall.boards.engine(&record.hall, &record.id, now, read).flatten();
     // What the hall's leader heard from the engine is newer than its entry in the store.
--- a/crates/sillbank_gateway/tests/endpoints.rs
+++ b/crates/sillbank_gateway/tests/endpoints.rs
@@ -149,3 +149,16 @@
     assert!(!book.answered_since("a", now + Duration::from_millis(1)));
     assert!(!book.answered_since("b", now));
 }
+
+#[test]
+fn work_of_a_life_before_ends_without_a_trace_also_after_its_endpoint_was_forgotten() {
+    let (book, now) = book();
+    let before = book.begin(vec![share(ID)], now);
+    book.on_new_life(ID, now);
+    book.retain(|_| false);
+
+    let _after = book.begin(vec![share(ID)], now);
+    drop(before);
+
+    assert_eq!(book.in_flight(ID), 1);
+}
