--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -99,6 +99,19 @@
     path.parts().iter().map(|part| part.endpoint.clone()).collect()
 }
 
+/// What the leader of a hall of one VM tells of its engines.
+fn board(hall: &str, engines: Vec<EngineState>) -> HallBoard {
+    HallBoard {
+        hall: hall.to_owned(),
+        age_ms: 0,
+        vms: 1,
+        leader: "10.0.0.1:7000".parse().expect("an address"),
+        is_whole: true,
+        engines,
+        demand: None,
+    }
+}
+
 /// The path that is chosen when engines report so and this VM has work in flight.
 fn path_beside(
     records: &[EndpointRecord],
@@ -109,19 +122,7 @@
     let now = Instant::now();
     let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
-    let leader = "10.0.0.1:7000".parse().expect("an address");
-    hall.boards.keep(
-        now,
-        HallBoard {
-            hall: HOME.to_owned(),
-            age_ms: 0,
-            vms: 1,
-            leader,
-            is_whole: true,
-            engines,
-            demand: None,
-        },
-    );
+    hall.boards.keep(now, board(HOME, engines));
     let mechanisms = Mechanisms::default();
     let views = Views { knowledge: &knowledge, hall: &hall, book, mechanisms, chance, now };
     path_by(&service(), views)
@@ -274,18 +275,7 @@
     let chance = chance();
     let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
-    let leader = "10.0.0.1:7000".parse().expect("an address");
-    let engines = records.iter().map(idle).collect();
-    let board = HallBoard {
-        hall: HOME.to_owned(),
-        age_ms: 0,
-        vms: 1,
-        leader,
-        is_whole: true,
-        engines,
-        demand: None,
-    };
-    hall.boards.keep(now, board);
+    hall.boards.keep(now, board(HOME, records.iter().map(idle).collect()));
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
     let views =
         Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, chance: &chance, now };
@@ -317,17 +307,11 @@
     let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
     let at_home = record("home", "slow", 0, LAYERS);
     let elsewhere = EndpointRecord { hall: "b".to_owned(), ..record("other", "quick", 0, LAYERS) };
-    let board = |record: &EndpointRecord, kv_permille| HallBoard {
-        hall: record.hall.clone(),
-        age_ms: 0,
-        vms: 1,
-        leader: "10.0.0.1:7000".parse().expect("an address"),
-        is_whole: true,
-        engines: vec![EngineState { kv_permille, ..idle(record) }],
-        demand: None,
+    let full = |record: &EndpointRecord, kv_permille| {
+        board(&record.hall, vec![EngineState { kv_permille, ..idle(record) }])
     };
-    hall.boards.keep(now, board(&at_home, at_home_permille));
-    hall.boards.keep(now, board(&elsewhere, elsewhere_permille));
+    hall.boards.keep(now, full(&at_home, at_home_permille));
+    hall.boards.keep(now, full(&elsewhere, elsewhere_permille));
     knowledge.take_endpoints(now, Snapshot { at: 1, value: vec![at_home, elsewhere] });
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
     let views =
