Tests: a block of ports that is taken is shown by one that is taken, not by forty claims

The test claimed 40 of the 100 blocks, which never came to a taken one by themselves (green also with claims that listen on no port of the block), and four runs of it at a time used all blocks up: 8 of 24 failed. Now others listen on the ten blocks that come next, and the claim must be none of them. Checked: cargo test -p sillbank_testing.

--- a/crates/sillbank_testing/tests/ports.rs
+++ b/crates/sillbank_testing/tests/ports.rs
@@ -2,6 +2,7 @@
 
 use sillbank_testing::ports::PortBlock;
 use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, TcpListener};
 
 #[test]
 fn blocks_that_are_kept_do_not_overlap() {
@@ -16,14 +17,20 @@
 /// A program to which chance gives the block of another takes the next one.
 #[test]
 fn a_block_that_another_program_has_claimed_is_left_to_it() {
-    let mut kept = Vec::new();
-    let mut firsts = BTreeSet::new();
-    // More claims than a round over half of the blocks come to blocks that are taken.
-    for _ in 0..40 {
-        let block = PortBlock::claim();
-        assert!(firsts.insert(block.first()), "{} was given twice", block.first());
-        kept.push(block);
-    }
+    // Arrange: whoever claims next comes to the block after this one, or, as the tests of this program that run
+    // beside it claim nine, to one of the ten after it.
+    let own = PortBlock::claim();
+    let claim_of = |first: u16| TcpListener::bind((Ipv4Addr::LOCALHOST, first + PortBlock::PORTS));
+    let size = PortBlock::PORTS + 1;
+    let following = (1..=10).map(|number| own.first() + number * size);
+    let of_others: Vec<TcpListener> = following.filter_map(|first| claim_of(first).ok()).collect();
+
+    let next = PortBlock::claim();
+
+    let is_theirs = |claim: &TcpListener| {
+        claim.local_addr().is_ok_and(|at| at.port() == next.first() + PortBlock::PORTS)
+    };
+    assert!(!of_others.iter().any(is_theirs), "{next:?} {of_others:?}");
 }
 
 #[test]
