--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -5,7 +5,7 @@
 
 use crate::boards::EngineNews;
 use crate::feed::EngineState;
-use crate::lives::is_believed;
+use crate::lives::may_be_current;
 use crate::paths::Views;
 use sillbank_admission::evidence::RefusalShare;
 use sillbank_admission::ladder::{Ladder, Rung, Urgency};
@@ -207,7 +207,7 @@
     }
     let kind = figures.accelerator(record.accelerator.as_deref()?)?;
     let read = |news: EngineNews<'_>| {
-        let is_of_this_life = is_believed(news.state.born_ms, newest_life);
+        let is_of_this_life = may_be_current(news.state.born_ms, newest_life);
         is_of_this_life.then(|| room_of(news.state, figures, kind)).flatten()
     };
     views.hall.boards.engine(&record.hall, &record.id, views.now, read)?
--- a/crates/sillbank_net/src/kept.rs
+++ b/crates/sillbank_net/src/kept.rs
@@ -244,6 +244,11 @@
         passed.set(passed.get() + bytes as u64);
     }
 
+    /// Number of the connection among those that are counted together.
+    pub fn number(&self) -> u64 {
+        self.open.id
+    }
+
     /// Bytes that wait on this connection.
     pub fn unread_bytes(&self) -> usize {
         self.open.connection.unread_bytes()
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -114,7 +114,6 @@
     kept: KeptBytes,
 ) {
     let open = Rc::new(Cell::new(0_usize));
-    let mut number = 0;
     loop {
         if open.get() >= limits.max_connections {
             smol::Timer::after(FULL_PAUSE).await;
@@ -132,9 +131,7 @@
             tracing::debug!("net: A caller's connection may wait for small packets: {error}.");
         }
         let guard = OpenGuard::new(open.clone());
-        number += 1;
-        let numbered = (stream, ConnectionNumber(number));
-        let served = serve_connection(numbered, limits, handler.clone(), stop.clone(), kept.open());
+        let served = serve_connection(stream, limits, handler.clone(), stop.clone(), kept.open());
         let served = async move {
             served.await;
             drop(guard);
@@ -143,9 +140,9 @@
     }
 }
 
-/// Number of a connection among those of its listener; each request carries it among its extensions.
+/// Number of a connection among those whose bytes are counted together; each request carries it among its extensions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct ConnectionNumber(pub u64);
+pub struct ConnectionNumber(u64);
 
 struct OpenGuard(Rc<Cell<usize>>);
 
@@ -164,7 +161,7 @@
 
 /// Answers the requests of one connection, until it ends or its peer is cut off as it does not read.
 pub async fn serve_connection<H, C>(
-    (connection, number): (C, ConnectionNumber),
+    connection: C,
     limits: ServerLimits,
     handler: Rc<H>,
     stop: StopToken,
@@ -174,6 +171,7 @@
     C: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let begun = Cell::new(false);
+    let number = ConnectionNumber(unread.number());
     let service = service_fn(|mut request| {
         begun.set(true);
         request.extensions_mut().insert(number);
--- a/crates/sillbank_net/tests/slow_readers.rs
+++ b/crates/sillbank_net/tests/slow_readers.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use sillbank_net::prelude::*;
-use sillbank_net::serve::{ConnectionNumber, serve_connection};
+use sillbank_net::serve::serve_connection;
 use smol::LocalExecutor;
 use smol::io::{AsyncRead, AsyncWrite};
 use std::cell::RefCell;
@@ -155,9 +155,9 @@
             let state = LinkState { request, window_bytes: WINDOW_BYTES, ..LinkState::default() };
             link.0.replace(state);
             let limits = ServerLimits { max_head_bytes: 16 << 10, ..ServerLimits::default() };
-            let numbered = (ServerEnd(link.clone()), ConnectionNumber(number as u64));
+            let end = ServerEnd(link.clone());
             let (handler, stop, unread) = (handler.clone(), stopper.token(), kept.open());
-            executor.spawn(serve_connection(numbered, limits, handler, stop, unread)).detach();
+            executor.spawn(serve_connection(end, limits, handler, stop, unread)).detach();
         }
         std::mem::forget(stopper);
         Self { executor, kept, links, written }
