--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -212,7 +212,9 @@
     ) -> u32 {
         let confirmed = confirmed_age.and_then(|age| now.checked_sub(age));
         let asker = Asker { at: now, peer, strength, confirmed };
-        self.askers.borrow_mut().insert(vm.to_owned(), asker);
+        if self.askers.borrow_mut().insert(vm.to_owned(), asker).is_none() {
+            tracing::info!(vm, %peer, "feed: A VM asks this leader.");
+        }
         self.vms(now)
     }
 
--- a/crates/sillbank_gateway/src/vm_limits/mod.rs
+++ b/crates/sillbank_gateway/src/vm_limits/mod.rs
@@ -1,6 +1,6 @@
 //! How near a VM is to limits of its own, and what it does about it before it chokes.
 //!
-//! [`LimitMeter`] turns what a VM uses into one figure, without a network or a clock of its own; [`watch`]
+//! [`LimitMeter`] turns what a VM uses into one figure, without a network or a clock of its own; [`watch_limits`]
 //! reads what is used ten times a second. A VM that is near a limit tells strength 0, so that another leads
 //! its hall, and calls itself not ready while enough others are fit. One that is at a limit refuses new
 //! requests at once: a request that is read and then held up costs its caller more than one that comes back.
