--- a/crates/sillbank_admission/src/level.rs
+++ b/crates/sillbank_admission/src/level.rs
@@ -17,7 +17,7 @@
 
 /// Fullness that is aimed at. The rest is for answers that become longer than was likely: engines that run out
 /// of memory put requests back that they have begun, and read them again.
-const AIM: f64 = 0.90;
+const AIM: f64 = 0.92;
 /// Change of the share for a fullness that is off by 1, as a part of the share. Above some 2 the share swings, as
 /// news of the engines are half a second old and three times the load that fits fills them within a second.
 const PROPORTIONAL: f64 = 1.5;
