--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::unreadable::UnreadableEntries;
 use crate::vm_limits::{LimitMeter, Standing};
 use crate::wire::Wire;
-use sillbank_admission::budget::{RetryBudget, RetryLimits};
+use sillbank_admission::budget::RetryBudget;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -33,13 +33,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// VMs that are taken to share the fleet's slack for repeats while the leaders of some halls have not
-/// told of theirs.
-const ASSUMED_VMS: u32 = 16;
-/// Shares of the fleet's slack for repeats that are left to VMs of which leaders have not told yet: a VM
-/// that replaces another begins before that one ends.
-const SPARE_SHARES: u32 = 1;
-
 /// Where the process stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Life {
@@ -99,7 +92,8 @@
     /// Requests in progress.
     pub in_progress: Cell<u64>,
     store_reached: Cell<bool>,
-    budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    /// Repeats that were drawn, by service.
+    pub(crate) budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     began: Instant,
     wire: PhantomData<W>,
 }
@@ -194,6 +188,11 @@
         }
     }
 
+    /// When the process began.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     /// Time since the process began.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.began)
@@ -295,27 +294,6 @@
         }
     }
 
-    /// Counts a first send of a service's requests.
-    pub fn count_first_send(&self, service: &str) {
-        self.metrics.sends.get_or_create(&KindLabel { kind: "first" }).inc();
-        self.with_budget(service, |budget, now| budget.on_first(now));
-    }
-
-    /// Draws a repeat from a service's budget.
-    pub fn try_repeat(&self, service: &str) -> bool {
-        let fits = self.with_budget(service, |budget, now| budget.try_repeat(now));
-        match fits {
-            true => self.metrics.sends.get_or_create(&KindLabel { kind: "repeat" }).inc(),
-            false => self.metrics.repeats_denied.inc(),
-        };
-        fits
-    }
-
-    /// Whether a request that was sent before may be sent once more, which then counts as done.
-    pub fn may_send_again(&self, job: &Job) -> bool {
-        job.may_send_again(Instant::now()) && self.try_repeat(&job.service.name)
-    }
-
     /// A request ended: counts and logs it.
     pub fn on_end(&self, job: &Job, outcome: Outcome, status: u16, events: u64, reason: &str) {
         let label = OutcomeLabel { outcome: outcome.name(), status };
@@ -334,36 +312,6 @@
         let kind = KindLabel { kind: work_name(job) };
         self.metrics.first_answer_s.get_or_create(&kind).observe(job.began.elapsed().as_secs_f64());
     }
-
-    /// VMs of the fleet as far as known, cautiously.
-    fn fleet_vms(&self, now: Instant) -> u32 {
-        let halls = self.knowledge.halls();
-        self.hall.boards.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
-    }
-
-    fn with_budget<T>(
-        &self,
-        service: &str,
-        change: impl FnOnce(&mut RetryBudget, Instant) -> T,
-    ) -> T {
-        let now = Instant::now();
-        let mut budgets = self.budgets.borrow_mut();
-        let settings = self.settings();
-        let shares = self.fleet_vms(now) + SPARE_SHARES;
-        let limits = RetryLimits {
-            window: settings.retry_window,
-            ratio: settings.retry_ratio,
-            slack: settings.retry_slack / f64::from(shares),
-        };
-        if let Some(budget) = budgets.get_mut(service) {
-            budget.set_limits(limits);
-            return change(budget, now);
-        }
-        let mut budget = RetryBudget::new(limits, self.began);
-        let answer = change(&mut budget, now);
-        budgets.insert(service.to_owned(), budget);
-        answer
-    }
 }
 
 fn work_name(job: &Job) -> &'static str {
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`lives`] ends what is kept of endpoints that start again, [`unreadable`] tells of entries that name none.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
+//! - [`repeats`] says whether a request may be sent again.
 //! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
 //!   engines, [`freshness`] says for how long that is enough, [`sources`] who asks the store, [`backoff`] how
@@ -51,6 +52,7 @@
 pub mod paths;
 pub mod placement;
 pub mod plugins;
+pub mod repeats;
 pub mod sending;
 pub mod settings;
 pub mod sources;
--- /dev/null
+++ b/crates/sillbank_gateway/src/repeats.rs
@@ -0,0 +1,68 @@
+//! Requests that are sent again, within the budget that all VMs share.
+
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::metrics::KindLabel;
+use crate::wire::Wire;
+use sillbank_admission::budget::{RetryBudget, RetryLimits};
+use std::time::Instant;
+
+/// VMs that are taken to share the fleet's slack for repeats while the leaders of some halls have not
+/// told of theirs.
+const ASSUMED_VMS: u32 = 16;
+/// Shares of the fleet's slack for repeats that are left to VMs of which leaders have not told yet: a VM
+/// that replaces another begins before that one ends.
+const SPARE_SHARES: u32 = 1;
+
+impl<W: Wire, S> Gateway<W, S> {
+    /// Counts a first send of a service's requests.
+    pub fn count_first_send(&self, service: &str) {
+        self.metrics.sends.get_or_create(&KindLabel { kind: "first" }).inc();
+        self.with_budget(service, |budget, now| budget.on_first(now));
+    }
+
+    /// Draws a repeat from a service's budget.
+    pub fn try_repeat(&self, service: &str) -> bool {
+        let fits = self.with_budget(service, |budget, now| budget.try_repeat(now));
+        match fits {
+            true => self.metrics.sends.get_or_create(&KindLabel { kind: "repeat" }).inc(),
+            false => self.metrics.repeats_denied.inc(),
+        };
+        fits
+    }
+
+    /// Whether a request that was sent before may be sent once more, which then counts as done.
+    pub fn may_send_again(&self, job: &Job) -> bool {
+        job.may_send_again(Instant::now()) && self.try_repeat(&job.service.name)
+    }
+
+    /// VMs of the fleet as far as known, cautiously.
+    fn fleet_vms(&self, now: Instant) -> u32 {
+        let halls = self.knowledge.halls();
+        self.hall.boards.fleet_vms(&halls, now).unwrap_or(ASSUMED_VMS)
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &str,
+        change: impl FnOnce(&mut RetryBudget, Instant) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let mut budgets = self.budgets.borrow_mut();
+        let settings = self.settings();
+        let shares = self.fleet_vms(now) + SPARE_SHARES;
+        let limits = RetryLimits {
+            window: settings.retry_window,
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack / f64::from(shares),
+        };
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.set_limits(limits);
+            return change(budget, now);
+        }
+        let mut budget = RetryBudget::new(limits, self.began());
+        let answer = change(&mut budget, now);
+        budgets.insert(service.to_owned(), budget);
+        answer
+    }
+}
--- /dev/null
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -0,0 +1,193 @@
+//! One sending of a stream's request, up to the head of the stream.
+
+use super::loss::{ActiveRoute, Loss, SilenceTimer, look_for_loss, move_request};
+use super::target::Target;
+use crate::channels::Channel;
+use crate::endpoints::{Evidence, InFlight, Share};
+use crate::events::EventSplitter;
+use crate::gateway::Gateway;
+use crate::job::{Job, shares_of};
+use crate::sending::{Destination, Sent, read_whole, send};
+use crate::store::MetadataStore;
+use crate::tries::Left;
+use crate::wire::{EventNumber, Wire};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_layers::prelude::*;
+use sillbank_net::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Longest body of a failure that is passed on.
+const MAX_FAILURE_BYTES: usize = 1 << 20;
+
+/// A stream that an endpoint sends.
+pub(super) struct Upstream {
+    pub(super) body: Incoming,
+    pub(super) head: HeaderMap,
+    pub(super) channel: Channel,
+    pub(super) path: Option<LayerPath>,
+    pub(super) endpoint: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) splitter: EventSplitter,
+    pub(super) _in_flight: InFlight,
+    pub(super) sent_at: Instant,
+}
+
+impl Upstream {
+    pub(super) fn active_route(&self) -> ActiveRoute<'_> {
+        ActiveRoute {
+            endpoint: &self.endpoint,
+            address: self.address,
+            path: self.path.as_ref(),
+            since: self.sent_at,
+        }
+    }
+}
+
+/// A stream that was begun, with the head for the caller, or an endpoint's own failure.
+pub(super) enum Begun {
+    Stream(Box<Upstream>, StatusCode),
+    Failure(Response<ReplyBody>),
+}
+
+/// A send that began no stream.
+pub(super) struct SendFailed {
+    pub(super) endpoint: EndpointId,
+    pub(super) at_fault: Option<EndpointId>,
+    pub(super) left: Left,
+    pub(super) reason: String,
+}
+
+pub(super) enum SendOnce {
+    Begun(Begun),
+    Ended(SendFailed),
+}
+
+pub(super) async fn send_once<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    mut target: Target,
+    resume_after: Option<EventNumber>,
+) -> SendOnce {
+    let sent_at = Instant::now();
+    let shares = match (&target.path, &job.service.engine) {
+        (Some(path), Some(figures)) => shares_of(path, job.demand(figures)),
+        _ => vec![Share { endpoint: target.endpoint.clone(), kv: 0.0 }],
+    };
+    let in_flight = gateway.book.begin(shares, sent_at);
+    let endpoint = target.endpoint.clone();
+    let sent_path = target.path.clone();
+    let to = Destination { endpoint: &endpoint, address: target.address, path: sent_path.as_ref() };
+    let lost = watch_for_loss(gateway, job, &mut target);
+    let sent =
+        futures_lite::future::or(async { Ok(send(gateway, job, to, resume_after).await) }, async {
+            Err(lost.await)
+        })
+        .await;
+    let ended = |at_fault, left, reason| {
+        SendOnce::Ended(SendFailed { endpoint: endpoint.clone(), at_fault, left, reason })
+    };
+    match sent {
+        Err(loss) => {
+            let at_fault = loss.engines.into_iter().next();
+            ended(at_fault, Left::MayHaveRun, loss.reason)
+        }
+        Ok(Sent::Success(reply, channel)) => {
+            gateway.on_evidence(&endpoint, Evidence::Good, sent_at, "a stream");
+            let status = reply.status();
+            let (head, body) = reply.into_parts();
+            let upstream = Upstream {
+                body,
+                head: head.headers,
+                channel,
+                path: target.path,
+                endpoint: target.endpoint,
+                address: target.address,
+                splitter: EventSplitter::default(),
+                _in_flight: in_flight,
+                sent_at,
+            };
+            SendOnce::Begun(Begun::Stream(Box::new(upstream), status))
+        }
+        Ok(Sent::Failure(reply, channel)) => {
+            gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, "a stream");
+            let status = reply.status();
+            if job.may_repeat() && job.may_send_again(Instant::now()) {
+                let reason = format!("the endpoint failed with status {}", status.as_u16());
+                return ended(None, Left::MayHaveRun, reason);
+            }
+            match read_whole(reply, MAX_FAILURE_BYTES, &gateway.kept).await {
+                Ok(whole) => {
+                    gateway.keep_channel(&endpoint, channel, &whole.head);
+                    SendOnce::Begun(Begun::Failure(whole.reply))
+                }
+                Err(reason) => ended(None, Left::MayHaveRun, reason),
+            }
+        }
+        Ok(Sent::NotRun(refusal)) => {
+            let at_fault = refusal
+                .at_fault
+                .and_then(|address| Some(target.path.as_ref()?.at(address)?.endpoint.clone()));
+            let reason = format!("refused with status {}", refusal.status);
+            let blamed = at_fault.as_deref().unwrap_or(&endpoint);
+            if !refusal.misdirected {
+                gateway.load.on_sent(&job.service.name, false, Instant::now());
+            }
+            if refusal.misdirected || at_fault.is_some() {
+                gateway.on_evidence(blamed, Evidence::LacksPart, sent_at, &reason);
+            }
+            ended(at_fault, Left::NotRun, reason)
+        }
+        Ok(Sent::NotSent(reason)) => {
+            gateway.on_evidence(&endpoint, Evidence::Unreachable, sent_at, &reason);
+            ended(None, Left::NotSent, reason)
+        }
+        Ok(Sent::Lost(reason)) => {
+            gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, &reason);
+            ended(None, Left::MayHaveRun, reason)
+        }
+    }
+}
+
+/// Waits until endpoints of the target are found to be lost and cannot be replaced.
+async fn watch_for_loss<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    target: &mut Target,
+) -> Loss {
+    let mut since = Instant::now();
+    let mut timer = SilenceTimer::new(gap_objective(job));
+    loop {
+        smol::Timer::after(timer.wait()).await;
+        let active_route = ActiveRoute {
+            endpoint: &target.endpoint,
+            address: target.address,
+            path: target.path.as_ref(),
+            since,
+        };
+        let Some(loss) = look_for_loss(gateway, job, active_route, timer.on_silence()).await else {
+            continue;
+        };
+        match move_request(gateway, job, active_route, &loss).await {
+            Some(path) => {
+                job.delivery.on_moved();
+                target.path = Some(path);
+                since = Instant::now();
+            }
+            None if loss.is_certain => return loss,
+            None => {}
+        }
+    }
+}
+
+fn gap_objective(job: &Job) -> Option<Duration> {
+    match job.route.kind {
+        WorkKind::Stream(rules) => rules.gap_objective,
+        WorkKind::Call(_) => None,
+    }
+}
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -1,9 +1,11 @@
 //! Streams: begun on a path, relayed event by event, taken up elsewhere when the path breaks.
 
+mod attempt;
 mod begin;
 mod heard;
 mod loss;
 mod pump;
+mod target;
 
 pub use heard::{HeardStream, HeardStreams};
 pub use loss::{Silence, SilenceTimer};
@@ -15,7 +17,8 @@
 use crate::sending::caller_head;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use begin::{Begun, begin};
+use attempt::Begun;
+use begin::begin;
 use hyper::Response;
 use pump::Pump;
 use sillbank_catalog::prelude::*;
--- a/crates/sillbank_gateway/src/streams/pump.rs
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -1,7 +1,8 @@
 //! Relays a stream's events, and takes the stream up elsewhere when its endpoint is lost.
 
 use super::StreamWatch;
-use super::begin::{Begun, Upstream, begin};
+use super::attempt::{Begun, Upstream};
+use super::begin::begin;
 use super::loss::{Loss, Silence, SilenceTimer, look_for_loss, move_request};
 use crate::decisions::{Outcome, SendEnd};
 use crate::events::EventSplitter;
--- /dev/null
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -0,0 +1,86 @@
+//! Chooses where a stream's request goes.
+
+use crate::gateway::Gateway;
+use crate::job::{Job, path_ask};
+use crate::paths::{choose_any_path, choose_path};
+use crate::store::MetadataStore;
+use crate::wire::{EventNumber, Wire};
+use sillbank_core::prelude::*;
+use sillbank_layers::prelude::*;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Where a stream's request goes.
+pub(super) struct Target {
+    pub(super) endpoint: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) path: Option<LayerPath>,
+}
+
+/// Why a request cannot be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NoTarget {
+    /// Some layers are held by no engine that can be used.
+    NoPath,
+    /// There is a path, but some of its engines have no room.
+    NoRoom,
+}
+
+impl NoTarget {
+    pub(super) fn text(self) -> &'static str {
+        match self {
+            Self::NoPath => "no path covers the model",
+            Self::NoRoom => "no path has room",
+        }
+    }
+}
+
+/// The target of a request. One that was begun goes on also where room is short: it has more to lose.
+pub(super) fn choose_target<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    resume_after: Option<EventNumber>,
+    avoid: &[EndpointId],
+) -> Result<Target, NoTarget> {
+    let now = Instant::now();
+    let home = gateway.settings().hall.clone();
+    let Some(figures) = &job.service.engine else {
+        return choose_endpoint(gateway, job, avoid, now).ok_or(NoTarget::NoPath);
+    };
+    let ask = path_ask(job, figures, &home, avoid);
+    let views = gateway.views(now);
+    if let Some(path) = choose_path(views, ask) {
+        if views.mechanisms.forecasts {
+            job.foretold.get_or_init(|| gateway.forecasts.foretell(views, ask, &path));
+        }
+        return Ok(Target::on(path));
+    }
+    match choose_any_path(views, ask) {
+        Some(path) if resume_after.is_some() => Ok(Target::on(path)),
+        Some(_) => Err(NoTarget::NoRoom),
+        None => Err(NoTarget::NoPath),
+    }
+}
+
+impl Target {
+    fn on(path: LayerPath) -> Self {
+        let first = path.first();
+        Self { endpoint: first.endpoint.clone(), address: first.address, path: Some(path) }
+    }
+}
+
+/// The endpoint of a service without layers that has the least in flight.
+fn choose_endpoint<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    avoid: &[EndpointId],
+    now: Instant,
+) -> Option<Target> {
+    let home = gateway.settings().hall.clone();
+    gateway.knowledge.endpoints(|directory| {
+        let usable = directory.usable_of(&job.service.name);
+        let fits = usable.filter(|r| !avoid.contains(&r.id) && gateway.book.takes_work(&r.id, now));
+        let best = fits.min_by_key(|r| (gateway.book.in_flight(&r.id), r.hall != home))?;
+        Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
+    })
+}
