--- a/crates/sillbank_testing/src/lib.rs
+++ b/crates/sillbank_testing/src/lib.rs
@@ -35,3 +35,11 @@
         arbtest::arbtest(&mut property).seed(seed);
     }
 }
+
+/// Runs a property from one seed: one that showed a fault stays as a test.
+pub fn for_seed<P>(seed: u64, property: P)
+where
+    P: FnMut(&mut Unstructured<'_>) -> arbitrary::Result<()>,
+{
+    arbtest::arbtest(property).seed(seed);
+}
