Start: whether a round found engines is what was listed before it, not who is remembered after it

A round forgets the engines of all services but the last one asked, so a hall with engines of one model and none of another would have asked all of them at every tick, each a priced report. Found by reading; not seen red, as the placement has no test with two models.

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -113,7 +113,7 @@
             true => REPORT_INTERVAL_NEARLY_FULL,
             false => REPORT_INTERVAL,
         };
-        let has_engines = || self.has_engines_of(&services);
+        let has_engines = self.has_engines_of(&services);
         if !self.rounds.is_due(now, interval, has_engines) && !self.has_new_suspect() {
             return;
         }
@@ -122,7 +122,7 @@
                 self.place_service(&service.name, figures).await;
             }
         }
-        self.rounds.on_begun(now, !self.known.is_empty());
+        self.rounds.on_begun(now, has_engines);
         self.post_board();
     }
 
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -114,17 +114,12 @@
     /// Whether the next round is due: `interval` after the one before. If that one found no engine, it is due as
     /// soon as there are some: a leader that has just begun knows its endpoints a moment after its
     /// configuration, and VMs choose blindly until engines were asked.
-    pub fn is_due(
-        &self,
-        now: Instant,
-        interval: Duration,
-        has_engines: impl FnOnce() -> bool,
-    ) -> bool {
+    pub fn is_due(&self, now: Instant, interval: Duration, has_engines: bool) -> bool {
         let Some(last) = &self.last else {
             return true;
         };
         let is_over = now.saturating_duration_since(last.began) >= interval;
-        is_over || (!last.found_engines && has_engines())
+        is_over || (!last.found_engines && has_engines)
     }
 
     /// A round began.
--- a/crates/sillbank_gateway/tests/reports.rs
+++ b/crates/sillbank_gateway/tests/reports.rs
@@ -78,9 +78,9 @@
 #[test]
 fn engines_are_asked_again_after_the_interval() {
     let now = Instant::now();
-    let is_due = |ago| rounds_begun(now, ago, true).is_due(now, INTERVAL, || true);
+    let is_due = |ago| rounds_begun(now, ago, true).is_due(now, INTERVAL, true);
 
-    assert!(ReportRounds::default().is_due(now, INTERVAL, || false));
+    assert!(ReportRounds::default().is_due(now, INTERVAL, false));
     assert!(!is_due(INTERVAL / 2));
     assert!(is_due(INTERVAL));
 }
@@ -91,6 +91,6 @@
     let now = Instant::now();
     let rounds = rounds_begun(now, Duration::from_millis(1), false);
 
-    assert!(!rounds.is_due(now, INTERVAL, || false));
-    assert!(rounds.is_due(now, INTERVAL, || true));
+    assert!(!rounds.is_due(now, INTERVAL, false));
+    assert!(rounds.is_due(now, INTERVAL, true));
 }
