--- a/crates/sillbank_admission/src/level.rs
+++ b/crates/sillbank_admission/src/level.rs
@@ -17,7 +17,7 @@
 
 /// Fullness that is aimed at. The rest is for answers that become longer than was likely: engines that run out
 /// of memory put requests back that they have begun, and read them again.
-const AIM: f64 = 0.92;
+const AIM: f64 = 0.88;
 /// Fullness, foreseen, from which somebody is held back; until then everybody is let in. A crest that passes a
 /// little above [`AIM`] harms nobody, and the engines are full only at 1. On a fleet of 6 VMs, 0.008 of a calm day's
 /// requests were refused at its crest while this was the same as the aim.
