--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -26,6 +26,10 @@
 /// Routes of which the usual time is kept; configurations with more routes than are in use come and go.
 const MAX_ROUTES: usize = 1024;
 
+/// How long nobody must have been held back for all requests to count as first tries: callers who were refused
+/// come back within this time.
+const CALM_AFTER: Duration = Duration::from_secs(10);
+
 /// A request that asks to be let in.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadAsk<'a> {
@@ -68,10 +72,6 @@
     usual_times: RefCell<HashMap<RouteName, UsualTime>>,
 }
 
-/// How long nobody must have been held back for all requests to count as first tries: callers who were refused
-/// come back within this time.
-const CALM_AFTER: Duration = Duration::from_secs(10);
-
 #[derive(Debug, Default)]
 struct ServiceLoad {
     ladder: Ladder,
@@ -225,6 +225,7 @@
     let capacity = kv_capacity(figures, kind, layers.len())? / usual_kv.max(1.0);
     let requests = f64::from(engine.running) + f64::from(engine.waiting);
     let kv_share = f64::from(engine.kv_permille) / 1000.0;
+    // Memory as it is used now: what running requests have still to write is given back meanwhile by those that end.
     let places_share = requests / f64::from(figures.slots.max(1));
     Some(EngineRoom { layers, capacity, taken_share: kv_share.max(places_share) })
 }
