--- a/crates/sillbank_admission/tests/level.rs
+++ b/crates/sillbank_admission/tests/level.rs
@@ -119,3 +119,18 @@
 
     assert_eq!(evidence.fullness(later), 1.0);
 }
+
+/// The load: a small fleet whose calm day has a crest that its engines just hold. Callers who were held back there
+/// would have been served in time.
+#[test]
+fn a_crest_a_little_above_the_aim_holds_nobody_back() {
+    let start = Instant::now();
+    let mut level = Level::default();
+    let crest = [0.85, 0.87, 0.89, 0.91, 0.93, 0.94, 0.93, 0.92, 0.90, 0.88];
+
+    for (number, fullness) in crest.into_iter().enumerate() {
+        level.on_fullness(start + NEWS * number as u32, fullness);
+
+        assert_eq!(level.share(), 1.0, "{fullness}");
+    }
+}
--- a/crates/sillbank_gateway/tests/load.rs
+++ b/crates/sillbank_gateway/tests/load.rs
@@ -340,3 +340,21 @@
     assert_eq!((count(1, "let_in"), count(1, "refused_rank")), (1, 1));
     assert_eq!(count(15, "refused_late"), 200);
 }
+
+/// Requests that have just begun hold little memory: they count as what they use, and by their places.
+#[test]
+fn engines_are_as_full_as_their_memory_or_their_places() {
+    let fullness = |running, kv_permille| {
+        let vm = Vm::new();
+        let ids = [("low-1", 0), ("high-1", 10)];
+        let of =
+            |(id, first)| EngineState { running, ..engine(id, first, first + 10, kv_permille) };
+        vm.tell_engines(Duration::ZERO, "10.0.0.1:7000", ids.map(of).to_vec());
+        vm.fullness(Duration::ZERO).expect("boards tell of engines")
+    };
+
+    let [young, placed] = [fullness(SLOTS / 2, 600), fullness(SLOTS, 600)];
+
+    assert!((young - 0.6).abs() < 1e-9, "{young}");
+    assert!((placed - 1.0).abs() < 1e-9, "{placed}");
+}
