Sight: logs tell which sends carry the same request, and whether an endpoint ended under them

Logs could not tell the hypotheses of the incident apart: each try of a caller has an id of its own, and a broken connection looks the same whether its endpoint ended or not. Sends now carry a fingerprint of path, caller and body; after a connection broke, its endpoint is looked at once, and an end is logged and counted. What is sent where is as before.

--- a/crates/sillbank_core/src/hash.rs
+++ b/crates/sillbank_core/src/hash.rs
@@ -11,6 +11,12 @@
     digest.as_bytes()[..8].iter().fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
 }
 
+/// Hash of some byte strings, as a number of 128 bits. Each one's length is part of it.
+pub fn hash_u128(parts: &[&[u8]]) -> u128 {
+    let digest = digest(parts);
+    digest.as_bytes()[..16].iter().fold(0, |sum, byte| (sum << 8) | u128::from(*byte))
+}
+
 /// The `count` members that come first for a name by rendezvous hashing, best first.
 ///
 /// Every VM that knows the same members chooses the same; when a member goes, only its own
@@ -32,11 +38,12 @@
     ranked.into_iter().take(count).map(|(_, member)| member).collect()
 }
 
-fn digest(parts: &[&str]) -> blake3::Hash {
+fn digest<T: AsRef<[u8]>>(parts: &[T]) -> blake3::Hash {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
+        let bytes = part.as_ref();
+        hasher.update(&(bytes.len() as u64).to_le_bytes());
+        hasher.update(bytes);
     }
     hasher.finalize()
 }
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -259,6 +259,7 @@
             delivery: Delivery::default(),
             foretold: OnceCell::new(),
             caller,
+            known_fingerprint: OnceCell::new(),
             is_counted: Cell::new(false),
         });
         self.gateway.count_first_send(&job.service.name);
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -4,6 +4,7 @@
 use crate::channels::Channel;
 use crate::decisions::{Outcome, SendEnd};
 use crate::endpoints::{Evidence, Share};
+use crate::ends::BrokenSend;
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::metrics::KindLabel;
@@ -102,7 +103,13 @@
             }
             Try::NotRun(reason) => (Left::NotRun, reason),
             Try::NotSent(reason) => (Left::NotSent, reason),
-            Try::Lost(reason) => (Left::MayHaveRun, reason),
+            Try::Late(reason) => (Left::MayHaveRun, reason),
+            Try::Lost(reason) => {
+                let (endpoint, address) = (choice.endpoint.as_str(), choice.address);
+                let send = BrokenSend { endpoint, address, sent_at, first_event_at: None };
+                gateway.on_broken_send(job, send).await;
+                (Left::MayHaveRun, reason)
+            }
         };
         gateway.decisions.send_failed(
             job,
@@ -148,6 +155,9 @@
     Failed(WholeReply),
     NotRun(String),
     NotSent(String),
+    /// No answer came while another endpoint could be asked.
+    Late(String),
+    /// The connection ended without an answer, or the answer is none.
     Lost(String),
 }
 
@@ -169,7 +179,7 @@
     let impatient = async {
         smol::Timer::after(patience).await;
         gateway.on_evidence(&choice.endpoint, Evidence::Failed, now, "no answer in time");
-        Try::Lost(format!("no answer within {} ms", patience.as_millis()))
+        Try::Late(format!("no answer within {} ms", patience.as_millis()))
     };
     futures_lite::future::or(exchange, impatient).await
 }
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -3,6 +3,7 @@
 //! Lines of requests have a budget a second; what does not fit is counted and told. Lines of
 //! beliefs are few and always written.
 
+use crate::ends::BrokenSend;
 use crate::job::Job;
 use crate::knowledge::KnowledgeStamp;
 use crate::store::Revision;
@@ -11,6 +12,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
+use sillbank_quarantine::prelude::*;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
@@ -110,6 +112,7 @@
                 route = job.route.name,
                 organisation = job.organisation.as_ref().map(|o| o.name.as_str()),
                 service = job.service.name,
+                fingerprint = describe_fingerprint(job.fingerprint()),
                 send = job.sends.get(),
                 endpoint,
                 path = path.map(describe_path),
@@ -139,6 +142,20 @@
         }
     }
 
+    /// An endpoint ended while a request was there.
+    pub fn ended_under(&self, job: &Job, send: &BrokenSend<'_>) {
+        if self.fits() {
+            tracing::info!(
+                request = job.head.request_id,
+                fingerprint = describe_fingerprint(job.fingerprint()),
+                endpoint = send.endpoint,
+                there_ms = send.sent_at.elapsed().as_millis() as u64,
+                ran_ms = send.first_event_at.map(|at| at.elapsed().as_millis() as u64),
+                "endpoint: Ended under a request."
+            );
+        }
+    }
+
     /// A running request is moved to a path on which others run a lost part.
     pub fn moved(
         &self,
@@ -252,6 +269,11 @@
     }
 }
 
+/// A fingerprint as logs name it.
+pub fn describe_fingerprint(fingerprint: Fingerprint) -> String {
+    format!("{fingerprint:032x}")
+}
+
 /// A path in one word: `ENDPOINT=FROM-TO` for each part.
 pub fn describe_path(path: &LayerPath) -> String {
     let parts = path.parts().iter();
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::decisions::{Decisions, Outcome};
 use crate::demand::DemandBook;
 use crate::endpoints::{EndpointBook, Evidence};
+use crate::ends::EndedEndpoints;
 use crate::feed::Incarnation;
 use crate::forecasts::Forecasts;
 use crate::freshness::Freshness;
@@ -59,6 +60,8 @@
     pub hall: Hall,
     /// What was seen of endpoints.
     pub book: Rc<EndpointBook>,
+    /// Endpoints that ended under requests.
+    pub ends: EndedEndpoints,
     /// What was seen of endpoints of plain services.
     pub call_book: CallBook,
     /// What was learnt of forecasts of streams.
@@ -118,6 +121,7 @@
             limits: RefCell::default(),
             hall: Hall::new(chance.clone()),
             book: Rc::default(),
+            ends: EndedEndpoints::default(),
             call_book: CallBook::default(),
             forecasts: Forecasts::default(),
             heard: Rc::default(),
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -17,6 +17,7 @@
 use sillbank_engines::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
+use sillbank_quarantine::prelude::*;
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -61,6 +62,8 @@
     pub foretold: OnceCell<Option<Foretold>>,
     /// Key and connection that it came with, to tell callers who repeat at once.
     pub caller: Option<CallerMark>,
+    /// Its fingerprint, once it was asked for.
+    pub known_fingerprint: OnceCell<Fingerprint>,
     /// Whether it was counted as let in or refused.
     pub is_counted: Cell<bool>,
 }
@@ -71,6 +74,17 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// What tells that another try of its caller is the same request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let parts = || RequestParts {
+            host: &self.route.host,
+            path: self.target.path_and_query().map_or("", |path| path.as_str()),
+            organisation: self.organisation.as_ref().map(|o| o.name.as_str()),
+            body: &self.body,
+        };
+        *self.known_fingerprint.get_or_init(|| parts().fingerprint())
+    }
+
     /// Whether it may run more than once.
     pub fn may_repeat(&self) -> bool {
         self.route.kind.repeat() == Repeat::Safe
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`lives`] ends what is kept of endpoints that start again, [`unreadable`] tells of entries that name none.
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
+//! - [`ends`] tells an endpoint that ended under a request from a connection that broke.
 //! - [`repeats`] says whether a request may be sent again.
 //! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -33,6 +34,7 @@
 pub mod demand;
 pub mod doctor;
 pub mod endpoints;
+pub mod ends;
 pub mod events;
 pub mod feed;
 pub mod follow;
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -102,6 +102,8 @@
     pub unreadable: Family<KindLabel, Counter>,
     /// Endpoints that were found to have started again under their id.
     pub renewed_endpoints: Counter,
+    /// Endpoints that were found to have ended under requests.
+    pub ended_endpoints: Counter,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
     /// Bytes that are kept for callers and endpoints.
@@ -147,6 +149,7 @@
         let catalog_faults = Counter::default();
         let unreadable = Family::default();
         let renewed_endpoints = Counter::default();
+        let ended_endpoints = Counter::default();
         let connections = Family::default();
         let kept_bytes = Gauge::default();
         let callers_cut = Counter::default();
@@ -171,6 +174,8 @@
         registry.register("unreadable", help, unreadable.clone());
         let help = "Endpoints started again under their id";
         registry.register("renewed_endpoints", help, renewed_endpoints.clone());
+        let help = "Endpoints that ended under requests";
+        registry.register("ended_endpoints", help, ended_endpoints.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
         registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
@@ -211,6 +216,7 @@
             catalog_faults,
             unreadable,
             renewed_endpoints,
+            ended_endpoints,
             connections,
             kept_bytes,
             callers_cut,
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -4,6 +4,7 @@
 use super::target::Target;
 use crate::channels::Channel;
 use crate::endpoints::{Evidence, InFlight, Share};
+use crate::ends::BrokenSend;
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::{Job, shares_of};
@@ -36,9 +37,20 @@
     pub(super) splitter: EventSplitter,
     pub(super) _in_flight: InFlight,
     pub(super) sent_at: Instant,
+    /// When the first event came from this endpoint.
+    pub(super) first_event_at: Option<Instant>,
 }
 
 impl Upstream {
+    pub(super) fn broken_send(&self) -> BrokenSend<'_> {
+        BrokenSend {
+            endpoint: &self.endpoint,
+            address: self.address,
+            sent_at: self.sent_at,
+            first_event_at: self.first_event_at,
+        }
+    }
+
     pub(super) fn active_route(&self) -> ActiveRoute<'_> {
         ActiveRoute {
             endpoint: &self.endpoint,
@@ -60,6 +72,8 @@
     pub(super) endpoint: EndpointId,
     pub(super) at_fault: Option<EndpointId>,
     pub(super) left: Left,
+    /// Whether the connection to the first endpoint ended before an answer came.
+    pub(super) is_broken: bool,
     pub(super) reason: String,
 }
 
@@ -90,7 +104,8 @@
         })
         .await;
     let ended = |at_fault, left, reason| {
-        SendOnce::Ended(SendFailed { endpoint: endpoint.clone(), at_fault, left, reason })
+        let (endpoint, is_broken) = (endpoint.clone(), false);
+        SendOnce::Ended(SendFailed { endpoint, at_fault, left, is_broken, reason })
     };
     match sent {
         Err(loss) => {
@@ -111,6 +126,7 @@
                 splitter: EventSplitter::default(),
                 _in_flight: in_flight,
                 sent_at,
+                first_event_at: None,
             };
             SendOnce::Begun(Begun::Stream(Box::new(upstream), status))
         }
@@ -149,7 +165,8 @@
         }
         Ok(Sent::Lost(reason)) => {
             gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, &reason);
-            ended(None, Left::MayHaveRun, reason)
+            let (at_fault, left) = (None, Left::MayHaveRun);
+            SendOnce::Ended(SendFailed { endpoint, at_fault, left, is_broken: true, reason })
         }
     }
 }
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -4,6 +4,7 @@
 use super::target::choose_target;
 use crate::answers::{COME_BACK_UNINFORMED, give_up};
 use crate::decisions::SendEnd;
+use crate::ends::BrokenSend;
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::load::LoadAsk;
@@ -37,6 +38,7 @@
         tries.begin(job);
         let sent_at = Instant::now();
         let stamp = gateway.knowledge.stamp(sent_at);
+        let address = target.address;
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
         let end = match send_once(gateway, job, target, resume_after).await {
             SendOnce::Begun(begun) => {
@@ -55,6 +57,11 @@
                 after: sent_at.elapsed(),
             },
         );
+        if end.is_broken {
+            let endpoint = &end.endpoint;
+            let send = BrokenSend { endpoint, address, sent_at, first_event_at: None };
+            gateway.on_broken_send(job, send).await;
+        }
         avoid.push(end.at_fault.unwrap_or(end.endpoint));
         let goes_on = tries.goes_on(gateway, job, end.left);
         if !goes_on {
--- a/crates/sillbank_gateway/src/streams/pump.rs
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -98,6 +98,9 @@
                     after: upstream.sent_at.elapsed(),
                 },
             );
+            if at_fault.is_none() {
+                self.gateway.on_broken_send(&self.job, upstream.broken_send()).await;
+            }
             let avoid = vec![at_fault.unwrap_or_else(|| upstream.endpoint.clone())];
             drop(upstream);
             match self.resume(avoid).await {
@@ -164,6 +167,7 @@
                     return PartEnd::Broken(None, format!("the stream broke: {error}"));
                 }
                 Some(Ok(frame)) => {
+                    upstream.first_event_at.get_or_insert(now);
                     if let Some(data) = frame.data_ref()
                         && let Err(reason) = self.relay_bytes(&mut upstream.splitter, data)
                     {
--- a/crates/sillbank_net/src/liveness.rs
+++ b/crates/sillbank_net/src/liveness.rs
@@ -4,6 +4,7 @@
 use rustix::net::sockopt;
 use smol::net::TcpStream;
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Rest after which the far side is asked for a sign of life, and time between such asks. The system counts
@@ -27,3 +28,14 @@
     sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED.as_millis() as u32)?;
     Ok(())
 }
+
+/// Whether nobody listens at an address any more. One that takes a connection is there, and one that does
+/// not answer within `limit` may be.
+pub async fn refuses_connections(address: SocketAddr, limit: Duration) -> bool {
+    let late = async {
+        smol::Timer::after(limit).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let connected = futures_lite::future::or(TcpStream::connect(address), late).await;
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
