Quarantine: a request that ends the endpoints that run it is held back on all VMs

Cause: what an attempt learns of a request ended with it. Each try of the caller has another id and mostly comes to another VM, which sent it to two engines more. Ruled out: sends too often under one id (at most two), ends for a reason of ours (the scripts show the same with idle engines), sends to ended endpoints alone (the engines ran it).

A request is known by path, caller and body. An endpoint's end in the beginning of its run counts against it, a run beyond its beginning clears it; three ends hold it back for ten minutes, each further end doubles that. VMs tell their leader, leaders the VMs and each other; from two ends on the store keeps it, for halls that are cut and fleets that are killed.

--- a/crates/sillbank_core/src/failure.rs
+++ b/crates/sillbank_core/src/failure.rs
@@ -46,11 +46,13 @@
     TakenOver,
     /// The VM is at a limit of its own and takes no more for now.
     VmAtLimit,
+    /// Endpoints ended under this request again and again; it is held back.
+    Quarantined,
 }
 
 impl FailureKind {
     /// Every kind, in order of its number.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::MalformedBody,
         Self::TooLarge,
         Self::UnknownKey,
@@ -70,6 +72,7 @@
         Self::TakenOver,
         Self::ClaimUnavailable,
         Self::VmAtLimit,
+        Self::Quarantined,
     ];
 
     /// Number of the page that explains it.
@@ -94,6 +97,7 @@
             Self::TakenOver => "SB0017",
             Self::ClaimUnavailable => "SB0018",
             Self::VmAtLimit => "SB0019",
+            Self::Quarantined => "SB0020",
         }
     }
 
@@ -113,7 +117,8 @@
             | Self::Stopping
             | Self::NotReady
             | Self::ClaimUnavailable
-            | Self::VmAtLimit => 503,
+            | Self::VmAtLimit
+            | Self::Quarantined => 503,
         }
     }
 
@@ -138,6 +143,7 @@
             Self::RequestTimeout => "Send the whole request without a pause.",
             Self::ClaimUnavailable => "Come back after Retry-After with the same key.",
             Self::VmAtLimit => "Come back after Retry-After; the balancer may choose another VM.",
+            Self::Quarantined => "Change the request, or come back after Retry-After.",
             Self::TakenOver => "Read the answer on the newer connection.",
         }
     }
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -262,6 +262,9 @@
             known_fingerprint: OnceCell::new(),
             is_counted: Cell::new(false),
         });
+        if let Some(failure) = self.gateway.refuse_held_back(&job) {
+            return self.refuse(&job.head.request_id, &failure);
+        }
         self.gateway.count_first_send(&job.service.name);
         self.gateway.count_offered(&job);
         match job.route.kind {
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -4,7 +4,7 @@
 use crate::channels::Channel;
 use crate::decisions::{Outcome, SendEnd};
 use crate::endpoints::{Evidence, Share};
-use crate::ends::BrokenSend;
+use crate::ends::{BrokenSend, on_broken_send};
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::metrics::KindLabel;
@@ -95,8 +95,12 @@
         tries.begin(job);
         let sent_at = Instant::now();
         let (left, reason) = match try_once(gateway, job, &choice).await {
-            Try::Done(reply) => return Ok(reply),
+            Try::Done(reply) => {
+                gateway.on_ran_well(job);
+                return Ok(reply);
+            }
             Try::Failed(whole) => {
+                gateway.on_ran_well(job);
                 let reason = format!("status {}", whole.reply.status().as_u16());
                 held = Some(whole);
                 (Left::MayHaveRun, reason)
@@ -105,9 +109,9 @@
             Try::NotSent(reason) => (Left::NotSent, reason),
             Try::Late(reason) => (Left::MayHaveRun, reason),
             Try::Lost(reason) => {
-                let (endpoint, address) = (choice.endpoint.as_str(), choice.address);
+                let (endpoint, address) = (choice.endpoint.clone(), choice.address);
                 let send = BrokenSend { endpoint, address, sent_at, first_event_at: None };
-                gateway.on_broken_send(job, send).await;
+                on_broken_send(gateway, job, send).await;
                 (Left::MayHaveRun, reason)
             }
         };
--- a/crates/sillbank_gateway/src/counted_store.rs
+++ b/crates/sillbank_gateway/src/counted_store.rs
@@ -1,11 +1,12 @@
 //! A store whose calls are counted by kind: each is priced, and what a fleet may make is bounded.
 
 use crate::metrics::KindLabel;
-use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
+use crate::store::{CatalogRead, MetadataStore, QuarantineObject, Revision, Snapshot, StoreError};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use sillbank_fleet::prelude::*;
 use sillbank_lease::{LeaseRecord, LeaseWrite, WriteEnd};
+use sillbank_quarantine::prelude::*;
 use std::time::Duration;
 
 /// Calls to the store by kind.
@@ -63,6 +64,26 @@
         self.count("peek_lease").peek_lease(name).await
     }
 
+    async fn read_quarantine(&self) -> Result<Snapshot<Option<QuarantineObject>>, StoreError> {
+        self.count("read_quarantine").read_quarantine().await
+    }
+
+    async fn watch_quarantine(
+        &self,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<Snapshot<Option<QuarantineObject>>, StoreError> {
+        self.count("watch_quarantine").watch_quarantine(since, wait).await
+    }
+
+    async fn write_quarantine(
+        &self,
+        expected: Option<Revision>,
+        record: &QuarantineRecord,
+    ) -> WriteEnd {
+        self.count("write_quarantine").write_quarantine(expected, record).await
+    }
+
     async fn write_lease(&self, name: &str, write: &LeaseWrite) -> WriteEnd {
         self.count("write_lease").write_lease(name, write).await
     }
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -142,8 +142,8 @@
         }
     }
 
-    /// An endpoint ended while a request was there.
-    pub fn ended_under(&self, job: &Job, send: &BrokenSend<'_>) {
+    /// An endpoint ended while a request was there, which may be the reason or not.
+    pub fn ended_under(&self, job: &Job, send: &BrokenSend, is_suspected: bool) {
         if self.fits() {
             tracing::info!(
                 request = job.head.request_id,
@@ -151,6 +151,7 @@
                 endpoint = send.endpoint,
                 there_ms = send.sent_at.elapsed().as_millis() as u64,
                 ran_ms = send.first_event_at.map(|at| at.elapsed().as_millis() as u64),
+                is_suspected,
                 "endpoint: Ended under a request."
             );
         }
--- a/crates/sillbank_gateway/src/ends.rs
+++ b/crates/sillbank_gateway/src/ends.rs
@@ -7,6 +7,7 @@
 use crate::doctor::silence_means_loss;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_core::prelude::*;
 use sillbank_net::liveness::refuses_connections;
@@ -21,11 +22,14 @@
 /// millisecond; what waits for this is the next send of a request that has lost its endpoint.
 const LOOK_LIMIT: Duration = Duration::from_millis(100);
 
+/// Time to the second look. An endpoint that ended is away for longer, and other VMs hear of a first end later.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
 /// A send whose connection broke before the whole answer came.
-#[derive(Debug, Clone, Copy)]
-pub struct BrokenSend<'a> {
+#[derive(Debug, Clone)]
+pub struct BrokenSend {
     /// Endpoint, or the first of a path.
-    pub endpoint: &'a str,
+    pub endpoint: EndpointId,
     /// Its address.
     pub address: SocketAddr,
     /// When the request was sent there.
@@ -58,29 +62,44 @@
     }
 }
 
-impl<W: Wire, S> Gateway<W, S> {
-    /// Finds out whether an endpoint has ended under a request, and logs it.
-    pub async fn on_broken_send(&self, job: &Job, send: BrokenSend<'_>) {
-        let standing = self.knowledge.endpoints(|all| all.get(send.endpoint).map(|e| e.standing));
-        if !silence_means_loss(standing) || !self.has_ended(send).await {
-            return;
-        }
-        self.decisions.ended_under(job, &send);
+/// Finds out whether an endpoint has ended under a request. One that still takes connections is looked at once more
+/// while the request goes on: a program that ends may close its connections first.
+pub async fn on_broken_send<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    send: BrokenSend,
+) {
+    let standing = gateway.knowledge.endpoints(|all| all.get(&send.endpoint).map(|e| e.standing));
+    if !silence_means_loss(standing) {
+        return;
     }
-
-    async fn has_ended(&self, send: BrokenSend<'_>) -> bool {
-        let look = self.ends.look(send.endpoint);
-        let _turn = look.lock().await;
-        if self.ends.ended_since(send.endpoint, send.sent_at)
-            || self.book.renewed_since(send.endpoint, send.sent_at)
-        {
-            return true;
-        }
-        if !refuses_connections(send.address, LOOK_LIMIT).await {
-            return false;
+    if has_ended(gateway, &send).await {
+        gateway.on_ended_under(job, &send);
+        return;
+    }
+    let (there, job) = (gateway.clone(), job.clone());
+    let look_again = async move {
+        smol::Timer::after(LOOK_AGAIN).await;
+        if has_ended(&there, &send).await {
+            there.on_ended_under(&job, &send);
         }
-        self.ends.ended_at.borrow_mut().insert(send.endpoint.to_owned(), Instant::now());
-        self.metrics.ended_endpoints.inc();
-        true
+    };
+    gateway.executor.spawn(look_again).detach();
+}
+
+async fn has_ended<W: Wire, S>(gateway: &Gateway<W, S>, send: &BrokenSend) -> bool {
+    let (ends, endpoint) = (&gateway.ends, send.endpoint.as_str());
+    let look = ends.look(endpoint);
+    let _turn = look.lock().await;
+    if ends.ended_since(endpoint, send.sent_at)
+        || gateway.book.renewed_since(endpoint, send.sent_at)
+    {
+        return true;
+    }
+    if !refuses_connections(send.address, LOOK_LIMIT).await {
+        return false;
     }
+    ends.ended_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
+    gateway.metrics.ended_endpoints.inc();
+    true
 }
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -9,6 +9,7 @@
 use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_net::liveness::end_when_silent;
+use sillbank_quarantine::prelude::*;
 use smol::net::TcpStream;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -28,6 +29,8 @@
 const NEW_HALLS_INTERVAL: Duration = Duration::from_millis(500);
 /// How often the lease of another hall is read while its leader is not heard of.
 const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
+/// Most requests under which endpoints ended that one ask tells of, some 80 bytes each; the rest follows.
+const MOST_SUSPECTS_TOLD: usize = 32;
 
 /// What a VM asks another for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +48,10 @@
     /// Incarnation of the leader and the newest of its boards that was seen.
     boards_seen: Option<(Incarnation, u64)>,
     endpoints: Replication,
+    /// Newest change of the leader's requests that end their endpoints that was seen.
+    quarantine_seen: u64,
+    /// Newest change of this VM's own that was told.
+    suspects_told: u64,
 }
 
 impl Link {
@@ -52,19 +59,33 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         end_when_silent(&stream)?;
-        Ok(Self { stream, address, boards_seen: None, endpoints: Replication::default() })
+        Ok(Self {
+            stream,
+            address,
+            boards_seen: None,
+            endpoints: Replication::default(),
+            quarantine_seen: 0,
+            suspects_told: 0,
+        })
     }
 
     fn seen(&self) -> Option<SeenMark> {
         let (incarnation, boards) = self.boards_seen?;
-        Some(SeenMark { incarnation, endpoints: self.endpoints.seen(), boards })
+        Some(SeenMark {
+            incarnation,
+            endpoints: self.endpoints.seen(),
+            boards,
+            quarantine: self.quarantine_seen,
+        })
     }
 
     /// Notes what a leader's news bring; what was seen of another process counts no more.
     fn on_news(&mut self, news: &FeedNews) {
         if self.boards_seen.is_some_and(|(known, _)| known != news.incarnation) {
             self.endpoints = Replication::default();
+            self.suspects_told = 0;
         }
+        self.quarantine_seen = news.quarantine.up_to;
         self.boards_seen = Some((news.incarnation, news.boards_seen));
     }
 
@@ -137,6 +158,11 @@
             return Err(FrameError::Io(std::io::ErrorKind::NotConnected.into()));
         };
         let settings = gateway.settings();
+        let told = gateway.quarantine.borrow().witnessed_since(
+            link.suspects_told,
+            MOST_SUSPECTS_TOLD,
+            Instant::now(),
+        );
         let ask = FeedAsk {
             vm: settings.vm.clone(),
             hall: settings.hall.clone(),
@@ -147,10 +173,12 @@
             catalog: gateway.knowledge.catalog().map(|catalog| catalog.version()),
             seen: link.seen(),
             demand: gateway.demand_report(ask_for == AskFor::News),
+            suspects: told.suspects,
         };
         let reply = link.ask(&ask).await?;
         if let FeedReply::News(news) = &reply {
             link.on_news(news);
+            link.suspects_told = told.up_to;
         }
         Ok(reply)
     };
@@ -183,6 +211,7 @@
         let EndpointNews { at, difference } = endpoints;
         gateway.on_told_endpoints(&mut link.endpoints, at, difference, takes_endpoints);
     }
+    gateway.on_told_suspects(&news.quarantine.suspects, Teller::Leader);
     let own = gateway.settings().hall.clone();
     for board in news.boards {
         if board.hall == own {
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -7,6 +7,7 @@
 use sillbank_core::prelude::*;
 use sillbank_demand::prelude::*;
 use sillbank_fleet::prelude::*;
+use sillbank_quarantine::prelude::*;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,8 @@
     pub endpoints: ChangeNumber,
     /// Number of the newest board that was passed on.
     pub boards: u64,
+    /// Newest change of requests that end their endpoints.
+    pub quarantine: u64,
 }
 
 /// A VM asks a leader for what is new.
@@ -46,6 +49,8 @@
     pub seen: Option<SeenMark>,
     /// What it was asked for in the last second, told to the leader of its own hall.
     pub demand: Option<DemandReport>,
+    /// Requests under which it saw endpoints end, as far as it has not told them yet.
+    pub suspects: Vec<SuspectNews>,
 }
 
 /// What a leader's directory has that the asking VM lacks.
@@ -203,6 +208,8 @@
     pub endpoints: Option<EndpointNews>,
     /// Engines of this hall and of others, as far as they are new to the asking VM.
     pub boards: Vec<HallBoard>,
+    /// Requests under which endpoints ended, as far as they are new to the asking VM.
+    pub quarantine: QuarantineNews,
 }
 
 impl FeedNews {
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -8,6 +8,7 @@
 use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_net::metered::Metered;
+use sillbank_quarantine::prelude::*;
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,6 +17,8 @@
 /// bytes, so 60 VMs that are new to a leader take 0.2 s of the smallest link known (20 Mbit/s) for a
 /// piece each, and requests run in between.
 const MOST_CHANGES: usize = 100;
+/// Most requests under which endpoints ended in one answer, some 80 bytes each; the rest follows.
+const MOST_SUSPECTS: usize = 64;
 /// How long a connection may rest between asks.
 const ASK_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted.
@@ -72,6 +75,11 @@
         gateway.hall.on_asked_as_source(began);
     }
     gateway.on_told_demand(ask, began);
+    let teller = match ask.hall == gateway.settings().hall {
+        true => Teller::Member,
+        false => Teller::Leader,
+    };
+    gateway.on_told_suspects(&ask.suspects, teller);
     let may_answer = || ask.asks_source || gateway.hall.tells.get().is_some();
     if may_answer() && !has_news(gateway, ask, seen) {
         let wait = async {
@@ -104,6 +112,11 @@
         catalog: catalog.map(|parts| (*parts).clone()),
         endpoints: endpoint_news(gateway, seen),
         boards,
+        quarantine: gateway.quarantine.borrow().news_since(
+            seen.map_or(0, |seen| seen.quarantine),
+            MOST_SUSPECTS,
+            now,
+        ),
     }))
 }
 
@@ -113,7 +126,9 @@
     seen: Option<SeenMark>,
 ) -> bool {
     let newest = gateway.knowledge.endpoints(Directory::newest_change);
-    has_newer_catalog(gateway, ask) || seen.is_none_or(|seen| seen.endpoints != newest)
+    let urgent = gateway.quarantine.borrow().newest_urgent();
+    let is_new = |seen: SeenMark| seen.endpoints != newest || seen.quarantine < urgent;
+    has_newer_catalog(gateway, ask) || seen.is_none_or(is_new)
 }
 
 fn has_newer_catalog<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> bool {
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -34,7 +34,7 @@
     }
 }
 
-fn source_view<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) -> SourceView {
+pub(crate) fn source_view<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) -> SourceView {
     let (now, hall) = (Instant::now(), &gateway.hall);
     SourceView {
         leader_is_live: hall.leader_is_live(now),
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
+use sillbank_quarantine::prelude::*;
 use smol::LocalExecutor;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -62,6 +63,10 @@
     pub book: Rc<EndpointBook>,
     /// Endpoints that ended under requests.
     pub ends: EndedEndpoints,
+    /// Requests under which endpoints ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Newest of their changes that those who ask this VM were woken for.
+    pub(crate) quarantine_told: Cell<u64>,
     /// What was seen of endpoints of plain services.
     pub call_book: CallBook,
     /// What was learnt of forecasts of streams.
@@ -122,6 +127,8 @@
             hall: Hall::new(chance.clone()),
             book: Rc::default(),
             ends: EndedEndpoints::default(),
+            quarantine: RefCell::default(),
+            quarantine_told: Cell::new(0),
             call_book: CallBook::default(),
             forecasts: Forecasts::default(),
             heard: Rc::default(),
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`endpoints`] holds what was seen of endpoints, [`doctor`] asks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`ends`] tells an endpoint that ended under a request from a connection that broke.
+//! - [`quarantine`] holds back requests that end their endpoints, [`quarantine_store`] keeps them in the store.
 //! - [`repeats`] says whether a request may be sent again.
 //! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -54,6 +55,8 @@
 pub mod paths;
 pub mod placement;
 pub mod plugins;
+pub mod quarantine;
+pub mod quarantine_store;
 pub mod repeats;
 pub mod sending;
 pub mod settings;
@@ -70,7 +73,9 @@
     pub use crate::gateway::Gateway;
     pub use crate::plugins::run;
     pub use crate::settings::GatewaySettings;
-    pub use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
+    pub use crate::store::{
+        CatalogRead, MetadataStore, QuarantineObject, Revision, Snapshot, StoreError,
+    };
     pub use crate::wire::{
         BadHead, CallerHead, EndpointReply, EngineReport, GiveUp, OrderEnd, PlaceOrder, Refusal,
         ReplyPlace, Sending, StalledRequest, TokenCounts, Unreadable, Wire,
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -38,6 +38,8 @@
     pub forecast_learning: bool,
     /// A VM that is near a limit of its own gives way to others, and refuses new requests at it.
     pub vm_limits: bool,
+    /// Requests that end the endpoints that run them are held back.
+    pub quarantine: bool,
 }
 
 impl Default for Mechanisms {
@@ -59,6 +61,7 @@
             forecast_learning: true,
             calls_in_time: true,
             vm_limits: true,
+            quarantine: true,
         }
     }
 }
@@ -83,6 +86,7 @@
             forecast_learning: reader.flag("forecast_learning", true),
             calls_in_time: reader.flag("calls_in_time", true),
             vm_limits: reader.flag("vm_limits", true),
+            quarantine: reader.flag("quarantine", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -104,6 +104,12 @@
     pub renewed_endpoints: Counter,
     /// Endpoints that were found to have ended under requests.
     pub ended_endpoints: Counter,
+    /// Requests under which endpoints ended, as far as they are remembered.
+    pub suspects: Gauge,
+    /// Those among them that are held back.
+    pub quarantined: Gauge,
+    /// Requests that were refused as they are held back.
+    pub quarantine_refusals: Counter,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
     /// Bytes that are kept for callers and endpoints.
@@ -150,6 +156,9 @@
         let unreadable = Family::default();
         let renewed_endpoints = Counter::default();
         let ended_endpoints = Counter::default();
+        let suspects = Gauge::default();
+        let quarantined = Gauge::default();
+        let quarantine_refusals = Counter::default();
         let connections = Family::default();
         let kept_bytes = Gauge::default();
         let callers_cut = Counter::default();
@@ -176,6 +185,10 @@
         registry.register("renewed_endpoints", help, renewed_endpoints.clone());
         let help = "Endpoints that ended under requests";
         registry.register("ended_endpoints", help, ended_endpoints.clone());
+        registry.register("suspects", "Requests endpoints ended under", suspects.clone());
+        registry.register("quarantined", "Requests held back", quarantined.clone());
+        let help = "Requests refused as they are held back";
+        registry.register("quarantine_refusals", help, quarantine_refusals.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
         registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
@@ -217,6 +230,9 @@
             unreadable,
             renewed_endpoints,
             ended_endpoints,
+            suspects,
+            quarantined,
+            quarantine_refusals,
             connections,
             kept_bytes,
             callers_cut,
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -3,6 +3,7 @@
 use sillbank_catalog::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_lease::{LeaseRecord, LeaseWrite, WriteEnd};
+use sillbank_quarantine::prelude::*;
 use std::future::Future;
 use std::time::Duration;
 
@@ -54,6 +55,15 @@
 /// A configuration as it was read, or why it cannot be.
 pub type CatalogRead = Result<CatalogParts, String>;
 
+/// What the store keeps of requests that end their endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineObject {
+    /// Revision of its newest change.
+    pub revision: Revision,
+    /// What it says.
+    pub record: QuarantineRecord,
+}
+
 /// The store's calls. Each is one call on the wire, which is counted and priced.
 pub trait MetadataStore: Clone + 'static {
     /// Reads the newest configuration; `None` if there is none yet.
@@ -91,6 +101,25 @@
         name: &str,
     ) -> impl Future<Output = Result<Option<LeaseRecord>, StoreError>>;
 
+    /// Reads what is kept of requests that end their endpoints; `None` if nothing ever was.
+    fn read_quarantine(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<Option<QuarantineObject>>, StoreError>>;
+
+    /// Waits for a change of that; `None` if there was none within `wait`.
+    fn watch_quarantine(
+        &self,
+        since: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Snapshot<Option<QuarantineObject>>, StoreError>>;
+
+    /// Writes that, if it is still at the expected revision, or is not there.
+    fn write_quarantine(
+        &self,
+        expected: Option<Revision>,
+        record: &QuarantineRecord,
+    ) -> impl Future<Output = WriteEnd>;
+
     /// Carries out the write of a lease.
     fn write_lease(&self, name: &str, write: &LeaseWrite) -> impl Future<Output = WriteEnd>;
 }
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -19,6 +19,7 @@
 use sillbank_core::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
+use sillbank_quarantine::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -39,18 +40,27 @@
     pub(super) sent_at: Instant,
     /// When the first event came from this endpoint.
     pub(super) first_event_at: Option<Instant>,
+    /// Whether the run was found to have passed its beginning here.
+    pub(super) has_passed_beginning: bool,
 }
 
 impl Upstream {
-    pub(super) fn broken_send(&self) -> BrokenSend<'_> {
+    pub(super) fn broken_send(&self) -> BrokenSend {
         BrokenSend {
-            endpoint: &self.endpoint,
+            endpoint: self.endpoint.clone(),
             address: self.address,
             sent_at: self.sent_at,
             first_event_at: self.first_event_at,
         }
     }
 
+    /// Notes that an event came; answers, once, whether the run has passed its beginning here.
+    pub(super) fn passes_beginning(&mut self, now: Instant) -> bool {
+        let first = *self.first_event_at.get_or_insert(now);
+        let has_passed = now.saturating_duration_since(first) >= BEGINNING;
+        has_passed && !std::mem::replace(&mut self.has_passed_beginning, true)
+    }
+
     pub(super) fn active_route(&self) -> ActiveRoute<'_> {
         ActiveRoute {
             endpoint: &self.endpoint,
@@ -127,6 +137,7 @@
                 _in_flight: in_flight,
                 sent_at,
                 first_event_at: None,
+                has_passed_beginning: false,
             };
             SendOnce::Begun(Begun::Stream(Box::new(upstream), status))
         }
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -4,7 +4,7 @@
 use super::target::choose_target;
 use crate::answers::{COME_BACK_UNINFORMED, give_up};
 use crate::decisions::SendEnd;
-use crate::ends::BrokenSend;
+use crate::ends::{BrokenSend, on_broken_send};
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::load::LoadAsk;
@@ -58,9 +58,9 @@
             },
         );
         if end.is_broken {
-            let endpoint = &end.endpoint;
+            let endpoint = end.endpoint.clone();
             let send = BrokenSend { endpoint, address, sent_at, first_event_at: None };
-            gateway.on_broken_send(job, send).await;
+            on_broken_send(gateway, job, send).await;
         }
         avoid.push(end.at_fault.unwrap_or(end.endpoint));
         let goes_on = tries.goes_on(gateway, job, end.left);
--- a/crates/sillbank_gateway/src/streams/pump.rs
+++ b/crates/sillbank_gateway/src/streams/pump.rs
@@ -5,6 +5,7 @@
 use super::begin::begin;
 use super::loss::{Loss, Silence, SilenceTimer, look_for_loss, move_request};
 use crate::decisions::{Outcome, SendEnd};
+use crate::ends::on_broken_send;
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -82,6 +83,7 @@
         loop {
             let (at_fault, reason) = match self.relay_part(&mut upstream).await {
                 PartEnd::Whole => {
+                    self.gateway.on_ran_well(&self.job);
                     let Upstream { channel, endpoint, head, .. } = upstream;
                     self.gateway.keep_channel(&endpoint, channel, &head);
                     return (Outcome::Answered, String::new());
@@ -99,7 +101,7 @@
                 },
             );
             if at_fault.is_none() {
-                self.gateway.on_broken_send(&self.job, upstream.broken_send()).await;
+                on_broken_send(&self.gateway, &self.job, upstream.broken_send()).await;
             }
             let avoid = vec![at_fault.unwrap_or_else(|| upstream.endpoint.clone())];
             drop(upstream);
@@ -112,7 +114,8 @@
 
     /// Takes the stream up at another path, if that is allowed.
     async fn resume(&self, avoid: Vec<EndpointId>) -> Option<Upstream> {
-        if !self.rules.resumable || !self.gateway.may_send_again(&self.job) {
+        let is_held_back = self.gateway.held_back(&self.job).is_some();
+        if is_held_back || !self.rules.resumable || !self.gateway.may_send_again(&self.job) {
             return None;
         }
         match begin(&self.gateway, &self.job, self.last, avoid).await {
@@ -167,7 +170,9 @@
                     return PartEnd::Broken(None, format!("the stream broke: {error}"));
                 }
                 Some(Ok(frame)) => {
-                    upstream.first_event_at.get_or_insert(now);
+                    if upstream.passes_beginning(now) {
+                        self.gateway.on_ran_well(&self.job);
+                    }
                     if let Some(data) = frame.data_ref()
                         && let Err(reason) = self.relay_bytes(&mut upstream.splitter, data)
                     {
--- a/crates/sillbank_gateway/src/tries.rs
+++ b/crates/sillbank_gateway/src/tries.rs
@@ -38,6 +38,9 @@
         job: &Job,
         left: Left,
     ) -> bool {
+        if left != Left::NotSent && gateway.held_back(job).is_some() {
+            return false;
+        }
         match left {
             Left::NotSent => {
                 // It did not arrive anywhere, so it is no repeat.
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -95,6 +95,7 @@
         catalog: None,
         endpoints: None,
         boards: Vec::new(),
+        quarantine: Default::default(),
     }
 }
 
