Suspended machines: what was confirmed before a suspension is older by it

The steady clock does not count a suspension. A VM that woke after one relied on keys and configuration as if no time had passed, for up to 4.8 s more; an answer to an ask from before the suspension made old news fresh. The hall's lease used the time of day too and is not concerned. The gap between the clock since the machine's start and the steady one now tells of it, at each decision that relies on a confirmation.

--- a/crates/sillbank_catalog/src/freshness.rs
+++ b/crates/sillbank_catalog/src/freshness.rs
@@ -6,7 +6,7 @@
 ///
 /// The term runs from the sending, not from the answer: what the store said may have changed any
 /// time after it received the call. The clock is the steady one, so that a VM that was paused
-/// wakes up with its lease run out.
+/// wakes up with its lease run out; it does not count a suspension of the machine, which is told apart.
 ///
 /// ```
 /// use sillbank_catalog::KnowledgeLease;
@@ -35,6 +35,11 @@
         self.confirmed = Some(self.confirmed.map_or(sent, |known| known.max(sent)));
     }
 
+    /// Notes that the machine was suspended for a time that the steady clock did not count.
+    pub fn on_suspended(&mut self, suspended: Duration) {
+        self.confirmed = self.confirmed.and_then(|confirmed| confirmed.checked_sub(suspended));
+    }
+
     /// Changes the term, also of knowledge that is held.
     pub fn set_term(&mut self, term: Duration) {
         self.term = term;
--- a/crates/sillbank_core/src/lib.rs
+++ b/crates/sillbank_core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hash;
 pub mod ids;
 pub mod run;
+pub mod suspension;
 
 /// The few types most crates need.
 pub mod prelude {
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -195,6 +195,7 @@
 ) -> Option<Instant> {
     let now = Instant::now();
     let confirmed = news.confirmed_since(sent, now);
+    let confirmed = confirmed.filter(|_| !gateway.knowledge.was_suspended_since(sent));
     if let Some(parts) = news.catalog {
         let version = parts.version;
         match Catalog::new(parts.clone()) {
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -96,7 +96,7 @@
                     confirmed = confirmed_by_watch(sent, wait, answered);
                     excess = answered.saturating_duration_since(sent + wait);
                 }
-                if take_catalog(&gateway, read) {
+                if take_catalog(&gateway, read) && !gateway.knowledge.was_suspended_since(sent) {
                     gateway.knowledge.confirm_catalog(confirmed, at);
                 }
             }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -4,7 +4,9 @@
 use crate::store::{Revision, Snapshot};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_core::suspension::SuspensionWatch;
 use sillbank_fleet::prelude::*;
+use sillbank_net::clocks::read_clocks;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -45,6 +47,9 @@
     parts: RefCell<Option<Rc<CatalogParts>>>,
     waiting: RefCell<Vec<Waker>>,
     waiting_for_confirmation: RefCell<Vec<Waker>>,
+    suspension: RefCell<SuspensionWatch>,
+    /// When the machine was last found to have been suspended.
+    woken_at: Cell<Option<Instant>>,
 }
 
 impl Knowledge {
@@ -62,6 +67,8 @@
             parts: RefCell::default(),
             waiting: RefCell::default(),
             waiting_for_confirmation: RefCell::default(),
+            suspension: RefCell::new(SuspensionWatch::new(read_clocks())),
+            woken_at: Cell::new(None),
         }
     }
 
@@ -110,8 +117,35 @@
         self.catalog_at.set(self.catalog_at.get().max(at));
     }
 
+    /// Finds out whether the machine was suspended since this was last asked. The steady clock does not count
+    /// that time: a key that was taken away meanwhile was still accepted.
+    fn note_suspension(&self) {
+        let suspended = self.suspension.borrow_mut().on_reading(read_clocks());
+        if let Some(suspended) = suspended {
+            self.on_suspended(suspended, Instant::now());
+        }
+    }
+
+    /// The machine was suspended: what was confirmed is so much older than the steady clock says.
+    pub fn on_suspended(&self, suspended: Duration, now: Instant) {
+        self.lease.borrow_mut().on_suspended(suspended);
+        self.woken_at.set(Some(now));
+        tracing::warn!(
+            suspended_ms = suspended.as_millis() as u64,
+            "program: The machine was suspended."
+        );
+    }
+
+    /// Whether the machine was suspended after a moment. An answer to what was asked before says nothing of how
+    /// old it is.
+    pub fn was_suspended_since(&self, moment: Instant) -> bool {
+        self.note_suspension();
+        self.woken_at.get().is_some_and(|woken_at| woken_at >= moment)
+    }
+
     /// When the configuration was last confirmed; `None` if it never was.
     pub fn catalog_confirmed(&self) -> Option<Instant> {
+        self.note_suspension();
         self.lease.borrow().confirmed()
     }
 
@@ -122,6 +156,7 @@
 
     /// Whether the configuration is fresh enough to accept keys and to deny requests.
     pub fn is_fresh(&self, now: Instant) -> bool {
+        self.note_suspension();
         self.catalog.borrow().is_some() && self.lease.borrow().holds(now)
     }
 
@@ -300,6 +335,7 @@
 
     /// Age and version, for logs.
     pub fn stamp(&self, now: Instant) -> KnowledgeStamp {
+        self.note_suspension();
         KnowledgeStamp {
             catalog: self.catalog.borrow().as_ref().map(|catalog| catalog.version()),
             catalog_age_ms: self.lease.borrow().age(now).map(|age| age.as_millis() as u64),
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -40,6 +40,40 @@
     assert!(!knowledge.is_fresh(now + Duration::from_millis(4_800)));
 }
 
+/// The steady clock does not count a suspension: a VM that slept for longer than a revocation may take relied on its keys
+/// for as long again.
+#[test]
+fn what_was_confirmed_before_a_suspension_is_older_by_it() {
+    // Arrange
+    let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
+    offer(&knowledge, 1);
+    knowledge.confirm_catalog(now, 1);
+
+    // Act
+    knowledge.on_suspended(Duration::from_secs(3), now);
+    let for_the_rest = now + Duration::from_millis(1_700);
+    let is_fresh = (knowledge.is_fresh(for_the_rest), knowledge.stamp(now).catalog_age_ms);
+    knowledge.on_suspended(Duration::from_secs(3), now);
+
+    // Assert
+    assert_eq!(is_fresh, (true, Some(3_000)));
+    assert!(!knowledge.is_fresh(now));
+}
+
+#[test]
+fn what_was_asked_before_a_suspension_confirms_nothing() {
+    // Arrange
+    let (knowledge, asked) = (Knowledge::new(REVOCATION), Instant::now());
+    let woken = asked + Duration::from_millis(100);
+
+    // Act
+    knowledge.on_suspended(Duration::from_secs(9), woken);
+
+    // Assert
+    assert!(knowledge.was_suspended_since(asked));
+    assert!(!knowledge.was_suspended_since(woken + Duration::from_millis(1)));
+}
+
 #[test]
 fn a_confirmation_without_a_configuration_means_nothing() {
     let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
--- /dev/null
+++ b/crates/sillbank_net/src/clocks.rs
@@ -0,0 +1,17 @@
+//! The machine's clocks beyond those of the standard library.
+
+use rustix::time::{ClockId, Timespec, clock_gettime};
+use sillbank_core::suspension::ClockReading;
+use std::time::Duration;
+
+/// Reads the clocks that tell whether the machine was suspended.
+pub fn read_clocks() -> ClockReading {
+    let since_start = to_duration(clock_gettime(ClockId::Boottime));
+    let steady = to_duration(clock_gettime(ClockId::Monotonic));
+    ClockReading { since_start, steady }
+}
+
+fn to_duration(time: Timespec) -> Duration {
+    // Neither clock is ever below zero.
+    Duration::try_from(time).unwrap_or(Duration::ZERO)
+}
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod app;
 pub mod body;
 pub mod client;
+pub mod clocks;
 pub mod failures;
 pub mod frames;
 pub mod kept;
