Requests that end endpoints: copies of one request count once, known at the start; misdirected sends are no tries

Misdirected: known red started_again_twice. A stream whose last send met an engine that had started again (421) was broken off.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -2,7 +2,7 @@
 
 use crate::answers::{COME_BACK_AT_LIMIT, COME_BACK_UNINFORMED, reply_of};
 use crate::delivery::Delivery;
-use crate::gateway::{Gateway, Life};
+use crate::gateway::{FIRST_KNOWLEDGE_WAIT, Gateway, Life};
 use crate::job::{Job, strip_connection_headers};
 use crate::store::MetadataStore;
 use crate::vm_limits::Standing;
@@ -23,12 +23,7 @@
 use std::cell::{Cell, OnceCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// Age of a process up to which requests wait for its first configuration and endpoints. It has them some
-/// 0.3 s after it began, also when all VMs began at once. Without the wait, 660 callers of 300 VMs were
-/// refused then.
-const FIRST_KNOWLEDGE_WAIT: Duration = Duration::from_millis(1_000);
+use std::time::Instant;
 
 /// How often the body of a request is held at most: to send it once more, and in the buffer of the
 /// connection that takes it to an endpoint.
@@ -112,7 +107,11 @@
     async fn await_first_knowledge(&self) {
         let gateway = &self.gateway;
         let knowledge = &gateway.knowledge;
-        let knows_enough = || knowledge.catalog().is_some() && knowledge.knows_endpoints();
+        let knows_enough = || {
+            knowledge.catalog().is_some()
+                && knowledge.knows_endpoints()
+                && gateway.quarantine_is_known.get()
+        };
         let left = FIRST_KNOWLEDGE_WAIT.saturating_sub(gateway.age(Instant::now()));
         if knows_enough() || left.is_zero() {
             return;
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -106,11 +106,14 @@
                 (Left::MayHaveRun, reason)
             }
             Try::NotRun(reason) => (Left::NotRun, reason),
+            Try::Misdirected(reason) => (Left::Misdirected, reason),
             Try::NotSent(reason) => (Left::NotSent, reason),
             Try::Late(reason) => (Left::MayHaveRun, reason),
             Try::Lost(reason) => {
                 let (endpoint, address) = (choice.endpoint.clone(), choice.address);
-                let send = BrokenSend { endpoint, address, sent_at, first_event_at: None };
+                let broke_at = Instant::now();
+                let send =
+                    BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
                 on_broken_send(gateway, job, send).await;
                 (Left::MayHaveRun, reason)
             }
@@ -158,6 +161,7 @@
     /// The endpoint's own failure, whole.
     Failed(WholeReply),
     NotRun(String),
+    Misdirected(String),
     NotSent(String),
     /// No answer came while another endpoint could be asked.
     Late(String),
@@ -217,19 +221,15 @@
             }
         }
         Sent::NotRun(refusal) => {
-            match refusal.misdirected {
-                true => {
-                    watch.on_nothing();
-                    gateway.on_evidence(
-                        &choice.endpoint,
-                        Evidence::Unreachable,
-                        sent_at,
-                        "misdirected",
-                    );
-                }
-                false => watch.on_full(),
+            let reason = format!("the endpoint refused with status {}", refusal.status);
+            if !refusal.misdirected {
+                watch.on_full();
+                return Try::NotRun(reason);
             }
-            Try::NotRun(format!("the endpoint refused with status {}", refusal.status))
+            watch.on_nothing();
+            let endpoint = &choice.endpoint;
+            gateway.on_evidence(endpoint, Evidence::Unreachable, sent_at, "misdirected");
+            Try::Misdirected(reason)
         }
         Sent::NotSent(reason) => {
             watch.on_nothing();
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -149,8 +149,8 @@
                 request = job.head.request_id,
                 fingerprint = describe_fingerprint(job.fingerprint()),
                 endpoint = send.endpoint,
-                there_ms = send.sent_at.elapsed().as_millis() as u64,
-                ran_ms = send.first_event_at.map(|at| at.elapsed().as_millis() as u64),
+                there_ms = send.broke_at.saturating_duration_since(send.sent_at).as_millis() as u64,
+                ran_ms = send.ran_for().map(|ran| ran.as_millis() as u64),
                 is_suspected,
                 "endpoint: Ended under a request."
             );
--- a/crates/sillbank_gateway/src/ends.rs
+++ b/crates/sillbank_gateway/src/ends.rs
@@ -34,10 +34,19 @@
     pub address: SocketAddr,
     /// When the request was sent there.
     pub sent_at: Instant,
+    /// When its connection was found to be broken.
+    pub broke_at: Instant,
     /// When the first event came from there.
     pub first_event_at: Option<Instant>,
 }
 
+impl BrokenSend {
+    /// Time from the first event to the end; `None` if there was no event.
+    pub fn ran_for(&self) -> Option<Duration> {
+        self.first_event_at.map(|first| self.broke_at.saturating_duration_since(first))
+    }
+}
+
 /// Ends of endpoints that this VM has found.
 #[derive(Debug, Default)]
 pub struct EndedEndpoints {
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -213,6 +213,9 @@
         gateway.on_told_endpoints(&mut link.endpoints, at, difference, takes_endpoints);
     }
     gateway.on_told_suspects(&news.quarantine.suspects, Teller::Leader);
+    if gateway.hall.tells.get().is_none() {
+        gateway.on_quarantine_known();
+    }
     let own = gateway.settings().hall.clone();
     for board in news.boards {
         if board.hall == own {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -35,6 +35,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Age of a process up to which requests wait for its first configuration and endpoints, and for what is known of
+/// requests that end endpoints: when all VMs begin at once, each would send such a one again. It has them some
+/// 0.3 s after it began, also when all VMs began at once. Without the wait, 660 callers of 300 VMs were
+/// refused then.
+pub const FIRST_KNOWLEDGE_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Where the process stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Life {
@@ -65,6 +71,8 @@
     pub ends: EndedEndpoints,
     /// Requests under which endpoints ended.
     pub quarantine: RefCell<Quarantine>,
+    /// Whether a leader told of them, or the store was read, since this process began.
+    pub quarantine_is_known: Cell<bool>,
     /// Newest of their changes that those who ask this VM were woken for.
     pub(crate) quarantine_told: Cell<u64>,
     /// What was seen of endpoints of plain services.
@@ -128,6 +136,7 @@
             book: Rc::default(),
             ends: EndedEndpoints::default(),
             quarantine: RefCell::default(),
+            quarantine_is_known: Cell::new(false),
             quarantine_told: Cell::new(0),
             call_book: CallBook::default(),
             forecasts: Forecasts::default(),
@@ -209,11 +218,18 @@
         now.saturating_duration_since(self.began)
     }
 
+    /// Whether requests that end endpoints are known as far as they can be: a leader told of them, the store was
+    /// read, or neither did for so long that requests do not wait any more.
+    fn knows_quarantine(&self, now: Instant) -> bool {
+        self.quarantine_is_known.get() || self.age(now) >= FIRST_KNOWLEDGE_WAIT
+    }
+
     /// Whether new work should come to this VM. One that is near a limit leaves it to others, if they suffice.
     pub fn is_ready(&self, now: Instant) -> bool {
         self.life.get() == Life::Serving
             && self.knowledge.is_fresh(now)
             && self.knowledge.knows_endpoints()
+            && self.knows_quarantine(now)
             && (self.standing() == Standing::Clear || !self.hall.others_suffice(now))
     }
 
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -240,6 +240,11 @@
         .await;
     }
 
+    /// Wakes those who wait for a change: what they wait for beside it is known now.
+    pub(crate) fn wake(&self) {
+        self.change();
+    }
+
     /// Takes changes of endpoints unless they are older than what is known; answers what each removal means.
     pub fn take_changes(
         &self,
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -21,13 +21,14 @@
 impl<W: Wire, S> Gateway<W, S> {
     /// An endpoint ended under a request. Its end is laid to those that were in their beginning there.
     pub fn on_ended_under(&self, job: &Job, send: &BrokenSend) {
-        let is_beginning = send.first_event_at.is_none_or(|first| first.elapsed() < BEGINNING);
+        let is_beginning = send.ran_for().is_none_or(|ran| ran < BEGINNING);
         self.decisions.ended_under(job, send, is_beginning);
         if !is_beginning {
             return;
         }
         let mut quarantine = self.quarantine.borrow_mut();
-        let events = quarantine.on_end(job.fingerprint(), &send.endpoint, Instant::now());
+        let (fingerprint, endpoint) = (job.fingerprint(), &send.endpoint);
+        let events = quarantine.on_end(fingerprint, endpoint, send.sent_at, send.broke_at);
         drop(quarantine);
         self.on_quarantine_events(&events);
     }
@@ -62,6 +63,13 @@
         Some(Failure::before_work(FailureKind::Quarantined, reason).retry_after(left))
     }
 
+    /// A leader told of such requests, or the store was read.
+    pub(crate) fn on_quarantine_known(&self) {
+        if !self.quarantine_is_known.replace(true) {
+            self.knowledge.wake();
+        }
+    }
+
     /// Takes what a VM tells of requests under which endpoints ended.
     pub fn on_told_suspects(&self, suspects: &[SuspectNews], teller: Teller) {
         if suspects.is_empty() {
--- a/crates/sillbank_gateway/src/quarantine_store.rs
+++ b/crates/sillbank_gateway/src/quarantine_store.rs
@@ -3,6 +3,7 @@
 //! It is one object: few requests are ever kept, and one call reads all. Whoever follows the endpoints in the store
 //! for a hall follows it too. A leader writes what its VMs saw, a VM without a leader what it saw itself.
 
+use crate::freshness::NEED_POLL;
 use crate::gateway::Gateway;
 use crate::metrics::KindLabel;
 use crate::sources::{Followed, is_told};
@@ -14,7 +15,7 @@
 
 /// How long a watch waits. Changes are rare and end it at once; each return is a priced call.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Pause between looks whether there is something to follow or to write.
+/// Pause between looks whether there is something to write.
 const LOOK: Duration = Duration::from_millis(200);
 /// First pause after a call that failed, and between two writes.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -29,7 +30,7 @@
         if is_told(Followed::Endpoints, crate::follow::source_view(&gateway)) {
             // What passes meanwhile is told; the first call after it reads everything.
             since = None;
-            smol::Timer::after(LOOK).await;
+            smol::Timer::after(NEED_POLL).await;
             continue;
         }
         let read = match since {
@@ -99,6 +100,7 @@
     gateway: &Gateway<W, S>,
     read: &Snapshot<Option<QuarantineObject>>,
 ) {
+    gateway.on_quarantine_known();
     let Some(object) = &read.value else { return };
     let mut quarantine = gateway.quarantine.borrow_mut();
     let events = quarantine.on_stored(&object.record, Instant::now(), unix_ms());
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -50,6 +50,7 @@
             endpoint: self.endpoint.clone(),
             address: self.address,
             sent_at: self.sent_at,
+            broke_at: Instant::now(),
             first_event_at: self.first_event_at,
         }
     }
@@ -168,7 +169,8 @@
             if refusal.misdirected || at_fault.is_some() {
                 gateway.on_evidence(blamed, Evidence::LacksPart, sent_at, &reason);
             }
-            ended(at_fault, Left::NotRun, reason)
+            let left = if refusal.misdirected { Left::Misdirected } else { Left::NotRun };
+            ended(at_fault, left, reason)
         }
         Ok(Sent::NotSent(reason)) => {
             gateway.on_evidence(&endpoint, Evidence::Unreachable, sent_at, &reason);
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -59,7 +59,8 @@
         );
         if end.is_broken {
             let endpoint = end.endpoint.clone();
-            let send = BrokenSend { endpoint, address, sent_at, first_event_at: None };
+            let broke_at = Instant::now();
+            let send = BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
             on_broken_send(gateway, job, send).await;
         }
         avoid.push(end.at_fault.unwrap_or(end.endpoint));
--- a/crates/sillbank_quarantine/src/news.rs
+++ b/crates/sillbank_quarantine/src/news.rs
@@ -17,6 +17,8 @@
     pub endpoint: EndpointId,
     /// Time since it ended, in milliseconds.
     pub age_ms: u64,
+    /// Time from the request's sending there to the end, in milliseconds.
+    pub there_ms: u64,
 }
 
 /// What is known of one suspected request.
@@ -46,6 +48,8 @@
     pub endpoint: EndpointId,
     /// Unix millisecond at which it ended, by the clock of the VM that wrote it.
     pub at_ms: u64,
+    /// Time from the request's sending there to the end, in milliseconds.
+    pub there_ms: u64,
 }
 
 /// One suspected request, as the store keeps it.
@@ -73,6 +77,7 @@
         let to_news = |end: &StoredEnd| EndNews {
             endpoint: end.endpoint.clone(),
             age_ms: now_unix_ms.saturating_sub(end.at_ms),
+            there_ms: end.there_ms,
         };
         let ends = self.ends.iter().map(to_news).collect();
         let cleared_age_ms = self.cleared_at_ms.map(|at_ms| now_unix_ms.saturating_sub(at_ms));
@@ -84,6 +89,7 @@
         let to_stored = |end: &EndNews| StoredEnd {
             endpoint: end.endpoint.clone(),
             at_ms: now_unix_ms.saturating_sub(end.age_ms),
+            there_ms: end.there_ms,
         };
         let ends = news.ends.iter().map(to_stored).collect();
         let cleared_at_ms = news.cleared_age_ms.map(|age_ms| now_unix_ms.saturating_sub(age_ms));
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -53,15 +53,17 @@
 }
 
 impl Quarantine {
-    /// An endpoint ended under a request in its beginning.
+    /// An endpoint ended under a request in its beginning, which was sent there at a moment.
     pub fn on_end(
         &mut self,
         fingerprint: Fingerprint,
         endpoint: &str,
+        sent_at: Instant,
         now: Instant,
     ) -> Vec<QuarantineEvent> {
         let suspect = self.suspects.entry(fingerprint).or_default();
-        if !suspect.add_end(endpoint, now) {
+        let there = now.saturating_duration_since(sent_at);
+        if !suspect.add_end(endpoint, now, there) {
             return Vec::new();
         }
         suspect.store_from = Some(now);
--- a/crates/sillbank_quarantine/src/suspect.rs
+++ b/crates/sillbank_quarantine/src/suspect.rs
@@ -7,10 +7,31 @@
 use std::time::{Duration, Instant};
 
 /// An endpoint that ended under the request.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct End {
     endpoint: EndpointId,
     at: Instant,
+    /// Time from the request's sending there to the end.
+    there: Duration,
+}
+
+impl End {
+    /// Whether the request was sent there after another of its endpoints had ended.
+    fn follows(&self, other: &End) -> bool {
+        self.at.saturating_duration_since(other.at) >= self.there
+    }
+}
+
+/// Keeps those ends of some, in order of their times, that each follow the one kept before. Endpoints that end at
+/// the same moment, each with a copy of the request, ended for another reason or one of them did.
+fn keep_chain(ends: &mut Vec<End>) {
+    let mut kept: Vec<End> = Vec::new();
+    for end in ends.drain(..) {
+        if kept.last().is_none_or(|last| end.follows(last)) {
+            kept.push(end);
+        }
+    }
+    *ends = kept;
 }
 
 /// What tells whether the store keeps the same of a request as this VM.
@@ -29,7 +50,7 @@
 /// A request under which endpoints ended.
 #[derive(Debug, Default)]
 pub(crate) struct Suspect {
-    /// At most [`MOST_ENDS`], the newest ones.
+    /// At most [`MOST_ENDS`], the newest ones, each of a send that followed the end before.
     ends: Vec<End>,
     /// When it was last seen to run well.
     cleared_at: Option<Instant>,
@@ -75,7 +96,7 @@
     }
 
     /// Notes an end; answers whether it was not known.
-    pub(crate) fn add_end(&mut self, endpoint: &str, at: Instant) -> bool {
+    pub(crate) fn add_end(&mut self, endpoint: &str, at: Instant, there: Duration) -> bool {
         let is_same = |end: &End| {
             let apart = at.max(end.at).saturating_duration_since(at.min(end.at));
             end.endpoint == endpoint && apart < SAME_END_WITHIN
@@ -83,11 +104,13 @@
         if self.cleared_at.is_some_and(|cleared| at <= cleared) || self.ends.iter().any(is_same) {
             return false;
         }
-        self.ends.push(End { endpoint: endpoint.to_owned(), at });
+        let before = self.ends.clone();
+        self.ends.push(End { endpoint: endpoint.to_owned(), at, there });
         self.ends.sort_by_key(|end| end.at);
+        keep_chain(&mut self.ends);
         let excess = self.ends.len().saturating_sub(MOST_ENDS);
         self.ends.drain(..excess);
-        true
+        self.ends != before
     }
 
     /// Notes that it ran well; answers whether that was not known. Moments that VMs tell each other become a little
@@ -117,8 +140,11 @@
     /// As other VMs hear of it.
     pub(crate) fn to_news(&self, fingerprint: Fingerprint, now: Instant) -> SuspectNews {
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        let to_news =
-            |end: &End| EndNews { endpoint: end.endpoint.clone(), age_ms: age_ms(end.at) };
+        let to_news = |end: &End| EndNews {
+            endpoint: end.endpoint.clone(),
+            age_ms: age_ms(end.at),
+            there_ms: end.there.as_millis() as u64,
+        };
         let ends = self.ends.iter().map(to_news).collect();
         SuspectNews { fingerprint, ends, cleared_age_ms: self.cleared_at.map(age_ms) }
     }
@@ -128,7 +154,8 @@
         let at = |age_ms: u64| now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
         let mut has_changed = news.cleared_age_ms.is_some_and(|age_ms| self.clear(at(age_ms)));
         for end in news.ends.iter().take(MOST_ENDS) {
-            has_changed |= self.add_end(&end.endpoint, at(end.age_ms));
+            let there = Duration::from_millis(end.there_ms);
+            has_changed |= self.add_end(&end.endpoint, at(end.age_ms), there);
         }
         has_changed
     }
--- a/crates/sillbank_quarantine/tests/quarantine.rs
+++ b/crates/sillbank_quarantine/tests/quarantine.rs
@@ -17,7 +17,7 @@
     let mut now = began;
     for number in 0..ends {
         now += Duration::from_secs(1);
-        quarantine.on_end(REQUEST, &format!("e{number}"), now);
+        quarantine.on_end(REQUEST, &format!("e{number}"), now, now);
     }
     (quarantine, now)
 }
@@ -29,7 +29,7 @@
     let before = quarantine.held_for(REQUEST, now);
 
     // Act
-    let events = quarantine.on_end(REQUEST, "last", now);
+    let events = quarantine.on_end(REQUEST, "last", now, now);
 
     // Assert
     assert_eq!(before, None);
@@ -44,7 +44,12 @@
     let (mut quarantine, now) = after_ends(ENDS_TO_QUARANTINE - 1, Instant::now());
 
     // Act
-    quarantine.on_end(REQUEST, "e1", now + Duration::from_millis(300));
+    quarantine.on_end(
+        REQUEST,
+        "e1",
+        now + Duration::from_millis(300),
+        now + Duration::from_millis(300),
+    );
 
     // Assert
     assert_eq!(quarantine.ends(REQUEST), ENDS_TO_QUARANTINE - 1);
@@ -56,12 +61,45 @@
     let (mut quarantine, now) = after_ends(ENDS_TO_QUARANTINE - 1, Instant::now());
 
     // Act
-    quarantine.on_end(REQUEST, "e1", now + Duration::from_secs(3));
+    quarantine.on_end(REQUEST, "e1", now + Duration::from_secs(3), now + Duration::from_secs(3));
 
     // Assert
     assert_eq!(quarantine.ends(REQUEST), ENDS_TO_QUARANTINE);
 }
 
+/// Endpoints end for another reason while each runs a copy of a popular request: they do not follow from each other.
+#[test]
+fn ends_at_the_same_moment_under_copies_of_a_request_count_once() {
+    // Arrange
+    let sent_at = Instant::now();
+    let mut quarantine = Quarantine::default();
+
+    // Act
+    for number in 0..20 {
+        let ended_at = sent_at + Duration::from_millis(100 + number);
+        quarantine.on_end(REQUEST, &format!("e{number}"), sent_at, ended_at);
+    }
+
+    // Assert
+    assert_eq!(quarantine.ends(REQUEST), 1);
+}
+
+#[test]
+fn ends_of_one_try_that_is_sent_on_count_each() {
+    // Arrange
+    let began = Instant::now();
+    let at = |ms: u64| began + Duration::from_millis(ms);
+    let mut quarantine = Quarantine::default();
+
+    // Act
+    quarantine.on_end(REQUEST, "e1", at(0), at(80));
+    quarantine.on_end(REQUEST, "e2", at(81), at(160));
+    quarantine.on_end(REQUEST, "e3", at(161), at(240));
+
+    // Assert
+    assert!(quarantine.held_for(REQUEST, at(240)).is_some());
+}
+
 #[test]
 fn a_request_that_runs_well_is_cleared_of_ends_before() {
     // Arrange
@@ -69,7 +107,7 @@
 
     // Act
     quarantine.on_ran_well(REQUEST, now);
-    quarantine.on_end(REQUEST, "later", now + BEGINNING);
+    quarantine.on_end(REQUEST, "later", now + BEGINNING, now + BEGINNING);
 
     // Assert
     assert_eq!(quarantine.ends(REQUEST), 1);
@@ -98,7 +136,7 @@
     let before = quarantine.on_time(over - Duration::from_millis(1));
     let events = quarantine.on_time(over);
     let is_let_in = quarantine.held_for(REQUEST, over).is_none();
-    quarantine.on_end(REQUEST, "again", over);
+    quarantine.on_end(REQUEST, "again", over, over);
 
     // Assert
     assert_eq!(before, Vec::new());
@@ -138,7 +176,7 @@
     let mut quarantine = Quarantine::default();
     let now = Instant::now();
     (0..1_000).for_each(|number| {
-        quarantine.on_end(number, &format!("e{}", number % 20), now);
+        quarantine.on_end(number, &format!("e{}", number % 20), now, now);
     });
 
     // Act
@@ -176,7 +214,12 @@
 
     // Act
     for number in 0..2 * MOST_SUSPECTS as u128 {
-        quarantine.on_end(100 + number, "e", now + Duration::from_secs(1));
+        quarantine.on_end(
+            100 + number,
+            "e",
+            now + Duration::from_secs(1),
+            now + Duration::from_secs(1),
+        );
     }
 
     // Assert
@@ -238,7 +281,7 @@
     // Act
     quarantine.on_written(&record, NOW_UNIX_MS);
     let at_rest = quarantine.due_record(now, NOW_UNIX_MS);
-    quarantine.on_end(REQUEST, "third", now + Duration::from_secs(1));
+    quarantine.on_end(REQUEST, "third", now + Duration::from_secs(1), now + Duration::from_secs(1));
 
     // Assert
     assert_eq!(at_rest, None);
--- a/crates/sillbank_quarantine/tests/spread.rs
+++ b/crates/sillbank_quarantine/tests/spread.rs
@@ -50,7 +50,7 @@
             match u.ratio(1, 5)? {
                 true => drop(vms[vm].on_ran_well(request, now)),
                 false => {
-                    drop(vms[vm].on_end(request, &format!("e{}", u.int_in_range(0..=4)?), now))
+                    drop(vms[vm].on_end(request, &format!("e{}", u.int_in_range(0..=4)?), now, now))
                 }
             }
             vms.iter_mut().for_each(|vm| drop(vm.on_time(now)));
@@ -104,7 +104,7 @@
                 |every: Duration| (passed + phase).as_millis().is_multiple_of(every.as_millis());
             for (at, vm) in &ends {
                 if *at <= passed && passed < *at + step {
-                    vms[*vm].quarantine.on_end(REQUEST, &format!("e{vm}"), now);
+                    vms[*vm].quarantine.on_end(REQUEST, &format!("e{vm}"), now, now);
                 }
             }
             if is_time(LOOK) {
@@ -138,9 +138,9 @@
     let began = Instant::now();
     let unix_ms = 1_700_000_000_000;
     let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
-    one.on_end(REQUEST, "e1", began);
-    one.on_end(REQUEST, "e2", began);
-    other.on_end(REQUEST, "e3", began);
+    one.on_end(REQUEST, "e1", began, began);
+    one.on_end(REQUEST, "e2", began, began);
+    other.on_end(REQUEST, "e3", began, began);
 
     // Act
     let record = one.due_record(began, unix_ms).expect("two ends are kept");
