Sight: an entry's status names its requests in flight and what each waits for

Two requests that stayed in flight after their stages were replaced could be seen as a count only (sillbank_entry_in_flight 2). The status now lists for each generation the step it waits for, at which endpoint, since when, and whether the connection still expects the answer; a reply that nobody awaits is logged at debug with attempt and position.

--- a/crates/sillbank_entry/src/admin.rs
+++ b/crates/sillbank_entry/src/admin.rs
@@ -54,6 +54,7 @@
             "ready": self.entry.is_ready(),
             "in_force_version": self.entry.in_force.get(),
             "endpoints": endpoints,
+            "in_flight": self.entry.stop.generations.status(&self.entry),
         })
     }
 }
--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::chat::{ChatRequest, whole_answer};
 use crate::drive::{DriveRequest, drive};
+use crate::in_flight::Progress;
 use crate::mailbox::Mailbox;
 use crate::reading::{authenticate, deadline, number_header, read_body, request_id};
 use crate::sink::{Head, Sink};
@@ -122,11 +123,12 @@
             span,
         );
         let id = drive_id(uid, request.plan.attempt);
-        self.entry.stop.register(id, request.mailbox.clone());
+        let progress = Progress::new(context.request_id.clone());
+        self.entry.stop.generations.register(id, request.mailbox.clone(), progress.clone());
         let entry = self.entry.clone();
         let work = async move {
-            drive(entry.clone(), request, sink).await;
-            entry.stop.unregister(id);
+            drive(entry.clone(), request, progress, sink).await;
+            entry.stop.generations.unregister(id);
             drop(admitted);
         };
         self.entry.executor.spawn(work).detach();
--- a/crates/sillbank_entry/src/drive.rs
+++ b/crates/sillbank_entry/src/drive.rs
@@ -1,5 +1,6 @@
 //! Carries out what a [`Generation`] decides.
 
+use crate::in_flight::Progress;
 use crate::mailbox::{Mail, Mailbox};
 use crate::sink::Sink;
 use crate::state::Entry;
@@ -38,6 +39,7 @@
     stages: Vec<ChainLink>,
     missing: Vec<(StageIndex, Instant)>,
     mailbox: Mailbox,
+    progress: Rc<Progress>,
     sink: Sink,
     started: Instant,
     last_token: Option<Instant>,
@@ -60,9 +62,14 @@
 }
 
 /// Drives a generation to its end.
-pub(crate) async fn drive(entry: Rc<Entry>, request: DriveRequest, sink: Sink) {
+pub(crate) async fn drive(
+    entry: Rc<Entry>,
+    request: DriveRequest,
+    progress: Rc<Progress>,
+    sink: Sink,
+) {
     let deadline = request.deadline;
-    let mut drive = Drive::new(entry, request, sink);
+    let mut drive = Drive::new(entry, request, progress, sink);
     drive.take(Event::Start);
     let mut timer = Timer::at(deadline);
     while !drive.generation.is_over() {
@@ -85,7 +92,7 @@
 }
 
 impl Drive {
-    fn new(entry: Rc<Entry>, request: DriveRequest, sink: Sink) -> Self {
+    fn new(entry: Rc<Entry>, request: DriveRequest, progress: Rc<Progress>, sink: Sink) -> Self {
         Self {
             uid: request.plan.uid,
             generation: Generation::new(request.plan),
@@ -95,6 +102,7 @@
             stages: request.chain,
             missing: Vec::new(),
             mailbox: request.mailbox,
+            progress,
             sink,
             started: Instant::now(),
             last_token: None,
@@ -117,6 +125,8 @@
         for action in actions {
             self.carry_out(action);
         }
+        let tokens = self.generation.answer().len() as u32;
+        self.progress.on_event(self.generation.state(), tokens);
     }
 
     fn carry_out(&mut self, action: Action) {
@@ -126,6 +136,7 @@
                 time.steps += 1;
                 time.sent = Some(Instant::now());
                 self.entry.metrics.steps.inc();
+                self.progress.on_sent(stage, self.stages[stage].endpoint, &step);
                 match self.entry.link(self.stages[stage].endpoint) {
                     Some(link) => {
                         link.send(stage, step, &self.mailbox);
--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -218,6 +218,13 @@
     };
     let Some(awaited) = link.take_awaited(drive_id(reply.uid, reply.attempt)) else {
         entry.metrics.stale_replies.inc();
+        tracing::debug!(
+            "entry: Endpoint {} answered a step of {} that is not awaited: attempt {}, position {}.",
+            entry.table.borrow().get(slot).spec.id,
+            reply.uid,
+            reply.attempt,
+            reply.start,
+        );
         return;
     };
     note_load(entry, slot, link, &reply, &awaited, now);
--- a/crates/sillbank_entry/src/main.rs
+++ b/crates/sillbank_entry/src/main.rs
@@ -10,6 +10,7 @@
 mod control_link;
 mod drive;
 mod engine_link;
+mod in_flight;
 mod mailbox;
 mod metrics;
 mod reading;
--- a/crates/sillbank_entry/src/stop.rs
+++ b/crates/sillbank_entry/src/stop.rs
@@ -1,13 +1,11 @@
 //! A planned stop: readiness falls, what is in flight ends or is handed over.
 
-use crate::mailbox::Mailbox;
+use crate::in_flight::Generations;
 use crate::state::Entry;
 use sillbank_chart::{Chart, named_enum};
-use sillbank_core::prelude::*;
 use sillbank_net::signals::Signals;
 use smol::Timer;
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::LazyLock;
 use std::time::{Duration, Instant};
@@ -51,7 +49,7 @@
 #[derive(Default)]
 pub(crate) struct StopState {
     stopping: Cell<bool>,
-    generations: RefCell<HashMap<DriveId, Mailbox>>,
+    pub(crate) generations: Generations,
     calls: Rc<Cell<usize>>,
 }
 
@@ -61,16 +59,6 @@
         self.stopping.get()
     }
 
-    /// Notes a generation in flight.
-    pub(crate) fn register(&self, id: DriveId, mailbox: Mailbox) {
-        self.generations.borrow_mut().insert(id, mailbox);
-    }
-
-    /// Notes that a generation has ended.
-    pub(crate) fn unregister(&self, id: DriveId) {
-        self.generations.borrow_mut().remove(&id);
-    }
-
     /// Counts a service call until the guard is dropped.
     pub(crate) fn count_call(&self) -> CallGuard {
         self.calls.set(self.calls.get() + 1);
@@ -78,13 +66,7 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.generations.borrow().is_empty() && self.calls.get() == 0
-    }
-
-    fn hand_over(&self) {
-        for mailbox in self.generations.borrow().values() {
-            mailbox.hand_over();
-        }
+        self.generations.is_empty() && self.calls.get() == 0
     }
 }
 
@@ -126,7 +108,7 @@
         }
         VmAction::HandOver => {
             tracing::info!("entry: The stop limit is reached; streams are handed over.");
-            entry.stop.hand_over();
+            entry.stop.generations.hand_over();
         }
         VmAction::Exit => tracing::info!("entry: Nothing is in flight."),
     }
