--- a/crates/sillbank_load/tests/scenarios.rs
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -19,6 +19,7 @@
 scenarios! {
     stage_killed,
     stage_frozen_and_woken,
+    stage_back_at_a_late_engine,
     reply_lost,
     two_stages_at_once,
     entry_killed,
--- a/crates/sillbank_load/tests/support/engines.rs
+++ b/crates/sillbank_load/tests/support/engines.rs
@@ -84,6 +84,22 @@
         self.fault(&link, &format!("{{\"cut_{direction}\": true}}"))
     }
 
+    /// Waits until an entry has found endpoints silent so often.
+    pub(super) fn found_silent(&mut self, command: &Command) -> Outcome<()> {
+        let times = command.consume_args().take_key("times").unwrap_or("1").parse()?;
+        let address = self.vm_address(command)?;
+        let deadline = Instant::now() + PATIENCE;
+        self.block_on(async {
+            while self.metric(address, "sillbank_entry_silent_endpoints_total").await < times {
+                if Instant::now() > deadline {
+                    return Err(format!("{address} never found {times} silent").into());
+                }
+                Timer::after(LOOK).await;
+            }
+            Ok(())
+        })
+    }
+
     pub(super) fn engine_number(name: &str) -> Outcome<usize> {
         Ok(name.trim_start_matches(char::is_alphabetic).parse()?)
     }
--- a/crates/sillbank_load/tests/support/runner.rs
+++ b/crates/sillbank_load/tests/support/runner.rs
@@ -23,6 +23,7 @@
 //! - `status` waits until the last change is in force in every VM of a fleet with one VM a hall,
 //!   and says what `sillbank status` prints.
 //! - `invalid` waits until the list of invalid objects changes, and says it.
+//! - `silent vm=0 [times=1]` waits until an entry has found endpoints silent so often.
 //! - `ready vm=0` waits until an entry is ready, `unready vm=0` until it is not.
 //! - `check` compares all that callers got with all that ran.
 
@@ -244,7 +245,7 @@
         self.engine_of(id, stage)
     }
 
-    fn vm_address(&mut self, command: &Command) -> Outcome<SocketAddr> {
+    pub(super) fn vm_address(&mut self, command: &Command) -> Outcome<SocketAddr> {
         let mut args = command.consume_args();
         let vm: usize = args.take_key("vm").ok_or("name a VM with vm=N")?.parse()?;
         Ok(self.fleet().addresses.entry_admins[vm])
@@ -324,6 +325,7 @@
                 let address = self.vm_address(command)?;
                 self.block_on(self.answers(address, "/readyz", status))?;
             }
+            "silent" => self.found_silent(command)?,
             "write" | "race" => return self.write(command),
             "store" => self.store(command)?,
             "effective" => return self.effective(command),
--- a/crates/sillbank_load/tests/support/world.rs
+++ b/crates/sillbank_load/tests/support/world.rs
@@ -36,6 +36,17 @@
         self.http.call(address, call, Duration::from_secs(1)).await.ok()?.json().ok()
     }
 
+    /// A counter of a process, 0 if it is not there or not asked for in time.
+    pub(super) async fn metric(&self, admin: SocketAddr, name: &str) -> u64 {
+        let call = request(Method::GET, "/metrics", Bytes::new());
+        let Ok(reply) = self.http.call(admin, call, Duration::from_secs(1)).await else {
+            return 0;
+        };
+        let text = String::from_utf8_lossy(&reply.body);
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+    }
+
     /// Waits until every slot of keys is held by some VM.
     pub(super) async fn slots_held(&self, addresses: &Addresses) -> Outcome<()> {
         let deadline = Instant::now() + PATIENCE;
