--- a/crates/sillbank_entry/src/engine_link.rs
+++ b/crates/sillbank_entry/src/engine_link.rs
@@ -7,14 +7,13 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use sillbank_core::prelude::*;
-use sillbank_generation::{Event, StageIndex};
+use sillbank_generation::{AwaitedStep, AwaitedSteps, Event, StageIndex};
 use sillbank_net::prelude::*;
 use sillbank_protocol::engine::{
     EngineRequest, MAX_LINE_BYTES, Refusal, STEPS_PATH, Step, StepOutcome, StepReply,
 };
 use sillbank_routing::prelude::*;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,21 +21,11 @@
 /// Pause before a lost connection is made again; grows to the second.
 const RECONNECT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
-/// A step whose reply is awaited.
-pub(crate) struct AwaitedStep {
-    pub(crate) stage: StageIndex,
-    pub(crate) mailbox: Mailbox,
-    pub(crate) sent_at: Instant,
-    pub(crate) positions: u32,
-    pub(crate) resends: u32,
-}
-
 /// The connection to one endpoint.
 pub(crate) struct EngineLink {
     outbox: Outbox,
     open: Cell<bool>,
-    prefill_positions: Cell<u32>,
-    pub(crate) awaited: RefCell<HashMap<DriveId, AwaitedStep>>,
+    pub(crate) awaited: RefCell<AwaitedSteps<Mailbox>>,
     pub(crate) heard_at: Cell<Instant>,
 }
 
@@ -53,60 +42,33 @@
 
     /// Sends a step; the reply, or the loss of the endpoint, comes through the mailbox.
     pub(crate) fn send(&self, stage: StageIndex, step: Step, mailbox: &Mailbox) {
-        let (id, positions) = (drive_id(step.uid, step.attempt), step.inputs.len() as u32);
-        self.prefill_positions.set(self.prefill_positions.get() + prefill_part(positions));
+        self.awaited.borrow_mut().on_sent(stage, &step, mailbox.clone(), Instant::now());
         self.write(&EngineRequest::Step(step));
-        let mut awaited = self.awaited.borrow_mut();
-        let old = awaited.remove(&id);
-        let resends = old.as_ref().map_or(0, |old| old.resends);
-        old.iter().for_each(|old| self.count_out(old));
-        awaited.insert(
-            id,
-            AwaitedStep {
-                stage,
-                mailbox: mailbox.clone(),
-                sent_at: Instant::now(),
-                positions,
-                resends,
-            },
-        );
     }
 
     /// Tells the engine that a request has ended here.
     pub(crate) fn cancel(&self, uid: RequestUid, attempt: Attempt) {
-        self.take_awaited(drive_id(uid, attempt));
+        self.forget(drive_id(uid, attempt));
         self.write(&EngineRequest::Cancel { uid, attempt });
     }
 
     /// Stops waiting for a request's reply without telling the engine.
     pub(crate) fn forget(&self, id: DriveId) {
-        self.take_awaited(id);
+        self.awaited.borrow_mut().take(id);
     }
 
     /// Positions of prefills that are not answered.
     pub(crate) fn prefill_positions(&self) -> u32 {
-        self.prefill_positions.get()
-    }
-
-    fn take_awaited(&self, id: DriveId) -> Option<AwaitedStep> {
-        let step = self.awaited.borrow_mut().remove(&id);
-        step.iter().for_each(|step| self.count_out(step));
-        step
-    }
-
-    fn count_out(&self, step: &AwaitedStep) {
-        let left = self.prefill_positions.get().saturating_sub(prefill_part(step.positions));
-        self.prefill_positions.set(left);
+        self.awaited.borrow().prefill_positions()
     }
 
     /// Reports the loss of the endpoint to every request that waits for it.
     pub(crate) fn lose_all(&self) -> usize {
-        let awaited = std::mem::take(&mut *self.awaited.borrow_mut());
-        self.prefill_positions.set(0);
-        for step in awaited.values() {
-            step.mailbox.push(Event::StageLost(step.stage));
+        let lost = self.awaited.borrow_mut().take_all();
+        for step in &lost {
+            step.waiter.push(Event::StageLost(step.stage));
         }
-        awaited.len()
+        lost.len()
     }
 
     fn write(&self, request: &EngineRequest) {
@@ -118,11 +80,6 @@
     }
 }
 
-/// Positions of a step that count as prefill: a decode step has one.
-fn prefill_part(positions: u32) -> u32 {
-    if positions > 1 { positions } else { 0 }
-}
-
 /// Keeps a connection to an endpoint until the endpoint is taken out of the settings.
 pub(crate) async fn keep(entry: Rc<Entry>, slot: EndpointSlot) {
     let address: SocketAddr = match entry.table.borrow().get(slot).spec.address.parse() {
@@ -163,7 +120,6 @@
     let link = EngineLink {
         outbox,
         open: Cell::new(true),
-        prefill_positions: Cell::new(0),
         awaited: RefCell::default(),
         heard_at: Cell::new(Instant::now()),
     };
@@ -216,7 +172,7 @@
             return;
         }
     };
-    let Some(awaited) = link.take_awaited(drive_id(reply.uid, reply.attempt)) else {
+    let Some(awaited) = link.awaited.borrow_mut().on_reply(&reply) else {
         entry.metrics.stale_replies.inc();
         tracing::debug!(
             "entry: Endpoint {} answered a step of {} that is not awaited: attempt {}, position {}.",
@@ -232,7 +188,7 @@
         // Its own word: it gets no new work until a probe says otherwise.
         entry.table.borrow_mut().get_mut(slot).health.on_event(now, HealthEvent::Failure);
     }
-    awaited.mailbox.push(Event::Reply(awaited.stage, reply));
+    awaited.waiter.push(Event::Reply(awaited.stage, reply));
 }
 
 fn note_load(
@@ -240,7 +196,7 @@
     slot: EndpointSlot,
     link: &EngineLink,
     reply: &StepReply,
-    step: &AwaitedStep,
+    step: &AwaitedStep<Mailbox>,
     now: Instant,
 ) {
     let mut table = entry.table.borrow_mut();
--- a/crates/sillbank_entry/src/in_flight.rs
+++ b/crates/sillbank_entry/src/in_flight.rs
@@ -116,7 +116,7 @@
 fn status_of(entry: &Entry, id: DriveId, progress: &Progress) -> serde_json::Value {
     let waits_for = progress.sent.get().map(|sent| {
         let link = entry.link(sent.endpoint);
-        let expected = link.is_some_and(|link| link.awaited.borrow().contains_key(&id));
+        let expected = link.is_some_and(|link| link.awaited.borrow().awaits(id));
         serde_json::json!({
             "stage": sent.stage,
             "endpoint": entry.table.borrow().get(sent.endpoint).spec.id,
--- a/crates/sillbank_entry/src/sweep.rs
+++ b/crates/sillbank_entry/src/sweep.rs
@@ -55,7 +55,7 @@
 }
 
 fn look_at(entry: &Entry, slot: EndpointSlot, link: &EngineLink, now: Instant) {
-    let Some(oldest) = oldest_step(link) else {
+    let Some(oldest) = link.awaited.borrow().oldest_sent_at() else {
         return;
     };
     let pipeline = entry.table.borrow().get(slot).spec.pipeline.clone();
@@ -71,10 +71,6 @@
     }
 }
 
-fn oldest_step(link: &EngineLink) -> Option<Instant> {
-    link.awaited.borrow().values().map(|step| step.sent_at).min()
-}
-
 fn lose(entry: &Entry, slot: EndpointSlot, link: &EngineLink, silent: Duration, now: Instant) {
     let id = {
         let mut table = entry.table.borrow_mut();
@@ -91,12 +87,9 @@
 }
 
 fn resend_overdue(link: &EngineLink, limit: Duration, now: Instant) {
-    for step in link.awaited.borrow_mut().values_mut() {
-        let late = now.saturating_duration_since(step.sent_at);
-        if late > limit * 2_u32.pow(step.resends.min(8)) {
-            step.resends += 1;
-            step.mailbox.push(Event::StepOverdue(step.stage));
-        }
+    let overdue = link.awaited.borrow_mut().take_overdue(limit, now);
+    for (stage, mailbox) in overdue {
+        mailbox.push(Event::StepOverdue(stage));
     }
 }
 
--- a/crates/sillbank_generation/src/lib.rs
+++ b/crates/sillbank_generation/src/lib.rs
@@ -9,9 +9,11 @@
 
 #![forbid(unsafe_code)]
 
+mod awaited;
 mod chart;
 mod stages;
 
+pub use awaited::{AwaitedStep, AwaitedSteps};
 pub use chart::State;
 
 use chart::{ChartAction, ChartEvent, GenerationChart};
