Awaited steps: an answer is matched by attempt and position, not by the request alone

Symptom: beside load, `a_caller_that_stops_reading_is_ended_and_its_engines_are_freed` hung with two requests in flight; their callers got nothing until their deadline (an hour in that test, 60 s by default). Cause: a stage whose engine was found silent goes back to the same engine where no other holds its layers. A second answer to a step that was sent twice (resend of an overdue one) does the same to the next step. Ruled out: the caller that stops reading (the second request reads), lost wakers of the outbox or the mailbox, engines full (kv_free 185,000 of 200,000), flow control towards the engine (it had run both steps: 2 more than the others).

--- a/crates/sillbank_generation/src/awaited.rs
+++ b/crates/sillbank_generation/src/awaited.rs
@@ -24,9 +24,18 @@
     pub sent_at: Instant,
     /// Positions that it builds.
     pub positions: u32,
+    attempt: Attempt,
+    start: Position,
     resends: u32,
 }
 
+impl<W> AwaitedStep<W> {
+    /// Whether an answer is to this step, and not to one that was given up or answered before.
+    fn is_answered_by(&self, reply: &StepReply) -> bool {
+        (self.attempt, self.start) == (reply.attempt, reply.start)
+    }
+}
+
 /// Steps whose answers are awaited, by the request's run they belong to.
 #[derive(Debug, Clone)]
 pub struct AwaitedSteps<W> {
@@ -47,12 +56,20 @@
         let resends = self.take(id).map_or(0, |old| old.resends);
         let positions = step.inputs.len() as u32;
         self.prefill_positions += prefill_part(positions);
-        self.steps.insert(id, AwaitedStep { stage, waiter, sent_at: now, positions, resends });
+        let (attempt, start) = (step.attempt, step.start);
+        let sent = AwaitedStep { stage, waiter, sent_at: now, positions, attempt, start, resends };
+        self.steps.insert(id, sent);
     }
 
     /// The step that an answer belongs to, which is awaited no more.
+    ///
+    /// An endpoint that was late answers steps that were given up, and a step that was sent twice
+    /// is answered twice. Such an answer leaves a newer step of the same request awaited: taken
+    /// for that step's, it left the request with nobody who watched it, until its deadline.
     pub fn on_reply(&mut self, reply: &StepReply) -> Option<AwaitedStep<W>> {
-        self.take(drive_id(reply.uid, reply.attempt))
+        let id = drive_id(reply.uid, reply.attempt);
+        let is_its_own = self.steps.get(&id).is_some_and(|step| step.is_answered_by(reply));
+        if is_its_own { self.take(id) } else { None }
     }
 
     /// Takes out what is awaited for a request's run.
