--- a/crates/sillbank_gateway/tests/fleet_sources.rs
+++ b/crates/sillbank_gateway/tests/fleet_sources.rs
@@ -263,13 +263,33 @@
     for_seed(8_336_531_522_560, news_stay_fresh);
 }
 
+/// The same with changes at other moments: in the middle of pauses, looks, handovers and of each other.
+#[test]
+fn nobody_in_touch_holds_old_news_whenever_the_store_comes_and_goes() {
+    for_fixed_seeds(60, 1_024, |u| {
+        let changes = u.int_in_range(3..=5)?;
+        let windows_ms: Vec<u64> =
+            (0..changes).map(|_| u.int_in_range(50..=900)).collect::<Result<_, _>>()?;
+        // Steps of the model are 10 ms.
+        news_stay_fresh_over(u, windows_ms.iter().map(|window| window * 10))
+    });
+}
+
 fn news_stay_fresh(u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    news_stay_fresh_over(u, [6_000, 6_000].into_iter())
+}
+
+/// Changes which VMs are cut from the store once for each window, and lets so much time pass after it.
+fn news_stay_fresh_over(
+    u: &mut Unstructured<'_>,
+    windows_ms: impl Iterator<Item = u64>,
+) -> arbitrary::Result<()> {
     let bound_ms = *u.choose(&BOUNDS_MS)?;
     let halls = u.int_in_range(1..=5)?;
     let vms = u.int_in_range(2..=24)?;
     let mut fleet = fleet(u.arbitrary()?, halls, vms, bound_ms);
     fleet.run(SETTLED_MS, |_| {});
-    for _ in 0..2 {
+    for window_ms in windows_ms {
         let sees = *u.choose(&[StoreSees::Refusal, StoreSees::Silence])?;
         let share: u8 = u.int_in_range(0..=90)?;
         let leaders_too: bool = u.arbitrary()?;
@@ -281,7 +301,7 @@
         });
         // A change may undo what was on its way: what is owed runs anew.
         let mut ran_ms = 0;
-        fleet.run(6_000, |fleet| {
+        fleet.run(window_ms, |fleet| {
             ran_ms += 10;
             if ran_ms < bound_ms {
                 return;
