--- a/crates/sillbank_entry/src/callers.rs
+++ b/crates/sillbank_entry/src/callers.rs
@@ -26,10 +26,12 @@
 /// When to come back after a refusal for want of room or of endpoints.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// What the system keeps of answers for one caller that does not read, beside `stream_buffer_bytes`;
-/// it takes twice as much memory for it. Without a bound Linux keeps up to 4 MB: an answer of 17,700
-/// tokens (3.5 MB) went out whole, or was found to stand still after 16,000 tokens at its engines. At
-/// 1 ms to callers it still lets 128 MB/s pass, at 100 ms 1.3 MB/s; a token takes 200 bytes.
+/// What the operating system keeps of an answer for a caller that does not read, beside `stream_buffer_bytes`.
+/// It takes up to twice as much memory for it.
+///
+/// Without a bound Linux keeps up to 4 MB a caller (`ss -tm`): an answer of 3.5 MB, 17,700 tokens, at times went out
+/// whole to a caller that read nothing, and otherwise kept its engines at work for 16,000 tokens before it was found
+/// to stand still. A caller 1 ms away can still get 128 MB/s, one that is 100 ms away 1.3 MB/s, 6,500 tokens.
 const SEND_BUFFER_BYTES: usize = 128 << 10;
 
 /// The callers' interface.
--- a/crates/sillbank_entry/src/in_flight.rs
+++ b/crates/sillbank_entry/src/in_flight.rs
@@ -114,7 +114,10 @@
 }
 
 fn status_of(entry: &Entry, id: DriveId, progress: &Progress) -> serde_json::Value {
-    let waits_for = progress.sent.get().map(|sent| {
+    let state = progress.state.get();
+    // A generation whose stage is being replaced waits for no answer.
+    let sent = progress.sent.get().filter(|_| state == State::Running);
+    let waits_for = sent.map(|sent| {
         let link = entry.link(sent.endpoint);
         let expected = link.is_some_and(|link| link.awaited.borrow().awaits(id));
         serde_json::json!({
@@ -128,7 +131,7 @@
     });
     serde_json::json!({
         "request": progress.request_id,
-        "state": progress.state.get().name(),
+        "state": state.name(),
         "tokens": progress.tokens.get(),
         "age_ms": progress.began.elapsed().as_millis() as u64,
         "waits_for": waits_for,
