--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
+use sillbank_pushback::prelude::*;
 use sillbank_quarantine::prelude::*;
 use smol::LocalExecutor;
 use std::cell::{Cell, RefCell};
@@ -69,6 +70,8 @@
     pub book: Rc<EndpointBook>,
     /// Endpoints that ended under requests.
     pub ends: EndedEndpoints,
+    /// What endpoints asked of VMs in their answers.
+    pub pushback: RefCell<PushbackBook>,
     /// Requests under which endpoints ended.
     pub quarantine: RefCell<Quarantine>,
     /// Whether a leader told of them, or the store was read, since this process began.
@@ -135,6 +138,7 @@
             hall: Hall::new(chance.clone()),
             book: Rc::default(),
             ends: EndedEndpoints::default(),
+            pushback: RefCell::default(),
             quarantine: RefCell::default(),
             quarantine_is_known: Cell::new(false),
             quarantine_told: Cell::new(0),
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //!   engines by the model of `sillbank_engines`.
 //! - [`ends`] tells an endpoint that ended under a request from a connection that broke.
 //! - [`quarantine`] holds back requests that end their endpoints, [`quarantine_store`] keeps them in the store.
+//! - [`pushback`] hears what endpoints ask of VMs in their answers.
 //! - [`repeats`] says whether a request may be sent again.
 //! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -55,6 +56,7 @@
 pub mod paths;
 pub mod placement;
 pub mod plugins;
+pub mod pushback;
 pub mod quarantine;
 pub mod quarantine_store;
 pub mod repeats;
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -110,6 +110,8 @@
     pub quarantined: Gauge,
     /// Requests that were refused as they are held back.
     pub quarantine_refusals: Counter,
+    /// Endpoints that name a limit to the requests that they take.
+    pub limited_endpoints: Gauge,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
     /// Bytes that are kept for callers and endpoints.
@@ -159,6 +161,7 @@
         let suspects = Gauge::default();
         let quarantined = Gauge::default();
         let quarantine_refusals = Counter::default();
+        let limited_endpoints = Gauge::default();
         let connections = Family::default();
         let kept_bytes = Gauge::default();
         let callers_cut = Counter::default();
@@ -189,6 +192,8 @@
         registry.register("quarantined", "Requests held back", quarantined.clone());
         let help = "Requests refused as they are held back";
         registry.register("quarantine_refusals", help, quarantine_refusals.clone());
+        let help = "Endpoints that name a limit to their requests";
+        registry.register("limited_endpoints", help, limited_endpoints.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
         registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
@@ -233,6 +238,7 @@
             suspects,
             quarantined,
             quarantine_refusals,
+            limited_endpoints,
             connections,
             kept_bytes,
             callers_cut,
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -79,7 +79,8 @@
     resume_after: Option<u64>,
     mut channel: Channel,
 ) -> Sent {
-    let request = job.request_for::<W>(to.endpoint, to.path, resume_after, Instant::now());
+    let sent_at = Instant::now();
+    let request = job.request_for::<W>(to.endpoint, to.path, resume_after, sent_at);
     job.note_run(RunLog::sent);
     let reply = match channel.connection.sender.try_send_request(request).await {
         Ok(reply) => reply,
@@ -98,7 +99,11 @@
         true => ReplyPlace::AfterOthers,
         false => ReplyPlace::First,
     };
-    match W::read_reply(reply.status(), reply.headers(), &job.head.request_id, place) {
+    let read = W::read_reply(reply.status(), reply.headers(), &job.head.request_id, place);
+    if read != EndpointReply::Foreign {
+        gateway.on_pushback(to.endpoint, W::read_pushback(reply.headers()), sent_at);
+    }
+    match read {
         EndpointReply::Success => {
             job.note_run(RunLog::ran);
             Sent::Success(reply, channel)
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -9,6 +9,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
+use sillbank_pushback::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -204,6 +205,9 @@
         place: ReplyPlace,
     ) -> EndpointReply;
 
+    /// Reads what an endpoint asks of VMs in the head of a reply that is its own.
+    fn read_pushback(headers: &HeaderMap) -> Pushback;
+
     /// The value of a `Retry-After` header.
     fn retry_after(after: Duration) -> HeaderValue;
 
