Limits that endpoints name are divided among VMs and kept

Callers saw nothing yet: endpoints in need went on running what came, two to four times what they had said that they take. Cause: of an answer VMs read how the request ended, and passed what the endpoint says of itself on to the caller. Ruled out, by the lines added for it and the counts of sends: that VMs hear late (they log the limit with the first answer), that each VM keeps the limit by itself (single VMs send more than it), that repeats or a lack of other engines make up the count. Why it holds: who wants to send gets a part as a lease from the leader of the endpoint's hall, or of its own hall, which divides what it was given. Permits of a part are lost after a second, so that VMs which were idle cannot all send at one moment.

--- a/crates/sillbank_admission/src/calls.rs
+++ b/crates/sillbank_admission/src/calls.rs
@@ -110,6 +110,8 @@
     TooSlow,
     /// The last endpoint that is not full is kept for more urgent callers.
     KeptForUrgent,
+    /// All endpoints asked for fewer requests.
+    Withheld,
 }
 
 impl CallRefusal {
@@ -120,6 +122,7 @@
             Self::Full => "full",
             Self::TooSlow => "too_slow",
             Self::KeptForUrgent => "kept_for_urgent",
+            Self::Withheld => "withheld",
         }
     }
 
@@ -130,6 +133,7 @@
             Self::Full => "all endpoints of the service are full",
             Self::TooSlow => "no endpoint of the service answers in the time that is left",
             Self::KeptForUrgent => "the service's last free endpoint is kept for more urgent calls",
+            Self::Withheld => "the endpoints of the service asked for fewer requests",
         }
     }
 }
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -86,13 +86,16 @@
     let mut tries = Tries::default();
     let mut held: Option<WholeReply> = None;
     loop {
-        let choice = match choose(gateway, job, &tried) {
+        let choice = choose(gateway, job, &tried);
+        gateway.note_withheld(job);
+        let choice = match choice {
             Ok(choice) => choice,
             Err(refused) => {
                 return held.map(|whole| whole.reply).ok_or_else(|| refuse(gateway, job, refused));
             }
         };
         tries.begin(job);
+        gateway.count_against_limit(&choice.endpoint);
         let sent_at = Instant::now();
         let (left, reason) = match try_once(gateway, job, &choice).await {
             Try::Done(reply) => {
@@ -261,6 +264,7 @@
     let now = Instant::now();
     let settings = gateway.settings();
     let draw = || gateway.chance.fraction();
+    let views = gateway.views(now);
     gateway.knowledge.endpoints(|directory| {
         let usable = directory.usable_of(&job.service.name);
         let mut records: Vec<_> = usable.filter(|record| !tried.contains(&record.id)).collect();
@@ -268,6 +272,12 @@
         if records.iter().any(|record| gateway.book.takes_work(&record.id, now)) {
             records.retain(|record| gateway.book.takes_work(&record.id, now));
         }
+        let had_records = !records.is_empty();
+        records.retain(|record| views.may_send(&record.id));
+        if had_records && records.is_empty() {
+            let (reason, come_back) = (CallRefusal::Withheld, gateway.come_back(job));
+            return Err(CallRefused { reason, come_back });
+        }
         let candidates = records.iter().map(|record| CallCandidate {
             endpoint: &record.id,
             is_home: record.hall == settings.hall,
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -12,6 +12,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
+use sillbank_pushback::prelude::*;
 use sillbank_quarantine::prelude::*;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -142,6 +143,18 @@
         }
     }
 
+    /// A request is not sent to an endpoint that asked for fewer.
+    pub fn withheld(&self, job: &Job, withheld: &Withheld) {
+        if self.fits() {
+            tracing::info!(
+                request = job.head.request_id,
+                endpoint = withheld.endpoint,
+                reason = %withheld.reason,
+                "route: Withheld."
+            );
+        }
+    }
+
     /// An endpoint ended while a request was there, which may be the reason or not.
     pub fn ended_under(&self, job: &Job, send: &BrokenSend, is_suspected: bool) {
         if self.fits() {
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -2,6 +2,7 @@
 
 use super::messages::{EndpointNews, FeedAsk, FeedNews, FeedReply, Incarnation, SeenMark};
 use crate::gateway::Gateway;
+use crate::limit_parts::PartsFrom;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
@@ -32,15 +33,31 @@
 /// Most requests under which endpoints ended that one ask tells of, some 80 bytes each; the rest follows.
 const MOST_SUSPECTS_TOLD: usize = 32;
 
+/// Most limits of endpoints that one ask tells of, some 40 bytes each; the rest follows.
+const MOST_LIMITS_TOLD: usize = 32;
+
 /// What a VM asks another for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum AskFor {
-    /// What a leader tells.
+    /// What the leader of its hall tells.
     News,
+    /// What the leader of another hall tells.
+    NewsOfHall(HallId),
     /// What a VM of the asking leader's hall knows by itself.
     SourceNews,
 }
 
+impl AskFor {
+    /// Whom parts of limits come from.
+    fn parts_from(&self) -> Option<PartsFrom> {
+        match self {
+            Self::News => Some(PartsFrom::OwnLeader),
+            Self::NewsOfHall(hall) => Some(PartsFrom::Hall(hall.clone())),
+            Self::SourceNews => None,
+        }
+    }
+}
+
 /// A connection to one leader, or of a leader to its source.
 pub(super) struct Link {
     stream: TcpStream,
@@ -52,6 +69,10 @@
     quarantine_seen: u64,
     /// Newest change of this VM's own that was told.
     suspects_told: u64,
+    /// Newest change of what endpoints told the leader of their limits that was seen.
+    limits_seen: u64,
+    /// Newest change of what they told this VM that was told.
+    limits_told: u64,
 }
 
 impl Link {
@@ -66,6 +87,8 @@
             endpoints: Replication::default(),
             quarantine_seen: 0,
             suspects_told: 0,
+            limits_seen: 0,
+            limits_told: 0,
         })
     }
 
@@ -76,6 +99,7 @@
             endpoints: self.endpoints.seen(),
             boards,
             quarantine: self.quarantine_seen,
+            limits: self.limits_seen,
         })
     }
 
@@ -84,7 +108,9 @@
         if self.boards_seen.is_some_and(|(known, _)| known != news.incarnation) {
             self.endpoints = Replication::default();
             self.suspects_told = 0;
+            self.limits_told = 0;
         }
+        self.limits_seen = news.limits.up_to;
         self.quarantine_seen = news.quarantine.up_to;
         self.boards_seen = Some((news.incarnation, news.boards_seen));
     }
@@ -112,8 +138,9 @@
             continue;
         };
         let sent = Instant::now();
-        match ask_once(&gateway, &mut link, leader, AskFor::News).await {
+        match ask_once(&gateway, &mut link, leader, &AskFor::News).await {
             Ok(FeedReply::News(news)) => {
+                take_parts(&gateway, &news, &PartsFrom::OwnLeader, sent);
                 let holds_lease = news.holds_lease;
                 gateway.hall.on_told_vms(news.hall_vms);
                 let confirmed = take_news(&gateway, &mut link, *news, sent, true);
@@ -144,7 +171,7 @@
     gateway: &Gateway<W, S>,
     link: &mut Option<Link>,
     address: SocketAddr,
-    ask_for: AskFor,
+    ask_for: &AskFor,
 ) -> Result<FeedReply, FrameError> {
     let late = async {
         smol::Timer::after(REPLY_LIMIT).await;
@@ -163,22 +190,28 @@
             MOST_SUSPECTS_TOLD,
             Instant::now(),
         );
+        let (now, parts_from) = (Instant::now(), ask_for.parts_from());
+        let told_limits =
+            gateway.pushback.borrow().witnessed_since(link.limits_told, MOST_LIMITS_TOLD, now);
         let ask = FeedAsk {
             vm: settings.vm.clone(),
             hall: settings.hall.clone(),
             peer: settings.peer_listen,
             strength: gateway.strength(),
             confirmed_age_ms: gateway.knowledge.stamp(Instant::now()).catalog_age_ms,
-            asks_source: ask_for == AskFor::SourceNews,
+            asks_source: *ask_for == AskFor::SourceNews,
             catalog: gateway.knowledge.catalog().map(|catalog| catalog.version()),
             seen: link.seen(),
-            demand: gateway.demand_report(ask_for == AskFor::News),
+            demand: gateway.demand_report(*ask_for == AskFor::News),
             suspects: told.suspects,
+            limits: told_limits.limits,
+            wants: parts_from.map(|from| gateway.wants_of(&from, now)).unwrap_or_default(),
         };
         let reply = link.ask(&ask).await?;
         if let FeedReply::News(news) = &reply {
             link.on_news(news);
             link.suspects_told = told.up_to;
+            link.limits_told = told_limits.up_to;
         }
         Ok(reply)
     };
@@ -228,6 +261,20 @@
     confirmed
 }
 
+/// Takes the parts of limits that a leader's answer gives. What endpoints said comes first: a part of a limit that is
+/// not known would be left.
+fn take_parts<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    news: &FeedNews,
+    from: &PartsFrom,
+    sent: Instant,
+) {
+    gateway.on_told_limits(&news.limits.limits, "a leader");
+    if let Some(given_at) = news.made_at(sent, Instant::now()) {
+        gateway.take_parts(&news.parts, from, given_at);
+    }
+}
+
 /// Begins to follow the leaders of halls that endpoints are listed in.
 fn follow_new_halls<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
@@ -274,8 +321,10 @@
             return;
         };
         let sent = Instant::now();
-        match ask_once(gateway, &mut self.link, leader, AskFor::News).await {
+        let ask_for = AskFor::NewsOfHall(self.hall.clone());
+        match ask_once(gateway, &mut self.link, leader, &ask_for).await {
             Ok(FeedReply::News(news)) => {
+                take_parts(gateway, &news, &PartsFrom::Hall(self.hall.clone()), sent);
                 let takes_endpoints = !gateway.store_is_reached() || gateway.senior_suffices(sent);
                 let follows_store = news.follows_store;
                 let confirmed = take_news(gateway, &mut self.link, *news, sent, takes_endpoints);
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -7,6 +7,7 @@
 use sillbank_core::prelude::*;
 use sillbank_demand::prelude::*;
 use sillbank_fleet::prelude::*;
+use sillbank_pushback::prelude::*;
 use sillbank_quarantine::prelude::*;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
     pub boards: u64,
     /// Newest change of requests that end their endpoints.
     pub quarantine: u64,
+    /// Newest change of what endpoints said of their limits.
+    pub limits: u64,
 }
 
 /// A VM asks a leader for what is new.
@@ -51,6 +54,10 @@
     pub demand: Option<DemandReport>,
     /// Requests under which it saw endpoints end, as far as it has not told them yet.
     pub suspects: Vec<SuspectNews>,
+    /// What endpoints told it of their limits, as far as it has not told that yet.
+    pub limits: Vec<LimitNews>,
+    /// What it, or as a leader its hall, would send to endpoints that name limits.
+    pub wants: Vec<Want>,
 }
 
 /// What a leader's directory has that the asking VM lacks.
@@ -210,6 +217,10 @@
     pub boards: Vec<HallBoard>,
     /// Requests under which endpoints ended, as far as they are new to the asking VM.
     pub quarantine: QuarantineNews,
+    /// What endpoints said of their limits, as far as it is new to the asking VM.
+    pub limits: LimitsNews,
+    /// The asking VM's parts of limits, or those of its hall if it leads another one.
+    pub parts: Vec<PartNews>,
 }
 
 impl FeedNews {
@@ -218,8 +229,13 @@
     /// `None` if it tells no such time, or an absurd one.
     pub fn confirmed_since(&self, sent: Instant, answered: Instant) -> Option<Instant> {
         let age = Duration::from_millis(self.confirmed_age_ms?);
+        self.made_at(sent, answered)?.checked_sub(age)
+    }
+
+    /// When the answer was made at the earliest, by the clock of a VM that sent its ask at `sent`.
+    pub fn made_at(&self, sent: Instant, answered: Instant) -> Option<Instant> {
         let held_until = sent.checked_add(Duration::from_millis(self.held_ms))?;
-        held_until.min(answered).checked_sub(age)
+        Some(held_until.min(answered))
     }
 }
 
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -19,6 +19,8 @@
 const MOST_CHANGES: usize = 100;
 /// Most requests under which endpoints ended in one answer, some 80 bytes each; the rest follows.
 const MOST_SUSPECTS: usize = 64;
+/// Most limits of endpoints in one answer, some 40 bytes each; the rest follows.
+const MOST_LIMITS: usize = 64;
 /// How long a connection may rest between asks.
 const ASK_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted.
@@ -80,6 +82,7 @@
         false => Teller::Leader,
     };
     gateway.on_told_suspects(&ask.suspects, teller);
+    gateway.on_told_limits(&ask.limits, "another VM");
     let may_answer = || ask.asks_source || gateway.hall.tells.get().is_some();
     if may_answer() && !has_news(gateway, ask, seen) {
         let wait = async {
@@ -117,6 +120,12 @@
             MOST_SUSPECTS,
             now,
         ),
+        limits: gateway.pushback.borrow().news_since(
+            seen.map_or(0, |seen| seen.limits),
+            MOST_LIMITS,
+            now,
+        ),
+        parts: gateway.give_parts(ask, now),
     }))
 }
 
@@ -127,8 +136,13 @@
 ) -> bool {
     let newest = gateway.knowledge.endpoints(Directory::newest_change);
     let urgent = gateway.quarantine.borrow().newest_urgent();
-    let is_new = |seen: SeenMark| seen.endpoints != newest || seen.quarantine < urgent;
-    has_newer_catalog(gateway, ask) || seen.is_none_or(is_new)
+    let limits = gateway.pushback.borrow().newest();
+    let is_new = |seen: SeenMark| {
+        seen.endpoints != newest || seen.quarantine < urgent || seen.limits < limits
+    };
+    has_newer_catalog(gateway, ask)
+        || seen.is_none_or(is_new)
+        || gateway.owes_part(ask, Instant::now())
 }
 
 fn has_newer_catalog<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, ask: &FeedAsk) -> bool {
--- a/crates/sillbank_gateway/src/feed/source.rs
+++ b/crates/sillbank_gateway/src/feed/source.rs
@@ -24,7 +24,7 @@
             continue;
         };
         let sent = Instant::now();
-        match ask_once(&gateway, &mut link, address, AskFor::SourceNews).await {
+        match ask_once(&gateway, &mut link, address, &AskFor::SourceNews).await {
             Ok(FeedReply::News(news)) => {
                 take_news(&gateway, &mut link, *news, sent, true);
             }
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::hall::{Hall, Strength};
 use crate::job::Job;
 use crate::knowledge::Knowledge;
+use crate::limit_parts::LimitParts;
 use crate::load::FleetLoad;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
 use crate::paths::Views;
@@ -72,6 +73,8 @@
     pub ends: EndedEndpoints,
     /// What endpoints asked of VMs in their answers.
     pub pushback: RefCell<PushbackBook>,
+    /// What this VM has given away of their limits while it leads.
+    pub limit_parts: LimitParts,
     /// Requests under which endpoints ended.
     pub quarantine: RefCell<Quarantine>,
     /// Whether a leader told of them, or the store was read, since this process began.
@@ -139,6 +142,7 @@
             book: Rc::default(),
             ends: EndedEndpoints::default(),
             pushback: RefCell::default(),
+            limit_parts: LimitParts::default(),
             quarantine: RefCell::default(),
             quarantine_is_known: Cell::new(false),
             quarantine_told: Cell::new(0),
@@ -181,6 +185,7 @@
             knowledge: &self.knowledge,
             hall: &self.hall,
             book: &self.book,
+            pushback: &self.pushback,
             mechanisms,
             chance: &self.chance,
             now,
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //!   engines by the model of `sillbank_engines`.
 //! - [`ends`] tells an endpoint that ended under a request from a connection that broke.
 //! - [`quarantine`] holds back requests that end their endpoints, [`quarantine_store`] keeps them in the store.
-//! - [`pushback`] hears what endpoints ask of VMs in their answers.
+//! - [`pushback`] keeps what endpoints ask of VMs in their answers, [`limit_parts`] divides their limits among VMs.
 //! - [`repeats`] says whether a request may be sent again.
 //! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -48,6 +48,7 @@
 pub mod knowledge;
 pub mod ladder_metrics;
 pub mod lifecycle;
+pub mod limit_parts;
 pub mod lives;
 pub mod load;
 pub mod mechanisms;
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -40,6 +40,8 @@
     pub vm_limits: bool,
     /// Requests that end the endpoints that run them are held back.
     pub quarantine: bool,
+    /// What endpoints ask of VMs in their answers is kept.
+    pub pushback: bool,
 }
 
 impl Default for Mechanisms {
@@ -62,6 +64,7 @@
             calls_in_time: true,
             vm_limits: true,
             quarantine: true,
+            pushback: true,
         }
     }
 }
@@ -87,6 +90,7 @@
             calls_in_time: reader.flag("calls_in_time", true),
             vm_limits: reader.flag("vm_limits", true),
             quarantine: reader.flag("quarantine", true),
+            pushback: reader.flag("pushback", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -112,6 +112,8 @@
     pub quarantine_refusals: Counter,
     /// Endpoints that name a limit to the requests that they take.
     pub limited_endpoints: Gauge,
+    /// Times that a request was not sent to an endpoint which had asked for fewer, by why.
+    pub withheld: Family<KindLabel, Counter>,
     /// Connections to endpoints: new, reused.
     pub connections: Family<KindLabel, Counter>,
     /// Bytes that are kept for callers and endpoints.
@@ -162,6 +164,7 @@
         let quarantined = Gauge::default();
         let quarantine_refusals = Counter::default();
         let limited_endpoints = Gauge::default();
+        let withheld = Family::default();
         let connections = Family::default();
         let kept_bytes = Gauge::default();
         let callers_cut = Counter::default();
@@ -194,6 +197,8 @@
         registry.register("quarantine_refusals", help, quarantine_refusals.clone());
         let help = "Endpoints that name a limit to their requests";
         registry.register("limited_endpoints", help, limited_endpoints.clone());
+        let help = "Sends withheld as endpoints asked for fewer";
+        registry.register("withheld", help, withheld.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
         registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
@@ -239,6 +244,7 @@
             quarantined,
             quarantine_refusals,
             limited_endpoints,
+            withheld,
             connections,
             kept_bytes,
             callers_cut,
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -11,6 +11,8 @@
 use sillbank_engines::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
+use sillbank_pushback::prelude::*;
+use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
 /// Cost of beginning a request in another hall. The way is half a millisecond; the rest keeps a
@@ -74,12 +76,17 @@
 /// the moment are not used.
 pub fn choose_path(views: Views<'_>, ask: PathAsk<'_>) -> Option<LayerPath> {
     let fits = |candidate: &Candidate| !views.mechanisms.room || candidate.fits(ask.demand);
-    choose(views, ask, fits)
+    choose(views, ask, |candidate| fits(candidate) && views.may_begin_at(candidate))
 }
 
 /// The cheapest path, whether or not its engines have room.
 pub fn choose_any_path(views: Views<'_>, ask: PathAsk<'_>) -> Option<LayerPath> {
-    choose(views, ask, |_| true)
+    choose(views, ask, |candidate| views.may_begin_at(candidate))
+}
+
+/// Whether there is a path if nothing that endpoints asked of VMs is kept.
+pub fn has_withheld_path(views: Views<'_>, ask: PathAsk<'_>) -> bool {
+    choose(views, ask, |_| true).is_some()
 }
 
 /// Looks at home first: the work grows with the engines that are looked at, and while those at home have
@@ -154,6 +161,8 @@
     pub hall: &'a Hall,
     /// Endpoints as seen.
     pub book: &'a EndpointBook,
+    /// What endpoints asked of VMs.
+    pub pushback: &'a RefCell<PushbackBook>,
     /// Which mechanisms are on.
     pub mechanisms: Mechanisms,
     /// What chance adds to costs is drawn here.
@@ -162,6 +171,31 @@
     pub now: Instant,
 }
 
+/// VMs that are taken to share what an endpoint takes while leaders have not told of them.
+const ASSUMED_VMS: u32 = 16;
+/// Shares that are left to VMs of which leaders have not told yet.
+const SPARE_SHARES: u32 = 1;
+
+impl Views<'_> {
+    /// Whether what an endpoint asked of VMs lets a request be sent to it.
+    pub fn may_send(&self, endpoint: &str) -> bool {
+        let mut pushback = self.pushback.borrow_mut();
+        if !self.mechanisms.pushback || pushback.is_empty() {
+            return true;
+        }
+        let vms = match self.hall.boards.most_fleet_vms() {
+            0 => ASSUMED_VMS,
+            told => told,
+        };
+        pushback.may_send(endpoint, vms + SPARE_SHARES, self.now)
+    }
+
+    /// The same for an engine as the first of a path: the others are not sent the request.
+    fn may_begin_at(&self, candidate: &Candidate) -> bool {
+        candidate.holder.layers.first != 0 || self.may_send(&candidate.holder.endpoint)
+    }
+}
+
 /// An engine that may be part of a path.
 struct Candidate {
     /// Its layers and costs.
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -6,7 +6,9 @@
 use crate::settings::GatewaySettings;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use crate::{doctor, feed, follow, lifecycle, placement, quarantine, quarantine_store, vm_limits};
+use crate::{
+    doctor, feed, follow, lifecycle, placement, pushback, quarantine, quarantine_store, vm_limits,
+};
 use sillbank_core::chance::Chance;
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
@@ -104,6 +106,7 @@
         app.spawn(vm_limits::watch_limits(app.state()));
         app.spawn(doctor::probe_lost(app.state()));
         app.spawn(quarantine::pass_time(app.state()));
+        app.spawn(pushback::pass_time(app.state()));
         app.spawn(quarantine_store::follow_quarantine(app.state()));
         app.spawn(quarantine_store::write_quarantine(app.state()));
     }
--- a/crates/sillbank_gateway/src/pushback.rs
+++ b/crates/sillbank_gateway/src/pushback.rs
@@ -1,36 +1,119 @@
-//! Hears what endpoints ask of VMs in their answers.
+//! Keeps what endpoints ask of VMs in their answers: hears it, withholds requests, tells other VMs.
+//!
+//! Whoever chooses an endpoint asks here first; [`crate::limit_parts`] divides limits among VMs.
 
 use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::metrics::KindLabel;
+use crate::store::MetadataStore;
 use crate::wire::Wire;
+use sillbank_core::prelude::*;
 use sillbank_pushback::prelude::*;
-use std::time::Instant;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often what time alone changes is looked at, and how often a leader takes its own parts: well within their term.
+const LOOK: Duration = Duration::from_millis(250);
 
 impl<W: Wire, S> Gateway<W, S> {
+    fn keeps_pushback(&self) -> bool {
+        self.settings.borrow().mechanisms.pushback
+    }
+
     /// An endpoint answered a request that was sent at a moment. One that has started again since asked for
     /// its life before.
     pub fn on_pushback(&self, endpoint: &str, pushback: Pushback, sent_at: Instant) {
-        if self.book.renewed_since(endpoint, sent_at) {
+        if !self.keeps_pushback() || self.book.renewed_since(endpoint, sent_at) {
             return;
         }
-        let event = self.pushback.borrow_mut().on_answer(endpoint, pushback);
+        let life = self.knowledge.endpoints(|directory| directory.newest_life(endpoint));
+        let (draw, now) = (self.chance.fraction(), Instant::now());
+        let event = self.pushback.borrow_mut().on_answer(endpoint, life, pushback, draw, now);
         if let Some(event) = event {
-            self.on_pushback_event(endpoint, &event);
+            self.on_pushback_events(&[(endpoint.to_owned(), event)], "the endpoint");
+            self.take_own_parts(now);
         }
     }
 
-    fn on_pushback_event(&self, endpoint: &str, event: &PushbackEvent) {
-        match event {
-            PushbackEvent::Limited(limit_per_s) => {
-                tracing::info!(endpoint, limit_per_s, "pushback: An endpoint names a limit.");
-            }
-            PushbackEvent::Unlimited => {
-                tracing::info!(endpoint, "pushback: An endpoint names no limit any more.");
-            }
-            PushbackEvent::Unreadable => {
-                let reason = "it is no rate";
-                tracing::warn!(endpoint, reason, "pushback: A limit cannot be read.");
+    /// Another VM told what endpoints said of their limits. What an older life said holds no more.
+    pub fn on_told_limits(&self, limits: &[LimitNews], from: &'static str) {
+        if limits.is_empty() || !self.keeps_pushback() {
+            return;
+        }
+        let is_current = |told: &&LimitNews| {
+            self.knowledge.endpoints(|directory| {
+                let newest_life = directory.newest_life(&told.endpoint);
+                directory.get(&told.endpoint).is_some()
+                    && crate::lives::may_be_current(told.born_ms, newest_life)
+            })
+        };
+        let limits: Vec<LimitNews> = limits.iter().filter(is_current).cloned().collect();
+        let (draw, now) = (|| self.chance.fraction(), Instant::now());
+        let events = self.pushback.borrow_mut().on_told(&limits, draw, now);
+        self.on_pushback_events(&events, from);
+    }
+
+    /// A request is sent to an endpoint.
+    pub fn count_against_limit(&self, endpoint: &str) {
+        self.pushback.borrow_mut().on_sent(endpoint, Instant::now());
+    }
+
+    /// Logs and counts the endpoints that a request was not sent to as they asked for it.
+    pub fn note_withheld(&self, job: &Job) {
+        if self.pushback.borrow().is_empty() {
+            return;
+        }
+        for withheld in self.pushback.borrow_mut().take_withheld() {
+            let kind = KindLabel { kind: withheld.reason.name() };
+            self.metrics.withheld.get_or_create(&kind).inc();
+            self.decisions.withheld(job, &withheld);
+        }
+    }
+
+    fn on_pushback_events(&self, events: &[(EndpointId, PushbackEvent)], from: &'static str) {
+        for (endpoint, event) in events {
+            match event {
+                PushbackEvent::Limited(limit_per_s) => tracing::info!(
+                    endpoint,
+                    limit_per_s,
+                    from,
+                    "pushback: An endpoint names a limit."
+                ),
+                PushbackEvent::Unlimited => {
+                    tracing::info!(
+                        endpoint,
+                        from,
+                        "pushback: An endpoint names no limit any more."
+                    );
+                }
+                PushbackEvent::Unreadable => {
+                    let reason = "it is no rate";
+                    tracing::warn!(endpoint, reason, "pushback: A limit cannot be read.");
+                }
+                PushbackEvent::Lapsed => {
+                    let reason = "no VM has heard it for long";
+                    tracing::info!(endpoint, reason, "pushback: A limit has lapsed.");
+                }
             }
         }
-        self.metrics.limited_endpoints.set(self.pushback.borrow().limited() as i64);
+        if !events.is_empty() {
+            self.metrics.limited_endpoints.set(self.pushback.borrow().limited() as i64);
+            self.hall.wake_askers();
+        }
+    }
+}
+
+/// Lets time pass for what endpoints asked, for as long as the program runs.
+pub async fn pass_time<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
+    loop {
+        smol::Timer::after(LOOK).await;
+        let now = Instant::now();
+        gateway.keep_divider(now);
+        if gateway.pushback.borrow().is_empty() {
+            continue;
+        }
+        let lapsed = gateway.pushback.borrow_mut().on_time(now);
+        gateway.on_pushback_events(&lapsed, "time");
+        gateway.take_own_parts(now);
     }
 }
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -29,13 +29,16 @@
         return Err(refuse(gateway, job, closed));
     }
     loop {
-        let target = match choose_target(gateway, job, resume_after, &avoid) {
+        let target = choose_target(gateway, job, resume_after, &avoid);
+        gateway.note_withheld(job);
+        let target = match target {
             Ok(target) => target,
             Err(reason) => {
                 return Err(refuse(gateway, job, reason.text()));
             }
         };
         tries.begin(job);
+        gateway.count_against_limit(&target.endpoint);
         let sent_at = Instant::now();
         let stamp = gateway.knowledge.stamp(sent_at);
         let address = target.address;
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::Gateway;
 use crate::job::{Job, path_ask};
-use crate::paths::{choose_any_path, choose_path};
+use crate::paths::{choose_any_path, choose_path, has_withheld_path};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use sillbank_core::prelude::*;
@@ -24,6 +24,8 @@
     NoPath,
     /// There is a path, but some of its engines have no room.
     NoRoom,
+    /// There is a path, but the endpoints that it could begin at asked for fewer requests.
+    Withheld,
 }
 
 impl NoTarget {
@@ -31,6 +33,7 @@
         match self {
             Self::NoPath => "no path covers the model",
             Self::NoRoom => "no path has room",
+            Self::Withheld => "the endpoints that could take it asked for fewer requests",
         }
     }
 }
@@ -45,7 +48,7 @@
     let now = Instant::now();
     let home = gateway.settings().hall.clone();
     let Some(figures) = &job.service.engine else {
-        return choose_endpoint(gateway, job, avoid, now).ok_or(NoTarget::NoPath);
+        return choose_endpoint(gateway, job, avoid, now);
     };
     let ask = path_ask(job, figures, &home, avoid);
     let views = gateway.views(now);
@@ -58,6 +61,7 @@
     match choose_any_path(views, ask) {
         Some(path) if resume_after.is_some() => Ok(Target::on(path)),
         Some(_) => Err(NoTarget::NoRoom),
+        None if has_withheld_path(views, ask) => Err(NoTarget::Withheld),
         None => Err(NoTarget::NoPath),
     }
 }
@@ -75,12 +79,21 @@
     job: &Job,
     avoid: &[EndpointId],
     now: Instant,
-) -> Option<Target> {
+) -> Result<Target, NoTarget> {
     let home = gateway.settings().hall.clone();
+    let views = gateway.views(now);
     gateway.knowledge.endpoints(|directory| {
         let usable = directory.usable_of(&job.service.name);
         let fits = usable.filter(|r| !avoid.contains(&r.id) && gateway.book.takes_work(&r.id, now));
-        let best = fits.min_by_key(|r| (gateway.book.in_flight(&r.id), r.hall != home))?;
-        Some(Target { endpoint: best.id.clone(), address: best.address, path: None })
+        let fits: Vec<_> = fits.collect();
+        let may_send = fits.iter().filter(|r| views.may_send(&r.id));
+        let best = may_send.min_by_key(|r| (gateway.book.in_flight(&r.id), r.hall != home));
+        match best {
+            Some(best) => {
+                Ok(Target { endpoint: best.id.clone(), address: best.address, path: None })
+            }
+            None if fits.is_empty() => Err(NoTarget::NoPath),
+            None => Err(NoTarget::Withheld),
+        }
     })
 }
--- a/crates/sillbank_gateway/tests/forecasts.rs
+++ b/crates/sillbank_gateway/tests/forecasts.rs
@@ -13,6 +13,7 @@
 use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::paths::{PathAsk, Views, choose_path};
 use sillbank_gateway::store::Snapshot;
+use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
 /// Seed of what chance adds to costs.
@@ -107,8 +108,15 @@
     }
     let (book, service) = (EndpointBook::default(), service());
     let mechanisms = Mechanisms::default();
-    let views =
-        Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, chance: &chance, now };
+    let views = Views {
+        knowledge: &knowledge,
+        hall: &hall,
+        book: &book,
+        pushback: &RefCell::default(),
+        mechanisms,
+        chance: &chance,
+        now,
+    };
     let figures = service.engine.as_ref().expect("it has one");
     let demand = Demand::usual(figures);
     let ask = PathAsk { service: &service, figures, home: HOME, avoid: &[], demand };
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -96,6 +96,8 @@
         endpoints: None,
         boards: Vec::new(),
         quarantine: Default::default(),
+        limits: Default::default(),
+        parts: Vec::new(),
     }
 }
 
--- a/crates/sillbank_gateway/tests/load.rs
+++ b/crates/sillbank_gateway/tests/load.rs
@@ -18,6 +18,8 @@
 use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::paths::Views;
 use sillbank_gateway::store::Snapshot;
+use sillbank_pushback::prelude::*;
+use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
 const HOME: &str = "a";
@@ -73,6 +75,7 @@
     hall: Hall,
     chance: Chance,
     book: EndpointBook,
+    pushback: RefCell<PushbackBook>,
     load: FleetLoad,
     service: Service,
     route: Route,
@@ -91,6 +94,7 @@
             hall: Hall::new(Chance::with_seed(1)),
             chance: Chance::with_seed(1),
             book: EndpointBook::default(),
+            pushback: RefCell::default(),
             load: FleetLoad::default(),
             service: service(),
             route: route(),
@@ -102,7 +106,7 @@
         let (knowledge, hall, book) = (&self.knowledge, &self.hall, &self.book);
         let mechanisms = Mechanisms::default();
         let (chance, now) = (&self.chance, self.start + after);
-        Views { knowledge, hall, book, mechanisms, chance, now }
+        Views { knowledge, hall, book, pushback: &self.pushback, mechanisms, chance, now }
     }
 
     /// Tells that all engines are so full.
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -16,6 +16,7 @@
 use sillbank_gateway::paths::{PathAsk, Views, choose_path};
 use sillbank_gateway::store::Snapshot;
 use sillbank_layers::prelude::*;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -92,7 +93,15 @@
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
     hall.boards.keep(now, board(HOME, engines));
     let mechanisms = Mechanisms::default();
-    let views = Views { knowledge: &knowledge, hall: &hall, book, mechanisms, chance, now };
+    let views = Views {
+        knowledge: &knowledge,
+        hall: &hall,
+        book,
+        pushback: &RefCell::default(),
+        mechanisms,
+        chance,
+        now,
+    };
     path_by(&service(), views)
 }
 
@@ -245,8 +254,15 @@
     knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
     hall.boards.keep(now, board(HOME, records.iter().map(idle).collect()));
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
-    let views =
-        Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, chance: &chance, now };
+    let views = Views {
+        knowledge: &knowledge,
+        hall: &hall,
+        book: &book,
+        pushback: &RefCell::default(),
+        mechanisms,
+        chance: &chance,
+        now,
+    };
     let spoils: [fn(&mut EngineFigures); 6] = [
         |figures| figures.kv_token_bytes = 0.0,
         |figures| figures.layer_mb = 1e12,
@@ -282,8 +298,15 @@
     hall.boards.keep(now, full(&elsewhere, elsewhere_permille));
     knowledge.take_endpoints(now, Snapshot { at: 1, value: vec![at_home, elsewhere] });
     let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
-    let views =
-        Views { knowledge: &knowledge, hall: &hall, book: &book, mechanisms, chance: &chance, now };
+    let views = Views {
+        knowledge: &knowledge,
+        hall: &hall,
+        book: &book,
+        pushback: &RefCell::default(),
+        mechanisms,
+        chance: &chance,
+        now,
+    };
     path_by(&service(), views)
 }
 
