--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -110,8 +110,8 @@
     pub quarantined: Gauge,
     /// Requests that were refused as they are held back.
     pub quarantine_refusals: Counter,
-    /// Endpoints that name a limit to the requests that they take.
-    pub limited_endpoints: Gauge,
+    /// Endpoints that ask something of this VM, by what: limit, rest, leaving.
+    pub pushback: Family<KindLabel, Gauge>,
     /// Times that a request was not sent to an endpoint which had asked for fewer, by why.
     pub withheld: Family<KindLabel, Counter>,
     /// Connections to endpoints: new, reused.
@@ -163,7 +163,7 @@
         let suspects = Gauge::default();
         let quarantined = Gauge::default();
         let quarantine_refusals = Counter::default();
-        let limited_endpoints = Gauge::default();
+        let pushback = Family::default();
         let withheld = Family::default();
         let connections = Family::default();
         let kept_bytes = Gauge::default();
@@ -195,8 +195,7 @@
         registry.register("quarantined", "Requests held back", quarantined.clone());
         let help = "Requests refused as they are held back";
         registry.register("quarantine_refusals", help, quarantine_refusals.clone());
-        let help = "Endpoints that name a limit to their requests";
-        registry.register("limited_endpoints", help, limited_endpoints.clone());
+        registry.register("pushback", "Endpoints that ask something of VMs", pushback.clone());
         let help = "Sends withheld as endpoints asked for fewer";
         registry.register("withheld", help, withheld.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
@@ -243,7 +242,7 @@
             suspects,
             quarantined,
             quarantine_refusals,
-            limited_endpoints,
+            pushback,
             withheld,
             connections,
             kept_bytes,
--- a/crates/sillbank_gateway/src/pushback.rs
+++ b/crates/sillbank_gateway/src/pushback.rs
@@ -28,9 +28,11 @@
         }
         let life = self.knowledge.endpoints(|directory| directory.newest_life(endpoint));
         let (draw, now) = (self.chance.fraction(), Instant::now());
-        let event = self.pushback.borrow_mut().on_answer(endpoint, life, pushback, draw, now);
-        if let Some(event) = event {
-            self.on_pushback_events(&[(endpoint.to_owned(), event)], "the endpoint");
+        let events = self.pushback.borrow_mut().on_answer(endpoint, life, pushback, draw, now);
+        if !events.is_empty() {
+            let events: Vec<_> =
+                events.into_iter().map(|event| (endpoint.to_owned(), event)).collect();
+            self.on_pushback_events(&events, "the endpoint");
             self.take_own_parts(now);
         }
     }
@@ -70,6 +72,17 @@
         }
     }
 
+    /// Brings the gauges of what endpoints ask up to date.
+    fn show_pushback(&self) {
+        let pushback = self.pushback.borrow();
+        let set = |kind: &'static str, endpoints: usize| {
+            self.metrics.pushback.get_or_create(&KindLabel { kind }).set(endpoints as i64);
+        };
+        set("limit", pushback.limited());
+        set("rest", pushback.resting());
+        set("leaving", pushback.leaving());
+    }
+
     fn on_pushback_events(&self, events: &[(EndpointId, PushbackEvent)], from: &'static str) {
         for (endpoint, event) in events {
             match event {
@@ -86,9 +99,16 @@
                         "pushback: An endpoint names no limit any more."
                     );
                 }
-                PushbackEvent::Unreadable => {
-                    let reason = "it is no rate";
-                    tracing::warn!(endpoint, reason, "pushback: A limit cannot be read.");
+                PushbackEvent::Rests(rest) => {
+                    let rest_ms = rest.as_millis() as u64;
+                    tracing::info!(endpoint, rest_ms, "pushback: An endpoint asks for rest.");
+                }
+                PushbackEvent::Leaves => {
+                    tracing::info!(endpoint, "pushback: An endpoint says that it leaves.");
+                }
+                PushbackEvent::Unreadable(what) => {
+                    let reason = "its value is no such number; it is passed over";
+                    tracing::warn!(endpoint, what, reason, "pushback: A wish cannot be read.");
                 }
                 PushbackEvent::Lapsed => {
                     let reason = "no VM has heard it for long";
@@ -97,7 +117,7 @@
             }
         }
         if !events.is_empty() {
-            self.metrics.limited_endpoints.set(self.pushback.borrow().limited() as i64);
+            self.show_pushback();
             self.hall.wake_askers();
         }
     }
@@ -114,6 +134,7 @@
         }
         let lapsed = gateway.pushback.borrow_mut().on_time(now);
         gateway.on_pushback_events(&lapsed, "time");
+        gateway.show_pushback();
         gateway.take_own_parts(now);
     }
 }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -101,7 +101,8 @@
     };
     let read = W::read_reply(reply.status(), reply.headers(), &job.head.request_id, place);
     if read != EndpointReply::Foreign {
-        gateway.on_pushback(to.endpoint, W::read_pushback(reply.headers()), sent_at);
+        let pushback = W::read_pushback(reply.status(), reply.headers());
+        gateway.on_pushback(to.endpoint, pushback, sent_at);
     }
     match read {
         EndpointReply::Success => {
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -206,7 +206,7 @@
     ) -> EndpointReply;
 
     /// Reads what an endpoint asks of VMs in the head of a reply that is its own.
-    fn read_pushback(headers: &HeaderMap) -> Pushback;
+    fn read_pushback(status: StatusCode, headers: &HeaderMap) -> Pushback;
 
     /// The value of a `Retry-After` header.
     fn retry_after(after: Duration) -> HeaderValue;
--- a/crates/sillbank_pushback/src/book.rs
+++ b/crates/sillbank_pushback/src/book.rs
@@ -1,136 +1,36 @@
 //! What a VM knows of the endpoints that asked something of VMs, and whether it may send to them.
 
 use crate::division::Part;
+use crate::limits::Limits;
 use crate::news::{ChangeNumber, LimitNews, LimitsNews, Want};
-use crate::permits::Permits;
-use crate::wanted::WantedRate;
-use crate::word::{LimitWord, Pushback};
+use crate::reason::{PushbackEvent, Withheld, WithheldReason};
+use crate::word::{Pushback, RestWord};
 use sillbank_core::prelude::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-/// How long a limit holds that no VM hears of any more: nobody sends there, so it cannot be taken back.
-const LIMIT_TERM: Duration = Duration::from_secs(30);
-/// Time after which a limit that is heard again is told again, so that it does not end at those that only are told.
-const TELL_AGAIN: Duration = Duration::from_secs(5);
-/// Least requests a second that go to an endpoint from all VMs, whatever it names: only an answer takes a limit back.
-const LEAST_LIMIT_PER_S: f64 = 0.1;
-/// Part of a limit that all VMs together use which no leader gives a part. Beside them those that have parts use the
-/// whole limit.
-const UNTOLD_SHARE: f64 = 0.25;
-/// Requests a second below which a VM asks for no part.
-const LEAST_WANTED_PER_S: f64 = 0.05;
-
-/// A change of what is known, for logs.
-#[derive(Debug, Clone, PartialEq)]
-pub enum PushbackEvent {
-    /// An endpoint names a limit, or another one than before, in requests a second.
-    Limited(f64),
-    /// An endpoint that named one takes what comes again.
-    Unlimited,
-    /// An endpoint named a limit that cannot be read.
-    Unreadable,
-    /// No VM has heard of an endpoint's limit for so long that it holds no more.
-    Lapsed,
-}
-
-/// An endpoint that a request was not sent to.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Withheld {
-    /// Endpoint.
-    pub endpoint: EndpointId,
-    /// Why.
-    pub reason: WithheldReason,
-}
-
-/// Why a request is not sent to an endpoint.
-#[derive(Debug, Clone, PartialEq)]
-pub enum WithheldReason {
-    /// Its limit leaves no permit to this VM at the moment.
-    Limit {
-        /// Requests a second that the endpoint takes from all VMs.
-        limit_per_s: f64,
-        /// Requests a second of this VM.
-        part_per_s: f64,
-        /// Whether a leader gave this part.
-        is_given: bool,
-        /// Time since the limit was heard.
-        age: Duration,
-    },
-}
-
-impl WithheldReason {
-    /// Name in metrics.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Limit { .. } => "limit",
-        }
-    }
-}
-
-impl std::fmt::Display for WithheldReason {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Limit { limit_per_s, part_per_s, is_given, age } => {
-                let from = if *is_given { "given by the leader" } else { "without a leader" };
-                let age_ms = age.as_millis();
-                write!(f, "its limit is {limit_per_s:.2} a second, heard {age_ms} ms ago; ")?;
-                write!(f, "this VM's part is {part_per_s:.2}, {from}")
-            }
-        }
-    }
-}
-
-/// What an endpoint said last of the requests that it takes.
-#[derive(Debug, Clone, Copy)]
-struct Said {
-    limit_per_s: Option<f64>,
-    born_ms: Option<u64>,
-    at: Instant,
-    /// Whether this VM heard it from the endpoint.
-    is_witnessed: bool,
-    number: ChangeNumber,
-    told_at: Instant,
-}
-
-/// What is known of one endpoint.
-#[derive(Debug)]
-struct Known {
-    said: Said,
-    wanted: WantedRate,
-    part: Option<Part>,
-    permits: Permits,
-}
-
-impl Known {
-    /// The limit that VMs go by, if there is one.
-    fn limit_per_s(&self) -> Option<f64> {
-        self.said.limit_per_s.map(|per_s| per_s.max(LEAST_LIMIT_PER_S))
-    }
-
-    /// This VM's part, and whether a leader gave it.
-    fn part_per_s(&self, limit_per_s: f64, vms: u32, now: Instant) -> (f64, bool) {
-        match self.part.filter(|part| now < part.until) {
-            Some(part) => (part.per_s.min(limit_per_s), true),
-            None => (UNTOLD_SHARE * limit_per_s / f64::from(vms.max(1)), false),
-        }
-    }
-}
+/// Longest rest that an endpoint is given, whatever it names: a slip in its figure does not take it out for good.
+const LONGEST_REST: Duration = Duration::from_secs(600);
+/// How long the word of an endpoint that it leaves holds which is still listed and says so no more.
+const LEAVING_TERM: Duration = Duration::from_secs(600);
 
 /// What endpoints asked of VMs, as one VM knows it.
 #[derive(Debug, Default)]
 pub struct PushbackBook {
-    known: BTreeMap<EndpointId, Known>,
-    /// Endpoints whose limit could not be read.
+    limits: Limits,
+    /// When the rest of endpoints ends that turned this VM away.
+    rests: BTreeMap<EndpointId, Instant>,
+    /// When endpoints said last that they leave.
+    leaving: BTreeMap<EndpointId, Instant>,
+    /// Endpoints whose rest could not be read.
     unreadable: BTreeSet<EndpointId>,
-    newest: ChangeNumber,
     withheld: Vec<Withheld>,
 }
 
 impl PushbackBook {
     /// Whether nothing is asked of this VM.
     pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
+        self.limits.is_empty() && self.rests.is_empty() && self.leaving.is_empty()
     }
 
     /// An endpoint answered this VM; answers what is new. `draw` is drawn evenly from 0 to 1.
@@ -141,117 +41,65 @@
         pushback: Pushback,
         draw: f64,
         now: Instant,
-    ) -> Option<PushbackEvent> {
-        let limit_per_s = match pushback.limit {
-            LimitWord::Unreadable => {
+    ) -> Vec<PushbackEvent> {
+        let limited = self.limits.on_answer(endpoint, born_ms, pushback.limit, draw, now);
+        let rests = self.on_rest(endpoint, pushback.rest, now);
+        let leaves = pushback.is_leaving && self.on_leaving(endpoint, now);
+        let leaves = leaves.then_some(PushbackEvent::Leaves);
+        limited.into_iter().chain(rests).chain(leaves).collect()
+    }
+
+    fn on_rest(&mut self, endpoint: &str, word: RestWord, now: Instant) -> Option<PushbackEvent> {
+        let rest = match word {
+            RestWord::None => return None,
+            RestWord::Unreadable => {
                 let is_new = self.unreadable.insert(endpoint.to_owned());
-                return is_new.then_some(PushbackEvent::Unreadable);
+                return is_new.then_some(PushbackEvent::Unreadable("rest"));
             }
-            LimitWord::None if !self.known.contains_key(endpoint) => return None,
-            LimitWord::None => None,
-            LimitWord::PerS(per_s) => Some(per_s),
+            RestWord::For(rest) => rest.min(LONGEST_REST),
         };
-        let number = self.newest + 1;
-        let said = Said { limit_per_s, born_ms, at: now, is_witnessed: true, number, told_at: now };
-        self.take(endpoint, said, draw, now)
+        let until = now + rest;
+        let before = self.rests.get(endpoint).copied();
+        if before.is_none_or(|before| before < until) {
+            self.rests.insert(endpoint.to_owned(), until);
+        }
+        let rested = before.is_some_and(|before| now < before);
+        (!rested && !rest.is_zero()).then_some(PushbackEvent::Rests(rest))
+    }
+
+    /// Answers whether that is new.
+    fn on_leaving(&mut self, endpoint: &str, now: Instant) -> bool {
+        self.leaving.insert(endpoint.to_owned(), now).is_none()
     }
 
-    /// Another VM told what endpoints said; answers what is new.
+    /// Another VM told what endpoints said of their limits; answers what is new.
     pub fn on_told(
         &mut self,
         news: &[LimitNews],
-        mut draw: impl FnMut() -> f64,
+        draw: impl FnMut() -> f64,
         now: Instant,
     ) -> Vec<(EndpointId, PushbackEvent)> {
-        let mut events = Vec::new();
-        for told in news {
-            let age = Duration::from_millis(told.age_ms);
-            let is_rate = told.limit_per_s.is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0);
-            let Some(at) = now.checked_sub(age).filter(|_| is_rate && age < LIMIT_TERM) else {
-                continue;
-            };
-            let said = Said {
-                limit_per_s: told.limit_per_s,
-                born_ms: told.born_ms,
-                at,
-                is_witnessed: false,
-                number: self.newest + 1,
-                told_at: now,
-            };
-            let event = self.take(&told.endpoint, said, draw(), now);
-            events.extend(event.map(|event| (told.endpoint.clone(), event)));
-        }
-        events
-    }
-
-    /// Takes what an endpoint said, unless it has said something since.
-    fn take(
-        &mut self,
-        endpoint: &str,
-        mut said: Said,
-        draw: f64,
-        now: Instant,
-    ) -> Option<PushbackEvent> {
-        let before = self.known.get_mut(endpoint);
-        let before_said = before.as_ref().map(|known| known.said);
-        if before_said.is_some_and(|before| said.at <= before.at) {
-            return None;
-        }
-        // That a limit was taken back is kept also where it was not known: others may hear of both from here.
-        let before_per_s = before_said.and_then(|before| before.limit_per_s);
-        let is_new = before_per_s != said.limit_per_s;
-        if let Some(before) = before_said
-            .filter(|before| !is_new && now.saturating_duration_since(before.told_at) < TELL_AGAIN)
-        {
-            (said.number, said.told_at) = (before.number, before.told_at);
-        }
-        self.newest = self.newest.max(said.number);
-        match before {
-            Some(known) => known.said = said,
-            None => {
-                let known = Known {
-                    said,
-                    wanted: WantedRate::new(now),
-                    part: None,
-                    permits: Permits::new(draw, now),
-                };
-                self.known.insert(endpoint.to_owned(), known);
-            }
-        }
-        let event = said.limit_per_s.map_or(PushbackEvent::Unlimited, PushbackEvent::Limited);
-        is_new.then_some(event)
+        self.limits.on_told(news, draw, now)
     }
 
     /// Whether a request may be sent to an endpoint now. `vms` are the VMs of the fleet.
     pub fn may_send(&mut self, endpoint: &str, vms: u32, now: Instant) -> bool {
-        let Some(known) = self.known.get_mut(endpoint) else {
+        let Some(reason) = self.withholds(endpoint, vms, now) else {
             return true;
         };
-        let Some(limit_per_s) = known.limit_per_s() else {
-            return true;
-        };
-        let (part_per_s, is_given) = known.part_per_s(limit_per_s, vms, now);
-        known.permits.set_pace(part_per_s, now);
-        if known.permits.is_open(now) {
-            return true;
-        }
-        known.wanted.count(now);
-        let age = now.saturating_duration_since(known.said.at);
-        let reason = WithheldReason::Limit { limit_per_s, part_per_s, is_given, age };
         if !self.withheld.iter().any(|withheld| withheld.endpoint == endpoint) {
             self.withheld.push(Withheld { endpoint: endpoint.to_owned(), reason });
         }
         false
     }
 
+    fn withholds(&mut self, endpoint: &str, vms: u32, now: Instant) -> Option<WithheldReason> {
+        self.limits.withholds(endpoint, vms, now)
+    }
+
     /// A request is sent to an endpoint.
     pub fn on_sent(&mut self, endpoint: &str, now: Instant) {
-        if let Some(known) = self.known.get_mut(endpoint)
-            && known.said.limit_per_s.is_some()
-        {
-            known.permits.take(now);
-            known.wanted.count(now);
-        }
+        self.limits.on_sent(endpoint, now);
     }
 
     /// Endpoints that requests were withheld from since this was last asked.
@@ -261,100 +109,74 @@
 
     /// What this VM would send to endpoints that name limits.
     pub fn wants(&self, now: Instant) -> Vec<Want> {
-        let limited = self.known.iter().filter(|(_, known)| known.said.limit_per_s.is_some());
-        let wants = limited.map(|(endpoint, known)| Want {
-            endpoint: endpoint.clone(),
-            per_s: known.wanted.per_s(now),
-        });
-        wants.filter(|want| want.per_s >= LEAST_WANTED_PER_S).collect()
+        self.limits.wants(now)
     }
 
     /// A leader gives this VM a part of an endpoint's limit.
     pub fn take_part(&mut self, endpoint: &str, part: Part) {
-        if let Some(known) = self.known.get_mut(endpoint) {
-            known.part = Some(part);
-        }
+        self.limits.take_part(endpoint, part);
     }
 
     /// The limit of an endpoint that VMs go by, in requests a second; `None` if it takes what comes.
     pub fn limit_per_s(&self, endpoint: &str) -> Option<f64> {
-        self.known.get(endpoint)?.limit_per_s()
+        self.limits.limit_per_s(endpoint)
     }
 
     /// Endpoints that name a limit.
     pub fn limited_endpoints(&self) -> impl Iterator<Item = &EndpointId> {
-        let limited = self.known.iter().filter(|(_, known)| known.said.limit_per_s.is_some());
-        limited.map(|(endpoint, _)| endpoint)
+        self.limits.limited_endpoints()
     }
 
     /// How many endpoints name a limit.
     pub fn limited(&self) -> usize {
-        self.limited_endpoints().count()
+        self.limits.limited_endpoints().count()
+    }
+
+    /// How many endpoints rest.
+    pub fn resting(&self) -> usize {
+        self.rests.len()
     }
 
-    /// Number of the newest change.
+    /// How many endpoints say that they leave.
+    pub fn leaving(&self) -> usize {
+        self.leaving.len()
+    }
+
+    /// Number of the newest change of limits.
     pub fn newest(&self) -> ChangeNumber {
-        self.newest
+        self.limits.newest()
     }
 
-    /// What changed after a number, as far as `most` of it.
+    /// What changed in limits after a number, as far as `most` of it.
     pub fn news_since(&self, number: ChangeNumber, most: usize, now: Instant) -> LimitsNews {
-        self.changes(number, most, now, |_| true)
+        self.limits.news_since(number, most, now)
     }
 
     /// The same, of what this VM heard itself.
     pub fn witnessed_since(&self, number: ChangeNumber, most: usize, now: Instant) -> LimitsNews {
-        self.changes(number, most, now, |said| said.is_witnessed)
-    }
-
-    fn changes(
-        &self,
-        number: ChangeNumber,
-        most: usize,
-        now: Instant,
-        is_told: impl Fn(&Said) -> bool,
-    ) -> LimitsNews {
-        let is_new = |known: &&Known| known.said.number > number && is_told(&known.said);
-        let mut new: Vec<(&EndpointId, &Known)> =
-            self.known.iter().filter(|(_, known)| is_new(known)).collect();
-        new.sort_by_key(|(_, known)| known.said.number);
-        let is_all = new.len() <= most;
-        new.truncate(most);
-        let up_to = match (is_all, new.last()) {
-            (false, Some((_, last))) => last.said.number,
-            _ => self.newest,
-        };
-        let limits = new.into_iter().map(|(endpoint, known)| LimitNews {
-            endpoint: endpoint.clone(),
-            born_ms: known.said.born_ms,
-            limit_per_s: known.said.limit_per_s,
-            age_ms: now.saturating_duration_since(known.said.at).as_millis() as u64,
-        });
-        LimitsNews { up_to, limits: limits.collect() }
+        self.limits.witnessed_since(number, most, now)
     }
 
     /// An endpoint has started again: what its life before asked holds no more.
     pub fn on_new_life(&mut self, endpoint: &str) {
-        self.known.remove(endpoint);
+        self.limits.on_new_life(endpoint);
+        self.rests.remove(endpoint);
+        self.leaving.remove(endpoint);
         self.unreadable.remove(endpoint);
     }
 
-    /// Ends what no VM has heard for long; answers the limits that end so.
+    /// Ends what holds no more; answers the limits that no VM has heard for so long that they end.
     pub fn on_time(&mut self, now: Instant) -> Vec<(EndpointId, PushbackEvent)> {
-        let mut lapsed = Vec::new();
-        self.known.retain(|endpoint, known| {
-            let lives = now.saturating_duration_since(known.said.at) < LIMIT_TERM;
-            if !lives && known.said.limit_per_s.is_some() {
-                lapsed.push((endpoint.clone(), PushbackEvent::Lapsed));
-            }
-            lives
-        });
-        lapsed
+        self.rests.retain(|_, until| now < *until);
+        self.leaving.retain(|_, at| now.saturating_duration_since(*at) < LEAVING_TERM);
+        self.limits.on_time(now)
     }
 
     /// Forgets endpoints that are not listed any more.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.known.retain(|id, _| is_known(id));
+        self.limits.retain(&is_known);
+        self.rests.retain(|id, _| is_known(id));
+        self.leaving.retain(|id, _| is_known(id));
         self.unreadable.retain(|id| is_known(id));
     }
 }
--- a/crates/sillbank_pushback/src/lib.rs
+++ b/crates/sillbank_pushback/src/lib.rs
@@ -1,5 +1,7 @@
 //! What endpoints ask of VMs in their answers, and how VMs keep it together.
 //!
+//! An endpoint may turn a VM away and ask it for rest, and one that leaves says so. Each VM keeps to what it was told itself.
+//!
 //! An endpoint in need names the requests a second that it takes from all VMs together. The limit is divided by a leader
 //! among the VMs that want to send, by what they want; a VM sends by the permits that its part opens. A part is a lease: it
 //! ends after a term unless it is renewed, and what it had counts as in use until then. So the parts that are in force never
@@ -14,20 +16,23 @@
 
 mod book;
 mod division;
+mod limits;
 mod news;
 mod permits;
+mod reason;
 mod wanted;
 mod word;
 
-pub use book::{PushbackBook, PushbackEvent, Withheld, WithheldReason};
+pub use book::PushbackBook;
 pub use division::{Asker, Divider, PART_TERM, Part};
 pub use news::{ChangeNumber, LimitNews, LimitsNews, PartNews, Want};
-pub use word::{LimitWord, Pushback};
+pub use reason::{PushbackEvent, Withheld, WithheldReason};
+pub use word::{LimitWord, Pushback, RestWord};
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
         Asker, Divider, LimitNews, LimitWord, LimitsNews, Part, PartNews, Pushback, PushbackBook,
-        PushbackEvent, Want, Withheld,
+        PushbackEvent, RestWord, Want, Withheld,
     };
 }
--- a/crates/sillbank_pushback/tests/book.rs
+++ b/crates/sillbank_pushback/tests/book.rs
@@ -8,14 +8,14 @@
 const VMS: u32 = 8;
 
 fn names(per_s: f64) -> Pushback {
-    Pushback { limit: LimitWord::PerS(per_s) }
+    Pushback { limit: LimitWord::PerS(per_s), ..Pushback::default() }
 }
 
 /// A VM that was told a limit by the endpoint.
 fn limited(per_s: f64, now: Instant) -> PushbackBook {
     let mut book = PushbackBook::default();
     let event = book.on_answer(ENDPOINT, None, names(per_s), 0.5, now);
-    assert_eq!(event, Some(PushbackEvent::Limited(per_s)));
+    assert_eq!(event, [PushbackEvent::Limited(per_s)]);
     book
 }
 
@@ -49,7 +49,7 @@
 
     let event = book.on_answer(ENDPOINT, None, Pushback::default(), 0.5, now);
 
-    assert_eq!(event, None);
+    assert_eq!(event, []);
     assert!(book.is_empty() && book.may_send(ENDPOINT, VMS, now));
 }
 
@@ -125,7 +125,7 @@
 
     let mut heard = limited(0.5, now);
     let event = heard.on_answer(ENDPOINT, None, Pushback::default(), 0.5, later);
-    assert_eq!(event, Some(PushbackEvent::Unlimited));
+    assert_eq!(event, [PushbackEvent::Unlimited]);
     assert!(heard.may_send(ENDPOINT, VMS, later));
 
     let mut told = limited(0.5, now);
@@ -157,12 +157,13 @@
 fn a_limit_that_cannot_be_read_changes_nothing_and_is_told_once() {
     let now = Instant::now();
     let mut book = limited(2.0, now);
-    let unreadable = Pushback { limit: LimitWord::Unreadable };
+    let unreadable = Pushback { limit: LimitWord::Unreadable, ..Pushback::default() };
 
     let first = book.on_answer(ENDPOINT, None, unreadable, 0.5, now);
     let second = book.on_answer(ENDPOINT, None, unreadable, 0.5, now);
 
-    assert_eq!((first, second), (Some(PushbackEvent::Unreadable), None));
+    assert_eq!(first, [PushbackEvent::Unreadable("limit")]);
+    assert_eq!(second, []);
     assert_eq!(book.limit_per_s(ENDPOINT), Some(2.0));
 }
 
