VMs give endpoints the rest that they ask for, and nothing new to those that say that they leave

Callers saw refusals while another engine had room: each request went to the resting endpoint first and was turned away, until the repeats that VMs share were used up; then those that were turned away were not sent on. Cause: as with limits, of an answer VMs read how the request ended and not what it asks. Ruled out by the lines of the sends: that another engine was held to be at fault (none was named), that the same requests went there again (90 requests, one send each). Why it holds: whoever chooses an endpoint asks one book, which knows what each asked of this VM and until when; the rest is over when its longest is.

--- a/crates/sillbank_gateway/src/answers.rs
+++ b/crates/sillbank_gateway/src/answers.rs
@@ -36,6 +36,14 @@
     }
 }
 
+/// Lets a caller who is told when to come back do so no sooner than after `least`: before that it would be refused again.
+pub fn not_before(failure: Failure, least: Option<Duration>) -> Failure {
+    match (failure.retry_after, least) {
+        (Some(after), Some(least)) => failure.retry_after(after.max(least)),
+        _ => failure,
+    }
+}
+
 /// Ends a request whose time is over.
 pub fn out_of_time(run: RunLog) -> Failure {
     let reason = "its time was over before an answer came";
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -1,6 +1,6 @@
 //! Plain calls: one answer, read whole before it goes to the caller.
 
-use crate::answers::{give_up, out_of_time, outcome_of, reply_of};
+use crate::answers::{give_up, not_before, out_of_time, outcome_of, reply_of};
 use crate::channels::Channel;
 use crate::decisions::{Outcome, SendEnd};
 use crate::endpoints::{Evidence, Share};
@@ -87,11 +87,13 @@
     let mut held: Option<WholeReply> = None;
     loop {
         let choice = choose(gateway, job, &tried);
-        gateway.note_withheld(job);
+        let withheld_for = gateway.note_withheld(job);
         let choice = match choice {
             Ok(choice) => choice,
             Err(refused) => {
-                return held.map(|whole| whole.reply).ok_or_else(|| refuse(gateway, job, refused));
+                let least = withheld_for.filter(|_| refused.reason == CallRefusal::Withheld);
+                let failure = || not_before(refuse(gateway, job, refused), least);
+                return held.map(|whole| whole.reply).ok_or_else(failure);
             }
         };
         tries.begin(job);
--- a/crates/sillbank_gateway/src/pushback.rs
+++ b/crates/sillbank_gateway/src/pushback.rs
@@ -60,16 +60,19 @@
         self.pushback.borrow_mut().on_sent(endpoint, Instant::now());
     }
 
-    /// Logs and counts the endpoints that a request was not sent to as they asked for it.
-    pub fn note_withheld(&self, job: &Job) {
+    /// Logs and counts the endpoints that a request was not sent to as they asked for it; answers after what time the
+    /// first of them takes requests again, if that is known.
+    pub fn note_withheld(&self, job: &Job) -> Option<Duration> {
         if self.pushback.borrow().is_empty() {
-            return;
+            return None;
         }
-        for withheld in self.pushback.borrow_mut().take_withheld() {
+        let all = self.pushback.borrow_mut().take_withheld();
+        for withheld in &all {
             let kind = KindLabel { kind: withheld.reason.name() };
             self.metrics.withheld.get_or_create(&kind).inc();
-            self.decisions.withheld(job, &withheld);
+            self.decisions.withheld(job, withheld);
         }
+        all.iter().filter_map(|withheld| withheld.reason.ends_in()).min()
     }
 
     /// Brings the gauges of what endpoints ask up to date.
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -1,8 +1,8 @@
 //! Begins a stream: sends its request until an endpoint takes it.
 
 use super::attempt::{Begun, SendOnce, send_once};
-use super::target::choose_target;
-use crate::answers::{COME_BACK_UNINFORMED, give_up};
+use super::target::{NoTarget, choose_target};
+use crate::answers::{COME_BACK_UNINFORMED, give_up, not_before};
 use crate::decisions::SendEnd;
 use crate::ends::{BrokenSend, on_broken_send};
 use crate::gateway::Gateway;
@@ -30,9 +30,13 @@
     }
     loop {
         let target = choose_target(gateway, job, resume_after, &avoid);
-        gateway.note_withheld(job);
+        let withheld_for = gateway.note_withheld(job);
         let target = match target {
             Ok(target) => target,
+            Err(NoTarget::Withheld) => {
+                let failure = refuse(gateway, job, NoTarget::Withheld.text());
+                return Err(not_before(failure, withheld_for));
+            }
             Err(reason) => {
                 return Err(refuse(gateway, job, reason.text()));
             }
--- a/crates/sillbank_pushback/src/book.rs
+++ b/crates/sillbank_pushback/src/book.rs
@@ -94,6 +94,16 @@
     }
 
     fn withholds(&mut self, endpoint: &str, vms: u32, now: Instant) -> Option<WithheldReason> {
+        if let Some(said_at) = self.leaving.get(endpoint) {
+            let age = now.saturating_duration_since(*said_at);
+            return Some(WithheldReason::Leaving { age });
+        }
+        // A request that is sent all the same is turned away, and what it then takes of the repeats that VMs share is
+        // missing to those that need one.
+        if let Some(until) = self.rests.get(endpoint).filter(|until| now < **until) {
+            let left = until.saturating_duration_since(now);
+            return Some(WithheldReason::Rest { left });
+        }
         self.limits.withholds(endpoint, vms, now)
     }
 
--- a/crates/sillbank_pushback/src/reason.rs
+++ b/crates/sillbank_pushback/src/reason.rs
@@ -43,6 +43,16 @@
         /// Time since the limit was heard.
         age: Duration,
     },
+    /// It turned this VM away and wants nothing from it yet.
+    Rest {
+        /// Time that is left of its rest.
+        left: Duration,
+    },
+    /// It says that it leaves.
+    Leaving {
+        /// Time since it last said so.
+        age: Duration,
+    },
 }
 
 impl WithheldReason {
@@ -50,6 +60,16 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Limit { .. } => "limit",
+            Self::Rest { .. } => "rest",
+            Self::Leaving { .. } => "leaving",
+        }
+    }
+
+    /// Time after which a request may be sent there again, if that is known.
+    pub fn ends_in(&self) -> Option<Duration> {
+        match self {
+            Self::Rest { left } => Some(*left),
+            Self::Limit { .. } | Self::Leaving { .. } => None,
         }
     }
 }
@@ -63,6 +83,12 @@
                 write!(f, "its limit is {limit_per_s:.2} a second, heard {age_ms} ms ago; ")?;
                 write!(f, "this VM's part is {part_per_s:.2}, {from}")
             }
+            Self::Rest { left } => {
+                write!(f, "it turned this VM away and rests for {} ms more", left.as_millis())
+            }
+            Self::Leaving { age } => {
+                write!(f, "it said {} ms ago that it leaves", age.as_millis())
+            }
         }
     }
 }
--- a/crates/sillbank_pushback/tests/book.rs
+++ b/crates/sillbank_pushback/tests/book.rs
@@ -231,3 +231,57 @@
     book.on_answer(ENDPOINT, None, names(2.0), 0.5, later);
     assert!(book.news_since(told, 8, later).limits.len() == 1);
 }
+
+fn wants_rest(rest: Duration) -> Pushback {
+    Pushback { rest: RestWord::For(rest), ..Pushback::default() }
+}
+
+#[test]
+fn an_endpoint_that_wants_rest_gets_nothing_until_its_longest_rest_is_over() {
+    let now = Instant::now();
+    let mut book = PushbackBook::default();
+
+    let events = book.on_answer(ENDPOINT, None, wants_rest(Duration::from_secs(3)), 0.5, now);
+    book.on_answer(ENDPOINT, None, wants_rest(Duration::from_secs(1)), 0.5, now);
+    // An answer to what was sent before takes nothing back.
+    book.on_answer(ENDPOINT, None, Pushback::default(), 0.5, now);
+
+    assert_eq!(events, [PushbackEvent::Rests(Duration::from_secs(3))]);
+    assert!(!book.may_send(ENDPOINT, VMS, now + Duration::from_millis(2_999)));
+    assert!(book.may_send(ENDPOINT, VMS, now + Duration::from_secs(3)));
+    let ends_in: Vec<_> = book.take_withheld().iter().map(|w| w.reason.ends_in()).collect();
+    assert_eq!(ends_in, [Some(Duration::from_millis(1))]);
+}
+
+#[test]
+fn a_rest_of_days_ends_within_minutes_and_one_of_nothing_or_that_cannot_be_read_is_none() {
+    let now = Instant::now();
+    let mut book = PushbackBook::default();
+
+    book.on_answer(ENDPOINT, None, wants_rest(Duration::from_secs(864_000)), 0.5, now);
+    book.on_answer("e2", None, wants_rest(Duration::ZERO), 0.5, now);
+    let unreadable = Pushback { rest: RestWord::Unreadable, ..Pushback::default() };
+    let events = book.on_answer("e3", None, unreadable, 0.5, now);
+
+    assert!(!book.may_send(ENDPOINT, VMS, now + Duration::from_secs(599)));
+    assert!(book.may_send(ENDPOINT, VMS, now + Duration::from_secs(600)));
+    assert!(book.may_send("e2", VMS, now) && book.may_send("e3", VMS, now));
+    assert_eq!(events, [PushbackEvent::Unreadable("rest")]);
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_until_it_starts_again() {
+    let now = Instant::now();
+    let mut book = PushbackBook::default();
+    let leaving = Pushback { is_leaving: true, ..Pushback::default() };
+
+    let first = book.on_answer(ENDPOINT, None, leaving, 0.5, now);
+    let second = book.on_answer(ENDPOINT, None, leaving, 0.5, now);
+    // The answer to an older request may come later.
+    book.on_answer(ENDPOINT, None, Pushback::default(), 0.5, now);
+
+    assert_eq!((first, second), (vec![PushbackEvent::Leaves], vec![]));
+    assert!(!book.may_send(ENDPOINT, VMS, now + Duration::from_secs(60)));
+    book.on_new_life(ENDPOINT);
+    assert!(book.may_send(ENDPOINT, VMS, now));
+}
