Requests with an end to their name share one first engine, and the only one left is not risked for them

Callers saw: of three first engines all ended within 0.9 s under one request, and hardly anybody was served for 4 s. Cause: a request is held back after three ends, which may be all that a model has; its tries and its copies went to the next engines before any VM had heard of the first end.

--- a/crates/sillbank_admission/src/calls.rs
+++ b/crates/sillbank_admission/src/calls.rs
@@ -112,6 +112,8 @@
     KeptForUrgent,
     /// All endpoints asked for fewer requests.
     Withheld,
+    /// An endpoint ended under the call, and the only one left is not risked for it.
+    KeptApart,
 }
 
 impl CallRefusal {
@@ -123,6 +125,7 @@
             Self::TooSlow => "too_slow",
             Self::KeptForUrgent => "kept_for_urgent",
             Self::Withheld => "withheld",
+            Self::KeptApart => "kept_apart",
         }
     }
 
@@ -133,6 +136,7 @@
             Self::Full => "all endpoints of the service are full",
             Self::TooSlow => "no endpoint of the service answers in the time that is left",
             Self::KeptForUrgent => "the service's last free endpoint is kept for more urgent calls",
+            Self::KeptApart => "an endpoint ended under it, and the only one left is not risked",
             Self::Withheld => "the endpoints of the service asked for fewer requests",
         }
     }
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -18,6 +18,7 @@
     CallAsk, CallCandidate, CallChoice, CallRefusal, CallRefused, CallTimes,
 };
 use sillbank_core::prelude::*;
+use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -270,9 +271,17 @@
     gateway.knowledge.endpoints(|directory| {
         let usable = directory.usable_of(&job.service.name);
         let mut records: Vec<_> = usable.filter(|record| !tried.contains(&record.id)).collect();
+        let takes_work = |record: &&EndpointRecord| gateway.book.takes_work(&record.id, now);
         // While all are left alone, the least bad is better than none.
-        if records.iter().any(|record| gateway.book.takes_work(&record.id, now)) {
-            records.retain(|record| gateway.book.takes_work(&record.id, now));
+        if records.iter().any(takes_work) {
+            records.retain(takes_work);
+        }
+        if let [only] = records.as_slice()
+            && !tried.contains(&only.id)
+            && let Some(come_back) = gateway.kept_apart_for(job)
+            && directory.usable_of(&job.service.name).filter(|r| takes_work(r)).count() == 1
+        {
+            return Err(CallRefused { reason: CallRefusal::KeptApart, come_back });
         }
         let had_records = !records.is_empty();
         records.retain(|record| views.may_send(&record.id));
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -171,6 +171,15 @@
     pub now: Instant,
 }
 
+/// Engines at which paths can begin, in an order that is the same at all VMs.
+pub fn first_engines(views: Views<'_>, ask: PathAsk<'_>) -> Vec<EndpointId> {
+    let all = candidates(views, ask, Halls::All).into_iter().map(|candidate| candidate.holder);
+    let firsts = all.filter(|holder| holder.layers.first == 0);
+    let mut firsts: Vec<EndpointId> = firsts.map(|holder| holder.endpoint).collect();
+    firsts.sort();
+    firsts
+}
+
 /// VMs that are taken to share what an endpoint takes while leaders have not told of them.
 const ASSUMED_VMS: u32 = 16;
 /// Shares that are left to VMs of which leaders have not told yet.
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -61,6 +61,16 @@
         quarantine.held_for(job.fingerprint(), Instant::now())
     }
 
+    /// How much longer a request is kept away from an endpoint that none could stand in for: if it is what ends
+    /// endpoints, it would leave none for anybody. One that is innocent loses its place there for that time.
+    pub fn kept_apart_for(&self, job: &Job) -> Option<Duration> {
+        let quarantine = self.quarantine.borrow();
+        if quarantine.is_empty() || !self.settings.borrow().mechanisms.quarantine {
+            return None;
+        }
+        quarantine.kept_apart_for(job.fingerprint(), Instant::now())
+    }
+
     /// Refuses a request that is held back: it was not run, and its caller may come back when the term is over.
     pub fn refuse_held_back(&self, job: &Job) -> Option<Failure> {
         let left = self.held_back(job)?;
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -37,6 +37,10 @@
                 let failure = refuse(gateway, job, NoTarget::Withheld.text());
                 return Err(not_before(failure, withheld_for));
             }
+            Err(NoTarget::KeptApart(left)) => {
+                let failure = refuse(gateway, job, NoTarget::KeptApart(left).text());
+                return Err(not_before(failure, Some(left)));
+            }
             Err(reason) => {
                 return Err(refuse(gateway, job, reason.text()));
             }
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -2,13 +2,13 @@
 
 use crate::gateway::Gateway;
 use crate::job::{Job, path_ask};
-use crate::paths::{choose_any_path, choose_path, has_withheld_path};
+use crate::paths::{PathAsk, choose_any_path, choose_path, first_engines, has_withheld_path};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use sillbank_core::prelude::*;
 use sillbank_layers::prelude::*;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Where a stream's request goes.
 pub(super) struct Target {
@@ -26,6 +26,8 @@
     NoRoom,
     /// There is a path, but the endpoints that it could begin at asked for fewer requests.
     Withheld,
+    /// The only endpoint that it could begin at is not risked for it, for so long.
+    KeptApart(Duration),
 }
 
 impl NoTarget {
@@ -33,6 +35,7 @@
         match self {
             Self::NoPath => "no path covers the model",
             Self::NoRoom => "no path has room",
+            Self::KeptApart(_) => "an endpoint ended under it, and the only one left is not risked",
             Self::Withheld => "the endpoints that could take it asked for fewer requests",
         }
     }
@@ -50,8 +53,22 @@
     let Some(figures) = &job.service.engine else {
         return choose_endpoint(gateway, job, avoid, now);
     };
-    let ask = path_ask(job, figures, &home, avoid);
     let views = gateway.views(now);
+    let ask = path_ask(job, figures, &home, avoid);
+    let mut kept_apart = Vec::new();
+    if let Some(left) = gateway.kept_apart_for(job) {
+        // All VMs risk the same engine for such requests, so that the others go on.
+        let mut firsts = first_engines(views, ask);
+        if firsts.len() <= 1 {
+            return Err(NoTarget::KeptApart(left));
+        }
+        firsts.remove(0);
+        kept_apart = [avoid, &firsts].concat();
+    }
+    let ask = match kept_apart.is_empty() {
+        true => ask,
+        false => PathAsk { avoid: &kept_apart, ..ask },
+    };
     if let Some(path) = choose_path(views, ask) {
         if views.mechanisms.forecasts {
             job.foretold.get_or_init(|| gateway.forecasts.foretell(views, ask, &path));
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -3,7 +3,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::news::{ChangeNumber, QuarantineNews, QuarantineRecord, StoredSuspect, SuspectNews};
 use crate::suspect::{StoredMark, Suspect};
-use crate::terms::{MEMORY, MOST_SUSPECTS, TELL_AFTER, URGENT_ENDS};
+use crate::terms::{KEPT_APART, MEMORY, MOST_SUSPECTS, TELL_AFTER, URGENT_ENDS};
 use sillbank_core::prelude::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -100,6 +100,14 @@
         self.suspects.get(&fingerprint)?.held_for(now)
     }
 
+    /// How much longer a request is kept away from an endpoint that none could stand in for: one ended under it not long
+    /// ago, and it has not run well since.
+    pub fn kept_apart_for(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
+        let last_end = self.suspects.get(&fingerprint)?.last_end()?;
+        let left = KEPT_APART.checked_sub(now.saturating_duration_since(last_end));
+        left.filter(|left| !left.is_zero())
+    }
+
     /// Endpoints that ended under a request, as far as they count.
     pub fn ends(&self, fingerprint: Fingerprint) -> usize {
         self.suspects.get(&fingerprint).map_or(0, Suspect::ends)
--- a/crates/sillbank_quarantine/src/suspect.rs
+++ b/crates/sillbank_quarantine/src/suspect.rs
@@ -95,6 +95,11 @@
         self.ends.iter().map(|end| end.at).max().max(self.cleared_at)
     }
 
+    /// When the last end was.
+    pub(crate) fn last_end(&self) -> Option<Instant> {
+        self.ends.iter().map(|end| end.at).max()
+    }
+
     /// Notes an end; answers whether it was not known.
     pub(crate) fn add_end(&mut self, endpoint: &str, at: Instant, there: Duration) -> bool {
         let is_same = |end: &End| {
--- a/crates/sillbank_quarantine/tests/quarantine.rs
+++ b/crates/sillbank_quarantine/tests/quarantine.rs
@@ -346,3 +346,18 @@
     assert_eq!(events, Vec::new());
     assert!(quarantine.is_empty());
 }
+
+#[test]
+fn a_request_with_one_end_is_kept_apart_until_it_runs_well_or_for_some_seconds() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    quarantine.on_end(REQUEST, "e1", now, now);
+
+    let soon = now + Duration::from_secs(4);
+    assert_eq!(quarantine.kept_apart_for(REQUEST, soon), Some(Duration::from_secs(6)));
+    assert_eq!(quarantine.kept_apart_for(REQUEST, now + Duration::from_secs(10)), None);
+    assert_eq!(quarantine.kept_apart_for(REQUEST + 1, soon), None);
+
+    quarantine.on_ran_well(REQUEST, soon);
+    assert_eq!(quarantine.kept_apart_for(REQUEST, soon), None);
+}
