--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -120,7 +120,6 @@
         }
         gateway.knowledge.endpoints(|directory| {
             gateway.book.retain(|id| directory.get(id).is_some());
-            gateway.pushback.borrow_mut().retain(|id| directory.get(id).is_some());
             gateway.ends.retain(|id| directory.get(id).is_some());
             gateway.call_book.retain(|id| directory.get(id).is_some());
             gateway.hall.boards.retain(|id| directory.get(id).is_some());
--- a/crates/sillbank_gateway/src/limit_parts.rs
+++ b/crates/sillbank_gateway/src/limit_parts.rs
@@ -32,7 +32,7 @@
 
 impl<W: Wire, S> Gateway<W, S> {
     /// Begins to divide when this VM begins to tell its hall, and ends with that.
-    pub(crate) fn keep_divider(&self, now: Instant) {
+    pub fn keep_divider(&self, now: Instant) {
         let mut divider = self.limit_parts.divider.borrow_mut();
         if self.hall.tells.get().is_none() {
             divider.end();
@@ -69,7 +69,7 @@
     }
 
     /// Whether an ask wants a part that it can be given and has not been given yet.
-    pub(crate) fn owes_part(&self, ask: &FeedAsk, now: Instant) -> bool {
+    pub fn owes_part(&self, ask: &FeedAsk, now: Instant) -> bool {
         let divider = self.limit_parts.divider.borrow();
         divider.divides(now)
             && ask.wants.iter().any(|want| {
@@ -81,7 +81,7 @@
     }
 
     /// Notes what an ask wants, and answers the parts that it gets.
-    pub(crate) fn give_parts(&self, ask: &FeedAsk, now: Instant) -> Vec<PartNews> {
+    pub fn give_parts(&self, ask: &FeedAsk, now: Instant) -> Vec<PartNews> {
         if self.hall.tells.get().is_none() {
             return Vec::new();
         }
--- a/crates/sillbank_gateway/src/pushback.rs
+++ b/crates/sillbank_gateway/src/pushback.rs
@@ -128,9 +128,14 @@
 
 /// Lets time pass for what endpoints asked, for as long as the program runs.
 pub async fn pass_time<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
+    let mut looked_at = Instant::now();
     loop {
         smol::Timer::after(LOOK).await;
+        if gateway.knowledge.was_suspended_since(looked_at) {
+            gateway.pushback.borrow_mut().on_suspended();
+        }
         let now = Instant::now();
+        looked_at = now;
         gateway.keep_divider(now);
         if gateway.pushback.borrow().is_empty() {
             continue;
--- a/crates/sillbank_pushback/src/book.rs
+++ b/crates/sillbank_pushback/src/book.rs
@@ -11,7 +11,7 @@
 
 /// Longest rest that an endpoint is given, whatever it names: a slip in its figure does not take it out for good.
 const LONGEST_REST: Duration = Duration::from_secs(600);
-/// How long the word of an endpoint that it leaves holds which is still listed and says so no more.
+/// How long the word of an endpoint that it leaves holds which says so no more. Its entry may go and come meanwhile.
 const LEAVING_TERM: Duration = Duration::from_secs(600);
 
 /// What endpoints asked of VMs, as one VM knows it.
@@ -167,6 +167,11 @@
         self.limits.witnessed_since(number, most, now)
     }
 
+    /// The machine was suspended, and the clock by which parts end stood still: they may be others' by now.
+    pub fn on_suspended(&mut self) {
+        self.limits.drop_parts();
+    }
+
     /// An endpoint has started again: what its life before asked holds no more.
     pub fn on_new_life(&mut self, endpoint: &str) {
         self.limits.on_new_life(endpoint);
@@ -181,12 +186,4 @@
         self.leaving.retain(|_, at| now.saturating_duration_since(*at) < LEAVING_TERM);
         self.limits.on_time(now)
     }
-
-    /// Forgets endpoints that are not listed any more.
-    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.limits.retain(&is_known);
-        self.rests.retain(|id, _| is_known(id));
-        self.leaving.retain(|id, _| is_known(id));
-        self.unreadable.retain(|id| is_known(id));
-    }
 }
--- a/crates/sillbank_pushback/src/limits.rs
+++ b/crates/sillbank_pushback/src/limits.rs
@@ -284,9 +284,8 @@
         lapsed
     }
 
-    /// Forgets endpoints that are not listed any more.
-    pub(crate) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.known.retain(|id, _| is_known(id));
-        self.unreadable.retain(|id| is_known(id));
+    /// Gives up all parts.
+    pub(crate) fn drop_parts(&mut self) {
+        self.known.values_mut().for_each(|known| known.part = None);
     }
 }
--- a/crates/sillbank_pushback/tests/book.rs
+++ b/crates/sillbank_pushback/tests/book.rs
@@ -285,3 +285,19 @@
     book.on_new_life(ENDPOINT);
     assert!(book.may_send(ENDPOINT, VMS, now));
 }
+
+#[test]
+fn a_part_does_not_outlast_a_suspension() {
+    let now = Instant::now();
+    let mut book = limited(400.0, now);
+    book.take_part(ENDPOINT, Part { per_s: 400.0, until: now + PART_TERM });
+    assert!(!book.may_send(ENDPOINT, VMS, now));
+    let later = now + Duration::from_millis(100);
+    assert!(book.may_send(ENDPOINT, VMS, later));
+
+    book.on_suspended();
+
+    let sent = send_for(&mut book, None, Duration::from_millis(1), later, Duration::from_secs(1));
+    // Permits of a second that were open, and those of a second more, each a quarter of the limit over 8 VMs.
+    assert!(sent.len() <= 2 * 13 + 1, "{}", sent.len());
+}
