--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -171,15 +171,24 @@
     pub now: Instant,
 }
 
-/// Engines at which paths can begin, in an order that is the same at all VMs.
+/// Engines at which paths can begin, also those that this request has tried, in an order that is the same at all VMs.
 pub fn first_engines(views: Views<'_>, ask: PathAsk<'_>) -> Vec<EndpointId> {
-    let all = candidates(views, ask, Halls::All).into_iter().map(|candidate| candidate.holder);
+    let all = candidates(views, PathAsk { avoid: &[], ..ask }, Halls::All)
+        .into_iter()
+        .map(|candidate| candidate.holder);
     let firsts = all.filter(|holder| holder.layers.first == 0);
     let mut firsts: Vec<EndpointId> = firsts.map(|holder| holder.endpoint).collect();
     firsts.sort();
     firsts
 }
 
+/// Which first engine is risked for a request that may be what ends engines: one, the same at all VMs, so that the others
+/// go on; none if there is only one, or all were tried.
+pub fn risked_engine<'a>(firsts: &'a [EndpointId], tried: &[EndpointId]) -> Option<&'a EndpointId> {
+    let is_only_one = firsts.len() <= 1;
+    firsts.iter().find(|first| !is_only_one && !tried.contains(first))
+}
+
 /// VMs that are taken to share what an endpoint takes while leaders have not told of them.
 const ASSUMED_VMS: u32 = 16;
 /// Shares that are left to VMs of which leaders have not told yet.
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -61,8 +61,7 @@
         quarantine.held_for(job.fingerprint(), Instant::now())
     }
 
-    /// How much longer a request is kept away from an endpoint that none could stand in for: if it is what ends
-    /// endpoints, it would leave none for anybody. One that is innocent loses its place there for that time.
+    /// How much longer a request is kept apart from others: if it is what ends endpoints, it would leave none for anybody.
     pub fn kept_apart_for(&self, job: &Job) -> Option<Duration> {
         let quarantine = self.quarantine.borrow();
         if quarantine.is_empty() || !self.settings.borrow().mechanisms.quarantine {
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -13,7 +13,10 @@
 use crate::wire::{EventNumber, Wire};
 use sillbank_core::prelude::*;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How often a stream that waits for an engine looks for one.
+const LOOK_FOR_ENGINES: Duration = Duration::from_millis(100);
 
 /// Sends a stream's request until an endpoint takes it. `avoid` are endpoints not to be used.
 pub(super) async fn begin<W: Wire, S: MetadataStore>(
@@ -37,6 +40,12 @@
                 let failure = refuse(gateway, job, NoTarget::Withheld.text());
                 return Err(not_before(failure, withheld_for));
             }
+            // A stream that was begun waits for another engine to be back: broken off it would be lost, and it is more likely
+            // to have been there by chance than to be the reason.
+            Err(NoTarget::KeptApart(left)) if job.sends.get() > 0 => {
+                smol::Timer::after(left.min(LOOK_FOR_ENGINES)).await;
+                continue;
+            }
             Err(NoTarget::KeptApart(left)) => {
                 let failure = refuse(gateway, job, NoTarget::KeptApart(left).text());
                 return Err(not_before(failure, Some(left)));
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -2,7 +2,9 @@
 
 use crate::gateway::Gateway;
 use crate::job::{Job, path_ask};
-use crate::paths::{PathAsk, choose_any_path, choose_path, first_engines, has_withheld_path};
+use crate::paths::{
+    PathAsk, choose_any_path, choose_path, first_engines, has_withheld_path, risked_engine,
+};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use sillbank_core::prelude::*;
@@ -55,20 +57,18 @@
     };
     let views = gateway.views(now);
     let ask = path_ask(job, figures, &home, avoid);
-    let mut kept_apart = Vec::new();
+    let mut avoid = avoid.to_vec();
     if let Some(left) = gateway.kept_apart_for(job) {
-        // All VMs risk the same engine for such requests, so that the others go on.
         let mut firsts = first_engines(views, ask);
-        if firsts.len() <= 1 {
+        // What it has tried counts again once it has started again.
+        let is_back = |first: &str| gateway.book.renewed_since(first, job.began);
+        firsts.retain(|first| !avoid.contains(first) || is_back(first));
+        let Some(risked) = risked_engine(&firsts, &avoid) else {
             return Err(NoTarget::KeptApart(left));
-        }
-        firsts.remove(0);
-        kept_apart = [avoid, &firsts].concat();
+        };
+        avoid.extend(firsts.iter().filter(|first| *first != risked).cloned());
     }
-    let ask = match kept_apart.is_empty() {
-        true => ask,
-        false => PathAsk { avoid: &kept_apart, ..ask },
-    };
+    let ask = PathAsk { avoid: &avoid, ..ask };
     if let Some(path) = choose_path(views, ask) {
         if views.mechanisms.forecasts {
             job.foretold.get_or_init(|| gateway.forecasts.foretell(views, ask, &path));
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -13,7 +13,7 @@
 use sillbank_gateway::hall::Hall;
 use sillbank_gateway::knowledge::Knowledge;
 use sillbank_gateway::mechanisms::Mechanisms;
-use sillbank_gateway::paths::{PathAsk, Views, choose_path};
+use sillbank_gateway::paths::{PathAsk, Views, choose_path, risked_engine};
 use sillbank_gateway::store::Snapshot;
 use sillbank_layers::prelude::*;
 use std::cell::RefCell;
@@ -345,3 +345,16 @@
 
     assert_eq!(paths, [["sound"], ["sound"]]);
 }
+
+#[test]
+fn one_first_engine_is_risked_for_a_request_that_may_end_it_and_never_the_only_one() {
+    let ids = |ids: &[&str]| ids.iter().map(|id| (*id).to_owned()).collect::<Vec<_>>();
+    let risked = |firsts: &[&str], tried: &[&str]| {
+        risked_engine(&ids(firsts), &ids(tried)).map(String::as_str).map(str::to_owned)
+    };
+
+    assert_eq!(risked(&["e1", "e2", "e3"], &[]).as_deref(), Some("e1"));
+    assert_eq!(risked(&["e1", "e2"], &["e1"]).as_deref(), Some("e2"));
+    assert_eq!(risked(&["e2"], &["e1"]), None);
+    assert_eq!(risked(&[], &[]), None);
+}
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -100,8 +100,8 @@
         self.suspects.get(&fingerprint)?.held_for(now)
     }
 
-    /// How much longer a request is kept away from an endpoint that none could stand in for: one ended under it not long
-    /// ago, and it has not run well since.
+    /// How much longer a request is kept apart from others: an endpoint ended under it not long ago, and it has not run well
+    /// since.
     pub fn kept_apart_for(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
         let last_end = self.suspects.get(&fingerprint)?.last_end()?;
         let left = KEPT_APART.checked_sub(now.saturating_duration_since(last_end));
--- a/crates/sillbank_quarantine/src/terms.rs
+++ b/crates/sillbank_quarantine/src/terms.rs
@@ -11,8 +11,8 @@
 /// end their endpoint do so within some 0.1 s; a run that has lasted so long is not the reason, and shows that
 /// the request is sound.
 pub const BEGINNING: Duration = Duration::from_secs(1);
-/// How long after an end its request is kept away from endpoints that nobody could replace. By then the one that ended is
-/// back and holds its layers again.
+/// How long after an end its request is kept apart from others. By then the endpoint that ended is back and holds its
+/// layers again.
 pub(crate) const KEPT_APART: Duration = Duration::from_secs(10);
 /// First time for which a request is held back: enough for operators to see it and repair what it meets. Each
 /// further end doubles it.
--- a/crates/sillbank_quarantine/tests/quarantine.rs
+++ b/crates/sillbank_quarantine/tests/quarantine.rs
@@ -348,7 +348,7 @@
 }
 
 #[test]
-fn a_request_with_one_end_is_kept_apart_until_it_runs_well_or_for_some_seconds() {
+fn a_request_with_an_end_is_kept_apart_until_it_runs_well_or_for_some_seconds() {
     let now = Instant::now();
     let mut quarantine = Quarantine::default();
     quarantine.on_end(REQUEST, "e1", now, now);
