A hall whose part of a limit has ended owes none; only streams that may have run wait for an engine; replies that ask nothing cost nothing

Found by reading: for up to 0.25 s after a hall's part had ended its VMs' asks were answered at once without a part, and asked again at once. A request that every endpoint had refused waited for an engine as a stream that had run does; it is refused at once now.

--- a/crates/sillbank_gateway/src/limit_parts.rs
+++ b/crates/sillbank_gateway/src/limit_parts.rs
@@ -56,7 +56,8 @@
         if self.hall_of(endpoint)? == self.settings.borrow().hall {
             return Some(Part { per_s: limit_per_s, until: now + PART_TERM });
         }
-        self.limit_parts.of_hall.borrow().get(endpoint).copied()
+        let of_hall = self.limit_parts.of_hall.borrow().get(endpoint).copied();
+        of_hall.filter(|part| now < part.until)
     }
 
     /// Who asks; `None` if it asks for what another leader divides.
@@ -144,7 +145,7 @@
     }
 
     /// Takes the parts that a leader gave with an answer that was made at `given_at` or later.
-    pub(crate) fn take_parts(&self, parts: &[PartNews], from: &PartsFrom, given_at: Instant) {
+    pub fn take_parts(&self, parts: &[PartNews], from: &PartsFrom, given_at: Instant) {
         if parts.is_empty() || self.knowledge.was_suspended_since(given_at) {
             return;
         }
--- a/crates/sillbank_gateway/src/pushback.rs
+++ b/crates/sillbank_gateway/src/pushback.rs
@@ -23,7 +23,8 @@
     /// An endpoint answered a request that was sent at a moment. One that has started again since asked for
     /// its life before.
     pub fn on_pushback(&self, endpoint: &str, pushback: Pushback, sent_at: Instant) {
-        if !self.keeps_pushback() || self.book.renewed_since(endpoint, sent_at) {
+        let asks_nothing = pushback == Pushback::default() && self.pushback.borrow().is_empty();
+        if asks_nothing || !self.keeps_pushback() || self.book.renewed_since(endpoint, sent_at) {
             return;
         }
         let life = self.knowledge.endpoints(|directory| directory.newest_life(endpoint));
--- a/crates/sillbank_gateway/src/streams/begin.rs
+++ b/crates/sillbank_gateway/src/streams/begin.rs
@@ -42,7 +42,7 @@
             }
             // A stream that was begun waits for another engine to be back: broken off it would be lost, and it is more likely
             // to have been there by chance than to be the reason.
-            Err(NoTarget::KeptApart(left)) if job.sends.get() > 0 => {
+            Err(NoTarget::KeptApart(left)) if job.run.get().not_run_evidence().is_none() => {
                 smol::Timer::after(left.min(LOOK_FOR_ENGINES)).await;
                 continue;
             }
