--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -16,6 +16,7 @@
 use sillbank_gateway::paths::{PathAsk, Views, choose_path, risked_engine};
 use sillbank_gateway::store::Snapshot;
 use sillbank_layers::prelude::*;
+use sillbank_pushback::prelude::*;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -89,20 +90,43 @@
     chance: &Chance,
 ) -> Option<LayerPath> {
     let now = Instant::now();
-    let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
-    knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
-    hall.boards.keep(now, board(HOME, engines));
-    let mechanisms = Mechanisms::default();
-    let views = Views {
-        knowledge: &knowledge,
-        hall: &hall,
-        book,
-        pushback: &RefCell::default(),
-        mechanisms,
-        chance,
-        now,
-    };
-    path_by(&service(), views)
+    let vm = Vm { book: book.clone(), ..Vm::new(chance) };
+    vm.knows(records);
+    vm.hall.boards.keep(now, board(HOME, engines));
+    path_by(&service(), vm.views(now))
+}
+
+/// What a VM chooses paths by.
+struct Vm {
+    knowledge: Knowledge,
+    hall: Hall,
+    book: Rc<EndpointBook>,
+    pushback: RefCell<PushbackBook>,
+    chance: Chance,
+}
+
+impl Vm {
+    /// It knows nothing yet.
+    fn new(chance: &Chance) -> Self {
+        Self {
+            knowledge: Knowledge::new(Duration::from_secs(5)),
+            hall: Hall::new(chance.clone()),
+            book: Rc::default(),
+            pushback: RefCell::default(),
+            chance: chance.clone(),
+        }
+    }
+
+    fn knows(&self, records: &[EndpointRecord]) {
+        let list = Snapshot { at: 1, value: records.to_vec() };
+        self.knowledge.take_endpoints(Instant::now(), list);
+    }
+
+    fn views(&self, now: Instant) -> Views<'_> {
+        let (knowledge, hall, book) = (&self.knowledge, &self.hall, &*self.book);
+        let (pushback, chance) = (&self.pushback, &self.chance);
+        Views { knowledge, hall, book, pushback, mechanisms: Mechanisms::default(), chance, now }
+    }
 }
 
 fn chance() -> Chance {
@@ -249,20 +273,10 @@
     // Arrange
     let records = [record("first", "slow", 0, 10), record("last", "slow", 10, 20)];
     let now = Instant::now();
-    let chance = chance();
-    let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
-    knowledge.take_endpoints(now, Snapshot { at: 1, value: records.to_vec() });
-    hall.boards.keep(now, board(HOME, records.iter().map(idle).collect()));
-    let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
-    let views = Views {
-        knowledge: &knowledge,
-        hall: &hall,
-        book: &book,
-        pushback: &RefCell::default(),
-        mechanisms,
-        chance: &chance,
-        now,
-    };
+    let vm = Vm::new(&chance());
+    vm.knows(&records);
+    vm.hall.boards.keep(now, board(HOME, records.iter().map(idle).collect()));
+    let views = vm.views(now);
     let spoils: [fn(&mut EngineFigures); 6] = [
         |figures| figures.kv_token_bytes = 0.0,
         |figures| figures.layer_mb = 1e12,
@@ -287,27 +301,16 @@
 /// used so much of their KV cache.
 fn beside_another_hall(at_home_permille: u16, elsewhere_permille: u16) -> Option<LayerPath> {
     let now = Instant::now();
-    let chance = chance();
-    let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
+    let vm = Vm::new(&chance());
     let at_home = record("home", "slow", 0, LAYERS);
     let elsewhere = EndpointRecord { hall: "b".to_owned(), ..record("other", "quick", 0, LAYERS) };
     let full = |record: &EndpointRecord, kv_permille| {
         board(&record.hall, vec![EngineState { kv_permille, ..idle(record) }])
     };
-    hall.boards.keep(now, full(&at_home, at_home_permille));
-    hall.boards.keep(now, full(&elsewhere, elsewhere_permille));
-    knowledge.take_endpoints(now, Snapshot { at: 1, value: vec![at_home, elsewhere] });
-    let (book, mechanisms) = (EndpointBook::default(), Mechanisms::default());
-    let views = Views {
-        knowledge: &knowledge,
-        hall: &hall,
-        book: &book,
-        pushback: &RefCell::default(),
-        mechanisms,
-        chance: &chance,
-        now,
-    };
-    path_by(&service(), views)
+    vm.hall.boards.keep(now, full(&at_home, at_home_permille));
+    vm.hall.boards.keep(now, full(&elsewhere, elsewhere_permille));
+    vm.knows(&[at_home, elsewhere]);
+    path_by(&service(), vm.views(now))
 }
 
 #[test]
@@ -358,3 +361,29 @@
     assert_eq!(risked(&["e2"], &["e1"]), None);
     assert_eq!(risked(&[], &[]), None);
 }
+
+#[test]
+fn a_path_begins_at_no_engine_that_asked_for_rest_which_may_run_a_later_part() {
+    let now = Instant::now();
+    let records = [
+        record("near", "quick", 0, 10),
+        record("far", "slow", 0, 10),
+        record("last", "quick", 10, LAYERS),
+    ];
+    let vm = Vm::new(&chance());
+    vm.knows(&records);
+    vm.hall.boards.keep(now, board(HOME, records.iter().map(idle).collect()));
+    let rest = Pushback { rest: RestWord::For(Duration::from_secs(3)), ..Pushback::default() };
+    for engine in ["near", "last"] {
+        vm.pushback.borrow_mut().on_answer(engine, None, rest, 0.5, now);
+    }
+
+    let path = path_by(&service(), vm.views(now)).expect("there is one");
+    let later = path_by(&service(), vm.views(now + Duration::from_secs(3))).expect("there is one");
+
+    let ids = |path: &LayerPath| -> Vec<EndpointId> {
+        path.parts().iter().map(|part| part.endpoint.clone()).collect()
+    };
+    assert_eq!(ids(&path), ["far", "last"]);
+    assert_eq!(ids(&later), ["near", "last"]);
+}
