A stage that began at a leaving endpoint may go back there when nobody else may take it

Callers lost an answer that was half there when both endpoints of a stage were leaving and the one that ran it stood still for a moment. Cause: the stage counts as lost, and an endpoint that leaves takes nothing new.

--- a/crates/sillbank_entry/src/drive.rs
+++ b/crates/sillbank_entry/src/drive.rs
@@ -205,6 +205,12 @@
 
     /// Another endpoint for a stage; the old one only if there is no other.
     fn replacement(&self, stage: StageIndex) -> Option<EndpointSlot> {
+        let old = self.stages[stage].endpoint;
+        self.usable_endpoint(stage).or_else(|| self.entry.take_leaving_endpoint(old))
+    }
+
+    /// An endpoint for a stage that may be given new work.
+    fn usable_endpoint(&self, stage: StageIndex) -> Option<EndpointSlot> {
         let old = self.stages[stage];
         let others = [Some(old.endpoint), None];
         others.into_iter().find_map(|except| {
--- a/crates/sillbank_entry/src/state.rs
+++ b/crates/sillbank_entry/src/state.rs
@@ -77,6 +77,19 @@
         Some(chain)
     }
 
+    /// Counts a stage once more at an endpoint that leaves and can be reached; `None` if it does not leave or cannot. A
+    /// stage that began there is no new work for it, and nobody else may take it.
+    pub(crate) fn take_leaving_endpoint(&self, slot: EndpointSlot) -> Option<EndpointSlot> {
+        self.link(slot)?;
+        let mut table = self.table.borrow_mut();
+        let endpoint = table.get_mut(slot);
+        if endpoint.health.state() != HealthState::Leaving {
+            return None;
+        }
+        endpoint.requests += 1;
+        Some(slot)
+    }
+
     /// Notes what is to be prefilled at an endpoint.
     pub(crate) fn note_prefill(&self, slot: EndpointSlot, link: &EngineLink) {
         self.table.borrow_mut().get_mut(slot).prefill_outstanding = link.prefill_positions();
--- a/crates/sillbank_load/tests/scenarios.rs
+++ b/crates/sillbank_load/tests/scenarios.rs
@@ -20,6 +20,7 @@
     stage_killed,
     stage_frozen_and_woken,
     stage_back_at_a_late_engine,
+    leaving_stage_was_silent,
     reply_lost,
     two_stages_at_once,
     entry_killed,
