--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -77,7 +77,7 @@
     pub use crate::plugins::run;
     pub use crate::settings::GatewaySettings;
     pub use crate::store::{
-        CatalogRead, MetadataStore, QuarantineObject, Revision, Snapshot, StoreError,
+        CatalogRead, Era, MetadataStore, QuarantineObject, Revision, Snapshot, StoreError,
     };
     pub use crate::wire::{
         BadHead, CallerHead, EndpointReply, EngineReport, GiveUp, OrderEnd, PlaceOrder, Refusal,
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -7,6 +7,9 @@
 use std::future::Future;
 use std::time::Duration;
 
+/// Number of the store's history; it rises each time the store is restored from a copy. 0 if the store names none.
+pub type Era = u64;
+
 /// Revision of the store; each change raises it.
 pub type Revision = u64;
 
