Lease: held and claimed across a restore of the store from a copy

Two VMs could lead a hall at once: a restored store has lost the lease, so whoever reads it finds it free, or finds itself named, while the holder relies on its term.

The holder keeps its lease for the rest of the term and renews over whatever the copy holds; nobody else takes it for nine eighths of a term after it noticed the restore. Any holder wrote before the restore, so its term is over by then. The version of the object is a parameter now: one that is a number alone means nothing across restores. No caller notes restores yet.

--- a/crates/sillbank_lease/src/chart.rs
+++ b/crates/sillbank_lease/src/chart.rs
@@ -20,6 +20,8 @@
         RenewUnsure = "renew_unsure",
         /// The write that frees it is on its way; not held any more.
         Releasing = "releasing",
+        /// The store was restored from a copy; held until the old term is over.
+        Restored = "restored",
     }
 }
 
@@ -37,6 +39,8 @@
         RenewDue = "renew_due",
         Lapsed = "lapsed",
         GiveUp = "give_up",
+        Restored = "restored",
+        Reread = "reread",
     }
 }
 
--- a/crates/sillbank_lease/src/lib.rs
+++ b/crates/sillbank_lease/src/lib.rs
@@ -4,6 +4,10 @@
 //! and stops an eighth of the term early. Another VM waits an eighth longer than the term from
 //! when it first saw the holder's version. The object's version is the fence.
 //!
+//! A store that is restored from a copy has lost what was written since, leases too. The holder keeps its lease for the
+//! rest of its term and renews it as soon as it has read what is there; nobody else takes it for as long as any holder
+//! may rely on the old term.
+//!
 //! Pure: what the platform answered and the time come in, writes to make go out.
 
 #![forbid(unsafe_code)]
@@ -72,18 +76,18 @@
 
 /// A conditional write to make.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeaseWrite {
+pub struct LeaseWrite<V = Version> {
     /// Version that must be there, or `None` for no object.
-    pub expected: Option<Version>,
+    pub expected: Option<V>,
     /// What to write.
     pub record: LeaseRecord,
 }
 
 /// How a write ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WriteEnd {
+pub enum WriteEnd<V = Version> {
     /// It took effect with this version.
-    Written(Version),
+    Written(V),
     /// Something else was there.
     Changed,
     /// It was refused or never sent: nothing was done.
@@ -103,17 +107,19 @@
     pub term: Duration,
 }
 
-/// One lease as one VM sees it.
+/// One lease as one VM sees it; `V` is the version of an object.
 #[derive(Debug)]
-pub struct Lease {
+pub struct Lease<V = Version> {
     candidate: Candidate,
     state: LeaseState,
     /// What was last read, and when this version was first seen.
-    seen: Option<(Version, LeaseRecord, Moment)>,
+    seen: Option<(V, LeaseRecord, Moment)>,
     /// The write on its way or unsure.
     pending: Option<Pending>,
-    held: Option<Held>,
+    held: Option<Held<V>>,
     retakes_own: bool,
+    /// Before this moment a holder may rely on a lease that a restored store has lost.
+    claims_from: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -124,13 +130,13 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Held {
-    version: Version,
+struct Held<V> {
+    version: V,
     since: Moment,
     origin: Origin,
 }
 
-impl Lease {
+impl<V: Copy + PartialEq> Lease<V> {
     /// A lease nothing is known of.
     pub fn new(candidate: Candidate) -> Self {
         Self {
@@ -140,6 +146,7 @@
             pending: None,
             held: None,
             retakes_own: false,
+            claims_from: None,
         }
     }
 
@@ -157,7 +164,7 @@
     }
 
     /// The fence if the lease is held at this moment. Ask right before each use.
-    pub fn fence(&self, now: Moment) -> Option<Version> {
+    pub fn fence(&self, now: Moment) -> Option<V> {
         let held = self.held?;
         (now.since(held.since) < self.usable()).then_some(held.version)
     }
@@ -178,28 +185,55 @@
         if self.held.is_some() {
             return None;
         }
-        let (_, record, first_seen) = self.seen.as_ref()?;
-        (!record.owner.is_empty()).then(|| first_seen.monotonic + lapse_time(record))
+        let is_owned = |record: &LeaseRecord| !record.owner.is_empty();
+        let seen = self.seen.as_ref().filter(|(_, record, _)| is_owned(record));
+        let lapses = seen.map(|(_, record, first_seen)| first_seen.monotonic + lapse_time(record));
+        lapses.max(self.claims_from)
+    }
+
+    /// The store was restored from a copy. What this VM holds it keeps for the rest of its term; what it does not hold
+    /// it does not take while another may still do so. Call while no write is on its way.
+    pub fn on_restored(&mut self, now: Moment) {
+        // Whoever holds the lease wrote before the restore, so its term began before now.
+        let term_ms = self.candidate.term.as_millis() as u64;
+        self.claims_from = Some(now.monotonic + lapse_time_of(term_ms));
+        self.pending = None;
+        self.step(now, LeaseEvent::Restored, 0);
     }
 
     /// Whether the object should be read before anything else.
     pub fn wants_read(&self) -> bool {
-        matches!(self.state, LeaseState::Idle | LeaseState::Unsure | LeaseState::RenewUnsure)
+        matches!(
+            self.state,
+            LeaseState::Idle | LeaseState::Unsure | LeaseState::RenewUnsure | LeaseState::Restored
+        )
     }
 
     /// The object was read, and answers the write to make, if any; `mark` is drawn anew.
     pub fn on_read(
         &mut self,
         now: Moment,
-        read: Option<(Version, LeaseRecord)>,
+        read: Option<(V, LeaseRecord)>,
         mark: u64,
-    ) -> Option<LeaseWrite> {
+    ) -> Option<LeaseWrite<V>> {
+        if self.state == LeaseState::Restored {
+            return self.on_reread(now, read.map(|(version, _)| version), mark);
+        }
         let event = self.classify(now, read);
         self.step(now, event, mark)
     }
 
+    /// Renews over whatever a restored store holds, if the old term is not over.
+    fn on_reread(&mut self, now: Moment, version: Option<V>, mark: u64) -> Option<LeaseWrite<V>> {
+        if self.fence(now).is_none() {
+            return self.step(now, LeaseEvent::Lapsed, mark);
+        }
+        let write = self.step(now, LeaseEvent::Reread, mark)?;
+        Some(LeaseWrite { expected: version, ..write })
+    }
+
     /// A write has ended.
-    pub fn on_write_end(&mut self, now: Moment, end: WriteEnd) {
+    pub fn on_write_end(&mut self, now: Moment, end: WriteEnd<V>) {
         match end {
             WriteEnd::Written(version) => {
                 if matches!(self.state, LeaseState::Writing | LeaseState::Renewing) {
@@ -214,7 +248,7 @@
     }
 
     /// Time has passed; answers the renewal to make, if it is due.
-    pub fn on_tick(&mut self, now: Moment, mark: u64) -> Option<LeaseWrite> {
+    pub fn on_tick(&mut self, now: Moment, mark: u64) -> Option<LeaseWrite<V>> {
         let since = self.held?.since;
         if now.since(since) >= self.usable() {
             return self.step(now, LeaseEvent::Lapsed, mark);
@@ -227,7 +261,7 @@
 
     /// This VM wants to be rid of the lease; answers the write that frees it, if it is held.
     /// `heir` was given all that this VM kept under it.
-    pub fn give_up(&mut self, now: Moment, mark: u64, heir: Option<VmId>) -> Option<LeaseWrite> {
+    pub fn give_up(&mut self, now: Moment, mark: u64, heir: Option<VmId>) -> Option<LeaseWrite<V>> {
         let mut write = self.step(now, LeaseEvent::GiveUp, mark)?;
         write.record.heir = heir.unwrap_or_default();
         Some(write)
@@ -241,14 +275,14 @@
         mark: u64,
         vm: VmId,
         peer: SocketAddr,
-    ) -> Option<LeaseWrite> {
+    ) -> Option<LeaseWrite<V>> {
         let mut write = self.step(now, LeaseEvent::GiveUp, mark)?;
         write.record.owner = vm;
         write.record.peer = peer;
         Some(write)
     }
 
-    fn hold(&mut self, version: Version) {
+    fn hold(&mut self, version: V) {
         if let Some(Pending { left, origin, mark }) = self.pending {
             self.held = Some(Held { version, since: left, origin });
             let record = self.write(self.candidate.vm.clone(), mark).record;
@@ -260,10 +294,11 @@
         self.candidate.term * 7 / 8
     }
 
-    fn classify(&mut self, now: Moment, read: Option<(Version, LeaseRecord)>) -> LeaseEvent {
+    fn classify(&mut self, now: Moment, read: Option<(V, LeaseRecord)>) -> LeaseEvent {
+        let may_claim = self.claims_from.is_none_or(|from| now.monotonic >= from);
         let Some((version, record)) = read else {
             self.seen = None;
-            return LeaseEvent::Free;
+            return if may_claim { LeaseEvent::Free } else { LeaseEvent::Others };
         };
         let first_seen = match &self.seen {
             Some((seen, _, at)) if *seen == version => *at,
@@ -276,12 +311,15 @@
             self.hold(version);
             return LeaseEvent::OwnFound;
         }
-        if record.owner.is_empty() {
-            return LeaseEvent::Free;
-        }
         if self.held.is_some_and(|held| held.version == version) {
             return LeaseEvent::StillHeld;
         }
+        if !may_claim {
+            return LeaseEvent::Others;
+        }
+        if record.owner.is_empty() {
+            return LeaseEvent::Free;
+        }
         let names_own = record.owner == self.candidate.vm && record.peer == self.candidate.peer;
         if self.retakes_own && names_own {
             return LeaseEvent::OthersLapsed;
@@ -293,7 +331,7 @@
         }
     }
 
-    fn step(&mut self, now: Moment, event: LeaseEvent, mark: u64) -> Option<LeaseWrite> {
+    fn step(&mut self, now: Moment, event: LeaseEvent, mark: u64) -> Option<LeaseWrite<V>> {
         let transition = chart().step(self.state, event)?;
         self.state = transition.to;
         match transition.action {
@@ -321,7 +359,7 @@
         }
     }
 
-    fn write(&self, owner: VmId, mark: u64) -> LeaseWrite {
+    fn write(&self, owner: VmId, mark: u64) -> LeaseWrite<V> {
         let seen = self.seen.as_ref().map(|(version, ..)| *version);
         let record = LeaseRecord {
             owner,
@@ -346,5 +384,9 @@
 
 /// How long a version of the lease must have been seen before it counts as lapsed.
 fn lapse_time(record: &LeaseRecord) -> Duration {
-    Duration::from_millis(record.term_ms) * 9 / 8
+    lapse_time_of(record.term_ms)
+}
+
+fn lapse_time_of(term_ms: u64) -> Duration {
+    Duration::from_millis(term_ms) * 9 / 8
 }
--- a/crates/sillbank_lease/tests/leases.rs
+++ b/crates/sillbank_lease/tests/leases.rs
@@ -69,7 +69,7 @@
     let start = Instant::now();
     let mut lease = Lease::new(candidate(2));
     assert_eq!(lease.lapses_at(), None, "nothing was read");
-    let mut other = Lease::new(candidate(1));
+    let mut other: Lease = Lease::new(candidate(1));
     let write = other.on_read(moment(start, 0), None, 7).expect("it is free");
 
     lease.on_read(moment(start, 100), Some((1, write.record.clone())), 8);
