Fleet: a restored store does not bring back endpoints that leave

A copy of the store lists endpoints as ready that have said since that they leave, and entries that have gone since. Taken as they stand, VMs would send there again. What a copy lacks counts as lapsed, for the grace after any return of the store. Nothing notes restores yet.

--- a/crates/sillbank_fleet/src/difference.rs
+++ b/crates/sillbank_fleet/src/difference.rs
@@ -70,6 +70,11 @@
         self.by_number.get(self.by_id.get(id)?)?.born_ms
     }
 
+    /// Number of the change with which an entry went, as far as that is remembered.
+    pub(crate) fn number_of(&self, id: &str) -> Option<ChangeNumber> {
+        self.by_id.get(id).copied()
+    }
+
     /// Whether some removals after a number may be forgotten.
     pub(crate) fn are_forgotten_after(&self, number: ChangeNumber) -> bool {
         number < self.forgotten
--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -4,6 +4,7 @@
 use crate::lives::{LifeOrder, compare_lives};
 use crate::reach::{StoreReach, StoreTrouble};
 use crate::record::{BornMs, EndpointRecord, Listing, Standing, UnreadableEntry};
+use crate::restore::RestoreGuard;
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -59,6 +60,12 @@
     removals: Removals,
     /// Endpoints that were found to have started again, until somebody asks.
     renewed: Vec<EndpointId>,
+    /// Since the store was last restored from a copy, for a while.
+    restored: Option<RestoreGuard>,
+    /// Endpoints whose entries were held back, until somebody asks.
+    held_back: Vec<EndpointId>,
+    /// How often everything was to be read again.
+    rereads: u64,
 }
 
 impl Default for Directory {
@@ -70,6 +77,9 @@
             by_number: BTreeMap::new(),
             removals: Removals::default(),
             renewed: Vec::new(),
+            restored: None,
+            held_back: Vec::new(),
+            rereads: 0,
         }
     }
 }
@@ -91,6 +101,13 @@
         self.reach.on_back(now);
     }
 
+    /// The store was found to be restored from a copy. Entries that are missing may be written again, and
+    /// those of endpoints that were known to leave are held back.
+    pub fn on_restored(&mut self, now: Instant) {
+        self.reach.on_restored(now);
+        self.restored = Some(RestoreGuard::new(now, self.newest));
+    }
+
     /// Takes a whole listing; answers what became of each entry that is missing in it.
     pub fn on_listing(
         &mut self,
@@ -159,6 +176,16 @@
         std::mem::take(&mut self.renewed)
     }
 
+    /// Endpoints that a restored store listed again and that were held back since this was last asked.
+    pub fn take_held_back(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.held_back)
+    }
+
+    /// How often everything was to be read again so far, from the store or from whoever tells of it.
+    pub fn rereads(&self) -> u64 {
+        self.rereads
+    }
+
     /// Ends all entries but those that a VM has told of; answers the ids of those that went.
     pub fn retain_told(&mut self, told: &BTreeSet<EndpointId>) -> Vec<EndpointId> {
         let is_missing = |id: &&EndpointId| !told.contains(*id);
@@ -217,8 +244,12 @@
         }
     }
 
-    /// Ends the grace of lapsed entries that did not come back; answers their ids.
+    /// Ends the grace of lapsed entries that did not come back; answers their ids. What was held back after a
+    /// restore of the store is to be read again when the hold is over.
     pub fn on_time(&mut self, now: Instant) -> Vec<EndpointId> {
+        if let Some(guard) = self.restored.take_if(|guard| guard.is_over(now)) {
+            self.rereads += u64::from(guard.has_held());
+        }
         if self.reach.may_lapse(now) {
             return Vec::new();
         }
@@ -275,8 +306,32 @@
         })
     }
 
+    /// Whether an entry may come from a restored store that has not heard yet that its endpoint leaves or has left.
+    fn is_undone_by_restore(&self, record: &EndpointRecord) -> bool {
+        let Some(guard) = &self.restored else { return false };
+        if record.standing != Standing::Ready {
+            return false;
+        }
+        let (has_left, newest_life) = match self.entries.get(&record.id) {
+            Some(known) => (known.record.standing == Standing::Leaving, known.newest_life),
+            None => {
+                let went = self.removals.number_of(&record.id);
+                let went_before = went.is_some_and(|number| number <= guard.before);
+                (went_before, self.removals.newest_life(&record.id))
+            }
+        };
+        has_left && compare_lives(record.born_ms, newest_life) != LifeOrder::Newer
+    }
+
     /// Takes an entry unless an older life wrote it.
     fn put(&mut self, mut record: EndpointRecord) {
+        let is_undone = self.is_undone_by_restore(&record);
+        if let Some(guard) = self.restored.as_mut().filter(|_| is_undone) {
+            if guard.hold(&record.id) {
+                self.held_back.push(record.id);
+            }
+            return;
+        }
         let known = self.entries.get(&record.id);
         let written_by = known.and_then(|known| known.record.born_ms);
         let newest_life = match known {
--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -7,6 +7,9 @@
 //! An endpoint may start again under its id. News of the life before are left, and whoever keeps anything else
 //! of an endpoint is told which ones have started again ([`Directory::take_renewed`]).
 //!
+//! A store may be restored from a copy that is older than what is known; what is known of endpoints that leave holds
+//! on then.
+//!
 //! A directory numbers its changes, so that another VM is told only what it lacks.
 //!
 //! Pure: no sockets, no clock, no threads.
@@ -19,6 +22,7 @@
 mod reach;
 mod record;
 mod replication;
+mod restore;
 
 pub use difference::{ChangeNumber, Difference, MAX_REMOVALS};
 pub use directory::{Change, Directory, Removal};
@@ -26,12 +30,13 @@
 pub use reach::{LAPSE_GRACE, StoreTrouble};
 pub use record::{BornMs, EndpointRecord, Listing, Standing, UnreadableEntry};
 pub use replication::{Recency, Replication};
+pub use restore::RESTORE_HOLD;
 
 /// The few types most users need.
 pub mod prelude {
     pub use crate::{
         BornMs, Change, ChangeNumber, Difference, Directory, EndpointRecord, LAPSE_GRACE,
-        LifeOrder, Listing, Recency, Removal, Replication, Standing, StoreTrouble, UnreadableEntry,
-        compare_lives,
+        LifeOrder, Listing, RESTORE_HOLD, Recency, Removal, Replication, Standing, StoreTrouble,
+        UnreadableEntry, compare_lives,
     };
 }
--- a/crates/sillbank_fleet/src/reach.rs
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The store was restored from a copy: it was away, also if no call failed.
+    pub(crate) fn on_restored(&mut self, now: Instant) {
+        *self = Self::BackSince(now);
+    }
+
     /// The grace after the store's return is over.
     pub(crate) fn end_grace(&mut self) {
         if matches!(*self, Self::BackSince(_)) {
--- /dev/null
+++ b/crates/sillbank_fleet/tests/restore.rs
@@ -0,0 +1,231 @@
+//! What a directory believes of a store that was restored from a copy.
+
+use arbitrary::Unstructured;
+use sillbank_fleet::prelude::*;
+use sillbank_testing::for_fixed_seeds;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+const ENDPOINTS: [&str; 3] = ["a", "b", "c"];
+
+fn record(id: &str, standing: Standing) -> EndpointRecord {
+    EndpointRecord {
+        id: id.to_owned(),
+        born_ms: None,
+        service: "quotes".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: "a".to_owned(),
+        standing,
+        slots: 4,
+        accelerator: None,
+        layers: None,
+    }
+}
+
+fn ready(id: &str) -> EndpointRecord {
+    record(id, Standing::Ready)
+}
+
+fn leaving(id: &str) -> EndpointRecord {
+    record(id, Standing::Leaving)
+}
+
+fn removed(id: &str) -> Change {
+    Change::Removed { id: id.to_owned(), born_ms: None }
+}
+
+/// A directory of ready endpoints.
+fn directory(ids: &[&str]) -> (Directory, Instant) {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.on_listing(now, ids.iter().map(|id| ready(id)).collect::<Vec<_>>());
+    (directory, now)
+}
+
+#[test]
+fn an_endpoint_that_leaves_stays_leaving_when_the_copy_lists_it_as_ready() {
+    let (mut directory, now) = directory(&["a", "b"]);
+    directory.on_change(now, Change::Put(leaving("a")));
+
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a"), ready("b")]);
+
+    assert!(directory.usable("a").is_none());
+    assert!(directory.usable("b").is_some());
+    assert_eq!(directory.take_held_back(), vec!["a".to_owned()]);
+}
+
+#[test]
+fn an_endpoint_that_has_left_is_not_brought_back_by_the_copy() {
+    let (mut directory, now) = directory(&["a", "b"]);
+    directory.on_change(now, removed("a"));
+
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a"), ready("b")]);
+
+    assert!(directory.get("a").is_none());
+}
+
+#[test]
+fn a_leader_that_knows_less_does_not_bring_an_endpoint_back_either() {
+    let (mut own, now) = directory(&["a"]);
+    own.on_change(now, Change::Put(leaving("a")));
+    let (leader, _) = directory(&["a"]);
+    let mut replication = Replication::default();
+
+    own.on_restored(now);
+    replication.on_difference(&mut own, leader.difference(0, 10), Recency::Newer);
+
+    assert!(own.usable("a").is_none());
+}
+
+#[test]
+fn what_is_still_listed_after_the_hold_is_believed() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_change(now, removed("a"));
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a")]);
+
+    directory.on_time(now + RESTORE_HOLD - Duration::from_millis(1));
+    directory.on_listing(now, vec![ready("a")]);
+    let early = (directory.usable("a").is_some(), directory.rereads());
+    directory.on_time(now + RESTORE_HOLD);
+    let rereads = directory.rereads();
+    directory.on_listing(now + RESTORE_HOLD, vec![ready("a")]);
+
+    assert_eq!(early, (false, 0));
+    assert_eq!(rereads, 1);
+    assert!(directory.usable("a").is_some());
+}
+
+#[test]
+fn an_entry_that_went_again_during_the_hold_is_not_believed_after_it() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_change(now, Change::Put(leaving("a")));
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a")]);
+
+    directory.on_change(now, removed("a"));
+    directory.on_time(now + RESTORE_HOLD);
+
+    assert!(directory.get("a").is_none());
+}
+
+#[test]
+fn nothing_is_read_again_where_nothing_was_held_back() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a")]);
+
+    directory.on_time(now + RESTORE_HOLD);
+
+    assert_eq!(directory.rereads(), 0);
+}
+
+#[test]
+fn an_endpoint_that_writes_again_that_it_leaves_stays_leaving_after_the_hold() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_change(now, Change::Put(leaving("a")));
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a")]);
+
+    directory.on_change(now, Change::Put(leaving("a")));
+    directory.on_time(now + RESTORE_HOLD);
+
+    assert!(directory.usable("a").is_none());
+    assert!(directory.get("a").is_some());
+}
+
+#[test]
+fn a_newer_life_is_believed_at_once() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_change(now, Change::Put(EndpointRecord { born_ms: Some(5), ..leaving("a") }));
+    directory.on_restored(now);
+
+    directory.on_change(now, Change::Put(EndpointRecord { born_ms: Some(6), ..ready("a") }));
+
+    assert!(directory.usable("a").is_some());
+}
+
+#[test]
+fn an_endpoint_that_the_copy_lacks_stays_usable_until_the_grace_is_over() {
+    let (mut directory, now) = directory(&["a", "b"]);
+
+    directory.on_restored(now);
+    let removals = directory.on_listing(now, vec![ready("a")]);
+    directory.on_time(now + LAPSE_GRACE - Duration::from_millis(1));
+    let is_usable = directory.usable("b").is_some();
+    let gone = directory.on_time(now + LAPSE_GRACE);
+
+    assert_eq!(removals, vec![("b".to_owned(), Removal::Lapsed)]);
+    assert!(is_usable);
+    assert_eq!(gone, vec!["b".to_owned()]);
+}
+
+#[test]
+fn a_second_restore_holds_back_what_was_learnt_after_the_first() {
+    let (mut directory, now) = directory(&["a", "b"]);
+    directory.on_restored(now);
+    directory.on_listing(now, vec![ready("a"), ready("b")]);
+    directory.on_change(now + LAPSE_GRACE, Change::Put(leaving("a")));
+    let later = now + LAPSE_GRACE;
+
+    directory.on_restored(later);
+    directory.on_listing(later, vec![ready("a"), ready("b")]);
+    directory.on_time(now + RESTORE_HOLD);
+
+    assert!(directory.usable("a").is_none());
+}
+
+/// Endpoints leave, are removed and the store is restored again and again: whatever its copies and other VMs list, none that was
+/// known to leave takes work before the hold is over.
+#[test]
+fn no_series_of_restores_brings_an_endpoint_back_within_the_hold() {
+    for_fixed_seeds(2_000, 256, |u| {
+        let (mut directory, began) = directory(&ENDPOINTS);
+        let mut left: BTreeSet<&str> = BTreeSet::new();
+        let mut now = began;
+        directory.on_restored(now);
+        let mut restored = now;
+        while !u.is_empty() {
+            now += Duration::from_millis(u.int_in_range(0..=900)?);
+            if now >= restored + RESTORE_HOLD || u.ratio(1, 6)? {
+                directory.on_restored(now);
+                restored = now;
+            }
+            let id = *u.choose(&ENDPOINTS)?;
+            act(u, &mut directory, &mut left, now, id)?;
+            directory.on_time(now);
+            for id in &left {
+                assert!(directory.usable(id).is_none(), "{id} left and takes work");
+            }
+        }
+        Ok(())
+    });
+}
+
+fn act<'a>(
+    u: &mut Unstructured<'_>,
+    directory: &mut Directory,
+    left: &mut BTreeSet<&'a str>,
+    now: Instant,
+    id: &'a str,
+) -> arbitrary::Result<()> {
+    match u.int_in_range(0..=3)? {
+        0 => {
+            directory.on_change(now, Change::Put(leaving(id)));
+            left.insert(id);
+        }
+        1 if left.contains(id) => {
+            directory.on_change(now, removed(id));
+            // What comes after that is a new entry, unless the store is restored first.
+            directory.on_restored(now);
+        }
+        2 => {
+            let listed: Vec<_> = ENDPOINTS.iter().map(|id| ready(id)).collect();
+            directory.on_listing(now, listed);
+        }
+        _ => drop(directory.on_told_change(Change::Put(ready(id)))),
+    }
+    Ok(())
+}
