Gateway: states of the store are ordered by era and revision

What callers saw: requests reached an endpoint 278 and 306 ms after the bound of 2 s from the acknowledgement of its leaving, some of them failed there. Cause: the store had been restored from a copy, its revisions went back from 162 to 136, and VMs compare revisions: each list and change of endpoints below 162 was passed over as late, until the counter had caught up 7 s later. Evidence: 'endpoint: Listed. standing=Leaving at=146' and 'Changes were late; newer entries are known. at=146' within the same millisecond on the leader that follows the store for all, after 'A list was late ... at=136' on all leaders. Class: a counter of another system that is taken to only rise.

An order of (era, revision) replaces the number: the era is read from the answer in platform/, once; lists, changes, what leaders tell, marks of watches and conditions of writes carry it. A watch whose answer is of another era reads everything again. A condition of an era that is over is not sent, and a write that met another era counts as lost. Halls' leases note restores. A copy confirms no configuration for a second, as the operator may not have written a revocation again.

--- a/crates/sillbank_gateway/src/counted_store.rs
+++ b/crates/sillbank_gateway/src/counted_store.rs
@@ -1,7 +1,8 @@
 //! A store whose calls are counted by kind: each is priced, and what a fleet may make is bounded.
 
 use crate::metrics::KindLabel;
-use crate::store::{CatalogRead, MetadataStore, QuarantineObject, Revision, Snapshot, StoreError};
+use crate::revision::{Era, Revision};
+use crate::store::{CatalogRead, MetadataStore, QuarantineObject, Snapshot, StoreError};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use sillbank_fleet::prelude::*;
@@ -32,6 +33,10 @@
 }
 
 impl<S: MetadataStore> MetadataStore for CountedStore<S> {
+    fn newest_era(&self) -> Option<Era> {
+        self.inner.newest_era()
+    }
+
     async fn read_catalog(&self) -> Result<Snapshot<Option<CatalogRead>>, StoreError> {
         self.count("read_configuration").read_catalog().await
     }
@@ -80,11 +85,11 @@
         &self,
         expected: Option<Revision>,
         record: &QuarantineRecord,
-    ) -> WriteEnd {
+    ) -> WriteEnd<Revision> {
         self.count("write_quarantine").write_quarantine(expected, record).await
     }
 
-    async fn write_lease(&self, name: &str, write: &LeaseWrite) -> WriteEnd {
+    async fn write_lease(&self, name: &str, write: &LeaseWrite<Revision>) -> WriteEnd<Revision> {
         self.count("write_lease").write_lease(name, write).await
     }
 }
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -6,7 +6,7 @@
 use crate::ends::BrokenSend;
 use crate::job::Job;
 use crate::knowledge::KnowledgeStamp;
-use crate::store::Revision;
+use crate::revision::Revision;
 use crate::wire::OrderEnd;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
@@ -92,7 +92,7 @@
                 reason = failure.reason,
                 catalog = stamp.catalog,
                 catalog_age_ms = stamp.catalog_age_ms,
-                endpoints_at = stamp.endpoints_at,
+                endpoints_at = %stamp.endpoints_at,
                 "caller: Refused."
             );
         }
@@ -121,7 +121,7 @@
                 time_left_ms = job.time_left(Instant::now()).as_millis() as u64,
                 catalog = stamp.catalog,
                 catalog_age_ms = stamp.catalog_age_ms,
-                endpoints_at = stamp.endpoints_at,
+                endpoints_at = %stamp.endpoints_at,
                 "route: Sent."
             );
         }
@@ -185,7 +185,7 @@
                 at_fault = lost.join(","),
                 path = describe_path(path),
                 end = end.name(),
-                endpoints_at = stamp.endpoints_at,
+                endpoints_at = %stamp.endpoints_at,
                 "route: Moved."
             );
         }
@@ -221,8 +221,8 @@
     /// A configuration was read.
     pub fn catalog_read(&self, version: Option<CatalogVersion>, at: Revision, taken: bool) {
         match taken {
-            true => tracing::info!(version, at, "catalog: Taken."),
-            false => tracing::info!(version, at, "catalog: Left, a newer one is in force."),
+            true => tracing::info!(version, %at, "catalog: Taken."),
+            false => tracing::info!(version, %at, "catalog: Left, a newer one is in force."),
         }
     }
 
@@ -249,7 +249,7 @@
             address = %record.address,
             standing = ?record.standing,
             layers = record.layers.map(|l| format!("{}-{}", l.first, l.end)),
-            at,
+            %at,
             "endpoint: Listed."
         );
     }
@@ -259,7 +259,7 @@
         tracing::info!(
             endpoint = id,
             meaning = ?removal,
-            at = stamp.endpoints_at,
+            at = %stamp.endpoints_at,
             "endpoint: Removed."
         );
     }
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -65,6 +65,8 @@
     /// Incarnation of the leader and the newest of its boards that was seen.
     boards_seen: Option<(Incarnation, u64)>,
     endpoints: Replication,
+    /// How often all endpoints were to be read again when this was last asked.
+    rereads: u64,
     /// Newest change of the leader's requests that end their endpoints that was seen.
     quarantine_seen: u64,
     /// Newest change of this VM's own that was told.
@@ -85,6 +87,7 @@
             address,
             boards_seen: None,
             endpoints: Replication::default(),
+            rereads: 0,
             quarantine_seen: 0,
             suspects_told: 0,
             limits_seen: 0,
@@ -92,6 +95,13 @@
         })
     }
 
+    /// Lets all endpoints be told anew, if they are to be read again since the last ask.
+    fn note_rereads(&mut self, rereads: u64) {
+        if std::mem::replace(&mut self.rereads, rereads) != rereads {
+            self.endpoints = Replication::default();
+        }
+    }
+
     fn seen(&self) -> Option<SeenMark> {
         let (incarnation, boards) = self.boards_seen?;
         Some(SeenMark {
@@ -184,6 +194,7 @@
         let Some(link) = link else {
             return Err(FrameError::Io(std::io::ErrorKind::NotConnected.into()));
         };
+        link.note_rereads(gateway.knowledge.rereads());
         let settings = gateway.settings();
         let told = gateway.quarantine.borrow().witnessed_since(
             link.suspects_told,
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -1,6 +1,7 @@
 //! Messages of the feed, as postcard frames over TCP.
 
 use crate::hall::{HallVms, Strength};
+use crate::revision::Revision;
 use crate::wire::EngineReport;
 use serde::{Deserialize, Serialize};
 use sillbank_catalog::prelude::*;
@@ -64,7 +65,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointNews {
     /// Revision of the store as of which it holds.
-    pub at: u64,
+    pub at: Revision,
     /// The difference, or a piece of it.
     pub difference: Difference,
 }
@@ -208,7 +209,7 @@
     /// Time since the leader's configuration was last confirmed, in milliseconds.
     pub confirmed_age_ms: Option<u64>,
     /// Revision of the store up to which it was confirmed.
-    pub confirmed_at: u64,
+    pub confirmed_at: Revision,
     /// The configuration, if it is newer.
     pub catalog: Option<CatalogParts>,
     /// What is new of endpoints; `None` if the leader has not read them yet.
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -3,8 +3,9 @@
 use crate::backoff::Backoff;
 use crate::freshness::{NEED_POLL, confirmed_by_watch};
 use crate::gateway::Gateway;
+use crate::revision::Revision;
 use crate::sources::{FIRST_LEADER_WAIT, Followed, SourceView, is_told};
-use crate::store::{CatalogRead, MetadataStore, Revision, Snapshot, StoreError};
+use crate::store::{CatalogRead, MetadataStore, Snapshot, StoreError};
 use crate::wire::Wire;
 use sillbank_catalog::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -71,7 +72,7 @@
         let was_told = wait_for_need(&gateway, Followed::Catalog).await;
         if was_told {
             // What the leader told is newer than what was last watched here.
-            since = Some(gateway.knowledge.catalog_at()).filter(|at| *at > 0);
+            since = Some(gateway.knowledge.catalog_at()).filter(|at| *at > Revision::NONE);
         }
         let sent = Instant::now();
         let wait = match was_told || has_failed {
@@ -97,12 +98,12 @@
                     excess = answered.saturating_duration_since(sent + wait);
                 }
                 if take_catalog(&gateway, read) && !gateway.knowledge.was_suspended_since(sent) {
-                    gateway.knowledge.confirm_catalog(confirmed, at);
+                    gateway.knowledge.confirm_catalog_by_store(confirmed, at);
                 }
             }
             Err(error) => {
                 has_failed = true;
-                if error == StoreError::HistoryGone {
+                if error.wants_all_read_again() {
                     since = None;
                 }
                 gateway.on_store_error("configuration", &error);
@@ -136,7 +137,7 @@
         Err(error) => {
             tracing::error!(
                 version,
-                at = read.at,
+                at = %read.at,
                 error,
                 "catalog: A configuration cannot be used; the one before stays until its lease ends."
             );
@@ -150,10 +151,14 @@
 pub async fn follow_endpoints<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
+    let mut rereads = gateway.knowledge.rereads();
     loop {
         if wait_for_need(&gateway, Followed::Endpoints).await {
             // The leader's list is newer than what was last watched here.
-            since = Some(gateway.knowledge.endpoints_at()).filter(|at| *at > 0);
+            since = Some(gateway.knowledge.endpoints_at()).filter(|at| *at > Revision::NONE);
+        }
+        if std::mem::replace(&mut rereads, gateway.knowledge.rereads()) != rereads {
+            since = None;
         }
         let changed = match since {
             None => list_endpoints(&gateway).await,
@@ -186,6 +191,7 @@
     gateway.unreadable.retain(&list.value.unreadable);
     let removals = gateway.knowledge.take_endpoints(Instant::now(), list);
     gateway.clear_older_lives();
+    gateway.log_held_back();
     gateway.on_removals(&removals);
     smol::Timer::after(GATHER).await;
     Ok(at)
@@ -211,6 +217,7 @@
     }
     let removals = gateway.knowledge.take_changes(Instant::now(), changes);
     gateway.clear_older_lives();
+    gateway.log_held_back();
     gateway.on_removals(&removals);
     if has_changes {
         smol::Timer::after(GATHER).await;
--- a/crates/sillbank_gateway/src/freshness.rs
+++ b/crates/sillbank_gateway/src/freshness.rs
@@ -34,6 +34,9 @@
 /// What a confirmation may be late by that comes by way of another hall's leader: its ask, which is answered
 /// with each confirmation, the pause after it, and a wait for the processor.
 const OTHER_HALL_DELAY: Duration = Duration::from_millis(200);
+/// Time after a restore of the store from a copy within which the operator has written the newest configuration again. What
+/// the store holds until then may lack the revocation of a key.
+pub const REWRITTEN_WITHIN: Duration = Duration::from_millis(1_000);
 /// Shortest wait of a leader's watch. Each return is a priced call.
 const LEADER_WAIT_MIN: Duration = Duration::from_millis(200);
 
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -17,8 +17,9 @@
 use crate::load::FleetLoad;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
 use crate::paths::Views;
+use crate::revision::Revision;
 use crate::settings::GatewaySettings;
-use crate::store::{Revision, StoreError};
+use crate::store::StoreError;
 use crate::streams::HeardStreams;
 use crate::unreadable::UnreadableEntries;
 use crate::vm_limits::{LimitMeter, Standing};
@@ -263,8 +264,8 @@
     /// A call to the store failed.
     pub fn on_store_error(&self, follower: &'static str, error: &StoreError) {
         self.metrics.store_errors.get_or_create(&KindLabel { kind: follower }).inc();
-        if *error == StoreError::HistoryGone {
-            tracing::info!(follower, "store: History gone; everything is read again.");
+        if error.wants_all_read_again() {
+            tracing::info!(follower, %error, "store: History gone.");
             return;
         }
         self.knowledge.on_store_trouble(Instant::now(), error.trouble());
@@ -302,10 +303,21 @@
     ) {
         let gone = self.knowledge.take_told(replication, at, difference, is_wanted);
         self.clear_older_lives();
+        self.log_held_back();
         let removals: Vec<_> = gone.into_iter().map(|id| (id, Removal::Gone)).collect();
         self.on_removals(&removals);
     }
 
+    /// Logs the endpoints whose entries in a restored store are held back.
+    pub fn log_held_back(&self) {
+        for endpoint in self.knowledge.take_held_back() {
+            tracing::info!(
+                endpoint,
+                "endpoint: Listed again by the restored store, held back: it was known to leave."
+            );
+        }
+    }
+
     /// Whether the last call to the store was answered.
     pub fn store_is_reached(&self) -> bool {
         self.store_reached.get()
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -4,6 +4,7 @@
 use crate::feed::HallBoard;
 use crate::freshness::Freshness;
 use crate::knowledge::wait_in;
+use crate::revision::Revision;
 use crate::vm_limits::others_suffice;
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
@@ -65,10 +66,10 @@
 #[derive(Debug)]
 pub struct Hall {
     /// Fence of the hall's lease while this VM holds it.
-    pub leads: Cell<Option<u64>>,
+    pub leads: Cell<Option<Revision>>,
     /// Fence under which this VM led last, until it knows of another leader. It goes on telling what it
     /// knows while the store is away and nobody can hold the lease.
-    pub tells: Cell<Option<u64>>,
+    pub tells: Cell<Option<Revision>>,
     /// Where the leader is asked, if it is another VM.
     pub leader: Cell<Option<SocketAddr>>,
     heard: Cell<Option<Instant>>,
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -1,7 +1,8 @@
 //! What the VM believes of the platform, and since when.
 
-use crate::freshness::lease_term;
-use crate::store::{Revision, Snapshot};
+use crate::freshness::{REWRITTEN_WITHIN, lease_term};
+use crate::revision::{Era, Revision};
+use crate::store::Snapshot;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_core::suspension::SuspensionWatch;
@@ -39,6 +40,10 @@
     lease: RefCell<KnowledgeLease>,
     directory: RefCell<Directory>,
     catalog_at: Cell<Revision>,
+    /// The newest era of the store that was heard of.
+    era: Cell<Option<Era>>,
+    /// When a restore of the store from a copy was last noticed.
+    restored_at: Cell<Option<Instant>>,
     endpoints_at: Cell<Revision>,
     generation: Cell<u64>,
     /// Halls of the endpoints as of a generation.
@@ -59,8 +64,10 @@
             catalog: RefCell::default(),
             lease: RefCell::new(KnowledgeLease::new(lease_term(key_revocation))),
             directory: RefCell::default(),
-            catalog_at: Cell::new(0),
-            endpoints_at: Cell::new(0),
+            catalog_at: Cell::new(Revision::NONE),
+            era: Cell::new(None),
+            restored_at: Cell::new(None),
+            endpoints_at: Cell::new(Revision::NONE),
             generation: Cell::new(0),
             halls: RefCell::default(),
             confirmations: Cell::new(0),
@@ -103,6 +110,7 @@
     /// Notes that a call sent at this moment, by this VM or one that tells of it, confirmed the
     /// configuration as of a revision. It also shows that the store was there.
     pub fn confirm_catalog(&self, sent: Instant, at: Revision) {
+        self.note_era(at);
         self.confirmations.set(self.confirmations.get() + 1);
         for waker in self.waiting_for_confirmation.take() {
             waker.wake();
@@ -117,6 +125,28 @@
         self.catalog_at.set(self.catalog_at.get().max(at));
     }
 
+    /// Notes that the store confirmed the configuration, as [`Self::confirm_catalog`], unless it was restored from a copy
+    /// so lately that the operator may not have written a newer configuration again.
+    pub fn confirm_catalog_by_store(&self, confirmed: Instant, at: Revision) {
+        self.note_era(at);
+        let is_unsettled = |restored: Instant| confirmed < restored + REWRITTEN_WITHIN;
+        if self.restored_at.get().is_some_and(is_unsettled) {
+            self.directory.borrow_mut().on_store_seen(confirmed);
+            self.catalog_at.set(self.catalog_at.get().max(at));
+            return;
+        }
+        self.confirm_catalog(confirmed, at);
+    }
+
+    /// Notes a restore of the store from a copy. The first era that is heard of is none.
+    fn note_era(&self, at: Revision) {
+        let before = self.era.get();
+        if before.is_some_and(|before| at.era > before) {
+            self.restored_at.set(Some(Instant::now()));
+        }
+        self.era.set(before.max(Some(at.era)));
+    }
+
     /// Finds out whether the machine was suspended since this was last asked. The steady clock does not count
     /// that time: a key that was taken away meanwhile was still accepted.
     fn note_suspension(&self) {
@@ -149,7 +179,7 @@
         self.lease.borrow().confirmed()
     }
 
-    /// Revision of the store up to which the configuration was confirmed; 0 if it never was.
+    /// Revision of the store up to which the configuration was confirmed; none if it never was.
     pub fn catalog_at(&self) -> Revision {
         self.catalog_at.get()
     }
@@ -162,7 +192,7 @@
 
     /// Whether the list of endpoints was read at least once.
     pub fn knows_endpoints(&self) -> bool {
-        self.endpoints_at.get() > 0
+        self.endpoints_at.get() > Revision::NONE
     }
 
     /// Takes a whole list of endpoints unless it is older than what is known; answers what became of each
@@ -173,14 +203,28 @@
         list: Snapshot<impl Into<Listing>>,
     ) -> Vec<(String, Removal)> {
         if list.at < self.endpoints_at.get() {
-            tracing::info!(at = list.at, "endpoint: A list was late; newer entries are known.");
+            tracing::info!(at = %list.at, "endpoint: A list was late; newer entries are known.");
             return Vec::new();
         }
+        self.note_endpoints_era(now, list.at);
         self.endpoints_at.set(list.at);
         self.change();
         self.directory.borrow_mut().on_listing(now, list.value)
     }
 
+    /// Lets the directory know of a restore of the store before what was read after it is taken.
+    fn note_endpoints_era(&self, now: Instant, at: Revision) {
+        self.note_era(at);
+        let known = self.endpoints_at.get();
+        if known == Revision::NONE || at.era <= known.era {
+            return;
+        }
+        tracing::info!(%at, %known, "endpoint: Entries of the restored store are taken.");
+        self.directory.borrow_mut().on_restored(now);
+        // Only the first of the answers of an era counts, also where a list comes in pieces.
+        self.endpoints_at.set(Revision::new(at.era, 0));
+    }
+
     /// Takes a difference from a VM that follows the store, unless it is older than what is known or
     /// `is_wanted` is false; answers the ids of the entries that went.
     pub fn take_told(
@@ -190,6 +234,9 @@
         difference: Difference,
         is_wanted: bool,
     ) -> Vec<EndpointId> {
+        if is_wanted {
+            self.note_endpoints_era(Instant::now(), at);
+        }
         let recency = match is_wanted && at >= self.endpoints_at.get() {
             true => Recency::Newer,
             false => Recency::Older,
@@ -208,7 +255,7 @@
         gone
     }
 
-    /// Revision of the list of endpoints; 0 if none is known.
+    /// Revision of the list of endpoints; none if none is known.
     pub fn endpoints_at(&self) -> Revision {
         self.endpoints_at.get()
     }
@@ -253,11 +300,12 @@
     ) -> Vec<(String, Removal)> {
         if changes.at < self.endpoints_at.get() {
             tracing::info!(
-                at = changes.at,
+                at = %changes.at,
                 "endpoint: Changes were late; newer entries are known."
             );
             return Vec::new();
         }
+        self.note_endpoints_era(now, changes.at);
         self.endpoints_at.set(changes.at);
         if changes.value.is_empty() {
             return Vec::new();
@@ -295,6 +343,16 @@
         self.directory.borrow_mut().take_renewed()
     }
 
+    /// Endpoints that a restored store listed again and that were held back since this was last asked.
+    pub fn take_held_back(&self) -> Vec<EndpointId> {
+        self.directory.borrow_mut().take_held_back()
+    }
+
+    /// How often all endpoints were to be read again so far.
+    pub fn rereads(&self) -> u64 {
+        self.directory.borrow().rereads()
+    }
+
     /// The store answered again.
     pub fn on_store_back(&self, now: Instant) {
         self.directory.borrow_mut().on_store_back(now);
@@ -307,8 +365,12 @@
 
     /// Ends the grace of lapsed entries; answers the ids of those that did not come back.
     pub fn on_time(&self, now: Instant) -> Vec<String> {
-        let over = self.directory.borrow_mut().on_time(now);
-        if !over.is_empty() {
+        let mut directory = self.directory.borrow_mut();
+        let before = directory.newest_change();
+        let over = directory.on_time(now);
+        let has_changed = directory.newest_change() != before;
+        drop(directory);
+        if has_changed {
             self.change();
         }
         over
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`ends`] tells an endpoint that ended under a request from a connection that broke.
 //! - [`quarantine`] holds back requests that end their endpoints, [`quarantine_store`] keeps them in the store.
 //! - [`pushback`] keeps what endpoints ask of VMs in their answers, [`limit_parts`] divides their limits among VMs.
+//! - [`revision`] orders states of the store, also across restores from a copy.
 //! - [`repeats`] says whether a request may be sent again.
 //! - [`load`] says who is let in when not all fit.
 //! - [`feed`] passes knowledge on between VMs, [`hall`] keeps who leads, [`boards`] what leaders tell of
@@ -61,6 +62,7 @@
 pub mod quarantine;
 pub mod quarantine_store;
 pub mod repeats;
+pub mod revision;
 pub mod sending;
 pub mod settings;
 pub mod sources;
@@ -75,10 +77,9 @@
 pub mod prelude {
     pub use crate::gateway::Gateway;
     pub use crate::plugins::run;
+    pub use crate::revision::{Era, Revision};
     pub use crate::settings::GatewaySettings;
-    pub use crate::store::{
-        CatalogRead, Era, MetadataStore, QuarantineObject, Revision, Snapshot, StoreError,
-    };
+    pub use crate::store::{CatalogRead, MetadataStore, QuarantineObject, Snapshot, StoreError};
     pub use crate::wire::{
         BadHead, CallerHead, EndpointReply, EngineReport, GiveUp, OrderEnd, PlaceOrder, Refusal,
         ReplyPlace, Sending, StalledRequest, TokenCounts, Unreadable, Wire,
--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -2,10 +2,11 @@
 
 use crate::gateway::{Gateway, Life};
 use crate::hall::Strength;
+use crate::revision::{Era, Revision};
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_core::prelude::*;
-use sillbank_lease::{Candidate, Lease, LeaseWrite, Moment, WriteEnd};
+use sillbank_lease::{Candidate, Lease, LeaseState, LeaseWrite, Moment, WriteEnd};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -42,7 +43,9 @@
 /// The hall's lease as this VM sees it.
 pub(super) struct Leadership<W: Wire, S: MetadataStore> {
     gateway: Rc<Gateway<W, S>>,
-    lease: Lease,
+    lease: Lease<Revision>,
+    /// Era of the store in which the lease was last looked at.
+    era: Option<Era>,
     chance: Chance,
     name: String,
     /// Where the leader is asked by what the store told at the start; the lease itself goes before it.
@@ -65,6 +68,7 @@
         Self {
             gateway: gateway.clone(),
             lease: Lease::new(candidate).retaking_own(),
+            era: gateway.store.newest_era(),
             chance: gateway.chance.clone(),
             name: lease_name(&settings.hall),
             named: None,
@@ -84,6 +88,7 @@
     /// Takes, renews or frees the lease, whichever is due.
     pub(super) async fn keep(&mut self) {
         let now = Instant::now();
+        self.note_era();
         if self.gateway.life.get() != Life::Serving {
             self.give_up().await;
             return;
@@ -106,6 +111,18 @@
         self.note();
     }
 
+    /// Notes whether the store was restored from a copy, which may have lost what was written of the lease. The first era
+    /// that is seen tells nothing.
+    fn note_era(&mut self) {
+        let era = self.gateway.store.newest_era();
+        let before = std::mem::replace(&mut self.era, era);
+        if before.is_none() || era <= before {
+            return;
+        }
+        self.lease.on_restored(moment());
+        tracing::info!(lease = self.name, holds = self.is_held(), "lease: The store was restored.");
+    }
+
     /// Looks up who leads when this VM begins: most begin while somebody does, and need not read the lease.
     async fn look_up(&mut self) {
         self.was_looked_up = true;
@@ -124,7 +141,7 @@
     }
 
     /// Reads the lease; answers the write to make, if any.
-    async fn read(&mut self) -> Option<LeaseWrite> {
+    async fn read(&mut self) -> Option<LeaseWrite<Revision>> {
         self.handed_to = None;
         let hall = &self.gateway.hall;
         let turns = (TURN_OF_VM * hall.most_hall_vms()).max(LEAST_TURNS);
@@ -134,6 +151,7 @@
         match self.gateway.store.read_lease(&self.name).await {
             Ok(read) => {
                 self.read_from = Instant::now() + LEASE_READ_INTERVAL;
+                self.note_era();
                 self.lease.on_read(moment(), read, self.chance.number())
             }
             Err(error) => {
@@ -171,7 +189,8 @@
 
     /// A VM of the hall that is to lead in place of this one.
     fn stronger(&self, now: Instant) -> Option<(VmId, SocketAddr)> {
-        let since = self.leads_since.filter(|_| self.is_held())?;
+        let is_settled = self.is_held() && self.lease.state() != LeaseState::Restored;
+        let since = self.leads_since.filter(|_| is_settled)?;
         if now.saturating_duration_since(since) < LED_FOR {
             return None;
         }
@@ -224,7 +243,12 @@
             None => {}
         }
         if held_before != fence.is_some() {
-            tracing::info!(lease = self.name, holds = fence.is_some(), fence, "lease: Changed.");
+            tracing::info!(
+                lease = self.name,
+                holds = fence.is_some(),
+                fence = fence.map(tracing::field::display),
+                "lease: Changed."
+            );
         }
     }
 }
--- a/crates/sillbank_gateway/src/quarantine_store.rs
+++ b/crates/sillbank_gateway/src/quarantine_store.rs
@@ -6,8 +6,9 @@
 use crate::freshness::NEED_POLL;
 use crate::gateway::Gateway;
 use crate::metrics::KindLabel;
+use crate::revision::Revision;
 use crate::sources::{Followed, is_told};
-use crate::store::{MetadataStore, QuarantineObject, Revision, Snapshot, StoreError};
+use crate::store::{MetadataStore, QuarantineObject, Snapshot, StoreError};
 use crate::wire::Wire;
 use sillbank_lease::WriteEnd;
 use std::rc::Rc;
@@ -39,8 +40,8 @@
         };
         match read {
             Ok(read) => {
-                since = Some(read.at);
                 pause = PAUSE;
+                since = Some(read.at);
                 take(&gateway, &read);
             }
             Err(error) => {
@@ -91,7 +92,7 @@
     let end = gateway.store.write_quarantine(expected, &record).await;
     if let WriteEnd::Written(at) = end {
         gateway.quarantine.borrow_mut().on_written(&record, now_unix_ms);
-        tracing::info!(requests = record.suspects.len(), at, "quarantine: Written to the store.");
+        tracing::info!(requests = record.suspects.len(), %at, "quarantine: Written to the store.");
     }
     Ok(())
 }
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -1,5 +1,6 @@
 //! The platform's store, as far as the gateway uses it.
 
+use crate::revision::{Era, Revision};
 use sillbank_catalog::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_lease::{LeaseRecord, LeaseWrite, WriteEnd};
@@ -7,12 +8,6 @@
 use std::future::Future;
 use std::time::Duration;
 
-/// Number of the store's history; it rises each time the store is restored from a copy. 0 if the store names none.
-pub type Era = u64;
-
-/// Revision of the store; each change raises it.
-pub type Revision = u64;
-
 /// What was read, and the revision as of which it holds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Snapshot<T> {
@@ -37,6 +32,9 @@
     /// The revision to go on from is too old.
     #[error("the store's history does not reach back; read everything again")]
     HistoryGone,
+    /// The store was restored from a copy; what was read before belongs to another history.
+    #[error("the store was restored from a copy; read everything again")]
+    Restored,
     /// The answer cannot be read.
     #[error("the store's answer cannot be read ({0}); check the platform's version")]
     Unreadable(String),
@@ -46,6 +44,11 @@
 const TOO_MANY_CALLS: u16 = 429;
 
 impl StoreError {
+    /// Whether the store answered, and what was read before cannot be gone on from.
+    pub fn wants_all_read_again(&self) -> bool {
+        matches!(self, Self::HistoryGone | Self::Restored)
+    }
+
     /// What the failure tells of the entries of endpoints.
     pub fn trouble(&self) -> StoreTrouble {
         match self {
@@ -69,6 +72,9 @@
 
 /// The store's calls. Each is one call on the wire, which is counted and priced.
 pub trait MetadataStore: Clone + 'static {
+    /// The newest era that an answer named; `None` if none did.
+    fn newest_era(&self) -> Option<Era>;
+
     /// Reads the newest configuration; `None` if there is none yet.
     fn read_catalog(
         &self,
@@ -121,8 +127,12 @@
         &self,
         expected: Option<Revision>,
         record: &QuarantineRecord,
-    ) -> impl Future<Output = WriteEnd>;
+    ) -> impl Future<Output = WriteEnd<Revision>>;
 
     /// Carries out the write of a lease.
-    fn write_lease(&self, name: &str, write: &LeaseWrite) -> impl Future<Output = WriteEnd>;
+    fn write_lease(
+        &self,
+        name: &str,
+        write: &LeaseWrite<Revision>,
+    ) -> impl Future<Output = WriteEnd<Revision>>;
 }
--- a/crates/sillbank_gateway/tests/forecasts.rs
+++ b/crates/sillbank_gateway/tests/forecasts.rs
@@ -12,6 +12,7 @@
 use sillbank_gateway::knowledge::Knowledge;
 use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::paths::{PathAsk, Views, choose_path};
+use sillbank_gateway::revision::Revision;
 use sillbank_gateway::store::Snapshot;
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
@@ -91,7 +92,7 @@
     let now = Instant::now();
     let chance = Chance::with_seed(SEED);
     let (knowledge, hall) = (Knowledge::new(Duration::from_secs(5)), Hall::new(chance.clone()));
-    knowledge.take_endpoints(now, Snapshot { at: 1, value: vec![record] });
+    knowledge.take_endpoints(now, Snapshot { at: Revision::new(1, 1), value: vec![record] });
     if let Some(state) = told {
         let leader = "10.0.0.1:7000".parse().expect("an address");
         let (hall_name, engines) = (HOME.to_owned(), vec![state]);
--- a/crates/sillbank_gateway/tests/freshness.rs
+++ b/crates/sillbank_gateway/tests/freshness.rs
@@ -6,6 +6,7 @@
     Freshness, NEED_POLL, NEWS_WAIT, confirmed_by_watch, lease_term,
 };
 use sillbank_gateway::hall::{Hall, HallVms};
+use sillbank_gateway::revision::Revision;
 use std::time::{Duration, Instant};
 
 /// Bounds for configurations to be in force on the sites known.
@@ -91,7 +92,7 @@
         hall_vms: HallVms { vms: 2, fit: 2 },
         held_ms,
         confirmed_age_ms: Some(confirmed_age_ms),
-        confirmed_at: 9,
+        confirmed_at: Revision::new(1, 9),
         catalog: None,
         endpoints: None,
         boards: Vec::new(),
--- a/crates/sillbank_gateway/tests/hall.rs
+++ b/crates/sillbank_gateway/tests/hall.rs
@@ -4,6 +4,7 @@
 use sillbank_gateway::feed::{EngineState, HallBoard};
 use sillbank_gateway::freshness::Freshness;
 use sillbank_gateway::hall::{Hall, HallVms};
+use sillbank_gateway::revision::Revision;
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -67,7 +68,7 @@
     let (hall, now, freshness) = (unknown_hall(), Instant::now(), freshness());
     hall.on_news(now, Some(now), HOLDS_LEASE);
 
-    hall.tells.set(Some(7));
+    hall.tells.set(Some(Revision::new(1, 7)));
 
     assert!(!hall.leader_suffices(now, freshness));
 }
@@ -183,7 +184,7 @@
     }
 
     led.on_news(now, Some(now), HOLDS_LEASE);
-    tells.tells.set(Some(7));
+    tells.tells.set(Some(Revision::new(1, 7)));
 
     let pauses = [&tells, &alone, &led].map(|hall| hall.longest_pause(now, freshness()));
     assert!(pauses.is_sorted(), "{pauses:?}");
@@ -308,7 +309,7 @@
 /// A hall that this VM leads, and that hears of the leaders of others.
 fn led_hall(now: Instant) -> Hall {
     let hall = unknown_hall();
-    hall.tells.set(Some(1));
+    hall.tells.set(Some(Revision::new(1, 1)));
     hall.on_other_news("b", now, Some(now), true);
     hall
 }
@@ -393,7 +394,7 @@
 #[test]
 fn a_leader_counts_the_vms_that_are_fit_and_leaves_its_work_to_them_only_if_they_suffice() {
     let (hall, now) = (unknown_hall(), Instant::now());
-    hall.tells.set(Some(1));
+    hall.tells.set(Some(Revision::new(1, 1)));
     asks(&hall, "g2", 10.0, now);
     asks(&hall, "g3", 0.0, now);
     asks(&hall, "g4", 0.0, now);
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -3,12 +3,17 @@
 use sillbank_catalog::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_gateway::knowledge::Knowledge;
+use sillbank_gateway::revision::Revision;
 use sillbank_gateway::store::Snapshot;
 use sillbank_testing::for_fixed_seeds;
 use std::time::{Duration, Instant};
 
 const REVOCATION: Duration = Duration::from_secs(5);
 
+fn revision(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn offer(knowledge: &Knowledge, version: u64) -> bool {
     let parts = CatalogParts { version, ..CatalogParts::default() };
     let catalog = Catalog::new(parts.clone()).expect("it is valid");
@@ -34,7 +39,7 @@
     let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
     offer(&knowledge, 1);
 
-    knowledge.confirm_catalog(now, 1);
+    knowledge.confirm_catalog(now, revision(1));
 
     assert!(knowledge.is_fresh(now + Duration::from_millis(4_700)));
     assert!(!knowledge.is_fresh(now + Duration::from_millis(4_800)));
@@ -47,7 +52,7 @@
     // Arrange
     let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
     offer(&knowledge, 1);
-    knowledge.confirm_catalog(now, 1);
+    knowledge.confirm_catalog(now, revision(1));
 
     // Act
     knowledge.on_suspended(Duration::from_secs(3), now);
@@ -78,7 +83,7 @@
 fn a_confirmation_without_a_configuration_means_nothing() {
     let (knowledge, now) = (Knowledge::new(REVOCATION), Instant::now());
 
-    knowledge.confirm_catalog(now, 1);
+    knowledge.confirm_catalog(now, revision(1));
 
     assert!(!knowledge.is_fresh(now));
 }
@@ -109,7 +114,7 @@
 
 fn knowledge_of_two() -> Knowledge {
     let knowledge = Knowledge::new(REVOCATION);
-    let list = Snapshot { at: 9, value: vec![record("a"), record("b")] };
+    let list = Snapshot { at: revision(9), value: vec![record("a"), record("b")] };
     knowledge.take_endpoints(Instant::now(), list);
     knowledge
 }
@@ -118,28 +123,29 @@
 fn an_older_list_from_a_leader_is_left() {
     let (knowledge, mut replication) = (knowledge_of_two(), Replication::default());
 
-    let gone = knowledge.take_told(&mut replication, 8, told_by_leader(&["b"], 10), true);
+    let gone = knowledge.take_told(&mut replication, revision(8), told_by_leader(&["b"], 10), true);
 
     assert!(gone.is_empty());
     assert_eq!(knowledge.endpoints(Directory::len), 2);
-    assert_eq!(knowledge.endpoints_at(), 9);
+    assert_eq!(knowledge.endpoints_at(), revision(9));
 }
 
 #[test]
 fn a_newer_list_from_a_leader_replaces_all() {
     let (knowledge, mut replication) = (knowledge_of_two(), Replication::default());
 
-    let gone = knowledge.take_told(&mut replication, 10, told_by_leader(&["b"], 10), true);
+    let gone =
+        knowledge.take_told(&mut replication, revision(10), told_by_leader(&["b"], 10), true);
 
     assert_eq!(gone, vec!["a".to_owned()]);
-    assert_eq!(knowledge.endpoints_at(), 10);
+    assert_eq!(knowledge.endpoints_at(), revision(10));
 }
 
 #[test]
 fn a_list_of_which_a_piece_was_told_is_not_known_yet() {
     let (knowledge, mut replication) = (Knowledge::new(REVOCATION), Replication::default());
 
-    knowledge.take_told(&mut replication, 10, told_by_leader(&["a", "b"], 1), true);
+    knowledge.take_told(&mut replication, revision(10), told_by_leader(&["a", "b"], 1), true);
 
     assert!(!knowledge.knows_endpoints());
 }
@@ -147,11 +153,11 @@
 #[test]
 fn a_list_that_is_not_wanted_is_asked_for_anew_when_it_is() {
     let (knowledge, mut replication) = (knowledge_of_two(), Replication::default());
-    knowledge.take_told(&mut replication, 10, told_by_leader(&["b"], 10), false);
+    knowledge.take_told(&mut replication, revision(10), told_by_leader(&["b"], 10), false);
     assert_eq!(knowledge.endpoints(Directory::len), 2);
 
     let nothing_new = Difference { begins_anew: false, changes: vec![], goes_on: false, seen: 1 };
-    knowledge.take_told(&mut replication, 10, nothing_new, true);
+    knowledge.take_told(&mut replication, revision(10), nothing_new, true);
 
     assert_eq!(replication.seen(), 0);
 }
--- a/crates/sillbank_gateway/tests/load.rs
+++ b/crates/sillbank_gateway/tests/load.rs
@@ -17,6 +17,7 @@
 use sillbank_gateway::load::{FleetLoad, LoadAsk, NotLetIn, fleet_room};
 use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::paths::Views;
+use sillbank_gateway::revision::Revision;
 use sillbank_gateway::store::Snapshot;
 use sillbank_pushback::prelude::*;
 use std::cell::RefCell;
@@ -88,7 +89,7 @@
         let knowledge = Knowledge::new(Duration::from_secs(60));
         let ids = [("low-1", 0), ("low-2", 0), ("high-1", 10), ("high-2", 10)];
         let value = ids.map(|(id, first)| record(id, first, first + 10)).to_vec();
-        knowledge.take_endpoints(start, Snapshot { at: 1, value });
+        knowledge.take_endpoints(start, Snapshot { at: Revision::new(1, 1), value });
         Self {
             knowledge,
             hall: Hall::new(Chance::with_seed(1)),
@@ -243,7 +244,7 @@
     let vm = Vm::new();
     let mut records: Vec<EndpointRecord> = vec![record("low-1", 0, 10), record("high-1", 10, 20)];
     records[0].born_ms = Some(2);
-    vm.knowledge.take_endpoints(vm.start, Snapshot { at: 2, value: records });
+    vm.knowledge.take_endpoints(vm.start, Snapshot { at: Revision::new(1, 2), value: records });
 
     let told_of = |born_ms| {
         let low = EngineState { born_ms, ..engine("low-1", 0, 10, 500) };
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -14,6 +14,7 @@
 use sillbank_gateway::knowledge::Knowledge;
 use sillbank_gateway::mechanisms::Mechanisms;
 use sillbank_gateway::paths::{PathAsk, Views, choose_path, risked_engine};
+use sillbank_gateway::revision::Revision;
 use sillbank_gateway::store::Snapshot;
 use sillbank_layers::prelude::*;
 use sillbank_pushback::prelude::*;
@@ -118,7 +119,7 @@
     }
 
     fn knows(&self, records: &[EndpointRecord]) {
-        let list = Snapshot { at: 1, value: records.to_vec() };
+        let list = Snapshot { at: Revision::new(1, 1), value: records.to_vec() };
         self.knowledge.take_endpoints(Instant::now(), list);
     }
 
--- a/crates/sillbank_gateway/tests/support/fleet.rs
+++ b/crates/sillbank_gateway/tests/support/fleet.rs
@@ -4,6 +4,7 @@
 use sillbank_gateway::backoff::{Backoff, Pause};
 use sillbank_gateway::freshness::{Freshness, NEED_POLL, NEWS_WAIT, confirmed_by_watch};
 use sillbank_gateway::hall::Hall;
+use sillbank_gateway::revision::Revision;
 use sillbank_gateway::sources::{Followed, SourceNeed, SourceView, is_told};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -99,7 +100,7 @@
             let hall = Hall::new(chance.clone());
             hall.note_hall_vms(vms as u32);
             match place.leads {
-                true => hall.tells.set(Some(1)),
+                true => hall.tells.set(Some(Revision::new(1, 1))),
                 false => hall.on_news(began, Some(began), true),
             }
             Vm {
