Quarantine: what a restored store has lost is written to it again

Requests that end their endpoints are kept in the store for VMs that begin later. A store restored from a copy that lacks the object answered 'nothing there', which was passed over, so VMs went on taking their requests for stored: after all VMs were killed the next caller ended two engines more. A read of everything that finds no object says now that nothing is stored; a watch without news still says nothing.

request_ends_engines_store_restored: failed 3 of 3 before, passes 3 of 3.

--- a/crates/sillbank_gateway/src/quarantine_store.rs
+++ b/crates/sillbank_gateway/src/quarantine_store.rs
@@ -11,6 +11,7 @@
 use crate::store::{MetadataStore, QuarantineObject, Snapshot, StoreError};
 use crate::wire::Wire;
 use sillbank_lease::WriteEnd;
+use sillbank_quarantine::prelude::*;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -41,8 +42,10 @@
         match read {
             Ok(read) => {
                 pause = PAUSE;
-                since = Some(read.at);
-                take(&gateway, &read);
+                match since.replace(read.at) {
+                    None => take_whole(&gateway, &read),
+                    Some(_) => take(&gateway, &read),
+                }
             }
             Err(error) => {
                 since = None;
@@ -82,7 +85,7 @@
 /// Reads the object, adds what it lacks and writes it, unless another VM did so in between: then it is due again.
 async fn write_once<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>) -> Result<(), StoreError> {
     let read = gateway.store.read_quarantine().await?;
-    take(gateway, &read);
+    take_whole(gateway, &read);
     let now_unix_ms = unix_ms();
     let due = gateway.quarantine.borrow().due_record(Instant::now(), now_unix_ms);
     let Some(record) = due else {
@@ -109,6 +112,18 @@
     gateway.on_quarantine_events(&events);
 }
 
+/// Takes what a read of everything found. A restored store may have lost the object: what it held is written again then.
+fn take_whole<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    read: &Snapshot<Option<QuarantineObject>>,
+) {
+    if read.value.is_none() {
+        let nothing = QuarantineRecord::default();
+        gateway.quarantine.borrow_mut().on_stored(&nothing, Instant::now(), unix_ms());
+    }
+    take(gateway, read);
+}
+
 fn note_error<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, error: &StoreError) {
     gateway.metrics.store_errors.get_or_create(&KindLabel { kind: "quarantine" }).inc();
     tracing::debug!(%error, "quarantine: The store was not read or written.");
