Fleet: a call that fails after a newer one was answered is no new outage

Callers were sent to endpoints that had left up to 5 s before: a watch of endpoints whose connection went silent fails after 3.7 s, seconds after the store was back for other calls. It counted as a new outage, so removals counted as lapsed entries for the grace of 2.3 s from then. A failed call is judged by when it was sent now, not by when it failed.

a_call_that_was_sent_before_an_answered_one_is_no_new_outage_when_it_fails: failed before, passes.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -72,7 +72,7 @@
     fn default() -> Self {
         Self {
             entries: BTreeMap::new(),
-            reach: StoreReach::Steady,
+            reach: StoreReach::default(),
             newest: 0,
             by_number: BTreeMap::new(),
             removals: Removals::default(),
@@ -85,9 +85,9 @@
 }
 
 impl Directory {
-    /// A call to the store failed.
-    pub fn on_store_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
-        self.reach.on_trouble(now, trouble);
+    /// A call to the store that was sent at a moment failed.
+    pub fn on_store_trouble(&mut self, sent: Instant, trouble: StoreTrouble) {
+        self.reach.on_trouble(sent, trouble);
     }
 
     /// The store answered this VM or another one that tells of it, to a call that was sent at a moment.
--- a/crates/sillbank_fleet/src/reach.rs
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -17,56 +17,67 @@
 }
 
 /// What this VM knows of the store's reachability.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StoreReach {
+#[derive(Debug, Default)]
+pub(crate) struct StoreReach {
+    state: ReachState,
+    /// When the newest call was sent that is known to have been answered.
+    answered: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum ReachState {
+    #[default]
     Steady,
-    /// Calls failed, the last one at this moment.
+    /// Calls failed, the last one was sent at this moment.
     Away(Instant),
     BackSince(Instant),
 }
 
 impl StoreReach {
-    /// A call to the store failed.
-    pub(crate) fn on_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
+    /// A call that was sent at a moment failed. One that was sent before another that was answered tells of its
+    /// connection only.
+    pub(crate) fn on_trouble(&mut self, sent: Instant, trouble: StoreTrouble) {
+        let is_outdated = self.answered.is_some_and(|answered| answered > sent);
         match trouble {
-            StoreTrouble::Away => *self = Self::Away(now),
-            StoreTrouble::TurnsAway => {}
+            StoreTrouble::Away if !is_outdated => self.state = ReachState::Away(sent),
+            StoreTrouble::Away | StoreTrouble::TurnsAway => {}
         }
     }
 
     /// The store answered a call that was sent at a moment. Only what was sent after the last failed call
     /// ends an outage.
     pub(crate) fn on_seen(&mut self, sent: Instant) {
-        if matches!(*self, Self::Away(since) if sent > since) {
-            *self = Self::BackSince(sent);
+        self.answered = self.answered.max(Some(sent));
+        if matches!(self.state, ReachState::Away(since) if sent > since) {
+            self.state = ReachState::BackSince(sent);
         }
     }
 
     /// The store answered a call that may have been sent before others failed.
     pub(crate) fn on_back(&mut self, now: Instant) {
-        if matches!(*self, Self::Away(_)) {
-            *self = Self::BackSince(now);
+        if matches!(self.state, ReachState::Away(_)) {
+            self.state = ReachState::BackSince(now);
         }
     }
 
     /// The store was restored from a copy: it was away, also if no call failed.
     pub(crate) fn on_restored(&mut self, now: Instant) {
-        *self = Self::BackSince(now);
+        self.state = ReachState::BackSince(now);
     }
 
     /// The grace after the store's return is over.
     pub(crate) fn end_grace(&mut self) {
-        if matches!(*self, Self::BackSince(_)) {
-            *self = Self::Steady;
+        if matches!(self.state, ReachState::BackSince(_)) {
+            self.state = ReachState::Steady;
         }
     }
 
     /// Whether an entry that is missing may have lapsed.
-    pub(crate) fn may_lapse(self, now: Instant) -> bool {
-        match self {
-            Self::Steady => false,
-            Self::Away(_) => true,
-            Self::BackSince(back) => now.saturating_duration_since(back) < LAPSE_GRACE,
+    pub(crate) fn may_lapse(&self, now: Instant) -> bool {
+        match self.state {
+            ReachState::Steady => false,
+            ReachState::Away(_) => true,
+            ReachState::BackSince(back) => now.saturating_duration_since(back) < LAPSE_GRACE,
         }
     }
 }
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -158,6 +158,18 @@
     assert_eq!(removal, Some(Removal::Lapsed));
 }
 
+/// A watch that went silent failed seconds after the store was back, and removals counted as lapsed for as long again.
+#[test]
+fn a_call_that_was_sent_before_an_answered_one_is_no_new_outage_when_it_fails() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_store_seen(now + Duration::from_secs(1));
+
+    directory.on_store_trouble(now, StoreTrouble::Away);
+    let removal = directory.on_change(now + Duration::from_secs(4), removed("a"));
+
+    assert_eq!(removal, Some(Removal::Gone));
+}
+
 fn unreadable(id: &str) -> UnreadableEntry {
     UnreadableEntry { id: id.to_owned(), version: Some(7), reason: "no address".to_owned() }
 }
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -106,7 +106,7 @@
                 if error.wants_all_read_again() {
                     since = None;
                 }
-                gateway.on_store_error("configuration", &error);
+                gateway.on_store_error("configuration", sent, &error);
                 pause(&mut backoff, &gateway).await;
             }
         }
@@ -160,6 +160,7 @@
         if std::mem::replace(&mut rereads, gateway.knowledge.rereads()) != rereads {
             since = None;
         }
+        let sent = Instant::now();
         let changed = match since {
             None => list_endpoints(&gateway).await,
             Some(since) => watch_endpoints(&gateway, since).await,
@@ -170,7 +171,7 @@
                 since = Some(at);
             }
             Err(error) => {
-                gateway.on_store_error("endpoints", &error);
+                gateway.on_store_error("endpoints", sent, &error);
                 // What was missed is read again whole: a watch that was cut may have missed changes.
                 since = None;
                 pause(&mut backoff, &gateway).await;
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -358,9 +358,9 @@
         self.directory.borrow_mut().on_store_back(now);
     }
 
-    /// A call to the store failed.
-    pub fn on_store_trouble(&self, now: Instant, trouble: StoreTrouble) {
-        self.directory.borrow_mut().on_store_trouble(now, trouble);
+    /// A call to the store that was sent at a moment failed.
+    pub fn on_store_trouble(&self, sent: Instant, trouble: StoreTrouble) {
+        self.directory.borrow_mut().on_store_trouble(sent, trouble);
     }
 
     /// Ends the grace of lapsed entries; answers the ids of those that did not come back.
