Fleet: entries that may have lapsed are told as such

Callers were sent to endpoints that had left, for as long as 5 s and until the endpoint started again: a VM that reads the store had seen the entry go, then took a list of another VM on which the entry counted as lapsed, and with it the endpoint as listed. That VM dropped it later, but by then nobody was asked any more. The told list said nothing of the difference.

A lapsed entry is told by its id alone: it brings no endpoint back, and goes by itself after the grace where nobody tells more.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -2,7 +2,7 @@
 
 use crate::difference::{ChangeNumber, Difference, Removals};
 use crate::lives::{LifeOrder, compare_lives};
-use crate::reach::{StoreReach, StoreTrouble};
+use crate::reach::{LAPSE_GRACE, StoreReach, StoreTrouble};
 use crate::record::{BornMs, EndpointRecord, Listing, Standing, UnreadableEntry};
 use crate::restore::RestoreGuard;
 use serde::{Deserialize, Serialize};
@@ -24,6 +24,22 @@
     },
     /// The entry cannot be read any more.
     Unreadable(UnreadableEntry),
+    /// The entry is not listed any more and its endpoint is still used, as the entry may have lapsed. Only told by other VMs.
+    Lapsed {
+        /// Whose entry it was.
+        id: EndpointId,
+    },
+}
+
+/// Whether an entry is still listed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lapse {
+    /// It is.
+    Listed,
+    /// It may have lapsed, by what this VM knows of the store.
+    Own,
+    /// Another VM told that it may have lapsed; believed until this moment, which is set when time next passes.
+    Told(Option<Instant>),
 }
 
 /// What the removal of an entry means.
@@ -44,7 +60,7 @@
     record: EndpointRecord,
     /// The newest life that was heard of, by the entry or by the endpoint's own report.
     newest_life: Option<BornMs>,
-    lapsed: bool,
+    lapse: Lapse,
     /// Number of the change that made the record what it is.
     number: ChangeNumber,
 }
@@ -144,6 +160,10 @@
                 self.on_unreadable(&entry.id);
                 false
             }
+            Change::Lapsed { id } => {
+                self.on_told_lapse(&id);
+                false
+            }
         }
     }
 
@@ -161,9 +181,9 @@
         if order == LifeOrder::Same {
             return;
         }
-        let (record, lapsed) = (known.record.clone(), known.lapsed);
+        let (record, lapse) = (known.record.clone(), known.lapse);
         self.renewed.push(id.to_owned());
-        self.keep(EndpointRecord { layers: None, ..record }, Some(born_ms), lapsed);
+        self.keep(EndpointRecord { layers: None, ..record }, Some(born_ms), lapse);
     }
 
     /// The newest life of an endpoint that was heard of.
@@ -241,6 +261,10 @@
                 self.on_unreadable(&entry.id);
                 None
             }
+            Change::Lapsed { id } => {
+                self.on_told_lapse(&id);
+                None
+            }
         }
     }
 
@@ -250,16 +274,21 @@
         if let Some(guard) = self.restored.take_if(|guard| guard.is_over(now)) {
             self.rereads += u64::from(guard.has_held());
         }
-        if self.reach.may_lapse(now) {
-            return Vec::new();
+        let may_lapse = self.reach.may_lapse(now);
+        if !may_lapse {
+            self.reach.end_grace();
+        }
+        let mut over: Vec<EndpointId> = Vec::new();
+        for (id, known) in &mut self.entries {
+            let is_over = match &mut known.lapse {
+                Lapse::Listed => false,
+                Lapse::Own => !may_lapse,
+                Lapse::Told(until) => now >= *until.get_or_insert(now + LAPSE_GRACE),
+            };
+            if is_over {
+                over.push(id.clone());
+            }
         }
-        self.reach.end_grace();
-        let over: Vec<EndpointId> = self
-            .entries
-            .iter()
-            .filter(|(_, known)| known.lapsed)
-            .map(|(id, _)| id.clone())
-            .collect();
         for id in &over {
             self.take_out(id);
         }
@@ -302,7 +331,11 @@
     fn puts_since(&self, since: ChangeNumber) -> impl Iterator<Item = (ChangeNumber, Change)> {
         self.by_number.range(since.saturating_add(1)..).filter_map(|(number, id)| {
             let known = self.entries.get(id)?;
-            Some((*number, Change::Put(known.record.clone())))
+            let change = match known.lapse {
+                Lapse::Listed => Change::Put(known.record.clone()),
+                Lapse::Own | Lapse::Told(_) => Change::Lapsed { id: id.clone() },
+            };
+            Some((*number, change))
         })
     }
 
@@ -350,21 +383,21 @@
             LifeOrder::Same => {}
         }
         let newest_life = record.born_ms.max(newest_life);
-        self.keep(record, newest_life, false);
+        self.keep(record, newest_life, Lapse::Listed);
     }
 
-    fn keep(&mut self, record: EndpointRecord, newest_life: Option<BornMs>, lapsed: bool) {
+    fn keep(&mut self, record: EndpointRecord, newest_life: Option<BornMs>, lapse: Lapse) {
         if let Some(known) = self.entries.get_mut(&record.id)
             && known.record == record
+            && known.lapse == lapse
         {
-            known.lapsed = lapsed;
             known.newest_life = newest_life;
             return;
         }
         self.newest += 1;
         self.removals.forget(&record.id);
         self.by_number.insert(self.newest, record.id.clone());
-        let known = Known { lapsed, newest_life, number: self.newest, record };
+        let known = Known { lapse, newest_life, number: self.newest, record };
         if let Some(before) = self.entries.insert(known.record.id.clone(), known) {
             self.by_number.remove(&before.number);
         }
@@ -375,7 +408,24 @@
         if let Some(known) = self.entries.get(id) {
             let newest_life = known.newest_life;
             let record = EndpointRecord { standing: Standing::Leaving, ..known.record.clone() };
-            self.keep(record, newest_life, false);
+            self.keep(record, newest_life, Lapse::Listed);
+        }
+    }
+
+    /// Another VM told of an entry that may have lapsed. It brings no endpoint back: who has none of its entries has seen it
+    /// go, or has not seen it yet.
+    fn on_told_lapse(&mut self, id: &str) {
+        let is_listed = |known: &Known| known.lapse == Lapse::Listed;
+        if self.entries.get(id).is_some_and(is_listed) {
+            self.lapse(id, Lapse::Told(None));
+        }
+    }
+
+    /// Marks an entry as one that may have lapsed; whoever is told of this directory hears of it.
+    fn lapse(&mut self, id: &str, lapse: Lapse) {
+        if let Some(known) = self.entries.get(id) {
+            let (record, newest_life) = (known.record.clone(), known.newest_life);
+            self.keep(record, newest_life, lapse);
         }
     }
 
@@ -398,11 +448,11 @@
 
     fn remove(&mut self, now: Instant, id: &str) -> Removal {
         let may_lapse = self.reach.may_lapse(now);
-        let Some(known) = self.entries.get_mut(id) else {
+        let Some(known) = self.entries.get(id) else {
             return Removal::Unknown;
         };
         if may_lapse && known.record.standing == Standing::Ready {
-            known.lapsed = true;
+            self.lapse(id, Lapse::Own);
             return Removal::Lapsed;
         }
         self.take_out(id);
--- a/crates/sillbank_fleet/src/replication.rs
+++ b/crates/sillbank_fleet/src/replication.rs
@@ -70,6 +70,8 @@
                 Change::Removed { id, .. } => (id.clone(), false),
                 // It is still listed.
                 Change::Unreadable(entry) => (entry.id.clone(), true),
+                // Whoever has it goes on using it.
+                Change::Lapsed { id } => (id.clone(), true),
             };
             if let Some(listed) = &mut self.listed {
                 match is_put {
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -3,7 +3,7 @@
 use sillbank_fleet::prelude::*;
 use sillbank_fleet::{MAX_REMOVALS, Replication};
 use sillbank_testing::for_fixed_seeds;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 fn removed(id: &str) -> Change {
     Change::Removed { id: id.to_owned(), born_ms: None }
@@ -107,6 +107,61 @@
     assert_eq!(records(&copy), records(&source));
 }
 
+/// A source that still uses an entry which is not listed any more.
+fn source_with_lapsed(id: &str, now: Instant) -> Directory {
+    let mut source = source(&["a", "b"]);
+    source.on_store_trouble(now, StoreTrouble::Away);
+    assert_eq!(source.on_change(now, removed(id)), Some(Removal::Lapsed));
+    source
+}
+
+/// A VM that reads the store itself knew that an endpoint had left, and took it up again when another VM told of an entry that
+/// had lapsed there; nobody told it later that it was gone.
+#[test]
+fn a_lapsed_entry_that_is_told_does_not_bring_an_endpoint_back() {
+    let now = Instant::now();
+    let teller = source_with_lapsed("a", now);
+    let (mut replication, mut own) = (Replication::default(), source(&["a", "b"]));
+    own.on_change(now, removed("a"));
+
+    catch_up(&mut replication, &mut own, &teller, 10);
+
+    assert!(own.get("a").is_none());
+    assert!(own.usable("b").is_some());
+}
+
+#[test]
+fn an_entry_that_is_told_as_lapsed_goes_by_itself_where_nobody_tells_any_more() {
+    let now = Instant::now();
+    let teller = source_with_lapsed("a", now);
+    let (mut replication, mut own) = (Replication::default(), source(&["a", "b"]));
+    catch_up(&mut replication, &mut own, &teller, 10);
+
+    own.on_time(now);
+    own.on_time(now + LAPSE_GRACE - Duration::from_millis(1));
+    let is_used = own.usable("a").is_some();
+    let gone = own.on_time(now + LAPSE_GRACE);
+
+    assert!(is_used);
+    assert_eq!(gone, vec!["a".to_owned()]);
+}
+
+#[test]
+fn an_entry_that_was_told_as_lapsed_and_is_listed_again_stays() {
+    let now = Instant::now();
+    let mut teller = source_with_lapsed("a", now);
+    let (mut replication, mut own) = (Replication::default(), source(&["a", "b"]));
+    catch_up(&mut replication, &mut own, &teller, 10);
+
+    teller.on_change(now, Change::Put(record("a", 1)));
+    catch_up(&mut replication, &mut own, &teller, 10);
+    own.on_time(now);
+    let gone = own.on_time(now + LAPSE_GRACE);
+
+    assert!(gone.is_empty());
+    assert!(own.usable("a").is_some());
+}
+
 #[test]
 fn a_new_source_ends_what_it_does_not_list_also_during_an_outage() {
     let (mut replication, mut copy) = (Replication::default(), source(&["a", "b"]));
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -213,7 +213,7 @@
                 gateway.decisions.endpoint_listed(record, at);
             }
             Change::Unreadable(entry) => gateway.on_unreadable(entry),
-            Change::Removed { .. } => {}
+            Change::Removed { .. } | Change::Lapsed { .. } => {}
         }
     }
     let removals = gateway.knowledge.take_changes(Instant::now(), changes);
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -316,7 +316,7 @@
         for change in changes.value {
             let id = match &change {
                 Change::Put(record) => record.id.clone(),
-                Change::Removed { id, .. } => id.clone(),
+                Change::Removed { id, .. } | Change::Lapsed { id } => id.clone(),
                 Change::Unreadable(entry) => entry.id.clone(),
             };
             if let Some(removal) = directory.on_change(now, change) {
