Follow: a silent watch of endpoints is given up in time

Callers were sent to endpoints that had left: a watch of endpoints whose answer was lost was waited for 3.7 s (its wait and the store's limit), while the watch of the configuration, on another connection, showed that the store was there.

The watch begins again when another call finds the store back or restored; it waits 1.5 s at most, so that it is given up after 2.7 s where nothing else fails. A restored store counts as away until the first call that saw its era, not until the list is read. Costs 0.3 calls a second of the one VM that follows for all, worked out.

Gauge of the store's era and counter of entries held back.

--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -13,8 +13,8 @@
 use std::time::{Duration, Instant};
 
 /// How long a watch of endpoints waits. A watch that was cut off without a word is noticed after
-/// this and the store's own limit for an answer.
-pub const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_500);
+/// this and the store's own limit for an answer, so that both together bound how old a list may be.
+pub const ENDPOINTS_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause after changes of endpoints before the next watch, so that changes that come together cost
 /// one call. An endpoint that leaves must get no work after two seconds.
 const GATHER: Duration = Duration::from_millis(300);
@@ -89,7 +89,7 @@
                 let answered = Instant::now();
                 backoff = Backoff::default();
                 has_failed = false;
-                gateway.on_store_answer("configuration");
+                gateway.on_store_answer("configuration", read.at);
                 since = Some(read.at);
                 let at = read.at;
                 let mut confirmed = sent;
@@ -184,8 +184,8 @@
     gateway: &Gateway<W, S>,
 ) -> Result<Revision, StoreError> {
     let list = gateway.store.list_endpoints().await?;
-    gateway.on_store_answer("endpoints");
     let at = list.at;
+    gateway.on_store_answer("endpoints", at);
     for entry in &list.value.unreadable {
         gateway.on_unreadable(entry);
     }
@@ -198,14 +198,32 @@
     Ok(at)
 }
 
+/// Waits for changes, unless another call finds that the store was away and is back: the watch may have been sent on a
+/// connection that is silent since, and would be waited for until its limit. `None` if so.
+async fn changes_or_store_return<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    since: Revision,
+) -> Result<Option<Snapshot<Vec<Change>>>, StoreError> {
+    let watch = async { gateway.store.watch_endpoints(since, ENDPOINTS_WAIT).await.map(Some) };
+    let returned = async {
+        gateway.knowledge.store_returned().await;
+        tracing::debug!("store: The watch of endpoints begins again, as the store was away.");
+        Ok(None)
+    };
+    futures_lite::future::or(watch, returned).await
+}
+
+/// Takes the changes since a revision; answers the revision to go on from.
 async fn watch_endpoints<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     since: Revision,
 ) -> Result<Revision, StoreError> {
-    let changes = gateway.store.watch_endpoints(since, ENDPOINTS_WAIT).await?;
+    let Some(changes) = changes_or_store_return(gateway, since).await? else {
+        return Ok(since);
+    };
     let has_changes = !changes.value.is_empty();
-    gateway.on_store_answer("endpoints");
     let at = changes.at;
+    gateway.on_store_answer("endpoints", at);
     for change in &changes.value {
         match change {
             Change::Put(record) => {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -253,8 +253,9 @@
         }
     }
 
-    /// The store answered a call.
-    pub fn on_store_answer(&self, follower: &'static str) {
+    /// The store answered a call as of a revision.
+    pub fn on_store_answer(&self, follower: &'static str, at: Revision) {
+        self.metrics.store_era.set(at.era as i64);
         if !self.store_reached.replace(true) {
             self.knowledge.on_store_back(Instant::now());
             tracing::info!(follower, "store: Back.");
@@ -311,6 +312,7 @@
     /// Logs the endpoints whose entries in a restored store are held back.
     pub fn log_held_back(&self) {
         for endpoint in self.knowledge.take_held_back() {
+            self.metrics.held_back.inc();
             tracing::info!(
                 endpoint,
                 "endpoint: Listed again by the restored store, held back: it was known to leave."
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -52,6 +52,9 @@
     parts: RefCell<Option<Rc<CatalogParts>>>,
     waiting: RefCell<Vec<Waker>>,
     waiting_for_confirmation: RefCell<Vec<Waker>>,
+    /// How often the store was found to be back or restored.
+    store_returns: Cell<u64>,
+    waiting_for_store: RefCell<Vec<Waker>>,
     suspension: RefCell<SuspensionWatch>,
     /// When the machine was last found to have been suspended.
     woken_at: Cell<Option<Instant>>,
@@ -74,6 +77,8 @@
             parts: RefCell::default(),
             waiting: RefCell::default(),
             waiting_for_confirmation: RefCell::default(),
+            store_returns: Cell::new(0),
+            waiting_for_store: RefCell::default(),
             suspension: RefCell::new(SuspensionWatch::new(read_clocks())),
             woken_at: Cell::new(None),
         }
@@ -143,10 +148,31 @@
         let before = self.era.get();
         if before.is_some_and(|before| at.era > before) {
             self.restored_at.set(Some(Instant::now()));
+            self.wake_for_store();
         }
         self.era.set(before.max(Some(at.era)));
     }
 
+    /// Waits until the store is found to be back or restored. Calls that were sent before may never be answered.
+    pub async fn store_returned(&self) {
+        let seen = self.store_returns.get();
+        std::future::poll_fn(|context| {
+            if self.store_returns.get() != seen {
+                return Poll::Ready(());
+            }
+            wait_in(&mut self.waiting_for_store.borrow_mut(), context.waker());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    fn wake_for_store(&self) {
+        self.store_returns.set(self.store_returns.get() + 1);
+        for waker in self.waiting_for_store.take() {
+            waker.wake();
+        }
+    }
+
     /// Finds out whether the machine was suspended since this was last asked. The steady clock does not count
     /// that time: a key that was taken away meanwhile was still accepted.
     fn note_suspension(&self) {
@@ -220,7 +246,8 @@
             return;
         }
         tracing::info!(%at, %known, "endpoint: Entries of the restored store are taken.");
-        self.directory.borrow_mut().on_restored(now);
+        // It was away until it was first heard of, by whichever call.
+        self.directory.borrow_mut().on_restored(self.restored_at.get().unwrap_or(now));
         // Only the first of the answers of an era counts, also where a list comes in pieces.
         self.endpoints_at.set(Revision::new(at.era, 0));
     }
@@ -356,6 +383,7 @@
     /// The store answered again.
     pub fn on_store_back(&self, now: Instant) {
         self.directory.borrow_mut().on_store_back(now);
+        self.wake_for_store();
     }
 
     /// A call to the store that was sent at a moment failed.
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -96,6 +96,10 @@
     pub store_calls: StoreCalls,
     /// Calls to the store that failed.
     pub store_errors: Family<KindLabel, Counter>,
+    /// Era of the store's newest answer; it rises with each restore from a copy.
+    pub store_era: Gauge,
+    /// Endpoints that a restored store listed again and that were held back.
+    pub held_back: Counter,
     /// Configurations that could not be used.
     pub catalog_faults: Counter,
     /// Entries and reports of endpoints that could not be read.
@@ -156,6 +160,7 @@
         let moves = Family::default();
         let store_calls = StoreCalls::default();
         let store_errors = Family::default();
+        let (store_era, held_back) = (Gauge::default(), Counter::default());
         let catalog_faults = Counter::default();
         let unreadable = Family::default();
         let renewed_endpoints = Counter::default();
@@ -184,6 +189,9 @@
         registry.register("moves", "Requests moved to another path", moves.clone());
         registry.register("store_calls", "Store calls by kind", store_calls.clone());
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
+        registry.register("store_era", "Era of the store's newest answer", store_era.clone());
+        let help = "Endpoints that a restored store listed again, held back";
+        registry.register("held_back_endpoints", help, held_back.clone());
         registry.register("catalog_faults", "Configurations not usable", catalog_faults.clone());
         let help = "Entries and reports of endpoints that cannot be read";
         registry.register("unreadable", help, unreadable.clone());
@@ -235,6 +243,8 @@
             moves,
             store_calls,
             store_errors,
+            store_era,
+            held_back,
             catalog_faults,
             unreadable,
             renewed_endpoints,
