--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -66,7 +66,7 @@
 }
 
 /// Endpoints by their ids.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointId, Known>,
     reach: StoreReach,
@@ -84,22 +84,6 @@
     rereads: u64,
 }
 
-impl Default for Directory {
-    fn default() -> Self {
-        Self {
-            entries: BTreeMap::new(),
-            reach: StoreReach::default(),
-            newest: 0,
-            by_number: BTreeMap::new(),
-            removals: Removals::default(),
-            renewed: Vec::new(),
-            restored: None,
-            held_back: Vec::new(),
-            rereads: 0,
-        }
-    }
-}
-
 impl Directory {
     /// A call to the store that was sent at a moment failed.
     pub fn on_store_trouble(&mut self, sent: Instant, trouble: StoreTrouble) {
