Pushback: figures that other VMs tell and that are no rates are logged

A part of a limit or a limit that another VM told and that is no number of 0 or more was passed over without a line. The test of such limits asserted that nothing is answered for them; it asserts now that each is answered as unreadable, and still that none is kept.

--- a/crates/sillbank_gateway/src/limit_parts.rs
+++ b/crates/sillbank_gateway/src/limit_parts.rs
@@ -151,8 +151,16 @@
         }
         for news in parts {
             let valid = Duration::from_millis(news.valid_ms).min(PART_TERM);
-            let is_rate = news.per_s.is_finite() && news.per_s >= 0.0;
-            let Some(until) = given_at.checked_add(valid).filter(|_| is_rate) else { continue };
+            if !(news.per_s.is_finite() && news.per_s >= 0.0) {
+                let (endpoint, per_s) = (&news.endpoint, news.per_s);
+                tracing::warn!(
+                    endpoint,
+                    per_s,
+                    "pushback: A part of a limit is no rate; it is left."
+                );
+                continue;
+            }
+            let Some(until) = given_at.checked_add(valid) else { continue };
             let part = Part { per_s: news.per_s, until };
             match from {
                 PartsFrom::OwnLeader => {
--- a/crates/sillbank_pushback/src/limits.rs
+++ b/crates/sillbank_pushback/src/limits.rs
@@ -106,8 +106,12 @@
         let mut events = Vec::new();
         for told in news {
             let age = Duration::from_millis(told.age_ms);
-            let is_rate = told.limit_per_s.is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0);
-            let Some(at) = now.checked_sub(age).filter(|_| is_rate && age < LIMIT_TERM) else {
+            if !told.limit_per_s.is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0) {
+                let event = PushbackEvent::Unreadable("a limit that another VM told");
+                events.push((told.endpoint.clone(), event));
+                continue;
+            }
+            let Some(at) = now.checked_sub(age).filter(|_| age < LIMIT_TERM) else {
                 continue;
             };
             let said = Said {
--- a/crates/sillbank_pushback/tests/book.rs
+++ b/crates/sillbank_pushback/tests/book.rs
@@ -180,7 +180,10 @@
 
     let events = book.on_told(&[told(f64::NAN), told(-1.0), told(f64::INFINITY)], || 0.5, now);
 
-    assert!(events.is_empty() && book.is_empty());
+    let left = PushbackEvent::Unreadable("a limit that another VM told");
+    let expected = vec![(ENDPOINT.to_owned(), left); 3];
+    assert_eq!(events, expected);
+    assert!(book.is_empty());
 }
 
 #[test]
