--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -85,9 +85,17 @@
 }
 
 impl Directory {
-    /// A call to the store that was sent at a moment failed.
-    pub fn on_store_trouble(&mut self, sent: Instant, trouble: StoreTrouble) {
-        self.reach.on_trouble(sent, trouble);
+    /// A call to the store failed.
+    pub fn on_store_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
+        self.reach.on_trouble(now, trouble);
+    }
+
+    /// A call to the store that was sent at a moment failed. It is no trouble of the store if one that was sent later was
+    /// answered.
+    pub fn on_call_failed(&mut self, sent: Instant, now: Instant, trouble: StoreTrouble) {
+        if !self.reach.is_outdated(sent) {
+            self.reach.on_trouble(now, trouble);
+        }
     }
 
     /// The store answered this VM or another one that tells of it, to a call that was sent at a moment.
--- a/crates/sillbank_fleet/src/reach.rs
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -28,22 +28,26 @@
 enum ReachState {
     #[default]
     Steady,
-    /// Calls failed, the last one was sent at this moment.
+    /// Calls failed, the last one at this moment.
     Away(Instant),
     BackSince(Instant),
 }
 
 impl StoreReach {
-    /// A call that was sent at a moment failed. One that was sent before another that was answered tells of its
-    /// connection only.
-    pub(crate) fn on_trouble(&mut self, sent: Instant, trouble: StoreTrouble) {
-        let is_outdated = self.answered.is_some_and(|answered| answered > sent);
+    /// A call failed.
+    pub(crate) fn on_trouble(&mut self, now: Instant, trouble: StoreTrouble) {
         match trouble {
-            StoreTrouble::Away if !is_outdated => self.state = ReachState::Away(sent),
-            StoreTrouble::Away | StoreTrouble::TurnsAway => {}
+            StoreTrouble::Away => self.state = ReachState::Away(now),
+            StoreTrouble::TurnsAway => {}
         }
     }
 
+    /// Whether a call that was sent at a moment tells nothing of the store when it fails: one that was sent later was
+    /// answered, so the connection failed.
+    pub(crate) fn is_outdated(&self, sent: Instant) -> bool {
+        self.answered.is_some_and(|answered| answered > sent)
+    }
+
     /// The store answered a call that was sent at a moment. Only what was sent after the last failed call
     /// ends an outage.
     pub(crate) fn on_seen(&mut self, sent: Instant) {
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -162,14 +162,28 @@
 #[test]
 fn a_call_that_was_sent_before_an_answered_one_is_no_new_outage_when_it_fails() {
     let (mut directory, now) = directory(&["a"]);
+    let failed = now + Duration::from_secs(3);
     directory.on_store_seen(now + Duration::from_secs(1));
 
-    directory.on_store_trouble(now, StoreTrouble::Away);
-    let removal = directory.on_change(now + Duration::from_secs(4), removed("a"));
+    directory.on_call_failed(now, failed, StoreTrouble::Away);
+    let removal = directory.on_change(failed, removed("a"));
 
     assert_eq!(removal, Some(Removal::Gone));
 }
 
+#[test]
+fn a_call_that_fails_after_the_last_answered_one_was_sent_is_an_outage_from_when_it_fails() {
+    let (mut directory, now) = directory(&["a"]);
+    let failed = now + Duration::from_secs(3);
+    directory.on_store_seen(now);
+
+    directory.on_call_failed(now + Duration::from_secs(1), failed, StoreTrouble::Away);
+    directory.on_store_seen(now + Duration::from_secs(2));
+    let removal = directory.on_change(failed + LAPSE_GRACE, removed("a"));
+
+    assert_eq!(removal, Some(Removal::Lapsed));
+}
+
 fn unreadable(id: &str) -> UnreadableEntry {
     UnreadableEntry { id: id.to_owned(), version: Some(7), reason: "no address".to_owned() }
 }
--- a/crates/sillbank_gateway/src/follow.rs
+++ b/crates/sillbank_gateway/src/follow.rs
@@ -103,7 +103,7 @@
             }
             Err(error) => {
                 has_failed = true;
-                if error.wants_all_read_again() {
+                if error.requires_reread() {
                     since = None;
                 }
                 gateway.on_store_error("configuration", sent, &error);
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -265,11 +265,11 @@
     /// A call to the store that was sent at a moment failed.
     pub fn on_store_error(&self, follower: &'static str, sent: Instant, error: &StoreError) {
         self.metrics.store_errors.get_or_create(&KindLabel { kind: follower }).inc();
-        if error.wants_all_read_again() {
+        if error.requires_reread() {
             tracing::info!(follower, %error, "store: History gone.");
             return;
         }
-        self.knowledge.on_store_trouble(sent, error.trouble());
+        self.knowledge.on_call_failed(sent, Instant::now(), error.trouble());
         if self.store_reached.replace(false) {
             tracing::warn!(follower, %error, "store: Lost.");
         }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -248,7 +248,7 @@
         tracing::info!(%at, %known, "endpoint: Entries of the restored store are taken.");
         // It was away until it was first heard of, by whichever call.
         self.directory.borrow_mut().on_restored(self.restored_at.get().unwrap_or(now));
-        // Only the first of the answers of an era counts, also where a list comes in pieces.
+        // A list that another VM tells may come in pieces: the restore is noted with the first.
         self.endpoints_at.set(Revision::new(at.era, 0));
     }
 
@@ -387,8 +387,8 @@
     }
 
     /// A call to the store that was sent at a moment failed.
-    pub fn on_store_trouble(&self, sent: Instant, trouble: StoreTrouble) {
-        self.directory.borrow_mut().on_store_trouble(sent, trouble);
+    pub fn on_call_failed(&self, sent: Instant, now: Instant, trouble: StoreTrouble) {
+        self.directory.borrow_mut().on_call_failed(sent, now, trouble);
     }
 
     /// Ends the grace of lapsed entries; answers the ids of those that did not come back.
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -45,7 +45,7 @@
 
 impl StoreError {
     /// Whether the store answered, and what was read before cannot be gone on from.
-    pub fn wants_all_read_again(&self) -> bool {
+    pub fn requires_reread(&self) -> bool {
         matches!(self, Self::HistoryGone | Self::Restored)
     }
 
