--- a/crates/sillbank_fleet/src/restore.rs
+++ b/crates/sillbank_fleet/src/restore.rs
@@ -9,8 +9,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-/// How long entries are held back after a restore: an entry that nobody writes goes after three heartbeats of its endpoint, 3.6 s on the
-/// platforms known.
+/// How long entries are held back after a restore: longer than the entry of an endpoint that has ended takes to lapse.
 pub const RESTORE_HOLD: Duration = Duration::from_secs(10);
 
 /// Entries that a restored store lists and that are not believed yet.
