Fleet: an entry that is told as lapsed keeps the teller's grace

Callers were sent to endpoints whose entries had gone, for up to 3.2 s, where the leader that had seen them go was killed. The entries went 1.5 s after an outage of the store, so the leader took them for entries that may have lapsed and told that.

Ruled out: lists that are late (the revisions are the newest), a watch that is silent (changes came at 3.55 meanwhile).

So all VMs give the endpoint up when the first would have. While the store is away the whole grace is named, as before.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A change of one entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +28,8 @@
     Lapsed {
         /// Whose entry it was.
         id: EndpointId,
+        /// For how long the VM that tells it goes on using the endpoint, unless it is listed again.
+        left_ms: u64,
     },
 }
 
@@ -38,8 +40,8 @@
     Listed,
     /// It may have lapsed, by what this VM knows of the store.
     Own,
-    /// Another VM told that it may have lapsed; believed until this moment, which is set when time next passes.
-    Told(Option<Instant>),
+    /// Another VM told that it may have lapsed, and uses it until this moment.
+    Told(Instant),
 }
 
 /// What the removal of an entry means.
@@ -139,7 +141,7 @@
 
     /// Takes a change from a VM that has decided what lapsed and what is gone; answers whether an entry
     /// went.
-    pub fn on_told_change(&mut self, change: Change) -> bool {
+    pub fn on_told_change(&mut self, now: Instant, change: Change) -> bool {
         match change {
             Change::Put(record) => {
                 self.put(record);
@@ -152,8 +154,8 @@
                 self.on_unreadable(&entry.id);
                 false
             }
-            Change::Lapsed { id } => {
-                self.on_told_lapse(&id);
+            Change::Lapsed { id, left_ms } => {
+                self.on_told_lapse(now, &id, left_ms);
                 false
             }
         }
@@ -216,13 +218,13 @@
     /// What another directory lacks that has seen the changes up to `since`: at most `most` changes, in
     /// the order of their numbers. One that has seen less than what is still remembered of removals, or a
     /// change that there was not, is told everything anew.
-    pub fn difference(&self, since: ChangeNumber, most: usize) -> Difference {
+    pub fn difference(&self, now: Instant, since: ChangeNumber, most: usize) -> Difference {
         let is_unknown = since == 0 || since > self.newest;
         let begins_anew = is_unknown || self.removals.are_forgotten_after(since);
         let since = if begins_anew { 0 } else { since };
         // One more than wanted tells whether there are more.
         let mut numbered: Vec<(ChangeNumber, Change)> =
-            self.puts_since(since).take(most + 1).collect();
+            self.puts_since(now, since).take(most + 1).collect();
         if !begins_anew {
             let gone = self.removals.since(since).take(most + 1);
             numbered.extend(gone);
@@ -253,8 +255,8 @@
                 self.on_unreadable(&entry.id);
                 None
             }
-            Change::Lapsed { id } => {
-                self.on_told_lapse(&id);
+            Change::Lapsed { id, left_ms } => {
+                self.on_told_lapse(now, &id, left_ms);
                 None
             }
         }
@@ -271,11 +273,11 @@
             self.reach.end_grace();
         }
         let mut over: Vec<EndpointId> = Vec::new();
-        for (id, known) in &mut self.entries {
-            let is_over = match &mut known.lapse {
+        for (id, known) in &self.entries {
+            let is_over = match known.lapse {
                 Lapse::Listed => false,
                 Lapse::Own => !may_lapse,
-                Lapse::Told(until) => now >= *until.get_or_insert(now + LAPSE_GRACE),
+                Lapse::Told(until) => now >= until,
             };
             if is_over {
                 over.push(id.clone());
@@ -320,12 +322,21 @@
         self.entries.is_empty()
     }
 
-    fn puts_since(&self, since: ChangeNumber) -> impl Iterator<Item = (ChangeNumber, Change)> {
-        self.by_number.range(since.saturating_add(1)..).filter_map(|(number, id)| {
+    fn puts_since(
+        &self,
+        now: Instant,
+        since: ChangeNumber,
+    ) -> impl Iterator<Item = (ChangeNumber, Change)> {
+        let lapsed = |id: &EndpointId, left: Duration| Change::Lapsed {
+            id: id.clone(),
+            left_ms: left.as_millis() as u64,
+        };
+        self.by_number.range(since.saturating_add(1)..).filter_map(move |(number, id)| {
             let known = self.entries.get(id)?;
             let change = match known.lapse {
                 Lapse::Listed => Change::Put(known.record.clone()),
-                Lapse::Own | Lapse::Told(_) => Change::Lapsed { id: id.clone() },
+                Lapse::Own => lapsed(id, self.reach.grace_left(now)),
+                Lapse::Told(until) => lapsed(id, until.saturating_duration_since(now)),
             };
             Some((*number, change))
         })
@@ -405,11 +416,12 @@
     }
 
     /// Another VM told of an entry that may have lapsed. It brings no endpoint back: who has none of its entries has seen it
-    /// go, or has not seen it yet.
-    fn on_told_lapse(&mut self, id: &str) {
+    /// go, or has not seen it yet. Its grace goes on here: whoever tells may be gone before it ends.
+    fn on_told_lapse(&mut self, now: Instant, id: &str, left_ms: u64) {
         let is_listed = |known: &Known| known.lapse == Lapse::Listed;
         if self.entries.get(id).is_some_and(is_listed) {
-            self.lapse(id, Lapse::Told(None));
+            let left = Duration::from_millis(left_ms).min(LAPSE_GRACE);
+            self.lapse(id, Lapse::Told(now + left));
         }
     }
 
--- a/crates/sillbank_fleet/src/reach.rs
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -78,10 +78,15 @@
 
     /// Whether an entry that is missing may have lapsed.
     pub(crate) fn may_lapse(&self, now: Instant) -> bool {
+        !self.grace_left(now).is_zero()
+    }
+
+    /// For how long a missing entry may still come back; the whole grace while the store is away.
+    pub(crate) fn grace_left(&self, now: Instant) -> Duration {
         match self.state {
-            ReachState::Steady => false,
-            ReachState::Away(_) => true,
-            ReachState::BackSince(back) => now.saturating_duration_since(back) < LAPSE_GRACE,
+            ReachState::Steady => Duration::ZERO,
+            ReachState::Away(_) => LAPSE_GRACE,
+            ReachState::BackSince(back) => (back + LAPSE_GRACE).saturating_duration_since(now),
         }
     }
 }
--- a/crates/sillbank_fleet/src/replication.rs
+++ b/crates/sillbank_fleet/src/replication.rs
@@ -4,6 +4,7 @@
 use crate::directory::{Change, Directory};
 use sillbank_core::prelude::*;
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 /// How a difference stands to what is known already.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +40,7 @@
     pub fn on_difference(
         &mut self,
         directory: &mut Directory,
+        now: Instant,
         difference: Difference,
         recency: Recency,
     ) -> Vec<EndpointId> {
@@ -54,7 +56,7 @@
             self.has_gap = false;
             self.listed = Some(BTreeSet::new());
         }
-        let mut gone = self.apply(directory, changes);
+        let mut gone = self.apply(directory, now, changes);
         if !goes_on && let Some(listed) = self.listed.take() {
             gone.extend(directory.retain_told(&listed));
         }
@@ -62,7 +64,12 @@
         gone
     }
 
-    fn apply(&mut self, directory: &mut Directory, changes: Vec<Change>) -> Vec<EndpointId> {
+    fn apply(
+        &mut self,
+        directory: &mut Directory,
+        now: Instant,
+        changes: Vec<Change>,
+    ) -> Vec<EndpointId> {
         let mut gone = Vec::new();
         for change in changes {
             let (id, is_put) = match &change {
@@ -71,7 +78,7 @@
                 // It is still listed.
                 Change::Unreadable(entry) => (entry.id.clone(), true),
                 // Whoever has it goes on using it.
-                Change::Lapsed { id } => (id.clone(), true),
+                Change::Lapsed { id, .. } => (id.clone(), true),
             };
             if let Some(listed) = &mut self.listed {
                 match is_put {
@@ -79,7 +86,7 @@
                     false => listed.remove(&id),
                 };
             }
-            if directory.on_told_change(change) {
+            if directory.on_told_change(now, change) {
                 gone.push(id);
             }
         }
--- a/crates/sillbank_fleet/tests/lives.rs
+++ b/crates/sillbank_fleet/tests/lives.rs
@@ -46,10 +46,12 @@
     ];
     match u.int_in_range(0..=4)? {
         0 => drop(directory.on_change(now, u.choose(&of_first)?.clone())),
-        1 => drop(directory.on_told_change(u.choose(&of_first)?.clone())),
+        1 => drop(directory.on_told_change(Instant::now(), u.choose(&of_first)?.clone())),
         2 => directory.on_life(ID, *u.choose(&[FIRST, SECOND])?),
         3 => drop(directory.on_listing(now, vec![record(FIRST, Standing::Ready)])),
-        _ => drop(directory.on_told_change(Change::Put(record(SECOND, Standing::Ready)))),
+        _ => drop(
+            directory.on_told_change(Instant::now(), Change::Put(record(SECOND, Standing::Ready))),
+        ),
     }
     Ok(())
 }
@@ -134,11 +136,16 @@
 fn a_copy_that_is_told_in_differences_knows_the_same_life() {
     let mut source = directory_of(record(FIRST, Standing::Ready));
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
-    replication.on_difference(&mut copy, source.difference(0, 10), Recency::Newer);
+    replication.on_difference(
+        &mut copy,
+        Instant::now(),
+        source.difference(Instant::now(), 0, 10),
+        Recency::Newer,
+    );
 
     source.on_life(ID, SECOND);
-    let piece = source.difference(replication.seen(), 10);
-    replication.on_difference(&mut copy, piece, Recency::Newer);
+    let piece = source.difference(Instant::now(), replication.seen(), 10);
+    replication.on_difference(&mut copy, Instant::now(), piece, Recency::Newer);
 
     assert_eq!(copy.get(ID), source.get(ID));
     assert_eq!(copy.get(ID).and_then(|record| record.layers), None);
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -40,12 +40,23 @@
     copy: &mut Directory,
     source: &Directory,
     most: usize,
+) -> Vec<String> {
+    catch_up_at(Instant::now(), replication, copy, source, most)
+}
+
+/// As [`catch_up`], all at one moment.
+fn catch_up_at(
+    now: Instant,
+    replication: &mut Replication,
+    copy: &mut Directory,
+    source: &Directory,
+    most: usize,
 ) -> Vec<String> {
     let mut gone = Vec::new();
     loop {
-        let difference = source.difference(replication.seen(), most);
+        let difference = source.difference(now, replication.seen(), most);
         let goes_on = difference.goes_on;
-        gone.extend(replication.on_difference(copy, difference, Recency::Newer));
+        gone.extend(replication.on_difference(copy, now, difference, Recency::Newer));
         if !goes_on {
             return gone;
         }
@@ -57,7 +68,7 @@
     let source = source(&["a", "b", "c", "d", "e"]);
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
 
-    let first = source.difference(replication.seen(), 2);
+    let first = source.difference(Instant::now(), replication.seen(), 2);
 
     assert_eq!((first.changes.len(), first.goes_on, first.begins_anew), (2, true, true));
 
@@ -73,7 +84,7 @@
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
     catch_up(&mut replication, &mut copy, &source, 10);
 
-    let difference = source.difference(replication.seen(), 10);
+    let difference = source.difference(Instant::now(), replication.seen(), 10);
 
     assert!(difference.changes.is_empty() && !difference.goes_on && !difference.begins_anew);
 }
@@ -135,7 +146,7 @@
     let now = Instant::now();
     let teller = source_with_lapsed("a", now);
     let (mut replication, mut own) = (Replication::default(), source(&["a", "b"]));
-    catch_up(&mut replication, &mut own, &teller, 10);
+    catch_up_at(now, &mut replication, &mut own, &teller, 10);
 
     own.on_time(now);
     own.on_time(now + LAPSE_GRACE - Duration::from_millis(1));
@@ -146,12 +157,34 @@
     assert_eq!(gone, vec!["a".to_owned()]);
 }
 
+/// A VM that was told late in the grace kept the endpoint for a whole grace of its own when the teller was killed.
+#[test]
+fn an_entry_that_is_told_as_lapsed_goes_when_the_grace_of_the_teller_ends() {
+    let returned = Instant::now();
+    let told = returned + LAPSE_GRACE - Duration::from_millis(500);
+    let passed_on = told + Duration::from_millis(400);
+    let mut teller = source(&["a", "b"]);
+    teller.on_restored(returned);
+    assert_eq!(teller.on_change(told, removed("a")), Some(Removal::Lapsed));
+    let (mut second, mut third) = (source(&["a", "b"]), source(&["a", "b"]));
+
+    catch_up_at(told, &mut Replication::default(), &mut second, &teller, 10);
+    catch_up_at(passed_on, &mut Replication::default(), &mut third, &second, 10);
+
+    for own in [&mut second, &mut third] {
+        let early = own.on_time(returned + LAPSE_GRACE - Duration::from_millis(1));
+        let late = own.on_time(returned + LAPSE_GRACE);
+        assert!(early.is_empty());
+        assert_eq!(late, vec!["a".to_owned()]);
+    }
+}
+
 #[test]
 fn an_entry_that_was_told_as_lapsed_and_is_listed_again_stays() {
     let now = Instant::now();
     let mut teller = source_with_lapsed("a", now);
     let (mut replication, mut own) = (Replication::default(), source(&["a", "b"]));
-    catch_up(&mut replication, &mut own, &teller, 10);
+    catch_up_at(now, &mut replication, &mut own, &teller, 10);
 
     teller.on_change(now, Change::Put(record("a", 1)));
     catch_up(&mut replication, &mut own, &teller, 10);
@@ -178,7 +211,12 @@
 fn an_entry_that_goes_while_the_list_is_told_is_gone_at_its_end() {
     let mut source = source(&["a", "b", "c"]);
     let (mut replication, mut copy) = (Replication::default(), Directory::default());
-    replication.on_difference(&mut copy, source.difference(0, 1), Recency::Newer);
+    replication.on_difference(
+        &mut copy,
+        Instant::now(),
+        source.difference(Instant::now(), 0, 1),
+        Recency::Newer,
+    );
 
     source.on_change(Instant::now(), removed("a"));
     catch_up(&mut replication, &mut copy, &source, 1);
@@ -198,7 +236,7 @@
         source.on_change(now, removed(&format!("e{number}")));
     }
 
-    let difference = source.difference(replication.seen(), 10);
+    let difference = source.difference(Instant::now(), replication.seen(), 10);
     assert!(difference.begins_anew);
     catch_up(&mut replication, &mut copy, &source, 10);
 
@@ -210,7 +248,7 @@
     let source = source(&["a", "b"]);
 
     for seen in [source.newest_change() + 1, u64::MAX] {
-        let difference = source.difference(seen, 10);
+        let difference = source.difference(Instant::now(), seen, 10);
 
         assert!(difference.begins_anew);
         assert_eq!(difference.changes.len(), 2);
@@ -225,8 +263,8 @@
     catch_up(&mut replication, &mut copy, &source, 10);
     source.on_change(now, removed("a"));
 
-    let difference = source.difference(replication.seen(), 10);
-    let gone = replication.on_difference(&mut copy, difference, Recency::Older);
+    let difference = source.difference(Instant::now(), replication.seen(), 10);
+    let gone = replication.on_difference(&mut copy, Instant::now(), difference, Recency::Older);
 
     assert!(gone.is_empty() && copy.get("a").is_some());
     assert!(!replication.is_complete());
@@ -255,12 +293,12 @@
                     source.on_change(now, removed(&id));
                 }
                 5 => {
-                    let piece = source.difference(replication.seen(), most);
-                    replication.on_difference(&mut copy, piece, Recency::Newer);
+                    let piece = source.difference(Instant::now(), replication.seen(), most);
+                    replication.on_difference(&mut copy, Instant::now(), piece, Recency::Newer);
                 }
                 6 => {
-                    let piece = source.difference(replication.seen(), most);
-                    replication.on_difference(&mut copy, piece, Recency::Older);
+                    let piece = source.difference(Instant::now(), replication.seen(), most);
+                    replication.on_difference(&mut copy, Instant::now(), piece, Recency::Older);
                 }
                 // The source is asked over a new connection.
                 _ => replication = Replication::default(),
--- a/crates/sillbank_fleet/tests/restore.rs
+++ b/crates/sillbank_fleet/tests/restore.rs
@@ -74,7 +74,12 @@
     let mut replication = Replication::default();
 
     own.on_restored(now);
-    replication.on_difference(&mut own, leader.difference(0, 10), Recency::Newer);
+    replication.on_difference(
+        &mut own,
+        Instant::now(),
+        leader.difference(Instant::now(), 0, 10),
+        Recency::Newer,
+    );
 
     assert!(own.usable("a").is_none());
 }
@@ -225,7 +230,7 @@
             let listed: Vec<_> = ENDPOINTS.iter().map(|id| ready(id)).collect();
             directory.on_listing(now, listed);
         }
-        _ => drop(directory.on_told_change(Change::Put(ready(id)))),
+        _ => drop(directory.on_told_change(Instant::now(), Change::Put(ready(id)))),
     }
     Ok(())
 }
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -156,8 +156,10 @@
 ) -> Option<EndpointNews> {
     let knowledge = &gateway.knowledge;
     let since = seen.map_or(0, |seen| seen.endpoints);
+    let difference =
+        |directory: &Directory| directory.difference(Instant::now(), since, MOST_CHANGES);
     knowledge.knows_endpoints().then(|| EndpointNews {
         at: knowledge.endpoints_at(),
-        difference: knowledge.endpoints(|directory| directory.difference(since, MOST_CHANGES)),
+        difference: knowledge.endpoints(difference),
     })
 }
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -261,8 +261,9 @@
         difference: Difference,
         is_wanted: bool,
     ) -> Vec<EndpointId> {
+        let now = Instant::now();
         if is_wanted {
-            self.note_endpoints_era(Instant::now(), at);
+            self.note_endpoints_era(now, at);
         }
         let recency = match is_wanted && at >= self.endpoints_at.get() {
             true => Recency::Newer,
@@ -270,7 +271,7 @@
         };
         let mut directory = self.directory.borrow_mut();
         let before = directory.newest_change();
-        let gone = replication.on_difference(&mut directory, difference, recency);
+        let gone = replication.on_difference(&mut directory, now, difference, recency);
         let has_changed = directory.newest_change() != before;
         drop(directory);
         if recency == Recency::Newer && replication.is_complete() {
@@ -343,7 +344,7 @@
         for change in changes.value {
             let id = match &change {
                 Change::Put(record) => record.id.clone(),
-                Change::Removed { id, .. } | Change::Lapsed { id } => id.clone(),
+                Change::Removed { id, .. } | Change::Lapsed { id, .. } => id.clone(),
                 Change::Unreadable(entry) => entry.id.clone(),
             };
             if let Some(removal) = directory.on_change(now, change) {
--- a/crates/sillbank_gateway/tests/knowledge.rs
+++ b/crates/sillbank_gateway/tests/knowledge.rs
@@ -109,7 +109,7 @@
     let mut leader = Directory::default();
     let records: Vec<_> = ids.iter().map(|id| record(id)).collect();
     leader.on_listing(Instant::now(), records);
-    leader.difference(0, most)
+    leader.difference(Instant::now(), 0, most)
 }
 
 fn knowledge_of_two() -> Knowledge {
--- a/crates/sillbank_gateway/tests/restored_store.rs
+++ b/crates/sillbank_gateway/tests/restored_store.rs
@@ -56,7 +56,7 @@
 fn told(records: Vec<EndpointRecord>) -> Difference {
     let mut leader = Directory::default();
     leader.on_listing(Instant::now(), records);
-    leader.difference(0, 10)
+    leader.difference(Instant::now(), 0, 10)
 }
 
 /// Changes of a restored store have lower numbers than what was known, and were passed over as late.
