Lapsed entries are swept when their grace ends

Callers could be sent to endpoints whose entries had gone for up to 0.5 s after the grace for lapsed entries, as entries were looked at each 0.5 s only. Seen in the lines of soak: a grace that ended at 28.43 s was acted on at 28.64 s.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -289,6 +289,16 @@
         over
     }
 
+    /// When the next lapsed entry goes, as far as that is known; `None` if there is none.
+    pub fn next_lapse_end(&self) -> Option<Instant> {
+        let ends = self.entries.values().filter_map(|known| match known.lapse {
+            Lapse::Listed => None,
+            Lapse::Own => self.reach.grace_end(),
+            Lapse::Told(until) => Some(until),
+        });
+        ends.min()
+    }
+
     /// An entry, whether or not it takes work.
     pub fn get(&self, id: &str) -> Option<&EndpointRecord> {
         self.entries.get(id).map(|known| &known.record)
--- a/crates/sillbank_fleet/src/reach.rs
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -81,6 +81,14 @@
         !self.grace_left(now).is_zero()
     }
 
+    /// When a missing entry may come back no longer; `None` while that is not known, or already so.
+    pub(crate) fn grace_end(&self) -> Option<Instant> {
+        match self.state {
+            ReachState::Steady | ReachState::Away(_) => None,
+            ReachState::BackSince(back) => Some(back + LAPSE_GRACE),
+        }
+    }
+
     /// For how long a missing entry may still come back; the whole grace while the store is away.
     pub(crate) fn grace_left(&self, now: Instant) -> Duration {
         match self.state {
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -59,6 +59,24 @@
     assert!(directory.usable("a").is_none());
 }
 
+/// Endpoints whose entries had gone were used until the next sweep, up to half a second after the grace.
+#[test]
+fn the_end_of_the_grace_is_known_once_the_store_is_back() {
+    let (mut directory, now) = directory(&["a", "b"]);
+    let without_lapse = directory.next_lapse_end();
+    directory.on_store_trouble(now, StoreTrouble::Away);
+    directory.on_change(now, removed("a"));
+    let while_away = directory.next_lapse_end();
+
+    directory.on_store_back(now);
+    let while_back = directory.next_lapse_end();
+    directory.on_time(now + LAPSE_GRACE);
+
+    assert_eq!((without_lapse, while_away), (None, None));
+    assert_eq!(while_back, Some(now + LAPSE_GRACE));
+    assert_eq!(directory.next_lapse_end(), None);
+}
+
 #[test]
 fn an_entry_that_comes_back_within_the_grace_stays() {
     let (mut directory, now) = directory(&["a"]);
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -392,6 +392,11 @@
         self.directory.borrow_mut().on_call_failed(sent, now, trouble);
     }
 
+    /// When the grace of a lapsed entry ends next, as far as that is known.
+    pub fn next_lapse_end(&self) -> Option<Instant> {
+        self.directory.borrow().next_lapse_end()
+    }
+
     /// Ends the grace of lapsed entries; answers the ids of those that did not come back.
     pub fn on_time(&self, now: Instant) -> Vec<String> {
         let mut directory = self.directory.borrow_mut();
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -18,7 +18,7 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// How often the settings file is looked at without a signal.
 const RELOAD_POLL: Duration = Duration::from_secs(3);
-/// How often resting connections, lapsed entries and forgotten endpoints are swept.
+/// How often resting connections, lapsed entries and forgotten endpoints are swept. A lapsed entry is swept when its grace ends.
 const SWEEP: Duration = Duration::from_millis(500);
 
 /// Waits for the signal to stop, then until all requests have ended or the grace is over.
@@ -111,7 +111,9 @@
 /// Sweeps what time alone ends.
 pub async fn sweep<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     loop {
-        smol::Timer::after(SWEEP).await;
+        let next = Instant::now() + SWEEP;
+        let lapse_end = gateway.knowledge.next_lapse_end();
+        smol::Timer::at(lapse_end.map_or(next, |end| end.min(next))).await;
         let now = Instant::now();
         gateway.channels.sweep(now);
         for id in gateway.knowledge.on_time(now) {
