Fleet: the entry of an older life that goes leaves the endpoint without one

Callers were sent to an endpoint that had left 11 s before, and would have been for good. It had started again after the copy was made that the store was restored from. The copy held the entry of its older life; when that went, VMs answered 'an older life has left; the newer one stays', though the store held no entry of the newer one. VMs that had taken the endpoint out took it up again when one that had not told them of it.

A store has one entry of an endpoint: when any goes, there is none. The property that news in any order leave the newest life in use holds as before.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -53,7 +53,8 @@
     Lapsed,
     /// Nothing was known of it.
     Unknown,
-    /// An older life of the endpoint has left; the newer one that is known stays.
+    /// What went was the entry of an older life, from a store that was restored. The newer life that is known has none there
+    /// either, so it counts as lapsed.
     OlderLife,
 }
 
@@ -147,9 +148,13 @@
                 self.put(record);
                 false
             }
-            Change::Removed { id, born_ms } => {
-                !self.is_of_older_life(&id, born_ms) && self.take_out(&id)
-            }
+            Change::Removed { id, born_ms } => match self.is_of_older_life(&id, born_ms) {
+                true => {
+                    self.lapse(&id, Lapse::Own);
+                    false
+                }
+                false => self.take_out(&id),
+            },
             Change::Unreadable(entry) => {
                 self.on_unreadable(&entry.id);
                 false
@@ -248,7 +253,10 @@
                 None
             }
             Change::Removed { id, born_ms } => match self.is_of_older_life(&id, born_ms) {
-                true => Some(Removal::OlderLife),
+                true => {
+                    self.lapse(&id, Lapse::Own);
+                    Some(Removal::OlderLife)
+                }
                 false => Some(self.remove(now, &id)),
             },
             Change::Unreadable(entry) => {
--- a/crates/sillbank_fleet/tests/lives.rs
+++ b/crates/sillbank_fleet/tests/lives.rs
@@ -4,7 +4,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_testing::for_fixed_seeds;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const ID: &str = "e1";
 const FIRST: BornMs = 1_000;
@@ -118,6 +118,36 @@
     assert!(directory.get(ID).is_none());
 }
 
+/// A copy of the store listed the older life of an endpoint; when that entry went, the newer life was used for good without one.
+#[test]
+fn an_entry_of_an_older_life_that_goes_leaves_the_endpoint_without_one() {
+    let now = Instant::now();
+    let mut directory = directory_of(record(SECOND, Standing::Ready));
+    directory.on_restored(now);
+    directory.on_listing(now, vec![record(FIRST, Standing::Ready)]);
+
+    let removal = directory.on_change(now, removed(Some(FIRST)));
+    let early = directory.on_time(now + LAPSE_GRACE - Duration::from_millis(1));
+    let late = directory.on_time(now + LAPSE_GRACE);
+
+    assert_eq!(removal, Some(Removal::OlderLife));
+    assert!(early.is_empty());
+    assert_eq!(late, vec![ID.to_owned()]);
+}
+
+#[test]
+fn a_newer_life_that_writes_its_entry_after_the_older_one_went_stays() {
+    let now = Instant::now();
+    let mut directory = directory_of(record(SECOND, Standing::Ready));
+
+    directory.on_change(now, removed(Some(FIRST)));
+    directory.on_change(now, Change::Put(record(SECOND, Standing::Ready)));
+    let gone = directory.on_time(now + LAPSE_GRACE);
+
+    assert!(gone.is_empty());
+    assert!(directory.usable(ID).is_some());
+}
+
 #[test]
 fn entries_that_name_no_life_are_taken_as_they_come() {
     let unnamed = |standing| EndpointRecord { born_ms: None, ..record(FIRST, standing) };
