Gateway: a VM whose calls fail does not count as one that reaches the store

A VM that is cut from the store alone would have gone on as one that reaches it, and would have stopped asking another VM for the news. Only the lapse of entries is decided by it now, as the line `store: Lost.` says (`may_lapse`).

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -94,8 +94,7 @@
     }
 
     /// A call to the store that was sent at a moment failed. It is no trouble of the store if one that was sent later was
-    /// answered.
-    /// Answers whether it was trouble.
+    /// answered, to this VM or another one; answers whether it is.
     pub fn on_call_failed(&mut self, sent: Instant, now: Instant, trouble: StoreTrouble) -> bool {
         let is_trouble = !self.reach.is_outdated(sent);
         if is_trouble {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -270,12 +270,9 @@
             tracing::info!(follower, %error, "store: History gone.");
             return;
         }
-        if !self.knowledge.on_call_failed(sent, Instant::now(), error.trouble()) {
-            tracing::info!(follower, %error, "store: A call failed that was sent before an answered one.");
-            return;
-        }
+        let is_trouble = self.knowledge.on_call_failed(sent, Instant::now(), error.trouble());
         if self.store_reached.replace(false) {
-            tracing::warn!(follower, %error, "store: Lost.");
+            tracing::warn!(follower, %error, may_lapse = is_trouble, "store: Lost.");
         }
     }
 
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -393,7 +393,7 @@
     }
 
     /// A call to the store that was sent at a moment failed; answers whether that is trouble of the store. It is none if a
-    /// call that was sent later was answered.
+    /// call that was sent later was answered, to this VM or another one.
     pub fn on_call_failed(&self, sent: Instant, now: Instant, trouble: StoreTrouble) -> bool {
         self.directory.borrow_mut().on_call_failed(sent, now, trouble)
     }
