Names and comments of lapsed entries in the field's terms

'Told' and 'goes' become 'reported', 'evicted', 'removed' in what this landing wrote; two comments are shorter. No logic, check or log line changed.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -28,7 +28,7 @@
     Lapsed {
         /// Whose entry it was.
         id: EndpointId,
-        /// For how long the VM that tells it goes on using the endpoint, unless it is listed again.
+        /// What is left of its grace at the VM that reports it, in milliseconds.
         left_ms: u64,
     },
 }
@@ -40,8 +40,8 @@
     Listed,
     /// It may have lapsed, by what this VM knows of the store.
     Own,
-    /// Another VM told that it may have lapsed, and uses it until this moment.
-    Told(Instant),
+    /// Another VM reported that it may have lapsed; evicted at this moment.
+    Reported(Instant),
 }
 
 /// What the removal of an entry means.
@@ -53,8 +53,8 @@
     Lapsed,
     /// Nothing was known of it.
     Unknown,
-    /// What went was the entry of an older life, from a store that was restored. The newer life that is known has none there
-    /// either, so it counts as lapsed.
+    /// The entry of an older life was removed from a store that had been restored from a copy. The store holds none of the newer
+    /// life either, so that one counts as lapsed.
     OlderLife,
 }
 
@@ -292,7 +292,7 @@
             let is_over = match known.lapse {
                 Lapse::Listed => false,
                 Lapse::Own => !may_lapse,
-                Lapse::Told(until) => now >= until,
+                Lapse::Reported(until) => now >= until,
             };
             if is_over {
                 over.push(id.clone());
@@ -304,12 +304,12 @@
         over
     }
 
-    /// When the next lapsed entry goes, as far as that is known; `None` if there is none.
+    /// When the next lapsed entry is to be evicted; `None` if there is none or the store is away.
     pub fn next_lapse_end(&self) -> Option<Instant> {
         let ends = self.entries.values().filter_map(|known| match known.lapse {
             Lapse::Listed => None,
             Lapse::Own => self.reach.grace_end(),
-            Lapse::Told(until) => Some(until),
+            Lapse::Reported(until) => Some(until),
         });
         ends.min()
     }
@@ -361,7 +361,7 @@
             let change = match known.lapse {
                 Lapse::Listed => Change::Put(known.record.clone()),
                 Lapse::Own => lapsed(id, self.reach.grace_left(now)),
-                Lapse::Told(until) => lapsed(id, until.saturating_duration_since(now)),
+                Lapse::Reported(until) => lapsed(id, until.saturating_duration_since(now)),
             };
             Some((*number, change))
         })
@@ -441,12 +441,12 @@
     }
 
     /// Another VM told of an entry that may have lapsed. It brings no endpoint back: who has none of its entries has seen it
-    /// go, or has not seen it yet. Its grace goes on here: whoever tells may be gone before it ends.
+    /// go, or has not seen it yet. The grace is not begun anew: the reporting VM may be lost before it ends.
     fn on_told_lapse(&mut self, now: Instant, id: &str, left_ms: u64) {
         let is_listed = |known: &Known| known.lapse == Lapse::Listed;
         if self.entries.get(id).is_some_and(is_listed) {
             let left = Duration::from_millis(left_ms).min(LAPSE_GRACE);
-            self.lapse(id, Lapse::Told(now + left));
+            self.lapse(id, Lapse::Reported(now + left));
         }
     }
 
--- a/crates/sillbank_fleet/src/reach.rs
+++ b/crates/sillbank_fleet/src/reach.rs
@@ -86,7 +86,7 @@
         !self.grace_left(now).is_zero()
     }
 
-    /// When a missing entry may come back no longer; `None` while that is not known, or already so.
+    /// End of the grace for missing entries; `None` if none has begun.
     pub(crate) fn grace_end(&self) -> Option<Instant> {
         match self.state {
             ReachState::Steady | ReachState::Away(_) => None,
@@ -94,7 +94,7 @@
         }
     }
 
-    /// For how long a missing entry may still come back; the whole grace while the store is away.
+    /// What is left of the grace for missing entries; all of it while the store is away.
     pub(crate) fn grace_left(&self, now: Instant) -> Duration {
         match self.state {
             ReachState::Steady => Duration::ZERO,
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -59,7 +59,7 @@
     assert!(directory.usable("a").is_none());
 }
 
-/// Endpoints whose entries had gone were used until the next sweep, up to half a second after the grace.
+/// Lapsed entries were evicted by the next periodic sweep, up to half a second after their grace.
 #[test]
 fn the_end_of_the_grace_is_known_once_the_store_is_back() {
     let (mut directory, now) = directory(&["a", "b"]);
@@ -191,7 +191,7 @@
 
 /// Only answers that confirm a configuration counted, so a call that hung since before the store's return began a grace anew.
 #[test]
-fn any_call_that_is_answered_shows_that_those_sent_before_it_fail_by_themselves() {
+fn a_hung_call_is_no_outage_once_a_later_call_was_answered() {
     let (mut directory, now) = directory(&["a"]);
     let failed = now + Duration::from_secs(3);
     directory.on_call_answered(now + Duration::from_secs(1));
--- a/crates/sillbank_fleet/tests/lives.rs
+++ b/crates/sillbank_fleet/tests/lives.rs
@@ -118,9 +118,9 @@
     assert!(directory.get(ID).is_none());
 }
 
-/// A copy of the store listed the older life of an endpoint; when that entry went, the newer life was used for good without one.
+/// A copy of the store listed the older life of an endpoint; when that entry was removed, the newer life was never evicted.
 #[test]
-fn an_entry_of_an_older_life_that_goes_leaves_the_endpoint_without_one() {
+fn removing_the_entry_of_an_older_life_lapses_the_endpoint() {
     let now = Instant::now();
     let mut directory = directory_of(record(SECOND, Standing::Ready));
     directory.on_restored(now);
@@ -136,7 +136,7 @@
 }
 
 #[test]
-fn a_newer_life_that_writes_its_entry_after_the_older_one_went_stays() {
+fn a_newer_life_that_is_listed_after_the_older_one_was_removed_stays() {
     let now = Instant::now();
     let mut directory = directory_of(record(SECOND, Standing::Ready));
 
--- a/crates/sillbank_fleet/tests/replication.rs
+++ b/crates/sillbank_fleet/tests/replication.rs
@@ -157,9 +157,9 @@
     assert_eq!(gone, vec!["a".to_owned()]);
 }
 
-/// A VM that was told late in the grace kept the endpoint for a whole grace of its own when the teller was killed.
+/// A VM that heard of a lapsed entry late in the grace began a whole new one, and kept the endpoint when the reporting VM was killed.
 #[test]
-fn an_entry_that_is_told_as_lapsed_goes_when_the_grace_of_the_teller_ends() {
+fn a_lapsed_entry_that_is_reported_is_evicted_when_its_first_grace_ends() {
     let returned = Instant::now();
     let told = returned + LAPSE_GRACE - Duration::from_millis(500);
     let passed_on = told + Duration::from_millis(400);
--- a/crates/sillbank_gateway/src/knowledge.rs
+++ b/crates/sillbank_gateway/src/knowledge.rs
@@ -398,7 +398,7 @@
         self.directory.borrow_mut().on_call_failed(sent, now, trouble)
     }
 
-    /// When the grace of a lapsed entry ends next, as far as that is known.
+    /// When the next lapsed entry is to be evicted; `None` if there is none or the store is away.
     pub fn next_lapse_end(&self) -> Option<Instant> {
         self.directory.borrow().next_lapse_end()
     }
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -18,7 +18,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// How often the settings file is looked at without a signal.
 const RELOAD_POLL: Duration = Duration::from_secs(3);
-/// How often resting connections, lapsed entries and forgotten endpoints are swept. A lapsed entry is swept when its grace ends.
+/// How often resting connections, lapsed entries and forgotten endpoints are swept; sooner when the grace of a lapsed entry
+/// ends.
 const SWEEP: Duration = Duration::from_millis(500);
 
 /// Waits for the signal to stop, then until all requests have ended or the grace is over.
