Gateway: refusals without a path say how many engines are ejected and how many are reported lost

A caller that was told 'no path covers the model' could not be told apart by cause: engines ejected by this VM, or reported lost by a leader. Adds the line 'route: No path.' with the three counts and the gauge sillbank_gateway_ejected_endpoints.

--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -6,6 +6,7 @@
 
 use crate::crashes::BrokenSend;
 use crate::job::Job;
+use crate::paths::EngineCounts;
 use crate::platform_view::ViewStamp;
 use crate::revision::Revision;
 use crate::wire::OrderOutcome;
@@ -157,6 +158,20 @@
         }
     }
 
+    /// No path through usable engines covers the model.
+    pub fn no_path(&self, job: &Job, engines: EngineCounts) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                service = job.service.name,
+                listed = engines.listed,
+                ejected = engines.ejected,
+                reported_lost = engines.reported_lost,
+                "route: No path."
+            );
+        }
+    }
+
     /// An endpoint crashed while it had this request, which may or may not be the cause.
     pub fn endpoint_crashed(&self, job: &Job, send: &BrokenSend, is_suspected: bool) {
         if self.take_line() {
--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -224,6 +224,12 @@
         due.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Number of ejected endpoints.
+    pub fn ejected_count(&self) -> usize {
+        let states = self.states.borrow();
+        states.values().filter(|state| state.health.state() == HealthState::Ejected).count()
+    }
+
     /// Whether an endpoint is ejected.
     pub fn is_ejected(&self, endpoint: &str) -> bool {
         let states = self.states.borrow();
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -127,6 +127,8 @@
             tracing::info!(endpoint = id, "endpoint: Not listed again after the outage; evicted.");
             gateway.connection_pool.close_idle(&id);
         }
+        let ejected = gateway.endpoint_tracker.ejected_count();
+        gateway.metrics.ejected_endpoints.set(ejected as i64);
         gateway.platform.endpoints(|directory| {
             gateway.endpoint_tracker.retain(|id| directory.get(id).is_some());
             gateway.crashed_endpoints.retain(|id| directory.get(id).is_some());
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -81,6 +81,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    /// Endpoints that this VM has ejected.
+    pub ejected_endpoints: Gauge,
     /// Requests that ended.
     pub requests: Family<OutcomeLabel, Counter>,
     /// Requests in progress.
@@ -159,6 +161,7 @@
                 LATENCY_BUCKETS,
             ))
         };
+        let ejected_endpoints = Gauge::default();
         let requests = Family::default();
         let in_progress = Gauge::default();
         let sends = Family::default();
@@ -188,6 +191,8 @@
         let shedding = SheddingMetrics::default();
         let first_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         let whole_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
+        let help = "Endpoints that this VM has ejected";
+        registry.register("ejected_endpoints", help, ejected_endpoints.clone());
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register("in_progress", "Requests in progress", in_progress.clone());
         registry.register("sends", "Sends to endpoints", sends.clone());
@@ -242,6 +247,7 @@
         );
         Self {
             registry,
+            ejected_endpoints,
             requests,
             in_progress,
             sends,
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -190,6 +190,33 @@
     firsts
 }
 
+/// How many engines of a service there are and why some cannot be used, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EngineCounts {
+    /// Engines in the directory that are not leaving.
+    pub listed: usize,
+    /// Engines that this VM has ejected.
+    pub ejected: usize,
+    /// Engines that leaders of halls report as lost.
+    pub reported_lost: usize,
+}
+
+/// Counts a service's engines.
+pub fn count_engines(context: RoutingContext<'_>, service: &str) -> EngineCounts {
+    let mut counts = EngineCounts::default();
+    let is_lost = |reported: ReportedEngine<'_>| reported.state.is_lost;
+    context.platform.endpoints(|directory| {
+        for record in directory.usable_of(service) {
+            let reports = &context.hall.reports;
+            let lost = reports.engine(&record.hall, &record.id, context.now, is_lost);
+            counts.listed += 1;
+            counts.ejected += usize::from(context.endpoint_tracker.is_ejected(&record.id));
+            counts.reported_lost += usize::from(lost == Some(true));
+        }
+    });
+    counts
+}
+
 /// The first engine for a request that may be the cause of engine failures. It is the same on all
 /// VMs, so that the other engines keep running. `None` if there is only one first engine or all
 /// were tried.
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -3,8 +3,8 @@
 use crate::gateway::Gateway;
 use crate::job::{Job, path_request};
 use crate::paths::{
-    PathRequest, choose_any_path, choose_path, first_engines, has_path_despite_pushback,
-    isolation_engine,
+    PathRequest, choose_any_path, choose_path, count_engines, first_engines,
+    has_path_despite_pushback, isolation_engine,
 };
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
@@ -83,7 +83,10 @@
         Some(path) if resume_after.is_some() => Ok(Target::from_path(path)),
         Some(_) => Err(NoTarget::NoRoom),
         None if has_path_despite_pushback(context, request) => Err(NoTarget::Withheld),
-        None => Err(NoTarget::NoPath),
+        None => {
+            gateway.decisions.no_path(job, count_engines(context, &job.service.name));
+            Err(NoTarget::NoPath)
+        }
     }
 }
 
