Net: a connection to a sound endpoint outlasts a silence of a second or so

What callers saw: a call that may not be repeated was lost (502 or 504) when its endpoint was silent for longer than about a second and went on; its connection had been closed. Cause: once TCP_USER_TIMEOUT is set, it decides when keepalive probes give up, whatever their count. Change: the timeout is 2.5 s for endpoints (an idle connection ends after 3 s) and stays 1.5 s for VMs and the store (2 s, as before). The number of probes is computed from it, so that both agree. A connection to an endpoint whose VM has lost power is held 1 s longer; streams and idempotent calls do not wait for that.

--- a/crates/sillbank_gateway/src/connection_pool.rs
+++ b/crates/sillbank_gateway/src/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use hyper::header::{CONNECTION, HeaderMap};
 use sillbank_core::prelude::*;
+use sillbank_net::liveness::ENDPOINT_SILENCE;
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use std::cell::RefCell;
@@ -76,7 +77,7 @@
             smol::Timer::after(CONNECT_TIMEOUT).await;
             Err(std::io::Error::from(std::io::ErrorKind::TimedOut))
         };
-        let open = Connection::open(&self.executor, address);
+        let open = Connection::open(&self.executor, address, ENDPOINT_SILENCE);
         let inner = futures_lite::future::or(open, timeout).await?;
         let now = Instant::now();
         Ok(PooledConnection { inner, reused: false, address, opened_at: now, idle_until: now })
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -12,7 +12,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
-use sillbank_net::liveness::enable_keepalive;
+use sillbank_net::liveness::{VM_SILENCE, enable_keepalive};
 use sillbank_quarantine::prelude::*;
 use smol::net::TcpStream;
 use std::collections::BTreeSet;
@@ -85,7 +85,7 @@
     async fn open(address: SocketAddr) -> Result<Self, FrameError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        enable_keepalive(&stream)?;
+        enable_keepalive(&stream, VM_SILENCE)?;
         Ok(Self {
             stream,
             address,
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 client with connection reuse.
 
 use crate::body::ReplyBody;
-use crate::liveness::enable_keepalive;
+use crate::liveness::{VM_SILENCE, enable_keepalive};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode};
+use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
@@ -80,6 +81,11 @@
         Self { executor, idle: Rc::default(), max_reply_bytes }
     }
 
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Sends a request with a complete body and waits for the complete answer.
     ///
     /// # Errors
@@ -188,13 +194,14 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection that ends when its peer is silent for longer than `max_silence`.
     ///
     /// # Errors
     /// Returns an error if the connection or the handshake fails.
     pub async fn open(
         executor: &LocalExecutor<'static>,
         address: SocketAddr,
+        max_silence: Duration,
     ) -> std::io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         if let Err(error) = stream.set_nodelay(true) {
@@ -202,9 +209,24 @@
                 "net: TCP_NODELAY cannot be set on a connection to {address}: {error}."
             );
         }
-        if let Err(error) = enable_keepalive(&stream) {
+        if let Err(error) = enable_keepalive(&stream, max_silence) {
             tracing::debug!("net: Keepalive cannot be set on a connection to {address}: {error}.");
         }
+        Self::over(executor, address, stream).await
+    }
+
+    /// Starts HTTP on an open stream that leads to `address`.
+    ///
+    /// # Errors
+    /// Returns an error if the handshake fails.
+    pub async fn over<S>(
+        executor: &LocalExecutor<'static>,
+        address: SocketAddr,
+        stream: S,
+    ) -> std::io::Result<Self>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -227,7 +249,7 @@
     executor: &LocalExecutor<'static>,
     address: SocketAddr,
 ) -> std::io::Result<SendRequest<ReplyBody>> {
-    let connection = Connection::open(executor, address).await?;
+    let connection = Connection::open(executor, address, VM_SILENCE).await?;
     connection.driver.detach();
     Ok(connection.sender)
 }
--- a/crates/sillbank_net/src/frames.rs
+++ b/crates/sillbank_net/src/frames.rs
@@ -23,9 +23,36 @@
 where
     M: for<'a> Deserialize<'a>,
     R: AsyncRead + Unpin,
+{
+    let header = read_header(reader).await?;
+    read_content(reader, header).await
+}
+
+/// Header of a frame: the length of its content.
+pub type FrameHeader = [u8; 4];
+
+/// Reads the header of a frame, or the preamble of another protocol in its place.
+///
+/// # Errors
+/// Returns [`FrameError::Io`] if the connection ends.
+pub async fn read_header<R>(reader: &mut R) -> Result<FrameHeader, FrameError>
+where
+    R: AsyncRead + Unpin,
 {
     let mut header = [0; 4];
     reader.read_exact(&mut header).await?;
+    Ok(header)
+}
+
+/// Reads the rest of a message whose header was read.
+///
+/// # Errors
+/// Returns [`FrameError`] if the connection ends or the frame cannot be decoded.
+pub async fn read_content<M, R>(reader: &mut R, header: FrameHeader) -> Result<M, FrameError>
+where
+    M: for<'a> Deserialize<'a>,
+    R: AsyncRead + Unpin,
+{
     let mut content = vec![0; decode_length(header)?];
     reader.read_exact(&mut content).await?;
     Ok(decode_frame(&content)?)
--- a/crates/sillbank_net/src/liveness.rs
+++ b/crates/sillbank_net/src/liveness.rs
@@ -8,27 +8,42 @@
 
 /// Idle time before the first TCP keepalive probe, and interval between probes. The operating system counts both in
 /// whole seconds.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keepalive probes after which a connection is closed.
-const MAX_UNANSWERED_PROBES: u32 = 2;
-/// How long sent bytes may stay unacknowledged. A lost packet is retransmitted within 0.2 to 0.6 s; callers abandon a
-/// stream after 2 s without an event.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence after which a connection to a VM or to the store is closed. A lost packet is retransmitted within 0.2 to 0.6 s, and
+/// configurations have to be in force everywhere within 2 s.
+pub const VM_SILENCE: Duration = Duration::from_millis(1_500);
+/// Silence after which a connection to an endpoint is closed. A sound endpoint may be silent for a second or so; a call that
+/// may not be repeated would be lost with the connection.
+pub const ENDPOINT_SILENCE: Duration = Duration::from_millis(2_500);
 
-/// Enables TCP keepalive, so that the operating system closes a connection whose peer has not responded for about two
-/// seconds.
+/// Lets the operating system close a connection whose peer is silent for longer than `max_silence`.
+///
+/// Bytes that stay unacknowledged for `max_silence` end the connection. So does an idle connection's first unanswered
+/// keepalive probe that is due later than that after the peer was last heard: once a user timeout is set, it decides and not
+/// the number of probes, which is set to agree with it. An idle connection therefore ends at a multiple of
+/// [`KEEPALIVE_INTERVAL`], see [`idle_limit`].
 ///
 /// # Errors
 /// Returns an error if a socket option cannot be set.
-pub fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
+pub fn enable_keepalive(stream: &TcpStream, max_silence: Duration) -> io::Result<()> {
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
-    sockopt::set_tcp_keepcnt(stream, MAX_UNANSWERED_PROBES)?;
-    sockopt::set_tcp_user_timeout(stream, ACK_TIMEOUT.as_millis() as u32)?;
+    sockopt::set_tcp_keepcnt(stream, unanswered_probes(max_silence))?;
+    sockopt::set_tcp_user_timeout(stream, max_silence.as_millis() as u32)?;
     Ok(())
 }
 
+/// Time after which an idle connection with a silent peer ends.
+pub fn idle_limit(max_silence: Duration) -> Duration {
+    KEEPALIVE_INTERVAL * (unanswered_probes(max_silence) + 1)
+}
+
+/// Keepalive probes that are sent and stay unanswered until the connection ends.
+fn unanswered_probes(max_silence: Duration) -> u32 {
+    (max_silence.as_millis().div_ceil(KEEPALIVE_INTERVAL.as_millis()) as u32).max(2) - 1
+}
+
 /// Whether connections to an address are refused, because nothing listens there. An address that accepts a
 /// connection, or does not answer within `limit`, does not count as refusing.
 pub async fn refuses_connections(address: SocketAddr, limit: Duration) -> bool {
