--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -26,7 +26,7 @@
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Largest answer to a call that is buffered.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -35,6 +35,9 @@
 /// it.
 const TRY_TIMEOUT_OBJECTIVES: f64 = 1.5;
 
+/// How often a call that may be sent again checks whether its link is lost.
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Handles one call and returns the reply for its caller.
 pub async fn answer<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
@@ -107,7 +110,9 @@
         attempts.record_send(job);
         gateway.count_against_limit(&choice.endpoint);
         let sent_at = Instant::now();
-        let (failure_kind, reason) = match try_once(gateway, job, &choice).await {
+        let outcome = try_once(gateway, job, &choice).await;
+        let is_link_lost = matches!(outcome, TryOutcome::LinkLost(_));
+        let (failure_kind, reason) = match outcome {
             TryOutcome::Success(reply) => {
                 gateway.on_request_survived(job);
                 return Ok(reply);
@@ -121,7 +126,9 @@
             TryOutcome::NotRun(reason) => (SendFailureKind::NotRun, reason),
             TryOutcome::Misdirected(reason) => (SendFailureKind::Misdirected, reason),
             TryOutcome::NotSent(reason) => (SendFailureKind::NotSent, reason),
-            TryOutcome::Late(reason) => (SendFailureKind::MayHaveRun, reason),
+            TryOutcome::Late(reason) | TryOutcome::LinkLost(reason) => {
+                (SendFailureKind::MayHaveRun, reason)
+            }
             TryOutcome::Lost(reason) => {
                 let (endpoint, address) = (choice.endpoint.clone(), choice.address);
                 let broke_at = Instant::now();
@@ -141,7 +148,9 @@
                 after: sent_at.elapsed(),
             },
         );
-        tried.push(choice.endpoint);
+        if !is_link_lost {
+            tried.push(choice.endpoint);
+        }
         let may_retry = attempts.may_retry(gateway, job, failure_kind);
         if !may_retry {
             let failed_reply = failed_reply.map(|whole| whole.reply);
@@ -185,6 +194,8 @@
     Late(String),
     /// The connection broke without an answer, or the answer is invalid.
     Lost(String),
+    /// The link to the endpoint was lost, or the VM that passed the connection on.
+    LinkLost(String),
 }
 
 async fn try_once<W: Wire, S: MetadataStore>(
@@ -198,14 +209,24 @@
         .endpoint_tracker
         .start(vec![RequestPart { endpoint: choice.endpoint.clone(), kv: 0.0 }], now);
     let exchange = exchange(gateway, job, choice);
-    let may_try_another = job.is_idempotent() && choice.has_alternative && job.may_send_again(now);
-    if !may_try_another {
+    if !job.is_idempotent() || !job.may_send_again(now) {
+        return exchange.await;
+    }
+    let link_loss = async {
+        while !gateway.has_lost_link(&choice.endpoint, job.sent_by.get()) {
+            smol::Timer::after(LINK_POLL_INTERVAL).await;
+        }
+        TryOutcome::LinkLost("the link to the endpoint is lost".to_owned())
+    };
+    let exchange = futures_lite::future::or(exchange, link_loss);
+    if !choice.has_alternative {
         return exchange.await;
     }
     let try_timeout = job.route.objective.mul_f64(TRY_TIMEOUT_OBJECTIVES);
     let timeout = async {
         smol::Timer::after(try_timeout).await;
         gateway.on_evidence(&choice.endpoint, Evidence::Failed, now, "no answer in time");
+        gateway.on_send_trouble(job, &choice.endpoint);
         TryOutcome::Late(format!("no answer within {} ms", try_timeout.as_millis()))
     };
     futures_lite::future::or(exchange, timeout).await
@@ -231,13 +252,13 @@
                     timer.record_answer();
                     TryOutcome::Success(whole.reply)
                 }
-                Err(reason) => TryOutcome::Lost(reason),
+                Err(lost) => lost,
             }
         }
         SendOutcome::Failure(reply, connection) => {
             match whole_answer(gateway, choice, reply, connection).await {
                 Ok(whole) => TryOutcome::Failed(whole),
-                Err(reason) => TryOutcome::Lost(reason),
+                Err(lost) => lost,
             }
         }
         SendOutcome::NotRun(refusal) => {
@@ -251,22 +272,30 @@
             gateway.on_evidence(endpoint, Evidence::Unreachable, sent_at, "misdirected");
             TryOutcome::Misdirected(reason)
         }
-        SendOutcome::NotSent(reason) => {
+        SendOutcome::NotSent(reason) | SendOutcome::NoLink(reason) => {
             timer.discard();
             TryOutcome::NotSent(reason)
         }
-        SendOutcome::Lost(reason) => TryOutcome::Lost(reason),
+        SendOutcome::Lost(reason) => {
+            gateway.on_send_trouble(job, &choice.endpoint);
+            TryOutcome::Lost(reason)
+        }
+        SendOutcome::HopLost(reason) => TryOutcome::LinkLost(reason),
     }
 }
 
-/// Reads a whole answer and returns its connection to the pool.
+/// Reads a whole answer and returns its connection to the pool. The error is how the try ended.
 async fn whole_answer<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     choice: &Choice,
     reply: Response<Incoming>,
     connection: PooledConnection,
-) -> Result<BufferedReply, String> {
-    let whole = buffer_reply(reply, MAX_ANSWER_BYTES, &gateway.memory_budget).await?;
+) -> Result<BufferedReply, TryOutcome> {
+    let whole = buffer_reply(reply, MAX_ANSWER_BYTES, &gateway.memory_budget).await;
+    let whole = whole.map_err(|reason| match connection.hop_is_lost() {
+        true => TryOutcome::LinkLost(reason),
+        false => TryOutcome::Lost(reason),
+    })?;
     gateway.keep_connection(&choice.endpoint, connection, &whole.head);
     Ok(whole)
 }
--- a/crates/sillbank_gateway/src/connection_pool.rs
+++ b/crates/sillbank_gateway/src/connection_pool.rs
@@ -2,10 +2,12 @@
 
 use hyper::header::{CONNECTION, HeaderMap};
 use sillbank_core::prelude::*;
+use sillbank_links::prelude::*;
 use sillbank_net::liveness::ENDPOINT_SILENCE;
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
-use std::cell::RefCell;
+use smol::io::{AsyncRead, AsyncWrite};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +24,20 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum idle connections per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
+/// Maximum idle connections per endpoint when one that another VM passes on is returned: it takes one of the few that the
+/// VM passes on.
+const MAX_IDLE_RELAYED_PER_ENDPOINT: usize = 8;
+
+/// The VM that passes a connection on.
+#[derive(Debug, Clone)]
+pub struct Hop {
+    /// Its address for other VMs.
+    pub vm: SocketAddr,
+    /// Number of the connection, in the logs of both VMs.
+    pub number: u64,
+    /// Whether the VM was lost.
+    pub is_lost: Rc<Cell<bool>>,
+}
 
 /// A connection to one endpoint that carries one request at a time.
 #[derive(Debug)]
@@ -34,9 +50,33 @@
     pub address: SocketAddr,
     /// When it was opened.
     pub opened_at: Instant,
+    /// The VM that passes it on; `None` if it is direct.
+    pub hop: Option<Hop>,
     idle_until: Instant,
 }
 
+impl PooledConnection {
+    fn new(inner: Connection, address: SocketAddr, hop: Option<Hop>) -> Self {
+        let now = Instant::now();
+        Self { inner, reused: false, address, opened_at: now, hop, idle_until: now }
+    }
+
+    /// Whether it goes through another VM.
+    pub fn is_relayed(&self) -> bool {
+        self.hop.is_some()
+    }
+
+    /// How it was opened.
+    pub fn transit(&self) -> Transit {
+        if self.is_relayed() { Transit::Relayed } else { Transit::Direct }
+    }
+
+    /// Whether it goes through another VM that was lost.
+    pub fn hop_is_lost(&self) -> bool {
+        self.hop.as_ref().is_some_and(|hop| hop.is_lost.get())
+    }
+}
+
 /// Idle connections, by endpoint.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -68,7 +108,23 @@
         None
     }
 
-    /// Opens a new connection.
+    /// Takes a usable connection that another VM passes on.
+    pub fn take_relayed(
+        &self,
+        endpoint: &str,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Option<PooledConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(endpoint)?;
+        let is_wanted = |connection: &PooledConnection| {
+            connection.is_relayed() && connection.address == address && is_usable(connection, now)
+        };
+        let at = connections.iter().rposition(is_wanted)?;
+        Some(connections.remove(at))
+    }
+
+    /// Opens a new direct connection.
     ///
     /// # Errors
     /// The connection error, or `TimedOut` after [`CONNECT_TIMEOUT`].
@@ -79,8 +135,24 @@
         };
         let open = Connection::open(&self.executor, address, ENDPOINT_SILENCE);
         let inner = futures_lite::future::or(open, timeout).await?;
-        let now = Instant::now();
-        Ok(PooledConnection { inner, reused: false, address, opened_at: now, idle_until: now })
+        Ok(PooledConnection::new(inner, address, None))
+    }
+
+    /// Starts HTTP on a stream to an endpoint that another VM passes on.
+    ///
+    /// # Errors
+    /// If the handshake fails.
+    pub async fn start_relayed<S>(
+        &self,
+        address: SocketAddr,
+        stream: S,
+        hop: Hop,
+    ) -> std::io::Result<PooledConnection>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        let inner = Connection::over(&self.executor, address, stream).await?;
+        Ok(PooledConnection::new(inner, address, Some(hop)))
     }
 
     /// Returns a connection to the pool after a complete reply, unless the reply's head closes it.
@@ -98,7 +170,11 @@
         connection.reused = true;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(endpoint.to_owned()).or_default();
-        if connections.len() < MAX_IDLE_PER_ENDPOINT && !connection.inner.sender.is_closed() {
+        let limit = match connection.transit() {
+            Transit::Direct => MAX_IDLE_PER_ENDPOINT,
+            Transit::Relayed => MAX_IDLE_RELAYED_PER_ENDPOINT,
+        };
+        if connections.len() < limit && !connection.inner.sender.is_closed() {
             connections.push(connection);
         }
     }
@@ -116,6 +192,20 @@
     pub fn close_idle(&self, endpoint: &str) {
         self.idle.borrow_mut().remove(endpoint);
     }
+
+    /// Closes the idle direct connections to an endpoint.
+    pub fn close_idle_direct(&self, endpoint: &str) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(endpoint) {
+            connections.retain(PooledConnection::is_relayed);
+        }
+    }
+
+    /// Closes the idle connections to an endpoint that other VMs pass on.
+    pub fn close_relayed(&self, endpoint: &str) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(endpoint) {
+            connections.retain(|connection| !connection.is_relayed());
+        }
+    }
 }
 
 fn is_usable(connection: &PooledConnection, now: Instant) -> bool {
--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -6,10 +6,12 @@
 
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::links::RelayError;
 use crate::probes::silence_means_loss;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_core::prelude::*;
+use sillbank_links::prelude::*;
 use sillbank_net::liveness::refuses_connections;
 use smol::lock::Mutex;
 use std::cell::RefCell;
@@ -100,6 +102,31 @@
     gateway.executor.spawn(recheck).detach();
 }
 
+impl<W: Wire, S> Gateway<W, S> {
+    /// Whether an endpoint refuses connections, also those of another VM: a VM that has lost its
+    /// links may be refused by endpoints that run.
+    async fn refuses(&self, endpoint: &str, address: SocketAddr) -> bool {
+        let is_direct = self.transit_to(endpoint) == Transit::Direct;
+        if is_direct && !refuses_connections(address, CONNECT_CHECK_TIMEOUT).await {
+            return false;
+        }
+        if !self.settings.borrow().mechanisms.relay {
+            return true;
+        }
+        match self.connect_through(endpoint, address).await {
+            Ok(_) => {
+                self.links.on_trouble(endpoint);
+                false
+            }
+            Err(error) if error.endpoint_refuses() => true,
+            // No other VM is known, so what this one sees has to do.
+            Err(RelayError::NoVm) => is_direct,
+            // Other VMs have lost their links as well, or are not reached.
+            Err(_) => false,
+        }
+    }
+}
+
 /// Whether the endpoint has crashed since the request was sent: found before, restarted, or
 /// refusing connections.
 async fn has_crashed<W: Wire, S>(gateway: &Gateway<W, S>, send: &BrokenSend) -> bool {
@@ -111,7 +138,7 @@
     {
         return true;
     }
-    if !refuses_connections(send.address, CONNECT_CHECK_TIMEOUT).await {
+    if !gateway.refuses(endpoint, send.address).await {
         return false;
     }
     crashed.crashed_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -4,6 +4,7 @@
 //! Lines about requests are rate limited; dropped ones are counted and reported. Lines about the
 //! view are few and always written.
 
+use crate::connection_pool::Hop;
 use crate::crashes::BrokenSend;
 use crate::job::Job;
 use crate::paths::EngineCounts;
@@ -130,6 +131,19 @@
         }
     }
 
+    /// A request is sent over a connection that another VM passes on.
+    pub fn sent_through(&self, job: &Job, endpoint: &str, hop: &Hop) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                endpoint,
+                vm = %hop.vm,
+                hop = hop.number,
+                "route: Sent through another VM."
+            );
+        }
+    }
+
     /// A send ended without the answer for the caller.
     pub fn send_failed(&self, job: &Job, failed: &FailedSend<'_>) {
         if self.take_line() {
--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -224,6 +224,16 @@
         due.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Ends an ejection and forgets failures, as the endpoint did not cause them.
+    pub fn forgive(&self, endpoint: &str, now: Instant) {
+        if let Some(state) = self.states.borrow_mut().get_mut(endpoint) {
+            state.health = Health::new(now);
+            state.failure_share = 0.0;
+            state.is_on_trial = false;
+            state.ejected_at = None;
+        }
+    }
+
     /// Number of ejected endpoints.
     pub fn ejected_count(&self) -> usize {
         let states = self.states.borrow();
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -3,10 +3,11 @@
 use super::messages::{EndpointUpdate, FeedCursor, FeedReply, FeedRequest, FeedUpdate};
 use crate::freshness::LONG_POLL_WAIT;
 use crate::gateway::Gateway;
+use crate::links::{RELAY_PREAMBLE, serve_relay};
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_fleet::prelude::*;
-use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_net::frames::{FrameError, read_content, read_header, write_message};
 use sillbank_net::metered::Metered;
 use sillbank_quarantine::prelude::*;
 use smol::net::{TcpListener, TcpStream};
@@ -54,12 +55,15 @@
     let mut stream = Metered::new(stream, gateway.memory_budget.register_connection());
     let mut confirmations_sent = None;
     loop {
-        let timeout = async {
-            smol::Timer::after(IDLE_TIMEOUT).await;
-            Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
+        let header = match or_timeout(read_header(&mut stream)).await {
+            Ok(RELAY_PREAMBLE) => return serve_relay(&gateway, stream).await,
+            Ok(header) => header,
+            Err(error) => {
+                tracing::debug!(%error, "feed: A connection was closed.");
+                return;
+            }
         };
-        let request =
-            futures_lite::future::or(read_message::<FeedRequest, _>(&mut stream), timeout).await;
+        let request = or_timeout(read_content::<FeedRequest, _>(&mut stream, header)).await;
         let result = match request {
             Ok(request) => {
                 let reply = answer(&gateway, &request, &mut confirmations_sent).await;
@@ -74,6 +78,15 @@
     }
 }
 
+/// The result of a read, or a timeout error after [`IDLE_TIMEOUT`].
+async fn or_timeout<T>(read: impl Future<Output = Result<T, FrameError>>) -> Result<T, FrameError> {
+    let timeout = async {
+        smol::Timer::after(IDLE_TIMEOUT).await;
+        Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
+    };
+    futures_lite::future::or(read, timeout).await
+}
+
 /// Answers a request once there is something new, or after the wait of a long poll.
 /// `confirmations_sent` is the number of confirmations announced before the previous answer on the
 /// same connection; `None` before the first one.
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::freshness::Freshness;
 use crate::hall::{Hall, LeaderScore};
 use crate::job::Job;
+use crate::links::Links;
 use crate::load::FleetLoad;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
 use crate::paths::RoutingContext;
@@ -44,6 +45,9 @@
 /// quarantined requests once more.
 pub const STARTUP_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Time since the last connection through another VM after which there is none to connect through.
+const RELAY_USE_TIME: Duration = Duration::from_secs(2);
+
 /// Lifecycle of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LifecycleState {
@@ -71,6 +75,8 @@
     pub hall: Hall,
     /// Health of endpoints and work in flight, as this VM observes them.
     pub endpoint_tracker: Rc<EndpointTracker>,
+    /// Links to endpoints, and the VMs that connect on behalf of this one.
+    pub links: Links,
     /// Endpoints that crashed while they ran a request.
     pub crashed_endpoints: CrashedEndpoints,
     /// Rate limits and pauses that endpoints asked for in their answers.
@@ -145,6 +151,7 @@
             limits: RefCell::default(),
             hall: Hall::new(rng.clone()),
             endpoint_tracker: Rc::default(),
+            links: Links::default(),
             crashed_endpoints: CrashedEndpoints::default(),
             pushback: RefCell::default(),
             rate_leases: RateLeases::default(),
@@ -214,11 +221,13 @@
     }
 
     /// How fit this VM is to lead its hall. It is 0 while the VM does not serve or is near a limit,
-    /// as leading takes network bandwidth and processor time.
+    /// as leading takes network bandwidth and processor time, and while it cannot reach the hall's
+    /// engines itself.
     pub fn leader_score(&self) -> LeaderScore {
         let settings = self.settings.borrow();
         match self.lifecycle.get() {
             LifecycleState::Serving if self.limit_state() != LimitState::Clear => 0.0,
+            LifecycleState::Serving if self.links.is_hall_lost(&settings.hall) => 0.0,
             LifecycleState::Serving => settings.processors * settings.link_mbps,
             LifecycleState::Draining | LifecycleState::Stopping => 0.0,
         }
@@ -239,14 +248,23 @@
         self.quarantine_is_loaded.get() || self.age(now) >= STARTUP_WAIT
     }
 
-    /// Whether the VM reports itself ready for new work. A VM near a limit does not, as long as
-    /// enough other VMs of its hall are fit.
+    /// Whether the VM reports itself ready for new work. A VM near a limit, or one that reaches no
+    /// endpoint, does not, as long as enough other VMs of its hall are fit.
     pub fn is_ready(&self, now: Instant) -> bool {
         self.lifecycle.get() == LifecycleState::Serving
             && self.platform.is_fresh(now)
             && self.platform.knows_endpoints()
             && self.knows_quarantine(now)
-            && (self.limit_state() == LimitState::Clear || !self.hall.others_suffice(now))
+            && ((self.limit_state() == LimitState::Clear && !self.is_cut_off(now))
+                || !self.hall.others_suffice(now))
+    }
+
+    /// Whether this VM can reach no endpoint, neither directly nor through another VM.
+    fn is_cut_off(&self, now: Instant) -> bool {
+        let halls = self.platform.halls();
+        !halls.is_empty()
+            && halls.iter().all(|hall| self.links.is_hall_lost(hall))
+            && self.links.has_no_relay(RELAY_USE_TIME, now)
     }
 
     /// Applies a configuration read at revision `at`, unless a newer one is in force.
@@ -342,7 +360,7 @@
 
     /// Applies evidence of an endpoint's health from an exchange that started at `started_at`, and
     /// logs when the endpoint is ejected or used again. Evidence from before the endpoint's last
-    /// restart is ignored.
+    /// restart is ignored, and so are failures from before all links to its hall were found lost.
     pub fn on_evidence(
         &self,
         endpoint: &str,
@@ -354,6 +372,11 @@
         if self.endpoint_tracker.restarted_since(endpoint, started_at) {
             return;
         }
+        // Such an exchange was over a direct connection, and its failure is explained.
+        let lost_since = |hall: HallId| self.links.was_hall_lost_since(&hall, started_at);
+        if evidence != Evidence::Good && self.hall_of(endpoint).is_some_and(lost_since) {
+            return;
+        }
         if !self.endpoint_tracker.on_evidence(endpoint, evidence, now) {
             return;
         }
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -283,6 +283,16 @@
         Some((fittest.2.clone(), fittest.3))
     }
 
+    /// Addresses of the recent followers that are fit.
+    pub fn fit_followers(&self, now: Instant) -> Vec<SocketAddr> {
+        let is_fit = |follower: &&Follower| {
+            now.saturating_duration_since(follower.last_request) < LEADER_TIMEOUT
+                && follower.leader_score > 0.0
+        };
+        let followers = self.followers.borrow();
+        followers.values().filter(is_fit).map(|follower| follower.peer).collect()
+    }
+
     /// The follower whose configuration was confirmed last, if that was another confirmation than
     /// that of `since`.
     pub fn freshest_follower(&self, now: Instant, since: Instant) -> Option<SocketAddr> {
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -16,6 +16,7 @@
 use sillbank_core::run::RunLog;
 use sillbank_engines::prelude::*;
 use sillbank_layers::prelude::*;
+use sillbank_links::prelude::*;
 use sillbank_net::prelude::*;
 use sillbank_quarantine::prelude::*;
 use std::cell::{Cell, OnceCell};
@@ -57,6 +58,8 @@
     pub run: Cell<RunLog>,
     /// Number of sends so far.
     pub sends: Cell<u32>,
+    /// How the connection that carries the last send was opened; `None` until there is one.
+    pub sent_by: Cell<Option<Transit>>,
     /// Events as the caller saw them.
     pub delivery: Delivery,
     /// Forecast made at the first send; `None` inside if no forecast was possible.
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -10,6 +10,8 @@
 //!   endpoints that cannot be parsed.
 //! - [`endpoints`] tracks the health of endpoints, [`probes`] checks them; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
+//! - [`links`] tells lost links of this VM from lost endpoints, and connects through other VMs while
+//!   links are lost.
 //! - [`crashes`] distinguishes an endpoint that crashed during a request from a broken connection.
 //! - [`quarantine`] refuses requests that crash their endpoints, [`quarantine_store`] keeps them in
 //!   the store.
@@ -52,6 +54,7 @@
 pub mod hall_reports;
 pub mod job;
 pub mod lifecycle;
+pub mod links;
 pub mod load;
 pub mod mechanisms;
 pub mod metrics;
--- /dev/null
+++ b/crates/sillbank_gateway/src/links/engine_calls.rs
@@ -0,0 +1,121 @@
+//! Calls to engines other than callers' requests: reports, orders and moves.
+
+use crate::connection_pool::PooledConnection;
+use crate::gateway::Gateway;
+use crate::links::RelayError;
+use crate::wire::Wire;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use sillbank_links::prelude::*;
+use sillbank_net::prelude::*;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Largest reply that is read over a relayed connection.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+
+/// Error of a call through another VM.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RelayedCallError {
+    /// No VM has connected on behalf of this one.
+    #[error(transparent)]
+    Relay(#[from] RelayError),
+    /// The call failed over an open connection, or took too long.
+    #[error(transparent)]
+    Call(CallError),
+}
+
+impl RelayedCallError {
+    /// Whether it says nothing of the engine: no other VM tried to reach it.
+    pub fn proves_nothing(&self) -> bool {
+        matches!(self, Self::Relay(error) if !error.is_of_endpoint())
+    }
+
+    fn into_call_error(self, address: SocketAddr) -> CallError {
+        match self {
+            Self::Call(error) => error,
+            Self::Relay(error) => {
+                CallError::NotSent { address, reason: format!("through another VM: {error}") }
+            }
+        }
+    }
+}
+
+impl<W: Wire, S> Gateway<W, S> {
+    /// Calls an engine directly, or through another VM while the link to it is lost.
+    ///
+    /// # Errors
+    /// As [`HttpClient::call`].
+    pub async fn call_engine(
+        &self,
+        engine: &str,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<CallReply, CallError> {
+        if self.transit_to(engine) == Transit::Relayed {
+            let reply = self.call_engine_relayed(engine, address, request, timeout).await;
+            return reply.map_err(|error| error.into_call_error(address));
+        }
+        let reply = self.engine_calls.call(address, request, timeout).await;
+        if reply.is_err() {
+            self.links.on_trouble(engine);
+        }
+        reply
+    }
+
+    /// Calls an engine through another VM.
+    ///
+    /// # Errors
+    /// [`RelayedCallError`].
+    pub async fn call_engine_relayed(
+        &self,
+        engine: &str,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<CallReply, RelayedCallError> {
+        let is_sent = Cell::new(false);
+        let late = async {
+            smol::Timer::after(timeout).await;
+            let reason = format!("it took longer than {} ms", timeout.as_millis());
+            Err(RelayedCallError::Call(match is_sent.get() {
+                true => CallError::Lost { address, reason },
+                false => CallError::NotSent { address, reason },
+            }))
+        };
+        let call = async {
+            let now = Instant::now();
+            let connection = match self.connection_pool.take_relayed(engine, address, now) {
+                Some(connection) => connection,
+                None => self.connect_through(engine, address).await?,
+            };
+            is_sent.set(true);
+            let reply = self.exchange_once(engine, connection, request).await;
+            reply.map_err(|reason| RelayedCallError::Call(CallError::Lost { address, reason }))
+        };
+        futures_lite::future::or(call, late).await
+    }
+
+    /// Sends one request over a connection, reads the whole reply and keeps the connection.
+    ///
+    /// # Errors
+    /// Why there is no reply.
+    pub(super) async fn exchange_once(
+        &self,
+        endpoint: &str,
+        mut connection: PooledConnection,
+        request: Request<Bytes>,
+    ) -> Result<CallReply, String> {
+        let request = request.map(|body| ReplyBody::Full(Full::new(body)));
+        let reply = connection.inner.sender.try_send_request(request).await;
+        let reply = reply.map_err(|error| error.error().to_string())?;
+        let (head, body) = reply.into_parts();
+        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
+        let body = body.map_err(|error| format!("the reply broke off: {error}"))?.to_bytes();
+        self.keep_connection(endpoint, connection, &head.headers);
+        Ok(CallReply { status: head.status, headers: head.headers, body })
+    }
+}
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -43,6 +43,8 @@
     pub quarantine: bool,
     /// Pushback in the answers of endpoints is respected.
     pub pushback: bool,
+    /// Connections to endpoints to which a VM has lost its links go through other VMs.
+    pub relay: bool,
 }
 
 impl Default for Mechanisms {
@@ -66,6 +68,7 @@
             vm_limits: true,
             quarantine: true,
             pushback: true,
+            relay: true,
         }
     }
 }
@@ -92,6 +95,7 @@
             vm_limits: reader.flag("vm_limits", true),
             quarantine: reader.flag("quarantine", true),
             pushback: reader.flag("pushback", true),
+            relay: reader.flag("relay", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -47,6 +47,13 @@
     pub kind: &'static str,
 }
 
+/// Label of gauges by hall.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HallLabel {
+    /// Hall.
+    pub hall: String,
+}
+
 /// Labels of the demand for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DemandLabel {
@@ -83,6 +90,16 @@
     registry: Registry,
     /// Endpoints that this VM has ejected.
     pub ejected_endpoints: Gauge,
+    /// Halls: 1 while all links to the hall's endpoints count as lost.
+    pub lost_halls: Family<HallLabel, Gauge>,
+    /// Links to endpoints that were found lost.
+    pub links_lost: Counter,
+    /// Connections that this VM asked other VMs for, by result.
+    pub relayed: Family<KindLabel, Counter>,
+    /// Connections that other VMs asked this one for, by result.
+    pub relayed_for_others: Family<KindLabel, Counter>,
+    /// Connections that this VM passes on for others.
+    pub passed_on: Gauge,
     /// Requests that ended.
     pub requests: Family<OutcomeLabel, Counter>,
     /// Requests in progress.
@@ -162,6 +179,9 @@
             ))
         };
         let ejected_endpoints = Gauge::default();
+        let (lost_halls, links_lost) = (Family::default(), Counter::default());
+        let (relayed, relayed_for_others) = (Family::default(), Family::default());
+        let passed_on = Gauge::default();
         let requests = Family::default();
         let in_progress = Gauge::default();
         let sends = Family::default();
@@ -193,6 +213,14 @@
         let whole_answer_s = Family::new_with_constructor(buckets as MakeHistogram);
         let help = "Endpoints that this VM has ejected";
         registry.register("ejected_endpoints", help, ejected_endpoints.clone());
+        let help = "1 while all links to a hall's endpoints are lost";
+        registry.register("lost_halls", help, lost_halls.clone());
+        registry.register("links_lost", "Links to endpoints found lost", links_lost.clone());
+        let help = "Connections asked of other VMs, by result";
+        registry.register("relayed", help, relayed.clone());
+        let help = "Connections that other VMs asked for, by result";
+        registry.register("relayed_for_others", help, relayed_for_others.clone());
+        registry.register("passed_on", "Open connections of other VMs", passed_on.clone());
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register("in_progress", "Requests in progress", in_progress.clone());
         registry.register("sends", "Sends to endpoints", sends.clone());
@@ -248,6 +276,11 @@
         Self {
             registry,
             ejected_endpoints,
+            lost_halls,
+            links_lost,
+            relayed,
+            relayed_for_others,
+            passed_on,
             requests,
             in_progress,
             sends,
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -17,7 +17,7 @@
 use crate::wire::{EngineReport, PlacementOrder, Wire};
 use leadership::Leadership;
 use lease_reads::CHECK_INTERVAL;
-use reports::{ENGINE_CALL_LIMIT, poll_report};
+use reports::{ENGINE_CALL_LIMIT, RelayedPolls, poll_report};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -242,10 +242,12 @@
                 self.gateway.platform.endpoints(|directory| directory.newest_incarnation(id));
             self.tracked.entry(id.clone()).or_default().on_incarnation(newest_incarnation);
         }
+        let relayed_polls = Rc::new(RelayedPolls::default());
         let polls: Vec<(EndpointId, smol::Task<ReportOutcome>)> = engines
             .values()
             .map(|record| {
-                let outcome = poll_report(self.gateway.clone(), record.address);
+                let outcome =
+                    poll_report(self.gateway.clone(), record.clone(), relayed_polls.clone());
                 (record.id.clone(), self.gateway.executor.spawn(outcome))
             })
             .collect();
@@ -291,7 +293,8 @@
             expected_orders: report.orders_accepted,
         };
         let call = W::order_call(&order);
-        let ended = self.gateway.engine_calls.call(address, call, ENGINE_CALL_LIMIT).await;
+        let engine = &target.endpoint;
+        let ended = self.gateway.call_engine(engine, address, call, ENGINE_CALL_LIMIT).await;
         let end = match &ended {
             Ok(reply) => W::read_order_outcome(reply.status).name(),
             Err(_) => "no_answer",
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -1,17 +1,26 @@
 //! Polls the engines of a hall for reports, as done by its leader.
 
 use crate::gateway::Gateway;
+use crate::links::{RelayError, RelayedCallError};
 use crate::store::MetadataStore;
 use crate::wire::{EngineReport, Wire};
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
-use std::net::SocketAddr;
+use smol::lock::Semaphore;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Timeout for a report or an order of an engine.
 pub(super) const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Timeout for a report through another VM.
+const RELAYED_CALL_LIMIT: Duration = Duration::from_millis(300);
+/// Relayed polls at the same time.
+const MAX_RELAYED_POLLS: usize = 16;
+/// Relayed polls of a round that fail without a success, from which on no more are made: the hall is
+/// cut off, or its engines are lost.
+const MAX_FAILED_POLLS: u32 = 8;
 /// Consecutive missing reports from which an engine is considered lost.
 const MAX_MISSED_REPORTS: u32 = 2;
 
@@ -41,6 +50,8 @@
     Missed,
     /// The report could not be parsed, with the reason.
     Unreadable(String),
+    /// This VM has lost its links to the hall, and no other VM reaches the engine on its behalf.
+    Unknown,
 }
 
 impl ReportOutcome {
@@ -90,6 +101,7 @@
                 self.fault = None;
                 self.missed = 0;
             }
+            ReportOutcome::Unknown => {}
             ReportOutcome::Refused => self.report = None,
             ReportOutcome::Missed | ReportOutcome::Unreadable(_) => {
                 self.missed += 1;
@@ -132,20 +144,80 @@
     }
 }
 
-/// Polls an engine for its report.
+/// Relayed polls of one round: those of engines that did not answer directly. Engines that another
+/// VM reaches are not lost; this VM has lost its link to them.
+#[derive(Debug)]
+pub(super) struct RelayedPolls {
+    slots: Semaphore,
+    answered: Cell<u32>,
+    failed: Cell<u32>,
+}
+
+impl Default for RelayedPolls {
+    fn default() -> Self {
+        Self {
+            slots: Semaphore::new(MAX_RELAYED_POLLS),
+            answered: Cell::new(0),
+            failed: Cell::new(0),
+        }
+    }
+}
+
+impl RelayedPolls {
+    /// Polls an engine through another VM; not if no other engine has answered that way.
+    async fn poll<W: Wire, S: MetadataStore>(
+        &self,
+        gateway: &Gateway<W, S>,
+        engine: &EndpointRecord,
+    ) -> Result<CallReply, RelayedCallError> {
+        let _slot = self.slots.acquire().await;
+        let is_hopeless = self.answered.get() == 0 && self.failed.get() >= MAX_FAILED_POLLS;
+        if is_hopeless || !gateway.settings().mechanisms.relay {
+            return Err(RelayError::NoVm.into());
+        }
+        let call = W::report_call();
+        let (id, address) = (&engine.id, engine.address);
+        let reply = gateway.call_engine_relayed(id, address, call, RELAYED_CALL_LIMIT).await;
+        let count = if reply.is_ok() { &self.answered } else { &self.failed };
+        count.set(count.get() + 1);
+        reply
+    }
+}
+
+/// Polls an engine for its report, directly or, if that fails, through another VM.
 pub(super) async fn poll_report<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
-    address: SocketAddr,
+    engine: EndpointRecord,
+    relayed_polls: Rc<RelayedPolls>,
 ) -> ReportOutcome {
     let started_at = Instant::now();
-    let reply = gateway.engine_calls.call(address, W::report_call(), ENGINE_CALL_LIMIT).await;
-    let reply = match reply {
+    let address = engine.address;
+    let call = W::report_call();
+    let reply = match gateway.call_engine(&engine.id, address, call, ENGINE_CALL_LIMIT).await {
         Ok(reply) => reply,
         Err(error) => {
-            tracing::info!(endpoint = %address, %error, "endpoint: The engine sent no report.");
             let is_refusal = matches!(error, CallError::NotSent { .. })
                 && started_at.elapsed() < ENGINE_CALL_LIMIT;
-            return if is_refusal { ReportOutcome::Refused } else { ReportOutcome::Missed };
+            match relayed_polls.poll(&gateway, &engine).await {
+                Ok(reply) => reply,
+                Err(relayed) => {
+                    tracing::info!(
+                        endpoint = engine.id,
+                        %error,
+                        %relayed,
+                        "endpoint: The engine sent no report."
+                    );
+                    return match () {
+                        () if relayed.proves_nothing()
+                            && gateway.links.is_hall_lost(&engine.hall) =>
+                        {
+                            ReportOutcome::Unknown
+                        }
+                        () if is_refusal => ReportOutcome::Refused,
+                        () => ReportOutcome::Missed,
+                    };
+                }
+            }
         }
     };
     match W::read_report(&reply.body) {
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -7,7 +7,8 @@
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use crate::{
-    feed, follow, lifecycle, placement, probes, pushback, quarantine, quarantine_store, vm_limits,
+    feed, follow, lifecycle, links, placement, probes, pushback, quarantine, quarantine_store,
+    vm_limits,
 };
 use sillbank_core::rng::SharedRng;
 use sillbank_net::prelude::*;
@@ -56,6 +57,17 @@
     }
 }
 
+/// Checks links to endpoints, and knows VMs that connect on behalf of this one.
+struct LinksPlugin;
+
+impl<W: Wire, S: MetadataStore> Plugin<Gateway<W, S>> for LinksPlugin {
+    fn build(self, app: &App<Gateway<W, S>>) {
+        app.spawn(links::check_troubled(app.state()));
+        app.spawn(links::check_returns(app.state()));
+        app.spawn(links::follow_relays(app.state()));
+    }
+}
+
 /// Serves readiness and metrics.
 struct OpsPlugin {
     ready: TcpListener,
@@ -152,6 +164,7 @@
         .add_plugin(FollowPlugin)
         .add_plugin(PlacementPlugin)
         .add_plugin(FeedPlugin { listener: peers })
+        .add_plugin(LinksPlugin)
         .add_plugin(OpsPlugin { ready, metrics })
         .add_plugin(CallersPlugin { listener: callers, stop: stopper.token() })
         .add_plugin(MaintenancePlugin { reload: reload_signals, settings_path });
--- a/crates/sillbank_gateway/src/probes.rs
+++ b/crates/sillbank_gateway/src/probes.rs
@@ -50,10 +50,12 @@
 /// Asks the first endpoint of a path what a request waits for.
 pub async fn diagnose<W: Wire, S>(
     gateway: &Gateway<W, S>,
-    first: SocketAddr,
+    first: &str,
+    address: SocketAddr,
     request_id: &str,
 ) -> Diagnosis {
-    let reply = match gateway.engine_calls.call(first, W::report_call(), REPORT_TIMEOUT).await {
+    let call = gateway.call_engine(first, address, W::report_call(), REPORT_TIMEOUT);
+    let reply = match call.await {
         Ok(reply) => reply,
         Err(error) => return Diagnosis::Silent(error.to_string()),
     };
@@ -64,7 +66,7 @@
             .find(|stalled| stalled.request_id == request_id)
             .map_or(Diagnosis::Working, |stalled| Diagnosis::WaitsFor(stalled.waits_for)),
         Err(error) => {
-            tracing::warn!(endpoint = %first, %error, "endpoint: A report cannot be read.");
+            tracing::warn!(endpoint = first, %error, "endpoint: A report cannot be read.");
             Diagnosis::Working
         }
     }
@@ -139,7 +141,8 @@
     address: SocketAddr,
 ) -> Probe {
     let started_at = Instant::now();
-    match gateway.engine_calls.call(address, W::report_call(), PROBE_TIMEOUT).await {
+    let call = gateway.call_engine(&endpoint, address, W::report_call(), PROBE_TIMEOUT);
+    match call.await {
         Ok(reply) => {
             if let Ok(report) = W::read_report(&reply.body) {
                 gateway.on_reported_incarnation(&endpoint, report.born_ms);
@@ -179,7 +182,7 @@
     engine: EndpointRecord,
 ) {
     let started_at = Instant::now();
-    let call = gateway.engine_calls.call(engine.address, W::report_call(), REPORT_TIMEOUT);
+    let call = gateway.call_engine(&engine.id, engine.address, W::report_call(), REPORT_TIMEOUT);
     match call.await {
         Ok(_) => gateway.on_evidence(&engine.id, Evidence::Good, started_at, "it reports again"),
         Err(error) => {
--- a/crates/sillbank_gateway/src/rate_leases.rs
+++ b/crates/sillbank_gateway/src/rate_leases.rs
@@ -48,10 +48,6 @@
         hall_leases.retain(|_, lease| now < lease.until);
     }
 
-    fn hall_of(&self, endpoint: &str) -> Option<HallId> {
-        self.platform.endpoints(|directory| Some(directory.get(endpoint)?.hall.clone()))
-    }
-
     /// What this VM may allocate of an endpoint's limit while it leads.
     fn total(&self, endpoint: &str, now: Instant) -> Option<RateLease> {
         let limit_per_s = self.pushback.borrow().limit_per_s(endpoint)?;
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -5,6 +5,7 @@
 use crate::endpoints::Evidence;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::links::OpenError;
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
 use crate::wire::{EndpointReply, Refusal, ReplyPosition, Wire};
@@ -41,8 +42,12 @@
     NotRun(Refusal),
     /// No byte of the request was sent; holds the reason.
     NotSent(String),
+    /// The same, as this VM has lost its links and no other VM connects on its behalf.
+    NoLink(String),
     /// The request may have run, but no reply to it arrived; holds the reason.
     Lost(String),
+    /// The same, as the VM that passed the connection on was lost.
+    HopLost(String),
 }
 
 /// Sends a request and waits for the head of the reply. The request's run log is up to date even if
@@ -54,15 +59,23 @@
     resume_after: Option<u64>,
 ) -> SendOutcome {
     loop {
+        job.sent_by.set(None);
         let connection = match gateway.connection_pool.take(to.endpoint, to.address, Instant::now())
         {
             Some(connection) => connection,
-            None => match gateway.connection_pool.open(to.address).await {
+            None => match gateway.open_connection(to.endpoint, to.address).await {
                 Ok(connection) => connection,
-                Err(error) => return SendOutcome::NotSent(format!("no connection: {error}")),
+                Err(error @ OpenError::Endpoint(_)) => {
+                    return SendOutcome::NotSent(error.to_string());
+                }
+                Err(error @ OpenError::Link(_)) => return SendOutcome::NoLink(error.to_string()),
             },
         };
         let is_reused = connection.reused;
+        job.sent_by.set(Some(connection.transit()));
+        if let Some(hop) = &connection.hop {
+            gateway.decisions.sent_through(job, to.endpoint, hop);
+        }
         let kind = KindLabel { kind: if is_reused { "reused" } else { "new" } };
         gateway.metrics.connections.get_or_create(&kind).inc();
         match exchange(gateway, job, to, resume_after, connection).await {
@@ -93,10 +106,12 @@
                     job.update_run(RunLog::record_refused);
                     SendOutcome::NotSent(reason)
                 }
+                None if connection.hop_is_lost() => SendOutcome::HopLost(reason),
                 None => SendOutcome::Lost(reason),
             };
         }
     };
+    gateway.on_direct_reply(to.endpoint, &connection);
     let position = match connection.reused {
         true => ReplyPosition::AfterOthers,
         false => ReplyPosition::First,
@@ -154,8 +169,8 @@
         // A lost reply is weak evidence: the endpoint may lose replies and still run every request.
         SendOutcome::Failure(..) | SendOutcome::Lost(_) => Some(Evidence::Failed),
         SendOutcome::NotSent(_) => Some(Evidence::Unreachable),
-        // A full endpoint is healthy.
-        SendOutcome::NotRun(_) => None,
+        // A full endpoint is healthy, and a lost VM proves nothing of it.
+        SendOutcome::NotRun(_) | SendOutcome::NoLink(_) | SendOutcome::HopLost(_) => None,
     }
 }
 
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -12,6 +12,9 @@
 const RESERVED_DESCRIPTORS: usize = 256;
 /// File descriptors that one caller's connection may need: its own and one to an endpoint.
 const DESCRIPTORS_PER_CALLER: usize = 2;
+/// One of this many connections may be one that the VM passes on for another one. Each holds two descriptors, as a caller's
+/// does. A hall may have but one VM whose links work.
+const RELAYED_SHARE: usize = 4;
 /// Bytes per megabyte.
 const BYTES_PER_MB: f64 = 1e6;
 /// Maximum share of the process's memory buffered for callers and endpoints. Buffers may take twice
@@ -66,6 +69,16 @@
 impl GatewaySettings {
     /// Maximum connections of callers.
     pub fn max_caller_connections(&self) -> usize {
+        self.max_connections() - self.max_relayed_connections()
+    }
+
+    /// Maximum connections to endpoints that this VM passes on for other VMs.
+    pub fn max_relayed_connections(&self) -> usize {
+        self.max_connections() / RELAYED_SHARE
+    }
+
+    /// Maximum connections with a second descriptor each.
+    fn max_connections(&self) -> usize {
         self.max_open_files.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CALLER
     }
 
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -87,6 +87,8 @@
     pub(super) kind: SendFailureKind,
     /// Whether the connection to the first endpoint ended before a reply arrived.
     pub(super) is_broken: bool,
+    /// Whether the link to it was lost, or the VM that passed the connection on.
+    pub(super) is_link_lost: bool,
     pub(super) reason: String,
 }
 
@@ -120,10 +122,27 @@
         })
         .await;
     let failed = |at_fault, kind, reason| {
-        let (endpoint, is_broken) = (endpoint.clone(), false);
-        AttemptResult::Failed(FailedAttempt { endpoint, at_fault, kind, is_broken, reason })
+        AttemptResult::Failed(FailedAttempt {
+            endpoint: endpoint.clone(),
+            at_fault,
+            kind,
+            is_broken: false,
+            is_link_lost: false,
+            reason,
+        })
+    };
+    let link_lost = |reason| {
+        AttemptResult::Failed(FailedAttempt {
+            endpoint: endpoint.clone(),
+            at_fault: None,
+            kind: SendFailureKind::MayHaveRun,
+            is_broken: false,
+            is_link_lost: true,
+            reason,
+        })
     };
     match sent {
+        Err(loss) if loss.engines.is_empty() => link_lost(loss.reason),
         Err(loss) => {
             let at_fault = loss.engines.into_iter().next();
             failed(at_fault, SendFailureKind::MayHaveRun, loss.reason)
@@ -181,11 +200,14 @@
             };
             failed(at_fault, kind, reason)
         }
+        Ok(SendOutcome::NoLink(reason)) => failed(None, SendFailureKind::NotSent, reason),
         Ok(SendOutcome::NotSent(reason)) => {
             gateway.on_evidence(&endpoint, Evidence::Unreachable, sent_at, &reason);
             failed(None, SendFailureKind::NotSent, reason)
         }
+        Ok(SendOutcome::HopLost(reason)) => link_lost(reason),
         Ok(SendOutcome::Lost(reason)) => {
+            gateway.on_send_trouble(job, &endpoint);
             gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, &reason);
             let (at_fault, kind) = (None, SendFailureKind::MayHaveRun);
             AttemptResult::Failed(FailedAttempt {
@@ -193,6 +215,7 @@
                 at_fault,
                 kind,
                 is_broken: true,
+                is_link_lost: false,
                 reason,
             })
         }
@@ -209,6 +232,9 @@
     let mut timer = SilenceTimer::new(gap_objective(job));
     loop {
         smol::Timer::after(timer.wait()).await;
+        if gateway.has_lost_link(&target.endpoint, job.sent_by.get()) {
+            return Loss::of_link();
+        }
         let active_route = ActiveRoute {
             endpoint: &target.endpoint,
             address: target.address,
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -131,7 +131,7 @@
 /// Engines of a path that are lost, and the evidence for it.
 #[derive(Debug)]
 pub(super) struct Loss {
-    /// Never empty.
+    /// Empty if the link to the first endpoint is lost.
     pub(super) engines: Vec<EndpointId>,
     pub(super) reason: String,
     /// Whether the request is given up at this endpoint if it cannot be moved. If not, it may still
@@ -140,6 +140,12 @@
 }
 
 impl Loss {
+    /// The link to the first endpoint is lost.
+    pub(super) fn of_link() -> Self {
+        let reason = "the link to the endpoint is lost".to_owned();
+        Self { engines: Vec::new(), reason, is_certain: true }
+    }
+
     fn of_engine(engine: &str, reason: &str) -> Self {
         Self { engines: vec![engine.to_owned()], reason: reason.to_owned(), is_certain: true }
     }
@@ -220,7 +226,7 @@
 ) -> Option<Loss> {
     let first = active_route.endpoint;
     let started_at = Instant::now();
-    match diagnose(gateway, active_route.address, &job.head.request_id).await {
+    match diagnose(gateway, first, active_route.address, &job.head.request_id).await {
         Diagnosis::Working => None,
         Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
@@ -249,7 +255,8 @@
     }
     let repaired = repaired_path(gateway, job, active_route.path?, &loss.engines)?;
     let call = W::move_call(&job.head.request_id, &repaired);
-    let reply = gateway.engine_calls.call(active_route.address, call, MOVE_TIMEOUT).await;
+    let (first, address) = (active_route.endpoint, active_route.address);
+    let reply = gateway.call_engine(first, address, call, MOVE_TIMEOUT).await;
     let outcome = match &reply {
         Ok(reply) => W::read_order_outcome(reply.status),
         Err(_) => OrderOutcome::Refused,
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -85,7 +85,9 @@
             let send = BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
             check_broken_send(gateway, job, send).await;
         }
-        avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
+        if !failed.is_link_lost {
+            avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
+        }
         let may_retry = attempts.may_retry(gateway, job, failed.kind);
         if !may_retry {
             return Err(refuse(gateway, job, &failed.reason));
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -41,6 +41,25 @@
     Complete,
     /// The stream broke: the endpoint at fault if it is not the first one, and the reason.
     Broken(Option<EndpointId>, String),
+    /// This VM's link to the endpoint was lost, or the VM that passed the connection on; the reason.
+    LinkLost(String),
+}
+
+/// What broke a stream.
+enum Fault {
+    /// The endpoint of the path that is named, else the first one.
+    Endpoint(Option<EndpointId>),
+    /// The link to the first endpoint; all endpoints may be used again.
+    Link,
+}
+
+impl Fault {
+    fn endpoint(&self) -> Option<&str> {
+        match self {
+            Self::Endpoint(at_fault) => at_fault.as_deref(),
+            Self::Link => None,
+        }
+    }
 }
 
 /// Result of a check of a silent stream.
@@ -83,29 +102,35 @@
 
     async fn relay(&mut self, mut upstream: Upstream) -> (Outcome, String) {
         loop {
-            let (at_fault, reason) = match self.relay_segment(&mut upstream).await {
+            let (fault, reason) = match self.relay_segment(&mut upstream).await {
                 SegmentEnd::Complete => {
                     self.gateway.on_request_survived(&self.job);
                     let Upstream { connection, endpoint, head, .. } = upstream;
                     self.gateway.keep_connection(&endpoint, connection, &head);
                     return (Outcome::Answered, String::new());
                 }
-                SegmentEnd::Broken(at_fault, reason) => (at_fault, reason),
+                SegmentEnd::Broken(at_fault, reason) => (Fault::Endpoint(at_fault), reason),
+                SegmentEnd::LinkLost(reason) => (Fault::Link, reason),
             };
             self.gateway.decisions.send_failed(
                 &self.job,
                 &FailedSend {
                     endpoint: &upstream.endpoint,
-                    at_fault: at_fault.as_deref(),
+                    at_fault: fault.endpoint(),
                     run: self.job.run.get().state(),
                     reason: &reason,
                     after: upstream.sent_at.elapsed(),
                 },
             );
-            if at_fault.is_none() {
-                check_broken_send(&self.gateway, &self.job, upstream.broken_send()).await;
-            }
-            let avoid = vec![at_fault.unwrap_or_else(|| upstream.endpoint.clone())];
+            let avoid = match fault {
+                Fault::Link => Vec::new(),
+                Fault::Endpoint(Some(at_fault)) => vec![at_fault],
+                Fault::Endpoint(None) => {
+                    self.gateway.on_send_trouble(&self.job, &upstream.endpoint);
+                    check_broken_send(&self.gateway, &self.job, upstream.broken_send()).await;
+                    vec![upstream.endpoint.clone()]
+                }
+            };
             drop(upstream);
             match self.resume(avoid).await {
                 Some(resumed) => upstream = resumed,
@@ -145,6 +170,13 @@
             };
             let Some(frame) = futures_lite::future::or(next, timeout).await else {
                 let silence = silence_timer.on_silence();
+                if self
+                    .gateway
+                    .has_lost_link(&upstream.endpoint, Some(upstream.connection.transit()))
+                {
+                    let reason = "the link to the endpoint is lost".to_owned();
+                    return SegmentEnd::LinkLost(reason);
+                }
                 match self.move_around_loss(upstream, silence).await {
                     LossCheck::NoLoss if silence != Silence::Long => silence_timer.on_false_alarm(),
                     LossCheck::NoLoss | LossCheck::Recoverable => {}
@@ -170,6 +202,9 @@
                     return SegmentEnd::Broken(None, "the stream ended within an event".to_owned());
                 }
                 None => return SegmentEnd::Complete,
+                Some(Err(error)) if upstream.connection.hop_is_lost() => {
+                    return SegmentEnd::LinkLost(format!("the VM in between was lost: {error}"));
+                }
                 Some(Err(error)) => {
                     return SegmentEnd::Broken(None, format!("the stream broke: {error}"));
                 }
