Placement: the layers of an engine that is silent for a second or so stay where they are

What callers saw: nothing yet by itself; an engine that missed two reports, or one after a failed request, counted as lost, and its layers were ordered elsewhere, which takes seconds of loading and streams that are cut or moved, for an engine that goes on after a second. Cause: one state, 'no report', stood for an engine that is dead and for one that is silent. Change: a silent engine gets no requests at once, as before, but counts with its layers in plans for 1 s after the first missing report (which took 0.5 s). An engine that refuses connections is lost at once, as before.

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -171,14 +171,15 @@
         let alive: Vec<&EndpointRecord> = engines
             .values()
             .filter(|record| {
-                self.tracked.get(&record.id).is_some_and(|tracked| tracked.report.is_some())
+                let tracked = self.tracked.get(&record.id);
+                tracked.is_some_and(|tracked| tracked.planned_report(now).is_some())
             })
             .collect();
         if alive.len() * 2 <= engines.len() || !self.leadership.is_held() {
             // If most engines seem lost, it is more likely that this VM is partitioned.
             return;
         }
-        let is_first = alive.iter().all(|record| self.layers_of(&record.id).is_none());
+        let is_first = alive.iter().all(|record| self.layers_of(&record.id, now).is_none());
         if is_first && now.saturating_duration_since(self.engine_set.1) < SETTLE_TIME {
             return;
         }
@@ -213,14 +214,14 @@
 
     fn engine_view(&self, record: &EndpointRecord, now: Instant) -> Option<EngineView> {
         let tracked = self.tracked.get(&record.id)?;
-        let order_in_progress = tracked.report.as_ref()?.order_in_progress;
+        let order_in_progress = tracked.planned_report(now)?.order_in_progress;
         let may_be_carried_out = |at: Instant| {
             order_in_progress || now.saturating_duration_since(at) < ORDER_RETRY_PAUSE
         };
         Some(EngineView {
             id: record.id.clone(),
             kind: record.accelerator.clone()?,
-            serves: self.layers_of(&record.id),
+            serves: self.layers_of(&record.id, now),
             ordered: tracked
                 .ordered
                 .filter(|(_, at)| may_be_carried_out(*at))
@@ -229,8 +230,8 @@
         })
     }
 
-    fn layers_of(&self, id: &str) -> Option<LayerRange> {
-        let report = self.tracked.get(id)?.report.as_ref()?;
+    fn layers_of(&self, id: &str, now: Instant) -> Option<LayerRange> {
+        let report = self.tracked.get(id)?.planned_report(now)?;
         report.layers.filter(|layers| !layers.is_empty())
     }
 
@@ -261,7 +262,7 @@
                     tracing::warn!(endpoint = id, reason, "endpoint: Its reports cannot be read.");
                 }
             }
-            tracked.on_polled(outcome, is_suspect);
+            tracked.on_polled(outcome, is_suspect, Instant::now());
         }
     }
 
@@ -269,7 +270,7 @@
     /// order.
     async fn send_order(&mut self, address: SocketAddr, target: &Target) {
         let now = Instant::now();
-        let held = self.layers_of(&target.endpoint);
+        let held = self.layers_of(&target.endpoint, now);
         let Some(tracked) = self.tracked.get_mut(&target.endpoint) else {
             return;
         };
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -21,6 +21,9 @@
 /// Relayed polls of a round that fail without a success, from which on no more are made: the hall is
 /// cut off, or its engines are lost.
 const MAX_FAILED_POLLS: u32 = 8;
+/// How long an engine whose reports are missing keeps its layers, from the first missing one, which has taken
+/// [`ENGINE_CALL_LIMIT`]. A sound engine may be silent for a second or so, and others would load its layers in vain.
+const MAX_PLANNED_SILENCE: Duration = Duration::from_millis(1_000);
 /// Consecutive missing reports from which an engine is considered lost.
 const MAX_MISSED_REPORTS: u32 = 2;
 
@@ -31,8 +34,12 @@
     newest_incarnation: Option<BornMs>,
     /// Its latest report; `None` while it is lost.
     pub report: Option<EngineReport>,
+    /// Its report before it became silent, and since when it is; `None` while it reports, or if it is lost for another reason.
+    silent: Option<(EngineReport, Instant)>,
     /// Consecutive missing reports.
     missed: u32,
+    /// When the first of them was found missing.
+    missed_since: Option<Instant>,
     /// Why its reports cannot be parsed; `None` after one that can.
     fault: Option<String>,
     /// Layers of its last order, and when that was sent.
@@ -88,9 +95,17 @@
         self.newest_incarnation = born_ms.max(self.newest_incarnation);
     }
 
+    /// The report by which layers are planned: that of an engine that is silent counts for a while, although no request is sent
+    /// there.
+    pub fn planned_report(&self, now: Instant) -> Option<&EngineReport> {
+        let is_short = |since: Instant| now.saturating_duration_since(since) < MAX_PLANNED_SILENCE;
+        let silent = self.silent.as_ref().filter(|(_, since)| is_short(*since));
+        self.report.as_ref().or(silent.map(|(report, _)| report))
+    }
+
     /// Applies the outcome of polling. `is_suspect` says whether this VM's own exchanges with the
     /// engine failed.
-    pub fn on_polled(&mut self, outcome: ReportOutcome, is_suspect: bool) {
+    pub fn on_polled(&mut self, outcome: ReportOutcome, is_suspect: bool, now: Instant) {
         match outcome {
             ReportOutcome::Reported(report)
                 if compare_incarnations(report.born_ms, self.newest_incarnation)
@@ -99,14 +114,22 @@
                 self.on_incarnation(report.born_ms);
                 self.report = Some(report);
                 self.fault = None;
+                self.silent = None;
                 self.missed = 0;
+                self.missed_since = None;
             }
             ReportOutcome::Unknown => {}
-            ReportOutcome::Refused => self.report = None,
+            ReportOutcome::Refused => {
+                self.report = None;
+                self.silent = None;
+            }
             ReportOutcome::Missed | ReportOutcome::Unreadable(_) => {
                 self.missed += 1;
-                if is_suspect || self.missed >= MAX_MISSED_REPORTS {
-                    self.report = None;
+                let since = *self.missed_since.get_or_insert(now);
+                if (is_suspect || self.missed >= MAX_MISSED_REPORTS)
+                    && let Some(report) = self.report.take()
+                {
+                    self.silent = Some((report, since));
                 }
             }
         }
--- a/crates/sillbank_gateway/tests/reports.rs
+++ b/crates/sillbank_gateway/tests/reports.rs
@@ -20,7 +20,7 @@
 
 fn healthy() -> TrackedEngine {
     let mut engine = TrackedEngine::default();
-    engine.on_polled(report(), false);
+    engine.on_polled(report(), false, Instant::now());
     engine
 }
 
@@ -29,7 +29,7 @@
 fn an_engine_whose_address_refuses_a_call_is_lost_at_once() {
     let mut engine = healthy();
 
-    engine.on_polled(ReportOutcome::Refused, false);
+    engine.on_polled(ReportOutcome::Refused, false, Instant::now());
 
     assert!(engine.report.is_none());
 }
@@ -39,12 +39,12 @@
 fn one_missing_report_is_no_loss_and_two_in_a_row_are() {
     let mut engine = healthy();
 
-    engine.on_polled(ReportOutcome::Missed, false);
+    engine.on_polled(ReportOutcome::Missed, false, Instant::now());
     assert!(engine.report.is_some());
-    engine.on_polled(report(), false);
-    engine.on_polled(ReportOutcome::Missed, false);
+    engine.on_polled(report(), false, Instant::now());
+    engine.on_polled(ReportOutcome::Missed, false, Instant::now());
     assert!(engine.report.is_some());
-    engine.on_polled(ReportOutcome::Missed, false);
+    engine.on_polled(ReportOutcome::Missed, false, Instant::now());
 
     assert!(engine.report.is_none());
 }
@@ -54,7 +54,7 @@
 fn a_missing_report_of_an_engine_that_failed_requests_is_a_loss() {
     let mut engine = healthy();
 
-    engine.on_polled(ReportOutcome::Missed, true);
+    engine.on_polled(ReportOutcome::Missed, true, Instant::now());
 
     assert!(engine.report.is_none());
 }
@@ -63,9 +63,9 @@
 #[test]
 fn an_engine_that_reports_again_is_back() {
     let mut engine = healthy();
-    engine.on_polled(ReportOutcome::Refused, false);
+    engine.on_polled(ReportOutcome::Refused, false, Instant::now());
 
-    engine.on_polled(report(), false);
+    engine.on_polled(report(), false, Instant::now());
 
     assert!(engine.report.is_some());
 }
@@ -103,3 +103,48 @@
     assert!(!schedule.is_due(now, INTERVAL, false));
     assert!(schedule.is_due(now, INTERVAL, true));
 }
+
+/// Guards against layers of a sound engine being ordered elsewhere because it was silent for a second or so.
+#[test]
+fn a_silent_engine_keeps_its_layers_for_a_while_and_gets_no_requests() {
+    let start = Instant::now();
+    let mut engine = healthy();
+
+    engine.on_polled(ReportOutcome::Missed, true, start);
+
+    assert!(engine.report.is_none());
+    assert!(engine.planned_report(start + Duration::from_millis(900)).is_some());
+    assert!(engine.planned_report(start + Duration::from_millis(1_000)).is_none());
+}
+
+#[test]
+fn an_engine_that_refuses_connections_keeps_no_layers() {
+    let start = Instant::now();
+    let mut engine = healthy();
+
+    engine.on_polled(ReportOutcome::Missed, true, start);
+    engine.on_polled(ReportOutcome::Refused, true, start);
+
+    assert!(engine.planned_report(start).is_none());
+}
+
+#[test]
+fn the_silence_counts_from_the_first_missing_report() {
+    let start = Instant::now();
+    let mut engine = healthy();
+
+    engine.on_polled(ReportOutcome::Missed, false, start);
+    engine.on_polled(ReportOutcome::Missed, false, start + Duration::from_millis(700));
+
+    assert!(engine.planned_report(start + Duration::from_millis(1_000)).is_none());
+}
+
+/// Guards against a leader that has lost its links and reports its engines as lost.
+#[test]
+fn what_no_vm_can_tell_changes_nothing() {
+    let mut engine = healthy();
+
+    engine.on_polled(ReportOutcome::Unknown, true, Instant::now());
+
+    assert!(engine.report.is_some());
+}
