Links: streams go on after a lost link, and VMs vouch for what they say of an endpoint

Cause: a stream whose link was lost was resumed on another old connection, which used up its sends; and a VM that was refused told others that the endpoint refuses, though it had lost its links at the same moment. Change: a send that is lost with a link does not count as one of the route's sends, up to three a request, and its endpoint may be used again; a started stream looks for an endpoint for 1 s. A VM names an endpoint at fault only if it reaches another one at that moment.

--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -4,7 +4,7 @@
     deadline_failure, failure_outcome, failure_response, final_failure, with_min_retry_after,
 };
 use crate::connection_pool::PooledConnection;
-use crate::crashes::{BrokenSend, check_broken_send};
+use crate::crashes::{BreakCause, BrokenSend, check_broken_send};
 use crate::decisions::{FailedSend, Outcome};
 use crate::endpoints::{Evidence, RequestPart};
 use crate::gateway::Gateway;
@@ -110,9 +110,7 @@
         attempts.record_send(job);
         gateway.count_against_limit(&choice.endpoint);
         let sent_at = Instant::now();
-        let outcome = try_once(gateway, job, &choice).await;
-        let is_link_lost = matches!(outcome, TryOutcome::LinkLost(_));
-        let (failure_kind, reason) = match outcome {
+        let (failure_kind, reason) = match try_once(gateway, job, &choice).await {
             TryOutcome::Success(reply) => {
                 gateway.on_request_survived(job);
                 return Ok(reply);
@@ -126,16 +124,19 @@
             TryOutcome::NotRun(reason) => (SendFailureKind::NotRun, reason),
             TryOutcome::Misdirected(reason) => (SendFailureKind::Misdirected, reason),
             TryOutcome::NotSent(reason) => (SendFailureKind::NotSent, reason),
-            TryOutcome::Late(reason) | TryOutcome::LinkLost(reason) => {
-                (SendFailureKind::MayHaveRun, reason)
-            }
+            TryOutcome::Late(reason) => (SendFailureKind::MayHaveRun, reason),
+            TryOutcome::LinkLost(reason) => (SendFailureKind::LinkLost, reason),
             TryOutcome::Lost(reason) => {
                 let (endpoint, address) = (choice.endpoint.clone(), choice.address);
                 let broke_at = Instant::now();
                 let send =
                     BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
-                check_broken_send(gateway, job, send).await;
-                (SendFailureKind::MayHaveRun, reason)
+                match check_broken_send(gateway, job, send).await {
+                    BreakCause::Link => (SendFailureKind::LinkLost, reason),
+                    BreakCause::Crash | BreakCause::Unknown => {
+                        (SendFailureKind::MayHaveRun, reason)
+                    }
+                }
             }
         };
         gateway.decisions.send_failed(
@@ -148,7 +149,7 @@
                 after: sent_at.elapsed(),
             },
         );
-        if !is_link_lost {
+        if failure_kind != SendFailureKind::LinkLost {
             tried.push(choice.endpoint);
         }
         let may_retry = attempts.may_retry(gateway, job, failure_kind);
--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -76,6 +76,17 @@
     }
 }
 
+/// What broke the connection under a request, as far as the endpoint shows at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakCause {
+    /// The endpoint has crashed.
+    Crash,
+    /// This VM has lost its link: it is refused, and no other VM confirms that the endpoint refuses.
+    Link,
+    /// Not known: the endpoint accepts connections, or is leaving.
+    Unknown,
+}
+
 /// Checks whether an endpoint has crashed under a request. One that still accepts connections is
 /// checked a second time in the background: a process that ends may close its connections before
 /// its listener.
@@ -83,19 +94,29 @@
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
     send: BrokenSend,
-) {
+) -> BreakCause {
     let standing = gateway.platform.endpoints(|all| all.get(&send.endpoint).map(|e| e.standing));
     if !silence_means_loss(standing) {
-        return;
+        return BreakCause::Unknown;
     }
-    if has_crashed(gateway, &send).await {
-        gateway.on_endpoint_crash(job, &send);
-        return;
+    match cause_of(gateway, &send).await {
+        BreakCause::Crash => gateway.on_endpoint_crash(job, &send),
+        BreakCause::Link => return BreakCause::Link,
+        BreakCause::Unknown => recheck(gateway, job, send),
     }
+    BreakCause::Unknown
+}
+
+/// Checks an endpoint a second time in the background.
+fn recheck<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    send: BrokenSend,
+) {
     let (recheck_gateway, job) = (gateway.clone(), job.clone());
     let recheck = async move {
         smol::Timer::after(RECHECK_DELAY).await;
-        if has_crashed(&recheck_gateway, &send).await {
+        if cause_of(&recheck_gateway, &send).await == BreakCause::Crash {
             recheck_gateway.on_endpoint_crash(&job, &send);
         }
     };
@@ -103,45 +124,46 @@
 }
 
 impl<W: Wire, S> Gateway<W, S> {
-    /// Whether an endpoint refuses connections, also those of another VM: a VM that has lost its
-    /// links may be refused by endpoints that run.
-    async fn refuses(&self, endpoint: &str, address: SocketAddr) -> bool {
+    /// Why connections to an endpoint break: a VM that has lost its links may be refused by endpoints
+    /// that run, so that another VM has to confirm a refusal.
+    async fn find_cause(&self, endpoint: &str, address: SocketAddr) -> BreakCause {
         let is_direct = self.transit_to(endpoint) == Transit::Direct;
         if is_direct && !refuses_connections(address, CONNECT_CHECK_TIMEOUT).await {
-            return false;
+            return BreakCause::Unknown;
         }
         if !self.settings.borrow().mechanisms.relay {
-            return true;
+            return BreakCause::Crash;
         }
         match self.connect_through(endpoint, address).await {
-            Ok(_) => {
+            Ok(_) if is_direct => {
                 self.links.on_trouble(endpoint);
-                false
+                BreakCause::Link
             }
-            Err(error) if error.endpoint_refuses() => true,
+            Ok(_) => BreakCause::Unknown,
+            Err(error) if error.endpoint_refuses() => BreakCause::Crash,
             // No other VM is known, so what this one sees has to do.
-            Err(RelayError::NoVm) => is_direct,
-            // Other VMs have lost their links as well, or are not reached.
-            Err(_) => false,
+            Err(RelayError::NoVm) if is_direct => BreakCause::Crash,
+            Err(_) if is_direct => BreakCause::Link,
+            Err(_) => BreakCause::Unknown,
         }
     }
 }
 
-/// Whether the endpoint has crashed since the request was sent: found before, restarted, or
-/// refusing connections.
-async fn has_crashed<W: Wire, S>(gateway: &Gateway<W, S>, send: &BrokenSend) -> bool {
+/// Why the connection of a send broke. An endpoint that was found crashed, or has restarted, since
+/// the request was sent is not asked again.
+async fn cause_of<W: Wire, S>(gateway: &Gateway<W, S>, send: &BrokenSend) -> BreakCause {
     let (crashed, endpoint) = (&gateway.crashed_endpoints, send.endpoint.as_str());
     let check_lock = crashed.check_lock(endpoint);
     let _guard = check_lock.lock().await;
     if crashed.crashed_since(endpoint, send.sent_at)
         || gateway.endpoint_tracker.restarted_since(endpoint, send.sent_at)
     {
-        return true;
+        return BreakCause::Crash;
     }
-    if !gateway.refuses(endpoint, send.address).await {
-        return false;
+    let cause = gateway.find_cause(endpoint, send.address).await;
+    if cause == BreakCause::Crash {
+        crashed.crashed_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
+        gateway.metrics.ended_endpoints.inc();
     }
-    crashed.crashed_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
-    gateway.metrics.ended_endpoints.inc();
-    true
+    cause
 }
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -26,6 +26,9 @@
 /// Least urgent rank of a request whose organisation sets none: the middle of 0 to 9. Routes can
 /// only be more urgent.
 const DEFAULT_RANK: u8 = 5;
+/// Sends lost with a link that do not count as sends of a request: one on an old connection to each hall that was not found
+/// lost yet.
+const MAX_FREE_LINK_LOSSES: u32 = 3;
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -58,6 +61,8 @@
     pub run: Cell<RunLog>,
     /// Number of sends so far.
     pub sends: Cell<u32>,
+    /// Sends that were lost with this VM's link, or with the VM that passed the connection on.
+    pub link_losses: Cell<u32>,
     /// How the connection that carries the last send was opened; `None` until there is one.
     pub sent_by: Cell<Option<Transit>>,
     /// Events as the caller saw them.
@@ -99,6 +104,14 @@
         self.sends.get() < self.route.max_attempts.max(1) && self.time_left(now) >= MIN_TIME_LEFT
     }
 
+    /// Records that a send was lost with a link. The first few do not count as sends: the endpoints were cut off from this VM.
+    pub fn record_link_loss(&self) {
+        self.link_losses.set(self.link_losses.get() + 1);
+        if self.link_losses.get() <= MAX_FREE_LINK_LOSSES {
+            self.sends.set(self.sends.get().saturating_sub(1));
+        }
+    }
+
     /// The forecast made at the first send, if one was possible.
     pub fn forecast(&self) -> Option<&StreamForecast> {
         self.forecast.get()?.as_ref()
--- a/crates/sillbank_gateway/src/links/relay_client.rs
+++ b/crates/sillbank_gateway/src/links/relay_client.rs
@@ -16,8 +16,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time limit of one VM's attempt.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time limit of one VM's attempt, which may take the VM 160 ms.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
 /// VMs that are asked for one connection.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -68,7 +68,6 @@
         tried: &mut Vec<SocketAddr>,
     ) -> Result<PooledConnection, RelayError> {
         let mut last_error = RelayError::NoVm;
-        let mut not_connected = Vec::new();
         for _ in 0..MAX_ATTEMPTS {
             let now = Instant::now();
             let next = self.links.relays.borrow().next(tried, self.rng.next_f64(), now);
@@ -77,15 +76,13 @@
             match self.ask(vm, endpoint, address).await {
                 Ok(connection) => {
                     self.links.on_relay_worked(vm, Instant::now());
-                    // They have lost their links as well, and do not know yet.
-                    self.links.on_relays_failed(&not_connected, now);
                     self.record_relayed("connected");
                     return Ok(connection);
                 }
                 Err(error @ RelayError::Refused(_, refusal)) if refusal.is_of_endpoint() => {
+                    // The VM reaches other endpoints, so this one is at fault.
                     self.record_relayed(refusal.name());
-                    not_connected.push(vm);
-                    last_error = error;
+                    return Err(error);
                 }
                 Err(error) => {
                     self.links.relays.borrow_mut().on_failed(vm, now);
--- a/crates/sillbank_gateway/src/links/relay_server.rs
+++ b/crates/sillbank_gateway/src/links/relay_server.rs
@@ -21,8 +21,12 @@
 
 /// Time limit for a request to arrive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit of a connection to an endpoint; the VM that asked waits a little longer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time limit of a connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit of connections to other endpoints after a failure. The VM that asked waits for both.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(60);
+/// Other endpoints that are tried: some of them may have failed too.
+const MAX_CONTROLS: usize = 4;
 /// Largest number of VMs in one list.
 const MAX_LISTED_VMS: u32 = 16;
 
@@ -124,7 +128,7 @@
         return Err(RelayRefusal::Busy);
     }
     let guard = gateway.links.try_pass_on(&settings).ok_or(RelayRefusal::Busy)?;
-    match open(record.address).await {
+    match open(record.address, CONNECT_TIMEOUT).await {
         Ok(stream) => Ok((stream, guard)),
         Err(refusal) if reaches_others(gateway, &record).await => Err(refusal),
         Err(_) => {
@@ -140,19 +144,25 @@
     gateway: &Gateway<W, S>,
     failed: &EndpointRecord,
 ) -> bool {
-    let mut others: Vec<SocketAddr> = gateway.sample_addresses(Some(&failed.hall), &failed.id, 1);
-    others.extend(gateway.sample_addresses(None, &failed.id, 1));
-    for address in others {
-        if open(address).await.is_ok() {
+    let mut others = gateway.sample_addresses(Some(&failed.hall), &failed.id, MAX_CONTROLS);
+    if others.len() < MAX_CONTROLS {
+        others = gateway.sample_addresses(None, &failed.id, MAX_CONTROLS);
+    }
+    let attempts: Vec<_> = others
+        .into_iter()
+        .map(|address| gateway.executor.spawn(open(address, CONTROL_TIMEOUT)))
+        .collect();
+    for attempt in attempts {
+        if attempt.await.is_ok() {
             return true;
         }
     }
     false
 }
 
-async fn open(address: SocketAddr) -> Result<TcpStream, RelayRefusal> {
+async fn open(address: SocketAddr, timeout: Duration) -> Result<TcpStream, RelayRefusal> {
     let late = async {
-        smol::Timer::after(CONNECT_TIMEOUT).await;
+        smol::Timer::after(timeout).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
     let stream = futures_lite::future::or(TcpStream::connect(address), late).await;
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -23,6 +23,8 @@
     Misdirected,
     /// The request may have run.
     MayHaveRun,
+    /// The same, as the link to the endpoint was lost, or the VM that passed the connection on.
+    LinkLost,
 }
 
 /// Failed sends of one request so far.
@@ -64,6 +66,10 @@
                 self.misdirected < MAX_MISDIRECTED_SENDS && gateway.may_send_again(job)
             }
             SendFailureKind::NotRun => gateway.may_send_again(job),
+            SendFailureKind::LinkLost => {
+                job.record_link_loss();
+                job.is_idempotent() && gateway.may_send_again(job)
+            }
             SendFailureKind::MayHaveRun => job.is_idempotent() && gateway.may_send_again(job),
         }
     }
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -87,8 +87,6 @@
     pub(super) kind: SendFailureKind,
     /// Whether the connection to the first endpoint ended before a reply arrived.
     pub(super) is_broken: bool,
-    /// Whether the link to it was lost, or the VM that passed the connection on.
-    pub(super) is_link_lost: bool,
     pub(super) reason: String,
 }
 
@@ -127,7 +125,6 @@
             at_fault,
             kind,
             is_broken: false,
-            is_link_lost: false,
             reason,
         })
     };
@@ -135,9 +132,8 @@
         AttemptResult::Failed(FailedAttempt {
             endpoint: endpoint.clone(),
             at_fault: None,
-            kind: SendFailureKind::MayHaveRun,
+            kind: SendFailureKind::LinkLost,
             is_broken: false,
-            is_link_lost: true,
             reason,
         })
     };
@@ -215,7 +211,6 @@
                 at_fault,
                 kind,
                 is_broken: true,
-                is_link_lost: false,
                 reason,
             })
         }
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -3,12 +3,12 @@
 use super::attempt::{AttemptResult, UpstreamReply, send_once};
 use super::target::{NoTarget, choose_target};
 use crate::answers::{RETRY_AFTER_NOT_READY, final_failure, with_min_retry_after};
-use crate::crashes::{BrokenSend, check_broken_send};
+use crate::crashes::{BreakCause, BrokenSend, check_broken_send};
 use crate::decisions::FailedSend;
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::load::AdmissionRequest;
-use crate::retries::SendAttempts;
+use crate::retries::{SendAttempts, SendFailureKind};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use sillbank_core::prelude::*;
@@ -18,6 +18,10 @@
 /// How often a stream that waits for a usable engine looks for one.
 const ENGINE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a started stream without a usable endpoint looks for one. Callers give a stream up after
+/// two seconds without an event.
+const RESUME_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Sends a stream's request until an endpoint accepts it. Endpoints in `avoid` are not used.
 pub(super) async fn open_stream<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
@@ -26,6 +30,11 @@
     mut avoid: Vec<EndpointId>,
 ) -> Result<UpstreamReply, Failure> {
     let mut attempts = SendAttempts::default();
+    let first_avoid = avoid.clone();
+    // A started stream that finds no endpoint waits for a while: this VM may have lost its links, and
+    // finds that out within this time.
+    let wait_until = resume_after.map(|_| Instant::now() + RESUME_WAIT);
+    let may_wait = || wait_until.is_some_and(|until| Instant::now() < until);
     // A request that was sent before passed admission control then, even if none of its events
     // arrived.
     let is_first_send = resume_after.is_none() && job.sends.get() == 0;
@@ -52,6 +61,11 @@
                 let failure = refuse(gateway, job, NoTarget::Isolated(remaining).text());
                 return Err(with_min_retry_after(failure, Some(remaining)));
             }
+            Err(NoTarget::NoPath) if may_wait() => {
+                smol::Timer::after(ENGINE_POLL_INTERVAL).await;
+                avoid.clone_from(&first_avoid);
+                continue;
+            }
             Err(reason) => {
                 return Err(refuse(gateway, job, reason.text()));
             }
@@ -62,7 +76,7 @@
         let stamp = gateway.platform.stamp(sent_at);
         let address = target.address;
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
-        let failed = match send_once(gateway, job, target, resume_after).await {
+        let mut failed = match send_once(gateway, job, target, resume_after).await {
             AttemptResult::Replied(reply) => {
                 gateway.on_admitted(job);
                 return Ok(reply);
@@ -83,12 +97,20 @@
             let endpoint = failed.endpoint.clone();
             let broke_at = Instant::now();
             let send = BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
-            check_broken_send(gateway, job, send).await;
+            if check_broken_send(gateway, job, send).await == BreakCause::Link {
+                failed.kind = SendFailureKind::LinkLost;
+            }
         }
-        if !failed.is_link_lost {
+        if failed.kind != SendFailureKind::LinkLost {
             avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
         }
         let may_retry = attempts.may_retry(gateway, job, failed.kind);
+        if !may_retry && failed.kind == SendFailureKind::NotSent && may_wait() {
+            smol::Timer::after(ENGINE_POLL_INTERVAL).await;
+            attempts = SendAttempts::default();
+            avoid.clone_from(&first_avoid);
+            continue;
+        }
         if !may_retry {
             return Err(refuse(gateway, job, &failed.reason));
         }
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -4,7 +4,7 @@
 use super::attempt::{Upstream, UpstreamReply};
 use super::loss::{Loss, Silence, SilenceTimer, detect_loss, move_request};
 use super::open::open_stream;
-use crate::crashes::check_broken_send;
+use crate::crashes::{BreakCause, check_broken_send};
 use crate::decisions::{FailedSend, Outcome};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
@@ -122,15 +122,7 @@
                     after: upstream.sent_at.elapsed(),
                 },
             );
-            let avoid = match fault {
-                Fault::Link => Vec::new(),
-                Fault::Endpoint(Some(at_fault)) => vec![at_fault],
-                Fault::Endpoint(None) => {
-                    self.gateway.on_send_trouble(&self.job, &upstream.endpoint);
-                    check_broken_send(&self.gateway, &self.job, upstream.broken_send()).await;
-                    vec![upstream.endpoint.clone()]
-                }
-            };
+            let avoid = self.find_engines_to_avoid(fault, &upstream).await;
             drop(upstream);
             match self.resume(avoid).await {
                 Some(resumed) => upstream = resumed,
@@ -139,6 +131,24 @@
         }
     }
 
+    /// Finds out what broke the stream, and which endpoints it must not be resumed at.
+    async fn find_engines_to_avoid(&self, fault: Fault, upstream: &Upstream) -> Vec<EndpointId> {
+        let is_link = match fault {
+            Fault::Link => true,
+            Fault::Endpoint(Some(at_fault)) => return vec![at_fault],
+            Fault::Endpoint(None) => {
+                self.gateway.on_send_trouble(&self.job, &upstream.endpoint);
+                let cause = check_broken_send(&self.gateway, &self.job, upstream.broken_send());
+                cause.await == BreakCause::Link
+            }
+        };
+        if is_link {
+            self.job.record_link_loss();
+            return Vec::new();
+        }
+        vec![upstream.endpoint.clone()]
+    }
+
     /// Resumes the stream on another path, if that is allowed.
     async fn resume(&self, avoid: Vec<EndpointId>) -> Option<Upstream> {
         let is_quarantined = self.gateway.quarantined_for(&self.job).is_some();
