Links: a VM that stops waits for the requests that it passes on, and a relay that cannot try proves nothing

Cause 1: it waited for its own requests only. Cause 2: it refused further connections, and the VM that is cut took these refusals for refusals of the engines, ejected them and gave its streams up. Change: a stopping VM waits for tunnels with a request in progress and closes idle ones. Reports, probes and diagnoses that no VM could make are a result of their own.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -262,7 +262,7 @@
             run: Cell::new(RunLog::default()),
             sends: Cell::new(0),
             link_losses: Cell::new(0),
-            sent_by: Cell::new(None),
+            last_transit: Cell::new(None),
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
             caller,
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -214,7 +214,7 @@
         return exchange.await;
     }
     let link_loss = async {
-        while !gateway.has_lost_link(&choice.endpoint, job.sent_by.get()) {
+        while !gateway.has_lost_link(&choice.endpoint, job.last_transit.get()) {
             smol::Timer::after(LINK_POLL_INTERVAL).await;
         }
         TryOutcome::LinkLost("the link to the endpoint is lost".to_owned())
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -64,7 +64,7 @@
     /// Sends that were lost with this VM's link, or with the VM that passed the connection on.
     pub link_losses: Cell<u32>,
     /// How the connection that carries the last send was opened; `None` until there is one.
-    pub sent_by: Cell<Option<Transit>>,
+    pub last_transit: Cell<Option<Transit>>,
     /// Events as the caller saw them.
     pub delivery: Delivery,
     /// Forecast made at the first send; `None` inside if no forecast was possible.
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -22,7 +22,8 @@
 /// entry is due.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Waits for the stop signal, then until all requests have ended or the grace period is over.
+/// Waits for the stop signal, then until all requests have ended, also those on connections that are
+/// passed on for other VMs, or the grace period is over.
 pub async fn stop<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     mut signals: Signals,
@@ -40,7 +41,9 @@
     stopper.stop();
     smol::Timer::after(BALANCER_LAG.min(grace)).await;
     gateway.lifecycle.set(LifecycleState::Stopping);
-    while stop_started_at.elapsed() < grace && gateway.in_progress.get() > 0 {
+    let is_in_use =
+        || gateway.in_progress.get() > 0 || gateway.links.passed_on_in_use(Instant::now()) > 0;
+    while stop_started_at.elapsed() < grace && is_in_use() {
         smol::Timer::after(STOP_POLL_INTERVAL).await;
     }
     tracing::info!(
--- a/crates/sillbank_gateway/src/links/connect.rs
+++ b/crates/sillbank_gateway/src/links/connect.rs
@@ -62,7 +62,7 @@
 
     /// A request's last send failed; if it was direct, the link is checked.
     pub fn on_send_trouble(&self, job: &Job, endpoint: &str) {
-        if job.sent_by.get() == Some(Transit::Direct) {
+        if job.last_transit.get() == Some(Transit::Direct) {
             self.links.on_trouble(endpoint);
         }
     }
--- a/crates/sillbank_gateway/src/links/engine_calls.rs
+++ b/crates/sillbank_gateway/src/links/engine_calls.rs
@@ -16,72 +16,62 @@
 /// Largest reply that is read over a relayed connection.
 const MAX_REPLY_BYTES: usize = 1 << 20;
 
-/// Error of a call through another VM.
+/// Error of a call to an engine.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum RelayedCallError {
+pub enum EngineCallError {
     /// No VM has connected on behalf of this one.
     #[error(transparent)]
     Relay(#[from] RelayError),
-    /// The call failed over an open connection, or took too long.
+    /// The call failed, or took too long.
     #[error(transparent)]
-    Call(CallError),
+    Call(#[from] CallError),
 }
 
-impl RelayedCallError {
+impl EngineCallError {
     /// Whether it says nothing of the engine: no other VM tried to reach it.
     pub fn proves_nothing(&self) -> bool {
         matches!(self, Self::Relay(error) if !error.is_of_endpoint())
     }
-
-    fn into_call_error(self, address: SocketAddr) -> CallError {
-        match self {
-            Self::Call(error) => error,
-            Self::Relay(error) => {
-                CallError::NotSent { address, reason: format!("through another VM: {error}") }
-            }
-        }
-    }
 }
 
 impl<W: Wire, S> Gateway<W, S> {
     /// Calls an engine directly, or through another VM while the link to it is lost.
     ///
     /// # Errors
-    /// As [`HttpClient::call`].
+    /// [`EngineCallError`].
     pub async fn call_engine(
         &self,
         engine: &str,
         address: SocketAddr,
         request: Request<Bytes>,
         timeout: Duration,
-    ) -> Result<CallReply, CallError> {
+    ) -> Result<CallReply, EngineCallError> {
         if self.transit_to(engine) == Transit::Relayed {
-            let reply = self.call_engine_relayed(engine, address, request, timeout).await;
-            return reply.map_err(|error| error.into_call_error(address));
+            return self.call_engine_relayed(engine, address, request, timeout).await;
         }
         let reply = self.engine_calls.call(address, request, timeout).await;
         if reply.is_err() {
             self.links.on_trouble(engine);
         }
-        reply
+        Ok(reply?)
     }
 
     /// Calls an engine through another VM.
     ///
     /// # Errors
-    /// [`RelayedCallError`].
+    /// [`EngineCallError`].
     pub async fn call_engine_relayed(
         &self,
         engine: &str,
         address: SocketAddr,
         request: Request<Bytes>,
         timeout: Duration,
-    ) -> Result<CallReply, RelayedCallError> {
+    ) -> Result<CallReply, EngineCallError> {
         let is_sent = Cell::new(false);
         let late = async {
             smol::Timer::after(timeout).await;
             let reason = format!("it took longer than {} ms", timeout.as_millis());
-            Err(RelayedCallError::Call(match is_sent.get() {
+            Err(EngineCallError::Call(match is_sent.get() {
                 true => CallError::Lost { address, reason },
                 false => CallError::NotSent { address, reason },
             }))
@@ -94,7 +84,7 @@
             };
             is_sent.set(true);
             let reply = self.exchange_once(engine, connection, request).await;
-            reply.map_err(|reason| RelayedCallError::Call(CallError::Lost { address, reason }))
+            reply.map_err(|reason| EngineCallError::Call(CallError::Lost { address, reason }))
         };
         futures_lite::future::or(call, late).await
     }
--- a/crates/sillbank_gateway/src/links/mod.rs
+++ b/crates/sillbank_gateway/src/links/mod.rs
@@ -15,10 +15,10 @@
 
 pub use checks::{check_returns, check_troubled};
 pub use connect::OpenError;
-pub use engine_calls::RelayedCallError;
+pub use engine_calls::EngineCallError;
 pub use messages::{RELAY_PREAMBLE, RelayRefusal, RelayReply, RelayRequest};
 pub use relay_client::RelayError;
 pub use relay_list::follow_relays;
 pub use relay_server::serve_relay;
 pub use state::Links;
-pub use tunnel::{EndpointEnd, TunnelReader, pass_back};
+pub use tunnel::{EndpointEnd, TunnelActivity, TunnelReader, pass_back};
--- a/crates/sillbank_gateway/src/links/relay_server.rs
+++ b/crates/sillbank_gateway/src/links/relay_server.rs
@@ -1,8 +1,7 @@
 //! Connects to endpoints on behalf of other VMs.
 
 use super::messages::{HopNumber, RelayRefusal, RelayReply, RelayRequest};
-use super::state::PassedOnGuard;
-use super::tunnel::{pass_back, pass_forward};
+use super::tunnel::{TunnelActivity, pass_back, pass_forward};
 use crate::gateway::{Gateway, LifecycleState};
 use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
@@ -17,6 +16,7 @@
 use smol::io::split;
 use smol::net::TcpStream;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Time limit for a request to arrive.
@@ -27,6 +27,8 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Other endpoints that are tried: some of them may have failed too.
 const MAX_CONTROLS: usize = 4;
+/// How often a tunnel checks whether it is to be closed because this VM stops.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest number of VMs in one list.
 const MAX_LISTED_VMS: u32 = 16;
 
@@ -76,7 +78,7 @@
     mut vm_stream: Metered<TcpStream>,
     wanted: &Wanted,
 ) -> Result<(), FrameError> {
-    let (endpoint_stream, _guard) = match connect(gateway, wanted).await {
+    let (endpoint_stream, activity) = match connect(gateway, wanted).await {
         Ok(connected) => connected,
         Err(refusal) => {
             record(gateway, refusal.name());
@@ -99,10 +101,29 @@
     );
     write_message(&mut vm_stream, &RelayReply::Connected).await?;
     let (from_vm, to_vm) = split(vm_stream);
-    let back = pass_back(endpoint_stream.clone(), to_vm);
-    let forward = pass_forward(from_vm, endpoint_stream);
+    let back = pass_back(endpoint_stream.clone(), to_vm, &activity);
+    let forward = pass_forward(from_vm, endpoint_stream, &activity);
     // The VM closes its side when its caller leaves; the endpoint has to see that at once.
-    Ok(futures_lite::future::or(back, forward).await?)
+    let passed = futures_lite::future::or(back, forward);
+    let idle = async {
+        idle_while_stopping(gateway, &activity).await;
+        Ok(())
+    };
+    Ok(futures_lite::future::or(passed, idle).await?)
+}
+
+/// Waits until this VM stops and a tunnel is idle: the VM that asked for it must not send the next request through it.
+async fn idle_while_stopping<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    activity: &TunnelActivity,
+) {
+    loop {
+        smol::Timer::after(IDLE_POLL_INTERVAL).await;
+        let is_stopping = gateway.lifecycle.get() != LifecycleState::Serving;
+        if is_stopping && activity.is_idle(Instant::now()) {
+            return;
+        }
+    }
 }
 
 fn record<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, end: &'static str) {
@@ -112,7 +133,7 @@
 async fn connect<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     wanted: &Wanted,
-) -> Result<(TcpStream, PassedOnGuard), RelayRefusal> {
+) -> Result<(TcpStream, Rc<TunnelActivity>), RelayRefusal> {
     let settings = gateway.settings();
     if !settings.mechanisms.relay {
         return Err(RelayRefusal::Disabled);
@@ -127,9 +148,10 @@
     if !is_serving || gateway.limit_state() == LimitState::Full {
         return Err(RelayRefusal::Busy);
     }
-    let guard = gateway.links.try_pass_on(&settings).ok_or(RelayRefusal::Busy)?;
+    let activity = gateway.links.try_pass_on(&settings, Instant::now());
+    let activity = activity.ok_or(RelayRefusal::Busy)?;
     match open(record.address, CONNECT_TIMEOUT).await {
-        Ok(stream) => Ok((stream, guard)),
+        Ok(stream) => Ok((stream, activity)),
         Err(refusal) if reaches_others(gateway, &record).await => Err(refusal),
         Err(_) => {
             gateway.links.on_trouble(&record.id);
--- a/crates/sillbank_gateway/src/links/state.rs
+++ b/crates/sillbank_gateway/src/links/state.rs
@@ -1,12 +1,13 @@
 //! What a VM knows of its links, and the connections that it passes on for others.
 
+use super::tunnel::TunnelActivity;
 use crate::settings::GatewaySettings;
 use sillbank_core::prelude::*;
 use sillbank_links::prelude::*;
 use smol::channel::{Receiver, Sender};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 /// Largest number of endpoints that wait for a check; with more, the links are in question anyway.
@@ -22,7 +23,7 @@
     /// Endpoints with which an exchange over a direct connection failed.
     troubled: (Sender<EndpointId>, Receiver<EndpointId>),
     /// Connections that this VM passes on.
-    passed_on: Rc<Cell<usize>>,
+    passed_on: RefCell<Vec<Weak<TunnelActivity>>>,
     /// When another VM last connected on behalf of this one.
     relayed_at: Cell<Option<Instant>>,
 }
@@ -33,7 +34,7 @@
             monitor: RefCell::default(),
             relays: RefCell::default(),
             troubled: smol::channel::bounded(MAX_TROUBLED),
-            passed_on: Rc::default(),
+            passed_on: RefCell::default(),
             relayed_at: Cell::new(None),
         }
     }
@@ -87,16 +88,30 @@
 
     /// Number of connections that this VM passes on.
     pub fn passed_on(&self) -> usize {
-        self.passed_on.get()
+        let mut passed_on = self.passed_on.borrow_mut();
+        passed_on.retain(|tunnel| tunnel.strong_count() > 0);
+        passed_on.len()
     }
 
-    /// Counts a connection that this VM passes on until the guard is dropped; `None` if it passes on as many as it may.
-    pub(super) fn try_pass_on(&self, settings: &GatewaySettings) -> Option<PassedOnGuard> {
-        if self.passed_on.get() >= settings.max_relayed_connections() {
+    /// Number of those on which a request is in progress.
+    pub fn passed_on_in_use(&self, now: Instant) -> usize {
+        let passed_on = self.passed_on.borrow();
+        let open = passed_on.iter().filter_map(Weak::upgrade);
+        open.filter(|tunnel| !tunnel.is_idle(now)).count()
+    }
+
+    /// Counts a connection as passed on for as long as the result is kept; `None` if this VM passes on as many as it may.
+    pub(super) fn try_pass_on(
+        &self,
+        settings: &GatewaySettings,
+        now: Instant,
+    ) -> Option<Rc<TunnelActivity>> {
+        if self.passed_on() >= settings.max_relayed_connections() {
             return None;
         }
-        self.passed_on.set(self.passed_on.get() + 1);
-        Some(PassedOnGuard(self.passed_on.clone()))
+        let activity = Rc::new(TunnelActivity::new(now));
+        self.passed_on.borrow_mut().push(Rc::downgrade(&activity));
+        Some(activity)
     }
 
     /// Drops endpoints that are no longer listed.
@@ -104,12 +119,3 @@
         self.monitor.borrow_mut().retain(is_known);
     }
 }
-
-/// Counts a connection as passed on until dropped.
-pub(super) struct PassedOnGuard(Rc<Cell<usize>>);
-
-impl Drop for PassedOnGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/crates/sillbank_gateway/src/links/tunnel.rs
+++ b/crates/sillbank_gateway/src/links/tunnel.rs
@@ -10,12 +10,42 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 /// Length of a chunk's header.
 const HEADER_BYTES: usize = 2;
 /// Maximum bytes of a chunk. A tunnel holds one chunk in each direction.
 const CHUNK_BYTES: usize = 4 << 10;
 
+/// Time without bytes after which a tunnel whose last bytes came from the endpoint is idle. Events of a stream come more often.
+const IDLE_TIME: Duration = Duration::from_secs(1);
+
+/// What passes through a tunnel, as the VM in the middle sees it.
+#[derive(Debug)]
+pub struct TunnelActivity {
+    /// When bytes last passed, in either direction.
+    last_at: Cell<Instant>,
+    /// Whether the last ones came from the endpoint.
+    is_answered: Cell<bool>,
+}
+
+impl TunnelActivity {
+    /// A tunnel through which nothing has passed yet.
+    pub fn new(now: Instant) -> Self {
+        Self { last_at: Cell::new(now), is_answered: Cell::new(true) }
+    }
+
+    fn record(&self, is_answered: bool) {
+        self.last_at.set(Instant::now());
+        self.is_answered.set(is_answered);
+    }
+
+    /// Whether no request is in progress: the endpoint has answered and sends nothing more.
+    pub fn is_idle(&self, now: Instant) -> bool {
+        self.is_answered.get() && now.saturating_duration_since(self.last_at.get()) >= IDLE_TIME
+    }
+}
+
 /// How an endpoint ended its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointEnd {
@@ -29,7 +59,7 @@
 ///
 /// # Errors
 /// If the VM cannot be written to.
-pub async fn pass_back<E, V>(mut endpoint: E, mut vm: V) -> Result<()>
+pub async fn pass_back<E, V>(mut endpoint: E, mut vm: V, activity: &TunnelActivity) -> Result<()>
 where
     E: AsyncRead + Unpin,
     V: AsyncWrite + Unpin,
@@ -40,6 +70,7 @@
             Ok(0) => EndpointEnd::Closed,
             Err(_) => EndpointEnd::Broken,
             Ok(length) => {
+                activity.record(true);
                 chunk[..HEADER_BYTES].copy_from_slice(&(length as u16).to_le_bytes());
                 vm.write_all(&chunk[..HEADER_BYTES + length]).await?;
                 vm.flush().await?;
@@ -55,7 +86,11 @@
 ///
 /// # Errors
 /// If either side fails.
-pub(super) async fn pass_forward<V, E>(mut vm: V, mut endpoint: E) -> Result<()>
+pub(super) async fn pass_forward<V, E>(
+    mut vm: V,
+    mut endpoint: E,
+    activity: &TunnelActivity,
+) -> Result<()>
 where
     V: AsyncRead + Unpin,
     E: AsyncWrite + Unpin,
@@ -66,6 +101,7 @@
         if length == 0 {
             return Ok(());
         }
+        activity.record(false);
         endpoint.write_all(&chunk[..length]).await?;
         endpoint.flush().await?;
     }
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -1,7 +1,7 @@
 //! Polls the engines of a hall for reports, as done by its leader.
 
 use crate::gateway::Gateway;
-use crate::links::{RelayError, RelayedCallError};
+use crate::links::{EngineCallError, RelayError};
 use crate::store::MetadataStore;
 use crate::wire::{EngineReport, Wire};
 use sillbank_core::prelude::*;
@@ -192,7 +192,7 @@
         &self,
         gateway: &Gateway<W, S>,
         engine: &EndpointRecord,
-    ) -> Result<CallReply, RelayedCallError> {
+    ) -> Result<CallReply, EngineCallError> {
         let _slot = self.slots.acquire().await;
         let is_hopeless = self.answered.get() == 0 && self.failed.get() >= MAX_FAILED_POLLS;
         if is_hopeless || !gateway.settings().mechanisms.relay {
@@ -219,7 +219,7 @@
     let reply = match gateway.call_engine(&engine.id, address, call, ENGINE_CALL_LIMIT).await {
         Ok(reply) => reply,
         Err(error) => {
-            let is_refusal = matches!(error, CallError::NotSent { .. })
+            let is_refusal = matches!(error, EngineCallError::Call(CallError::NotSent { .. }))
                 && started_at.elapsed() < ENGINE_CALL_LIMIT;
             match relayed_polls.poll(&gateway, &engine).await {
                 Ok(reply) => reply,
@@ -230,15 +230,10 @@
                         %relayed,
                         "endpoint: The engine sent no report."
                     );
-                    return match () {
-                        () if relayed.proves_nothing()
-                            && gateway.links.is_hall_lost(&engine.hall) =>
-                        {
-                            ReportOutcome::Unknown
-                        }
-                        () if is_refusal => ReportOutcome::Refused,
-                        () => ReportOutcome::Missed,
-                    };
+                    if relayed.proves_nothing() && gateway.links.is_hall_lost(&engine.hall) {
+                        return ReportOutcome::Unknown;
+                    }
+                    return if is_refusal { ReportOutcome::Refused } else { ReportOutcome::Missed };
                 }
             }
         }
--- a/crates/sillbank_gateway/src/probes.rs
+++ b/crates/sillbank_gateway/src/probes.rs
@@ -34,6 +34,8 @@
 pub enum Diagnosis {
     /// The endpoint answers and the request has not stalled.
     Working,
+    /// This VM has lost its link to the endpoint, and no other VM could ask.
+    Unknown,
     /// The endpoint does not answer; holds the reason.
     Silent(String),
     /// The request waits for another endpoint of its path.
@@ -57,6 +59,7 @@
     let call = gateway.call_engine(first, address, W::report_call(), REPORT_TIMEOUT);
     let reply = match call.await {
         Ok(reply) => reply,
+        Err(error) if error.proves_nothing() => return Diagnosis::Unknown,
         Err(error) => return Diagnosis::Silent(error.to_string()),
     };
     match W::read_report(&reply.body) {
@@ -81,6 +84,8 @@
     Refused,
     /// No answer arrived in time.
     Silent,
+    /// This VM has lost its link, and no other VM could try.
+    Unknown,
 }
 
 /// Selects the lost engines of a path from probes made at the same time. An engine that refused is
@@ -90,7 +95,7 @@
     let answered = probes.iter().filter(|(_, probe)| *probe == Probe::Answered).count();
     let majority_answered = answered * 2 > probes.len();
     let is_lost = |probe: Probe| match probe {
-        Probe::Answered => false,
+        Probe::Answered | Probe::Unknown => false,
         Probe::Refused => true,
         Probe::Silent => majority_answered,
     };
@@ -153,6 +158,7 @@
                 false => Probe::Answered,
             }
         }
+        Err(error) if error.proves_nothing() => Probe::Unknown,
         Err(_) if started_at.elapsed() >= PROBE_TIMEOUT => Probe::Silent,
         Err(error) => {
             tracing::debug!(endpoint = %address, %error, "endpoint: Refused a probe.");
@@ -185,6 +191,9 @@
     let call = gateway.call_engine(&engine.id, engine.address, W::report_call(), REPORT_TIMEOUT);
     match call.await {
         Ok(_) => gateway.on_evidence(&engine.id, Evidence::Good, started_at, "it reports again"),
+        Err(error) if error.proves_nothing() => {
+            tracing::debug!(endpoint = engine.id, %error, "endpoint: No VM could probe it.");
+        }
         Err(error) => {
             let reason = error.to_string();
             gateway.on_evidence(&engine.id, Evidence::Unreachable, started_at, &reason);
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -59,7 +59,7 @@
     resume_after: Option<u64>,
 ) -> SendOutcome {
     loop {
-        job.sent_by.set(None);
+        job.last_transit.set(None);
         let connection = match gateway.connection_pool.take(to.endpoint, to.address, Instant::now())
         {
             Some(connection) => connection,
@@ -72,7 +72,7 @@
             },
         };
         let is_reused = connection.reused;
-        job.sent_by.set(Some(connection.transit()));
+        job.last_transit.set(Some(connection.transit()));
         if let Some(hop) = &connection.hop {
             gateway.decisions.sent_through(job, to.endpoint, hop);
         }
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -227,7 +227,7 @@
     let mut timer = SilenceTimer::new(gap_objective(job));
     loop {
         smol::Timer::after(timer.wait()).await;
-        if gateway.has_lost_link(&target.endpoint, job.sent_by.get()) {
+        if gateway.has_lost_link(&target.endpoint, job.last_transit.get()) {
             return Loss::of_link();
         }
         let active_route = ActiveRoute {
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -227,7 +227,7 @@
     let first = active_route.endpoint;
     let started_at = Instant::now();
     match diagnose(gateway, first, active_route.address, &job.head.request_id).await {
-        Diagnosis::Working => None,
+        Diagnosis::Working | Diagnosis::Unknown => None,
         Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
             gateway.on_evidence(first, Evidence::Unreachable, started_at, &reason);
--- a/crates/sillbank_gateway/tests/links.rs
+++ b/crates/sillbank_gateway/tests/links.rs
@@ -2,7 +2,7 @@
 
 use arbitrary::Unstructured;
 use sillbank_gateway::links::{
-    EndpointEnd, RELAY_PREAMBLE, RelayReply, RelayRequest, TunnelReader, pass_back,
+    EndpointEnd, RELAY_PREAMBLE, RelayReply, RelayRequest, TunnelActivity, TunnelReader, pass_back,
 };
 use sillbank_protocol::peer::{DecodeError, decode_frame, decode_length};
 use sillbank_testing::for_fixed_seeds;
@@ -13,6 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 /// An endpoint that sends pieces of bytes and then ends its connection.
 struct Endpoint {
@@ -45,7 +46,9 @@
 /// The bytes of a tunnel whose endpoint sends `pieces`.
 fn tunnel_of(pieces: Vec<Vec<u8>>, end: EndpointEnd) -> Vec<u8> {
     let mut tunnel = Vec::new();
-    block_on(pass_back(Endpoint { pieces, end }, &mut tunnel)).expect("a vector can be written to");
+    let activity = TunnelActivity::new(Instant::now());
+    let passed = block_on(pass_back(Endpoint { pieces, end }, &mut tunnel, &activity));
+    passed.expect("a vector can be written to");
     tunnel
 }
 
@@ -149,3 +152,16 @@
 fn the_preamble_is_no_length_of_a_frame() {
     assert!(matches!(decode_length(RELAY_PREAMBLE), Err(DecodeError::TooLong(_))));
 }
+
+/// Guards against a planned stop of the VM in the middle that cuts off a request in flight, or waits for connections without one.
+#[test]
+fn a_tunnel_is_idle_once_the_endpoint_has_answered_and_is_quiet() {
+    let start = Instant::now();
+    let activity = TunnelActivity::new(start);
+
+    let early = activity.is_idle(start + Duration::from_millis(900));
+    let late = activity.is_idle(start + Duration::from_millis(1_000));
+
+    assert!(!early);
+    assert!(late);
+}
--- a/crates/sillbank_links/src/monitor.rs
+++ b/crates/sillbank_links/src/monitor.rs
@@ -47,11 +47,6 @@
         self.halls.get(hall).is_some_and(|links| links.state() != HallLinkState::Good)
     }
 
-    /// Whether all links to a hall count as lost, and have not begun to return.
-    pub fn is_hall_unreachable(&self, hall: &str) -> bool {
-        self.halls.get(hall).is_some_and(|links| links.state() == HallLinkState::Lost)
-    }
-
     /// Halls all links to which count as lost, and when that was found.
     pub fn lost_halls(&self) -> impl Iterator<Item = (&HallId, Instant)> {
         let lost = self.halls.iter().filter(|(_, links)| links.state() != HallLinkState::Good);
