Links: streams and calls leave a VM in between that does not answer; lists of VMs are completed soon

Cause 1: a silent connection through a VM that has lost power or is suspended looked like one to an engine that works. Cause 2: a leader that had just begun listed one VM of two, and lists were read again after 30 s only. A list that is shorter than the hall is read again each second.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -263,6 +263,7 @@
             sends: Cell::new(0),
             link_losses: Cell::new(0),
             last_transit: Cell::new(None),
+            last_hop: Cell::new(None),
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
             caller,
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -37,6 +37,8 @@
 
 /// How often a call that may be sent again checks whether its link is lost.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How often it checks whether the VM that passes its connection on answers.
+const HOP_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Handles one call and returns the reply for its caller.
 pub async fn answer<W: Wire, S: MetadataStore>(
@@ -214,9 +216,7 @@
         return exchange.await;
     }
     let link_loss = async {
-        while !gateway.has_lost_link(&choice.endpoint, job.last_transit.get()) {
-            smol::Timer::after(LINK_POLL_INTERVAL).await;
-        }
+        wait_for_link_loss(gateway, job, choice).await;
         TryOutcome::LinkLost("the link to the endpoint is lost".to_owned())
     };
     let exchange = futures_lite::future::or(exchange, link_loss);
@@ -233,6 +233,28 @@
     futures_lite::future::or(exchange, timeout).await
 }
 
+/// Waits until the link under a call is lost, or the VM that passes its connection on.
+async fn wait_for_link_loss<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+    choice: &Choice,
+) {
+    let mut hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
+    loop {
+        smol::Timer::after(LINK_POLL_INTERVAL).await;
+        if gateway.has_lost_link(&choice.endpoint, job.last_transit.get()) {
+            return;
+        }
+        let Some(vm) = job.last_hop.get().filter(|_| hop_check_due <= Instant::now()) else {
+            continue;
+        };
+        if gateway.hop_is_lost(vm, &choice.endpoint, choice.address).await {
+            return;
+        }
+        hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
+    }
+}
+
 async fn exchange<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
--- a/crates/sillbank_gateway/src/connection_pool.rs
+++ b/crates/sillbank_gateway/src/connection_pool.rs
@@ -200,6 +200,16 @@
         }
     }
 
+    /// Closes the idle connections that a VM passes on.
+    pub fn close_through(&self, vm: SocketAddr) {
+        for connections in self.idle.borrow_mut().values_mut() {
+            let is_through = |connection: &PooledConnection| {
+                connection.hop.as_ref().is_some_and(|hop| hop.vm == vm)
+            };
+            connections.retain(|connection| !is_through(connection));
+        }
+    }
+
     /// Closes the idle connections to an endpoint that other VMs pass on.
     pub fn close_relayed(&self, endpoint: &str) {
         if let Some(connections) = self.idle.borrow_mut().get_mut(endpoint) {
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -249,6 +249,14 @@
         self.reported_vms.set(reported);
     }
 
+    /// Number of VMs of this hall, as far as this VM knows.
+    pub fn known_vms(&self, now: Instant) -> u32 {
+        match self.acting_fence.get() {
+            Some(_) => self.live_vms(now),
+            None => self.reported_vms.get().vms,
+        }
+    }
+
     /// Whether enough other VMs of the hall are known to be fit. One is left out: the count may
     /// include this VM itself, while the leader does not know yet that it is unfit.
     pub fn others_suffice(&self, now: Instant) -> bool {
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -20,6 +20,7 @@
 use sillbank_net::prelude::*;
 use sillbank_quarantine::prelude::*;
 use std::cell::{Cell, OnceCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -65,6 +66,8 @@
     pub link_losses: Cell<u32>,
     /// How the connection that carries the last send was opened; `None` until there is one.
     pub last_transit: Cell<Option<Transit>>,
+    /// The VM that passes that connection on, if one does.
+    pub last_hop: Cell<Option<SocketAddr>>,
     /// Events as the caller saw them.
     pub delivery: Delivery,
     /// Forecast made at the first send; `None` inside if no forecast was possible.
--- a/crates/sillbank_gateway/src/links/relay_client.rs
+++ b/crates/sillbank_gateway/src/links/relay_client.rs
@@ -97,6 +97,18 @@
         Err(last_error)
     }
 
+    /// Whether the VM that passes a silent connection on is lost: it does not answer a new request either. It may be suspended or
+    /// have lost power, which no reset tells.
+    pub async fn hop_is_lost(&self, vm: SocketAddr, endpoint: &str, address: SocketAddr) -> bool {
+        let Err(RelayError::NoAnswer(_, reason)) = self.ask(vm, endpoint, address).await else {
+            return false;
+        };
+        self.links.relays.borrow_mut().on_failed(vm, Instant::now());
+        self.connection_pool.close_through(vm);
+        tracing::info!(%vm, reason, "links: A VM that passes connections on does not answer.");
+        true
+    }
+
     fn record_relayed(&self, end: &'static str) {
         self.metrics.relayed.get_or_create(&KindLabel { kind: end }).inc();
     }
--- a/crates/sillbank_gateway/src/links/relay_list.rs
+++ b/crates/sillbank_gateway/src/links/relay_list.rs
@@ -12,6 +12,8 @@
 
 /// Interval at which the lists are read again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(30);
+/// The same while a list of the own hall is shorter than the hall: a leader that has just begun does not know all VMs yet.
+const SHORT_LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Share of the interval by which it varies, so that VMs that start together do not ask together.
 const REFRESH_JITTER: f64 = 0.3;
 /// Pause while no VM is known that has not failed lately; it doubles while the lists do not help.
@@ -36,6 +38,12 @@
 }
 
 impl<W: Wire, S> Gateway<W, S> {
+    /// Whether the list of the own hall lacks VMs that it could hold.
+    fn has_short_list(&self, now: Instant) -> bool {
+        let others = self.hall.known_vms(now).saturating_sub(1) as usize;
+        self.links.relays.borrow().own_hall_len() < others.min(LIST_LENGTH)
+    }
+
     /// Whether no VM is known that has not failed lately, or none of another hall.
     fn needs_relays(&self, now: Instant) -> bool {
         let relays = self.links.relays.borrow();
@@ -57,6 +65,7 @@
 pub async fn follow_relays<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let mut other_halls: BTreeMap<HallId, Vec<SocketAddr>> = BTreeMap::new();
     let mut due = Instant::now();
+    let mut short_due = due;
     let mut retry_pause = MIN_RETRY_PAUSE;
     let mut retry_due = due;
     loop {
@@ -64,12 +73,14 @@
         smol::Timer::after(MIN_RETRY_PAUSE + spread.mul_f64(gateway.rng.next_f64())).await;
         let now = Instant::now();
         let is_needed = gateway.needs_relays(now) && now >= retry_due;
-        if !gateway.settings().mechanisms.relay || (now < due && !is_needed) {
+        let is_short = gateway.has_short_list(now) && now >= short_due;
+        if !gateway.settings().mechanisms.relay || (now < due && !is_needed && !is_short) {
             continue;
         }
         let jitter = 1.0 + REFRESH_JITTER * (2.0 * gateway.rng.next_f64() - 1.0);
-        due = now + REFRESH_INTERVAL.mul_f64(jitter);
         read_own_hall(&gateway, now).await;
+        due = now + REFRESH_INTERVAL.mul_f64(jitter);
+        short_due = now + SHORT_LIST_INTERVAL;
         read_other_halls(&gateway, &mut other_halls, now).await;
         retry_pause = match gateway.needs_relays(Instant::now()) {
             true => (retry_pause * 2).min(MAX_RETRY_PAUSE),
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -60,6 +60,7 @@
 ) -> SendOutcome {
     loop {
         job.last_transit.set(None);
+        job.last_hop.set(None);
         let connection = match gateway.connection_pool.take(to.endpoint, to.address, Instant::now())
         {
             Some(connection) => connection,
@@ -73,6 +74,7 @@
         };
         let is_reused = connection.reused;
         job.last_transit.set(Some(connection.transit()));
+        job.last_hop.set(connection.hop.as_ref().map(|hop| hop.vm));
         if let Some(hop) = &connection.hop {
             gateway.decisions.sent_through(job, to.endpoint, hop);
         }
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a stream's request once and waits for the head of the reply.
 
-use super::loss::{ActiveRoute, Loss, SilenceTimer, detect_loss, move_request};
+use super::loss::{ActiveRoute, Loss, Silence, SilenceTimer, detect_loss, move_request};
 use super::target::Target;
 use crate::connection_pool::PooledConnection;
 use crate::crashes::BrokenSend;
@@ -236,7 +236,14 @@
             path: target.path.as_ref(),
             since,
         };
-        let Some(loss) = detect_loss(gateway, job, active_route, timer.on_silence()).await else {
+        let silence = timer.on_silence();
+        if silence == Silence::Long
+            && let Some(vm) = job.last_hop.get()
+            && gateway.hop_is_lost(vm, &target.endpoint, target.address).await
+        {
+            return Loss::of_link();
+        }
+        let Some(loss) = detect_loss(gateway, job, active_route, silence).await else {
             continue;
         };
         match move_request(gateway, job, active_route, &loss).await {
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -187,6 +187,10 @@
                     let reason = "the link to the endpoint is lost".to_owned();
                     return SegmentEnd::LinkLost(reason);
                 }
+                if silence == Silence::Long && self.hop_is_lost(upstream).await {
+                    let reason = "the VM in between does not answer".to_owned();
+                    return SegmentEnd::LinkLost(reason);
+                }
                 match self.move_around_loss(upstream, silence).await {
                     LossCheck::NoLoss if silence != Silence::Long => silence_timer.on_false_alarm(),
                     LossCheck::NoLoss | LossCheck::Recoverable => {}
@@ -239,6 +243,11 @@
         }
     }
 
+    async fn hop_is_lost(&self, upstream: &Upstream) -> bool {
+        let Some(hop) = &upstream.connection.hop else { return false };
+        self.gateway.hop_is_lost(hop.vm, &upstream.endpoint, upstream.address).await
+    }
+
     /// Checks for lost engines and moves the stream around them.
     async fn move_around_loss(&self, upstream: &mut Upstream, silence: Silence) -> LossCheck {
         let active_route = upstream.active_route();
--- a/crates/sillbank_links/src/relays.rs
+++ b/crates/sillbank_links/src/relays.rs
@@ -36,6 +36,11 @@
         self.own_hall.len() + self.other_halls.len()
     }
 
+    /// Number of known VMs of the own hall.
+    pub fn own_hall_len(&self) -> usize {
+        self.own_hall.len()
+    }
+
     /// Whether no VM is known.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
