--- a/crates/sillbank_gateway/src/links/checks.rs
+++ b/crates/sillbank_gateway/src/links/checks.rs
@@ -50,15 +50,13 @@
         let now = Instant::now();
         checked_at.retain(|_, at| now.saturating_duration_since(*at) < PAIR_INTERVAL);
         let is_due = checked_at.len() < MAX_PAIRS && !checked_at.contains_key(&endpoint);
-        if !is_due || gateway.transit_to(&endpoint) == Transit::Relayed {
+        let is_relay_on = gateway.settings().mechanisms.relay;
+        if !is_due || !is_relay_on || gateway.transit_to(&endpoint) == Transit::Relayed {
             continue;
         }
         let record = gateway.platform.endpoints(|all| all.get(&endpoint).cloned());
         let accepts = |record: &EndpointRecord| silence_means_loss(Some(record.standing));
         let Some(record) = record.filter(accepts) else { continue };
-        if !gateway.settings().mechanisms.relay {
-            continue;
-        }
         checked_at.insert(endpoint, now);
         let check = check_troubled_endpoint(gateway.clone(), record);
         gateway.executor.spawn(check).detach();
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -37,7 +37,8 @@
     let may_wait = || wait_until.is_some_and(|until| Instant::now() < until);
     // A request that was sent before passed admission control then, even if none of its events
     // arrived.
-    let is_first_send = resume_after.is_none() && job.sends.get() == 0;
+    let is_first_send =
+        resume_after.is_none() && job.sends.get() == 0 && job.link_losses.get() == 0;
     if is_first_send && let Err(reason) = check_admission(gateway, job) {
         return Err(refuse(gateway, job, reason));
     }
