--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -99,7 +99,9 @@
     if !silence_means_loss(standing) {
         return BreakCause::Unknown;
     }
-    match cause_of(gateway, &send).await {
+    let cause = cause_of(gateway, &send).await;
+    gateway.decisions.break_checked(job, &send, cause);
+    match cause {
         BreakCause::Crash => gateway.on_endpoint_crash(job, &send),
         BreakCause::Link => return BreakCause::Link,
         BreakCause::Unknown => recheck(gateway, job, send),
@@ -116,7 +118,9 @@
     let (recheck_gateway, job) = (gateway.clone(), job.clone());
     let recheck = async move {
         smol::Timer::after(RECHECK_DELAY).await;
-        if cause_of(&recheck_gateway, &send).await == BreakCause::Crash {
+        let cause = cause_of(&recheck_gateway, &send).await;
+        recheck_gateway.decisions.break_checked(&job, &send, cause);
+        if cause == BreakCause::Crash {
             recheck_gateway.on_endpoint_crash(&job, &send);
         }
     };
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -5,7 +5,7 @@
 //! view are few and always written.
 
 use crate::connection_pool::Hop;
-use crate::crashes::BrokenSend;
+use crate::crashes::{BreakCause, BrokenSend};
 use crate::job::Job;
 use crate::paths::EngineCounts;
 use crate::platform_view::ViewStamp;
@@ -201,6 +201,33 @@
         }
     }
 
+    /// An endpoint was checked after the connection of a send broke.
+    pub fn break_checked(&self, job: &Job, send: &BrokenSend, cause: BreakCause) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                endpoint = send.endpoint,
+                cause = ?cause,
+                since_break_ms = send.broke_at.elapsed().as_millis() as u64,
+                "endpoint: Checked after a broken connection."
+            );
+        }
+    }
+
+    /// A started stream that broke is not resumed.
+    pub fn not_resumed(&self, job: &Job, reason: &str) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                sends = job.sends.get(),
+                link_losses = job.link_losses.get(),
+                time_left_ms = job.time_left(Instant::now()).as_millis() as u64,
+                reason,
+                "route: Not resumed."
+            );
+        }
+    }
+
     /// A running request is moved to a path on which another engine runs a lost part.
     pub fn moved(
         &self,
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -125,8 +125,11 @@
             let avoid = self.find_engines_to_avoid(fault, &upstream).await;
             drop(upstream);
             match self.resume(avoid).await {
-                Some(resumed) => upstream = resumed,
-                None => return (Outcome::Aborted, reason),
+                Ok(resumed) => upstream = resumed,
+                Err(not_resumed) => {
+                    self.gateway.decisions.not_resumed(&self.job, &not_resumed);
+                    return (Outcome::Aborted, reason);
+                }
             }
         }
     }
@@ -149,18 +152,29 @@
         vec![upstream.endpoint.clone()]
     }
 
-    /// Resumes the stream on another path, if that is allowed.
-    async fn resume(&self, avoid: Vec<EndpointId>) -> Option<Upstream> {
-        let is_quarantined = self.gateway.quarantined_for(&self.job).is_some();
-        if is_quarantined || !self.rules.resumable || !self.gateway.may_send_again(&self.job) {
-            return None;
+    /// Resumes the stream on another path, if that is allowed. The error is the reason why not.
+    async fn resume(&self, avoid: Vec<EndpointId>) -> Result<Upstream, String> {
+        if self.gateway.quarantined_for(&self.job).is_some() {
+            return Err("the request is quarantined".to_owned());
+        }
+        if !self.rules.resumable {
+            return Err("the route's streams are not resumable".to_owned());
+        }
+        if !self.job.may_send_again(Instant::now()) {
+            return Err("the route allows no further send, or no time is left".to_owned());
+        }
+        if !self.gateway.try_retry(&self.job.service.name) {
+            return Err("the retry budget is used up".to_owned());
         }
         match open_stream(&self.gateway, &self.job, self.last_number, avoid).await {
             Ok(UpstreamReply::Stream(upstream, _)) => {
                 self.gateway.metrics.resumes.inc();
-                Some(*upstream)
+                Ok(*upstream)
+            }
+            Ok(UpstreamReply::Failure(reply)) => {
+                Err(format!("the endpoint failed with status {}", reply.status().as_u16()))
             }
-            Ok(UpstreamReply::Failure(_)) | Err(_) => None,
+            Err(failure) => Err(failure.reason),
         }
     }
 
