Quarantine: a crash that is not confirmed yet counts until it is checked

What callers saw: a request that crashes engines was sent to one engine more than the quarantine allows, and the streams on that engine were broken off.

The silent stream was probed, the probe was refused, and the stream was given up with 'it takes no calls while a stream stands still'. An endpoint that is found lost in this way was not checked for a crash, only one whose connection breaks. So the crash of e3 did not count, the stream was resumed at e1, and that crash counted as the third. The same class: an endpoint that still accepts connections when it is checked was checked once more 100 ms later, in the background, and the request was sent on meanwhile.

Fix: each send that ends without an answer is checked, also one that was given up while its connection was open, in streams and in calls. The check goes on, for up to 1 s, until the endpoint refuses connections (a crash) or answers a call (no crash). Until then it counts as a crash: a request that it would quarantine waits for it before its next send, in streams, calls and new tries at this VM. Requests further from quarantine do not wait.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -270,6 +270,7 @@
             cached_fingerprint: OnceCell::new(),
             is_counted: Cell::new(false),
         });
+        self.gateway.await_crash_checks(&job).await;
         if let Some(failure) = self.gateway.refuse_quarantined(&job) {
             return self.refuse(&job.head.request_id, &failure);
         }
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -4,7 +4,7 @@
     deadline_failure, failure_outcome, failure_response, final_failure, with_min_retry_after,
 };
 use crate::connection_pool::PooledConnection;
-use crate::crashes::{BreakCause, BrokenSend, check_broken_send};
+use crate::crashes::{BreakCause, BrokenSend, check_abandoned_send, check_broken_send};
 use crate::decisions::{FailedSend, Outcome};
 use crate::endpoints::{Evidence, RequestPart};
 use crate::gateway::Gateway;
@@ -126,14 +126,13 @@
             TryOutcome::NotRun(reason) => (SendFailureKind::NotRun, reason),
             TryOutcome::Misdirected(reason) => (SendFailureKind::Misdirected, reason),
             TryOutcome::NotSent(reason) => (SendFailureKind::NotSent, reason),
-            TryOutcome::Late(reason) => (SendFailureKind::MayHaveRun, reason),
+            TryOutcome::Late(reason) => {
+                check_abandoned_send(gateway, job, broken_send(&choice, sent_at));
+                (SendFailureKind::MayHaveRun, reason)
+            }
             TryOutcome::LinkLost(reason) => (SendFailureKind::LinkLost, reason),
             TryOutcome::Lost(reason) => {
-                let (endpoint, address) = (choice.endpoint.clone(), choice.address);
-                let broke_at = Instant::now();
-                let send =
-                    BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
-                match check_broken_send(gateway, job, send).await {
+                match check_broken_send(gateway, job, broken_send(&choice, sent_at)).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
                     BreakCause::Crash | BreakCause::Unknown => {
                         (SendFailureKind::MayHaveRun, reason)
@@ -154,6 +153,7 @@
         if failure_kind != SendFailureKind::LinkLost {
             tried.push(choice.endpoint);
         }
+        gateway.await_crash_checks(job).await;
         let may_retry = attempts.may_retry(gateway, job, failure_kind);
         if !may_retry {
             let failed_reply = failed_reply.map(|whole| whole.reply);
@@ -163,6 +163,12 @@
     }
 }
 
+/// A send of a call that ends now without a reply.
+fn broken_send(choice: &Choice, sent_at: Instant) -> BrokenSend {
+    let (endpoint, address) = (choice.endpoint.clone(), choice.address);
+    BrokenSend { endpoint, address, sent_at, broke_at: Instant::now(), first_event_at: None }
+}
+
 /// Builds the failure of a call that cannot be sent: a refusal, or a plain failure if it may have
 /// run.
 fn refuse<W: Wire, S: MetadataStore>(
--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -13,6 +13,7 @@
 use sillbank_core::prelude::*;
 use sillbank_links::prelude::*;
 use sillbank_net::liveness::refuses_connections;
+use sillbank_quarantine::prelude::*;
 use smol::lock::Mutex;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -24,9 +25,19 @@
 /// next send of a request that lost its endpoint waits for the check.
 const CONNECT_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Delay before the second check. A crashed endpoint is unreachable for longer; other VMs learn of
-/// a first crash later.
-const RECHECK_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which an endpoint is checked again that neither refuses connections nor answers.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Minimum time after the break at which an answer shows that the endpoint has not crashed: it may
+/// answer while the request that it was given is still about to crash it.
+const MIN_CHECK_TIME: Duration = Duration::from_millis(100);
+
+/// Time after which an endpoint that neither refuses connections nor answers is not checked any
+/// more. Its machine may have lost power, which a request does not cause.
+const MAX_CHECK_TIME: Duration = Duration::from_secs(1);
+
+/// Interval at which a request that waits for the end of checks looks for it.
+const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A send whose connection broke before the answer was complete.
 #[derive(Debug, Clone)]
@@ -48,6 +59,51 @@
     pub fn ran_for(&self) -> Option<Duration> {
         self.first_event_at.map(|first| self.broke_at.saturating_duration_since(first))
     }
+
+    /// Whether a crash of the endpoint would count against the request.
+    pub fn may_be_cause(&self) -> bool {
+        self.ran_for().is_none_or(|ran| ran < SUSPICION_WINDOW)
+    }
+}
+
+/// Checks of broken sends that have not shown yet whether the endpoint crashed.
+#[derive(Debug, Default)]
+pub struct PendingChecks {
+    /// Checks of each request whose crashes would count against it.
+    counts: Rc<RefCell<HashMap<Fingerprint, usize>>>,
+}
+
+/// A check that has not ended; ends when dropped.
+#[derive(Debug)]
+struct PendingCheck {
+    counts: Rc<RefCell<HashMap<Fingerprint, usize>>>,
+    fingerprint: Option<Fingerprint>,
+}
+
+impl PendingChecks {
+    fn begin(&self, fingerprint: Option<Fingerprint>) -> PendingCheck {
+        if let Some(fingerprint) = fingerprint {
+            *self.counts.borrow_mut().entry(fingerprint).or_default() += 1;
+        }
+        PendingCheck { counts: self.counts.clone(), fingerprint }
+    }
+
+    fn count(&self, fingerprint: Fingerprint) -> usize {
+        self.counts.borrow().get(&fingerprint).copied().unwrap_or(0)
+    }
+}
+
+impl Drop for PendingCheck {
+    fn drop(&mut self) {
+        let Some(fingerprint) = self.fingerprint else { return };
+        let mut counts = self.counts.borrow_mut();
+        if let Some(count) = counts.get_mut(&fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&fingerprint);
+            }
+        }
+    }
 }
 
 /// Endpoints that this VM found to have crashed.
@@ -87,47 +143,110 @@
     Unknown,
 }
 
-/// Checks whether an endpoint has crashed under a request. One that still accepts connections is
-/// checked a second time in the background: a process that ends may close its connections before
-/// its listener.
+/// Checks whether an endpoint has crashed under a request whose connection broke. Returns what the
+/// endpoint shows at once; while that is not conclusive, checks go on in the background.
 pub async fn check_broken_send<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
     send: BrokenSend,
 ) -> BreakCause {
-    let standing = gateway.platform.endpoints(|all| all.get(&send.endpoint).map(|e| e.standing));
-    if !silence_means_loss(standing) {
+    let Some(pending) = begin_check(gateway, job, &send) else {
         return BreakCause::Unknown;
+    };
+    let cause = check_once(gateway, job, &send).await;
+    if cause != BreakCause::Crash {
+        gateway.executor.spawn(keep_checking(gateway.clone(), job.clone(), send, pending)).detach();
     }
-    let cause = cause_of(gateway, &send).await;
-    gateway.decisions.break_checked(job, &send, cause);
-    match cause {
-        BreakCause::Crash => gateway.on_endpoint_crash(job, &send),
-        BreakCause::Link => return BreakCause::Link,
-        BreakCause::Unknown => recheck(gateway, job, send),
-    }
-    BreakCause::Unknown
+    cause
 }
 
-/// Checks an endpoint a second time in the background.
-fn recheck<W: Wire, S: MetadataStore>(
+/// Checks in the background whether an endpoint has crashed under a request that was given up there
+/// while its connection was open.
+pub fn check_abandoned_send<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
     send: BrokenSend,
 ) {
-    let (recheck_gateway, job) = (gateway.clone(), job.clone());
-    let recheck = async move {
-        smol::Timer::after(RECHECK_DELAY).await;
-        let cause = cause_of(&recheck_gateway, &send).await;
-        recheck_gateway.decisions.break_checked(&job, &send, cause);
-        if cause == BreakCause::Crash {
-            recheck_gateway.on_endpoint_crash(&job, &send);
+    let Some(pending) = begin_check(gateway, job, &send) else { return };
+    let (gateway, job) = (gateway.clone(), job.clone());
+    let executor = gateway.executor.clone();
+    let check = async move {
+        if check_once(&gateway, &job, &send).await != BreakCause::Crash {
+            keep_checking(gateway, job, send, pending).await;
         }
     };
-    gateway.executor.spawn(recheck).detach();
+    executor.spawn(check).detach();
+}
+
+/// Begins the check of a send; `None` if the endpoint may end as planned.
+fn begin_check<W: Wire, S>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    send: &BrokenSend,
+) -> Option<PendingCheck> {
+    let standing = gateway.platform.endpoints(|all| all.get(&send.endpoint).map(|e| e.standing));
+    if !silence_means_loss(standing) {
+        return None;
+    }
+    Some(gateway.pending_checks.begin(send.may_be_cause().then(|| job.fingerprint())))
+}
+
+async fn check_once<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    send: &BrokenSend,
+) -> BreakCause {
+    let cause = cause_of(gateway, send).await;
+    gateway.decisions.break_checked(job, send, cause);
+    if cause == BreakCause::Crash {
+        gateway.on_endpoint_crash(job, send);
+    }
+    cause
+}
+
+/// Checks an endpoint that accepts connections until it refuses them or answers: a process that ends
+/// may close its connections long before its listener.
+async fn keep_checking<W: Wire, S: MetadataStore>(
+    gateway: Rc<Gateway<W, S>>,
+    job: Rc<Job>,
+    send: BrokenSend,
+    _pending: PendingCheck,
+) {
+    while send.broke_at.elapsed() < MAX_CHECK_TIME {
+        let started_at = Instant::now();
+        let answers = gateway.endpoint_answers(&send.endpoint).await;
+        let is_new = gateway.endpoint_tracker.restarted_since(&send.endpoint, send.sent_at);
+        if answers && !is_new && started_at >= send.broke_at + MIN_CHECK_TIME {
+            return;
+        }
+        smol::Timer::after(RECHECK_INTERVAL).await;
+        if check_once(&gateway, &job, &send).await == BreakCause::Crash {
+            return;
+        }
+    }
 }
 
 impl<W: Wire, S> Gateway<W, S> {
+    /// Waits while unfinished checks could quarantine the request, so that it is sent to no further
+    /// endpoint than the quarantine allows. Ends with the checks, after [`MAX_CHECK_TIME`] or little
+    /// more. Requests that are further from quarantine do not wait.
+    pub async fn await_crash_checks(&self, job: &Job) {
+        if !self.settings.borrow().mechanisms.quarantine {
+            return;
+        }
+        while self.pending_checks_could_quarantine(job) {
+            smol::Timer::after(CHECK_POLL_INTERVAL).await;
+        }
+    }
+
+    fn pending_checks_could_quarantine(&self, job: &Job) -> bool {
+        let pending = self.pending_checks.count(job.fingerprint());
+        pending > 0
+            && self.quarantined_for(job).is_none()
+            && self.quarantine.borrow().crash_count(job.fingerprint()) + pending
+                >= CRASHES_TO_QUARANTINE
+    }
+
     /// Why connections to an endpoint break: a VM that has lost its links may be refused by endpoints
     /// that run, so that another VM has to confirm a refusal.
     async fn find_cause(&self, endpoint: &str, address: SocketAddr) -> BreakCause {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::call_tracker::CallTracker;
 use crate::connection_pool::ConnectionPool;
 use crate::counted_store::CountedStore;
-use crate::crashes::CrashedEndpoints;
+use crate::crashes::{CrashedEndpoints, PendingChecks};
 use crate::decisions::{DecisionLog, Outcome};
 use crate::demand::DemandTracker;
 use crate::endpoints::{EndpointTracker, Evidence};
@@ -79,6 +79,8 @@
     pub links: Links,
     /// Endpoints that crashed while they ran a request.
     pub crashed_endpoints: CrashedEndpoints,
+    /// Checks of endpoints whose connections broke under requests.
+    pub pending_checks: PendingChecks,
     /// Rate limits and pauses that endpoints asked for in their answers.
     pub pushback: RefCell<PushbackTracker>,
     /// Rate leases that this VM grants while it leads.
@@ -153,6 +155,7 @@
             endpoint_tracker: Rc::default(),
             links: Links::default(),
             crashed_endpoints: CrashedEndpoints::default(),
+            pending_checks: PendingChecks::default(),
             pushback: RefCell::default(),
             rate_leases: RateLeases::default(),
             quarantine: RefCell::default(),
--- a/crates/sillbank_gateway/src/links/checks.rs
+++ b/crates/sillbank_gateway/src/links/checks.rs
@@ -191,6 +191,21 @@
         finding
     }
 
+    /// Whether an endpoint answers a call other than a request. An engine's report also shows whether it has restarted.
+    pub async fn endpoint_answers(&self, endpoint: &str) -> bool {
+        let record = self.platform.endpoints(|all| all.get(endpoint).cloned());
+        let Some(record) = record else { return false };
+        if record.accelerator.is_none() {
+            return self.answers_directly(&record).await;
+        }
+        let call = self.call_engine(endpoint, record.address, W::report_call(), ATTEMPT_TIMEOUT);
+        let Ok(reply) = call.await else { return false };
+        if let Ok(report) = W::read_report(&reply.body) {
+            self.on_reported_incarnation(endpoint, report.born_ms);
+        }
+        true
+    }
+
     async fn answers_directly(&self, record: &EndpointRecord) -> bool {
         let Some(check) = self.check_request(record) else { return false };
         let attempt = async {
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -23,7 +23,7 @@
     /// Records that an endpoint crashed while it ran a request. The crash counts against a request
     /// that had just started there.
     pub fn on_endpoint_crash(&self, job: &Job, send: &BrokenSend) {
-        let is_suspected = send.ran_for().is_none_or(|ran| ran < SUSPICION_WINDOW);
+        let is_suspected = send.may_be_cause();
         self.decisions.endpoint_crashed(job, send, is_suspected);
         if !is_suspected {
             return;
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -80,13 +80,23 @@
     Failure(Response<ReplyBody>),
 }
 
+/// How the exchange of a failed send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ExchangeEnd {
+    /// The endpoint replied, or the request did not reach it.
+    Complete,
+    /// The connection to the first endpoint ended before a reply arrived.
+    Broken,
+    /// The connection was open when the request was given up there.
+    Abandoned,
+}
+
 /// A send that opened no stream.
 pub(super) struct FailedAttempt {
     pub(super) endpoint: EndpointId,
     pub(super) at_fault: Option<EndpointId>,
     pub(super) kind: SendFailureKind,
-    /// Whether the connection to the first endpoint ended before a reply arrived.
-    pub(super) is_broken: bool,
+    pub(super) exchange: ExchangeEnd,
     pub(super) reason: String,
 }
 
@@ -124,7 +134,7 @@
             endpoint: endpoint.clone(),
             at_fault,
             kind,
-            is_broken: false,
+            exchange: ExchangeEnd::Complete,
             reason,
         })
     };
@@ -133,16 +143,19 @@
             endpoint: endpoint.clone(),
             at_fault: None,
             kind: SendFailureKind::LinkLost,
-            is_broken: false,
+            exchange: ExchangeEnd::Complete,
             reason,
         })
     };
     match sent {
         Err(loss) if loss.engines.is_empty() => link_lost(loss.reason),
-        Err(loss) => {
-            let at_fault = loss.engines.into_iter().next();
-            failed(at_fault, SendFailureKind::MayHaveRun, loss.reason)
-        }
+        Err(loss) => AttemptResult::Failed(FailedAttempt {
+            endpoint,
+            at_fault: loss.engines.into_iter().next(),
+            kind: SendFailureKind::MayHaveRun,
+            exchange: ExchangeEnd::Abandoned,
+            reason: loss.reason,
+        }),
         Ok(SendOutcome::Success(reply, connection)) => {
             gateway.on_evidence(&endpoint, Evidence::Good, sent_at, "a stream was opened");
             let status = reply.status();
@@ -210,7 +223,7 @@
                 endpoint,
                 at_fault,
                 kind,
-                is_broken: true,
+                exchange: ExchangeEnd::Broken,
                 reason,
             })
         }
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -1,9 +1,9 @@
 //! Opens a stream: sends its request until an endpoint accepts it.
 
-use super::attempt::{AttemptResult, UpstreamReply, send_once};
+use super::attempt::{AttemptResult, ExchangeEnd, UpstreamReply, send_once};
 use super::target::{NoTarget, choose_target};
 use crate::answers::{RETRY_AFTER_NOT_READY, final_failure, with_min_retry_after};
-use crate::crashes::{BreakCause, BrokenSend, check_broken_send};
+use crate::crashes::{BreakCause, BrokenSend, check_abandoned_send, check_broken_send};
 use crate::decisions::FailedSend;
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -94,17 +94,21 @@
                 after: sent_at.elapsed(),
             },
         );
-        if failed.is_broken {
-            let endpoint = failed.endpoint.clone();
-            let broke_at = Instant::now();
-            let send = BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
-            if check_broken_send(gateway, job, send).await == BreakCause::Link {
-                failed.kind = SendFailureKind::LinkLost;
+        let (endpoint, broke_at) = (failed.endpoint.clone(), Instant::now());
+        let send = BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
+        match failed.exchange {
+            ExchangeEnd::Complete => {}
+            ExchangeEnd::Abandoned => check_abandoned_send(gateway, job, send),
+            ExchangeEnd::Broken => {
+                if check_broken_send(gateway, job, send).await == BreakCause::Link {
+                    failed.kind = SendFailureKind::LinkLost;
+                }
             }
         }
         if failed.kind != SendFailureKind::LinkLost {
             avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
         }
+        gateway.await_crash_checks(job).await;
         let may_retry = attempts.may_retry(gateway, job, failed.kind);
         if !may_retry && failed.kind == SendFailureKind::NotSent && may_wait() {
             smol::Timer::after(ENGINE_POLL_INTERVAL).await;
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -4,7 +4,7 @@
 use super::attempt::{Upstream, UpstreamReply};
 use super::loss::{Loss, Silence, SilenceTimer, detect_loss, move_request};
 use super::open::open_stream;
-use crate::crashes::{BreakCause, check_broken_send};
+use crate::crashes::{BreakCause, check_abandoned_send, check_broken_send};
 use crate::decisions::{FailedSend, Outcome};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
@@ -138,7 +138,10 @@
     async fn find_engines_to_avoid(&self, fault: Fault, upstream: &Upstream) -> Vec<EndpointId> {
         let is_link = match fault {
             Fault::Link => true,
-            Fault::Endpoint(Some(at_fault)) => return vec![at_fault],
+            Fault::Endpoint(Some(at_fault)) => {
+                check_abandoned_send(&self.gateway, &self.job, upstream.broken_send());
+                return vec![at_fault];
+            }
             Fault::Endpoint(None) => {
                 self.gateway.on_send_trouble(&self.job, &upstream.endpoint);
                 let cause = check_broken_send(&self.gateway, &self.job, upstream.broken_send());
@@ -154,6 +157,7 @@
 
     /// Resumes the stream on another path, if that is allowed. The error is the reason why not.
     async fn resume(&self, avoid: Vec<EndpointId>) -> Result<Upstream, String> {
+        self.gateway.await_crash_checks(&self.job).await;
         if self.gateway.quarantined_for(&self.job).is_some() {
             return Err("the request is quarantined".to_owned());
         }
--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -30,7 +30,7 @@
 /// Commonly used types.
 pub mod prelude {
     pub use crate::{
-        Fingerprint, Quarantine, QuarantineEvent, QuarantineRecord, QuarantineUpdate,
-        RequestIdentity, SUSPICION_WINDOW, SuspectUpdate, UpdateSource,
+        CRASHES_TO_QUARANTINE, Fingerprint, Quarantine, QuarantineEvent, QuarantineRecord,
+        QuarantineUpdate, RequestIdentity, SUSPICION_WINDOW, SuspectUpdate, UpdateSource,
     };
 }
