Quarantine: a crash counts for the incarnation that ran the request

What callers saw: a request that crashes engines was sent to a fourth one.

Found by reading, then brought about.

Fix: the name of the incarnation is taken when the request is sent.

Shown: request_ends_engines_that_restart_at_once fails in 2 of 4 runs on the code before (the second crash has to meet an engine of the first ones), and passes in 3 of 3 after it. An endpoint that has restarted is checked again without delay.

--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -112,6 +112,15 @@
         attempts.record_send(job);
         gateway.count_against_limit(&choice.endpoint);
         let sent_at = Instant::now();
+        let incarnation = gateway.incarnation_name(&choice.endpoint);
+        let broken_send = || BrokenSend {
+            endpoint: choice.endpoint.clone(),
+            address: choice.address,
+            incarnation: incarnation.clone(),
+            sent_at,
+            broke_at: Instant::now(),
+            first_event_at: None,
+        };
         let (failure_kind, reason) = match try_once(gateway, job, &choice).await {
             TryOutcome::Success(reply) => {
                 gateway.on_request_survived(job);
@@ -127,12 +136,12 @@
             TryOutcome::Misdirected(reason) => (SendFailureKind::Misdirected, reason),
             TryOutcome::NotSent(reason) => (SendFailureKind::NotSent, reason),
             TryOutcome::Late(reason) => {
-                check_abandoned_send(gateway, job, broken_send(&choice, sent_at));
+                check_abandoned_send(gateway, job, broken_send());
                 (SendFailureKind::MayHaveRun, reason)
             }
             TryOutcome::LinkLost(reason) => (SendFailureKind::LinkLost, reason),
             TryOutcome::Lost(reason) => {
-                match check_broken_send(gateway, job, broken_send(&choice, sent_at)).await {
+                match check_broken_send(gateway, job, broken_send()).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
                     BreakCause::Crash | BreakCause::Unknown => {
                         (SendFailureKind::MayHaveRun, reason)
@@ -163,12 +172,6 @@
     }
 }
 
-/// A send of a call that ends now without a reply.
-fn broken_send(choice: &Choice, sent_at: Instant) -> BrokenSend {
-    let (endpoint, address) = (choice.endpoint.clone(), choice.address);
-    BrokenSend { endpoint, address, sent_at, broke_at: Instant::now(), first_event_at: None }
-}
-
 /// Builds the failure of a call that cannot be sent: a refusal, or a plain failure if it may have
 /// run.
 fn refuse<W: Wire, S: MetadataStore>(
--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -46,6 +46,9 @@
     pub endpoint: EndpointId,
     /// Its address.
     pub address: SocketAddr,
+    /// Name of the incarnation that the request was sent to. It may have restarted when the
+    /// connection is found broken.
+    pub incarnation: String,
     /// When the request was sent.
     pub sent_at: Instant,
     /// When the connection was found broken.
@@ -219,7 +222,9 @@
         if answers && !is_new && started_at >= send.broke_at + MIN_CHECK_TIME {
             return;
         }
-        smol::Timer::after(RECHECK_INTERVAL).await;
+        if !is_new {
+            smol::Timer::after(RECHECK_INTERVAL).await;
+        }
         if check_once(&gateway, &job, &send).await == BreakCause::Crash {
             return;
         }
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -29,14 +29,15 @@
             return;
         }
         let mut quarantine = self.quarantine.borrow_mut();
-        let (fingerprint, incarnation) = (job.fingerprint(), self.incarnation_name(&send.endpoint));
-        let events = quarantine.on_crash(fingerprint, &incarnation, send.sent_at, send.broke_at);
+        let fingerprint = job.fingerprint();
+        let events =
+            quarantine.on_crash(fingerprint, &send.incarnation, send.sent_at, send.broke_at);
         drop(quarantine);
         self.on_quarantine_events(&events);
     }
 
-    /// Name of an endpoint's incarnation, as far as its start is known.
-    fn incarnation_name(&self, endpoint: &str) -> String {
+    /// Name of an endpoint's newest incarnation, as far as its start is known.
+    pub fn incarnation_name(&self, endpoint: &str) -> String {
         match self.platform.endpoints(|directory| directory.newest_incarnation(endpoint)) {
             Some(born_ms) => format!("{endpoint}@{born_ms}"),
             None => endpoint.to_owned(),
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -35,6 +35,8 @@
     pub(super) path: Option<LayerPath>,
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
+    /// Name of the endpoint's incarnation that the request was sent to.
+    pub(super) incarnation: String,
     pub(super) splitter: EventSplitter,
     pub(super) _in_flight: InFlightGuard,
     /// When the request was sent or last moved.
@@ -50,6 +52,7 @@
         BrokenSend {
             endpoint: self.endpoint.clone(),
             address: self.address,
+            incarnation: self.incarnation.clone(),
             sent_at: self.sent_at,
             broke_at: Instant::now(),
             first_event_at: self.first_event_at,
@@ -121,6 +124,7 @@
     };
     let in_flight = gateway.endpoint_tracker.start(shares, sent_at);
     let endpoint = target.endpoint.clone();
+    let incarnation = gateway.incarnation_name(&endpoint);
     let path = target.path.clone();
     let to = Destination { endpoint: &endpoint, address: target.address, path: path.as_ref() };
     let loss_detected = watch_for_loss(gateway, job, &mut target);
@@ -167,6 +171,7 @@
                 path: target.path,
                 endpoint: target.endpoint,
                 address: target.address,
+                incarnation,
                 splitter: EventSplitter::default(),
                 _in_flight: in_flight,
                 sent_at,
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -75,7 +75,7 @@
         gateway.count_against_limit(&target.endpoint);
         let sent_at = Instant::now();
         let stamp = gateway.platform.stamp(sent_at);
-        let address = target.address;
+        let (address, incarnation) = (target.address, gateway.incarnation_name(&target.endpoint));
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
         let mut failed = match send_once(gateway, job, target, resume_after).await {
             AttemptResult::Replied(reply) => {
@@ -95,7 +95,8 @@
             },
         );
         let (endpoint, broke_at) = (failed.endpoint.clone(), Instant::now());
-        let send = BrokenSend { endpoint, address, sent_at, broke_at, first_event_at: None };
+        let send =
+            BrokenSend { endpoint, address, incarnation, sent_at, broke_at, first_event_at: None };
         match failed.exchange {
             ExchangeEnd::Complete => {}
             ExchangeEnd::Abandoned => check_abandoned_send(gateway, job, send),
