Endpoints that answer late, and VMs that are slow themselves, are not taken for lost

Fixed timeouts take slowness of the VM, or of all endpoints, for the loss of endpoints; leaders tell all VMs. A stream was taken from a path that sent it data, as a part of it was ejected before. A check of a link gave the direct attempt less time than the relayed one and found links lost.

One slow endpoint changes nothing, a lost one has no reply times.

--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::paths::RoutingContext;
 use crate::platform_view::PlatformView;
 use crate::rate_leases::RateLeases;
+use crate::reply_times::{LateReplies, ReplyTimes};
 use crate::revision::Revision;
 use crate::settings::GatewaySettings;
 use crate::store::StoreError;
@@ -81,6 +82,10 @@
     pub crashed_endpoints: CrashedEndpoints,
     /// Checks of endpoints whose connections broke under requests.
     pub pending_checks: PendingChecks,
+    /// How long endpoints take to answer calls other than requests.
+    pub reply_times: ReplyTimes,
+    /// Replies to such calls that arrive after their timeout.
+    pub(crate) late_replies: LateReplies,
     /// Rate limits and pauses that endpoints asked for in their answers.
     pub pushback: RefCell<PushbackTracker>,
     /// Rate leases that this VM grants while it leads.
@@ -156,6 +161,8 @@
             links: Links::default(),
             crashed_endpoints: CrashedEndpoints::default(),
             pending_checks: PendingChecks::default(),
+            reply_times: ReplyTimes::default(),
+            late_replies: LateReplies::default(),
             pushback: RefCell::default(),
             rate_leases: RateLeases::default(),
             quarantine: RefCell::default(),
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`platform_view`] holds this VM's view of the platform, [`follow`] keeps it up to date.
 //! - [`restarts`] discards the state of endpoints that restart, [`unreadable`] logs entries of
 //!   endpoints that cannot be parsed.
-//! - [`endpoints`] tracks the health of endpoints, [`probes`] checks them; [`paths`] chooses among
+//! - [`endpoints`] tracks the health of endpoints, [`probes`] checks them, [`reply_times`] says how
+//!   long they are waited for; [`paths`] chooses among
 //!   engines by the model of `sillbank_engines`.
 //! - [`links`] tells lost links of this VM from lost endpoints, and connects through other VMs while
 //!   links are lost.
@@ -68,6 +69,7 @@
 pub mod quarantine;
 pub mod quarantine_store;
 pub mod rate_leases;
+pub mod reply_times;
 pub mod restarts;
 pub mod retries;
 pub mod retry_budget;
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -132,10 +132,13 @@
         }
         let ejected = gateway.endpoint_tracker.ejected_count();
         gateway.metrics.ejected_endpoints.set(ejected as i64);
+        let reply_time = gateway.reply_times.median(now).unwrap_or_default();
+        gateway.metrics.reply_time_s.set(reply_time.as_secs_f64());
         gateway.metrics.passed_on.set(gateway.links.passed_on() as i64);
         gateway.platform.endpoints(|directory| {
             gateway.endpoint_tracker.retain(|id| directory.get(id).is_some());
             gateway.links.retain(|id| directory.get(id).is_some());
+            gateway.reply_times.retain(|id| directory.get(id).is_some());
             gateway.crashed_endpoints.retain(|id| directory.get(id).is_some());
             gateway.call_tracker.retain(|id| directory.get(id).is_some());
             gateway.hall.reports.retain(|id| directory.get(id).is_some());
--- a/crates/sillbank_gateway/src/links/checks.rs
+++ b/crates/sillbank_gateway/src/links/checks.rs
@@ -3,16 +3,20 @@
 use crate::gateway::Gateway;
 use crate::metrics::HallLabel;
 use crate::probes::silence_means_loss;
+use crate::reply_times::MAX_TIMEOUT;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use bytes::Bytes;
+use futures_lite::future::or;
 use hyper::{Method, Request};
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_links::prelude::*;
 use sillbank_net::client::request;
+use sillbank_net::running_timer::running_timer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -175,11 +179,7 @@
 
     /// Makes a pair of attempts and records what it shows.
     async fn check_link(&self, record: &EndpointRecord) -> Finding {
-        let finding = match self.answers_directly(record).await {
-            true => Finding::Reached,
-            false if self.answers_relayed(record).await => Finding::LinkLost,
-            false => Finding::Unreachable,
-        };
+        let finding = self.compare_ways(record).await;
         let now = Instant::now();
         match finding {
             Finding::Reached => {
@@ -191,12 +191,42 @@
         finding
     }
 
+    /// Tries an endpoint directly and, if it does not answer in time, through another VM as well. A direct answer that arrives
+    /// meanwhile shows that the link works and the endpoint, or this VM, is slow.
+    async fn compare_ways(&self, record: &EndpointRecord) -> Finding {
+        let timeout = self.reply_timeout(ATTEMPT_TIMEOUT);
+        let mut direct = pin!(self.answers_directly(record, MAX_TIMEOUT));
+        let in_time = async {
+            running_timer(timeout, MAX_TIMEOUT).await;
+            None
+        };
+        let relayed = async {
+            match self.answers_relayed(record, timeout).await {
+                true => Finding::LinkLost,
+                false => Finding::Unreachable,
+            }
+        };
+        match or(async { Some((&mut direct).await) }, in_time).await {
+            Some(true) => Finding::Reached,
+            Some(false) => relayed.await,
+            None => {
+                let late = async {
+                    match direct.await {
+                        true => Finding::Reached,
+                        false => std::future::pending().await,
+                    }
+                };
+                or(late, relayed).await
+            }
+        }
+    }
+
     /// Whether an endpoint answers a call other than a request. An engine's report also shows whether it has restarted.
     pub async fn endpoint_answers(&self, endpoint: &str) -> bool {
         let record = self.platform.endpoints(|all| all.get(endpoint).cloned());
         let Some(record) = record else { return false };
         if record.accelerator.is_none() {
-            return self.answers_directly(&record).await;
+            return self.answers_directly(&record, ATTEMPT_TIMEOUT).await;
         }
         let call = self.call_engine(endpoint, record.address, W::report_call(), ATTEMPT_TIMEOUT);
         let Ok(reply) = call.await else { return false };
@@ -206,19 +236,19 @@
         true
     }
 
-    async fn answers_directly(&self, record: &EndpointRecord) -> bool {
+    async fn answers_directly(&self, record: &EndpointRecord, timeout: Duration) -> bool {
         let Some(check) = self.check_request(record) else { return false };
         let attempt = async {
             let connection = self.connection_pool.open(record.address).await;
             let connection = connection.map_err(|error| error.to_string())?;
             self.exchange_once(&record.id, connection, check).await
         };
-        self.is_answered(record, "direct", attempt).await
+        self.is_answered(record, "direct", timeout, attempt).await
     }
 
     /// Whether an endpoint answers through another VM. A VM through which it does not is failed if it answers through the
     /// next one: that VM has lost its links as well, and does not know yet.
-    async fn answers_relayed(&self, record: &EndpointRecord) -> bool {
+    async fn answers_relayed(&self, record: &EndpointRecord, timeout: Duration) -> bool {
         let mut asked = Vec::new();
         for _ in 0..MAX_RELAYS {
             let Some(check) = self.check_request(record) else { return false };
@@ -228,7 +258,7 @@
                 let connection = connection.map_err(|error| error.to_string())?;
                 self.exchange_once(&record.id, connection, check).await
             };
-            if self.is_answered(record, "relayed", attempt).await {
+            if self.is_answered(record, "relayed", timeout, attempt).await {
                 let failed = asked.len().saturating_sub(1);
                 self.links.on_relays_failed(&asked[..failed], Instant::now());
                 return true;
@@ -241,14 +271,21 @@
         &self,
         record: &EndpointRecord,
         way: &'static str,
+        timeout: Duration,
         attempt: impl Future<Output = Result<T, String>>,
     ) -> bool {
+        let started_at = Instant::now();
         let late = async {
-            smol::Timer::after(ATTEMPT_TIMEOUT).await;
-            Err(format!("no answer within {} ms", ATTEMPT_TIMEOUT.as_millis()))
+            running_timer(timeout, MAX_TIMEOUT).await;
+            Err(format!("no answer within {} ms", timeout.as_millis()))
         };
-        match futures_lite::future::or(attempt, late).await {
-            Ok(_) => true,
+        match or(attempt, late).await {
+            Ok(_) => {
+                let now = Instant::now();
+                let took = now.saturating_duration_since(started_at);
+                self.reply_times.record(&record.id, took, now);
+                true
+            }
             Err(reason) => {
                 tracing::debug!(endpoint = record.id, way, reason, "links: A check failed.");
                 false
--- a/crates/sillbank_gateway/src/links/engine_calls.rs
+++ b/crates/sillbank_gateway/src/links/engine_calls.rs
@@ -3,12 +3,14 @@
 use crate::connection_pool::PooledConnection;
 use crate::gateway::Gateway;
 use crate::links::RelayError;
+use crate::reply_times::MAX_TIMEOUT;
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use sillbank_links::prelude::*;
 use sillbank_net::prelude::*;
+use sillbank_net::running_timer::running_timer;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -35,11 +37,27 @@
 }
 
 impl<W: Wire, S> Gateway<W, S> {
-    /// Calls an engine directly, or through another VM while the link to it is lost.
+    /// Calls an engine directly, or through another VM while the link to it is lost. The timeout is longer than `usual_timeout`
+    /// while most endpoints answer late.
     ///
     /// # Errors
     /// [`EngineCallError`].
     pub async fn call_engine(
+        &self,
+        engine: &str,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        usual_timeout: Duration,
+    ) -> Result<CallReply, EngineCallError> {
+        let timeout = self.reply_timeout(usual_timeout);
+        self.call_engine_within(engine, address, request, timeout).await
+    }
+
+    /// As [`Self::call_engine`], with a timeout that does not change.
+    ///
+    /// # Errors
+    /// [`EngineCallError`].
+    pub async fn call_engine_within(
         &self,
         engine: &str,
         address: SocketAddr,
@@ -49,7 +67,7 @@
         if self.transit_to(engine) == Transit::Relayed {
             return self.call_engine_relayed(engine, address, request, timeout).await;
         }
-        let reply = self.engine_calls.call(address, request, timeout).await;
+        let reply = self.call_engine_directly(engine, address, request, timeout).await;
         if reply.is_err() {
             self.links.on_trouble(engine);
         }
@@ -69,7 +87,7 @@
     ) -> Result<CallReply, EngineCallError> {
         let is_sent = Cell::new(false);
         let late = async {
-            smol::Timer::after(timeout).await;
+            running_timer(timeout, MAX_TIMEOUT).await;
             let reason = format!("it took longer than {} ms", timeout.as_millis());
             Err(EngineCallError::Call(match is_sent.get() {
                 true => CallError::Lost { address, reason },
--- a/crates/sillbank_gateway/src/links/relay_client.rs
+++ b/crates/sillbank_gateway/src/links/relay_client.rs
@@ -5,10 +5,12 @@
 use crate::connection_pool::{Hop, PooledConnection};
 use crate::gateway::Gateway;
 use crate::metrics::KindLabel;
+use crate::reply_times::MAX_TIMEOUT;
 use crate::wire::Wire;
 use sillbank_core::prelude::*;
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_net::liveness::{VM_SILENCE, enable_keepalive};
+use sillbank_net::running_timer::running_timer;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use std::cell::Cell;
@@ -127,7 +129,7 @@
             hop,
         };
         let late = async {
-            smol::Timer::after(ATTEMPT_TIMEOUT).await;
+            running_timer(self.reply_timeout(ATTEMPT_TIMEOUT), MAX_TIMEOUT).await;
             Err(FrameError::Io(std::io::ErrorKind::TimedOut.into()))
         };
         let exchanged = futures_lite::future::or(exchange(vm, &request), late).await;
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -45,6 +45,8 @@
     pub pushback: bool,
     /// Connections to endpoints to which a VM has lost its links go through other VMs.
     pub relay: bool,
+    /// Endpoints are waited for longer while most of them answer late.
+    pub reply_times: bool,
 }
 
 impl Default for Mechanisms {
@@ -69,6 +71,7 @@
             quarantine: true,
             pushback: true,
             relay: true,
+            reply_times: true,
         }
     }
 }
@@ -96,6 +99,7 @@
             quarantine: reader.flag("quarantine", true),
             pushback: reader.flag("pushback", true),
             relay: reader.flag("relay", true),
+            reply_times: reader.flag("reply_times", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -94,6 +94,10 @@
     pub lost_halls: Family<HallLabel, Gauge>,
     /// Links to endpoints that were found lost.
     pub links_lost: Counter,
+    /// Replies of engines to calls other than requests that arrived after their timeout.
+    pub late_replies: Counter,
+    /// Median reply time of engines to such calls, in seconds; 0 while few have answered.
+    pub reply_time_s: FractionGauge,
     /// Connections that this VM asked other VMs for, by result.
     pub relayed: Family<KindLabel, Counter>,
     /// Connections that other VMs asked this one for, by result.
@@ -180,6 +184,7 @@
         };
         let ejected_endpoints = Gauge::default();
         let (lost_halls, links_lost) = (Family::default(), Counter::default());
+        let (late_replies, reply_time_s) = (Counter::default(), FractionGauge::default());
         let (relayed, relayed_for_others) = (Family::default(), Family::default());
         let passed_on = Gauge::default();
         let requests = Family::default();
@@ -216,6 +221,10 @@
         let help = "1 while all links to a hall's endpoints are lost";
         registry.register("lost_halls", help, lost_halls.clone());
         registry.register("links_lost", "Links to endpoints found lost", links_lost.clone());
+        let help = "Replies of engines that arrived after their timeout";
+        registry.register("late_replies", help, late_replies.clone());
+        let help = "Median reply time of engines; 0 while few have answered";
+        registry.register("reply_time_s", help, reply_time_s.clone());
         let help = "Connections asked of other VMs, by result";
         registry.register("relayed", help, relayed.clone());
         let help = "Connections that other VMs asked for, by result";
@@ -278,6 +287,8 @@
             ejected_endpoints,
             lost_halls,
             links_lost,
+            late_replies,
+            reply_time_s,
             relayed,
             relayed_for_others,
             passed_on,
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -57,7 +57,8 @@
     Missed,
     /// The report could not be parsed, with the reason.
     Unreadable(String),
-    /// This VM has lost its links to the hall, and no other VM reaches the engine on its behalf.
+    /// This VM has lost its links to the hall, and no other VM reaches the engine on its behalf; or the engine answered late
+    /// before, and may do so again. A longer timeout would make the reports of all other engines old.
     Unknown,
 }
 
@@ -216,7 +217,8 @@
     let started_at = Instant::now();
     let address = engine.address;
     let call = W::report_call();
-    let reply = match gateway.call_engine(&engine.id, address, call, ENGINE_CALL_LIMIT).await {
+    let reply = match gateway.call_engine_within(&engine.id, address, call, ENGINE_CALL_LIMIT).await
+    {
         Ok(reply) => reply,
         Err(error) => {
             let is_refusal = matches!(error, EngineCallError::Call(CallError::NotSent { .. }))
@@ -233,6 +235,10 @@
                     if relayed.proves_nothing() && gateway.links.is_hall_lost(&engine.hall) {
                         return ReportOutcome::Unknown;
                     }
+                    let now = Instant::now();
+                    if !is_refusal && gateway.is_slow(&engine.id, ENGINE_CALL_LIMIT, now) {
+                        return ReportOutcome::Unknown;
+                    }
                     return if is_refusal { ReportOutcome::Refused } else { ReportOutcome::Missed };
                 }
             }
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -3,6 +3,7 @@
 use crate::callers::CallerHandler;
 use crate::gateway::Gateway;
 use crate::ops::{MetricsHandler, ReadyHandler};
+use crate::reply_times;
 use crate::settings::GatewaySettings;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
@@ -124,6 +125,7 @@
         app.spawn(lifecycle::sweep(app.state()));
         app.spawn(vm_limits::monitor_limits(app.state()));
         app.spawn(probes::probe_ejected(app.state()));
+        app.spawn(reply_times::apply_late_replies(app.state()));
         app.spawn(quarantine::run_expiry(app.state()));
         app.spawn(pushback::run_expiry(app.state()));
         app.spawn(quarantine_store::follow_quarantine(app.state()));
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -41,6 +41,8 @@
     pub(super) _in_flight: InFlightGuard,
     /// When the request was sent or last moved.
     pub(super) sent_at: Instant,
+    /// When the last data arrived from this endpoint.
+    pub(super) last_data_at: Option<Instant>,
     /// When the first event arrived from this endpoint.
     pub(super) first_event_at: Option<Instant>,
     /// Whether the request was found to have run here past the suspicion window.
@@ -73,6 +75,7 @@
             address: self.address,
             path: self.path.as_ref(),
             since: self.sent_at,
+            last_data_at: self.last_data_at,
         }
     }
 }
@@ -175,6 +178,7 @@
                 splitter: EventSplitter::default(),
                 _in_flight: in_flight,
                 sent_at,
+                last_data_at: None,
                 first_event_at: None,
                 has_passed_suspicion_window: false,
             };
@@ -253,6 +257,7 @@
             address: target.address,
             path: target.path.as_ref(),
             since,
+            last_data_at: None,
         };
         let silence = timer.on_silence();
         if silence == Silence::Long
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -159,6 +159,8 @@
     pub(super) path: Option<&'a LayerPath>,
     /// When the request was sent or last moved.
     pub(super) since: Instant,
+    /// When the last data arrived on this route, if any did.
+    pub(super) last_data_at: Option<Instant>,
 }
 
 /// Checks whether engines of the path are lost. Engines that are ejected or have restarted count at
@@ -171,7 +173,7 @@
 ) -> Option<Loss> {
     let ejected = active_route
         .path
-        .map_or_else(Vec::new, |path| ejected_or_restarted(gateway, path, active_route.since));
+        .map_or_else(Vec::new, |path| ejected_or_restarted(gateway, path, active_route));
     if !ejected.is_empty() {
         let reason = "a part of the path is left alone".to_owned();
         return Some(Loss { engines: ejected, reason, is_certain: silence == Silence::Long });
@@ -183,15 +185,18 @@
     }
 }
 
-/// Engines of a path that were ejected or have restarted since a moment.
+/// Engines of a path that have restarted since the request was sent, or were ejected since its last
+/// data arrived: data shows that the engines work that were ejected before.
 fn ejected_or_restarted<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     path: &LayerPath,
-    since: Instant,
+    active_route: ActiveRoute<'_>,
 ) -> Vec<EndpointId> {
+    let sent_at = active_route.since;
+    let working_until = active_route.last_data_at.map_or(sent_at, |at| at.max(sent_at));
     let is_lost = |part: &&PathPart| {
         let (id, tracker) = (&part.endpoint, &gateway.endpoint_tracker);
-        tracker.ejected_since(id, since) || tracker.restarted_since(id, since)
+        tracker.ejected_since(id, working_until) || tracker.restarted_since(id, sent_at)
     };
     path.parts().iter().filter(is_lost).map(|part| part.endpoint.clone()).collect()
 }
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -241,6 +241,7 @@
                     return SegmentEnd::Broken(None, format!("the stream broke: {error}"));
                 }
                 Some(Ok(frame)) => {
+                    upstream.last_data_at = Some(now);
                     if upstream.passes_suspicion_window(now) {
                         self.gateway.on_request_survived(&self.job);
                     }
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod liveness;
 pub mod memory_budget;
 pub mod metered;
+pub mod running_timer;
 pub mod serve;
 pub mod signals;
 pub mod telemetry;
