Planned stop: a tunnel is idle after a longer silence than that of a working endpoint

What callers saw: streams that another VM passed on were broken off when that VM stopped as planned: hop_vm_stops failed in 2 of 30 runs, 30 at a time, load average 49.

Cause, from the logs of one of them: the endpoints were silent for 1.4 s (the test waited for a processor). The stopping VM takes a tunnel for idle after 1 s without bytes if the last ones came from the endpoint, and ended 2.9 s after the signal with three streams in progress. An endpoint that works may be silent for a second or so.

Fix: 2.5 s, the silence after which connections to endpoints are given up. A stop that finds connections without a request takes 1.5 s longer.

Another run of hop_vm_stops failed on beside 61 other scripts and a build: the streams, 4.5 s long, took over 7.8 s, and the grace period of the stop had ended. That is allowed.

--- a/crates/sillbank_gateway/src/links/tunnel.rs
+++ b/crates/sillbank_gateway/src/links/tunnel.rs
@@ -4,6 +4,7 @@
 //! connection, and the next byte tells how the endpoint ended it. So the end of the VM in the middle is neither taken for the
 //! end of an answer nor for a failure of the endpoint.
 
+use sillbank_net::liveness::ENDPOINT_SILENCE;
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use std::cell::Cell;
 use std::io::{Error, ErrorKind, Result};
@@ -17,8 +18,9 @@
 /// Maximum bytes of a chunk. A tunnel holds one chunk in each direction.
 const CHUNK_BYTES: usize = 4 << 10;
 
-/// Time without bytes after which a tunnel whose last bytes came from the endpoint is idle. Events of a stream come more often.
-const IDLE_TIME: Duration = Duration::from_secs(1);
+/// Time without bytes after which a tunnel whose last bytes came from the endpoint is idle. An endpoint that works may be silent
+/// in the middle of a stream for a second or so; one that is silent for longer is given up.
+const IDLE_TIME: Duration = ENDPOINT_SILENCE;
 
 /// What passes through a tunnel, as the VM in the middle sees it.
 #[derive(Debug)]
