Crash checks: requests that lose an endpoint at the same moment share them

Found by reading: each request that was given up at an endpoint checked it up to ten times, one check after the other, 100 ms each if the endpoint is silent. Fifty streams of one engine without power would have kept the next send of a request with a broken connection there waiting for seconds.

A check that began after the break, and is as thorough, serves all of them. The first one only connects; those in the background also ask for an answer, which is conclusive at once for a connection that broke, and 100 ms later for a request that was given up on an open one.

--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -143,7 +143,7 @@
             TryOutcome::Lost(reason) => {
                 match check_broken_send(gateway, job, broken_send()).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
-                    BreakCause::Crash | BreakCause::Unknown => {
+                    BreakCause::Crash | BreakCause::Connection | BreakCause::Unknown => {
                         (SendFailureKind::MayHaveRun, reason)
                     }
                 }
--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -28,9 +28,9 @@
 /// Interval at which an endpoint is checked again that neither refuses connections nor answers.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Minimum time after the break at which an answer shows that the endpoint has not crashed: it may
-/// answer while the request that it was given is still about to crash it.
-const MIN_CHECK_TIME: Duration = Duration::from_millis(100);
+/// Time after a request was given up on an open connection from which an answer shows that the
+/// endpoint has not crashed: before, the request may still be about to crash it.
+const ABANDONED_RUN_TIME: Duration = Duration::from_millis(100);
 
 /// Time after which an endpoint that neither refuses connections nor answers is not checked any
 /// more. Its machine may have lost power, which a request does not cause.
@@ -113,7 +113,9 @@
 #[derive(Debug, Default)]
 pub struct CrashedEndpoints {
     crashed_at: RefCell<HashMap<EndpointId, Instant>>,
-    /// Allows one check of an endpoint at a time: many requests lose it at the same moment.
+    /// Shared by all requests that lose an endpoint at the same moment.
+    latest_checks: RefCell<HashMap<EndpointId, LatestCheck>>,
+    /// Allows one check of an endpoint at a time.
     check_locks: RefCell<HashMap<EndpointId, Rc<Mutex<()>>>>,
 }
 
@@ -122,6 +124,18 @@
         self.crashed_at.borrow().get(endpoint).is_some_and(|at| *at >= since)
     }
 
+    /// What a check of this depth, made at `not_before` or later, has shown.
+    fn latest_cause(
+        &self,
+        endpoint: &str,
+        depth: Depth,
+        not_before: Instant,
+    ) -> Option<BreakCause> {
+        let latest = self.latest_checks.borrow().get(endpoint).copied()?;
+        let is_enough = latest.started_at >= not_before && latest.depth >= depth;
+        is_enough.then_some(latest.cause)
+    }
+
     fn check_lock(&self, endpoint: &str) -> Rc<Mutex<()>> {
         self.check_locks.borrow_mut().entry(endpoint.to_owned()).or_default().clone()
     }
@@ -129,6 +143,7 @@
     /// Drops endpoints that are no longer listed.
     pub fn retain(&self, is_known: impl Fn(&str) -> bool) {
         self.crashed_at.borrow_mut().retain(|id, _| is_known(id));
+        self.latest_checks.borrow_mut().retain(|id, _| is_known(id));
         self.check_locks
             .borrow_mut()
             .retain(|id, check_lock| Rc::strong_count(check_lock) > 1 || is_known(id));
@@ -142,10 +157,29 @@
     Crash,
     /// This VM has lost its link: it is refused, and no other VM confirms that the endpoint refuses.
     Link,
+    /// The connection alone broke: the endpoint answers.
+    Connection,
     /// Not known: the endpoint accepts connections, or is leaving.
     Unknown,
 }
 
+/// How thoroughly an endpoint is checked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Depth {
+    /// Whether it refuses connections, which shows at once.
+    Connect,
+    /// If it does not, whether it answers a call as well.
+    Answer,
+}
+
+/// The latest check of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct LatestCheck {
+    started_at: Instant,
+    depth: Depth,
+    cause: BreakCause,
+}
+
 /// Checks whether an endpoint has crashed under a request whose connection broke. Returns what the
 /// endpoint shows at once; while that is not conclusive, checks go on in the background.
 pub async fn check_broken_send<W: Wire, S: MetadataStore>(
@@ -156,9 +190,11 @@
     let Some(pending) = begin_check(gateway, job, &send) else {
         return BreakCause::Unknown;
     };
-    let cause = check_once(gateway, job, &send).await;
+    let cause = check_once(gateway, job, &send, Depth::Connect, send.broke_at).await;
     if cause != BreakCause::Crash {
-        gateway.executor.spawn(keep_checking(gateway.clone(), job.clone(), send, pending)).detach();
+        let conclusive_at = send.broke_at;
+        let checks = keep_checking(gateway.clone(), job.clone(), send, pending, conclusive_at);
+        gateway.executor.spawn(checks).detach();
     }
     cause
 }
@@ -174,8 +210,10 @@
     let (gateway, job) = (gateway.clone(), job.clone());
     let executor = gateway.executor.clone();
     let check = async move {
-        if check_once(&gateway, &job, &send).await != BreakCause::Crash {
-            keep_checking(gateway, job, send, pending).await;
+        let cause = check_once(&gateway, &job, &send, Depth::Connect, send.broke_at).await;
+        if cause != BreakCause::Crash {
+            let conclusive_at = send.broke_at + ABANDONED_RUN_TIME;
+            keep_checking(gateway, job, send, pending, conclusive_at).await;
         }
     };
     executor.spawn(check).detach();
@@ -198,8 +236,10 @@
     gateway: &Gateway<W, S>,
     job: &Job,
     send: &BrokenSend,
+    depth: Depth,
+    not_before: Instant,
 ) -> BreakCause {
-    let cause = cause_of(gateway, send).await;
+    let cause = cause_of(gateway, send, depth, not_before).await;
     gateway.decisions.break_checked(job, send, cause);
     if cause == BreakCause::Crash {
         gateway.on_endpoint_crash(job, send);
@@ -208,26 +248,21 @@
 }
 
 /// Checks an endpoint that accepts connections until it refuses them or answers: a process that ends
-/// may close its connections long before its listener.
+/// may close its connections long before its listener. An answer counts from `conclusive_at`.
 async fn keep_checking<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     job: Rc<Job>,
     send: BrokenSend,
     _pending: PendingCheck,
+    conclusive_at: Instant,
 ) {
     while send.broke_at.elapsed() < MAX_CHECK_TIME {
         let started_at = Instant::now();
-        let answers = gateway.endpoint_answers(&send.endpoint).await;
-        let is_new = gateway.endpoint_tracker.restarted_since(&send.endpoint, send.sent_at);
-        if answers && !is_new && started_at >= send.broke_at + MIN_CHECK_TIME {
-            return;
-        }
-        if !is_new {
-            smol::Timer::after(RECHECK_INTERVAL).await;
-        }
-        if check_once(&gateway, &job, &send).await == BreakCause::Crash {
-            return;
-        }
+        match check_once(&gateway, &job, &send, Depth::Answer, started_at).await {
+            BreakCause::Crash => return,
+            BreakCause::Connection if started_at >= conclusive_at => return,
+            _ => smol::Timer::after(RECHECK_INTERVAL).await,
+        };
     }
 }
 
@@ -277,21 +312,38 @@
     }
 }
 
-/// Why the connection of a send broke. An endpoint that was found crashed, or has restarted, since
-/// the request was sent is not asked again.
-async fn cause_of<W: Wire, S>(gateway: &Gateway<W, S>, send: &BrokenSend) -> BreakCause {
+/// Why the connection of a send broke, by a check that is made at `not_before` or later. An endpoint
+/// that was found crashed, or has restarted, since the request was sent is not asked again.
+async fn cause_of<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    send: &BrokenSend,
+    depth: Depth,
+    not_before: Instant,
+) -> BreakCause {
     let (crashed, endpoint) = (&gateway.crashed_endpoints, send.endpoint.as_str());
     let check_lock = crashed.check_lock(endpoint);
     let _guard = check_lock.lock().await;
-    if crashed.crashed_since(endpoint, send.sent_at)
-        || gateway.endpoint_tracker.restarted_since(endpoint, send.sent_at)
-    {
+    let has_restarted = || gateway.endpoint_tracker.restarted_since(endpoint, send.sent_at);
+    if crashed.crashed_since(endpoint, send.sent_at) || has_restarted() {
         return BreakCause::Crash;
     }
-    let cause = gateway.find_cause(endpoint, send.address).await;
+    if let Some(cause) = crashed.latest_cause(endpoint, depth, not_before) {
+        return cause;
+    }
+    let started_at = Instant::now();
+    let mut cause = gateway.find_cause(endpoint, send.address).await;
+    if cause == BreakCause::Unknown && depth == Depth::Answer {
+        cause = match gateway.endpoint_answers(endpoint).await {
+            _ if has_restarted() => BreakCause::Crash,
+            true => BreakCause::Connection,
+            false => BreakCause::Unknown,
+        };
+    }
     if cause == BreakCause::Crash {
         crashed.crashed_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
         gateway.metrics.ended_endpoints.inc();
     }
+    let latest = LatestCheck { started_at, depth, cause };
+    crashed.latest_checks.borrow_mut().insert(endpoint.to_owned(), latest);
     cause
 }
