--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -109,14 +109,17 @@
     }
 }
 
+/// Checks of one depth of an endpoint.
+type CheckKey = (EndpointId, Depth);
+
 /// Endpoints that this VM found to have crashed.
 #[derive(Debug, Default)]
 pub struct CrashedEndpoints {
     crashed_at: RefCell<HashMap<EndpointId, Instant>>,
     /// Shared by all requests that lose an endpoint at the same moment.
-    latest_checks: RefCell<HashMap<EndpointId, LatestCheck>>,
-    /// Allows one check of an endpoint at a time.
-    check_locks: RefCell<HashMap<EndpointId, Rc<Mutex<()>>>>,
+    latest_checks: RefCell<HashMap<CheckKey, LatestCheck>>,
+    /// Allows one check of an endpoint and depth at a time: no request waits for a thorough one.
+    check_locks: RefCell<HashMap<CheckKey, Rc<Mutex<()>>>>,
 }
 
 impl CrashedEndpoints {
@@ -131,22 +134,22 @@
         depth: Depth,
         not_before: Instant,
     ) -> Option<BreakCause> {
-        let latest = self.latest_checks.borrow().get(endpoint).copied()?;
-        let is_enough = latest.started_at >= not_before && latest.depth >= depth;
-        is_enough.then_some(latest.cause)
+        let latest_checks = self.latest_checks.borrow();
+        let latest = latest_checks.get(&(endpoint.to_owned(), depth))?;
+        (latest.started_at >= not_before).then_some(latest.cause)
     }
 
-    fn check_lock(&self, endpoint: &str) -> Rc<Mutex<()>> {
-        self.check_locks.borrow_mut().entry(endpoint.to_owned()).or_default().clone()
+    fn check_lock(&self, endpoint: &str, depth: Depth) -> Rc<Mutex<()>> {
+        self.check_locks.borrow_mut().entry((endpoint.to_owned(), depth)).or_default().clone()
     }
 
     /// Drops endpoints that are no longer listed.
     pub fn retain(&self, is_known: impl Fn(&str) -> bool) {
         self.crashed_at.borrow_mut().retain(|id, _| is_known(id));
-        self.latest_checks.borrow_mut().retain(|id, _| is_known(id));
+        self.latest_checks.borrow_mut().retain(|(id, _), _| is_known(id));
         self.check_locks
             .borrow_mut()
-            .retain(|id, check_lock| Rc::strong_count(check_lock) > 1 || is_known(id));
+            .retain(|(id, _), check_lock| Rc::strong_count(check_lock) > 1 || is_known(id));
     }
 }
 
@@ -164,7 +167,7 @@
 }
 
 /// How thoroughly an endpoint is checked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Depth {
     /// Whether it refuses connections, which shows at once.
     Connect,
@@ -176,7 +179,6 @@
 #[derive(Debug, Clone, Copy)]
 struct LatestCheck {
     started_at: Instant,
-    depth: Depth,
     cause: BreakCause,
 }
 
@@ -269,12 +271,12 @@
 impl<W: Wire, S> Gateway<W, S> {
     /// Waits while unfinished checks could quarantine the request, so that it is sent to no further
     /// endpoint than the quarantine allows. Ends with the checks, after [`MAX_CHECK_TIME`] or little
-    /// more. Requests that are further from quarantine do not wait.
+    /// more, at the latest at the request's deadline. Requests that are further from quarantine do not wait.
     pub async fn await_crash_checks(&self, job: &Job) {
         if !self.settings.borrow().mechanisms.quarantine {
             return;
         }
-        while self.pending_checks_could_quarantine(job) {
+        while Instant::now() < job.deadline && self.pending_checks_could_quarantine(job) {
             smol::Timer::after(CHECK_POLL_INTERVAL).await;
         }
     }
@@ -321,7 +323,7 @@
     not_before: Instant,
 ) -> BreakCause {
     let (crashed, endpoint) = (&gateway.crashed_endpoints, send.endpoint.as_str());
-    let check_lock = crashed.check_lock(endpoint);
+    let check_lock = crashed.check_lock(endpoint, depth);
     let _guard = check_lock.lock().await;
     let has_restarted = || gateway.endpoint_tracker.restarted_since(endpoint, send.sent_at);
     if crashed.crashed_since(endpoint, send.sent_at) || has_restarted() {
@@ -339,11 +341,11 @@
             false => BreakCause::Unknown,
         };
     }
-    if cause == BreakCause::Crash {
+    if cause == BreakCause::Crash && !crashed.crashed_since(endpoint, send.sent_at) {
         crashed.crashed_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
         gateway.metrics.ended_endpoints.inc();
     }
-    let latest = LatestCheck { started_at, depth, cause };
-    crashed.latest_checks.borrow_mut().insert(endpoint.to_owned(), latest);
+    let latest = LatestCheck { started_at, cause };
+    crashed.latest_checks.borrow_mut().insert((endpoint.to_owned(), depth), latest);
     cause
 }
