Quarantine: the crash of an incarnation that is not announced yet counts

Fix: an endpoint that answers a request that was sent after it was found crashed has restarted; until that is announced, the incarnation has the name of the last one with the number of its crashes.

--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -109,13 +109,20 @@
     }
 }
 
+/// Crashes of an endpoint that this VM found.
+#[derive(Debug, Clone, Copy)]
+struct Crashes {
+    last_found_at: Instant,
+    count: u32,
+}
+
 /// Checks of one depth of an endpoint.
 type CheckKey = (EndpointId, Depth);
 
 /// Endpoints that this VM found to have crashed.
 #[derive(Debug, Default)]
 pub struct CrashedEndpoints {
-    crashed_at: RefCell<HashMap<EndpointId, Instant>>,
+    crashes: RefCell<HashMap<EndpointId, Crashes>>,
     /// Shared by all requests that lose an endpoint at the same moment.
     latest_checks: RefCell<HashMap<CheckKey, LatestCheck>>,
     /// Allows one check of an endpoint and depth at a time: no request waits for a thorough one.
@@ -124,7 +131,13 @@
 
 impl CrashedEndpoints {
     fn crashed_since(&self, endpoint: &str, since: Instant) -> bool {
-        self.crashed_at.borrow().get(endpoint).is_some_and(|at| *at >= since)
+        self.crashes.borrow().get(endpoint).is_some_and(|found| found.last_found_at >= since)
+    }
+
+    fn record(&self, endpoint: &str, now: Instant) {
+        let mut crashes = self.crashes.borrow_mut();
+        let count = crashes.get(endpoint).map_or(0, |found| found.count) + 1;
+        crashes.insert(endpoint.to_owned(), Crashes { last_found_at: now, count });
     }
 
     /// What a check of this depth, made at `not_before` or later, has shown.
@@ -145,7 +158,7 @@
 
     /// Drops endpoints that are no longer listed.
     pub fn retain(&self, is_known: impl Fn(&str) -> bool) {
-        self.crashed_at.borrow_mut().retain(|id, _| is_known(id));
+        self.crashes.borrow_mut().retain(|id, _| is_known(id));
         self.latest_checks.borrow_mut().retain(|(id, _), _| is_known(id));
         self.check_locks
             .borrow_mut()
@@ -281,6 +294,20 @@
         }
     }
 
+    /// Name of the incarnation that answered a request sent at `sent_at`, when `known` was the newest one. If that had been found
+    /// crashed before, the endpoint has restarted since, and neither its entry nor a report says so yet.
+    pub fn answering_incarnation(&self, endpoint: &str, known: String, sent_at: Instant) -> String {
+        let crashes = self.crashed_endpoints.crashes.borrow().get(endpoint).copied();
+        let is_unannounced = |crashes: &Crashes| {
+            crashes.last_found_at <= sent_at
+                && !self.endpoint_tracker.restarted_since(endpoint, crashes.last_found_at)
+        };
+        match crashes.filter(is_unannounced) {
+            Some(crashes) => format!("{known}+{}", crashes.count),
+            None => known,
+        }
+    }
+
     fn pending_checks_could_quarantine(&self, job: &Job) -> bool {
         let pending = self.pending_checks.count(job.fingerprint());
         pending > 0
@@ -342,7 +369,7 @@
         };
     }
     if cause == BreakCause::Crash && !crashed.crashed_since(endpoint, send.sent_at) {
-        crashed.crashed_at.borrow_mut().insert(endpoint.to_owned(), Instant::now());
+        crashed.record(endpoint, Instant::now());
         gateway.metrics.ended_endpoints.inc();
     }
     let latest = LatestCheck { started_at, cause };
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -167,6 +167,7 @@
             gateway.on_evidence(&endpoint, Evidence::Good, sent_at, "a stream was opened");
             let status = reply.status();
             let (head, body) = reply.into_parts();
+            let incarnation = gateway.answering_incarnation(&endpoint, incarnation, sent_at);
             let upstream = Upstream {
                 body,
                 head: head.headers,
