Crash checks: copies of a request that lose one endpoint count once

Found by reading, while a test of refusals ran for long: each unfinished check counted, so three copies of a popular request that lost one silent endpoint made its next send wait for up to 1 s. Endpoints count now, as for crashes.

--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -69,43 +69,51 @@
     }
 }
 
+type PendingCounts = Rc<RefCell<HashMap<Fingerprint, HashMap<EndpointId, usize>>>>;
+
 /// Checks of broken sends that have not shown yet whether the endpoint crashed.
 #[derive(Debug, Default)]
 pub struct PendingChecks {
-    /// Checks of each request whose crashes would count against it.
-    counts: Rc<RefCell<HashMap<Fingerprint, usize>>>,
+    /// Endpoints whose crash would count against each request, with the number of checks.
+    counts: PendingCounts,
 }
 
 /// A check that has not ended; ends when dropped.
 #[derive(Debug)]
 struct PendingCheck {
-    counts: Rc<RefCell<HashMap<Fingerprint, usize>>>,
-    fingerprint: Option<Fingerprint>,
+    counts: PendingCounts,
+    suspect: Option<(Fingerprint, EndpointId)>,
 }
 
 impl PendingChecks {
-    fn begin(&self, fingerprint: Option<Fingerprint>) -> PendingCheck {
-        if let Some(fingerprint) = fingerprint {
-            *self.counts.borrow_mut().entry(fingerprint).or_default() += 1;
+    fn begin(&self, suspect: Option<(Fingerprint, EndpointId)>) -> PendingCheck {
+        if let Some((fingerprint, endpoint)) = suspect.clone() {
+            let mut counts = self.counts.borrow_mut();
+            *counts.entry(fingerprint).or_default().entry(endpoint).or_default() += 1;
         }
-        PendingCheck { counts: self.counts.clone(), fingerprint }
+        PendingCheck { counts: self.counts.clone(), suspect }
     }
 
+    /// Endpoints that are checked. Copies of a request that lose one endpoint count once.
     fn count(&self, fingerprint: Fingerprint) -> usize {
-        self.counts.borrow().get(&fingerprint).copied().unwrap_or(0)
+        self.counts.borrow().get(&fingerprint).map_or(0, HashMap::len)
     }
 }
 
 impl Drop for PendingCheck {
     fn drop(&mut self) {
-        let Some(fingerprint) = self.fingerprint else { return };
+        let Some((fingerprint, endpoint)) = self.suspect.take() else { return };
         let mut counts = self.counts.borrow_mut();
-        if let Some(count) = counts.get_mut(&fingerprint) {
+        let Some(of_request) = counts.get_mut(&fingerprint) else { return };
+        if let Some(count) = of_request.get_mut(&endpoint) {
             *count -= 1;
             if *count == 0 {
-                counts.remove(&fingerprint);
+                of_request.remove(&endpoint);
             }
         }
+        if of_request.is_empty() {
+            counts.remove(&fingerprint);
+        }
     }
 }
 
@@ -244,7 +252,8 @@
     if !silence_means_loss(standing) {
         return None;
     }
-    Some(gateway.pending_checks.begin(send.may_be_cause().then(|| job.fingerprint())))
+    let suspect = || (job.fingerprint(), send.endpoint.clone());
+    Some(gateway.pending_checks.begin(send.may_be_cause().then(suspect)))
 }
 
 async fn check_once<W: Wire, S: MetadataStore>(
