--- a/crates/sillbank_gateway/src/crashes.rs
+++ b/crates/sillbank_gateway/src/crashes.rs
@@ -292,7 +292,7 @@
 
 impl<W: Wire, S> Gateway<W, S> {
     /// Waits while unfinished checks could quarantine the request, so that it is sent to no further
-    /// endpoint than the quarantine allows. Ends with the checks, after [`MAX_CHECK_TIME`] or little
+    /// endpoint than the quarantine allows. Ends with the checks, after a second or little
     /// more, at the latest at the request's deadline. Requests that are further from quarantine do not wait.
     pub async fn await_crash_checks(&self, job: &Job) {
         if !self.settings.borrow().mechanisms.quarantine {
