Decision log: sends and crashes name the shared parts of the prompt

Requests that share one part of their prompts crashed one engine after the other.

A list that cannot be read is counted, logged once a second at most, and the request is served as if its prompt shared no part. No decision changes.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -270,6 +270,9 @@
             cached_fingerprint: OnceCell::new(),
             is_counted: Cell::new(false),
         });
+        if let Err(error) = &job.head.prompt_parts {
+            self.gateway.on_unreadable_parts(&job, error);
+        }
         self.gateway.await_crash_checks(&job).await;
         if let Some(failure) = self.gateway.refuse_quarantined(&job) {
             return self.refuse(&job.head.request_id, &failure);
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -118,6 +118,7 @@
                 organisation = job.organisation.as_ref().map(|o| o.name.as_str()),
                 service = job.service.name,
                 fingerprint = describe_fingerprint(job.fingerprint()),
+                parts = describe_parts(job),
                 send = job.sends.get(),
                 endpoint,
                 path = path.map(describe_path),
@@ -192,6 +193,7 @@
             tracing::info!(
                 request = job.head.request_id,
                 fingerprint = describe_fingerprint(job.fingerprint()),
+                parts = describe_parts(job),
                 endpoint = send.endpoint,
                 there_ms = send.broke_at.saturating_duration_since(send.sent_at).as_millis() as u64,
                 ran_ms = send.ran_for().map(|ran| ran.as_millis() as u64),
@@ -352,6 +354,12 @@
     format!("{fingerprint:032x}")
 }
 
+/// The shared parts of a request's prompt; `None` if there are none.
+fn describe_parts(job: &Job) -> Option<String> {
+    let parts = job.prompt_parts();
+    (!parts.is_empty()).then(|| parts.to_string())
+}
+
 /// A path as one word: `ENDPOINT=FROM-TO` for each part.
 pub fn describe_path(path: &LayerPath) -> String {
     let parts = path.parts().iter();
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -14,9 +14,11 @@
 use crate::job::Job;
 use crate::links::Links;
 use crate::load::FleetLoad;
+use crate::log_interval::LogInterval;
 use crate::metrics::{KindLabel, Metrics, OutcomeLabel};
 use crate::paths::RoutingContext;
 use crate::platform_view::PlatformView;
+use crate::quarantine::UNREADABLE_PARTS_LOG_INTERVAL;
 use crate::rate_leases::RateLeases;
 use crate::reply_times::{LateReplies, ReplyTimes};
 use crate::revision::Revision;
@@ -97,6 +99,8 @@
     pub quarantine_is_loaded: Cell<bool>,
     /// Newest urgent change of the quarantine for which followers were woken.
     pub(crate) quarantine_announced: Cell<u64>,
+    /// Limits log lines about parts of prompts that cannot be read.
+    pub(crate) unreadable_parts_log: LogInterval,
     /// Answer times of the endpoints of plain services.
     pub call_tracker: CallTracker,
     /// Corrections learnt for stream forecasts.
@@ -168,6 +172,7 @@
             quarantine: RefCell::default(),
             quarantine_is_loaded: Cell::new(false),
             quarantine_announced: Cell::new(0),
+            unreadable_parts_log: LogInterval::new(UNREADABLE_PARTS_LOG_INTERVAL),
             call_tracker: CallTracker::default(),
             forecasts: Forecasts::default(),
             stream_activity: Rc::default(),
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -97,6 +97,12 @@
         *self.cached_fingerprint.get_or_init(|| parts().fingerprint())
     }
 
+    /// Parts of the prompt that other requests may share; none if the caller's list cannot be read.
+    pub fn prompt_parts(&self) -> &PromptParts {
+        static NONE: PromptParts = PromptParts::NONE;
+        self.head.prompt_parts.as_ref().unwrap_or(&NONE)
+    }
+
     /// Whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.kind.idempotency() == Idempotency::Idempotent
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -29,7 +29,8 @@
 //! - [`placement`] assigns layers to engines under a lease.
 //! - [`vm_limits`] measures how near the VM is to its own limits.
 //! - [`delivery`] records what a caller saw of its stream; [`forecasts`] predicts it and learns
-//!   from it; [`decisions`] and [`metrics`] report what was decided and how long it took.
+//!   from it; [`decisions`] and [`metrics`] report what was decided and how long it took;
+//!   [`log_interval`] limits log lines.
 
 #![forbid(unsafe_code)]
 
@@ -57,6 +58,7 @@
 pub mod lifecycle;
 pub mod links;
 pub mod load;
+pub mod log_interval;
 pub mod mechanisms;
 pub mod metrics;
 pub mod ops;
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -9,6 +9,7 @@
 use crate::decisions::describe_fingerprint;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::metrics::KindLabel;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_core::prelude::*;
@@ -18,6 +19,8 @@
 
 /// Interval at which expiry is checked: a fraction of the time in which VMs hear of a first crash.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum time between two log lines about parts of prompts that cannot be read.
+pub(crate) const UNREADABLE_PARTS_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 impl<W: Wire, S> Gateway<W, S> {
     /// Records that an endpoint crashed while it ran a request. The crash counts against a request
@@ -93,6 +96,21 @@
         }
     }
 
+    /// Counts a request whose list of prompt parts cannot be read, and logs some of them. It is served as if its prompt
+    /// shared no part.
+    pub fn on_unreadable_parts(&self, job: &Job, error: &UnreadableParts) {
+        self.metrics.unreadable.get_or_create(&KindLabel { kind: "prompt_parts" }).inc();
+        if !self.unreadable_parts_log.allows(Instant::now()) {
+            return;
+        }
+        tracing::warn!(
+            request = job.head.request_id,
+            organisation = job.organisation.as_ref().map(|o| o.name.as_str()),
+            %error,
+            "quarantine: The prompt's parts cannot be read; the request is served as if it had none."
+        );
+    }
+
     /// Applies crashes reported by another VM.
     pub fn on_reported_suspects(&self, suspects: &[SuspectUpdate], source: UpdateSource) {
         if suspects.is_empty() {
--- a/crates/sillbank_gateway/src/wire.rs
+++ b/crates/sillbank_gateway/src/wire.rs
@@ -11,6 +11,7 @@
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_pushback::prelude::*;
+use sillbank_quarantine::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     pub resume_after: Option<EventNumber>,
     /// Size of the generation.
     pub tokens: Option<TokenCounts>,
+    /// Parts of the prompt that other requests may share.
+    pub prompt_parts: Result<PromptParts, UnreadableParts>,
 }
 
 /// Size of a generation as stated by the caller.
--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -15,12 +15,14 @@
 
 mod fingerprint;
 mod policy;
+mod prompt_parts;
 mod quarantine;
 mod suspect;
 mod updates;
 
 pub use fingerprint::{Fingerprint, RequestIdentity};
 pub use policy::{CRASHES_TO_QUARANTINE, MAX_SUSPECTS, REPORT_DELAY, RETENTION, SUSPICION_WINDOW};
+pub use prompt_parts::{MAX_PROMPT_PARTS, PartId, PromptParts, UnreadableParts};
 pub use quarantine::{Quarantine, QuarantineEvent, UpdateSource};
 pub use updates::{
     ChangeNumber, CrashUpdate, QuarantineRecord, QuarantineUpdate, StoredCrash, StoredSuspect,
@@ -30,7 +32,8 @@
 /// Commonly used types.
 pub mod prelude {
     pub use crate::{
-        CRASHES_TO_QUARANTINE, Fingerprint, Quarantine, QuarantineEvent, QuarantineRecord,
-        QuarantineUpdate, RequestIdentity, SUSPICION_WINDOW, SuspectUpdate, UpdateSource,
+        CRASHES_TO_QUARANTINE, Fingerprint, MAX_PROMPT_PARTS, PartId, PromptParts, Quarantine,
+        QuarantineEvent, QuarantineRecord, QuarantineUpdate, RequestIdentity, SUSPICION_WINDOW,
+        SuspectUpdate, UnreadableParts, UpdateSource,
     };
 }
