--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -267,14 +267,15 @@
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
             caller,
-            cached_fingerprint: OnceCell::new(),
+            cached_traits: OnceCell::new(),
+            is_trial: Cell::new(false),
             is_counted: Cell::new(false),
         });
         if let Err(error) = &job.head.prompt_parts {
             self.gateway.on_unreadable_parts(&job, error);
         }
         self.gateway.await_crash_checks(&job).await;
-        if let Some(failure) = self.gateway.refuse_quarantined(&job) {
+        if let Some(failure) = self.gateway.refuse_arrival(&job) {
             return self.refuse(&job.head.request_id, &failure);
         }
         self.gateway.record_first_send(&job.service.name);
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -97,6 +97,10 @@
     let mut attempts = SendAttempts::default();
     let mut failed_reply: Option<BufferedReply> = None;
     loop {
+        if let Some(hold) = gateway.hold_before_send(job) {
+            let failure = || gateway.held_failure(job, &hold);
+            return failed_reply.map(|whole| whole.reply).ok_or_else(failure);
+        }
         let choice = choose_endpoint(gateway, job, &tried);
         let withheld_for = gateway.record_withheld(job);
         let choice = match choice {
--- a/crates/sillbank_gateway/src/crashes/pending.rs
+++ b/crates/sillbank_gateway/src/crashes/pending.rs
@@ -77,7 +77,7 @@
     fn pending_checks_could_quarantine(&self, job: &Job) -> bool {
         let pending = self.pending_checks.count(job.fingerprint());
         pending > 0
-            && self.quarantined_for(job).is_none()
+            && self.hold_of(job).is_none()
             && self.quarantine.borrow().crash_count(job.fingerprint()) + pending
                 >= CRASHES_TO_QUARANTINE
     }
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -216,6 +216,18 @@
         }
     }
 
+    /// A request that is held back is let through, to see whether it still crashes endpoints.
+    pub fn trial_began(&self, job: &Job) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                fingerprint = describe_fingerprint(job.fingerprint()),
+                parts = describe_parts(job),
+                "quarantine: A request is tried again after its term."
+            );
+        }
+    }
+
     /// A started stream that broke is not resumed.
     pub fn not_resumed(&self, job: &Job, reason: &str) {
         if self.take_line() {
--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -1,7 +1,8 @@
 //! The follower's side of the feed: VMs follow their leader, leaders follow those of other halls.
 
 use super::messages::{
-    EndpointUpdate, FeedCursor, FeedReply, FeedRequest, FeedUpdate, Incarnation,
+    EndpointUpdate, FeedCursor, FeedReply, FeedReplyExtension, FeedRequest, FeedRequestExtension,
+    FeedUpdate, Incarnation,
 };
 use crate::gateway::Gateway;
 use crate::rate_leases::LeaseGrantor;
@@ -11,7 +12,7 @@
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
-use sillbank_net::frames::{FrameError, read_message, write_message};
+use sillbank_net::frames::{FrameError, read_extended_content, read_header, write_message};
 use sillbank_net::liveness::{VM_SILENCE, enable_keepalive};
 use sillbank_quarantine::prelude::*;
 use smol::net::TcpStream;
@@ -34,6 +35,8 @@
 const NEW_HALLS_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which the lease of another hall is read while its leader is unknown.
 const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
+/// Largest number of suspected parts of prompts in one request, of 100 to 600 bytes each; the rest follows.
+const MAX_SENT_PARTS: usize = 64;
 /// Largest number of quarantine entries in one request, about 80 bytes each; the rest follows.
 const MAX_SENT_SUSPECTS: usize = 32;
 
@@ -75,6 +78,10 @@
     quarantine_seen: u64,
     /// Newest change of this VM's quarantine list sent.
     suspects_sent: u64,
+    /// Newest change of the leader's suspected parts received.
+    parts_seen: u64,
+    /// Newest change of this VM's suspected parts sent.
+    parts_sent: u64,
     /// Newest change of the leader's rate limits received.
     limits_seen: u64,
     /// Newest change of this VM's rate limits sent.
@@ -94,6 +101,8 @@
             rereads: 0,
             quarantine_seen: 0,
             suspects_sent: 0,
+            parts_seen: 0,
+            parts_sent: 0,
             limits_seen: 0,
             limits_sent: 0,
         })
@@ -118,20 +127,26 @@
     }
 
     /// Advances the cursor. If the leader's process has restarted, everything is sent to it again.
-    fn on_update(&mut self, update: &FeedUpdate) {
+    fn on_update(&mut self, update: &FeedUpdate, extension: &FeedReplyExtension) {
         if self.hall_reports_seen.is_some_and(|(known, _)| known != update.incarnation) {
             self.endpoints = Replication::default();
             self.suspects_sent = 0;
+            self.parts_sent = 0;
             self.limits_sent = 0;
         }
         self.limits_seen = update.limits.up_to;
         self.quarantine_seen = update.quarantine.up_to;
+        self.parts_seen = extension.parts.up_to;
         self.hall_reports_seen = Some((update.incarnation, update.hall_reports_seen));
     }
 
-    async fn request(&mut self, request: &FeedRequest) -> Result<FeedReply, FrameError> {
+    async fn request(
+        &mut self,
+        request: &(FeedRequest, FeedRequestExtension),
+    ) -> Result<(FeedReply, FeedReplyExtension), FrameError> {
         write_message(&mut self.stream, request).await?;
-        read_message(&mut self.stream).await
+        let header = read_header(&mut self.stream).await?;
+        read_extended_content(&mut self.stream, header).await
     }
 }
 
@@ -200,11 +215,16 @@
         };
         connection.reset_if_reread(gateway.platform.rereads());
         let settings = gateway.settings();
-        let new_suspects = gateway.quarantine.borrow().observed_updates_since(
+        let new_suspects = gateway.quarantine.borrow().observed_request_updates_since(
             connection.suspects_sent,
             MAX_SENT_SUSPECTS,
             Instant::now(),
         );
+        let new_parts = gateway.quarantine.borrow().observed_part_updates_since(
+            connection.parts_sent,
+            MAX_SENT_PARTS,
+            Instant::now(),
+        );
         let (now, grantor) = (Instant::now(), kind.grantor());
         let new_limits = gateway.pushback.borrow().observed_updates_since(
             connection.limits_sent,
@@ -227,10 +247,14 @@
                 .map(|from| gateway.rate_demands_of(&from, now))
                 .unwrap_or_default(),
         };
-        let reply = connection.request(&request).await?;
+        let extension =
+            FeedRequestExtension { parts: new_parts.parts, parts_seen: connection.parts_seen };
+        let (reply, extension) = connection.request(&(request, extension)).await?;
         if let FeedReply::Update(update) = &reply {
-            connection.on_update(update);
+            connection.on_update(update, &extension);
+            gateway.on_reported_parts(&extension.parts.parts, UpdateSource::Leader);
             connection.suspects_sent = new_suspects.up_to;
+            connection.parts_sent = new_parts.up_to;
             connection.limits_sent = new_limits.up_to;
         }
         Ok(reply)
--- a/crates/sillbank_gateway/src/feed/messages.rs
+++ b/crates/sillbank_gateway/src/feed/messages.rs
@@ -61,6 +61,22 @@
     pub rate_demands: Vec<RateDemand>,
 }
 
+/// What follows a [`FeedRequest`]. A VM of an older version neither sends nor reads it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct FeedRequestExtension {
+    /// Crashes and good runs of parts of prompts that the VM witnessed and has not reported yet.
+    pub parts: Vec<PartUpdate>,
+    /// Newest change of the leader's suspected parts that the VM received.
+    pub parts_seen: u64,
+}
+
+/// What follows a [`FeedReply`]. A VM of an older version neither sends nor reads it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct FeedReplyExtension {
+    /// Changes of suspected parts of prompts that are new to the follower.
+    pub parts: PartUpdates,
+}
+
 /// Changes of the leader's directory that the follower lacks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointUpdate {
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -1,13 +1,16 @@
 //! The leader's side of the feed.
 
-use super::messages::{EndpointUpdate, FeedCursor, FeedReply, FeedRequest, FeedUpdate};
+use super::messages::{
+    EndpointUpdate, FeedCursor, FeedReply, FeedReplyExtension, FeedRequest, FeedRequestExtension,
+    FeedUpdate,
+};
 use crate::freshness::LONG_POLL_WAIT;
 use crate::gateway::Gateway;
 use crate::links::{RELAY_PREAMBLE, serve_relay};
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_fleet::prelude::*;
-use sillbank_net::frames::{FrameError, read_content, read_header, write_message};
+use sillbank_net::frames::{FrameError, read_extended_content, read_header, write_message};
 use sillbank_net::metered::Metered;
 use sillbank_quarantine::prelude::*;
 use smol::net::{TcpListener, TcpStream};
@@ -20,6 +23,8 @@
 const MAX_CHANGES: usize = 100;
 /// Largest number of quarantine entries in one reply, about 80 bytes each; the rest follows.
 const MAX_SUSPECTS: usize = 64;
+/// Largest number of suspected parts of prompts in one reply, of 100 to 600 bytes each; the rest follows.
+const MAX_PARTS: usize = 64;
 /// Largest number of endpoint limits in one reply, about 40 bytes each; the rest follows.
 const MAX_LIMITS: usize = 64;
 /// Idle timeout of a connection between requests.
@@ -63,11 +68,13 @@
                 return;
             }
         };
-        let request = or_timeout(read_content::<FeedRequest, _>(&mut stream, header)).await;
+        let request = or_timeout(read_extended_content(&mut stream, header)).await;
         let result = match request {
-            Ok(request) => {
-                let reply = answer(&gateway, &request, &mut confirmations_sent).await;
-                write_message(&mut stream, &reply).await
+            Ok((request, extension)) => {
+                let reply = answer(&gateway, &request, &extension, &mut confirmations_sent).await;
+                let cursor = known_cursor(&gateway, &request);
+                let reply_extension = reply_extension(&gateway, &reply, cursor, &extension);
+                write_message(&mut stream, &(reply, reply_extension)).await
             }
             Err(error) => Err(error),
         };
@@ -93,11 +100,12 @@
 async fn answer<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     request: &FeedRequest,
+    extension: &FeedRequestExtension,
     confirmations_sent: &mut Option<u64>,
 ) -> FeedReply {
     let received_at = Instant::now();
     let platform = &gateway.platform;
-    let cursor = request.cursor.filter(|cursor| cursor.incarnation == gateway.incarnation);
+    let cursor = known_cursor(gateway, request);
     if request.is_source_request {
         gateway.hall.on_source_request(received_at);
     }
@@ -107,12 +115,13 @@
         false => UpdateSource::Leader,
     };
     gateway.on_reported_suspects(&request.suspects, source);
+    gateway.on_reported_parts(&extension.parts, source);
     gateway.on_reported_limits(&request.limits, "another VM");
     // A confirmation between two requests of a follower must not wait until the second one times
     // out, as `OTHER_HALL_DELAY` does not cover that.
     let seen = confirmations_sent.unwrap_or(platform.confirmations());
     let may_reply = || request.is_source_request || gateway.hall.acting_fence.get().is_some();
-    if may_reply() && !has_updates(gateway, request, cursor) {
+    if may_reply() && !has_updates(gateway, request, cursor, extension) {
         let wait = async {
             smol::Timer::after(LONG_POLL_WAIT).await;
         };
@@ -151,7 +160,7 @@
         catalog: catalog.map(|parts| (*parts).clone()),
         endpoints: endpoint_update(gateway, cursor),
         hall_reports,
-        quarantine: gateway.quarantine.borrow().updates_since(
+        quarantine: gateway.quarantine.borrow().request_updates_since(
             cursor.map_or(0, |cursor| cursor.quarantine),
             MAX_SUSPECTS,
             now,
@@ -165,16 +174,43 @@
     }))
 }
 
+/// The follower's position, if it refers to this process.
+fn known_cursor<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    request: &FeedRequest,
+) -> Option<FeedCursor> {
+    request.cursor.filter(|cursor| cursor.incarnation == gateway.incarnation)
+}
+
+/// Changes of suspected parts, with an update.
+fn reply_extension<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    reply: &FeedReply,
+    cursor: Option<FeedCursor>,
+    request: &FeedRequestExtension,
+) -> FeedReplyExtension {
+    if matches!(reply, FeedReply::NotLeader { .. }) {
+        return FeedReplyExtension::default();
+    }
+    let since = cursor.map_or(0, |_| request.parts_seen);
+    let quarantine = gateway.quarantine.borrow();
+    FeedReplyExtension { parts: quarantine.part_updates_since(since, MAX_PARTS, Instant::now()) }
+}
+
 fn has_updates<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     request: &FeedRequest,
     cursor: Option<FeedCursor>,
+    extension: &FeedRequestExtension,
 ) -> bool {
     let newest = gateway.platform.endpoints(Directory::newest_change);
-    let urgent = gateway.quarantine.borrow().newest_urgent();
+    let (urgent, urgent_parts) = gateway.quarantine.borrow().newest_urgent();
     let limits = gateway.pushback.borrow().newest_change();
     let is_new = |cursor: FeedCursor| {
-        cursor.endpoints != newest || cursor.quarantine < urgent || cursor.limits < limits
+        cursor.endpoints != newest
+            || cursor.quarantine < urgent
+            || extension.parts_seen < urgent_parts
+            || cursor.limits < limits
     };
     has_newer_catalog(gateway, request)
         || cursor.is_none_or(is_new)
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -92,13 +92,13 @@
     pub pushback: RefCell<PushbackTracker>,
     /// Rate leases that this VM grants while it leads.
     pub rate_leases: RateLeases,
-    /// Requests during which endpoints crashed.
-    pub quarantine: RefCell<Quarantine>,
+    /// Requests and parts of prompts under which endpoints crashed.
+    pub quarantine: RefCell<CrashQuarantine>,
     /// Whether the quarantine list was received from a leader or read from the store since the
     /// start.
     pub quarantine_is_loaded: Cell<bool>,
-    /// Newest urgent change of the quarantine for which followers were woken.
-    pub(crate) quarantine_announced: Cell<u64>,
+    /// Newest urgent changes of requests and of parts for which followers were woken.
+    pub(crate) quarantine_announced: Cell<(u64, u64)>,
     /// Limits log lines about parts of prompts that cannot be read.
     pub(crate) unreadable_parts_log: LogInterval,
     /// Answer times of the endpoints of plain services.
@@ -171,7 +171,7 @@
             rate_leases: RateLeases::default(),
             quarantine: RefCell::default(),
             quarantine_is_loaded: Cell::new(false),
-            quarantine_announced: Cell::new(0),
+            quarantine_announced: Cell::new((0, 0)),
             unreadable_parts_log: LogInterval::new(UNREADABLE_PARTS_LOG_INTERVAL),
             call_tracker: CallTracker::default(),
             forecasts: Forecasts::default(),
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -74,8 +74,10 @@
     pub forecast: OnceCell<Option<StreamForecast>>,
     /// Identifies the caller by key and connection, to recognise callers who retry at once.
     pub caller: Option<CallerId>,
-    /// Cache of [`Job::fingerprint`].
-    pub cached_fingerprint: OnceCell<Fingerprint>,
+    /// Cache of [`Job::traits`].
+    pub cached_traits: OnceCell<RequestTraits>,
+    /// Whether the request shows if what it is suspected of still crashes endpoints.
+    pub is_trial: Cell<bool>,
     /// Whether the request was counted as admitted or refused.
     pub is_counted: Cell<bool>,
 }
@@ -88,13 +90,22 @@
 
     /// Fingerprint by which another try of the same request is recognised.
     pub fn fingerprint(&self) -> Fingerprint {
-        let parts = || RequestIdentity {
-            host: &self.route.host,
-            path: self.target.path_and_query().map_or("", |path| path.as_str()),
-            organisation: self.organisation.as_ref().map(|o| o.name.as_str()),
-            body: &self.body,
-        };
-        *self.cached_fingerprint.get_or_init(|| parts().fingerprint())
+        self.traits().fingerprint
+    }
+
+    /// Traits that may make the request crash endpoints.
+    pub fn traits(&self) -> &RequestTraits {
+        self.cached_traits.get_or_init(|| {
+            let organisation = self.organisation.as_ref().map(|o| o.name.as_str());
+            let identity = RequestIdentity {
+                host: &self.route.host,
+                path: self.target.path_and_query().map_or("", |path| path.as_str()),
+                organisation,
+                body: &self.body,
+            };
+            let parts = self.prompt_parts();
+            RequestTraits::new(identity.fingerprint(), &self.service.name, organisation, parts)
+        })
     }
 
     /// Parts of the prompt that other requests may share; none if the caller's list cannot be read.
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -136,6 +136,10 @@
     pub suspects: Gauge,
     /// Suspects that are quarantined.
     pub quarantined: Gauge,
+    /// Parts of prompts under which endpoints crashed.
+    pub suspected_parts: Gauge,
+    /// Parts of prompts for which requests are held back.
+    pub held_parts: Gauge,
     /// Requests refused because they are quarantined.
     pub quarantine_refusals: Counter,
     /// Endpoints with pushback on this VM, by kind: limit, rest, leaving.
@@ -202,6 +206,8 @@
         let ended_endpoints = Counter::default();
         let suspects = Gauge::default();
         let quarantined = Gauge::default();
+        let suspected_parts = Gauge::default();
+        let held_parts = Gauge::default();
         let quarantine_refusals = Counter::default();
         let pushback = Family::default();
         let withheld = Family::default();
@@ -250,6 +256,9 @@
         registry.register("ended_endpoints", help, ended_endpoints.clone());
         registry.register("suspects", "Requests endpoints ended under", suspects.clone());
         registry.register("quarantined", "Requests held back", quarantined.clone());
+        let help = "Parts of prompts endpoints ended under";
+        registry.register("suspected_parts", help, suspected_parts.clone());
+        registry.register("held_parts", "Parts of prompts held back", held_parts.clone());
         let help = "Requests refused as they are held back";
         registry.register("quarantine_refusals", help, quarantine_refusals.clone());
         registry.register("pushback", "Endpoints that ask something of VMs", pushback.clone());
@@ -308,6 +317,8 @@
             ended_endpoints,
             suspects,
             quarantined,
+            suspected_parts,
+            held_parts,
             quarantine_refusals,
             pushback,
             withheld,
--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -32,11 +32,10 @@
             return;
         }
         let mut quarantine = self.quarantine.borrow_mut();
-        let fingerprint = job.fingerprint();
         let events =
-            quarantine.on_crash(fingerprint, &send.incarnation, send.sent_at, send.broke_at);
+            quarantine.on_crash(job.traits(), &send.incarnation, send.sent_at, send.broke_at);
         drop(quarantine);
-        self.on_quarantine_events(&events);
+        self.on_hold_events(&events);
     }
 
     /// Name of an endpoint's newest incarnation, as far as its start is known.
@@ -50,22 +49,34 @@
     /// Records that a request was completed, or ran for longer than the time in which crashes count
     /// against it.
     pub fn on_request_survived(&self, job: &Job) {
-        if self.quarantine.borrow().is_empty() {
+        if !self.settings.borrow().mechanisms.quarantine {
             return;
         }
-        let mut quarantine = self.quarantine.borrow_mut();
-        let events = quarantine.on_survived(job.fingerprint(), Instant::now());
-        drop(quarantine);
-        self.on_quarantine_events(&events);
+        let has_nothing_to_record =
+            job.prompt_parts().is_empty() && self.quarantine.borrow().is_empty();
+        if has_nothing_to_record {
+            return;
+        }
+        let events = self.quarantine.borrow_mut().on_survived(job.traits(), Instant::now());
+        self.on_hold_events(&events);
     }
 
-    /// Time left of a request's quarantine; `None` if it is not quarantined.
-    pub fn quarantined_for(&self, job: &Job) -> Option<Duration> {
+    /// Why a request must not be sent, if it must not.
+    pub fn hold_of(&self, job: &Job) -> Option<Hold> {
         let quarantine = self.quarantine.borrow();
         if quarantine.is_empty() || !self.settings.borrow().mechanisms.quarantine {
             return None;
         }
-        quarantine.quarantined_for(job.fingerprint(), Instant::now())
+        quarantine.hold(job.traits(), Instant::now())
+    }
+
+    /// As [`Self::hold_of`], except for a trial that was not sent yet.
+    pub fn hold_before_send(&self, job: &Job) -> Option<Hold> {
+        let is_first_send = job.sends.get() == 0 && job.link_losses.get() == 0;
+        if job.is_trial.get() && is_first_send {
+            return None;
+        }
+        self.hold_of(job)
     }
 
     /// Time for which a request stays isolated: if it is the cause of crashes, it must not take the
@@ -75,18 +86,45 @@
         if quarantine.is_empty() || !self.settings.borrow().mechanisms.quarantine {
             return None;
         }
-        quarantine.isolated_for(job.fingerprint(), Instant::now())
+        quarantine.isolated_for(job.traits(), Instant::now())
     }
 
-    /// Refuses a quarantined request: it was not run, and its caller may retry after the
-    /// quarantine.
-    pub fn refuse_quarantined(&self, job: &Job) -> Option<Failure> {
-        let left = self.quarantined_for(job)?;
-        let crashes = self.quarantine.borrow().crash_count(job.fingerprint());
-        let fingerprint = describe_fingerprint(job.fingerprint());
-        let reason = format!("{crashes} endpoints ended under this request ({fingerprint})");
+    /// Refuses a request that is held back when it arrives, unless it is let through as a trial.
+    pub fn refuse_arrival(&self, job: &Job) -> Option<Failure> {
+        self.hold_of(job)?;
+        let right = self.trial_right();
+        let verdict = self.quarantine.borrow_mut().admit(job.traits(), Instant::now(), right);
+        match verdict {
+            Verdict::Admit => None,
+            Verdict::Try => {
+                job.is_trial.set(true);
+                self.decisions.trial_began(job);
+                None
+            }
+            Verdict::Hold(hold) => Some(self.held_failure(job, &hold)),
+        }
+    }
+
+    /// The failure of a request that is held back. If it was not run, its caller may retry after the term.
+    pub fn held_failure(&self, job: &Job, hold: &Hold) -> Failure {
+        let (run, reason) = (job.run.get(), describe_hold(job, hold));
+        if run.not_run_evidence().is_none() {
+            return Failure::new(FailureKind::ServiceLost, run.state(), reason);
+        }
         self.metrics.quarantine_refusals.inc();
-        Some(Failure::before_work(FailureKind::Quarantined, reason).retry_after(left))
+        Failure::before_work(FailureKind::Quarantined, reason).retry_after(hold.retry_after)
+    }
+
+    /// One VM of the fleet may try again what was held back: the leader of the first hall, by name. A lease makes it the
+    /// only one.
+    fn trial_right(&self) -> TrialRight {
+        let leads = self.hall.acting_fence.get().is_some();
+        let halls = self.platform.halls();
+        let is_first_hall = halls.iter().min() == Some(&self.settings.borrow().hall);
+        match leads && is_first_hall {
+            true => TrialRight::Granted,
+            false => TrialRight::Denied,
+        }
     }
 
     /// Records that the quarantine list was received from a leader or read from the store.
@@ -111,43 +149,89 @@
         );
     }
 
-    /// Applies crashes reported by another VM.
+    /// Applies crashes under requests reported by another VM.
     pub fn on_reported_suspects(&self, suspects: &[SuspectUpdate], source: UpdateSource) {
         if suspects.is_empty() {
             return;
         }
-        let events = self.quarantine.borrow_mut().on_updates(suspects, source, Instant::now());
-        self.on_quarantine_events(&events);
+        let now = Instant::now();
+        let events = self.quarantine.borrow_mut().on_request_updates(suspects, source, now);
+        self.on_hold_events(&events);
     }
 
-    /// Logs and counts changes, and wakes followers for urgent ones.
-    pub(crate) fn on_quarantine_events(&self, events: &[QuarantineEvent]) {
-        for event in events {
-            match event {
-                QuarantineEvent::Quarantined { fingerprint, endpoints, term } => tracing::warn!(
-                    fingerprint = describe_fingerprint(*fingerprint),
-                    endpoints = endpoints.join(","),
-                    term_s = term.as_secs(),
-                    "quarantine: A request is quarantined, as endpoints crashed while running it."
-                ),
-                QuarantineEvent::Released { fingerprint } => tracing::info!(
-                    fingerprint = describe_fingerprint(*fingerprint),
-                    "quarantine: The quarantine of a request has ended."
-                ),
-            }
+    /// Applies crashes and good runs of parts of prompts reported by another VM.
+    pub fn on_reported_parts(&self, parts: &[PartUpdate], source: UpdateSource) {
+        if parts.is_empty() {
+            return;
         }
+        let now = Instant::now();
+        let events = self.quarantine.borrow_mut().on_part_updates(parts, source, now);
+        self.on_hold_events(&events);
+    }
+
+    /// Logs and counts changes, and wakes followers for urgent ones.
+    pub(crate) fn on_hold_events(&self, events: &[HoldEvent]) {
+        events.iter().for_each(log_event);
         let quarantine = self.quarantine.borrow();
-        let (quarantined, suspected) = quarantine.counts();
+        let (quarantined, suspected) = quarantine.request_counts();
         self.metrics.quarantined.set(quarantined as i64);
         self.metrics.suspects.set(suspected as i64);
-        if quarantine.newest_urgent()
-            > self.quarantine_announced.replace(quarantine.newest_urgent())
-        {
+        let (held_parts, suspected_parts) = quarantine.part_counts();
+        self.metrics.held_parts.set(held_parts as i64);
+        self.metrics.suspected_parts.set(suspected_parts as i64);
+        let urgent = quarantine.newest_urgent();
+        let announced = self.quarantine_announced.replace(urgent);
+        if urgent.0 > announced.0 || urgent.1 > announced.1 {
             self.hall.wake_followers();
         }
     }
 }
 
+fn log_event(event: &HoldEvent) {
+    match event {
+        HoldEvent::Request(QuarantineEvent::Quarantined { fingerprint, endpoints, term }) => {
+            tracing::warn!(
+                fingerprint = describe_fingerprint(*fingerprint),
+                endpoints = endpoints.join(","),
+                term_s = term.as_secs(),
+                "quarantine: A request is quarantined, as endpoints crashed while running it."
+            );
+        }
+        HoldEvent::Request(QuarantineEvent::Released { fingerprint }) => tracing::info!(
+            fingerprint = describe_fingerprint(*fingerprint),
+            "quarantine: The quarantine of a request has ended."
+        ),
+        HoldEvent::Part(PartEvent::Held { key, endpoints, is_for_all, term }) => tracing::warn!(
+            part = %key,
+            endpoints = endpoints.join(","),
+            is_for_all,
+            term_s = term.as_secs(),
+            "quarantine: Requests with a part of a prompt are held back, as endpoints crashed while running it."
+        ),
+        HoldEvent::Part(PartEvent::Released { key }) => tracing::info!(
+            part = %key,
+            "quarantine: A part of a prompt is no longer taken for the cause of crashes."
+        ),
+    }
+}
+
+/// What a request is held back for, the crashes that count and the age of the last one.
+fn describe_hold(job: &Job, hold: &Hold) -> String {
+    let Hold { cause, crashes, last_crash_age, .. } = hold;
+    let age_s = last_crash_age.as_secs_f64();
+    match cause {
+        HoldCause::Request => {
+            let fingerprint = describe_fingerprint(job.fingerprint());
+            format!(
+                "{crashes} endpoints ended under this request ({fingerprint}), the last {age_s:.1} s ago"
+            )
+        }
+        HoldCause::Part(part) => format!(
+            "{crashes} endpoints ended under requests with part {part:x} of the prompt, the last {age_s:.1} s ago"
+        ),
+    }
+}
+
 /// Expires suspicion and quarantine while the program runs.
 pub async fn run_expiry<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     loop {
@@ -156,6 +240,6 @@
             continue;
         }
         let events = gateway.quarantine.borrow_mut().on_tick(Instant::now());
-        gateway.on_quarantine_events(&events);
+        gateway.on_hold_events(&events);
     }
 }
--- a/crates/sillbank_gateway/src/quarantine_store.rs
+++ b/crates/sillbank_gateway/src/quarantine_store.rs
@@ -97,7 +97,7 @@
     let end = gateway.store.write_quarantine(expected, &record).await;
     if let WriteOutcome::Written(at) = end {
         gateway.quarantine.borrow_mut().on_written(&record, now_unix_ms);
-        tracing::info!(requests = record.suspects.len(), %at, "quarantine: The list was written to the store.");
+        tracing::info!(requests = record.suspects.len(), parts = record.parts.len(), %at, "quarantine: The list was written to the store.");
     }
     Ok(())
 }
@@ -111,7 +111,7 @@
     let mut quarantine = gateway.quarantine.borrow_mut();
     let events = quarantine.on_stored(&object.record, Instant::now(), unix_ms());
     drop(quarantine);
-    gateway.on_quarantine_events(&events);
+    gateway.on_hold_events(&events);
 }
 
 /// Applies a full read. A restored store may have lost the object, whose content is then written
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -47,7 +47,7 @@
         job: &Job,
         kind: SendFailureKind,
     ) -> bool {
-        if kind != SendFailureKind::NotSent && gateway.quarantined_for(job).is_some() {
+        if gateway.hold_of(job).is_some() {
             return false;
         }
         match kind {
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -43,6 +43,9 @@
         return Err(refuse(gateway, job, reason));
     }
     loop {
+        if let Some(hold) = gateway.hold_before_send(job) {
+            return Err(gateway.held_failure(job, &hold));
+        }
         let target = choose_target(gateway, job, resume_after, &avoid);
         let retry_after = gateway.record_withheld(job);
         let target = match target {
@@ -118,7 +121,10 @@
             continue;
         }
         if !may_retry {
-            return Err(refuse(gateway, job, &failed.reason));
+            return Err(match gateway.hold_of(job) {
+                Some(hold) => gateway.held_failure(job, &hold),
+                None => refuse(gateway, job, &failed.reason),
+            });
         }
     }
 }
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -158,7 +158,7 @@
     /// Resumes the stream on another path, if that is allowed. The error is the reason why not.
     async fn resume(&self, avoid: Vec<EndpointId>) -> Result<Upstream, String> {
         self.gateway.await_crash_checks(&self.job).await;
-        if self.gateway.quarantined_for(&self.job).is_some() {
+        if self.gateway.hold_of(&self.job).is_some() {
             return Err("the request is quarantined".to_owned());
         }
         if !self.rules.resumable {
--- a/crates/sillbank_net/src/frames.rs
+++ b/crates/sillbank_net/src/frames.rs
@@ -1,7 +1,9 @@
 //! Length-prefixed postcard messages over TCP.
 
 use serde::{Deserialize, Serialize};
-use sillbank_protocol::peer::{DecodeError, decode_frame, decode_length, encode_frame};
+use sillbank_protocol::peer::{
+    DecodeError, decode_extended_frame, decode_frame, decode_length, encode_frame,
+};
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Why a message could not be read or written.
@@ -58,6 +60,24 @@
     Ok(decode_frame(&content)?)
 }
 
+/// Reads the rest of a message and its extension, whose header was read. See [`decode_extended_frame`].
+///
+/// # Errors
+/// Returns [`FrameError`] if the connection ends or the frame cannot be decoded.
+pub async fn read_extended_content<M, E, R>(
+    reader: &mut R,
+    header: FrameHeader,
+) -> Result<(M, E), FrameError>
+where
+    M: for<'a> Deserialize<'a>,
+    E: for<'a> Deserialize<'a> + Default,
+    R: AsyncRead + Unpin,
+{
+    let mut content = vec![0; decode_length(header)?];
+    reader.read_exact(&mut content).await?;
+    Ok(decode_extended_frame(&content)?)
+}
+
 /// Writes one message.
 ///
 /// # Errors
--- a/crates/sillbank_protocol/src/peer.rs
+++ b/crates/sillbank_protocol/src/peer.rs
@@ -263,3 +263,21 @@
 pub fn decode_frame<M: for<'a> Deserialize<'a>>(content: &[u8]) -> Result<M, DecodeError> {
     postcard::from_bytes(content).map_err(|e| DecodeError::Malformed(e.to_string()))
 }
+
+/// Decodes a message and its extension, encoded as a pair. A peer of an older version sends the message alone, in which
+/// case the extension has its default value, and reads the message alone.
+///
+/// # Errors
+/// Returns [`DecodeError::Malformed`] if it is not an encoded `M`, or is followed by anything but an encoded `E`.
+pub fn decode_extended_frame<M, E>(content: &[u8]) -> Result<(M, E), DecodeError>
+where
+    M: for<'a> Deserialize<'a>,
+    E: for<'a> Deserialize<'a> + Default,
+{
+    let malformed = |e: postcard::Error| DecodeError::Malformed(e.to_string());
+    let (message, rest) = postcard::take_from_bytes(content).map_err(malformed)?;
+    match rest.is_empty() {
+        true => Ok((message, E::default())),
+        false => Ok((message, postcard::from_bytes(rest).map_err(malformed)?)),
+    }
+}
--- /dev/null
+++ b/crates/sillbank_quarantine/src/attribution.rs
@@ -0,0 +1,170 @@
+//! Decides which parts of prompts are the cause of crashes.
+//!
+//! All requests in their beginning at an endpoint that crashes look alike, and so do their parts. The part that explains
+//! most crashes is held back first; the crashes that it explains say nothing against other parts or requests.
+//! Decisions follow from the evidence alone, so that VMs with the same evidence decide alike.
+
+use crate::part_suspect::{CrashSequence, PartCrash, PartSuspect};
+use crate::part_updates::RequestTag;
+use crate::policy::{CRASHES_TO_QUARANTINE, REQUESTS_TO_HOLD_PART, quarantine_term};
+use crate::request_traits::{OrganisationTag, PartKey};
+use sillbank_core::prelude::EndpointId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// The organisations whose requests are held back if they have a part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum HoldScope {
+    /// These, by crashes under their own requests.
+    Organisations(BTreeSet<OrganisationTag>),
+    /// All for which the part never ran well, by crashes under requests of several, and those under whose own requests
+    /// enough endpoints crashed.
+    All(BTreeSet<OrganisationTag>),
+}
+
+/// A part that is held back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PartHold {
+    pub(crate) scope: HoldScope,
+    /// Crashes that count.
+    pub(crate) crashes: usize,
+    /// Time of the last of them.
+    pub(crate) last_crash: Instant,
+    /// Time after the last one for which nobody tries the part again.
+    pub(crate) term: Duration,
+}
+
+/// Parts that are held back, and the crashes that they explain.
+#[derive(Debug, Default)]
+pub(crate) struct Attribution {
+    pub(crate) holds: BTreeMap<PartKey, PartHold>,
+    /// Incarnations of endpoints that crashed under the parts that are held back.
+    pub(crate) explained: BTreeSet<EndpointId>,
+}
+
+/// Which crashes count against a part, and how many of them hold it back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standard {
+    /// Those that no good run refutes.
+    Unrefuted,
+    /// Those that only good runs of other organisations refute, if there are twice as many. A caller may name a part that
+    /// its prompt does not have, and so make a harmful part look sound.
+    RefutedByOthers,
+}
+
+impl Standard {
+    fn min_crashes(self) -> usize {
+        match self {
+            Self::Unrefuted => CRASHES_TO_QUARANTINE,
+            Self::RefutedByOthers => 2 * CRASHES_TO_QUARANTINE,
+        }
+    }
+
+    /// Whether a sequence shows that the part, and not one request that came again, is the cause.
+    fn is_met_by(self, sequence: CrashSequence) -> bool {
+        sequence.crashes >= self.min_crashes() && sequence.requests >= REQUESTS_TO_HOLD_PART
+    }
+}
+
+/// A part that may be the cause of crashes that are not explained yet.
+struct Candidate {
+    key: PartKey,
+    /// Number of endpoints that crashed.
+    endpoints: usize,
+    /// Requests with the part under which they crashed.
+    requests: BTreeSet<RequestTag>,
+    hold: PartHold,
+}
+
+impl Candidate {
+    /// Whether requests with this part have the other one too, and the other one is in more requests. Sound requests share
+    /// parts with harmful ones, so the part in fewer requests is the likelier cause.
+    fn is_more_specific_than(&self, other: &Self) -> bool {
+        self.requests.len() < other.requests.len() && !self.requests.is_disjoint(&other.requests)
+    }
+}
+
+/// The likeliest cause: the part under which most endpoints crashed. Of several, those that a more specific one can replace
+/// are out, and the one in most requests comes first: others are there because they went on where the harmful ones did.
+fn likeliest(candidates: Vec<Candidate>) -> Option<Candidate> {
+    let most_endpoints = candidates.iter().map(|candidate| candidate.endpoints).max()?;
+    let (top, _): (Vec<Candidate>, Vec<Candidate>) =
+        candidates.into_iter().partition(|candidate| candidate.endpoints == most_endpoints);
+    let is_replaced =
+        |candidate: &Candidate| top.iter().any(|other| other.is_more_specific_than(candidate));
+    let replaced: BTreeSet<PartKey> = top
+        .iter()
+        .filter(|candidate| is_replaced(candidate))
+        .map(|candidate| candidate.key)
+        .collect();
+    let rest = top.into_iter().filter(|candidate| !replaced.contains(&candidate.key));
+    rest.max_by_key(|candidate| (candidate.requests.len(), candidate.key))
+}
+
+impl Attribution {
+    /// Attributes crashes to parts.
+    pub(crate) fn new(suspects: &BTreeMap<PartKey, PartSuspect>) -> Self {
+        let mut attribution = Self::default();
+        for standard in [Standard::Unrefuted, Standard::RefutedByOthers] {
+            while let Some((key, hold)) = attribution.next_hold(suspects, standard) {
+                let crashes = suspects.get(&key).into_iter().flat_map(PartSuspect::crashes);
+                attribution.explained.extend(crashes.map(|crash| crash.endpoint.clone()));
+                attribution.holds.insert(key, hold);
+            }
+        }
+        attribution
+    }
+
+    /// The part that explains most of the crashes that are not explained yet.
+    fn next_hold(
+        &self,
+        suspects: &BTreeMap<PartKey, PartSuspect>,
+        standard: Standard,
+    ) -> Option<(PartKey, PartHold)> {
+        let candidates = suspects.iter().filter(|(key, suspect)| {
+            suspect.max_endpoints() >= standard.min_crashes() && !self.holds.contains_key(key)
+        });
+        let candidates =
+            candidates.filter_map(|(key, suspect)| self.candidate(*key, suspect, standard));
+        likeliest(candidates.collect()).map(|best| (best.key, best.hold))
+    }
+
+    fn candidate(
+        &self,
+        key: PartKey,
+        suspect: &PartSuspect,
+        standard: Standard,
+    ) -> Option<Candidate> {
+        let unexplained = |crash: &&PartCrash| !self.explained.contains(&crash.endpoint);
+        let crashes: Vec<&PartCrash> = match standard {
+            Standard::Unrefuted => suspect.unrefuted_crashes().filter(unexplained).collect(),
+            Standard::RefutedByOthers => suspect.crashes().filter(unexplained).collect(),
+        };
+        let hold = hold_for(&crashes, standard)?;
+        let endpoints: BTreeSet<&str> =
+            crashes.iter().map(|crash| crash.endpoint.as_str()).collect();
+        let requests = crashes.iter().map(|crash| crash.request).collect();
+        Some(Candidate { key, endpoints: endpoints.len(), requests, hold })
+    }
+}
+
+fn hold_for(crashes: &[&PartCrash], standard: Standard) -> Option<PartHold> {
+    let all = CrashSequence::of(crashes.iter().copied());
+    if !standard.is_met_by(all) {
+        return None;
+    }
+    let organisations: BTreeSet<OrganisationTag> =
+        crashes.iter().map(|crash| crash.organisation).collect();
+    let is_held = |tag: &OrganisationTag| {
+        let own = crashes.iter().copied().filter(|crash| crash.organisation == *tag);
+        standard.is_met_by(CrashSequence::of(own))
+    };
+    let held: BTreeSet<OrganisationTag> = organisations.into_iter().filter(is_held).collect();
+    let scope = match all.organisations > 1 {
+        true => HoldScope::All(held),
+        false => HoldScope::Organisations(held),
+    };
+    let last_crash = crashes.iter().map(|crash| crash.at).max()?;
+    let term = quarantine_term(all.crashes)?;
+    Some(PartHold { scope, crashes: all.crashes, last_crash, term })
+}
--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -13,27 +13,50 @@
 
 #![forbid(unsafe_code)]
 
+mod attribution;
+mod crash_quarantine;
 mod fingerprint;
+mod good_runs;
+mod part_quarantine;
+mod part_suspect;
+mod part_updates;
 mod policy;
 mod prompt_parts;
 mod quarantine;
+mod request_traits;
 mod suspect;
 mod updates;
+mod verdict;
 
+pub use crash_quarantine::{CrashQuarantine, HoldEvent, TrialRight};
 pub use fingerprint::{Fingerprint, RequestIdentity};
-pub use policy::{CRASHES_TO_QUARANTINE, MAX_SUSPECTS, REPORT_DELAY, RETENTION, SUSPICION_WINDOW};
+pub use good_runs::GoodRuns;
+pub use part_quarantine::PartEvent;
+pub use part_updates::{
+    GoodRunUpdate, PartCrashUpdate, PartUpdate, PartUpdates, RequestTag, StoredGoodRun, StoredPart,
+    StoredPartCrash,
+};
+pub use policy::{
+    CRASHES_TO_QUARANTINE, EXONERATION_TIME, MAX_GOOD_RUNS, MAX_GOOD_RUNS_OF_ORGANISATION,
+    MAX_PART_SUSPECTS, MAX_SUSPECTS, REPORT_DELAY, REQUESTS_TO_HOLD_PART, RETENTION,
+    SUSPICION_WINDOW, TRIAL_TIMEOUT,
+};
 pub use prompt_parts::{MAX_PROMPT_PARTS, PartId, PromptParts, UnreadableParts};
 pub use quarantine::{Quarantine, QuarantineEvent, UpdateSource};
+pub use request_traits::{OrganisationTag, PartKey, RequestTraits, ServiceTag};
 pub use updates::{
     ChangeNumber, CrashUpdate, QuarantineRecord, QuarantineUpdate, StoredCrash, StoredSuspect,
     SuspectUpdate,
 };
+pub use verdict::{Hold, HoldCause, Verdict};
 
 /// Commonly used types.
 pub mod prelude {
     pub use crate::{
-        CRASHES_TO_QUARANTINE, Fingerprint, MAX_PROMPT_PARTS, PartId, PromptParts, Quarantine,
-        QuarantineEvent, QuarantineRecord, QuarantineUpdate, RequestIdentity, SUSPICION_WINDOW,
-        SuspectUpdate, UnreadableParts, UpdateSource,
+        CRASHES_TO_QUARANTINE, CrashQuarantine, Fingerprint, Hold, HoldCause, HoldEvent,
+        MAX_PROMPT_PARTS, PartEvent, PartId, PartKey, PartUpdate, PartUpdates, PromptParts,
+        Quarantine, QuarantineEvent, QuarantineRecord, QuarantineUpdate, RequestIdentity,
+        RequestTraits, SUSPICION_WINDOW, SuspectUpdate, TrialRight, UnreadableParts, UpdateSource,
+        Verdict,
     };
 }
--- a/crates/sillbank_quarantine/src/policy.rs
+++ b/crates/sillbank_quarantine/src/policy.rs
@@ -42,3 +42,28 @@
     let term = INITIAL_TERM.saturating_mul(2_u32.saturating_pow(doublings));
     Some(term.min(MAX_TERM))
 }
+
+/// Different requests with a part under which endpoints must have crashed before the part is held back. With one request
+/// that comes again, the request itself is the likelier cause.
+pub const REQUESTS_TO_HOLD_PART: usize = 2;
+/// Time after a good run of a part within which crashes do not count against it. A part that has become harmful, as
+/// with another version of a model, is suspected after this time.
+pub const EXONERATION_TIME: Duration = Duration::from_secs(120);
+/// Crashes that are remembered for one part. It is held back long before, unless others are the likelier cause.
+pub(crate) const MAX_PART_CRASHES: usize = 24;
+/// Requests that are remembered for one part and one crash.
+pub(crate) const MAX_REQUESTS_OF_CRASH: usize = 4;
+/// Organisations whose good runs are remembered with one suspected part.
+pub(crate) const MAX_PART_ORGANISATIONS: usize = 16;
+/// Maximum number of suspected parts, of about 500 bytes each.
+pub const MAX_PART_SUSPECTS: usize = 1_024;
+/// Maximum number of parts in the store, of at most 4 KB each: an object may have 1 MB.
+pub(crate) const MAX_STORED_PARTS: usize = 64;
+/// Remembered good runs of parts under all organisations, of about 60 bytes each.
+pub const MAX_GOOD_RUNS: usize = 32_768;
+/// Remembered good runs under one organisation.
+pub const MAX_GOOD_RUNS_OF_ORGANISATION: usize = 4_096;
+/// How long a VM waits for the leader of the hall that observed a crash to write it to the store.
+pub(crate) const OTHER_WRITER_DELAY: Duration = Duration::from_secs(1);
+/// Time that a trial may take, from when its request is admitted. Routes let requests take up to about 20 s.
+pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -1,7 +1,10 @@
 //! All suspects known to one VM.
 
 use crate::fingerprint::Fingerprint;
-use crate::policy::{ISOLATION_TERM, MAX_SUSPECTS, REPORT_DELAY, RETENTION, URGENT_CRASHES};
+use crate::policy::{
+    CRASHES_TO_QUARANTINE, ISOLATION_TERM, MAX_SUSPECTS, OTHER_WRITER_DELAY, REPORT_DELAY,
+    RETENTION, URGENT_CRASHES,
+};
 use crate::suspect::{StoredSummary, Suspect};
 use crate::updates::{
     ChangeNumber, QuarantineRecord, QuarantineUpdate, StoredSuspect, SuspectUpdate,
@@ -10,8 +13,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-/// How long this VM waits for the leader of the hall that observed a crash to write it to the store.
-const OTHER_WRITER_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of requests in the store, of about 300 bytes each: an object may have 1 MB.
 const MAX_STORED: usize = 256;
 
@@ -49,6 +50,9 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Incarnations of endpoints whose crashes have another cause. They do not count, and are kept in case that proves
+    /// wrong.
+    explained: BTreeSet<EndpointId>,
     newest_change: ChangeNumber,
     /// Newest change that other VMs should receive without delay.
     newest_urgent: ChangeNumber,
@@ -64,13 +68,14 @@
         sent_at: Instant,
         now: Instant,
     ) -> Vec<QuarantineEvent> {
+        let explained = &self.explained;
         let suspect = self.suspects.entry(fingerprint).or_default();
         let since_send = now.saturating_duration_since(sent_at);
         if !suspect.add_crash(endpoint, now, since_send) {
             return Vec::new();
         }
         suspect.store_from = Some(now);
-        if suspect.changed == 0 && suspect.crash_count() < URGENT_CRASHES {
+        if suspect.changed == 0 && suspect.crash_count(explained) < URGENT_CRASHES {
             suspect.report_at.get_or_insert(now + REPORT_DELAY);
         } else {
             self.record_change(fingerprint, true);
@@ -84,7 +89,7 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return Vec::new();
         };
-        if suspect.crash_count() == 0 || !suspect.clear(now) {
+        if !suspect.has_crashes() || !suspect.clear(now) {
             return Vec::new();
         }
         suspect.store_from = Some(now);
@@ -99,20 +104,53 @@
 
     /// Remaining time of a request's quarantine; `None` if it is not quarantined.
     pub fn quarantined_for(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        self.suspects.get(&fingerprint)?.quarantined_for(now)
+        self.suspects.get(&fingerprint)?.quarantined_for(&self.explained, now)
+    }
+
+    /// Whether a request has been quarantined, its term is over, and it has not run well since.
+    pub fn awaits_trial(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.crash_count(fingerprint) >= CRASHES_TO_QUARANTINE
+            && self.quarantined_for(fingerprint, now).is_none()
+    }
+
+    /// Records that a request was refused, so that it is remembered while it comes.
+    pub fn on_refused(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.refused_at = Some(now);
+        }
+    }
+
+    /// Sets the incarnations of endpoints whose crashes have another cause than the requests that they ran.
+    pub fn set_explained(
+        &mut self,
+        explained: &BTreeSet<EndpointId>,
+        now: Instant,
+    ) -> Vec<QuarantineEvent> {
+        if self.explained == *explained {
+            return Vec::new();
+        }
+        self.explained.clone_from(explained);
+        let all: Vec<Fingerprint> = self.suspects.keys().copied().collect();
+        all.into_iter().flat_map(|fingerprint| self.update_state(fingerprint, now)).collect()
     }
 
     /// Remaining time for which a request is isolated from others: an endpoint that ran it crashed recently, and it has
     /// not run well since.
     pub fn isolated_for(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        let last_crash = self.suspects.get(&fingerprint)?.last_crash()?;
+        let (_, last_crash) = self.last_crash(fingerprint)?;
         let left = ISOLATION_TERM.checked_sub(now.saturating_duration_since(last_crash));
         left.filter(|left| !left.is_zero())
     }
 
+    /// The incarnation of the endpoint that crashed last under a request, and when.
+    pub fn last_crash(&self, fingerprint: Fingerprint) -> Option<(&str, Instant)> {
+        self.suspects.get(&fingerprint)?.last_crash(&self.explained)
+    }
+
     /// Number of crashes of a request that count.
     pub fn crash_count(&self, fingerprint: Fingerprint) -> usize {
-        self.suspects.get(&fingerprint).map_or(0, Suspect::crash_count)
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(0, |suspect| suspect.crash_count(&self.explained))
     }
 
     /// Whether there is no suspect.
@@ -135,8 +173,9 @@
         for fingerprint in due.map(|(fingerprint, _)| *fingerprint).collect::<Vec<_>>() {
             self.record_change(fingerprint, true);
         }
-        let has_ended =
-            |suspect: &Suspect| suspect.is_quarantined && suspect.quarantined_for(now).is_none();
+        let has_ended = |suspect: &Suspect| {
+            suspect.is_quarantined && suspect.quarantined_for(&self.explained, now).is_none()
+        };
         let ended = self.suspects.iter().filter(|(_, suspect)| has_ended(suspect));
         let ended: Vec<Fingerprint> = ended.map(|(fingerprint, _)| *fingerprint).collect();
         let events = ended.into_iter().flat_map(|fingerprint| self.update_state(fingerprint, now));
@@ -185,12 +224,19 @@
 
     /// The record that the store should keep, if it lacks anything that this VM is due to write.
     pub fn due_record(&self, now: Instant, now_unix_ms: u64) -> Option<QuarantineRecord> {
+        self.is_write_due(now).then(|| self.record(now, now_unix_ms))
+    }
+
+    /// Whether the store lacks anything that this VM is due to write.
+    pub fn is_write_due(&self, now: Instant) -> bool {
         let is_due = |suspect: &Suspect| {
             suspect.needs_store() && suspect.store_from.is_some_and(|at| at <= now)
         };
-        if !self.suspects.values().any(is_due) {
-            return None;
-        }
+        self.suspects.values().any(is_due)
+    }
+
+    /// The record that the store should keep.
+    pub fn record(&self, now: Instant, now_unix_ms: u64) -> QuarantineRecord {
         let mut kept: Vec<_> =
             self.suspects.iter().filter(|(_, suspect)| suspect.is_kept()).collect();
         kept.sort_by_key(|(_, suspect)| {
@@ -200,7 +246,8 @@
         let to_stored = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
             StoredSuspect::from_update(&suspect.to_update(*fingerprint, now), now_unix_ms)
         };
-        Some(QuarantineRecord { suspects: kept.into_iter().map(to_stored).collect() })
+        let suspects = kept.into_iter().map(to_stored).collect();
+        QuarantineRecord { suspects, parts: Vec::new() }
     }
 
     /// Records that the store accepted a record.
@@ -276,7 +323,7 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return };
         self.newest_change += 1;
         suspect.changed = self.newest_change;
-        let is_urgent = suspect.crash_count() >= URGENT_CRASHES;
+        let is_urgent = suspect.crash_count(&self.explained) >= URGENT_CRASHES;
         if is_urgent {
             self.newest_urgent = self.newest_change;
         }
@@ -292,7 +339,7 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return Vec::new();
         };
-        let quarantined_for = suspect.quarantined_for(now);
+        let quarantined_for = suspect.quarantined_for(&self.explained, now);
         let was_quarantined =
             std::mem::replace(&mut suspect.is_quarantined, quarantined_for.is_some());
         match (was_quarantined, quarantined_for) {
@@ -308,7 +355,10 @@
     /// Removes the suspects with the fewest and oldest crashes beyond the maximum.
     fn drop_excess(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
-            let least = self.suspects.iter().min_by_key(|(_, s)| (s.crash_count(), s.newest()));
+            let least = self
+                .suspects
+                .iter()
+                .min_by_key(|(_, s)| (s.crash_count(&self.explained), s.newest()));
             let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else { return };
             self.suspects.remove(&fingerprint);
         }
--- a/crates/sillbank_quarantine/src/suspect.rs
+++ b/crates/sillbank_quarantine/src/suspect.rs
@@ -7,6 +7,7 @@
 };
 use crate::updates::{ChangeNumber, CrashUpdate, SuspectUpdate};
 use sillbank_core::prelude::EndpointId;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// A crash of an endpoint that ran the request.
@@ -57,6 +58,8 @@
     crashes: Vec<Crash>,
     /// When the request was last seen to run well.
     cleared_at: Option<Instant>,
+    /// When the request was last refused.
+    pub(crate) refused_at: Option<Instant>,
     /// Newest change that is reported to other VMs; 0 while none needs to be.
     pub(crate) changed: ChangeNumber,
     /// Newest change that this VM observed itself.
@@ -72,9 +75,22 @@
 }
 
 impl Suspect {
+    /// Crashes without those of the endpoints in `explained`, which have another cause.
+    fn counted<'a>(
+        &'a self,
+        explained: &'a BTreeSet<EndpointId>,
+    ) -> impl Iterator<Item = &'a Crash> {
+        self.crashes.iter().filter(|crash| !explained.contains(&crash.endpoint))
+    }
+
     /// Number of crashes that count.
-    pub(crate) fn crash_count(&self) -> usize {
-        self.crashes.len()
+    pub(crate) fn crash_count(&self, explained: &BTreeSet<EndpointId>) -> usize {
+        self.counted(explained).count()
+    }
+
+    /// Whether any crash is remembered.
+    pub(crate) fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
     }
 
     /// Endpoints that crashed.
@@ -85,13 +101,13 @@
     /// Whether the store should keep the suspect: one more crash quarantines it, or the store already has it, so that
     /// a clearing is written too.
     pub(crate) fn is_kept(&self) -> bool {
-        self.crash_count() >= URGENT_CRASHES || self.stored.is_some()
+        self.crashes.len() >= URGENT_CRASHES || self.stored.is_some()
     }
 
     /// Whether the state in the store differs from the one that it should keep.
     pub(crate) fn needs_store(&self) -> bool {
         let summary =
-            StoredSummary { crashes: self.crash_count(), is_cleared: self.cleared_at.is_some() };
+            StoredSummary { crashes: self.crashes.len(), is_cleared: self.cleared_at.is_some() };
         self.is_kept() && self.stored != Some(summary)
     }
 
@@ -100,9 +116,13 @@
         self.crashes.iter().map(|crash| crash.at).max().max(self.cleared_at)
     }
 
-    /// Time of the last crash.
-    pub(crate) fn last_crash(&self) -> Option<Instant> {
-        self.crashes.iter().map(|crash| crash.at).max()
+    /// The endpoint that crashed last, of those that count, and when.
+    pub(crate) fn last_crash<'a>(
+        &'a self,
+        explained: &'a BTreeSet<EndpointId>,
+    ) -> Option<(&'a str, Instant)> {
+        let last = self.counted(explained).max_by_key(|crash| crash.at)?;
+        Some((&last.endpoint, last.at))
     }
 
     /// Adds a crash and returns whether it was unknown.
@@ -137,15 +157,20 @@
     }
 
     /// Remaining time of the quarantine; `None` if the request is not quarantined.
-    pub(crate) fn quarantined_for(&self, now: Instant) -> Option<Duration> {
-        let term = quarantine_term(self.crashes.len())?;
+    pub(crate) fn quarantined_for(
+        &self,
+        explained: &BTreeSet<EndpointId>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let term = quarantine_term(self.crash_count(explained))?;
         let elapsed = now.saturating_duration_since(self.newest()?);
         term.checked_sub(elapsed).filter(|left| !left.is_zero())
     }
 
     /// Whether the retention time is over.
     pub(crate) fn is_expired(&self, now: Instant) -> bool {
-        self.newest().is_none_or(|newest| now.saturating_duration_since(newest) >= RETENTION)
+        let newest = self.newest().max(self.refused_at);
+        newest.is_none_or(|newest| now.saturating_duration_since(newest) >= RETENTION)
     }
 
     /// Converts to an update for other VMs.
--- a/crates/sillbank_quarantine/src/updates.rs
+++ b/crates/sillbank_quarantine/src/updates.rs
@@ -4,6 +4,7 @@
 //! reads them may differ from the one that wrote them.
 
 use crate::fingerprint::Fingerprint;
+use crate::part_updates::StoredPart;
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::EndpointId;
 
@@ -68,6 +69,9 @@
 pub struct QuarantineRecord {
     /// Suspects, those with the newest crashes first.
     pub suspects: Vec<StoredSuspect>,
+    /// Suspected parts of prompts. A VM that does not know them reads and writes the record without them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<StoredPart>,
 }
 
 impl StoredSuspect {
--- /dev/null
+++ b/crates/sillbank_quarantine/tests/part_spread.rs
@@ -0,0 +1,318 @@
+//! Sequences over VMs of several halls: requests with a harmful part come to any VM, sound requests run beside them, and
+//! VMs exchange what they know as over the feed.
+
+use arbitrary::Unstructured;
+use sillbank_quarantine::prelude::*;
+use sillbank_testing::for_fixed_seeds;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const HARMFUL: PartId = 0xdead;
+/// Time after the fifth crash from which few requests with the part may reach endpoints, as required by the platform's
+/// operators, and how many.
+const SYNC_TIME: Duration = Duration::from_millis(3_000);
+const CRASHES_BEFORE_LIMIT: usize = 5;
+const MAX_LATE_SENDS: usize = 3;
+/// Sends that a route allows for one request, and tries of its caller.
+const SENDS: usize = 2;
+const TRIES: usize = 2;
+/// Shared parts of sound prompts.
+const SOUND_PARTS: u128 = 12;
+const ORGANISATIONS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
+const STEP: Duration = Duration::from_millis(10);
+const TICK_INTERVAL: Duration = Duration::from_millis(200);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(400);
+const HALL_INTERVAL: Duration = Duration::from_millis(500);
+const MAX_UPDATES: usize = 64;
+/// Time from a send to the crash of the endpoint.
+const CRASH_DELAY: Duration = Duration::from_millis(150);
+/// Time until a crashed engine serves again.
+const DOWNTIME: Duration = Duration::from_millis(2_500);
+/// Time after its send at which a sound request has run well.
+const GOOD_RUN: Duration = Duration::from_millis(1_100);
+const LENGTH: Duration = Duration::from_secs(20);
+
+/// Numbers of the last changes that a follower sent to a leader and received from it.
+#[derive(Default, Clone, Copy)]
+struct Cursor {
+    requests: (u64, u64),
+    parts: (u64, u64),
+}
+
+/// A VM, and its position in the changes of each leader.
+#[derive(Default)]
+struct Vm {
+    quarantine: CrashQuarantine,
+    cursors: BTreeMap<usize, Cursor>,
+}
+
+struct Engine {
+    incarnation: usize,
+    crashes_at: Option<Instant>,
+    down_until: Instant,
+}
+
+/// A request that runs at an engine.
+struct Run {
+    vm: usize,
+    engine: usize,
+    traits: RequestTraits,
+    sent_at: Instant,
+    /// Sends and tries that are left after this one; 0 for sound requests.
+    left: usize,
+    is_harmful: bool,
+}
+
+struct Fleet {
+    halls: usize,
+    vms: Vec<Vm>,
+    engines: Vec<Engine>,
+    runs: Vec<Run>,
+    crashes: Vec<Instant>,
+    harmful_sends: Vec<Instant>,
+    held_sound: Vec<Instant>,
+    number: u128,
+}
+
+impl Fleet {
+    fn new(halls: usize, vms_of_hall: usize, engines: usize, now: Instant) -> Self {
+        let engine = |_| Engine { incarnation: 0, crashes_at: None, down_until: now };
+        Self {
+            halls,
+            vms: (0..halls * vms_of_hall).map(|_| Vm::default()).collect(),
+            engines: (0..engines).map(engine).collect(),
+            runs: Vec::new(),
+            crashes: Vec::new(),
+            harmful_sends: Vec::new(),
+            held_sound: Vec::new(),
+            number: 0,
+        }
+    }
+
+    fn traits(&mut self, organisation: &str, parts: &[PartId]) -> RequestTraits {
+        self.number += 1;
+        let all: Vec<PartId> = parts.iter().copied().chain([0xf_0000 + self.number]).collect();
+        let parts = PromptParts::new(&all).expect("not too many");
+        RequestTraits::new(self.number, "engines", Some(organisation), &parts)
+    }
+
+    /// Sends a request to an engine that is up, unless the VM holds it back.
+    fn send(&mut self, vm: usize, traits: RequestTraits, left: usize, at: usize, now: Instant) {
+        let is_harmful = left > 0;
+        if self.vms[vm].quarantine.hold(&traits, now).is_some() {
+            if !is_harmful {
+                self.held_sound.push(now);
+            }
+            return;
+        }
+        let up: Vec<usize> =
+            (0..self.engines.len()).filter(|e| self.engines[*e].down_until <= now).collect();
+        let Some(engine) = up.get(at % up.len().max(1)).copied() else { return };
+        if is_harmful {
+            self.harmful_sends.push(now);
+            self.engines[engine].crashes_at.get_or_insert(now + CRASH_DELAY);
+        }
+        self.runs.push(Run { vm, engine, traits, sent_at: now, left, is_harmful });
+    }
+
+    /// Crashes an engine: all VMs with requests in their beginning there see it, and requests go on elsewhere.
+    fn crash(
+        &mut self,
+        engine: usize,
+        now: Instant,
+        u: &mut Unstructured<'_>,
+    ) -> arbitrary::Result<()> {
+        let name = format!("e{engine}@{}", self.engines[engine].incarnation);
+        self.engines[engine].incarnation += 1;
+        self.engines[engine].crashes_at = None;
+        self.engines[engine].down_until = now + DOWNTIME;
+        self.crashes.push(now);
+        let (broken, rest) = self.runs.drain(..).partition(|run| run.engine == engine);
+        self.runs = rest;
+        let broken: Vec<Run> = broken;
+        for run in &broken {
+            self.vms[run.vm].quarantine.on_crash(&run.traits, &name, run.sent_at, now);
+        }
+        for run in broken {
+            let is_same_try = run.left % SENDS != 1;
+            let vm = if is_same_try { run.vm } else { u.int_in_range(0..=self.vms.len() - 1)? };
+            let at = u.int_in_range(0..=9)?;
+            match (run.is_harmful, run.left) {
+                (true, 1) => {}
+                (true, left) => self.send(vm, run.traits, left - 1, at, now),
+                (false, _) => self.send(run.vm, run.traits, 0, at, now),
+            }
+        }
+        Ok(())
+    }
+
+    fn finish_good_runs(&mut self, now: Instant) {
+        let (finished, rest): (Vec<Run>, Vec<Run>) =
+            self.runs.drain(..).partition(|run| !run.is_harmful && run.sent_at + GOOD_RUN <= now);
+        self.runs = rest;
+        for run in finished {
+            self.vms[run.vm].quarantine.on_survived(&run.traits, now);
+        }
+    }
+
+    /// One VM exchanges updates with another, as over the feed.
+    fn exchange(&mut self, follower: usize, leader: usize, source: UpdateSource, now: Instant) {
+        let [a, b] = self.vms.get_disjoint_mut([follower, leader]).expect("two VMs");
+        let cursor = a.cursors.entry(leader).or_default();
+        let own = a.quarantine.observed_request_updates_since(cursor.requests.0, MAX_UPDATES, now);
+        b.quarantine.on_request_updates(&own.suspects, source, now);
+        let own_parts = a.quarantine.observed_part_updates_since(cursor.parts.0, MAX_UPDATES, now);
+        b.quarantine.on_part_updates(&own_parts.parts, source, now);
+        let new = b.quarantine.request_updates_since(cursor.requests.1, MAX_UPDATES, now);
+        a.quarantine.on_request_updates(&new.suspects, UpdateSource::Leader, now);
+        let new_parts = b.quarantine.part_updates_since(cursor.parts.1, MAX_UPDATES, now);
+        a.quarantine.on_part_updates(&new_parts.parts, UpdateSource::Leader, now);
+        cursor.requests = (own.up_to, new.up_to);
+        cursor.parts = (own_parts.up_to, new_parts.up_to);
+    }
+
+    /// The first VM of each hall leads it.
+    fn exchange_all(&mut self, elapsed: Duration, now: Instant) {
+        let is_time = |every: Duration| elapsed.as_millis().is_multiple_of(every.as_millis());
+        let vms_of_hall = self.vms.len() / self.halls;
+        if is_time(TICK_INTERVAL) {
+            self.vms.iter_mut().for_each(|vm| drop(vm.quarantine.on_tick(now)));
+        }
+        for vm in 0..self.vms.len() {
+            let leader = vm - vm % vms_of_hall;
+            if is_time(REQUEST_INTERVAL) && vm != leader {
+                self.exchange(vm, leader, UpdateSource::Member, now);
+            }
+            let halls = (0..self.halls).map(|hall| hall * vms_of_hall);
+            let others: Vec<usize> = halls.filter(|other| *other != leader).collect();
+            if is_time(HALL_INTERVAL) && vm == leader {
+                others.into_iter().for_each(|other| {
+                    self.exchange(vm, other, UpdateSource::Leader, now);
+                });
+            }
+        }
+    }
+
+    /// Sends of harmful requests later than the time within which VMs learn of the fifth crash.
+    fn late_sends(&self) -> usize {
+        let Some(fifth) = self.crashes.get(CRASHES_BEFORE_LIMIT - 1) else { return 0 };
+        self.harmful_sends.iter().filter(|at| **at > *fifth + SYNC_TIME).count()
+    }
+
+    /// Sound requests that were held back later than twice that time after the fifth crash, or the last if there are fewer.
+    fn late_held_sound(&self) -> usize {
+        let counted = self.crashes.len().min(CRASHES_BEFORE_LIMIT);
+        let Some(last) = counted.checked_sub(1).map(|at| self.crashes[at]) else { return 0 };
+        self.held_sound.iter().filter(|at| **at > last + 2 * SYNC_TIME).count()
+    }
+}
+
+/// Whatever else requests with the harmful part hold, whichever organisation sends them and however often they come: few
+/// reach endpoints once five have crashed, and sound requests are not held back for them.
+#[test]
+fn harmful_part_is_held_back_by_all_vms_in_time_and_no_sound_request_with_it() {
+    for_fixed_seeds(40, 8_192, |u| {
+        // Arrange
+        let start = Instant::now();
+        let (halls, vms_of_hall) = (u.int_in_range(1..=3)?, u.int_in_range(1..=3)?);
+        let engines = u.int_in_range(2..=5)?;
+        let mut fleet = Fleet::new(halls, vms_of_hall, engines, start);
+        let organisations = u.int_in_range(1..=ORGANISATIONS.len())?;
+        let harmful_every_ms: u64 = u.int_in_range(8..=300)? * 10;
+        let harmful_from = start + Duration::from_millis(u.int_in_range(0..=4_000)?);
+
+        // Act
+        let mut elapsed = Duration::ZERO;
+        while elapsed <= LENGTH {
+            let now = start + elapsed;
+            let due: Vec<usize> = (0..engines)
+                .filter(|e| fleet.engines[*e].crashes_at.is_some_and(|at| at <= now))
+                .collect();
+            for engine in due {
+                fleet.crash(engine, now, u)?;
+            }
+            fleet.finish_good_runs(now);
+            fleet.exchange_all(elapsed, now);
+            if elapsed.as_millis().is_multiple_of(30) {
+                let organisation = ORGANISATIONS[u.int_in_range(0..=ORGANISATIONS.len() - 1)?];
+                // Some parts are rare.
+                let drawn = u.int_in_range(1..=SOUND_PARTS)?;
+                let part = if u.ratio(1, 2)? { drawn / 4 + 1 } else { drawn };
+                let traits = fleet.traits(organisation, &[part]);
+                let vm = u.int_in_range(0..=fleet.vms.len() - 1)?;
+                fleet.send(vm, traits, 0, u.int_in_range(0..=9)?, now);
+            }
+            if now >= harmful_from
+                && elapsed.as_millis().is_multiple_of(u128::from(harmful_every_ms))
+            {
+                let organisation = ORGANISATIONS[u.int_in_range(0..=organisations - 1)?];
+                let first = u.int_in_range(1..=SOUND_PARTS)?;
+                let traits = fleet.traits(organisation, &[first, HARMFUL]);
+                let vm = u.int_in_range(0..=fleet.vms.len() - 1)?;
+                fleet.send(vm, traits, SENDS * TRIES, u.int_in_range(0..=9)?, now);
+            }
+            elapsed += STEP;
+        }
+
+        // Assert
+        let described = format!(
+            "{halls} halls of {vms_of_hall} VMs, {engines} engines, one harmful request in {harmful_every_ms} ms: \
+             {} crashes",
+            fleet.crashes.len()
+        );
+        assert!(fleet.late_sends() <= MAX_LATE_SENDS, "{described}, {} late", fleet.late_sends());
+        assert_eq!(fleet.late_held_sound(), 0, "{described}");
+        Ok(())
+    });
+}
+
+/// VMs that were told the same hold back the same parts, in whatever order they were told.
+#[test]
+fn vms_agree_in_any_order_of_updates() {
+    for_fixed_seeds(200, 512, |u| {
+        // Arrange
+        let start = Instant::now();
+        let mut vms: Vec<CrashQuarantine> = (0..3).map(|_| CrashQuarantine::default()).collect();
+        let mut now = start;
+
+        // Act
+        for step in 0..u.int_in_range(1..=14)? {
+            now += Duration::from_millis(u.int_in_range(1_100..=3_000)?);
+            let shared = u.int_in_range(1..=3)?;
+            let parts = PromptParts::new(&[shared, HARMFUL, 99]).expect("not too many");
+            let organisation = ORGANISATIONS[u.int_in_range(0..=1)?];
+            let traits = RequestTraits::new(step, "engines", Some(organisation), &parts);
+            let vm: usize = u.int_in_range(0..=2)?;
+            match u.ratio(1, 6)? {
+                true => drop(vms[vm].on_survived(&traits, now)),
+                false => drop(vms[vm].on_crash(&traits, &format!("e{step}"), now, now)),
+            }
+            if u.ratio(1, 2)? {
+                let (from, to): (usize, usize) = (u.int_in_range(0..=2)?, u.int_in_range(0..=2)?);
+                let updates = vms[from].part_updates_since(0, 100, now);
+                vms[to].on_part_updates(&updates.parts, UpdateSource::Leader, now);
+            }
+        }
+        for _ in 0..3 {
+            for (from, to) in [(0, 1), (1, 2), (2, 0)] {
+                let updates = vms[from].part_updates_since(0, 100, now);
+                vms[to].on_part_updates(&updates.parts, UpdateSource::Leader, now);
+            }
+        }
+
+        // Assert
+        let mut verdicts: BTreeMap<(PartId, &str), Vec<bool>> = BTreeMap::new();
+        for part in [1, 2, 3, HARMFUL] {
+            for organisation in ORGANISATIONS {
+                let parts = PromptParts::new(&[part, 99]).expect("not too many");
+                let traits = RequestTraits::new(1_000, "engines", Some(organisation), &parts);
+                let held = vms.iter().map(|vm| vm.hold(&traits, now).is_some()).collect();
+                verdicts.insert((part, organisation), held);
+            }
+        }
+        for (subject, held) in verdicts {
+            assert!(held.iter().all(|is_held| *is_held == held[0]), "{subject:?}: {held:?}");
+        }
+        Ok(())
+    });
+}
--- a/crates/sillbank_quarantine/tests/quarantine.rs
+++ b/crates/sillbank_quarantine/tests/quarantine.rs
@@ -359,7 +359,7 @@
         ends: Vec::new(),
         cleared_at_ms: None,
     };
-    let record = QuarantineRecord { suspects: vec![unreadable] };
+    let record = QuarantineRecord { suspects: vec![unreadable], parts: Vec::new() };
     let mut quarantine = Quarantine::default();
 
     // Act
