Unframed answers: the crash of their endpoint is not taken for their end

Callers got a 200 that ends properly with a part of the answer where an endpoint that sends neither a length nor chunks crashed between two events, or within the body of a call. Cause: such an answer ends with its connection, and a crash closes connections in the same way; each clean end was taken for the end of the answer, and counted as a good run.

After such an end the endpoint is asked for a connection. If it refuses and is not leaving, it has crashed: a stream is resumed or broken off, a call is sent again or fails.

--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -4,7 +4,9 @@
     deadline_failure, failure_outcome, failure_response, final_failure, with_min_retry_after,
 };
 use crate::connection_pool::PooledConnection;
-use crate::crashes::{BreakCause, BrokenSend, check_abandoned_send, check_broken_send};
+use crate::crashes::{
+    BreakCause, BrokenSend, check_abandoned_send, check_broken_send, crashed_at_close,
+};
 use crate::decisions::{FailedSend, Outcome};
 use crate::endpoints::{Evidence, RequestPart};
 use crate::gateway::Gateway;
@@ -12,7 +14,8 @@
 use crate::metrics::KindLabel;
 use crate::retries::{SendAttempts, SendFailureKind};
 use crate::sending::{
-    BufferedReply, Destination, SendOutcome, buffer_reply, health_evidence, send,
+    BufferedReply, Destination, SendOutcome, buffer_reply, ends_with_connection, health_evidence,
+    send,
 };
 use crate::store::MetadataStore;
 use crate::wire::Wire;
@@ -126,9 +129,17 @@
             first_event_at: None,
         };
         let (failure_kind, reason) = match try_once(gateway, job, &choice).await {
-            TryOutcome::Success(reply) => {
+            TryOutcome::Success(whole) | TryOutcome::Failed(whole)
+                if ends_with_connection(&whole.head)
+                    && crashed_at_close(gateway, &broken_send()).await =>
+            {
+                check_broken_send(gateway, job, broken_send()).await;
+                let reason = "the endpoint crashed when it closed the connection".to_owned();
+                (SendFailureKind::MayHaveRun, reason)
+            }
+            TryOutcome::Success(whole) => {
                 gateway.on_request_survived(job);
-                return Ok(reply);
+                return Ok(whole.reply);
             }
             TryOutcome::Failed(whole) => {
                 gateway.on_request_survived(job);
@@ -197,7 +208,7 @@
 /// Outcome of one send.
 enum TryOutcome {
     /// The whole answer.
-    Success(Response<ReplyBody>),
+    Success(BufferedReply),
     /// A failure reported by the endpoint itself.
     Failed(BufferedReply),
     /// The endpoint proved that it did not run the call.
@@ -286,7 +297,7 @@
             match whole_answer(gateway, choice, reply, connection).await {
                 Ok(whole) => {
                     timer.record_answer();
-                    TryOutcome::Success(whole.reply)
+                    TryOutcome::Success(whole)
                 }
                 Err(lost) => lost,
             }
--- a/crates/sillbank_gateway/src/crashes/mod.rs
+++ b/crates/sillbank_gateway/src/crashes/mod.rs
@@ -110,14 +110,29 @@
     executor.spawn(check).detach();
 }
 
+/// Whether an endpoint has crashed that closed the connection of an answer which only the close ends. A crash closes a
+/// connection just as the end of such an answer does.
+pub async fn crashed_at_close<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    send: &BrokenSend,
+) -> bool {
+    may_crash(gateway, send)
+        && cause_of(gateway, send, Depth::Connect, send.broke_at).await == BreakCause::Crash
+}
+
+/// Whether an end of the endpoint would be a crash: one that is leaving may end as planned.
+fn may_crash<W: Wire, S>(gateway: &Gateway<W, S>, send: &BrokenSend) -> bool {
+    let standing = gateway.platform.endpoints(|all| all.get(&send.endpoint).map(|e| e.standing));
+    silence_means_loss(standing)
+}
+
 /// Begins the check of a send; `None` if the endpoint may end as planned.
 fn begin_check<W: Wire, S>(
     gateway: &Gateway<W, S>,
     job: &Job,
     send: &BrokenSend,
 ) -> Option<PendingCheck> {
-    let standing = gateway.platform.endpoints(|all| all.get(&send.endpoint).map(|e| e.standing));
-    if !silence_means_loss(standing) {
+    if !may_crash(gateway, send) {
         return None;
     }
     let suspect = || (job.fingerprint(), send.endpoint.clone());
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use sillbank_core::run::RunLog;
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
@@ -214,6 +214,11 @@
     Ok(BufferedReply { reply: strip_reply_headers(reply), head: headers, memory })
 }
 
+/// Whether only the end of the connection ends a reply's body.
+pub fn ends_with_connection(head: &HeaderMap) -> bool {
+    !head.contains_key(CONTENT_LENGTH) && !head.contains_key(TRANSFER_ENCODING)
+}
+
 /// Removes hop-by-hop headers from a reply.
 pub fn strip_reply_headers(mut reply: Response<ReplyBody>) -> Response<ReplyBody> {
     crate::job::strip_connection_headers(reply.headers_mut());
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -4,11 +4,12 @@
 use super::attempt::{Upstream, UpstreamReply};
 use super::loss::{Loss, Silence, SilenceTimer, detect_loss, move_request};
 use super::open::open_stream;
-use crate::crashes::{BreakCause, check_abandoned_send, check_broken_send};
+use crate::crashes::{BreakCause, check_abandoned_send, check_broken_send, crashed_at_close};
 use crate::decisions::{FailedSend, Outcome};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::sending::ends_with_connection;
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use http_body_util::BodyExt;
@@ -39,6 +40,8 @@
 enum SegmentEnd {
     /// The stream is complete.
     Complete,
+    /// The endpoint closed the connection, which ends a stream without other framing.
+    Closed,
     /// The stream broke: the endpoint at fault if it is not the first one, and the reason.
     Broken(Option<EndpointId>, String),
     /// This VM's link to the endpoint was lost, or the VM that passed the connection on; the reason.
@@ -109,6 +112,7 @@
                     self.gateway.keep_connection(&endpoint, connection, &head);
                     return (Outcome::Answered, String::new());
                 }
+                SegmentEnd::Closed => return (Outcome::Answered, String::new()),
                 SegmentEnd::Broken(at_fault, reason) => (Fault::Endpoint(at_fault), reason),
                 SegmentEnd::LinkLost(reason) => (Fault::Link, reason),
             };
@@ -233,7 +237,12 @@
                 None if upstream.splitter.has_partial_event() => {
                     return SegmentEnd::Broken(None, "the stream ended within an event".to_owned());
                 }
-                None => return SegmentEnd::Complete,
+                None if !ends_with_connection(&upstream.head) => return SegmentEnd::Complete,
+                None if crashed_at_close(&self.gateway, &upstream.broken_send()).await => {
+                    let reason = "the endpoint crashed when it closed the connection".to_owned();
+                    return SegmentEnd::Broken(None, reason);
+                }
+                None => return SegmentEnd::Closed,
                 Some(Err(error)) if upstream.connection.hop_is_lost() => {
                     return SegmentEnd::LinkLost(format!("the VM in between was lost: {error}"));
                 }
