Room of engines: a VM that gets most callers does not count its sends for the other VMs

While a load balancer sends most new connections of a hall to one VM, that VM refused callers for want of room that engines had: it counted what it had sent since an engine's last report once for each VM of the hall, as if all had sent as much. The figure now follows the demand on the average VM of the hall compared with its own (demand_share), which leaders report already; with even callers it is as before.

work_of_a_vm_that_gets_all_callers_is_not_counted_for_other_vms shows it: no path with 50 % of an engine used and 25 % on the way, for a VM with all callers of three; it cannot pass on the code before, which knows no shares. Looked at beside it: the retry budget divides only its slack, which a VM with all callers uses in its share; rate leases, admission and return times follow reported demand.

--- a/crates/sillbank_gateway/src/demand.rs
+++ b/crates/sillbank_gateway/src/demand.rs
@@ -5,6 +5,7 @@
 //! estimates the demand on its hall as its own rates times the VMs of the hall.
 
 use crate::decisions::Outcome;
+use crate::demand_share::ComparedDemand;
 use crate::feed::{FeedRequest, HallRates, Incarnation};
 use crate::gateway::Gateway;
 use crate::hall_reports::HallDemand;
@@ -16,7 +17,7 @@
 use sillbank_demand::prelude::*;
 use sillbank_demand::{MAX_SERVICES, add_rates};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Counts the demand on this VM, and adds up that on its hall while it leads.
@@ -172,6 +173,27 @@
         fleet
     }
 
+    /// Demand on this VM and on its hall, for the services whose demand on the hall is known.
+    pub fn compared_demand(&self, now: Instant) -> Vec<(ServiceId, ComparedDemand)> {
+        if !self.settings.borrow().mechanisms.fleet_demand {
+            return Vec::new();
+        }
+        let own = self.demand.counter.borrow().report(now).rates();
+        let services: BTreeSet<&ServiceId> = own.iter().map(|rate| &rate.service).collect();
+        let compare = |service: &&ServiceId| {
+            let halls = self.hall.reports.demand(service, now);
+            let hall = halls.iter().find(|demand| demand.hall == self.settings.borrow().hall)?;
+            let of_service = own.iter().filter(|rate| rate.service == **service);
+            let compared = ComparedDemand {
+                own_per_s: of_service.map(|rate| rate.offered_per_s).sum(),
+                hall_per_s: hall.rates.iter().map(|rate| rate.offered_per_s).sum(),
+                hall_vms: hall.vms,
+            };
+            Some(((*service).clone(), compared))
+        };
+        services.iter().filter_map(compare).collect()
+    }
+
     /// Demand report of this VM for the leader of its hall; `None` if it leads itself.
     pub fn demand_report(&self, is_own_hall_request: bool) -> Option<DemandReport> {
         let reports = is_own_hall_request && self.hall.acting_fence.get().is_none();
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::crashes::{CrashedEndpoints, PendingChecks};
 use crate::decisions::{DecisionLog, Outcome};
 use crate::demand::DemandTracker;
+use crate::demand_share::DemandShares;
 use crate::endpoints::{EndpointTracker, Evidence};
 use crate::feed::Incarnation;
 use crate::forecasts::Forecasts;
@@ -111,6 +112,8 @@
     pub load: FleetLoad,
     /// Demand on this VM and its hall.
     pub demand: DemandTracker,
+    /// Demand on this VM compared with that on others.
+    pub demand_shares: DemandShares,
     /// Connections to endpoints.
     pub connection_pool: ConnectionPool,
     /// HTTP client for reports and orders of engines.
@@ -178,6 +181,7 @@
             stream_activity: Rc::default(),
             load: FleetLoad::default(),
             demand: DemandTracker::new(incarnation, started_at),
+            demand_shares: DemandShares::default(),
             connection_pool: ConnectionPool::new(executor.clone()),
             engine_calls,
             decisions: DecisionLog::default(),
@@ -209,11 +213,13 @@
     /// Everything that the choice of a path depends on.
     pub fn routing_context(&self, now: Instant) -> RoutingContext<'_> {
         let mechanisms = self.settings.borrow().mechanisms;
+        self.demand_shares.renew(now, || self.compared_demand(now));
         RoutingContext {
             platform: &self.platform,
             hall: &self.hall,
             endpoint_tracker: &self.endpoint_tracker,
             pushback: &self.pushback,
+            demand_shares: &self.demand_shares,
             mechanisms,
             rng: &self.rng,
             now,
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -25,7 +25,8 @@
 //!   [`hall_reports`] holds what leaders report of engines, [`freshness`] bounds how stale that may
 //!   be, [`sources`] decides who asks the store, [`backoff`] how often while it does not answer,
 //!   [`turns`] which VMs of a hall come first.
-//! - [`demand`] measures the demand on this VM, its hall and the fleet.
+//! - [`demand`] measures the demand on this VM, its hall and the fleet, [`demand_share`] compares
+//!   them.
 //! - [`placement`] assigns layers to engines under a lease.
 //! - [`vm_limits`] measures how near the VM is to its own limits.
 //! - [`delivery`] records what a caller saw of its stream; [`forecasts`] predicts it and learns
@@ -45,6 +46,7 @@
 pub mod decisions;
 pub mod delivery;
 pub mod demand;
+pub mod demand_share;
 pub mod endpoints;
 pub mod events;
 pub mod feed;
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -1,5 +1,6 @@
 //! Chooses paths through the engines that together hold all layers of a model.
 
+use crate::demand_share::DemandShares;
 use crate::endpoints::EndpointTracker;
 use crate::hall::Hall;
 use crate::hall_reports::ReportedEngine;
@@ -170,6 +171,8 @@
     pub endpoint_tracker: &'a EndpointTracker,
     /// Rate limits and pauses that endpoints asked for.
     pub pushback: &'a RefCell<PushbackTracker>,
+    /// Demand on this VM compared with that on others.
+    pub demand_shares: &'a DemandShares,
     /// Which mechanisms are enabled.
     pub mechanisms: Mechanisms,
     /// Source of the random part of costs.
@@ -365,14 +368,15 @@
         return UnreportedLoad::default();
     }
     let own = context.endpoint_tracker.sent_since(&record.id, reported_at);
-    // VMs get about the same share of callers and choose by the same reports, so each is assumed to
-    // have sent the same. Senders to an engine of the local hall are the VMs of this hall; senders
-    // to an engine of another hall with room left are the VMs of all halls but that one.
+    // VMs choose by the same reports, so each is assumed to have sent as much for its demand.
+    // Senders to an engine of the local hall are the VMs of this hall; senders to an engine of
+    // another hall with room left are the VMs of all halls but that one.
     let senders = match record.hall == request.local_hall {
         true => reported.vms,
         false => context.hall.reports.max_fleet_vms().saturating_sub(reported.vms),
     };
-    own.scaled(f64::from(senders.max(1)))
+    let average_to_own = context.demand_shares.average_to_own(&request.service.name);
+    own.scaled((f64::from(senders) * average_to_own).max(1.0))
 }
 
 /// State of an engine as reported by its hall's leader.
--- a/crates/sillbank_gateway/tests/forecasts.rs
+++ b/crates/sillbank_gateway/tests/forecasts.rs
@@ -6,6 +6,7 @@
 use sillbank_engines::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_gateway::delivery::Delivery;
+use sillbank_gateway::demand_share::DemandShares;
 use sillbank_gateway::endpoints::EndpointTracker;
 use sillbank_gateway::feed::{EngineState, HallReport};
 use sillbank_gateway::forecasts::{Forecasts, StreamForecast};
@@ -115,6 +116,7 @@
         hall: &hall,
         endpoint_tracker: &endpoint_tracker,
         pushback: &RefCell::default(),
+        demand_shares: &DemandShares::default(),
         mechanisms,
         rng: &rng,
         now,
--- a/crates/sillbank_gateway/tests/load.rs
+++ b/crates/sillbank_gateway/tests/load.rs
@@ -9,6 +9,7 @@
 use sillbank_core::prelude::*;
 use sillbank_core::rng::SharedRng;
 use sillbank_fleet::prelude::*;
+use sillbank_gateway::demand_share::DemandShares;
 use sillbank_gateway::endpoints::EndpointTracker;
 use sillbank_gateway::feed::{EngineState, HallReport};
 use sillbank_gateway::hall::Hall;
@@ -77,6 +78,7 @@
     rng: SharedRng,
     endpoint_tracker: EndpointTracker,
     pushback: RefCell<PushbackTracker>,
+    demand_shares: DemandShares,
     load: FleetLoad,
     service: Service,
     route: Route,
@@ -96,6 +98,7 @@
             rng: SharedRng::with_seed(1),
             endpoint_tracker: EndpointTracker::default(),
             pushback: RefCell::default(),
+            demand_shares: DemandShares::default(),
             load: FleetLoad::default(),
             service: service(),
             route: route(),
@@ -113,6 +116,7 @@
             hall,
             endpoint_tracker,
             pushback: &self.pushback,
+            demand_shares: &self.demand_shares,
             mechanisms,
             rng,
             now,
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -8,6 +8,7 @@
 use sillbank_core::prelude::*;
 use sillbank_engines::prelude::*;
 use sillbank_fleet::prelude::*;
+use sillbank_gateway::demand_share::{ComparedDemand, DemandShares};
 use sillbank_gateway::endpoints::{EndpointTracker, RequestPart};
 use sillbank_gateway::feed::{EngineState, HallReport};
 use sillbank_gateway::hall::Hall;
@@ -106,6 +107,7 @@
     hall: Hall,
     endpoint_tracker: Rc<EndpointTracker>,
     pushback: RefCell<PushbackTracker>,
+    demand_shares: DemandShares,
     rng: SharedRng,
 }
 
@@ -117,6 +119,7 @@
             hall: Hall::new(rng.clone()),
             endpoint_tracker: Rc::default(),
             pushback: RefCell::default(),
+            demand_shares: DemandShares::default(),
             rng: rng.clone(),
         }
     }
@@ -135,6 +138,7 @@
             hall,
             endpoint_tracker,
             pushback,
+            demand_shares: &self.demand_shares,
             mechanisms: Mechanisms::default(),
             rng,
             now,
@@ -277,6 +281,45 @@
     assert!(afterwards.is_some());
 }
 
+/// Tokens times layers that fit into an engine which holds half of the model.
+fn kv_of_engine() -> f64 {
+    let figures = service().engine.expect("it has one");
+    let layers = f64::from(LAYERS);
+    let free_mb = figures.accelerators[0].memory_mb - figures.layer_mb * layers / 2.0;
+    free_mb * 1e6 * layers / figures.kv_token_bytes
+}
+
+/// Guards against a VM that gets most callers of its hall and takes engines for full: it counted what it had sent since the last
+/// report once for each VM, as if all had sent as much.
+#[test]
+fn work_of_a_vm_that_gets_all_callers_is_not_counted_for_other_vms() {
+    // Arrange: a hall of three VMs, an engine that is half full, and work of this VM that takes a quarter of it.
+    let records = [record("first", "slow", 0, 10), record("last", "slow", 10, 20)];
+    let now = Instant::now();
+    let vm = Vm::new(&rng());
+    vm.set_endpoints(&records);
+    let mut last = idle(&records[1]);
+    last.kv_permille = 500;
+    let engines = vec![idle(&records[0]), last];
+    vm.hall.reports.insert(now, HallReport { vms: 3, ..hall_report(LOCAL_HALL, engines) });
+    let kv = 0.25 * kv_of_engine();
+    let in_flight =
+        vm.endpoint_tracker.start(vec![RequestPart { endpoint: "last".to_owned(), kv }], now);
+    let demand = |own_per_s| ComparedDemand { own_per_s, hall_per_s: 60.0, hall_vms: 3 };
+
+    // Act
+    let compare = |own_per_s| move || vec![(service().name, demand(own_per_s))];
+    vm.demand_shares.renew(now, compare(20.0));
+    let with_even_callers = path_for(&service(), vm.routing_context(now));
+    vm.demand_shares.renew(now + Duration::from_secs(1), compare(60.0));
+    let with_all_callers = path_for(&service(), vm.routing_context(now));
+
+    // Assert
+    drop(in_flight);
+    assert_eq!(with_even_callers, None);
+    assert!(with_all_callers.is_some());
+}
+
 /// An engine whose slots are all used cannot start a path.
 #[test]
 fn no_path_starts_at_an_engine_without_free_slots() {
