--- a/crates/sillbank_quarantine/src/part_quarantine.rs
+++ b/crates/sillbank_quarantine/src/part_quarantine.rs
@@ -11,7 +11,7 @@
 };
 use crate::quarantine::UpdateSource;
 use crate::request_traits::{OrganisationTag, PartKey, RequestTraits};
-use crate::updates::ChangeNumber;
+use crate::updates::{ChangeNumber, changes_since};
 use sillbank_core::prelude::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -243,21 +243,10 @@
         now: Instant,
         change_of: impl Fn(&PartSuspect) -> ChangeNumber,
     ) -> PartUpdates {
-        if since >= self.newest_change {
-            return PartUpdates { up_to: since, parts: Vec::new() };
-        }
-        let changed = self.suspects.iter().filter(|(_, suspect)| change_of(suspect) > since);
-        let changed: BTreeSet<(ChangeNumber, PartKey)> =
-            changed.map(|(key, suspect)| (change_of(suspect), *key)).collect();
-        let is_complete = changed.len() <= max;
-        let included: Vec<(ChangeNumber, PartKey)> = changed.into_iter().take(max).collect();
-        let up_to = match (is_complete, included.last()) {
-            (false, Some((last, _))) => *last,
-            _ => self.newest_change,
-        };
-        let parts = included
-            .iter()
-            .filter_map(|(_, key)| Some(self.suspects.get(key)?.to_update(*key, now)));
+        let changes = self.suspects.iter().map(|(key, suspect)| (change_of(suspect), *key));
+        let (up_to, included) = changes_since(changes, since, self.newest_change, max);
+        let parts =
+            included.iter().filter_map(|key| Some(self.suspects.get(key)?.to_update(*key, now)));
         PartUpdates { up_to, parts: parts.collect() }
     }
 
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -7,7 +7,7 @@
 };
 use crate::suspect::{StoredSummary, Suspect};
 use crate::updates::{
-    ChangeNumber, QuarantineRecord, QuarantineUpdate, StoredSuspect, SuspectUpdate,
+    ChangeNumber, QuarantineRecord, QuarantineUpdate, StoredSuspect, SuspectUpdate, changes_since,
 };
 use sillbank_core::prelude::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -300,19 +300,10 @@
         now: Instant,
         change_of: impl Fn(&Suspect) -> ChangeNumber,
     ) -> QuarantineUpdate {
-        if since >= self.newest_change {
-            return QuarantineUpdate { up_to: since, suspects: Vec::new() };
-        }
-        let changed = self.suspects.iter().filter(|(_, suspect)| change_of(suspect) > since);
-        let changed: BTreeSet<(ChangeNumber, Fingerprint)> =
-            changed.map(|(fingerprint, suspect)| (change_of(suspect), *fingerprint)).collect();
-        let is_complete = changed.len() <= max;
-        let included: Vec<(ChangeNumber, Fingerprint)> = changed.into_iter().take(max).collect();
-        let up_to = match (is_complete, included.last()) {
-            (false, Some((last, _))) => *last,
-            _ => self.newest_change,
-        };
-        let suspects = included.iter().filter_map(|(_, fingerprint)| {
+        let changes = self.suspects.iter();
+        let changes = changes.map(|(fingerprint, suspect)| (change_of(suspect), *fingerprint));
+        let (up_to, included) = changes_since(changes, since, self.newest_change, max);
+        let suspects = included.iter().filter_map(|fingerprint| {
             Some(self.suspects.get(fingerprint)?.to_update(*fingerprint, now))
         });
         QuarantineUpdate { up_to, suspects: suspects.collect() }
--- a/crates/sillbank_quarantine/src/updates.rs
+++ b/crates/sillbank_quarantine/src/updates.rs
@@ -7,10 +7,36 @@
 use crate::part_updates::StoredPart;
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::EndpointId;
+use std::collections::BTreeSet;
 
 /// Number of a change, counted by one VM.
 pub type ChangeNumber = u64;
 
+/// Selects what changed after `since`, the oldest changes first and at most `max` of them. Also returns the number up to
+/// which all changes were selected.
+pub(crate) fn changes_since<K: Ord>(
+    changes: impl Iterator<Item = (ChangeNumber, K)>,
+    since: ChangeNumber,
+    newest: ChangeNumber,
+    max: usize,
+) -> (ChangeNumber, Vec<K>) {
+    if since >= newest {
+        return (since, Vec::new());
+    }
+    let changed: BTreeSet<(ChangeNumber, K)> =
+        changes.filter(|(change, _)| *change > since).collect();
+    let is_complete = changed.len() <= max;
+    let mut up_to = newest;
+    let mut selected = Vec::new();
+    for (change, key) in changed.into_iter().take(max) {
+        if !is_complete {
+            up_to = change;
+        }
+        selected.push(key);
+    }
+    (up_to, selected)
+}
+
 /// A crash of an endpoint that ran the request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashUpdate {
