--- a/crates/sillbank_gateway/src/crashes/mod.rs
+++ b/crates/sillbank_gateway/src/crashes/mod.rs
@@ -5,9 +5,9 @@
 //! exits as planned, even with unfinished requests, and does not count as crashed.
 
 //!
-//! - [`pending`]: checks that have not ended, and requests that wait for them.
-//! - [`found`]: crashes that were found, and results that checks of one endpoint share.
-//! - [`cause`]: why a connection broke, by one check of the endpoint.
+//! - `pending`: checks that have not ended, and requests that wait for them.
+//! - `found`: crashes that were found, and results that checks of one endpoint share.
+//! - `cause`: why a connection broke, by one check of the endpoint.
 
 mod cause;
 mod found;
