--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that crash the endpoints that run them, shared by all VMs.
+//! Quarantine of requests, and of parts of prompts, that crash the endpoints that run them, shared by all VMs.
 //!
 //! Each VM decides by itself, by the crashes that it witnessed and those reported to it. VMs report
 //! to their leader with each feed request, leaders to the VMs of their hall and to each other with
@@ -24,7 +24,7 @@
 
 impl<W: Wire, S> Gateway<W, S> {
     /// Records that an endpoint crashed while it ran a request. The crash counts against a request
-    /// that had just started there.
+    /// that had just started there, and against the parts of its prompt.
     pub fn on_endpoint_crash(&self, job: &Job, send: &BrokenSend) {
         let is_suspected = send.may_be_cause();
         self.decisions.endpoint_crashed(job, send, is_suspected);
--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -1,12 +1,25 @@
-//! Quarantine of requests that crash the endpoints that run them: how such requests are identified, when they are
-//! quarantined, and which updates about them VMs exchange.
+//! Quarantine of requests, and of parts of prompts, that crash the endpoints that run them: how they are identified, when
+//! they are held back, and which updates about them VMs exchange.
+//!
+//! [`CrashQuarantine`] is the whole: it takes evidence (crashes and good runs of requests with their [`RequestTraits`])
+//! and returns a [`Verdict`].
+//!
+//! # Requests
 //!
 //! A retry of a caller has its own id and usually arrives at another VM. Requests are therefore identified by their
 //! [`Fingerprint`]. A request becomes a suspect if an endpoint crashes in the first moments of running it: it may be
 //! the cause, or have been there by chance. A suspect that then runs well is cleared. A request with three crashes is
 //! quarantined for a term, which doubles with each further crash.
 //!
-//! The state of a request is a set of crashes and the time at which it was last seen to run well. Sets of different
+//! # Parts of prompts
+//!
+//! Requests that share a harmful part differ in all else. A part is held back after three crashes under two requests or
+//! more, each sent after the crash before. All requests at an endpoint that crashes look alike, so crashes are attributed
+//! to the part that explains most of them, and parts that ran well before are no suspects.
+//!
+//! # Exchange
+//!
+//! The state of a request or a part is a set of crashes and the time at which it was last seen to run well. Sets of different
 //! VMs are merged; the result does not depend on the order or number of updates.
 //!
 //! This crate is pure: it uses no sockets, clock or threads.
