--- a/crates/sillbank_quarantine/src/policy.rs
+++ b/crates/sillbank_quarantine/src/policy.rs
@@ -36,13 +36,6 @@
 /// the same time, but the store dates it by the time of day, on which VMs disagree by seconds.
 pub(crate) const SAME_CRASH_TOLERANCE: Duration = Duration::from_secs(10);
 
-/// Time after its last crash for which a request with this number of crashes is quarantined; `None` if it is not.
-pub(crate) fn quarantine_term(crashes: usize) -> Option<Duration> {
-    let doublings = u32::try_from(crashes.checked_sub(CRASHES_TO_QUARANTINE)?).unwrap_or(u32::MAX);
-    let term = INITIAL_TERM.saturating_mul(2_u32.saturating_pow(doublings));
-    Some(term.min(MAX_TERM))
-}
-
 /// Different requests with a part under which endpoints must have crashed before the part is held back. With one request
 /// that comes again, the request itself is the likelier cause.
 pub const REQUESTS_TO_HOLD_PART: usize = 2;
@@ -57,7 +50,7 @@
 pub(crate) const MAX_PART_ORGANISATIONS: usize = 16;
 /// Maximum number of suspected parts, of about 500 bytes each.
 pub const MAX_PART_SUSPECTS: usize = 1_024;
-/// Maximum number of parts in the store, of at most 4 KB each: an object may have 1 MB.
+/// Maximum number of parts in the store, of at most 5 KB each: an object may have 1 MB.
 pub(crate) const MAX_STORED_PARTS: usize = 64;
 /// Remembered good runs of parts under all organisations, of about 60 bytes each.
 pub const MAX_GOOD_RUNS: usize = 32_768;
@@ -67,3 +60,10 @@
 pub(crate) const OTHER_WRITER_DELAY: Duration = Duration::from_secs(1);
 /// Time that a trial may take, from when its request is admitted. Routes let requests take up to about 20 s.
 pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time after its last crash for which a request with this number of crashes is quarantined; `None` if it is not.
+pub(crate) fn quarantine_term(crashes: usize) -> Option<Duration> {
+    let doublings = u32::try_from(crashes.checked_sub(CRASHES_TO_QUARANTINE)?).unwrap_or(u32::MAX);
+    let term = INITIAL_TERM.saturating_mul(2_u32.saturating_pow(doublings));
+    Some(term.min(MAX_TERM))
+}
