Quarantine: halls take turns to try again what was held back

Found by reading: only the leader of the first hall could try, and callers of another hall do not reach its VMs. A request or part that only they send stayed refused for as long as they sent it, also a sound one that was held back by mistake. Leaders now take turns of a minute, from the end of the term.

--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -92,8 +92,8 @@
     /// Refuses a request that is held back when it arrives, unless it is let through as a trial.
     pub fn refuse_arrival(&self, job: &Job) -> Option<Failure> {
         self.hold_of(job)?;
-        let right = self.trial_right();
-        let verdict = self.quarantine.borrow_mut().admit(job.traits(), Instant::now(), right);
+        let turns = self.trial_turns();
+        let verdict = self.quarantine.borrow_mut().admit(job.traits(), Instant::now(), turns);
         match verdict {
             Verdict::Admit => None,
             Verdict::Try => {
@@ -115,16 +115,13 @@
         Failure::before_work(FailureKind::Quarantined, reason).retry_after(hold.retry_after)
     }
 
-    /// One VM of the fleet may try again what was held back: the leader of the first hall, by name. A lease makes it the
-    /// only one.
-    fn trial_right(&self) -> TrialRight {
-        let leads = self.hall.acting_fence.get().is_some();
+    /// Which VM may try again what was held back. A lease makes the leader the only one of its hall.
+    fn trial_turns(&self) -> TrialTurns {
         let halls = self.platform.halls();
-        let is_first_hall = halls.iter().min() == Some(&self.settings.borrow().hall);
-        match leads && is_first_hall {
-            true => TrialRight::Granted,
-            false => TrialRight::Denied,
-        }
+        let leads = self.hall.acting_fence.get().is_some();
+        let position = halls.iter().position(|hall| *hall == self.settings.borrow().hall);
+        let own = position.filter(|_| leads).map(|position| position as u32);
+        TrialTurns { halls: halls.len() as u32, own }
     }
 
     /// Records that the quarantine list was received from a leader or read from the store.
--- a/crates/sillbank_quarantine/src/crash_quarantine.rs
+++ b/crates/sillbank_quarantine/src/crash_quarantine.rs
@@ -4,7 +4,7 @@
 use crate::good_runs::GoodRuns;
 use crate::part_quarantine::{PartEvent, PartQuarantine};
 use crate::part_updates::{PartUpdate, PartUpdates};
-use crate::policy::TRIAL_TIMEOUT;
+use crate::policy::{TRIAL_TIMEOUT, TRIAL_TURN};
 use crate::quarantine::{Quarantine, QuarantineEvent, UpdateSource};
 use crate::request_traits::{PartKey, RequestTraits};
 use crate::updates::{ChangeNumber, QuarantineRecord, QuarantineUpdate, SuspectUpdate};
@@ -28,14 +28,22 @@
     Part(PartKey),
 }
 
-/// Whether this VM may try again what was held back. Only one VM of the fleet may: each that did would crash an
-/// endpoint if the cause still exists.
+/// Which VM may try again what was held back. Only one of the fleet may at a time: each that did would crash an endpoint if
+/// the cause still exists. The leaders of halls take turns, as callers of one hall do not reach the VMs of another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TrialRight {
-    /// This VM may.
-    Granted,
-    /// Another one may.
-    Denied,
+pub struct TrialTurns {
+    /// Number of halls.
+    pub halls: u32,
+    /// Position of the hall that this VM leads, from 0; `None` if it leads none.
+    pub own: Option<u32>,
+}
+
+impl TrialTurns {
+    /// Whether it is this VM's turn at a time after the end of a term.
+    fn is_own(self, since_term: Duration) -> bool {
+        let turn = since_term.as_secs() / TRIAL_TURN.as_secs() % u64::from(self.halls.max(1));
+        self.own.is_some_and(|own| u64::from(own) == turn)
+    }
 }
 
 /// Requests and parts of prompts that are suspected or held back, as one VM knows them.
@@ -84,7 +92,7 @@
     }
 
     /// Decides on a request that has arrived.
-    pub fn admit(&mut self, traits: &RequestTraits, now: Instant, right: TrialRight) -> Verdict {
+    pub fn admit(&mut self, traits: &RequestTraits, now: Instant, turns: TrialTurns) -> Verdict {
         let Some(hold) = self.hold(traits, now) else {
             return Verdict::Admit;
         };
@@ -92,7 +100,7 @@
             Some(verdict) => TrialSubject::Part(verdict.key),
             None => TrialSubject::Request(traits.fingerprint),
         };
-        if right == TrialRight::Granted && self.begins_trial(traits, subject, now) {
+        if self.begins_trial(traits, subject, now, turns) {
             return Verdict::Try;
         }
         match subject {
@@ -242,8 +250,10 @@
         let fingerprint = traits.fingerprint;
         let term_left = match self.requests.quarantined_for(fingerprint, now) {
             Some(left) => left,
-            None if self.requests.awaits_trial(fingerprint, now) => Duration::ZERO,
-            None => return None,
+            None => {
+                self.requests.since_term(fingerprint, now)?;
+                Duration::ZERO
+            }
         };
         let (_, last_crash) = self.requests.last_crash(fingerprint)?;
         Some(Hold {
@@ -254,19 +264,27 @@
         })
     }
 
-    /// Begins a trial if all terms that concern the request are over and none of its causes is being tried.
+    /// Begins a trial if all terms that concern the request are over, it is this VM's turn, and its cause is not being tried.
     fn begins_trial(
         &mut self,
         traits: &RequestTraits,
         subject: TrialSubject,
         now: Instant,
+        turns: TrialTurns,
     ) -> bool {
-        let part_term = self.parts.verdict(traits, now).map(|verdict| verdict.term_left);
-        let is_over = part_term.is_none_or(|left| left.is_zero())
-            && self.requests.quarantined_for(traits.fingerprint, now).is_none();
+        let of_part = self.parts.verdict(traits, now).map(|verdict| verdict.since_term);
+        let of_request = self.requests.since_term(traits.fingerprint, now);
+        // A term that is not over yet has no time since its end.
+        let Some(since_term) = of_part.or(of_request).flatten() else {
+            return false;
+        };
+        let is_request_over = of_request.is_none_or(|since| since.is_some());
         let is_running =
             |began_at: &Instant| now.saturating_duration_since(*began_at) < TRIAL_TIMEOUT;
-        if !is_over || self.trials.get(&subject).is_some_and(is_running) {
+        if !is_request_over
+            || !turns.is_own(since_term)
+            || self.trials.get(&subject).is_some_and(is_running)
+        {
             return false;
         }
         self.trials.insert(subject, now);
--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -41,7 +41,7 @@
 mod updates;
 mod verdict;
 
-pub use crash_quarantine::{CrashQuarantine, HoldEvent, TrialRight};
+pub use crash_quarantine::{CrashQuarantine, HoldEvent, TrialTurns};
 pub use fingerprint::{Fingerprint, RequestIdentity};
 pub use good_runs::GoodRuns;
 pub use part_quarantine::PartEvent;
@@ -52,7 +52,7 @@
 pub use policy::{
     CRASHES_TO_QUARANTINE, EXONERATION_TIME, MAX_GOOD_RUNS, MAX_GOOD_RUNS_OF_ORGANISATION,
     MAX_PART_SUSPECTS, MAX_SUSPECTS, REPORT_DELAY, REQUESTS_TO_HOLD_PART, RETENTION,
-    SUSPICION_WINDOW, TRIAL_TIMEOUT,
+    SUSPICION_WINDOW, TRIAL_TIMEOUT, TRIAL_TURN,
 };
 pub use prompt_parts::{MAX_PROMPT_PARTS, PartId, PromptParts, UnreadableParts};
 pub use quarantine::{Quarantine, QuarantineEvent, UpdateSource};
@@ -69,7 +69,7 @@
         CRASHES_TO_QUARANTINE, CrashQuarantine, Fingerprint, Hold, HoldCause, HoldEvent,
         MAX_PROMPT_PARTS, PartEvent, PartId, PartKey, PartUpdate, PartUpdates, PromptParts,
         Quarantine, QuarantineEvent, QuarantineRecord, QuarantineUpdate, RequestIdentity,
-        RequestTraits, SUSPICION_WINDOW, SuspectUpdate, TrialRight, UnreadableParts, UpdateSource,
+        RequestTraits, SUSPICION_WINDOW, SuspectUpdate, TrialTurns, UnreadableParts, UpdateSource,
         Verdict,
     };
 }
--- a/crates/sillbank_quarantine/src/part_quarantine.rs
+++ b/crates/sillbank_quarantine/src/part_quarantine.rs
@@ -48,6 +48,8 @@
     pub(crate) last_crash: Instant,
     /// Time left until the part may be tried again.
     pub(crate) term_left: Duration,
+    /// Time since the end of the term; `None` if it is not over.
+    pub(crate) since_term: Option<Duration>,
 }
 
 /// Suspected parts known to one VM.
@@ -155,11 +157,15 @@
             let (hold, suspect) = (self.attribution.holds.get(key)?, self.suspects.get(key)?);
             applies(hold, suspect, traits.organisation).then_some((*key, hold))
         });
-        let verdicts = held.map(|(key, hold)| PartVerdict {
-            key,
-            crashes: hold.crashes,
-            last_crash: hold.last_crash,
-            term_left: hold.term.saturating_sub(now.saturating_duration_since(hold.last_crash)),
+        let verdicts = held.map(|(key, hold)| {
+            let age = now.saturating_duration_since(hold.last_crash);
+            PartVerdict {
+                key,
+                crashes: hold.crashes,
+                last_crash: hold.last_crash,
+                term_left: hold.term.saturating_sub(age),
+                since_term: age.checked_sub(hold.term),
+            }
         });
         verdicts.max_by_key(|verdict| (verdict.term_left, verdict.crashes))
     }
--- a/crates/sillbank_quarantine/src/policy.rs
+++ b/crates/sillbank_quarantine/src/policy.rs
@@ -58,6 +58,9 @@
 pub const MAX_GOOD_RUNS_OF_ORGANISATION: usize = 4_096;
 /// How long a VM waits for the leader of the hall that observed a crash to write it to the store.
 pub(crate) const OTHER_WRITER_DELAY: Duration = Duration::from_secs(1);
+/// Time for which the leader of one hall may begin a trial, before it is the turn of the next hall. It is longer than a
+/// trial, so that two halls rarely have one at the same time.
+pub const TRIAL_TURN: Duration = Duration::from_secs(60);
 /// Time that a trial may take, from when its request is admitted. Routes let requests take up to about 20 s.
 pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
 
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -2,8 +2,7 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::policy::{
-    CRASHES_TO_QUARANTINE, ISOLATION_TERM, MAX_SUSPECTS, OTHER_WRITER_DELAY, REPORT_DELAY,
-    RETENTION, URGENT_CRASHES,
+    ISOLATION_TERM, MAX_SUSPECTS, OTHER_WRITER_DELAY, REPORT_DELAY, RETENTION, URGENT_CRASHES,
 };
 use crate::suspect::{StoredSummary, Suspect};
 use crate::updates::{
@@ -107,10 +106,10 @@
         self.suspects.get(&fingerprint)?.quarantined_for(&self.explained, now)
     }
 
-    /// Whether a request has been quarantined, its term is over, and it has not run well since.
-    pub fn awaits_trial(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.crash_count(fingerprint) >= CRASHES_TO_QUARANTINE
-            && self.quarantined_for(fingerprint, now).is_none()
+    /// Time since the end of a request's term; `None` inside if it is not over. `None` if the request has not been
+    /// quarantined, or has run well since.
+    pub fn since_term(&self, fingerprint: Fingerprint, now: Instant) -> Option<Option<Duration>> {
+        self.suspects.get(&fingerprint)?.since_term(&self.explained, now)
     }
 
     /// Records that a request was refused, so that it is remembered while it comes.
--- a/crates/sillbank_quarantine/src/suspect.rs
+++ b/crates/sillbank_quarantine/src/suspect.rs
@@ -162,11 +162,30 @@
         explained: &BTreeSet<EndpointId>,
         now: Instant,
     ) -> Option<Duration> {
-        let term = quarantine_term(self.crash_count(explained))?;
-        let elapsed = now.saturating_duration_since(self.newest()?);
+        let (term, elapsed) = self.term_and_elapsed(explained, now)?;
         term.checked_sub(elapsed).filter(|left| !left.is_zero())
     }
 
+    /// Time since the end of the quarantine; `None` inside if it is not over. `None` if there was none.
+    pub(crate) fn since_term(
+        &self,
+        explained: &BTreeSet<EndpointId>,
+        now: Instant,
+    ) -> Option<Option<Duration>> {
+        let (term, elapsed) = self.term_and_elapsed(explained, now)?;
+        Some(elapsed.checked_sub(term))
+    }
+
+    /// Length of the quarantine, and the time since its start.
+    fn term_and_elapsed(
+        &self,
+        explained: &BTreeSet<EndpointId>,
+        now: Instant,
+    ) -> Option<(Duration, Duration)> {
+        let term = quarantine_term(self.crash_count(explained))?;
+        Some((term, now.saturating_duration_since(self.newest()?)))
+    }
+
     /// Whether the retention time is over.
     pub(crate) fn is_expired(&self, now: Instant) -> bool {
         let newest = self.newest().max(self.refused_at);
