Load shedding: a change of the source of fullness is no trend

Cause: without recent reports fullness is assumed as 0.7. The controller took the step from a reported 0.0 to it for a trend and predicted a full fleet (log: fullness=0.7 share=0.28). Observations now name their source, and only those of one source have a trend. The same holds for the sum over halls when the reports of one stop or return. The error from the target counts as before: full engines shed as much (test).

The new test of the gateway fails on the code before (share 0.06 at quarter 11) and passes now.

--- a/crates/sillbank_admission/src/share_controller.rs
+++ b/crates/sillbank_admission/src/share_controller.rs
@@ -42,6 +42,9 @@
 /// A VM with few requests closes and opens too, and after an idle time the current error does not count for all of it.
 const MAX_STEP: Duration = Duration::from_secs(2);
 
+/// What a fullness was taken from, as a hash; values of different sources are not compared.
+pub type SourceTag = u64;
+
 /// Controller of the admitted share.
 #[derive(Debug, Clone)]
 pub struct ShareController {
@@ -55,6 +58,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Observation {
+    source: SourceTag,
     at: Instant,
     fullness: f64,
     /// Change of fullness per second.
@@ -69,15 +73,21 @@
 }
 
 impl ShareController {
-    /// Updates the share from the current fullness of the engines, from 0 to 1. A value that is not finite is
-    /// ignored.
+    /// Updates the share from the current fullness of the engines, from 0 to 1, of the same source each time. A value that
+    /// is not finite is ignored.
     pub fn update(&mut self, now: Instant, fullness: f64) {
+        self.update_from(SourceTag::default(), now, fullness);
+    }
+
+    /// As [`Self::update`], from a source that may differ from the last one. The difference between two sources is no
+    /// trend of the engines.
+    pub fn update_from(&mut self, source: SourceTag, now: Instant, fullness: f64) {
         if !fullness.is_finite() {
             return;
         }
         let fullness = fullness.clamp(0.0, 1.0);
-        let (trend, elapsed_s) = self.trend(now, fullness);
-        self.last = Some(Observation { at: now, fullness, trend });
+        let (trend, elapsed_s) = self.trend(source, now, fullness);
+        self.last = Some(Observation { source, at: now, fullness, trend });
         let predicted = fullness + LOOKAHEAD_S * trend;
         self.is_shedding |= predicted >= SHEDDING_THRESHOLD;
         if !self.is_shedding {
@@ -98,7 +108,7 @@
     }
 
     /// Change of fullness per second, and the seconds for which the current error counts.
-    fn trend(&self, now: Instant, fullness: f64) -> (f64, f64) {
+    fn trend(&self, source: SourceTag, now: Instant, fullness: f64) -> (f64, f64) {
         let Some(last) = self.last else {
             return (0.0, 0.0);
         };
@@ -110,6 +120,9 @@
             return (0.0, MAX_STEP.as_secs_f64());
         }
         let elapsed_s = elapsed.as_secs_f64();
+        if source != last.source {
+            return (0.0, elapsed_s);
+        }
         let decay = (-elapsed_s / TREND_TIME_S).exp();
         let newest = (fullness - last.fullness) / elapsed_s;
         (last.trend * decay + newest * (1.0 - decay), elapsed_s)
--- a/crates/sillbank_admission/tests/level.rs
+++ b/crates/sillbank_admission/tests/level.rs
@@ -1,11 +1,13 @@
 //! Tests of the admitted share as a function of the engines' fullness, and of fullness estimated from refusals.
 
 use sillbank_admission::refusal_ratio::RefusalRatio;
-use sillbank_admission::share_controller::ShareController;
+use sillbank_admission::share_controller::{ShareController, SourceTag};
 use sillbank_testing::for_fixed_seeds;
 use std::time::{Duration, Instant};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+const REPORTED: SourceTag = 1;
+const ASSUMED: SourceTag = 2;
 
 /// The share after a number of equal reports at an interval.
 fn share_after(reports: u32, interval: Duration, fullness: f64) -> f64 {
@@ -143,3 +145,33 @@
         assert_eq!(controller.share(), 1.0, "{fullness}");
     }
 }
+
+/// Guards against refusals by an idle fleet: when reports stop, the value that is assumed instead is higher than the last
+/// reported one, and the difference was taken for a trend that fills the engines within half a second.
+#[test]
+fn change_of_the_source_of_fullness_is_no_trend() {
+    let start = Instant::now();
+    let mut controller = ShareController::default();
+
+    for number in 0..40 {
+        let is_reported = number % 4 < 2;
+        let (source, fullness) = if is_reported { (REPORTED, 0.0) } else { (ASSUMED, 0.7) };
+        controller.update_from(source, start + REPORT_INTERVAL * number, fullness);
+
+        assert_eq!(controller.share(), 1.0, "observation {number}");
+    }
+}
+
+/// Engines that stay full shed as much load while the source of their fullness changes with each observation.
+#[test]
+fn full_engines_reduce_the_share_as_much_whatever_the_source() {
+    let start = Instant::now();
+    let mut controller = ShareController::default();
+
+    for number in 0..10 {
+        let source = if number % 2 == 0 { REPORTED } else { ASSUMED };
+        controller.update_from(source, start + REPORT_INTERVAL * number, 1.0);
+    }
+
+    assert_eq!(controller.share(), share_after(10, REPORT_INTERVAL, 1.0));
+}
--- a/crates/sillbank_gateway/src/load.rs
+++ b/crates/sillbank_gateway/src/load.rs
@@ -10,9 +10,10 @@
 use crate::restarts::may_be_current;
 use sillbank_admission::elapsed::ElapsedEstimator;
 use sillbank_admission::refusal_ratio::RefusalRatio;
-use sillbank_admission::share_controller::ShareController;
+use sillbank_admission::share_controller::{ShareController, SourceTag};
 use sillbank_admission::shedding::{Priority, PriorityClass, PriorityShedder};
 use sillbank_catalog::prelude::*;
+use sillbank_core::hash::hash_u64;
 use sillbank_core::prelude::*;
 use sillbank_engines::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -32,6 +33,9 @@
 /// within it.
 const CALM_PERIOD: Duration = Duration::from_secs(10);
 
+/// Source of a fullness that follows from what engines refused to this VM.
+const OWN_REFUSALS: SourceTag = 0;
+
 /// Input of the admission decision.
 #[derive(Debug, Clone, Copy)]
 pub struct AdmissionRequest<'a> {
@@ -158,9 +162,10 @@
         {
             return fullness;
         }
-        let reported = fleet_capacity(context, request.service, request.figures).fullness();
-        let fullness = reported.unwrap_or_else(|| self.refusals.fullness(now));
-        self.controller.update(now, fullness);
+        let reported = reported_fullness(context, request.service, request.figures);
+        let (source, fullness) =
+            reported.unwrap_or_else(|| (OWN_REFUSALS, self.refusals.fullness(now)));
+        self.controller.update_from(source, now, fullness);
         if self.controller.share() < 1.0 {
             self.last_shed_at = Some(now);
         }
@@ -194,12 +199,42 @@
     }
 }
 
+/// Used share of the engines of all halls whose leaders report them, with a tag of these halls. `None` without any
+/// capacity.
+fn reported_fullness(
+    context: RoutingContext<'_>,
+    service: &Service,
+    figures: &EngineFigures,
+) -> Option<(SourceTag, f64)> {
+    let by_hall = reported_engines(context, service, figures);
+    let fullness = total_capacity(&by_hall, figures).fullness()?;
+    let halls: Vec<&str> = by_hall.keys().map(HallId::as_str).collect();
+    Some((hash_u64(&halls), fullness))
+}
+
 /// Capacity of all halls whose leaders report their engines.
 pub fn fleet_capacity(
     context: RoutingContext<'_>,
     service: &Service,
     figures: &EngineFigures,
 ) -> HallCapacity {
+    total_capacity(&reported_engines(context, service, figures), figures)
+}
+
+fn total_capacity(
+    by_hall: &BTreeMap<HallId, Vec<EngineCapacity>>,
+    figures: &EngineFigures,
+) -> HallCapacity {
+    let capacities = by_hall.values().map(|engines| HallCapacity::of(engines, figures.layers));
+    capacities.fold(HallCapacity::default(), HallCapacity::plus)
+}
+
+/// Engines that leaders report, by hall.
+fn reported_engines(
+    context: RoutingContext<'_>,
+    service: &Service,
+    figures: &EngineFigures,
+) -> BTreeMap<HallId, Vec<EngineCapacity>> {
     let mut by_hall: BTreeMap<HallId, Vec<EngineCapacity>> = BTreeMap::new();
     context.platform.endpoints(|directory| {
         for record in directory.usable_of(&service.name) {
@@ -209,8 +244,7 @@
             }
         }
     });
-    let capacities = by_hall.values().map(|engines| HallCapacity::of(engines, figures.layers));
-    capacities.fold(HallCapacity::default(), HallCapacity::plus)
+    by_hall
 }
 
 /// Capacity of an engine; `None` if its leader does not report it or reports an earlier
--- a/crates/sillbank_gateway/tests/load.rs
+++ b/crates/sillbank_gateway/tests/load.rs
@@ -246,6 +246,24 @@
     assert_eq!(shed[2], Err(NotAdmitted { fullness: 1.0, is_late: false }));
 }
 
+/// Guards against refusals by an idle fleet whose leader is suspended now and then: the fullness that is assumed without
+/// reports was taken for engines that fill up.
+#[test]
+fn idle_fleet_sheds_nothing_while_reports_stop_and_return() {
+    let vm = Vm::new();
+    for quarter in 0..80 {
+        let is_suspended = quarter % 16 >= 4;
+        if !is_suspended {
+            vm.report_all(REPORT_INTERVAL * quarter, 0);
+        }
+
+        let answers = vm.request_all(quarter..quarter + 1);
+
+        let estimate = vm.load.estimate("gen").expect("it was asked");
+        assert_eq!((answers, estimate.share), ([Ok(()); 3], 1.0), "quarter {quarter}");
+    }
+}
+
 /// The capacity of a lost engine is not counted.
 #[test]
 fn a_lost_engine_does_not_count() {
