Quarantine: of parts that explain equally many crashes, the one whose requests ran for the shortest time is held back

After a start of all VMs, before anything ran well, a sound part could be held back in place of the harmful one, and then the next: engines crashed for as long as harmful requests came, and sound requests were refused.

Cause: parts were ranked by the number of their requests, and most requests are sound. A part kept 24 crash records, up to four for each endpoint, so that a part in many requests lost crashes that a rare one kept. Crashes now tell how long the request had run since its first event, which ranks equal parts, and records are bounded by endpoints.

--- a/crates/sillbank_gateway/src/quarantine.rs
+++ b/crates/sillbank_gateway/src/quarantine.rs
@@ -31,10 +31,13 @@
         if !is_suspected {
             return;
         }
-        let mut quarantine = self.quarantine.borrow_mut();
-        let events =
-            quarantine.on_crash(job.traits(), &send.incarnation, send.sent_at, send.broke_at);
-        drop(quarantine);
+        let crash = CrashEvidence {
+            endpoint: &send.incarnation,
+            sent_at: send.sent_at,
+            ran_for: send.ran_for().unwrap_or_default(),
+            at: send.broke_at,
+        };
+        let events = self.quarantine.borrow_mut().on_crash(job.traits(), crash);
         self.on_hold_events(&events);
     }
 
--- a/crates/sillbank_quarantine/src/attribution.rs
+++ b/crates/sillbank_quarantine/src/attribution.rs
@@ -6,9 +6,10 @@
 
 use crate::part_suspect::{CrashSequence, PartCrash, PartSuspect};
 use crate::part_updates::RequestTag;
-use crate::policy::{CRASHES_TO_QUARANTINE, REQUESTS_TO_HOLD_PART, quarantine_term};
+use crate::policy::{CRASHES_TO_QUARANTINE, CRASHING_RUN, REQUESTS_TO_HOLD_PART, quarantine_term};
 use crate::request_traits::{OrganisationTag, PartKey};
 use sillbank_core::prelude::EndpointId;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -73,10 +74,17 @@
     endpoints: usize,
     /// Requests with the part under which they crashed.
     requests: BTreeSet<RequestTag>,
+    /// The longest time for which one of them had run when its endpoint crashed.
+    longest_run: Duration,
     hold: PartHold,
 }
 
 impl Candidate {
+    /// Lower for likelier causes.
+    fn rank(&self) -> (Reverse<usize>, Duration) {
+        (Reverse(self.endpoints), self.longest_run.max(CRASHING_RUN))
+    }
+
     /// Whether requests with this part have the other one too, and the other one is in more requests. Sound requests share
     /// parts with harmful ones, so the part in fewer requests is the likelier cause.
     fn is_more_specific_than(&self, other: &Self) -> bool {
@@ -84,12 +92,17 @@
     }
 }
 
-/// The likeliest cause: the part under which most endpoints crashed. Of several, those that a more specific one can replace
-/// are out, and the one in most requests comes first: others are there because they went on where the harmful ones did.
+/// The likeliest cause. In this order:
+///
+/// - The part under which most endpoints crashed.
+/// - The one whose requests had run for the shortest time: a harmful one crashes its endpoint as it begins to run, and
+///   others are at any point of their beginning.
+/// - One that no more specific one can replace.
+/// - The one in most requests: others are there because they went on where the harmful ones did.
 fn likeliest(candidates: Vec<Candidate>) -> Option<Candidate> {
-    let most_endpoints = candidates.iter().map(|candidate| candidate.endpoints).max()?;
+    let first = candidates.iter().map(Candidate::rank).min()?;
     let (top, _): (Vec<Candidate>, Vec<Candidate>) =
-        candidates.into_iter().partition(|candidate| candidate.endpoints == most_endpoints);
+        candidates.into_iter().partition(|candidate| candidate.rank() == first);
     let is_replaced =
         |candidate: &Candidate| top.iter().any(|other| other.is_more_specific_than(candidate));
     let replaced: BTreeSet<PartKey> = top
@@ -144,7 +157,8 @@
         let endpoints: BTreeSet<&str> =
             crashes.iter().map(|crash| crash.endpoint.as_str()).collect();
         let requests = crashes.iter().map(|crash| crash.request).collect();
-        Some(Candidate { key, endpoints: endpoints.len(), requests, hold })
+        let longest_run = crashes.iter().map(|crash| crash.ran_for).max().unwrap_or_default();
+        Some(Candidate { key, endpoints: endpoints.len(), requests, longest_run, hold })
     }
 }
 
--- a/crates/sillbank_quarantine/src/crash_quarantine.rs
+++ b/crates/sillbank_quarantine/src/crash_quarantine.rs
@@ -1,5 +1,6 @@
 //! All that one VM knows of crashes: evidence goes in, and what follows for a request comes out.
 
+use crate::evidence::CrashEvidence;
 use crate::fingerprint::Fingerprint;
 use crate::good_runs::GoodRuns;
 use crate::part_quarantine::{PartEvent, PartQuarantine};
@@ -57,18 +58,12 @@
 }
 
 impl CrashQuarantine {
-    /// Records a crash of an endpoint within the suspicion window of a request that was sent to it at `sent_at`.
-    /// `endpoint` identifies one incarnation of the endpoint, as far as that is known.
-    pub fn on_crash(
-        &mut self,
-        traits: &RequestTraits,
-        endpoint: &str,
-        sent_at: Instant,
-        now: Instant,
-    ) -> Vec<HoldEvent> {
-        let of_request = self.requests.on_crash(traits.fingerprint, endpoint, sent_at, now);
-        let of_parts = self.parts.on_crash(traits, endpoint, sent_at, now, &self.good_runs);
-        self.collect(of_request, of_parts, now)
+    /// Records a crash of an endpoint within the suspicion window of a request.
+    pub fn on_crash(&mut self, traits: &RequestTraits, crash: CrashEvidence<'_>) -> Vec<HoldEvent> {
+        let CrashEvidence { endpoint, sent_at, at, .. } = crash;
+        let of_request = self.requests.on_crash(traits.fingerprint, endpoint, sent_at, at);
+        let of_parts = self.parts.on_crash(traits, crash, &self.good_runs);
+        self.collect(of_request, of_parts, at)
     }
 
     /// Records that a request was seen to run well: to its end, or beyond the suspicion window.
--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod attribution;
 mod crash_quarantine;
+mod evidence;
 mod fingerprint;
 mod good_runs;
 mod part_quarantine;
@@ -42,6 +43,7 @@
 mod verdict;
 
 pub use crash_quarantine::{CrashQuarantine, HoldEvent, TrialTurns};
+pub use evidence::CrashEvidence;
 pub use fingerprint::{Fingerprint, RequestIdentity};
 pub use good_runs::GoodRuns;
 pub use part_quarantine::PartEvent;
@@ -66,10 +68,10 @@
 /// Commonly used types.
 pub mod prelude {
     pub use crate::{
-        CRASHES_TO_QUARANTINE, CrashQuarantine, Fingerprint, Hold, HoldCause, HoldEvent,
-        MAX_PROMPT_PARTS, PartEvent, PartId, PartKey, PartUpdate, PartUpdates, PromptParts,
-        Quarantine, QuarantineEvent, QuarantineRecord, QuarantineUpdate, RequestIdentity,
-        RequestTraits, SUSPICION_WINDOW, SuspectUpdate, TrialTurns, UnreadableParts, UpdateSource,
-        Verdict,
+        CRASHES_TO_QUARANTINE, CrashEvidence, CrashQuarantine, Fingerprint, Hold, HoldCause,
+        HoldEvent, MAX_PROMPT_PARTS, PartEvent, PartId, PartKey, PartUpdate, PartUpdates,
+        PromptParts, Quarantine, QuarantineEvent, QuarantineRecord, QuarantineUpdate,
+        RequestIdentity, RequestTraits, SUSPICION_WINDOW, SuspectUpdate, TrialTurns,
+        UnreadableParts, UpdateSource, Verdict,
     };
 }
--- a/crates/sillbank_quarantine/src/part_quarantine.rs
+++ b/crates/sillbank_quarantine/src/part_quarantine.rs
@@ -1,6 +1,7 @@
 //! All suspected parts of prompts known to one VM.
 
 use crate::attribution::{Attribution, HoldScope, PartHold};
+use crate::evidence::CrashEvidence;
 use crate::fingerprint::Fingerprint;
 use crate::good_runs::GoodRuns;
 use crate::part_suspect::{PartCrash, PartSuspect};
@@ -73,12 +74,10 @@
     pub(crate) fn on_crash(
         &mut self,
         traits: &RequestTraits,
-        endpoint: &str,
-        sent_at: Instant,
-        now: Instant,
+        crash: CrashEvidence<'_>,
         good_runs: &GoodRuns,
     ) -> Vec<PartEvent> {
-        let mut changed = Vec::new();
+        let (mut changed, now) = (Vec::new(), crash.at);
         for key in &traits.parts {
             let last_run = good_runs.last(*key, traits.organisation, now);
             if last_run.is_some_and(|run| now < run + EXONERATION_TIME) {
@@ -86,9 +85,10 @@
             }
             let suspect = self.suspects.entry(*key).or_default();
             let crash = PartCrash {
-                endpoint: endpoint.to_owned(),
+                endpoint: crash.endpoint.to_owned(),
                 at: now,
-                since_send: now.saturating_duration_since(sent_at),
+                since_send: crash.since_send(),
+                ran_for: crash.ran_for,
                 request: request_tag(traits.fingerprint),
                 organisation: traits.organisation,
             };
--- a/crates/sillbank_quarantine/src/part_suspect.rs
+++ b/crates/sillbank_quarantine/src/part_suspect.rs
@@ -2,8 +2,8 @@
 
 use crate::part_updates::{GoodRunUpdate, PartCrashUpdate, PartUpdate, RequestTag};
 use crate::policy::{
-    EXONERATION_TIME, MAX_PART_CRASHES, MAX_PART_ORGANISATIONS, MAX_REQUESTS_OF_CRASH, RETENTION,
-    SAME_CRASH_TOLERANCE, SAME_RUN_TOLERANCE,
+    EXONERATION_TIME, MAX_ENDPOINTS_OF_PART, MAX_PART_ORGANISATIONS, MAX_REQUESTS_OF_CRASH,
+    RETENTION, SAME_CRASH_TOLERANCE, SAME_RUN_TOLERANCE,
 };
 use crate::request_traits::{OrganisationTag, PartKey};
 use crate::updates::ChangeNumber;
@@ -19,6 +19,8 @@
     pub(crate) at: Instant,
     /// Time from sending the request to the crash.
     pub(crate) since_send: Duration,
+    /// Time from the first event of the request to the crash.
+    pub(crate) ran_for: Duration,
     pub(crate) request: RequestTag,
     pub(crate) organisation: OrganisationTag,
 }
@@ -139,22 +141,46 @@
         if self.crashes.iter().any(|known| known.is_same(&crash)) {
             return false;
         }
-        let of_endpoint = self.crashes.iter().filter(|known| known.endpoint == crash.endpoint);
-        if of_endpoint.clone().count() >= MAX_REQUESTS_OF_CRASH {
-            // The requests that were sent last say most of whether the crash follows another one.
-            let earliest =
-                of_endpoint.max_by_key(|known| (known.since_send, known.request)).cloned();
-            let Some(earliest) = earliest.filter(|known| crash.since_send < known.since_send)
-            else {
-                return false;
-            };
-            self.crashes.retain(|known| *known != earliest);
-        }
-        self.crashes.push(crash);
+        self.crashes.push(crash.clone());
+        self.drop_excess_requests(&crash.endpoint);
+        self.drop_excess_endpoints();
         self.crashes.sort_by_key(|crash| (crash.at, crash.request));
-        let excess = self.crashes.len().saturating_sub(MAX_PART_CRASHES);
-        self.crashes.drain(..excess);
-        true
+        self.crashes.contains(&crash)
+    }
+
+    /// Bounds the requests of one crash. Those that were sent last show whether the crash follows another one, and the one
+    /// that ran longest shows most of whether the part is harmless.
+    fn drop_excess_requests(&mut self, endpoint: &str) {
+        let mut of_endpoint: Vec<&PartCrash> =
+            self.crashes.iter().filter(|crash| crash.endpoint == endpoint).collect();
+        if of_endpoint.len() <= MAX_REQUESTS_OF_CRASH {
+            return;
+        }
+        let longest = of_endpoint.iter().max_by_key(|crash| (crash.ran_for, crash.request));
+        let longest = longest.map(|crash| crash.request);
+        of_endpoint
+            .sort_by_key(|crash| (Some(crash.request) != longest, crash.since_send, crash.request));
+        let excess: Vec<PartCrash> =
+            of_endpoint.into_iter().skip(MAX_REQUESTS_OF_CRASH).cloned().collect();
+        self.crashes.retain(|crash| !excess.contains(crash));
+    }
+
+    /// Bounds the endpoints, as a whole: a part must not lose crashes that another one keeps because more requests had it.
+    fn drop_excess_endpoints(&mut self) {
+        let mut crashed_at: BTreeMap<&str, Instant> = BTreeMap::new();
+        for crash in &self.crashes {
+            let at = crashed_at.entry(&crash.endpoint).or_insert(crash.at);
+            *at = crash.at.min(*at);
+        }
+        let excess = crashed_at.len().saturating_sub(MAX_ENDPOINTS_OF_PART);
+        if excess == 0 {
+            return;
+        }
+        let mut oldest: Vec<(Instant, EndpointId)> =
+            crashed_at.into_iter().map(|(endpoint, at)| (at, endpoint.to_owned())).collect();
+        oldest.sort();
+        oldest.truncate(excess);
+        self.crashes.retain(|crash| !oldest.iter().any(|(_, oldest)| *oldest == crash.endpoint));
     }
 
     /// Records a good run under an organisation and returns whether it was unknown. Times that VMs exchange become
@@ -195,6 +221,7 @@
             endpoint: crash.endpoint.clone(),
             age_ms: age_ms(crash.at),
             since_send_ms: crash.since_send.as_millis() as u64,
+            ran_ms: crash.ran_for.as_millis() as u64,
             request: crash.request,
             organisation: crash.organisation,
         };
@@ -216,11 +243,12 @@
         for run in update.good_runs.iter().take(MAX_PART_ORGANISATIONS) {
             has_changed |= self.add_good_run(run.organisation, at(run.age_ms));
         }
-        for crash in update.crashes.iter().take(MAX_PART_CRASHES) {
+        for crash in update.crashes.iter().take(MAX_ENDPOINTS_OF_PART * MAX_REQUESTS_OF_CRASH) {
             has_changed |= self.add_crash(PartCrash {
                 endpoint: crash.endpoint.clone(),
                 at: at(crash.age_ms),
                 since_send: Duration::from_millis(crash.since_send_ms),
+                ran_for: Duration::from_millis(crash.ran_ms),
                 request: crash.request,
                 organisation: crash.organisation,
             });
--- a/crates/sillbank_quarantine/src/part_updates.rs
+++ b/crates/sillbank_quarantine/src/part_updates.rs
@@ -19,6 +19,8 @@
     pub age_ms: u64,
     /// Time from sending the request to the crash, in milliseconds.
     pub since_send_ms: u64,
+    /// Time from the first event of the request to the crash, in milliseconds.
+    pub ran_ms: u64,
     /// The request.
     pub request: RequestTag,
     /// Organisation of its caller.
@@ -63,6 +65,8 @@
     pub at_ms: u64,
     /// Time from sending the request to the crash, in milliseconds.
     pub since_send_ms: u64,
+    /// Time from the first event of the request to the crash, in milliseconds.
+    pub ran_ms: u64,
     /// The request, in hexadecimal.
     pub request: String,
     /// Organisation of its caller, in hexadecimal.
@@ -106,6 +110,7 @@
                 endpoint: crash.endpoint.clone(),
                 age_ms: age_ms(crash.at_ms),
                 since_send_ms: crash.since_send_ms,
+                ran_ms: crash.ran_ms,
                 request: parse_tag(&crash.request)?,
                 organisation: parse_tag(&crash.organisation)?,
             })
@@ -126,6 +131,7 @@
             endpoint: crash.endpoint.clone(),
             at_ms: at_ms(crash.age_ms),
             since_send_ms: crash.since_send_ms,
+            ran_ms: crash.ran_ms,
             request: format!("{:x}", crash.request),
             organisation: format!("{:x}", crash.organisation),
         };
--- a/crates/sillbank_quarantine/src/policy.rs
+++ b/crates/sillbank_quarantine/src/policy.rs
@@ -11,6 +11,8 @@
 /// crash their endpoint do so within about 0.1 s; a longer run is not the cause, and shows that the request is
 /// harmless.
 pub const SUSPICION_WINDOW: Duration = Duration::from_secs(1);
+/// Time from its first event within which a harmful request crashes its endpoint.
+pub(crate) const CRASHING_RUN: Duration = Duration::from_millis(100);
 /// Time after a crash for which the request is isolated from others. By then the crashed endpoint has restarted and
 /// holds its layers again.
 pub(crate) const ISOLATION_TERM: Duration = Duration::from_secs(10);
@@ -42,15 +44,15 @@
 /// Time after a good run of a part within which crashes do not count against it. A part that has become harmful, as
 /// with another version of a model, is suspected after this time.
 pub const EXONERATION_TIME: Duration = Duration::from_secs(120);
-/// Crashes that are remembered for one part. It is held back long before, unless others are the likelier cause.
-pub(crate) const MAX_PART_CRASHES: usize = 24;
+/// Endpoints whose crashes are remembered for one part. It is held back long before, unless others are the likelier cause.
+pub(crate) const MAX_ENDPOINTS_OF_PART: usize = 12;
 /// Requests that are remembered for one part and one crash.
-pub(crate) const MAX_REQUESTS_OF_CRASH: usize = 4;
+pub(crate) const MAX_REQUESTS_OF_CRASH: usize = 3;
 /// Organisations whose good runs are remembered with one suspected part.
 pub(crate) const MAX_PART_ORGANISATIONS: usize = 16;
-/// Maximum number of suspected parts, of about 500 bytes each.
+/// Maximum number of suspected parts, of up to 4 KB each.
 pub const MAX_PART_SUSPECTS: usize = 1_024;
-/// Maximum number of parts in the store, of at most 5 KB each: an object may have 1 MB.
+/// Maximum number of parts in the store, of at most 7 KB each: an object may have 1 MB.
 pub(crate) const MAX_STORED_PARTS: usize = 64;
 /// Remembered good runs of parts under all organisations, of about 60 bytes each.
 pub const MAX_GOOD_RUNS: usize = 32_768;
--- a/crates/sillbank_quarantine/tests/part_spread.rs
+++ b/crates/sillbank_quarantine/tests/part_spread.rs
@@ -24,8 +24,12 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(400);
 const HALL_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_UPDATES: usize = 64;
-/// Time from a send to the crash of the endpoint.
-const CRASH_DELAY: Duration = Duration::from_millis(150);
+/// Time from a send to the first event of a sound request.
+const FIRST_EVENT: Duration = Duration::from_millis(60);
+/// Time from the first event of a harmful request to the crash.
+const HARMFUL_RUN: Duration = Duration::from_millis(20);
+/// Time for which a request waits for an engine.
+const PATIENCE: Duration = Duration::from_secs(5);
 /// Time until a crashed engine serves again.
 const DOWNTIME: Duration = Duration::from_millis(2_500);
 /// Time after its send at which a sound request has run well.
@@ -63,6 +67,14 @@
     is_harmful: bool,
 }
 
+/// A request that waits for an engine.
+struct Waiting {
+    vm: usize,
+    traits: RequestTraits,
+    left: usize,
+    until: Instant,
+}
+
 struct Fleet {
     halls: usize,
     vms: Vec<Vm>,
@@ -71,13 +83,19 @@
     crashes: Vec<Instant>,
     harmful_sends: Vec<Instant>,
     held_sound: Vec<Instant>,
+    waiting: Vec<Waiting>,
+    /// Time from the send of a harmful request to the crash of its engine.
+    crash_delay: Duration,
     number: u128,
 }
 
 impl Fleet {
-    fn new(halls: usize, vms_of_hall: usize, engines: usize, now: Instant) -> Self {
+    fn new(u: &mut Unstructured<'_>, now: Instant) -> arbitrary::Result<Self> {
+        let halls = u.int_in_range(1..=3)?;
+        let vms_of_hall = u.int_in_range(1..=3)?;
+        let engines = u.int_in_range(2..=8)?;
         let engine = |_| Engine { incarnation: 0, crashes_at: None, down_until: now };
-        Self {
+        Ok(Self {
             halls,
             vms: (0..halls * vms_of_hall).map(|_| Vm::default()).collect(),
             engines: (0..engines).map(engine).collect(),
@@ -85,8 +103,10 @@
             crashes: Vec::new(),
             harmful_sends: Vec::new(),
             held_sound: Vec::new(),
+            waiting: Vec::new(),
+            crash_delay: Duration::from_millis(u.int_in_range(5..=90)? * 10),
             number: 0,
-        }
+        })
     }
 
     fn traits(&mut self, organisation: &str, parts: &[PartId]) -> RequestTraits {
@@ -96,7 +116,7 @@
         RequestTraits::new(self.number, "engines", Some(organisation), &parts)
     }
 
-    /// Sends a request to an engine that is up, unless the VM holds it back.
+    /// Sends a request to an engine that is up, or as soon as one is, unless the VM holds it back.
     fn send(&mut self, vm: usize, traits: RequestTraits, left: usize, at: usize, now: Instant) {
         let is_harmful = left > 0;
         if self.vms[vm].quarantine.hold(&traits, now).is_some() {
@@ -107,10 +127,13 @@
         }
         let up: Vec<usize> =
             (0..self.engines.len()).filter(|e| self.engines[*e].down_until <= now).collect();
-        let Some(engine) = up.get(at % up.len().max(1)).copied() else { return };
+        let Some(engine) = up.get(at % up.len().max(1)).copied() else {
+            self.waiting.push(Waiting { vm, traits, left, until: now + PATIENCE });
+            return;
+        };
         if is_harmful {
             self.harmful_sends.push(now);
-            self.engines[engine].crashes_at.get_or_insert(now + CRASH_DELAY);
+            self.engines[engine].crashes_at.get_or_insert(now + self.crash_delay);
         }
         self.runs.push(Run { vm, engine, traits, sent_at: now, left, is_harmful });
     }
@@ -131,7 +154,11 @@
         self.runs = rest;
         let broken: Vec<Run> = broken;
         for run in &broken {
-            self.vms[run.vm].quarantine.on_crash(&run.traits, &name, run.sent_at, now);
+            let first_event_after =
+                if run.is_harmful { self.crash_delay - HARMFUL_RUN } else { FIRST_EVENT };
+            let ran_for = now.saturating_duration_since(run.sent_at + first_event_after);
+            let crash = CrashEvidence { endpoint: &name, sent_at: run.sent_at, ran_for, at: now };
+            self.vms[run.vm].quarantine.on_crash(&run.traits, crash);
         }
         for run in broken {
             let is_same_try = run.left % SENDS != 1;
@@ -146,6 +173,20 @@
         Ok(())
     }
 
+    /// Sends the requests that wait, once an engine is up.
+    fn send_waiting(&mut self, now: Instant, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        if self.engines.iter().all(|engine| engine.down_until > now) {
+            return Ok(());
+        }
+        for waiting in std::mem::take(&mut self.waiting) {
+            if waiting.until > now {
+                let at = u.int_in_range(0..=9)?;
+                self.send(waiting.vm, waiting.traits, waiting.left, at, now);
+            }
+        }
+        Ok(())
+    }
+
     fn finish_good_runs(&mut self, now: Instant) {
         let (finished, rest): (Vec<Run>, Vec<Run>) =
             self.runs.drain(..).partition(|run| !run.is_harmful && run.sent_at + GOOD_RUN <= now);
@@ -207,59 +248,92 @@
     }
 }
 
+/// Sound requests come all the time, and harmful ones of some organisations from `harmful_from` on.
+fn play(
+    fleet: &mut Fleet,
+    harmful_from: Duration,
+    start: Instant,
+    u: &mut Unstructured<'_>,
+) -> arbitrary::Result<String> {
+    let organisations = u.int_in_range(1..=ORGANISATIONS.len())?;
+    let harmful_every_ms: u64 = u.int_in_range(4..=300)? * 10;
+    let mut elapsed = Duration::ZERO;
+    while elapsed <= LENGTH {
+        let now = start + elapsed;
+        let due: Vec<usize> = (0..fleet.engines.len())
+            .filter(|e| fleet.engines[*e].crashes_at.is_some_and(|at| at <= now))
+            .collect();
+        for engine in due {
+            fleet.crash(engine, now, u)?;
+        }
+        fleet.finish_good_runs(now);
+        fleet.send_waiting(now, u)?;
+        fleet.exchange_all(elapsed, now);
+        if elapsed.as_millis().is_multiple_of(30) {
+            let organisation = ORGANISATIONS[u.int_in_range(0..=ORGANISATIONS.len() - 1)?];
+            // Some parts are rare.
+            let drawn = u.int_in_range(1..=SOUND_PARTS)?;
+            let part = if u.ratio(1, 2)? { drawn / 4 + 1 } else { drawn };
+            let traits = fleet.traits(organisation, &[part]);
+            let vm = u.int_in_range(0..=fleet.vms.len() - 1)?;
+            fleet.send(vm, traits, 0, u.int_in_range(0..=9)?, now);
+        }
+        if elapsed >= harmful_from
+            && elapsed.as_millis().is_multiple_of(u128::from(harmful_every_ms))
+        {
+            let organisation = ORGANISATIONS[u.int_in_range(0..=organisations - 1)?];
+            let first = u.int_in_range(1..=SOUND_PARTS)?;
+            let traits = fleet.traits(organisation, &[first, HARMFUL]);
+            let vm = u.int_in_range(0..=fleet.vms.len() - 1)?;
+            fleet.send(vm, traits, SENDS * TRIES, u.int_in_range(0..=9)?, now);
+        }
+        elapsed += STEP;
+    }
+    Ok(format!(
+        "{} halls, {} VMs, {} engines that crash after {:?}, from {harmful_from:?} on one harmful request in \
+         {harmful_every_ms} ms: {} crashes",
+        fleet.halls,
+        fleet.vms.len(),
+        fleet.engines.len(),
+        fleet.crash_delay,
+        fleet.crashes.len()
+    ))
+}
+
 /// Whatever else requests with the harmful part hold, whichever organisation sends them and however often they come: few
 /// reach endpoints once five have crashed, and sound requests are not held back for them.
 #[test]
 fn harmful_part_is_held_back_by_all_vms_in_time_and_no_sound_request_with_it() {
-    for_fixed_seeds(40, 8_192, |u| {
+    for_fixed_seeds(40, 65_536, |u| {
         // Arrange
         let start = Instant::now();
-        let (halls, vms_of_hall) = (u.int_in_range(1..=3)?, u.int_in_range(1..=3)?);
-        let engines = u.int_in_range(2..=5)?;
-        let mut fleet = Fleet::new(halls, vms_of_hall, engines, start);
-        let organisations = u.int_in_range(1..=ORGANISATIONS.len())?;
-        let harmful_every_ms: u64 = u.int_in_range(8..=300)? * 10;
-        let harmful_from = start + Duration::from_millis(u.int_in_range(0..=4_000)?);
+        let mut fleet = Fleet::new(u, start)?;
+        let harmful_from = Duration::from_millis(u.int_in_range(2_500..=6_000)?);
 
         // Act
-        let mut elapsed = Duration::ZERO;
-        while elapsed <= LENGTH {
-            let now = start + elapsed;
-            let due: Vec<usize> = (0..engines)
-                .filter(|e| fleet.engines[*e].crashes_at.is_some_and(|at| at <= now))
-                .collect();
-            for engine in due {
-                fleet.crash(engine, now, u)?;
-            }
-            fleet.finish_good_runs(now);
-            fleet.exchange_all(elapsed, now);
-            if elapsed.as_millis().is_multiple_of(30) {
-                let organisation = ORGANISATIONS[u.int_in_range(0..=ORGANISATIONS.len() - 1)?];
-                // Some parts are rare.
-                let drawn = u.int_in_range(1..=SOUND_PARTS)?;
-                let part = if u.ratio(1, 2)? { drawn / 4 + 1 } else { drawn };
-                let traits = fleet.traits(organisation, &[part]);
-                let vm = u.int_in_range(0..=fleet.vms.len() - 1)?;
-                fleet.send(vm, traits, 0, u.int_in_range(0..=9)?, now);
-            }
-            if now >= harmful_from
-                && elapsed.as_millis().is_multiple_of(u128::from(harmful_every_ms))
-            {
-                let organisation = ORGANISATIONS[u.int_in_range(0..=organisations - 1)?];
-                let first = u.int_in_range(1..=SOUND_PARTS)?;
-                let traits = fleet.traits(organisation, &[first, HARMFUL]);
-                let vm = u.int_in_range(0..=fleet.vms.len() - 1)?;
-                fleet.send(vm, traits, SENDS * TRIES, u.int_in_range(0..=9)?, now);
-            }
-            elapsed += STEP;
-        }
+        let described = play(&mut fleet, harmful_from, start, u)?;
+
+        // Assert
+        assert!(fleet.late_sends() <= MAX_LATE_SENDS, "{described}, {} late", fleet.late_sends());
+        assert_eq!(fleet.late_held_sound(), 0, "{described}");
+        Ok(())
+    });
+}
+
+/// Guards against endpoints that crash for as long as harmful requests come, when nothing has run well before: a sound part
+/// that most requests have was held back in place of the harmful one, and then another one.
+#[test]
+fn harmful_part_is_held_back_in_time_when_it_comes_before_anything_ran_well() {
+    for_fixed_seeds(120, 65_536, |u| {
+        // Arrange
+        let start = Instant::now();
+        let mut fleet = Fleet::new(u, start)?;
+        let harmful_from = Duration::from_millis(u.int_in_range(0..=1_500)?);
+
+        // Act
+        let described = play(&mut fleet, harmful_from, start, u)?;
 
         // Assert
-        let described = format!(
-            "{halls} halls of {vms_of_hall} VMs, {engines} engines, one harmful request in {harmful_every_ms} ms: \
-             {} crashes",
-            fleet.crashes.len()
-        );
         assert!(fleet.late_sends() <= MAX_LATE_SENDS, "{described}, {} late", fleet.late_sends());
         assert_eq!(fleet.late_held_sound(), 0, "{described}");
         Ok(())
@@ -285,7 +359,13 @@
             let vm: usize = u.int_in_range(0..=2)?;
             match u.ratio(1, 6)? {
                 true => drop(vms[vm].on_survived(&traits, now)),
-                false => drop(vms[vm].on_crash(&traits, &format!("e{step}"), now, now)),
+                false => {
+                    let endpoint = format!("e{step}");
+                    let ran_for = Duration::from_millis(u.int_in_range(0..=3)? * 100);
+                    let crash =
+                        CrashEvidence { endpoint: &endpoint, sent_at: now, ran_for, at: now };
+                    drop(vms[vm].on_crash(&traits, crash));
+                }
             }
             if u.ratio(1, 2)? {
                 let (from, to): (usize, usize) = (u.int_in_range(0..=2)?, u.int_in_range(0..=2)?);
--- a/crates/sillbank_quarantine/tests/parts.rs
+++ b/crates/sillbank_quarantine/tests/parts.rs
@@ -27,6 +27,11 @@
     RequestTraits::new(number, "engines", Some(organisation), &parts)
 }
 
+/// A crash of an endpoint before the first event of the request.
+fn crash_of(endpoint: &str, sent_at: Instant, at: Instant) -> CrashEvidence<'_> {
+    CrashEvidence { endpoint, sent_at, ran_for: Duration::ZERO, at }
+}
+
 fn request(number: u128, parts: &[PartId]) -> RequestTraits {
     request_of("alpha", number, parts)
 }
@@ -43,7 +48,10 @@
     for (number, organisation) in organisations.iter().enumerate() {
         let crashing = request_of(organisation, 1_000 + number as u128, parts);
         now += Duration::from_secs(3);
-        quarantine.on_crash(&crashing, &format!("{organisation}-e{number}"), now - ms(150), now);
+        quarantine.on_crash(
+            &crashing,
+            crash_of(&format!("{organisation}-e{number}"), now - ms(150), now),
+        );
     }
     now
 }
@@ -87,9 +95,11 @@
         now += ms(300);
         let sent_at = now - ms(150);
         let endpoint = format!("e{crash}");
-        quarantine.on_crash(&request(10 + crash, &[SHARED, HARMFUL]), &endpoint, sent_at, now);
-        quarantine.on_crash(&request(20 + crash / 2, &[new_part]), &endpoint, sent_at, now);
-        quarantine.on_crash(&request(30, &[SHARED]), &endpoint, sent_at, now);
+        quarantine
+            .on_crash(&request(10 + crash, &[SHARED, HARMFUL]), crash_of(&endpoint, sent_at, now));
+        quarantine
+            .on_crash(&request(20 + crash / 2, &[new_part]), crash_of(&endpoint, sent_at, now));
+        quarantine.on_crash(&request(30, &[SHARED]), crash_of(&endpoint, sent_at, now));
     }
 
     // Assert
@@ -111,13 +121,11 @@
         let endpoint = format!("e{crash}");
         for number in 0..3 {
             let sound = request(100 + 10 * crash + number, &[SHARED]);
-            quarantine.on_crash(&sound, &endpoint, now - ms(200), now);
+            quarantine.on_crash(&sound, crash_of(&endpoint, now - ms(200), now));
         }
         quarantine.on_crash(
             &request(10 + crash, &[SHARED, HARMFUL]),
-            &endpoint,
-            now - ms(150),
-            now,
+            crash_of(&endpoint, now - ms(150), now),
         );
     }
 
@@ -154,7 +162,7 @@
     let sound = request(20, &[]);
     for crash in 0..3 {
         let now = start + ms(3_000 * (crash + 1));
-        quarantine.on_crash(&sound, &format!("alpha-e{crash}"), now - ms(150), now);
+        quarantine.on_crash(&sound, crash_of(&format!("alpha-e{crash}"), now - ms(150), now));
     }
     let before = is_held(&quarantine, &sound, start + ms(9_000));
 
@@ -167,6 +175,33 @@
     assert_eq!(quarantine.isolated_for(&sound, last), None);
 }
 
+/// Guards against a rare sound part that is held back in place of a harmful one: the harmful one had lost its older crashes,
+/// as each was recorded for several requests.
+#[test]
+fn part_in_many_requests_keeps_as_many_crashes_as_a_rare_one() {
+    // Arrange
+    let (mut quarantine, start) = (CrashQuarantine::default(), Instant::now());
+    let (rare, mut now) = (0xabc, start);
+
+    // Act
+    for crash in 0..11 {
+        now += ms(3_000);
+        let endpoint = format!("e{crash}");
+        for number in 0..6 {
+            let harmful = request(1_000 + 10 * crash + number, &[HARMFUL]);
+            quarantine.on_crash(&harmful, crash_of(&endpoint, now - ms(150), now));
+        }
+        if crash < 10 {
+            let sound = request(10 + crash, &[rare]);
+            quarantine.on_crash(&sound, crash_of(&endpoint, now - ms(150), now));
+        }
+    }
+
+    // Assert
+    assert!(is_held(&quarantine, &request(1, &[HARMFUL]), now));
+    assert!(!is_held(&quarantine, &request(2, &[rare]), now));
+}
+
 /// One request that comes again is quarantined itself: nothing shows that one of its parts is the cause.
 #[test]
 fn one_request_that_crashes_endpoints_holds_back_none_of_its_parts() {
@@ -177,7 +212,7 @@
     // Act
     for crash in 0..4 {
         now += ms(1_000);
-        quarantine.on_crash(&crashing, &format!("e{crash}"), now - ms(100), now);
+        quarantine.on_crash(&crashing, crash_of(&format!("e{crash}"), now - ms(100), now));
     }
 
     // Assert
@@ -194,12 +229,8 @@
     // Act
     for crash in 0..60_u128 {
         let at = sent_at + ms(500 + crash as u64 % 7);
-        quarantine.on_crash(
-            &request(crash, &[SHARED, HARMFUL]),
-            &format!("e{}", crash / 2),
-            sent_at,
-            at,
-        );
+        let endpoint = format!("e{}", crash / 2);
+        quarantine.on_crash(&request(crash, &[SHARED, HARMFUL]), crash_of(&endpoint, sent_at, at));
     }
 
     // Assert
@@ -338,7 +369,7 @@
     // Act
     let trial = request(50, &[HARMFUL]);
     quarantine.admit(&trial, over, FIRST_HALL);
-    quarantine.on_crash(&trial, "e50", over, over + ms(100));
+    quarantine.on_crash(&trial, crash_of("e50", over, over + ms(100)));
     let hold = quarantine.hold(&trial, over + ms(100)).expect("it crashed");
     let later = over + ms(100) + 2 * INITIAL_TERM;
     let again = quarantine.admit(&request(51, &[HARMFUL]), later, FIRST_HALL);
@@ -358,7 +389,7 @@
     let crashing = request(5, &[]);
     for crash in 0..3 {
         let now = start + ms(1_000 * crash);
-        quarantine.on_crash(&crashing, &format!("e{crash}"), now - ms(100), now);
+        quarantine.on_crash(&crashing, crash_of(&format!("e{crash}"), now - ms(100), now));
     }
     let over = start + ms(2_000) + INITIAL_TERM;
 
@@ -402,7 +433,7 @@
     let last = crash_in_sequence(&mut quarantine, &["alpha"; 2], &[SHARED, HARMFUL], start);
 
     // Act
-    quarantine.on_crash(&sound, "alpha-e1", last - ms(100), last);
+    quarantine.on_crash(&sound, crash_of("alpha-e1", last - ms(100), last));
 
     // Assert
     assert!(quarantine.isolated_for(&request(10, &[5, HARMFUL]), last).is_some());
@@ -481,7 +512,7 @@
     // Act
     for number in 0..2 * MAX_PART_SUSPECTS as u128 {
         let named = request(2_000 + number, &[0x10_000 + number]);
-        quarantine.on_crash(&named, "other", last, last + ms(number as u64));
+        quarantine.on_crash(&named, crash_of("other", last, last + ms(number as u64)));
     }
 
     // Assert
