Quarantine: a crash that a held part explains isolates no other part

Sound requests beside a harmful part could be refused for 10 s after the last crash ("the only one left is not risked"), also once the harmful part was held back: one of their own parts had been at the endpoint and had not run before. Crashes of requests that another part explains were left out already; those of parts are now.

The new test fails on the code before.

--- a/crates/sillbank_quarantine/src/part_quarantine.rs
+++ b/crates/sillbank_quarantine/src/part_quarantine.rs
@@ -178,10 +178,15 @@
     }
 
     /// Remaining time for which a request is isolated from others: an endpoint crashed recently under a part of it that
-    /// has not run well.
+    /// has not run well, and no other part explains the crash.
     pub(crate) fn isolated_for(&self, traits: &RequestTraits, now: Instant) -> Option<Duration> {
-        let suspects = traits.parts.iter().filter_map(|key| self.suspects.get(key));
-        let crashes = suspects.flat_map(PartSuspect::unrefuted_crashes);
+        let suspects = traits.parts.iter().filter_map(|key| Some((key, self.suspects.get(key)?)));
+        let crashes = suspects.flat_map(|(key, suspect)| {
+            let is_held = self.attribution.holds.contains_key(key);
+            let is_explained =
+                move |endpoint: &str| !is_held && self.attribution.explained.contains(endpoint);
+            suspect.unrefuted_crashes().filter(move |crash| !is_explained(&crash.endpoint))
+        });
         let last_crash = crashes.map(|crash| crash.at).max()?;
         let left = ISOLATION_TERM.checked_sub(now.saturating_duration_since(last_crash));
         left.filter(|left| !left.is_zero())
--- a/crates/sillbank_quarantine/tests/parts.rs
+++ b/crates/sillbank_quarantine/tests/parts.rs
@@ -441,6 +441,25 @@
     assert_eq!(quarantine.isolated_for(&sound, last), None);
 }
 
+/// Guards against sound requests that get no engine, as one of their parts was at an endpoint that a harmful part crashed: the
+/// harmful one is held back already.
+#[test]
+fn parts_of_explained_crashes_are_not_isolated() {
+    // Arrange
+    let (mut quarantine, start) = (CrashQuarantine::default(), Instant::now());
+    let (beside, sound) = (request(9, &[7]), request(10, &[7]));
+    quarantine.on_crash(&beside, crash_of("alpha-e2", start + ms(8_900), start + ms(9_000)));
+    let before = quarantine.isolated_for(&sound, start + ms(9_000));
+
+    // Act
+    let last = crash_in_sequence(&mut quarantine, &["alpha"; 3], &[HARMFUL], start);
+
+    // Assert
+    assert!(before.is_some());
+    assert_eq!(quarantine.isolated_for(&sound, last), None);
+    assert!(quarantine.isolated_for(&request(11, &[HARMFUL]), last).is_some());
+}
+
 /// The store keeps a part from two crashes on, and a VM that reads it holds the part back after the third.
 #[test]
 fn store_keeps_suspected_parts() {
