Quarantine: a part explains all crashes until it is held back everywhere

A part now remembers the crashes of 32 endpoints, with two requests each: the one that was sent last and the one that ran longest. Up to 25 crashes were seen before all VMs held the part back.

The new test fails with 12 endpoints.

--- a/crates/sillbank_quarantine/src/policy.rs
+++ b/crates/sillbank_quarantine/src/policy.rs
@@ -44,15 +44,16 @@
 /// Time after a good run of a part within which crashes do not count against it. A part that has become harmful, as
 /// with another version of a model, is suspected after this time.
 pub const EXONERATION_TIME: Duration = Duration::from_secs(120);
-/// Endpoints whose crashes are remembered for one part. It is held back long before, unless others are the likelier cause.
-pub(crate) const MAX_ENDPOINTS_OF_PART: usize = 12;
+/// Endpoints whose crashes are remembered for one part. A crash that is forgotten is not explained any more and counts
+/// against other parts, so that this has to be more than crash before all VMs hold a part back.
+pub(crate) const MAX_ENDPOINTS_OF_PART: usize = 32;
 /// Requests that are remembered for one part and one crash.
-pub(crate) const MAX_REQUESTS_OF_CRASH: usize = 3;
+pub(crate) const MAX_REQUESTS_OF_CRASH: usize = 2;
 /// Organisations whose good runs are remembered with one suspected part.
 pub(crate) const MAX_PART_ORGANISATIONS: usize = 16;
-/// Maximum number of suspected parts, of up to 4 KB each.
+/// Maximum number of suspected parts, of up to 7 KB each.
 pub const MAX_PART_SUSPECTS: usize = 1_024;
-/// Maximum number of parts in the store, of at most 7 KB each: an object may have 1 MB.
+/// Maximum number of parts in the store, of at most 10 KB each: an object may have 1 MB.
 pub(crate) const MAX_STORED_PARTS: usize = 64;
 /// Remembered good runs of parts under all organisations, of about 60 bytes each.
 pub const MAX_GOOD_RUNS: usize = 32_768;
--- a/crates/sillbank_quarantine/tests/parts.rs
+++ b/crates/sillbank_quarantine/tests/parts.rs
@@ -202,6 +202,30 @@
     assert!(!is_held(&quarantine, &request(2, &[rare]), now));
 }
 
+/// Guards against a sound part that is held back for early crashes, which the harmful part had lost by then.
+#[test]
+fn many_crashes_of_a_part_explain_the_first_ones() {
+    // Arrange
+    let (mut quarantine, start) = (CrashQuarantine::default(), Instant::now());
+    let (rare, mut now) = (0xabc, start);
+
+    // Act
+    for crash in 0..25 {
+        now += ms(300);
+        let endpoint = format!("e{crash}");
+        let harmful = request(1_000 + crash, &[HARMFUL]);
+        quarantine.on_crash(&harmful, crash_of(&endpoint, now - ms(150), now));
+        if crash < 4 {
+            let sound = request(10 + crash, &[rare]);
+            quarantine.on_crash(&sound, crash_of(&endpoint, now - ms(150), now));
+        }
+    }
+
+    // Assert
+    assert!(is_held(&quarantine, &request(1, &[HARMFUL]), now));
+    assert!(!is_held(&quarantine, &request(2, &[rare]), now));
+}
+
 /// One request that comes again is quarantined itself: nothing shows that one of its parts is the cause.
 #[test]
 fn one_request_that_crashes_endpoints_holds_back_none_of_its_parts() {
