--- a/crates/sillbank_quarantine/src/lib.rs
+++ b/crates/sillbank_quarantine/src/lib.rs
@@ -14,8 +14,9 @@
 //! # Parts of prompts
 //!
 //! Requests that share a harmful part differ in all else. A part is held back after three crashes under two requests or
-//! more, each sent after the crash before. All requests at an endpoint that crashes look alike, so crashes are attributed
-//! to the part that explains most of them, and parts that ran well before are no suspects.
+//! more, each sent after the crash before, unless they look like a mass loss of endpoints. All requests at an endpoint that
+//! crashes look alike, so crashes are attributed to the part that explains most of them, and parts that ran well before
+//! are no suspects.
 //!
 //! # Exchange
 //!
