--- a/crates/sillbank_quarantine/src/policy.rs
+++ b/crates/sillbank_quarantine/src/policy.rs
@@ -11,7 +11,7 @@
 /// crash their endpoint do so within about 0.1 s; a longer run is not the cause, and shows that the request is
 /// harmless.
 pub const SUSPICION_WINDOW: Duration = Duration::from_secs(1);
-/// Time from its first event within which a harmful request crashes its endpoint.
+/// Time since its first event within which a harmful request crashes its endpoint.
 pub(crate) const CRASHING_RUN: Duration = Duration::from_millis(150);
 /// Time after a crash for which the request is isolated from others. By then the crashed endpoint has restarted and
 /// holds its layers again.
@@ -51,8 +51,8 @@
 /// Time after a good run of a part within which crashes do not count against it. A part that has become harmful, as
 /// with another version of a model, is suspected after this time.
 pub const EXONERATION_TIME: Duration = Duration::from_secs(120);
-/// Endpoints whose crashes are remembered for one part. A crash that is forgotten is not explained any more and counts
-/// against other parts, so that this has to be more than crash before all VMs hold a part back.
+/// Endpoints whose crashes are remembered for one part. A crash that is forgotten is not explained by the part any more, and
+/// counts against other parts.
 pub(crate) const MAX_ENDPOINTS_OF_PART: usize = 32;
 /// Requests that are remembered for one part and one crash.
 pub(crate) const MAX_REQUESTS_OF_CRASH: usize = 2;
