--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -35,7 +35,7 @@
 const NEW_HALLS_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which the lease of another hall is read while its leader is unknown.
 const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
-/// Largest number of suspected parts of prompts in one request, of 100 to 600 bytes each; the rest follows.
+/// Largest number of suspected parts of prompts in one request, of up to about 3 KB each; the rest follows.
 const MAX_SENT_PARTS: usize = 64;
 /// Largest number of quarantine entries in one request, about 80 bytes each; the rest follows.
 const MAX_SENT_SUSPECTS: usize = 32;
--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -23,7 +23,7 @@
 const MAX_CHANGES: usize = 100;
 /// Largest number of quarantine entries in one reply, about 80 bytes each; the rest follows.
 const MAX_SUSPECTS: usize = 64;
-/// Largest number of suspected parts of prompts in one reply, of 100 to 600 bytes each; the rest follows.
+/// Largest number of suspected parts of prompts in one reply, of up to about 3 KB each; the rest follows.
 const MAX_PARTS: usize = 64;
 /// Largest number of endpoint limits in one reply, about 40 bytes each; the rest follows.
 const MAX_LIMITS: usize = 64;
--- a/crates/sillbank_quarantine/src/crash_quarantine.rs
+++ b/crates/sillbank_quarantine/src/crash_quarantine.rs
@@ -1,4 +1,4 @@
-//! All that one VM knows of crashes: evidence goes in, and what follows for a request comes out.
+//! The suspected requests and parts of one VM: records crashes and good runs, and decides whether a request may be sent.
 
 use crate::evidence::CrashEvidence;
 use crate::fingerprint::Fingerprint;
--- a/crates/sillbank_quarantine/src/part_quarantine.rs
+++ b/crates/sillbank_quarantine/src/part_quarantine.rs
@@ -63,7 +63,7 @@
     newest_urgent: ChangeNumber,
 }
 
-/// Hash by which the requests under which endpoints crashed are told apart.
+/// Hash that distinguishes the requests under which endpoints crashed.
 fn request_tag(fingerprint: Fingerprint) -> RequestTag {
     fingerprint as RequestTag
 }
--- a/crates/sillbank_quarantine/src/part_updates.rs
+++ b/crates/sillbank_quarantine/src/part_updates.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sillbank_core::prelude::EndpointId;
 
-/// Hash by which the requests under which endpoints crashed are told apart.
+/// Hash that distinguishes the requests under which endpoints crashed.
 pub type RequestTag = u64;
 
 /// A crash of an endpoint that ran a request with the part.
--- a/crates/sillbank_quarantine/tests/part_spread.rs
+++ b/crates/sillbank_quarantine/tests/part_spread.rs
@@ -391,7 +391,7 @@
     });
 }
 
-/// VMs that were told the same hold back the same parts, in whatever order they were told.
+/// VMs that received the same updates hold back the same parts, whatever the order of the updates.
 #[test]
 fn vms_agree_in_any_order_of_updates() {
     for_fixed_seeds(200, 512, |u| {
