Logs: checks of silent streams, with the load of the engines that they wait for

Between a move and its end nothing was logged of a stream, so that a stream that stood still could not be told from one that was slow. Each check of a silent stream has a line now; the end of a request says how long it had no event.

--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -9,6 +9,7 @@
 use crate::job::Job;
 use crate::paths::EngineCounts;
 use crate::platform_view::ViewStamp;
+use crate::probes::EngineQueue;
 use crate::revision::Revision;
 use crate::wire::OrderOutcome;
 use sillbank_catalog::prelude::*;
@@ -67,6 +68,19 @@
     pub after: Duration,
 }
 
+/// Check of a stream that has had no event for a while.
+#[derive(Debug, Clone)]
+pub struct SilenceCheck<'a> {
+    /// First endpoint of the stream's path.
+    pub endpoint: &'a str,
+    /// What the check found.
+    pub finding: &'a str,
+    /// Load of the first endpoint, if it was asked and answered.
+    pub load: Option<EngineQueue>,
+    /// Engine of the path with the largest used share of its KV cache, by the reports of leaders.
+    pub fullest: Option<(EndpointId, EngineQueue)>,
+}
+
 /// Writes the decision log, with a rate limit on lines about requests.
 #[derive(Debug)]
 pub struct DecisionLog {
@@ -242,6 +256,23 @@
         }
     }
 
+    /// A stream without events was checked.
+    pub fn silence_checked(&self, job: &Job, check: &SilenceCheck<'_>) {
+        if self.take_line() {
+            let silent_for = job.delivery.silent_for(job.received_at, Instant::now());
+            tracing::info!(
+                request = job.head.request_id,
+                endpoint = check.endpoint,
+                silent_ms = silent_for.as_millis() as u64,
+                moves = job.delivery.moves(),
+                finding = check.finding,
+                load = check.load.map(|load| load.to_string()),
+                fullest = check.fullest.as_ref().map(|(engine, load)| format!("{engine} {load}")),
+                "route: Checked a silent stream."
+            );
+        }
+    }
+
     /// A running request is moved to a path on which another engine runs a lost part.
     pub fn moved(
         &self,
@@ -281,6 +312,7 @@
                 reason,
                 first_ms = job.delivery.first().map(|first| first.as_millis() as u64),
                 pause_ms = job.delivery.longest_pause().as_millis() as u64,
+                silent_ms = job.delivery.silent_for(job.received_at, Instant::now()).as_millis() as u64,
                 foretold_first_ms = forecast.map(|times| times.first_event.as_millis() as u64),
                 foretold_pause_ms = forecast.map(|times| times.pause.as_millis() as u64),
                 moves = job.delivery.moves(),
--- a/crates/sillbank_gateway/src/delivery.rs
+++ b/crates/sillbank_gateway/src/delivery.rs
@@ -40,6 +40,11 @@
         self.longest_pause.get()
     }
 
+    /// Time without an event: since the last one or, if there was none, since `received_at`.
+    pub fn silent_for(&self, received_at: Instant, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last_at.get().unwrap_or(received_at))
+    }
+
     /// How often the request was moved.
     pub fn moves(&self) -> u32 {
         self.moves.get()
--- a/crates/sillbank_gateway/src/probes.rs
+++ b/crates/sillbank_gateway/src/probes.rs
@@ -29,11 +29,30 @@
 /// How often ejected engines are probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Requests and memory of an engine, as it reported them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineQueue {
+    /// Waiting requests.
+    pub waiting: u32,
+    /// Running requests.
+    pub running: u32,
+    /// Used share of its KV cache, from 0 to 1.
+    pub kv_share: f64,
+}
+
+impl std::fmt::Display for EngineQueue {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { waiting, running, kv_share } = self;
+        write!(f, "{waiting} waiting, {running} running, {:.0}% of its KV cache", kv_share * 100.0)
+    }
+}
+
 /// What a request waits for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Diagnosis {
-    /// The endpoint answers and the request has not stalled.
-    Working,
+    /// The endpoint answers and the request has not stalled; holds its load, if its report can be
+    /// read.
+    Working(Option<EngineQueue>),
     /// This VM has lost its link to the endpoint, and no other VM could ask.
     Unknown,
     /// The endpoint does not answer; holds the reason.
@@ -63,14 +82,22 @@
         Err(error) => return Diagnosis::Silent(error.to_string()),
     };
     match W::read_report(&reply.body) {
-        Ok(report) => report
-            .stalled
-            .into_iter()
-            .find(|stalled| stalled.request_id == request_id)
-            .map_or(Diagnosis::Working, |stalled| Diagnosis::WaitsFor(stalled.waits_for)),
+        Ok(report) => {
+            let queue = EngineQueue {
+                waiting: report.waiting,
+                running: report.running,
+                kv_share: report.kv_share,
+            };
+            let mut stalled = report.stalled.into_iter();
+            stalled
+                .find(|stalled| stalled.request_id == request_id)
+                .map_or(Diagnosis::Working(Some(queue)), |stalled| {
+                    Diagnosis::WaitsFor(stalled.waits_for)
+                })
+        }
         Err(error) => {
             tracing::warn!(endpoint = first, %error, "endpoint: A report cannot be read.");
-            Diagnosis::Working
+            Diagnosis::Working(None)
         }
     }
 }
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -1,11 +1,13 @@
 //! Detects lost engines on the path of a running request and moves the request around them.
 
+use crate::decisions::SilenceCheck;
 use crate::endpoints::Evidence;
 use crate::gateway::Gateway;
+use crate::hall_reports::ReportedEngine;
 use crate::job::{Job, path_request};
 use crate::metrics::KindLabel;
 use crate::paths::choose_repaired_path;
-use crate::probes::{Diagnosis, Probe, diagnose, probe_path, silence_means_loss};
+use crate::probes::{Diagnosis, EngineQueue, Probe, diagnose, probe_path, silence_means_loss};
 use crate::store::MetadataStore;
 use crate::wire::{OrderOutcome, Wire};
 use sillbank_core::prelude::*;
@@ -179,7 +181,14 @@
         return Some(Loss { engines: ejected, reason, is_certain: silence == Silence::Long });
     }
     match (silence, active_route.path) {
-        (Silence::Short(silent_for), Some(path)) => probe_engines(gateway, path, silent_for).await,
+        (Silence::Short(silent_for), Some(path)) => {
+            let loss = probe_engines(gateway, path, silent_for).await;
+            if loss.is_none() {
+                let finding = "all engines of the path answer, or most are silent";
+                log_check(gateway, job, active_route, finding, None);
+            }
+            loss
+        }
         (Silence::Short(_), None) => None,
         (Silence::Long, _) => ask_first_endpoint(gateway, job, active_route).await,
     }
@@ -231,8 +240,16 @@
 ) -> Option<Loss> {
     let first = active_route.endpoint;
     let started_at = Instant::now();
-    match diagnose(gateway, first, active_route.address, &job.head.request_id).await {
-        Diagnosis::Working | Diagnosis::Unknown => None,
+    let diagnosis = diagnose(gateway, first, active_route.address, &job.head.request_id).await;
+    let (finding, queue) = match &diagnosis {
+        Diagnosis::Working(queue) => ("the first endpoint works on it", *queue),
+        Diagnosis::Unknown => ("no VM could ask the first endpoint", None),
+        Diagnosis::Silent(_) => ("the first endpoint does not answer", None),
+        Diagnosis::WaitsFor(_) => ("the first endpoint waits for another one", None),
+    };
+    log_check(gateway, job, active_route, finding, queue);
+    match diagnosis {
+        Diagnosis::Working(_) | Diagnosis::Unknown => None,
         Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
             gateway.on_evidence(first, Evidence::Unreachable, started_at, &reason);
@@ -247,6 +264,37 @@
     }
 }
 
+fn log_check<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    job: &Job,
+    active_route: ActiveRoute<'_>,
+    finding: &str,
+    load: Option<EngineQueue>,
+) {
+    let fullest = active_route.path.and_then(|path| fullest_engine(gateway, path));
+    let check = SilenceCheck { endpoint: active_route.endpoint, finding, load, fullest };
+    gateway.decisions.silence_checked(job, &check);
+}
+
+/// The engine of a path with the largest used share of its KV cache, as reported.
+fn fullest_engine<W: Wire, S: MetadataStore>(
+    gateway: &Gateway<W, S>,
+    path: &LayerPath,
+) -> Option<(EndpointId, EngineQueue)> {
+    let now = Instant::now();
+    let read = |reported: ReportedEngine<'_>| EngineQueue {
+        waiting: reported.state.waiting,
+        running: reported.state.running,
+        kv_share: f64::from(reported.state.kv_permille) / 1000.0,
+    };
+    let loads = path.parts().iter().filter_map(|part| {
+        let hall = gateway.hall_of(&part.endpoint)?;
+        let load = gateway.hall.reports.engine(&hall, &part.endpoint, now, read)?;
+        Some((part.endpoint.clone(), load))
+    });
+    loads.max_by(|(_, one), (_, other)| one.kv_share.total_cmp(&other.kv_share))
+}
+
 /// Moves a request to a path on which other engines run the lost parts. Returns the new path if the
 /// first endpoint accepted it.
 pub(super) async fn move_request<W: Wire, S: MetadataStore>(
