--- a/crates/sillbank_core/src/ids.rs
+++ b/crates/sillbank_core/src/ids.rs
@@ -105,4 +105,9 @@
     pub fn is_empty(&self) -> bool {
         self.end <= self.first
     }
+
+    /// Number of layers that are in both ranges.
+    pub fn overlap(&self, other: Self) -> usize {
+        Self { first: self.first.max(other.first), end: self.end.min(other.end) }.len()
+    }
 }
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -262,8 +262,6 @@
             run: Cell::new(RunLog::default()),
             sends: Cell::new(0),
             link_losses: Cell::new(0),
-            last_transit: Cell::new(None),
-            last_hop: Cell::new(None),
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
             caller,
@@ -282,7 +280,7 @@
         self.gateway.count_offered(&job);
         match job.route.kind {
             WorkKind::Call(_) => calls::answer(&self.gateway, &job).await,
-            WorkKind::Stream(rules) => streams::answer(&self.gateway, &job, rules).await,
+            WorkKind::Stream(_) => streams::answer(&self.gateway, &job).await,
         }
     }
 }
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls.rs
@@ -14,8 +14,8 @@
 use crate::metrics::KindLabel;
 use crate::retries::{SendAttempts, SendFailureKind};
 use crate::sending::{
-    BufferedReply, Destination, SendOutcome, buffer_reply, ends_with_connection, health_evidence,
-    send,
+    BufferedReply, Destination, SendOutcome, SendRoute, buffer_reply, ends_with_connection,
+    health_evidence, send,
 };
 use crate::store::MetadataStore;
 use crate::wire::Wire;
@@ -235,12 +235,13 @@
     let _in_flight = gateway
         .endpoint_tracker
         .start(vec![RequestPart { endpoint: choice.endpoint.clone(), kv: 0.0 }], now);
-    let exchange = exchange(gateway, job, choice);
+    let route = SendRoute::default();
+    let exchange = exchange(gateway, job, choice, &route);
     if !job.is_idempotent() || !job.may_send_again(now) {
         return exchange.await;
     }
     let link_loss = async {
-        wait_for_link_loss(gateway, job, choice).await;
+        wait_for_link_loss(gateway, choice, &route).await;
         TryOutcome::LinkLost("the link to the endpoint is lost".to_owned())
     };
     let exchange = futures_lite::future::or(exchange, link_loss);
@@ -251,7 +252,7 @@
     let timeout = async {
         smol::Timer::after(try_timeout).await;
         gateway.on_evidence(&choice.endpoint, Evidence::Failed, now, "no answer in time");
-        gateway.on_send_trouble(job, &choice.endpoint);
+        gateway.on_send_trouble(&choice.endpoint, route.transit());
         TryOutcome::Late(format!("no answer within {} ms", try_timeout.as_millis()))
     };
     futures_lite::future::or(exchange, timeout).await
@@ -260,16 +261,16 @@
 /// Waits until the link under a call is lost, or the VM that passes its connection on.
 async fn wait_for_link_loss<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
-    job: &Rc<Job>,
     choice: &Choice,
+    route: &SendRoute,
 ) {
     let mut hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
     loop {
         smol::Timer::after(LINK_POLL_INTERVAL).await;
-        if gateway.has_lost_link(&choice.endpoint, job.last_transit.get()) {
+        if gateway.has_lost_link(&choice.endpoint, route.transit()) {
             return;
         }
-        let Some(vm) = job.last_hop.get().filter(|_| hop_check_due <= Instant::now()) else {
+        let Some(vm) = route.hop().filter(|_| hop_check_due <= Instant::now()) else {
             continue;
         };
         if gateway.hop_is_lost(vm, &choice.endpoint, choice.address).await {
@@ -283,8 +284,9 @@
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
     choice: &Choice,
+    route: &SendRoute,
 ) -> TryOutcome {
-    let to = Destination { endpoint: &choice.endpoint, address: choice.address, path: None };
+    let to = Destination { endpoint: &choice.endpoint, address: choice.address, path: None, route };
     let timer =
         gateway.call_tracker.start_timer(&job.service.name, &choice.endpoint, Instant::now());
     let sent_at = Instant::now();
@@ -324,7 +326,7 @@
             TryOutcome::NotSent(reason)
         }
         SendOutcome::Lost(reason) => {
-            gateway.on_send_trouble(job, &choice.endpoint);
+            gateway.on_send_trouble(&choice.endpoint, route.transit());
             TryOutcome::Lost(reason)
         }
         SendOutcome::HopLost(reason) => TryOutcome::LinkLost(reason),
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -13,7 +13,9 @@
 use crate::revision::Revision;
 use crate::wire::OrderOutcome;
 use sillbank_catalog::prelude::*;
+use sillbank_chart::Named;
 use sillbank_core::prelude::*;
+use sillbank_failover::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_pushback::prelude::*;
@@ -242,6 +244,60 @@
         }
     }
 
+    /// The endpoint of a stream is doubted: another one is looked for while it may go on.
+    pub fn doubted(&self, job: &Job, endpoint: &str, at_fault: &[EndpointId], reason: &str) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                endpoint,
+                at_fault = at_fault.join(","),
+                silent_ms = silent_ms(job),
+                reason,
+                "route: Doubted."
+            );
+        }
+    }
+
+    /// A doubted endpoint sent the stream's next event.
+    pub fn went_on(&self, job: &Job, silent_for: Duration) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                silent_ms = silent_for.as_millis() as u64,
+                "route: Went on."
+            );
+        }
+    }
+
+    /// No other endpoint took a stream whose endpoint is doubted or lost. It is tried again unless
+    /// the refusal is permanent.
+    pub fn not_continued(&self, job: &Job, state: AnswerState, refusal: Refusal, detail: &str) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                state = state.name(),
+                silent_ms = silent_ms(job),
+                time_left_ms = job.time_left(Instant::now()).as_millis() as u64,
+                refusal = refusal.text(),
+                detail,
+                "route: No other endpoint."
+            );
+        }
+    }
+
+    /// Another endpoint continues a stream.
+    pub fn continued(&self, job: &Job, from: Option<&str>, to: &str) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                from,
+                to,
+                silent_ms = silent_ms(job),
+                "route: Continued elsewhere."
+            );
+        }
+    }
+
     /// A started stream that broke is not resumed.
     pub fn not_resumed(&self, job: &Job, reason: &str) {
         if self.take_line() {
@@ -259,11 +315,10 @@
     /// A stream without events was checked.
     pub fn silence_checked(&self, job: &Job, check: &SilenceCheck<'_>) {
         if self.take_line() {
-            let silent_for = job.delivery.silent_for(job.received_at, Instant::now());
             tracing::info!(
                 request = job.head.request_id,
                 endpoint = check.endpoint,
-                silent_ms = silent_for.as_millis() as u64,
+                silent_ms = silent_ms(job),
                 moves = job.delivery.moves(),
                 finding = check.finding,
                 load = check.load.map(|load| load.to_string()),
@@ -312,7 +367,7 @@
                 reason,
                 first_ms = job.delivery.first().map(|first| first.as_millis() as u64),
                 pause_ms = job.delivery.longest_pause().as_millis() as u64,
-                silent_ms = job.delivery.silent_for(job.received_at, Instant::now()).as_millis() as u64,
+                silent_ms = silent_ms(job),
                 foretold_first_ms = forecast.map(|times| times.first_event.as_millis() as u64),
                 foretold_pause_ms = forecast.map(|times| times.pause.as_millis() as u64),
                 moves = job.delivery.moves(),
@@ -393,6 +448,11 @@
     }
 }
 
+/// Time since the last event of a request, in milliseconds.
+fn silent_ms(job: &Job) -> u64 {
+    job.delivery.silent_for(job.received_at, Instant::now()).as_millis() as u64
+}
+
 /// A fingerprint as written in logs.
 pub fn describe_fingerprint(fingerprint: Fingerprint) -> String {
     format!("{fingerprint:032x}")
--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -66,6 +66,8 @@
     avoided_until: Option<Instant>,
     answered_at: Option<Instant>,
     sends: SendLog,
+    /// KV cache of requests that were moved there and that it has not processed yet.
+    reserved_kv: f64,
 }
 
 impl EndpointState {
@@ -81,6 +83,7 @@
             avoided_until: None,
             answered_at: None,
             sends: SendLog::default(),
+            reserved_kv: 0.0,
         }
     }
 }
@@ -103,6 +106,35 @@
     last_incarnation: Cell<IncarnationNumber>,
 }
 
+/// KV cache reserved for a request that is moved to some engines, until dropped. Engines report it
+/// only when they have processed the request's tokens again.
+#[derive(Debug)]
+pub struct Reservation {
+    tracker: Rc<EndpointTracker>,
+    parts: Vec<(RequestPart, IncarnationNumber)>,
+}
+
+impl Reservation {
+    /// The engines have processed the request: it is in flight there now.
+    pub fn into_in_flight(self, now: Instant) -> InFlightGuard {
+        let parts = self.parts.iter().map(|(part, _)| part.clone()).collect();
+        self.tracker.start(parts, now)
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut states = self.tracker.states.borrow_mut();
+        for (part, incarnation) in &self.parts {
+            if let Some(state) =
+                states.get_mut(&part.endpoint).filter(|state| state.incarnation == *incarnation)
+            {
+                state.reserved_kv -= part.kv;
+            }
+        }
+    }
+}
+
 /// Work in flight at some endpoints; ends when dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
@@ -111,6 +143,22 @@
     parts: Vec<(RequestPart, IncarnationNumber)>,
 }
 
+impl InFlightGuard {
+    /// Takes over the work of another guard.
+    pub fn absorb(&mut self, mut other: Self) {
+        self.parts.append(&mut other.parts);
+    }
+
+    /// Ends the work at an endpoint.
+    pub fn end_at(&mut self, endpoint: &str) {
+        let (ended, kept) = std::mem::take(&mut self.parts)
+            .into_iter()
+            .partition(|(part, _)| part.endpoint == endpoint);
+        self.parts = kept;
+        drop(Self { tracker: self.tracker.clone(), parts: ended });
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let now = Instant::now();
@@ -141,6 +189,23 @@
         InFlightGuard { tracker: self.clone(), parts: parts.into_iter().map(start).collect() }
     }
 
+    /// Reserves KV cache for a request that is to be moved to some engines.
+    pub fn reserve(self: &Rc<Self>, parts: Vec<RequestPart>, now: Instant) -> Reservation {
+        let reserve = |part: RequestPart| {
+            let incarnation = self.with(&part.endpoint, now, |state| {
+                state.reserved_kv += part.kv;
+                state.incarnation
+            });
+            (part, incarnation)
+        };
+        Reservation { tracker: self.clone(), parts: parts.into_iter().map(reserve).collect() }
+    }
+
+    /// KV cache reserved at an engine, in tokens times layers.
+    pub fn reserved_kv(&self, endpoint: &str) -> f64 {
+        self.states.borrow().get(endpoint).map_or(0.0, |state| state.reserved_kv)
+    }
+
     /// Resets an endpoint that has restarted, as nothing observed applies to its new incarnation.
     pub fn on_restart(&self, endpoint: &str, now: Instant) {
         let renewed = EndpointState {
--- a/crates/sillbank_gateway/src/events.rs
+++ b/crates/sillbank_gateway/src/events.rs
@@ -58,6 +58,11 @@
         Some(SseEvent { bytes, number })
     }
 
+    /// Whether a complete event is buffered.
+    pub fn has_complete_event(&self) -> bool {
+        self.find_end().is_some()
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -16,11 +16,9 @@
 use sillbank_core::run::RunLog;
 use sillbank_engines::prelude::*;
 use sillbank_layers::prelude::*;
-use sillbank_links::prelude::*;
 use sillbank_net::prelude::*;
 use sillbank_quarantine::prelude::*;
 use std::cell::{Cell, OnceCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -64,10 +62,6 @@
     pub sends: Cell<u32>,
     /// Sends that were lost with this VM's link, or with the VM that passed the connection on.
     pub link_losses: Cell<u32>,
-    /// How the connection that carries the last send was opened; `None` until there is one.
-    pub last_transit: Cell<Option<Transit>>,
-    /// The VM that passes that connection on, if one does.
-    pub last_hop: Cell<Option<SocketAddr>>,
     /// Events as the caller saw them.
     pub delivery: Delivery,
     /// Forecast made at the first send; `None` inside if no forecast was possible.
@@ -124,11 +118,16 @@
         self.sends.get() < self.route.max_attempts.max(1) && self.time_left(now) >= MIN_TIME_LEFT
     }
 
+    /// Takes back a send that reached no endpoint, or whose endpoint proved that it ran nothing.
+    pub fn uncount_send(&self) {
+        self.sends.set(self.sends.get().saturating_sub(1));
+    }
+
     /// Records that a send was lost with a link. The first few do not count as sends: the endpoints were cut off from this VM.
     pub fn record_link_loss(&self) {
         self.link_losses.set(self.link_losses.get() + 1);
         if self.link_losses.get() <= MAX_FREE_LINK_LOSSES {
-            self.sends.set(self.sends.get().saturating_sub(1));
+            self.uncount_send();
         }
     }
 
--- a/crates/sillbank_gateway/src/links/connect.rs
+++ b/crates/sillbank_gateway/src/links/connect.rs
@@ -3,7 +3,6 @@
 use super::relay_client::RelayError;
 use crate::connection_pool::PooledConnection;
 use crate::gateway::Gateway;
-use crate::job::Job;
 use crate::wire::Wire;
 use futures_lite::future::or;
 use sillbank_core::prelude::*;
@@ -60,9 +59,9 @@
             && self.hall_of(endpoint).is_some_and(|hall| self.links.is_hall_lost(&hall))
     }
 
-    /// A request's last send failed; if it was direct, the link is checked.
-    pub fn on_send_trouble(&self, job: &Job, endpoint: &str) {
-        if job.last_transit.get() == Some(Transit::Direct) {
+    /// A send over such a connection failed; if it was direct, the link is checked.
+    pub fn on_send_trouble(&self, endpoint: &str, transit: Option<Transit>) {
+        if transit == Some(Transit::Direct) {
             self.links.on_trouble(endpoint);
         }
     }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -114,6 +114,8 @@
     pub repeats_denied: Counter,
     /// Streams that were resumed on another path.
     pub resumes: Counter,
+    /// Streams whose endpoints were doubted, by what followed.
+    pub doubted_streams: Family<KindLabel, Counter>,
     /// Requests moved to another path, by result.
     pub moves: Family<KindLabel, Counter>,
     /// Calls to the store by kind.
@@ -196,6 +198,7 @@
         let sends = Family::default();
         let repeats_denied = Counter::default();
         let resumes = Counter::default();
+        let doubted_streams = Family::<KindLabel, Counter>::default();
         let moves = Family::default();
         let store_calls = StoreCalls::default();
         let store_errors = Family::default();
@@ -241,6 +244,11 @@
         registry.register("sends", "Sends to endpoints", sends.clone());
         registry.register("repeats_denied", "Repeats beyond the budget", repeats_denied.clone());
         registry.register("resumes", "Streams resumed elsewhere", resumes.clone());
+        registry.register(
+            "doubted_streams",
+            "Streams whose endpoint was doubted, by what followed",
+            doubted_streams.clone(),
+        );
         registry.register("moves", "Requests moved to another path", moves.clone());
         registry.register("store_calls", "Store calls by kind", store_calls.clone());
         registry.register("store_errors", "Store calls that failed", store_errors.clone());
@@ -306,6 +314,7 @@
             sends,
             repeats_denied,
             resumes,
+            doubted_streams,
             moves,
             store_calls,
             store_errors,
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -32,6 +32,7 @@
 pub struct SendAttempts {
     unreached: u32,
     misdirected: u32,
+    refused: u32,
 }
 
 impl SendAttempts {
@@ -53,7 +54,7 @@
         match kind {
             SendFailureKind::NotSent => {
                 // The request reached no endpoint, so another send is no retry.
-                job.sends.set(job.sends.get() - 1);
+                job.uncount_send();
                 self.unreached += 1;
                 self.unreached < MAX_UNREACHED_SENDS
             }
@@ -61,11 +62,17 @@
                 // The endpoint could not have run the request. If this counted as one of the
                 // route's sends, streams that meet two engines which have restarted, and whose
                 // entries say so only later, would be aborted.
-                job.sends.set(job.sends.get() - 1);
+                job.uncount_send();
                 self.misdirected += 1;
                 self.misdirected < MAX_MISDIRECTED_SENDS && gateway.may_send_again(job)
             }
-            SendFailureKind::NotRun => gateway.may_send_again(job),
+            SendFailureKind::NotRun => {
+                // A route's limit of sends bounds the endpoints that run a request. A started
+                // stream would be lost if refusals used it up.
+                job.uncount_send();
+                self.refused += 1;
+                self.refused < job.route.max_attempts.max(1) && gateway.may_send_again(job)
+            }
             SendFailureKind::LinkLost => {
                 job.record_link_loss();
                 job.is_idempotent() && gateway.may_send_again(job)
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -16,10 +16,41 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use sillbank_core::run::RunLog;
 use sillbank_layers::prelude::*;
+use sillbank_links::prelude::*;
 use sillbank_net::prelude::*;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Instant;
 
+/// How the connection of one send was opened; empty until there is one.
+#[derive(Debug, Default)]
+pub struct SendRoute {
+    transit: Cell<Option<Transit>>,
+    hop: Cell<Option<SocketAddr>>,
+}
+
+impl SendRoute {
+    /// Whether the connection is direct or goes through another VM.
+    pub fn transit(&self) -> Option<Transit> {
+        self.transit.get()
+    }
+
+    /// The VM that passes the connection on, if one does.
+    pub fn hop(&self) -> Option<SocketAddr> {
+        self.hop.get()
+    }
+
+    fn clear(&self) {
+        self.transit.set(None);
+        self.hop.set(None);
+    }
+
+    fn set(&self, connection: &PooledConnection) {
+        self.transit.set(Some(connection.transit()));
+        self.hop.set(connection.hop.as_ref().map(|hop| hop.vm));
+    }
+}
+
 /// Where a request is sent.
 #[derive(Debug, Clone, Copy)]
 pub struct Destination<'a> {
@@ -29,6 +60,8 @@
     pub address: SocketAddr,
     /// Path, if the endpoint runs a part of a model.
     pub path: Option<&'a LayerPath>,
+    /// Set when there is a connection.
+    pub route: &'a SendRoute,
 }
 
 /// Result of a send.
@@ -59,8 +92,7 @@
     resume_after: Option<u64>,
 ) -> SendOutcome {
     loop {
-        job.last_transit.set(None);
-        job.last_hop.set(None);
+        to.route.clear();
         let connection = match gateway.connection_pool.take(to.endpoint, to.address, Instant::now())
         {
             Some(connection) => connection,
@@ -73,8 +105,7 @@
             },
         };
         let is_reused = connection.reused;
-        job.last_transit.set(Some(connection.transit()));
-        job.last_hop.set(connection.hop.as_ref().map(|hop| hop.vm));
+        to.route.set(&connection);
         if let Some(hop) = &connection.hop {
             gateway.decisions.sent_through(job, to.endpoint, hop);
         }
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -1,28 +1,29 @@
 //! Sends a stream's request once and waits for the head of the reply.
 
-use super::loss::{ActiveRoute, Loss, Silence, SilenceTimer, detect_loss, move_request};
+use super::continuation::{Acceptance, Continuation, Continuer};
+use super::loss::{ActiveRoute, Loss, Move};
 use super::target::Target;
+use super::watch::{Finding, SilenceWatch};
 use crate::connection_pool::PooledConnection;
 use crate::crashes::BrokenSend;
-use crate::endpoints::{Evidence, InFlightGuard, RequestPart};
+use crate::endpoints::{Evidence, InFlightGuard, RequestPart, Reservation};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::{Job, engine_shares};
 use crate::retries::SendFailureKind;
-use crate::sending::{Destination, SendOutcome, buffer_reply, send};
+use crate::sending::{Destination, SendOutcome, SendRoute, buffer_reply, send};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
-use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
 use sillbank_quarantine::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Maximum size of a failure reply's body that is relayed to the caller.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -38,9 +39,13 @@
     /// Name of the endpoint's incarnation that the request was sent to.
     pub(super) incarnation: String,
     pub(super) splitter: EventSplitter,
-    pub(super) _in_flight: InFlightGuard,
+    pub(super) in_flight: InFlightGuard,
+    /// Room at engines that the request was moved to, until it goes on there.
+    pub(super) reservations: Vec<Reservation>,
     /// When the request was sent or last moved.
     pub(super) sent_at: Instant,
+    /// When the request was sent.
+    pub(super) opened_at: Instant,
     /// When the last data arrived from this endpoint.
     pub(super) last_data_at: Option<Instant>,
     /// When the first event arrived from this endpoint.
@@ -69,13 +74,30 @@
         has_passed && !std::mem::replace(&mut self.has_passed_suspicion_window, true)
     }
 
-    pub(super) fn active_route(&self) -> ActiveRoute<'_> {
+    pub(super) fn active_route(&self) -> ActiveRoute {
         ActiveRoute {
-            endpoint: &self.endpoint,
+            endpoint: self.endpoint.clone(),
             address: self.address,
-            path: self.path.as_ref(),
+            path: self.path.clone(),
+            transit: Some(self.connection.transit()),
+            hop: self.connection.hop.as_ref().map(|hop| hop.vm),
             since: self.sent_at,
-            last_data_at: self.last_data_at,
+            last_data_at: self.last_data_at.unwrap_or(self.opened_at),
+        }
+    }
+
+    /// The stream takes another path from now on.
+    pub(super) fn on_moved(&mut self, moved: Move) {
+        self.path = Some(moved.path);
+        self.reservations.push(moved.reservation);
+        moved.left.iter().for_each(|engine| self.in_flight.end_at(engine));
+        self.sent_at = Instant::now();
+    }
+
+    /// An event arrived, so that all engines of the path have processed the request.
+    pub(super) fn on_event(&mut self, now: Instant) {
+        for reservation in self.reservations.drain(..) {
+            self.in_flight.absorb(reservation.into_in_flight(now));
         }
     }
 }
@@ -86,6 +108,16 @@
     Failure(Response<ReplyBody>),
 }
 
+impl UpstreamReply {
+    /// Endpoint that sends the stream; empty for a failure.
+    pub(super) fn endpoint(&self) -> &str {
+        match self {
+            Self::Stream(upstream, _) => &upstream.endpoint,
+            Self::Failure(_) => "",
+        }
+    }
+}
+
 /// How the exchange of a failed send ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ExchangeEnd {
@@ -112,30 +144,76 @@
     Failed(FailedAttempt),
 }
 
+/// How the exchange of one send ended.
+enum SendEnd {
+    /// The endpoint replied, or the connection failed.
+    Sent(SendOutcome),
+    /// Another endpoint replied first.
+    Replaced(UpstreamReply),
+    /// The request was given up there, as it cannot continue.
+    Abandoned(Loss),
+}
+
 /// Sends a stream's request to a target once. While the reply is awaited, the request may be moved
-/// around lost engines.
+/// around lost engines, and other endpoints than those in `tried` are looked for.
 pub(super) async fn send_once<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
     mut target: Target,
     resume_after: Option<EventNumber>,
+    tried: &[EndpointId],
 ) -> AttemptResult {
     let sent_at = Instant::now();
     let shares = match (&target.path, &job.service.engine) {
         (Some(path), Some(figures)) => engine_shares(path, job.demand(figures)),
         _ => vec![RequestPart { endpoint: target.endpoint.clone(), kv: 0.0 }],
     };
-    let in_flight = gateway.endpoint_tracker.start(shares, sent_at);
+    let mut in_flight = gateway.endpoint_tracker.start(shares, sent_at);
+    let mut reservations = Vec::new();
     let endpoint = target.endpoint.clone();
     let incarnation = gateway.incarnation_name(&endpoint);
     let path = target.path.clone();
-    let to = Destination { endpoint: &endpoint, address: target.address, path: path.as_ref() };
-    let loss_detected = watch_for_loss(gateway, job, &mut target);
-    let sent =
-        futures_lite::future::or(async { Ok(send(gateway, job, to, resume_after).await) }, async {
-            Err(loss_detected.await)
-        })
-        .await;
+    let route = SendRoute::default();
+    let to = Destination {
+        endpoint: &endpoint,
+        address: target.address,
+        path: path.as_ref(),
+        route: &route,
+    };
+    let mut continuer = Continuer::new(gateway, job, Acceptance::Head, tried);
+    let watch = WatchedSend {
+        target: &mut target,
+        in_flight: &mut in_flight,
+        reservations: &mut reservations,
+        route: &route,
+        incarnation: &incarnation,
+    };
+    let replaced = watch.until_replaced(gateway, job, &mut continuer, resume_after);
+    let sent = futures_lite::future::or(
+        async { SendEnd::Sent(send(gateway, job, to, resume_after).await) },
+        replaced,
+    )
+    .await;
+    let outcome = match sent {
+        SendEnd::Sent(outcome @ SendOutcome::Success(..)) => outcome,
+        SendEnd::Sent(outcome) => match continuer.try_finish().await {
+            Some(reply) => return AttemptResult::Replied(reply),
+            None => outcome,
+        },
+        SendEnd::Replaced(reply) => {
+            gateway.decisions.continued(job, Some(&endpoint), reply.endpoint());
+            return AttemptResult::Replied(reply);
+        }
+        SendEnd::Abandoned(loss) => {
+            return AttemptResult::Failed(FailedAttempt {
+                endpoint,
+                at_fault: loss.engines.into_iter().next(),
+                kind: SendFailureKind::MayHaveRun,
+                exchange: ExchangeEnd::Abandoned,
+                reason: loss.reason,
+            });
+        }
+    };
     let failed = |at_fault, kind, reason| {
         AttemptResult::Failed(FailedAttempt {
             endpoint: endpoint.clone(),
@@ -145,25 +223,8 @@
             reason,
         })
     };
-    let link_lost = |reason| {
-        AttemptResult::Failed(FailedAttempt {
-            endpoint: endpoint.clone(),
-            at_fault: None,
-            kind: SendFailureKind::LinkLost,
-            exchange: ExchangeEnd::Complete,
-            reason,
-        })
-    };
-    match sent {
-        Err(loss) if loss.engines.is_empty() => link_lost(loss.reason),
-        Err(loss) => AttemptResult::Failed(FailedAttempt {
-            endpoint,
-            at_fault: loss.engines.into_iter().next(),
-            kind: SendFailureKind::MayHaveRun,
-            exchange: ExchangeEnd::Abandoned,
-            reason: loss.reason,
-        }),
-        Ok(SendOutcome::Success(reply, connection)) => {
+    match outcome {
+        SendOutcome::Success(reply, connection) => {
             gateway.on_evidence(&endpoint, Evidence::Good, sent_at, "a stream was opened");
             let status = reply.status();
             let (head, body) = reply.into_parts();
@@ -177,15 +238,17 @@
                 address: target.address,
                 incarnation,
                 splitter: EventSplitter::default(),
-                _in_flight: in_flight,
+                in_flight,
+                reservations,
                 sent_at,
+                opened_at: sent_at,
                 last_data_at: None,
                 first_event_at: None,
                 has_passed_suspicion_window: false,
             };
             AttemptResult::Replied(UpstreamReply::Stream(Box::new(upstream), status))
         }
-        Ok(SendOutcome::Failure(reply, connection)) => {
+        SendOutcome::Failure(reply, connection) => {
             gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, "a stream failed to open");
             let status = reply.status();
             if job.is_idempotent() && job.may_send_again(Instant::now()) {
@@ -200,7 +263,7 @@
                 Err(reason) => failed(None, SendFailureKind::MayHaveRun, reason),
             }
         }
-        Ok(SendOutcome::NotRun(refusal)) => {
+        SendOutcome::NotRun(refusal) => {
             let at_fault = refusal
                 .at_fault
                 .and_then(|address| Some(target.path.as_ref()?.part_at(address)?.endpoint.clone()));
@@ -219,14 +282,14 @@
             };
             failed(at_fault, kind, reason)
         }
-        Ok(SendOutcome::NoLink(reason)) => failed(None, SendFailureKind::NotSent, reason),
-        Ok(SendOutcome::NotSent(reason)) => {
+        SendOutcome::NoLink(reason) => failed(None, SendFailureKind::NotSent, reason),
+        SendOutcome::NotSent(reason) => {
             gateway.on_evidence(&endpoint, Evidence::Unreachable, sent_at, &reason);
             failed(None, SendFailureKind::NotSent, reason)
         }
-        Ok(SendOutcome::HopLost(reason)) => link_lost(reason),
-        Ok(SendOutcome::Lost(reason)) => {
-            gateway.on_send_trouble(job, &endpoint);
+        SendOutcome::HopLost(reason) => failed(None, SendFailureKind::LinkLost, reason),
+        SendOutcome::Lost(reason) => {
+            gateway.on_send_trouble(&endpoint, route.transit());
             gateway.on_evidence(&endpoint, Evidence::Failed, sent_at, &reason);
             let (at_fault, kind) = (None, SendFailureKind::MayHaveRun);
             AttemptResult::Failed(FailedAttempt {
@@ -240,51 +303,64 @@
     }
 }
 
-/// Waits until engines of the target are lost and the request cannot be moved around them.
-async fn watch_for_loss<W: Wire, S: MetadataStore>(
-    gateway: &Rc<Gateway<W, S>>,
-    job: &Rc<Job>,
-    target: &mut Target,
-) -> Loss {
-    let mut since = Instant::now();
-    let mut timer = SilenceTimer::new(gap_objective(job));
-    loop {
-        smol::Timer::after(timer.wait()).await;
-        if gateway.has_lost_link(&target.endpoint, job.last_transit.get()) {
-            return Loss::of_link();
-        }
-        let active_route = ActiveRoute {
-            endpoint: &target.endpoint,
-            address: target.address,
-            path: target.path.as_ref(),
-            since,
-            last_data_at: None,
-        };
-        let silence = timer.on_silence();
-        if silence == Silence::Long
-            && let Some(vm) = job.last_hop.get()
-            && gateway.hop_is_lost(vm, &target.endpoint, target.address).await
-        {
-            return Loss::of_link();
-        }
-        let Some(loss) = detect_loss(gateway, job, active_route, silence).await else {
-            continue;
-        };
-        match move_request(gateway, job, active_route, &loss).await {
-            Some(path) => {
-                job.delivery.on_moved();
-                target.path = Some(path);
-                since = Instant::now();
-            }
-            None if loss.is_certain => return loss,
-            None => {}
-        }
-    }
+/// A send whose reply is awaited.
+struct WatchedSend<'a> {
+    target: &'a mut Target,
+    in_flight: &'a mut InFlightGuard,
+    reservations: &'a mut Vec<Reservation>,
+    route: &'a SendRoute,
+    incarnation: &'a str,
 }
 
-fn gap_objective(job: &Job) -> Option<Duration> {
-    match job.route.kind {
-        WorkKind::Stream(rules) => rules.gap_objective,
-        WorkKind::Call(_) => None,
+impl WatchedSend<'_> {
+    /// Moves the request around lost engines and looks for another endpoint, until one has replied or
+    /// the request cannot continue where it is.
+    async fn until_replaced<W: Wire, S: MetadataStore>(
+        self,
+        gateway: &Rc<Gateway<W, S>>,
+        job: &Rc<Job>,
+        continuer: &mut Continuer<W, S>,
+        resume_after: Option<EventNumber>,
+    ) -> SendEnd {
+        let sent_at = Instant::now();
+        let mut since = sent_at;
+        let mut watch = SilenceWatch::new(gateway, job);
+        loop {
+            let active_route = || ActiveRoute {
+                endpoint: self.target.endpoint.clone(),
+                address: self.target.address,
+                path: self.target.path.clone(),
+                transit: self.route.transit(),
+                hop: self.route.hop(),
+                since,
+                last_data_at: sent_at,
+            };
+            let finding = async { Ok(watch.next(active_route).await) };
+            let continued = async { Err(continuer.next(resume_after).await) };
+            match futures_lite::future::or(continued, finding).await {
+                Ok(Finding::Nothing) => {}
+                Ok(Finding::Moved(moved)) => {
+                    since = Instant::now();
+                    self.reservations.push(moved.reservation);
+                    moved.left.iter().for_each(|engine| self.in_flight.end_at(engine));
+                    self.target.path = Some(moved.path);
+                }
+                Ok(Finding::Doubted(loss)) => {
+                    let present = BrokenSend {
+                        endpoint: self.target.endpoint.clone(),
+                        address: self.target.address,
+                        incarnation: self.incarnation.to_owned(),
+                        sent_at,
+                        broke_at: Instant::now(),
+                        first_event_at: None,
+                    };
+                    continuer.on_doubt(present, loss);
+                }
+                Err(Continuation::Elsewhere(reply)) => return SendEnd::Replaced(reply),
+                Err(Continuation::Release(loss)) => return SendEnd::Abandoned(loss),
+                // Its connection has not ended.
+                Err(Continuation::GiveUp(_)) => std::future::pending().await,
+            }
+        }
     }
 }
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -1,18 +1,20 @@
 //! Detects lost engines on the path of a running request and moves the request around them.
 
 use crate::decisions::SilenceCheck;
-use crate::endpoints::Evidence;
+use crate::endpoints::{Evidence, Reservation};
 use crate::gateway::Gateway;
 use crate::hall_reports::ReportedEngine;
-use crate::job::{Job, path_request};
+use crate::job::{Job, engine_shares, path_request};
 use crate::metrics::KindLabel;
 use crate::paths::choose_repaired_path;
 use crate::probes::{Diagnosis, EngineQueue, Probe, diagnose, probe_path, silence_means_loss};
 use crate::store::MetadataStore;
 use crate::wire::{OrderOutcome, Wire};
 use sillbank_core::prelude::*;
+use sillbank_failover::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
+use sillbank_links::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -130,39 +132,57 @@
     }
 }
 
-/// Engines of a path that are lost, and the evidence for it.
-#[derive(Debug)]
+/// Engines of a path that may be lost, and the evidence for it.
+#[derive(Debug, Clone)]
 pub(super) struct Loss {
-    /// Empty if the link to the first endpoint is lost.
+    /// Empty if it is not known which one.
     pub(super) engines: Vec<EndpointId>,
     pub(super) reason: String,
-    /// Whether the request is given up at this endpoint if it cannot be moved. If not, it may still
-    /// continue.
-    pub(super) is_certain: bool,
+    pub(super) doubt: Doubt,
+    /// Whether the link to the first endpoint is lost, or the VM in between.
+    pub(super) is_link: bool,
 }
 
 impl Loss {
-    /// The link to the first endpoint is lost.
-    pub(super) fn of_link() -> Self {
-        let reason = "the link to the endpoint is lost".to_owned();
-        Self { engines: Vec::new(), reason, is_certain: true }
+    /// The link to the first endpoint is lost, or the VM in between.
+    pub(super) fn of_link(reason: &str) -> Self {
+        let (engines, doubt) = (Vec::new(), Doubt::Silence);
+        Self { engines, reason: reason.to_owned(), doubt, is_link: true }
+    }
+
+    /// The stream has been silent for longer than an endpoint that works is.
+    pub(super) fn unexplained() -> Self {
+        Self::of_engines(Vec::new(), "it has been silent for too long", Doubt::Silence)
+    }
+
+    /// Whether the stream cannot go on where it is, so that no longer silence is waited for.
+    pub(super) fn is_pressing(&self) -> bool {
+        self.is_link || self.doubt == Doubt::StateLost
+    }
+
+    fn of_engines(engines: Vec<EndpointId>, reason: &str, doubt: Doubt) -> Self {
+        Self { engines, reason: reason.to_owned(), doubt, is_link: false }
     }
 
-    fn of_engine(engine: &str, reason: &str) -> Self {
-        Self { engines: vec![engine.to_owned()], reason: reason.to_owned(), is_certain: true }
+    fn of_silent(engine: &str, reason: &str) -> Self {
+        Self::of_engines(vec![engine.to_owned()], reason, Doubt::Silence)
     }
 }
 
 /// The route of a running request.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ActiveRoute<'a> {
-    pub(super) endpoint: &'a str,
+#[derive(Debug, Clone)]
+pub(super) struct ActiveRoute {
+    pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
-    pub(super) path: Option<&'a LayerPath>,
+    pub(super) path: Option<LayerPath>,
+    /// How its connection was opened, if there is one yet.
+    pub(super) transit: Option<Transit>,
+    /// The VM that passes the connection on, if one does.
+    pub(super) hop: Option<SocketAddr>,
     /// When the request was sent or last moved.
     pub(super) since: Instant,
-    /// When the last data arrived on this route, if any did.
-    pub(super) last_data_at: Option<Instant>,
+    /// When the last data arrived on this route or, if none did, when the request was sent.
+    pub(super) last_data_at: Instant,
 }
 
 /// Checks whether engines of the path are lost. Engines that are ejected or have restarted count at
@@ -170,17 +190,13 @@
 pub(super) async fn detect_loss<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    active_route: ActiveRoute<'_>,
+    active_route: &ActiveRoute,
     silence: Silence,
 ) -> Option<Loss> {
-    let ejected = active_route
-        .path
-        .map_or_else(Vec::new, |path| ejected_or_restarted(gateway, path, active_route));
-    if !ejected.is_empty() {
-        let reason = "a part of the path is left alone".to_owned();
-        return Some(Loss { engines: ejected, reason, is_certain: silence == Silence::Long });
+    if let Some(loss) = known_loss(gateway, active_route) {
+        return Some(loss);
     }
-    match (silence, active_route.path) {
+    match (silence, &active_route.path) {
         (Silence::Short(silent_for), Some(path)) => {
             let loss = probe_engines(gateway, path, silent_for).await;
             if loss.is_none() {
@@ -194,20 +210,24 @@
     }
 }
 
-/// Engines of a path that have restarted since the request was sent, or were ejected since its last
-/// data arrived: data shows that the engines work that were ejected before.
-fn ejected_or_restarted<W: Wire, S: MetadataStore>(
+/// Engines of a path that are known to be lost: they have restarted since the request was sent or
+/// moved, or were ejected since its last data arrived, which shows that they worked until then.
+fn known_loss<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
-    path: &LayerPath,
-    active_route: ActiveRoute<'_>,
-) -> Vec<EndpointId> {
-    let sent_at = active_route.since;
-    let working_until = active_route.last_data_at.map_or(sent_at, |at| at.max(sent_at));
-    let is_lost = |part: &&PathPart| {
-        let (id, tracker) = (&part.endpoint, &gateway.endpoint_tracker);
-        tracker.ejected_since(id, working_until) || tracker.restarted_since(id, sent_at)
+    active_route: &ActiveRoute,
+) -> Option<Loss> {
+    let tracker = &gateway.endpoint_tracker;
+    let has_restarted = |id: &str| tracker.restarted_since(id, active_route.since);
+    let is_ejected = |id: &str| tracker.ejected_since(id, active_route.last_data_at);
+    let ids = active_route.path.iter().flat_map(LayerPath::parts).map(|part| &part.endpoint);
+    let engines: Vec<EndpointId> =
+        ids.filter(|id| has_restarted(id) || is_ejected(id)).cloned().collect();
+    let doubt = match engines.iter().any(|id| has_restarted(id)) {
+        true => Doubt::StateLost,
+        false => Doubt::Silence,
     };
-    path.parts().iter().filter(is_lost).map(|part| part.endpoint.clone()).collect()
+    let reason = "a part of the path is left alone";
+    (!engines.is_empty()).then(|| Loss::of_engines(engines, reason, doubt))
 }
 
 /// Probes all engines of a path. An engine that is leaving accepts no calls but finishes its
@@ -227,18 +247,18 @@
     for (id, _) in &lost {
         gateway.on_evidence(id, Evidence::Unreachable, started_at, reason);
     }
-    let is_certain = lost.iter().any(|(_, probe)| *probe == Probe::Refused);
-    let engines = lost.into_iter().map(|(id, _)| id).collect();
-    Some(Loss { engines, reason: reason.to_owned(), is_certain })
+    let has_refused = lost.iter().any(|(_, probe)| *probe == Probe::Refused);
+    let doubt = if has_refused { Doubt::StateLost } else { Doubt::Silence };
+    Some(Loss::of_engines(lost.into_iter().map(|(id, _)| id).collect(), reason, doubt))
 }
 
 /// Asks the first endpoint what the request waits for.
 async fn ask_first_endpoint<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    active_route: ActiveRoute<'_>,
+    active_route: &ActiveRoute,
 ) -> Option<Loss> {
-    let first = active_route.endpoint;
+    let first = active_route.endpoint.as_str();
     let started_at = Instant::now();
     let diagnosis = diagnose(gateway, first, active_route.address, &job.head.request_id).await;
     let (finding, queue) = match &diagnosis {
@@ -253,13 +273,13 @@
         Diagnosis::Silent(_) if !silence_means_loss(standing(gateway, first)) => None,
         Diagnosis::Silent(reason) => {
             gateway.on_evidence(first, Evidence::Unreachable, started_at, &reason);
-            Some(Loss::of_engine(first, &reason))
+            Some(Loss::of_silent(first, &reason))
         }
         Diagnosis::WaitsFor(address) => {
-            let part = active_route.path.and_then(|path| path.part_at(address))?;
+            let part = active_route.path.as_ref().and_then(|path| path.part_at(address))?;
             let reason = "the first endpoint waits for it";
             gateway.on_evidence(&part.endpoint, Evidence::Unreachable, started_at, reason);
-            Some(Loss::of_engine(&part.endpoint, reason))
+            Some(Loss::of_silent(&part.endpoint, reason))
         }
     }
 }
@@ -267,12 +287,12 @@
 fn log_check<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
-    active_route: ActiveRoute<'_>,
+    active_route: &ActiveRoute,
     finding: &str,
     load: Option<EngineQueue>,
 ) {
-    let fullest = active_route.path.and_then(|path| fullest_engine(gateway, path));
-    let check = SilenceCheck { endpoint: active_route.endpoint, finding, load, fullest };
+    let fullest = active_route.path.as_ref().and_then(|path| fullest_engine(gateway, path));
+    let check = SilenceCheck { endpoint: &active_route.endpoint, finding, load, fullest };
     gateway.decisions.silence_checked(job, &check);
 }
 
@@ -295,20 +315,35 @@
     loads.max_by(|(_, one), (_, other)| one.kv_share.total_cmp(&other.kv_share))
 }
 
-/// Moves a request to a path on which other engines run the lost parts. Returns the new path if the
+/// A request's new path.
+pub(super) struct Move {
+    pub(super) path: LayerPath,
+    /// Room at the engines that are new on it.
+    pub(super) reservation: Reservation,
+    /// Engines that are not on it any more.
+    pub(super) left: Vec<EndpointId>,
+}
+
+/// Moves a request to a path on which other engines run the lost parts. Returns the move if the
 /// first endpoint accepted it.
 pub(super) async fn move_request<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    active_route: ActiveRoute<'_>,
+    active_route: &ActiveRoute,
     loss: &Loss,
-) -> Option<LayerPath> {
+) -> Option<Move> {
     if !gateway.settings().mechanisms.moves {
         return None;
     }
-    let repaired = repaired_path(gateway, job, active_route.path?, &loss.engines)?;
+    let path = active_route.path.as_ref()?;
+    let repaired = repaired_path(gateway, job, path, &loss.engines)?;
+    // Before the call, as many streams look for room in the same moment.
+    let figures = job.service.engine.as_ref()?;
+    let mut added = engine_shares(&repaired, job.demand(figures));
+    added.retain(|part| !path.contains(&part.endpoint));
+    let reservation = gateway.endpoint_tracker.reserve(added, Instant::now());
     let call = W::move_call(&job.head.request_id, &repaired);
-    let (first, address) = (active_route.endpoint, active_route.address);
+    let (first, address) = (&active_route.endpoint, active_route.address);
     let reply = gateway.call_engine(first, address, call, MOVE_TIMEOUT).await;
     let outcome = match &reply {
         Ok(reply) => W::read_order_outcome(reply.status),
@@ -318,7 +353,7 @@
     gateway.metrics.moves.get_or_create(&KindLabel { kind: outcome.name() }).inc();
     let stamp = gateway.platform.stamp(Instant::now());
     gateway.decisions.moved(job, &loss.engines, &repaired, outcome, stamp);
-    is_moved.then_some(repaired)
+    is_moved.then(|| Move { path: repaired, reservation, left: loss.engines.clone() })
 }
 
 /// Returns the path with each lost part given to other engines.
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -3,10 +3,12 @@
 
 mod activity;
 mod attempt;
+mod continuation;
 mod loss;
 mod open;
 mod relay;
 mod target;
+mod watch;
 
 pub use activity::{ActiveStream, StreamActivity};
 pub use loss::{Silence, SilenceTimer};
@@ -20,9 +22,8 @@
 use crate::wire::Wire;
 use attempt::UpstreamReply;
 use hyper::Response;
-use open::open_stream;
+use open::start_stream;
 use relay::StreamRelay;
-use sillbank_catalog::prelude::*;
 use sillbank_net::prelude::*;
 use std::rc::Rc;
 
@@ -30,14 +31,13 @@
 pub async fn answer<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    rules: StreamRules,
 ) -> Response<ReplyBody> {
     let mut guard = StreamGuard::new(gateway, job);
     let timeout = async {
         smol::Timer::at(job.deadline).await;
         Err(deadline_failure(job.run.get()))
     };
-    match futures_lite::future::or(open_stream(gateway, job, None, Vec::new()), timeout).await {
+    match futures_lite::future::or(start_stream(gateway, job), timeout).await {
         Ok(UpstreamReply::Stream(upstream, status)) => {
             gateway.on_first_answer(job);
             let (outbox, body) = Outbox::new();
@@ -47,7 +47,6 @@
             let relay = StreamRelay {
                 gateway: gateway.clone(),
                 job: job.clone(),
-                rules,
                 outbox,
                 partial_event_memory: None,
                 last_number: job.head.resume_after,
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -1,7 +1,8 @@
 //! Opens a stream: sends its request until an endpoint accepts it.
 
 use super::attempt::{AttemptResult, ExchangeEnd, UpstreamReply, send_once};
-use super::target::{NoTarget, choose_target};
+use super::continuation::{Acceptance, Continuation, Continuer};
+use super::target::{NoTarget, PathChoice, choose_target};
 use crate::answers::{RETRY_AFTER_NOT_READY, final_failure, with_min_retry_after};
 use crate::crashes::{BreakCause, BrokenSend, check_abandoned_send, check_broken_send};
 use crate::decisions::FailedSend;
@@ -18,27 +19,74 @@
 /// How often a stream that waits for a usable engine looks for one.
 const ENGINE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a started stream without a usable endpoint looks for one. Callers give a stream up after
-/// two seconds without an event.
-const RESUME_WAIT: Duration = Duration::from_millis(1_000);
+/// Why a stream's request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SendPurpose {
+    /// It is new.
+    Start,
+    /// Its endpoint may be lost or may go on.
+    Replace,
+    /// Its endpoint is lost.
+    Resume,
+}
+
+impl SendPurpose {
+    /// Paths over which it may be sent.
+    pub(super) fn path_choice(self) -> PathChoice {
+        match self {
+            Self::Start | Self::Replace => PathChoice::WithRoom,
+            Self::Resume => PathChoice::Any,
+        }
+    }
+}
+
+/// What is sent, and where it is not.
+#[derive(Debug)]
+pub(super) struct OpenRequest {
+    /// The last event that the caller has.
+    pub(super) resume_after: Option<EventNumber>,
+    pub(super) purpose: SendPurpose,
+    /// Endpoints that are not used.
+    pub(super) avoid: Vec<EndpointId>,
+}
+
+impl OpenRequest {
+    /// The first send of a request.
+    fn start() -> Self {
+        Self { resume_after: None, purpose: SendPurpose::Start, avoid: Vec::new() }
+    }
+}
 
-/// Sends a stream's request until an endpoint accepts it. Endpoints in `avoid` are not used.
+/// Sends a new stream's request until an endpoint accepts it. Once it may have run, it cannot be
+/// refused any more, so that it waits for an endpoint if it may run again.
+pub(super) async fn start_stream<W: Wire, S: MetadataStore>(
+    gateway: &Rc<Gateway<W, S>>,
+    job: &Rc<Job>,
+) -> Result<UpstreamReply, Failure> {
+    let failure = match open_stream(gateway, job, OpenRequest::start()).await {
+        Err(failure) if failure.run != RunState::NotRun => failure,
+        opened => return opened,
+    };
+    let mut continuer = Continuer::new(gateway, job, Acceptance::Head, &[]);
+    continuer.on_lost(&[]);
+    match continuer.next(None).await {
+        Continuation::Elsewhere(reply) => Ok(reply),
+        Continuation::GiveUp(_) | Continuation::Release(_) => Err(failure),
+    }
+}
+
+/// Sends a stream's request until an endpoint accepts it.
 pub(super) async fn open_stream<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
     job: &Rc<Job>,
-    resume_after: Option<EventNumber>,
-    mut avoid: Vec<EndpointId>,
+    request: OpenRequest,
 ) -> Result<UpstreamReply, Failure> {
+    let OpenRequest { resume_after, purpose, mut avoid } = request;
     let mut attempts = SendAttempts::default();
-    let first_avoid = avoid.clone();
-    // A started stream that finds no endpoint waits for a while: this VM may have lost its links, and
-    // finds that out within this time.
-    let wait_until = resume_after.map(|_| Instant::now() + RESUME_WAIT);
-    let may_wait = || wait_until.is_some_and(|until| Instant::now() < until);
     // A request that was sent before passed admission control then, even if none of its events
     // arrived.
     let is_first_send =
-        resume_after.is_none() && job.sends.get() == 0 && job.link_losses.get() == 0;
+        purpose == SendPurpose::Start && job.sends.get() == 0 && job.link_losses.get() == 0;
     if is_first_send && let Err(reason) = check_admission(gateway, job) {
         return Err(refuse(gateway, job, reason));
     }
@@ -46,7 +94,7 @@
         if let Some(hold) = gateway.hold_before_send(job) {
             return Err(gateway.held_failure(job, &hold));
         }
-        let target = choose_target(gateway, job, resume_after, &avoid);
+        let target = choose_target(gateway, job, purpose.path_choice(), &avoid);
         let retry_after = gateway.record_withheld(job);
         let target = match target {
             Ok(target) => target,
@@ -57,7 +105,10 @@
             // A stream that has started waits until another engine is usable: giving up would lose
             // it, and its request is less likely to be the cause of the endpoint's crash than to
             // have been there by chance.
-            Err(NoTarget::Isolated(remaining)) if job.run.get().not_run_evidence().is_none() => {
+            Err(NoTarget::Isolated(remaining))
+                if purpose != SendPurpose::Replace
+                    && job.run.get().not_run_evidence().is_none() =>
+            {
                 smol::Timer::after(remaining.min(ENGINE_POLL_INTERVAL)).await;
                 continue;
             }
@@ -65,11 +116,6 @@
                 let failure = refuse(gateway, job, NoTarget::Isolated(remaining).text());
                 return Err(with_min_retry_after(failure, Some(remaining)));
             }
-            Err(NoTarget::NoPath) if may_wait() => {
-                smol::Timer::after(ENGINE_POLL_INTERVAL).await;
-                avoid.clone_from(&first_avoid);
-                continue;
-            }
             Err(reason) => {
                 return Err(refuse(gateway, job, reason.text()));
             }
@@ -80,7 +126,7 @@
         let stamp = gateway.platform.stamp(sent_at);
         let (address, incarnation) = (target.address, gateway.incarnation_name(&target.endpoint));
         gateway.decisions.sent(job, &target.endpoint, target.path.as_ref(), resume_after, stamp);
-        let mut failed = match send_once(gateway, job, target, resume_after).await {
+        let mut failed = match send_once(gateway, job, target, resume_after, &avoid).await {
             AttemptResult::Replied(reply) => {
                 gateway.on_admitted(job);
                 return Ok(reply);
@@ -114,12 +160,6 @@
         }
         gateway.await_crash_checks(job).await;
         let may_retry = attempts.may_retry(gateway, job, failed.kind);
-        if !may_retry && failed.kind == SendFailureKind::NotSent && may_wait() {
-            smol::Timer::after(ENGINE_POLL_INTERVAL).await;
-            attempts = SendAttempts::default();
-            avoid.clone_from(&first_avoid);
-            continue;
-        }
         if !may_retry {
             return Err(match gateway.hold_of(job) {
                 Some(hold) => gateway.held_failure(job, &hold),
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -1,10 +1,11 @@
-//! Relays a stream's events, and resumes the stream elsewhere when its endpoint is lost.
+//! Relays a stream's events, and continues the stream elsewhere when its endpoint is lost or another
+//! one has the next event first.
 
 use super::StreamGuard;
 use super::attempt::{Upstream, UpstreamReply};
-use super::loss::{Loss, Silence, SilenceTimer, detect_loss, move_request};
-use super::open::open_stream;
-use crate::crashes::{BreakCause, check_abandoned_send, check_broken_send, crashed_at_close};
+use super::continuation::{Acceptance, Continuation, Continuer};
+use super::watch::{Finding, SilenceWatch};
+use crate::crashes::{BreakCause, check_broken_send, crashed_at_close};
 use crate::decisions::{FailedSend, Outcome};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
@@ -12,22 +13,25 @@
 use crate::sending::ends_with_connection;
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use sillbank_catalog::prelude::*;
+use hyper::body::Frame;
 use sillbank_core::prelude::*;
+use sillbank_failover::prelude::*;
 use sillbank_net::prelude::*;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Bytes buffered for a slow caller above which reading from the endpoint stops.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
+/// Interval at which a stream whose incomplete event finds no memory looks for it.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Relays events from endpoints to one caller.
 pub(super) struct StreamRelay<W: Wire, S: MetadataStore> {
     pub(super) gateway: Rc<Gateway<W, S>>,
     pub(super) job: Rc<Job>,
-    pub(super) rules: StreamRules,
     pub(super) outbox: Outbox,
     /// Memory budget taken by an incomplete event.
     pub(super) partial_event_memory: Option<MemoryReservation>,
@@ -42,37 +46,39 @@
     Complete,
     /// The endpoint closed the connection, which ends a stream without other framing.
     Closed,
-    /// The stream broke: the endpoint at fault if it is not the first one, and the reason.
-    Broken(Option<EndpointId>, String),
-    /// This VM's link to the endpoint was lost, or the VM that passed the connection on; the reason.
-    LinkLost(String),
+    /// Another endpoint has the next event.
+    Continued(Box<Upstream>),
+    /// The stream broke.
+    Broken(Fault, String),
 }
 
 /// What broke a stream.
 enum Fault {
-    /// The endpoint of the path that is named, else the first one.
-    Endpoint(Option<EndpointId>),
-    /// The link to the first endpoint; all endpoints may be used again.
+    /// The first endpoint.
+    Endpoint,
+    /// Another endpoint of the path, so that the connection to the first one was closed.
+    Part(Option<EndpointId>),
+    /// The link to the first endpoint, or the VM in between; all endpoints may be used again.
     Link,
 }
 
 impl Fault {
     fn endpoint(&self) -> Option<&str> {
         match self {
-            Self::Endpoint(at_fault) => at_fault.as_deref(),
-            Self::Link => None,
+            Self::Part(at_fault) => at_fault.as_deref(),
+            Self::Endpoint | Self::Link => None,
         }
     }
 }
 
-/// Result of a check of a silent stream.
-enum LossCheck {
-    /// No engine was found lost.
-    NoLoss,
-    /// An engine is lost; the stream was moved, or may continue where it is.
-    Recoverable,
-    /// An engine is lost and the stream cannot continue.
-    Fatal(Loss),
+/// What a stream waits for.
+enum Next {
+    /// A frame of the endpoint, or its end.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// A check of a silent stream.
+    Checked(Finding),
+    /// Another endpoint, or the decision about the present one.
+    Continuation(Continuation),
 }
 
 impl<W: Wire, S: MetadataStore> StreamRelay<W, S> {
@@ -104,8 +110,9 @@
     }
 
     async fn relay(&mut self, mut upstream: Upstream) -> (Outcome, String) {
+        let mut continuer = Continuer::new(&self.gateway, &self.job, Acceptance::Event, &[]);
         loop {
-            let (fault, reason) = match self.relay_segment(&mut upstream).await {
+            let (fault, reason) = match self.relay_segment(&mut upstream, &mut continuer).await {
                 SegmentEnd::Complete => {
                     self.gateway.on_request_survived(&self.job);
                     let Upstream { connection, endpoint, head, .. } = upstream;
@@ -113,8 +120,12 @@
                     return (Outcome::Answered, String::new());
                 }
                 SegmentEnd::Closed => return (Outcome::Answered, String::new()),
-                SegmentEnd::Broken(at_fault, reason) => (Fault::Endpoint(at_fault), reason),
-                SegmentEnd::LinkLost(reason) => (Fault::Link, reason),
+                SegmentEnd::Continued(next) => {
+                    self.on_continued(&next, Some(&upstream.endpoint));
+                    upstream = *next;
+                    continue;
+                }
+                SegmentEnd::Broken(fault, reason) => (fault, reason),
             };
             self.gateway.decisions.send_failed(
                 &self.job,
@@ -128,28 +139,52 @@
             );
             let avoid = self.find_engines_to_avoid(fault, &upstream).await;
             drop(upstream);
-            match self.resume(avoid).await {
-                Ok(resumed) => upstream = resumed,
-                Err(not_resumed) => {
-                    self.gateway.decisions.not_resumed(&self.job, &not_resumed);
+            continuer.on_lost(&avoid);
+            upstream = match self.resume(&mut continuer).await {
+                Ok(next) => next,
+                Err(refusal) => {
+                    self.gateway.decisions.not_resumed(&self.job, refusal.text());
                     return (Outcome::Aborted, reason);
                 }
+            };
+        }
+    }
+
+    /// Waits for another endpoint after the present one was lost.
+    async fn resume(&self, continuer: &mut Continuer<W, S>) -> Result<Upstream, Refusal> {
+        loop {
+            match continuer.next(self.last_number).await {
+                Continuation::Elsewhere(UpstreamReply::Stream(next, _)) => {
+                    self.on_continued(&next, None);
+                    return Ok(*next);
+                }
+                Continuation::GiveUp(refusal) => return Err(refusal),
+                // Neither is returned for a lost stream.
+                Continuation::Elsewhere(UpstreamReply::Failure(_)) | Continuation::Release(_) => {}
             }
         }
     }
 
+    fn on_continued(&self, next: &Upstream, from: Option<&str>) {
+        self.gateway.metrics.resumes.inc();
+        self.gateway.decisions.continued(&self.job, from, &next.endpoint);
+    }
+
     /// Finds out what broke the stream, and which endpoints it must not be resumed at.
     async fn find_engines_to_avoid(&self, fault: Fault, upstream: &Upstream) -> Vec<EndpointId> {
         let is_link = match fault {
             Fault::Link => true,
-            Fault::Endpoint(Some(at_fault)) => {
-                check_abandoned_send(&self.gateway, &self.job, upstream.broken_send());
-                return vec![at_fault];
-            }
-            Fault::Endpoint(None) => {
-                self.gateway.on_send_trouble(&self.job, &upstream.endpoint);
-                let cause = check_broken_send(&self.gateway, &self.job, upstream.broken_send());
-                cause.await == BreakCause::Link
+            Fault::Part(at_fault) => return at_fault.into_iter().collect(),
+            Fault::Endpoint => {
+                let transit = Some(upstream.connection.transit());
+                self.gateway.on_send_trouble(&upstream.endpoint, transit);
+                let send = upstream.broken_send();
+                let cause = check_broken_send(&self.gateway, &self.job, send.clone()).await;
+                if cause == BreakCause::Crash && !send.may_be_cause() {
+                    // A run that its endpoint's crash ended does not count as one of the route's.
+                    self.job.uncount_send();
+                }
+                cause == BreakCause::Link
             }
         };
         if is_link {
@@ -159,143 +194,120 @@
         vec![upstream.endpoint.clone()]
     }
 
-    /// Resumes the stream on another path, if that is allowed. The error is the reason why not.
-    async fn resume(&self, avoid: Vec<EndpointId>) -> Result<Upstream, String> {
-        self.gateway.await_crash_checks(&self.job).await;
-        if self.gateway.hold_of(&self.job).is_some() {
-            return Err("the request is quarantined".to_owned());
-        }
-        if !self.rules.resumable {
-            return Err("the route's streams are not resumable".to_owned());
-        }
-        if !self.job.may_send_again(Instant::now()) {
-            return Err("the route allows no further send, or no time is left".to_owned());
-        }
-        if !self.gateway.try_retry(&self.job.service.name) {
-            return Err("the retry budget is used up".to_owned());
-        }
-        match open_stream(&self.gateway, &self.job, self.last_number, avoid).await {
-            Ok(UpstreamReply::Stream(upstream, _)) => {
-                self.gateway.metrics.resumes.inc();
-                Ok(*upstream)
-            }
-            Ok(UpstreamReply::Failure(reply)) => {
-                Err(format!("the endpoint failed with status {}", reply.status().as_u16()))
-            }
-            Err(failure) => Err(failure.reason),
-        }
-    }
-
-    async fn relay_segment(&mut self, upstream: &mut Upstream) -> SegmentEnd {
+    async fn relay_segment(
+        &mut self,
+        upstream: &mut Upstream,
+        continuer: &mut Continuer<W, S>,
+    ) -> SegmentEnd {
         let activity = upstream
             .path
             .as_ref()
             .map(|path| self.gateway.stream_activity.register(path, Instant::now()));
-        let mut silence_timer = SilenceTimer::new(self.rules.gap_objective);
-        let mut check_timer = smol::Timer::after(silence_timer.wait());
-        let mut last_data_at = Instant::now();
+        let mut watch = SilenceWatch::new(&self.gateway, &self.job);
+        // Another endpoint's first event was read before it was chosen.
+        if let Err(reason) = self.relay_bytes(&mut upstream.splitter, &[]).await {
+            return SegmentEnd::Broken(Fault::Endpoint, reason);
+        }
         loop {
-            let next = async { Some(upstream.body.frame().await) };
-            let timeout = async {
-                (&mut check_timer).await;
-                None
-            };
-            let Some(frame) = futures_lite::future::or(next, timeout).await else {
-                let silence = silence_timer.on_silence();
-                if self
-                    .gateway
-                    .has_lost_link(&upstream.endpoint, Some(upstream.connection.transit()))
-                {
-                    let reason = "the link to the endpoint is lost".to_owned();
-                    return SegmentEnd::LinkLost(reason);
-                }
-                if silence == Silence::Long && self.hop_is_lost(upstream).await {
-                    let reason = "the VM in between does not answer".to_owned();
-                    return SegmentEnd::LinkLost(reason);
-                }
-                match self.move_around_loss(upstream, silence).await {
-                    LossCheck::NoLoss if silence != Silence::Long => silence_timer.on_false_alarm(),
-                    LossCheck::NoLoss | LossCheck::Recoverable => {}
-                    LossCheck::Fatal(loss) => {
-                        return SegmentEnd::Broken(loss.engines.into_iter().next(), loss.reason);
+            match self.next(upstream, &mut watch, continuer).await {
+                Next::Frame(frame) => {
+                    let now = Instant::now();
+                    let silent_for = watch.silent_for(now);
+                    watch.on_data(now);
+                    if let Some(activity) = &activity {
+                        activity.on_event(now);
+                    }
+                    let events = self.events;
+                    if let Some(end) = self.on_frame(upstream, frame, now).await {
+                        return end;
+                    }
+                    if self.events > events {
+                        upstream.on_event(now);
+                        continuer.on_event(silent_for);
                     }
                 }
-                if let (Some(activity), Some(path)) = (&activity, &upstream.path) {
-                    activity.on_moved(path);
-                }
-                check_timer.set_after(silence_timer.wait());
-                continue;
-            };
-            let now = Instant::now();
-            silence_timer.on_data(now.saturating_duration_since(last_data_at));
-            last_data_at = now;
-            if let Some(activity) = &activity {
-                activity.on_event(now);
-            }
-            check_timer.set_after(silence_timer.wait());
-            match frame {
-                None if upstream.splitter.has_partial_event() => {
-                    return SegmentEnd::Broken(None, "the stream ended within an event".to_owned());
-                }
-                None if !ends_with_connection(&upstream.head) => return SegmentEnd::Complete,
-                None if crashed_at_close(&self.gateway, &upstream.broken_send()).await => {
-                    let reason = "the endpoint crashed when it closed the connection".to_owned();
-                    return SegmentEnd::Broken(None, reason);
+                Next::Checked(Finding::Nothing) => {}
+                Next::Checked(Finding::Doubted(loss)) => {
+                    continuer.on_doubt(upstream.broken_send(), loss);
                 }
-                None => return SegmentEnd::Closed,
-                Some(Err(error)) if upstream.connection.hop_is_lost() => {
-                    return SegmentEnd::LinkLost(format!("the VM in between was lost: {error}"));
+                Next::Checked(Finding::Moved(moved)) => {
+                    upstream.on_moved(moved);
+                    if let (Some(activity), Some(path)) = (&activity, &upstream.path) {
+                        activity.on_moved(path);
+                    }
                 }
-                Some(Err(error)) => {
-                    return SegmentEnd::Broken(None, format!("the stream broke: {error}"));
+                Next::Continuation(Continuation::Elsewhere(UpstreamReply::Stream(next, _))) => {
+                    return SegmentEnd::Continued(next);
                 }
-                Some(Ok(frame)) => {
-                    upstream.last_data_at = Some(now);
-                    if upstream.passes_suspicion_window(now) {
-                        self.gateway.on_request_survived(&self.job);
-                    }
-                    if let Some(data) = frame.data_ref()
-                        && let Err(reason) = self.relay_bytes(&mut upstream.splitter, data)
-                    {
-                        return SegmentEnd::Broken(None, reason);
-                    }
+                Next::Continuation(Continuation::Release(loss)) => {
+                    let fault = Fault::Part(loss.engines.into_iter().next());
+                    return SegmentEnd::Broken(fault, loss.reason);
                 }
+                // Neither is returned while the connection is open.
+                Next::Continuation(
+                    Continuation::Elsewhere(UpstreamReply::Failure(_)) | Continuation::GiveUp(_),
+                ) => {}
             }
             if self.outbox.buffered_bytes() > MAX_BUFFERED_BYTES {
                 self.outbox.drained_to(MAX_BUFFERED_BYTES / 2).await;
-                // Reading from the endpoint was suspended, so this time is not a pause of the
-                // endpoint.
-                last_data_at = Instant::now();
-                check_timer.set_after(silence_timer.wait());
+                watch.on_suspended();
             }
         }
     }
 
-    async fn hop_is_lost(&self, upstream: &Upstream) -> bool {
-        let Some(hop) = &upstream.connection.hop else { return false };
-        self.gateway.hop_is_lost(hop.vm, &upstream.endpoint, upstream.address).await
+    /// Waits for whatever comes first.
+    async fn next(
+        &self,
+        upstream: &mut Upstream,
+        watch: &mut SilenceWatch<W, S>,
+        continuer: &mut Continuer<W, S>,
+    ) -> Next {
+        let active_route = upstream.active_route();
+        let frame = async { Next::Frame(upstream.body.frame().await) };
+        let checked = async { Next::Checked(watch.next(|| active_route.clone()).await) };
+        let continued = async { Next::Continuation(continuer.next(self.last_number).await) };
+        futures_lite::future::or(frame, futures_lite::future::or(continued, checked)).await
     }
 
-    /// Checks for lost engines and moves the stream around them.
-    async fn move_around_loss(&self, upstream: &mut Upstream, silence: Silence) -> LossCheck {
-        let active_route = upstream.active_route();
-        let Some(loss) = detect_loss(&self.gateway, &self.job, active_route, silence).await else {
-            return LossCheck::NoLoss;
-        };
-        match move_request(&self.gateway, &self.job, active_route, &loss).await {
-            Some(path) => {
-                self.job.delivery.on_moved();
-                upstream.path = Some(path);
-                upstream.sent_at = Instant::now();
-                LossCheck::Recoverable
+    /// Passes a frame on. Returns how the segment ended, if it did.
+    async fn on_frame(
+        &mut self,
+        upstream: &mut Upstream,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        now: Instant,
+    ) -> Option<SegmentEnd> {
+        let broken = |reason| Some(SegmentEnd::Broken(Fault::Endpoint, reason));
+        match frame {
+            None if upstream.splitter.has_partial_event() => {
+                broken("the stream ended within an event".to_owned())
+            }
+            None if !ends_with_connection(&upstream.head) => Some(SegmentEnd::Complete),
+            None if crashed_at_close(&self.gateway, &upstream.broken_send()).await => {
+                broken("the endpoint crashed when it closed the connection".to_owned())
+            }
+            None => Some(SegmentEnd::Closed),
+            Some(Err(error)) if upstream.connection.hop_is_lost() => {
+                let reason = format!("the VM in between was lost: {error}");
+                Some(SegmentEnd::Broken(Fault::Link, reason))
+            }
+            Some(Err(error)) => broken(format!("the stream broke: {error}")),
+            Some(Ok(frame)) => {
+                upstream.last_data_at = Some(now);
+                if upstream.passes_suspicion_window(now) {
+                    self.gateway.on_request_survived(&self.job);
+                }
+                let data = frame.data_ref()?;
+                self.relay_bytes(&mut upstream.splitter, data).await.err().and_then(broken)
             }
-            None if loss.is_certain => LossCheck::Fatal(loss),
-            None => LossCheck::Recoverable,
         }
     }
 
     /// Sends complete events to the caller; skips events that the caller already has.
-    fn relay_bytes(&mut self, splitter: &mut EventSplitter, data: &[u8]) -> Result<(), String> {
+    async fn relay_bytes(
+        &mut self,
+        splitter: &mut EventSplitter,
+        data: &[u8],
+    ) -> Result<(), String> {
         splitter.push(data).map_err(|error| error.to_string())?;
         while let Some(event) = splitter.next_event() {
             if let (Some(last_number), Some(number)) = (self.last_number, event.number) {
@@ -311,19 +323,22 @@
             self.job.delivery.on_event(self.job.received_at, Instant::now());
             self.outbox.write(&event.bytes);
         }
-        self.reserve_partial_event(splitter.buffered_bytes())
+        while !self.try_reserve_partial_event(splitter.buffered_bytes()) {
+            // Nothing is read from the endpoint meanwhile.
+            smol::Timer::after(MEMORY_POLL_INTERVAL).await;
+        }
+        Ok(())
     }
 
-    /// Charges the bytes of an incomplete event to the VM's memory budget.
-    fn reserve_partial_event(&mut self, bytes: usize) -> Result<(), String> {
-        let Some(partial_event_memory) = &mut self.partial_event_memory else {
-            self.partial_event_memory = self.gateway.memory_budget.try_reserve(bytes);
-            return self.partial_event_memory.as_ref().map(|_| ()).ok_or_else(out_of_memory);
-        };
-        partial_event_memory.try_resize(bytes).then_some(()).ok_or_else(out_of_memory)
+    /// Charges the bytes of an incomplete event to the VM's memory budget. Returns whether it has
+    /// room for them.
+    fn try_reserve_partial_event(&mut self, bytes: usize) -> bool {
+        match &mut self.partial_event_memory {
+            Some(memory) => memory.try_resize(bytes),
+            None => {
+                self.partial_event_memory = self.gateway.memory_budget.try_reserve(bytes);
+                self.partial_event_memory.is_some()
+            }
+        }
     }
 }
-
-fn out_of_memory() -> String {
-    "no memory left to buffer an incomplete event".to_owned()
-}
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -7,19 +7,29 @@
     has_path_despite_pushback, isolation_engine,
 };
 use crate::store::MetadataStore;
-use crate::wire::{EventNumber, Wire};
+use crate::wire::Wire;
 use sillbank_core::prelude::*;
 use sillbank_layers::prelude::*;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Where a stream's request is sent.
+#[derive(Debug, Clone)]
 pub(super) struct Target {
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
     pub(super) path: Option<LayerPath>,
 }
 
+/// Paths that a request may be sent over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PathChoice {
+    /// Those whose engines have room for it.
+    WithRoom,
+    /// Others too if there is none: the request has started, and more work would be lost.
+    Any,
+}
+
 /// Why a request cannot be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoTarget {
@@ -45,12 +55,11 @@
     }
 }
 
-/// Chooses the target of a request. One that has already started is sent even where room is short,
-/// as more work would be lost.
+/// Chooses the target of a request.
 pub(super) fn choose_target<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
-    resume_after: Option<EventNumber>,
+    path_choice: PathChoice,
     avoid: &[EndpointId],
 ) -> Result<Target, NoTarget> {
     let now = Instant::now();
@@ -80,7 +89,7 @@
         return Ok(Target::from_path(path));
     }
     match choose_any_path(context, request) {
-        Some(path) if resume_after.is_some() => Ok(Target::from_path(path)),
+        Some(path) if path_choice == PathChoice::Any => Ok(Target::from_path(path)),
         Some(_) => Err(NoTarget::NoRoom),
         None if has_path_despite_pushback(context, request) => Err(NoTarget::Withheld),
         None => {
