Callers' connections: idle and head timeouts of the configuration

Callers saw a reset, neither an answer nor a refusal, when they reused a connection that had rested for over 20 s, although the configuration lets connections rest for longer.

Cause: the callers' server had a timeout of 20 s for good; `idle_timeout_ms` was read and used by nothing, and `header_timeout_ms` bounded bodies only. hyper's timer for heads, which starts when a connection begins to wait for a head, was both the idle timeout and the bound of a head, and cannot be changed for an open connection.

The server now has one timer per connection, which goes by the phase of the connection: idle since the last reply was written, receiving a head since its first byte, or serving a request (no limit). A deadline uses the longest timeout that may have been in force since the phase began, so that a longer one applies to open connections and a shorter one does not close a connection that its caller may still reuse; an earlier configuration counts for `config_in_force_ms` after it was replaced here. The timer is polled after the connection, so a request that has arrived is read before the decision. Until the first configuration 20 s apply, as before. Other servers keep one time limit for both.

The largest head stays fixed; its comment said otherwise.

With the server's timing put back to hyper's timer, these tests of idle_connections.rs fail: a_connection_that_rests_longer_than_the_initial_timeout_is_served, a_shortened_timeout_holds_from_the_next_request_on, a_head_that_stops_midway_is_bounded_by_the_head_timeout, a_head_that_began_before_the_close_is_still_answered. With the timer polled before the connection, a_request_that_arrived_before_the_close_is_answered fails too. Without the call that applies a configuration's timeouts, the three tests of connection_timeouts.rs fail.

--- a/crates/sillbank_entry/src/main.rs
+++ b/crates/sillbank_entry/src/main.rs
@@ -66,7 +66,7 @@
     let callers = TcpListener::bind(settings.listen).await?;
     let admin = TcpListener::bind(settings.admin_listen).await?;
     let limits = ServerLimits {
-        head_timeout: settings.head_timeout,
+        timeouts: SharedTimeouts::new(Timeouts::uniform(settings.head_timeout)),
         max_head_bytes: settings.max_head_bytes,
         ..ServerLimits::default()
     };
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -49,6 +49,10 @@
 /// quarantined requests once more.
 pub const STARTUP_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Idle timeout of callers' connections, and time limit for the heads of their requests, until the
+/// first configuration sets them.
+pub const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Time since the last connection through another VM after which there is none to connect through.
 const RELAY_USE_TIME: Duration = Duration::from_secs(2);
 
@@ -122,6 +126,8 @@
     pub decisions: DecisionLog,
     /// Metrics.
     pub metrics: Metrics,
+    /// Timeouts of callers' connections.
+    pub caller_timeouts: SharedTimeouts,
     /// Bytes buffered for callers and endpoints.
     pub memory_budget: MemoryBudget,
     /// How near this VM is to its own limits.
@@ -158,6 +164,7 @@
         let (incarnation, started_at) = (rng.next_u64(), Instant::now());
         Self {
             platform: PlatformView::new(settings.key_revocation),
+            caller_timeouts: SharedTimeouts::new(Timeouts::uniform(INITIAL_IDLE_TIMEOUT)),
             memory_budget: MemoryBudget::new(settings.buffer_limit_bytes()),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
@@ -291,13 +298,22 @@
     /// Applies a configuration read at revision `at`, unless a newer one is in force.
     pub fn offer_catalog(&self, catalog: Catalog, parts: CatalogParts, at: Revision) {
         let (version, services) = (parts.version, parts.services.clone());
+        let limits = catalog.limits();
         let is_applied = self.platform.offer_catalog(catalog, parts);
         self.decisions.catalog_read(Some(version), at, is_applied);
         if is_applied {
+            self.apply_caller_timeouts(limits);
             self.decisions.warn_invalid_figures(&services);
         }
     }
 
+    /// Applies the timeouts of a configuration to callers' connections. Callers may go by the
+    /// earlier configuration until the new one is in force everywhere.
+    fn apply_caller_timeouts(&self, limits: CallerLimits) {
+        let timeouts = Timeouts { idle: limits.idle_timeout, head: limits.head_timeout };
+        self.caller_timeouts.replace(timeouts, self.settings.borrow().config_in_force);
+    }
+
     /// Records that the store answered a call sent at `sent`, as of revision `at`.
     pub fn on_store_answer(&self, follower: &'static str, sent: Instant, at: Revision) {
         self.metrics.store_era.set(at.era as i64);
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -17,11 +17,8 @@
 use smol::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
 
-/// Idle timeout of a caller's connection until the first configuration sets one.
-const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Largest request head until the first configuration sets a limit.
+/// Largest request head, whatever the configuration allows.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Largest reply of an engine to a report or an order.
 const MAX_ENGINE_REPLY_BYTES: usize = 1 << 20;
@@ -80,7 +77,7 @@
         let ready = Rc::new(ReadyHandler { gateway: app.state() });
         let metrics = Rc::new(MetricsHandler { gateway: app.state() });
         let limits = ServerLimits::default();
-        app.spawn(serve(app.executor(), self.ready, limits, ready));
+        app.spawn(serve(app.executor(), self.ready, limits.clone(), ready));
         app.spawn(serve(app.executor(), self.metrics, limits, metrics));
     }
 }
@@ -96,7 +93,7 @@
         let gateway = app.state();
         let settings = gateway.settings();
         let limits = ServerLimits {
-            head_timeout: INITIAL_IDLE_TIMEOUT,
+            timeouts: gateway.caller_timeouts.clone(),
             max_head_bytes: MAX_HEAD_BYTES,
             max_connections: settings.max_caller_connections(),
         };
--- /dev/null
+++ b/crates/sillbank_net/src/activity.rs
@@ -0,0 +1,122 @@
+//! What a connection of a server is doing: idle, receiving a head, or serving a request.
+
+use smol::io::{AsyncRead, AsyncWrite};
+use std::cell::Cell;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+
+/// Phase of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// It was opened, and no byte of its first request has arrived.
+    Opened {
+        /// When it was accepted.
+        since: Instant,
+    },
+    /// The last reply has been written, and no byte of a further request has arrived since. A part of a pipelined head
+    /// that arrived earlier is not seen; the idle timeout bounds it.
+    Idle {
+        /// When the reply had been written.
+        since: Instant,
+    },
+    /// The head of a request is arriving.
+    ReceivingHead {
+        /// When its first byte was read.
+        since: Instant,
+    },
+    /// A request is being served.
+    Serving,
+    /// The reply is complete, but not all of it has been written to the connection.
+    WritingRest,
+}
+
+/// Activity of one connection, as its transport and its requests report it.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    phase: Cell<Phase>,
+}
+
+impl Activity {
+    /// Activity of a connection that has just been accepted.
+    pub(crate) fn opened(now: Instant) -> Rc<Self> {
+        Rc::new(Self { phase: Cell::new(Phase::Opened { since: now }) })
+    }
+
+    /// The current phase.
+    pub(crate) fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Records that the head of a request is complete.
+    pub(crate) fn on_request(&self) {
+        self.phase.set(Phase::Serving);
+    }
+
+    /// Records that the body of the reply has been taken completely, or will not be taken.
+    pub(crate) fn on_reply_taken(&self) {
+        self.phase.set(Phase::WritingRest);
+    }
+
+    /// Records that bytes arrived. Empty lines may precede a head and do not begin it.
+    fn on_read(&self, bytes: &[u8]) {
+        let is_waiting = matches!(self.phase.get(), Phase::Opened { .. } | Phase::Idle { .. });
+        if is_waiting && bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n')) {
+            self.phase.set(Phase::ReceivingHead { since: Instant::now() });
+        }
+    }
+
+    /// Records that nothing is left to be written.
+    fn on_flushed(&self) {
+        if self.phase.get() == Phase::WritingRest {
+            self.phase.set(Phase::Idle { since: Instant::now() });
+        }
+    }
+}
+
+/// Connection that reports its transfers to an [`Activity`].
+#[derive(Debug)]
+pub(crate) struct Tracked<C> {
+    connection: C,
+    activity: Rc<Activity>,
+}
+
+impl<C> Tracked<C> {
+    pub(crate) fn new(connection: C, activity: Rc<Activity>) -> Self {
+        Self { connection, activity }
+    }
+}
+
+impl<C: AsyncRead + Unpin> AsyncRead for Tracked<C> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<Result<usize>> {
+        let read = ready!(Pin::new(&mut self.connection).poll_read(context, buffer))?;
+        self.activity.on_read(buffer.get(..read).unwrap_or_default());
+        Poll::Ready(Ok(read))
+    }
+}
+
+impl<C: AsyncWrite + Unpin> AsyncWrite for Tracked<C> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.connection).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        ready!(Pin::new(&mut self.connection).poll_flush(context))?;
+        self.activity.on_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.connection).poll_close(context)
+    }
+}
--- a/crates/sillbank_net/src/body.rs
+++ b/crates/sillbank_net/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of replies: complete ones, and those streamed through an [`Outbox`].
 
+use crate::activity::Activity;
 use crate::memory_budget::UnreadBytes;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
@@ -188,23 +189,26 @@
     }
 }
 
-/// Body whose bytes are counted until they have been written to the connection.
+/// Body whose bytes are counted until they have been written to the connection, and whose end is reported to the
+/// activity of the connection.
 #[derive(Debug)]
 pub(crate) struct CountedBody {
     body: ReplyBody,
     unread: UnreadBytes,
+    activity: Rc<Activity>,
 }
 
 impl CountedBody {
-    pub(crate) fn new(body: ReplyBody, unread: UnreadBytes) -> Self {
+    pub(crate) fn new(body: ReplyBody, unread: UnreadBytes, activity: Rc<Activity>) -> Self {
         body.track_in(&unread);
-        Self { body, unread }
+        Self { body, unread, activity }
     }
 }
 
 impl Drop for CountedBody {
     fn drop(&mut self) {
         self.unread.on_dropped();
+        self.activity.on_reply_taken();
     }
 }
 
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod activity;
 pub mod app;
 pub mod body;
 pub mod client;
@@ -14,10 +15,12 @@
 pub mod liveness;
 pub mod memory_budget;
 pub mod metered;
+mod phase_timer;
 pub mod running_timer;
 pub mod serve;
 pub mod signals;
 pub mod telemetry;
+pub mod timeouts;
 
 /// The types that most users need.
 pub mod prelude {
@@ -29,4 +32,5 @@
         ConnectionNumber, Handler, ServerLimits, StopToken, Stopper, serve, serve_until,
     };
     pub use crate::signals::Signals;
+    pub use crate::timeouts::{SharedTimeouts, Timeouts};
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 servers.
 
+use crate::activity::{Activity, Tracked};
 use crate::body::{CountedBody, ReplyBody};
 use crate::memory_budget::{MemoryBudget, UnreadBytes};
 use crate::metered::Metered;
+use crate::phase_timer::PhaseTimer;
+use crate::timeouts::{SharedTimeouts, Timeouts};
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -10,14 +13,16 @@
 use smol::LocalExecutor;
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpListener;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// Time limit for heads and idle connections of servers that set none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which a server at its connection limit checks whether a connection has been closed.
 const CONNECTION_LIMIT_POLL: Duration = Duration::from_millis(5);
 /// Interval at which a stopping server checks whether a connection has received its first request.
@@ -32,10 +37,10 @@
 }
 
 /// Limits on the connections of a server.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ServerLimits {
-    /// Time limit for receiving the head of a request.
-    pub head_timeout: Duration,
+    /// Time limits for idle connections and for heads.
+    pub timeouts: SharedTimeouts,
     /// Maximum length of a head, in bytes.
     pub max_head_bytes: usize,
     /// Maximum number of open connections; further ones wait in the backlog of the listener.
@@ -45,7 +50,7 @@
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
-            head_timeout: Duration::from_secs(10),
+            timeouts: SharedTimeouts::new(Timeouts::uniform(DEFAULT_TIMEOUT)),
             max_head_bytes: 64 << 10,
             max_connections: 10_000,
         }
@@ -133,7 +138,7 @@
         let guard = OpenGuard::new(open.clone());
         let served = serve_connection(
             stream,
-            limits,
+            limits.clone(),
             handler.clone(),
             stop.clone(),
             budget.register_connection(),
@@ -165,7 +170,10 @@
     }
 }
 
-/// Serves the requests of one connection until it ends, or is cut because its peer does not read.
+/// Serves the requests of one connection until it ends, reaches a timeout, or is cut because its peer does not read.
+///
+/// The timer of `hyper` for heads is not used: it starts when the connection begins to wait for a head, and cannot be
+/// changed while the connection is idle.
 pub async fn serve_connection<H, C>(
     connection: C,
     limits: ServerLimits,
@@ -177,24 +185,24 @@
     C: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let has_request = Cell::new(false);
+    let activity = Activity::opened(Instant::now());
     let number = ConnectionNumber(unread.connection_id());
     let service = service_fn(|mut request| {
         has_request.set(true);
+        activity.on_request();
         request.extensions_mut().insert(number);
-        let handler = handler.clone();
-        let unread = unread.clone();
+        let (handler, unread, activity) = (handler.clone(), unread.clone(), activity.clone());
         async move {
             let reply = handler.handle(request).await;
-            Ok::<_, Infallible>(reply.map(|body| CountedBody::new(body, unread)))
+            Ok::<_, Infallible>(reply.map(|body| CountedBody::new(body, unread, activity)))
         }
     });
-    let metered = Metered::new(connection, unread.clone());
+    let tracked = Tracked::new(Metered::new(connection, unread.clone()), activity.clone());
     let mut connection = pin!(
         hyper::server::conn::http1::Builder::new()
-            .timer(SmolTimer::new())
-            .header_read_timeout(limits.head_timeout)
+            .header_read_timeout(None)
             .max_buf_size(limits.max_head_bytes)
-            .serve_connection(FuturesIo::new(metered), service)
+            .serve_connection(FuturesIo::new(tracked), service)
     );
     let stopped = async {
         stop.stopped().await;
@@ -218,7 +226,14 @@
         std::future::poll_fn(|context| unread.poll_cut(context)).await;
         Ok(())
     };
-    if let Err(error) = cut.or(served).await {
+    let mut timer = PhaseTimer::new(activity.clone(), limits.timeouts);
+    let expired = async {
+        let phase = std::future::poll_fn(|context| timer.poll_expired(context)).await;
+        tracing::debug!(?phase, "net: A connection is closed at its timeout.");
+        Ok(())
+    };
+    // The timer is polled after the connection, so that a request that has arrived is read first.
+    if let Err(error) = cut.or(served).or(expired).await {
         tracing::debug!("net: A connection ended early: {error}.");
     }
 }
--- /dev/null
+++ b/crates/sillbank_net/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Fixtures of the tests.
+
+pub(crate) mod link;
