Stopping servers answer a request whose head has begun to arrive

A caller whose request on an open connection was in two segments, of which one had arrived when the VM began to stop, lost the connection without an answer or a refusal.

Cause: hyper's graceful shutdown closes a connection that waits for its next head, also if a part of that head is in its buffer. The server waited for the first request of a new connection only. It now also waits while a head arrives, which the head timeout bounds; the request is then answered and the connection closed.

a_stopping_server_answers_a_request_whose_head_has_begun fails before this change.

--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 servers.
 
-use crate::activity::{Activity, Tracked};
+use crate::activity::{Activity, Phase, Tracked};
 use crate::body::{CountedBody, ReplyBody};
 use crate::memory_budget::{MemoryBudget, UnreadBytes};
 use crate::metered::Metered;
@@ -25,8 +25,8 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which a server at its connection limit checks whether a connection has been closed.
 const CONNECTION_LIMIT_POLL: Duration = Duration::from_millis(5);
-/// Interval at which a stopping server checks whether a connection has received its first request.
-const FIRST_REQUEST_POLL: Duration = Duration::from_millis(20);
+/// Interval at which a stopping server checks whether a connection has received the request in flight.
+const REQUEST_POLL: Duration = Duration::from_millis(20);
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -184,11 +184,9 @@
     H: Handler,
     C: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let has_request = Cell::new(false);
     let activity = Activity::opened(Instant::now());
     let number = ConnectionNumber(unread.connection_id());
     let service = service_fn(|mut request| {
-        has_request.set(true);
         activity.on_request();
         request.extensions_mut().insert(number);
         let (handler, unread, activity) = (handler.clone(), unread.clone(), activity.clone());
@@ -206,10 +204,7 @@
     );
     let stopped = async {
         stop.stopped().await;
-        // A new connection has its first request in flight, which must still be answered.
-        while !has_request.get() {
-            smol::Timer::after(FIRST_REQUEST_POLL).await;
-        }
+        wait_for_request(&activity).await;
         None
     };
     let served = async {
@@ -237,3 +232,10 @@
         tracing::debug!("net: A connection ended early: {error}.");
     }
 }
+
+/// Waits while the first request of a connection, or a part of a further one, is in flight. It must still be answered.
+async fn wait_for_request(activity: &Activity) {
+    while matches!(activity.phase(), Phase::Opened { .. } | Phase::ReceivingHead { .. }) {
+        smol::Timer::after(REQUEST_POLL).await;
+    }
+}
--- a/crates/sillbank_net/tests/idle_connections.rs
+++ b/crates/sillbank_net/tests/idle_connections.rs
@@ -127,3 +127,21 @@
     assert!(!is_closed_while_served && !is_closed_while_written);
     assert!(caller.received().ends_with("0\r\n\r\n"), "{}", caller.received());
 }
+
+/// Guards against a stopping server that closes a connection on a request whose head is arriving.
+#[test]
+fn a_stopping_server_answers_a_request_whose_head_has_begun() {
+    let server = Server::start(Timeouts::uniform(LONG));
+    let caller = server.connect();
+    caller.send_request("/first");
+    server.run();
+    caller.send(HALF_OF_A_HEAD);
+    server.run();
+
+    server.stopper.stop();
+    server.run_for(Duration::from_millis(100));
+    caller.send(REST_OF_A_HEAD);
+
+    assert!(server.runs_until(|| caller.is_closed()));
+    assert_eq!(caller.replies(), 2);
+}
