Aborted streams: what was buffered is written before the connection is closed

A caller whose stream broke right after its first reply head got no byte at all, neither an answer nor a refusal; one whose stream broke right after an event did not get that event.

Cause: hyper drops a connection at an error of the body, with the head and the chunks that it has buffered. An abort that is seen in the same poll as the head or the last chunk discards them, and so does one that comes while the caller reads slowly.

The body now reports the abort only when the connection has written everything that was taken before. hyper flushes whenever the body is pending, and the flush wakes the body. A caller that reads nothing keeps its connection for as long as it would with a complete reply; the memory budget counts the bytes.

--- a/crates/sillbank_net/src/activity.rs
+++ b/crates/sillbank_net/src/activity.rs
@@ -1,11 +1,11 @@
 //! What a connection of a server is doing: idle, receiving a head, or serving a request.
 
 use smol::io::{AsyncRead, AsyncWrite};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::Result;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Instant;
 
 /// Phase of a connection.
@@ -37,12 +37,20 @@
 #[derive(Debug)]
 pub(crate) struct Activity {
     phase: Cell<Phase>,
+    /// Whether a part of a reply was taken that may not have been written yet.
+    has_unwritten: Cell<bool>,
+    /// Task that waits until everything has been written.
+    flush_waker: RefCell<Option<Waker>>,
 }
 
 impl Activity {
     /// Activity of a connection that has just been accepted.
     pub(crate) fn opened(now: Instant) -> Rc<Self> {
-        Rc::new(Self { phase: Cell::new(Phase::Opened { since: now }) })
+        Rc::new(Self {
+            phase: Cell::new(Phase::Opened { since: now }),
+            has_unwritten: Cell::new(false),
+            flush_waker: RefCell::default(),
+        })
     }
 
     /// The current phase.
@@ -55,6 +63,20 @@
         self.phase.set(Phase::Serving);
     }
 
+    /// Records that the head or a part of the body of a reply is about to be written.
+    pub(crate) fn on_part_taken(&self) {
+        self.has_unwritten.set(true);
+    }
+
+    /// Completes when all parts that were taken have been written.
+    pub(crate) fn poll_flushed(&self, context: &mut Context<'_>) -> Poll<()> {
+        if !self.has_unwritten.get() {
+            return Poll::Ready(());
+        }
+        self.flush_waker.replace(Some(context.waker().clone()));
+        Poll::Pending
+    }
+
     /// Records that the body of the reply has been taken completely, or will not be taken.
     pub(crate) fn on_reply_taken(&self) {
         self.phase.set(Phase::WritingRest);
@@ -70,6 +92,10 @@
 
     /// Records that nothing is left to be written.
     fn on_flushed(&self) {
+        self.has_unwritten.set(false);
+        if let Some(waker) = self.flush_waker.take() {
+            waker.wake();
+        }
         if self.phase.get() == Phase::WritingRest {
             self.phase.set(Phase::Idle { since: Instant::now() });
         }
--- a/crates/sillbank_net/src/body.rs
+++ b/crates/sillbank_net/src/body.rs
@@ -80,7 +80,8 @@
         }
     }
 
-    /// Aborts the body after the buffered bytes, so that the reader cannot take it for complete.
+    /// Aborts the body after the buffered bytes, so that the reader cannot take it for complete. A server writes the head
+    /// of the reply and those bytes before it closes the connection.
     pub fn abort(&self) {
         self.state.borrow_mut().aborted = true;
         self.close();
@@ -201,6 +202,7 @@
 impl CountedBody {
     pub(crate) fn new(body: ReplyBody, unread: UnreadBytes, activity: Rc<Activity>) -> Self {
         body.track_in(&unread);
+        activity.on_part_taken();
         Self { body, unread, activity }
     }
 }
@@ -221,8 +223,14 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        if let Some(Ok(frame)) = &frame {
-            self.unread.on_taken(frame.data_ref().map_or(0, Bytes::len));
+        match &frame {
+            Some(Ok(frame)) => {
+                self.unread.on_taken(frame.data_ref().map_or(0, Bytes::len));
+                self.activity.on_part_taken();
+            }
+            // At an error the server closes the connection without writing what it has buffered.
+            Some(Err(BodyAborted)) => ready!(self.activity.poll_flushed(context)),
+            None => {}
         }
         Poll::Ready(frame)
     }
--- a/crates/sillbank_net/tests/support/link.rs
+++ b/crates/sillbank_net/tests/support/link.rs
@@ -16,6 +16,12 @@
 
 /// Path whose reply is a stream that ends when the test releases it.
 pub(crate) const HELD_PATH: &str = "/held";
+/// Path whose reply is a stream that is aborted at once.
+pub(crate) const ABORTED_PATH: &str = "/aborted";
+/// Path whose reply is a stream that is aborted after [`EVENT`].
+pub(crate) const ABORTED_AFTER_EVENT_PATH: &str = "/aborted-after-event";
+/// Event of a stream.
+pub(crate) const EVENT: &str = "data: one";
 /// First part of the head of a request.
 pub(crate) const HALF_OF_A_HEAD: &str = "GET /parts HTTP/1.1\r\nho";
 /// Second part of the head of a request.
@@ -130,7 +136,7 @@
     }
 }
 
-/// Answers each request at once, except on [`HELD_PATH`].
+/// Answers requests at once, on the paths above with streams and on others with complete replies.
 #[derive(Debug, Default)]
 struct Replies {
     held: RefCell<Option<Outbox>>,
@@ -138,11 +144,16 @@
 
 impl Handler for Replies {
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
-        if request.uri().path() != HELD_PATH {
-            return text_reply(StatusCode::OK, "done");
-        }
         let (outbox, body) = Outbox::new();
-        self.held.replace(Some(outbox));
+        match request.uri().path() {
+            HELD_PATH => drop(self.held.replace(Some(outbox))),
+            ABORTED_PATH => outbox.abort(),
+            ABORTED_AFTER_EVENT_PATH => {
+                outbox.write(EVENT.as_bytes());
+                outbox.abort();
+            }
+            _ => return text_reply(StatusCode::OK, "done"),
+        }
         Response::new(ReplyBody::Stream(body))
     }
 }
