Comment: when the default limits on callers apply

A gateway reads the limits from a configuration only; the default is that of a configuration without limits.

--- a/crates/sillbank_catalog/src/service.rs
+++ b/crates/sillbank_catalog/src/service.rs
@@ -125,7 +125,7 @@
 }
 
 impl Default for CallerLimits {
-    /// Limits used until the first configuration is known: common defaults of HTTP servers.
+    /// Limits of a configuration that sets none: common defaults of HTTP servers.
     fn default() -> Self {
         Self {
             max_head_bytes: 16 << 10,
