--- a/crates/sillbank_net/src/body.rs
+++ b/crates/sillbank_net/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of replies: complete ones, and those streamed through an [`Outbox`].
 
+use crate::activity::Activity;
 use crate::memory_budget::UnreadBytes;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
@@ -79,7 +80,8 @@
         }
     }
 
-    /// Aborts the body after the buffered bytes, so that the reader cannot take it for complete.
+    /// Aborts the body after the buffered bytes, so that the reader cannot take it for complete. A server writes the head
+    /// of the reply and those bytes before it closes the connection.
     pub fn abort(&self) {
         self.state.borrow_mut().aborted = true;
         self.close();
@@ -188,23 +190,27 @@
     }
 }
 
-/// Body whose bytes are counted until they have been written to the connection.
+/// Body whose bytes are counted until they have been written to the connection, and whose end is reported to the
+/// activity of the connection.
 #[derive(Debug)]
 pub(crate) struct CountedBody {
     body: ReplyBody,
     unread: UnreadBytes,
+    activity: Rc<Activity>,
 }
 
 impl CountedBody {
-    pub(crate) fn new(body: ReplyBody, unread: UnreadBytes) -> Self {
+    pub(crate) fn new(body: ReplyBody, unread: UnreadBytes, activity: Rc<Activity>) -> Self {
         body.track_in(&unread);
-        Self { body, unread }
+        activity.on_part_taken();
+        Self { body, unread, activity }
     }
 }
 
 impl Drop for CountedBody {
     fn drop(&mut self) {
         self.unread.on_dropped();
+        self.activity.on_reply_taken();
     }
 }
 
@@ -217,8 +223,14 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        if let Some(Ok(frame)) = &frame {
-            self.unread.on_taken(frame.data_ref().map_or(0, Bytes::len));
+        match &frame {
+            Some(Ok(frame)) => {
+                self.unread.on_taken(frame.data_ref().map_or(0, Bytes::len));
+                self.activity.on_part_taken();
+            }
+            // At an error the server closes the connection without writing what it has buffered.
+            Some(Err(BodyAborted)) => ready!(self.activity.poll_flushed(context)),
+            None => {}
         }
         Poll::Ready(frame)
     }
