Calls: a silent endpoint is not given up before another one has answered

Callers got 502 for a call that may be repeated when its service was silent for more than 1.5 times the route's objective and then went on: the VM gave the try up at that time, and only then asked the retry budget and looked for another service. Without budget, or with the other service full, the call failed although the first one was about to answer.

The first try goes on now while another service is tried, under the same rules as a stream that is doubted (`sillbank_failover`), and the first whole answer counts. The same holds when the link to the service seems lost. Calls that may not be repeated wait for their service as before.

--- /dev/null
+++ b/crates/sillbank_gateway/src/calls/hedge.rs
@@ -0,0 +1,176 @@
+//! Tries a call at another endpoint while its own is silent. The first one is not given up: it may
+//! still answer, and the other may refuse.
+
+use super::attempt::Attempt;
+use super::{Choice, TryOutcome, choose_endpoint};
+use crate::crashes::{check_abandoned_send, check_broken_send};
+use crate::endpoints::Evidence;
+use crate::store::MetadataStore;
+use crate::wire::Wire;
+use futures_lite::future::or;
+use sillbank_core::prelude::*;
+use sillbank_failover::prelude::*;
+use std::cell::Cell;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+/// Time after which a call that may run again is also tried at another endpoint, as a multiple of the
+/// route's objective. On the known deployments 99 % of calls are answered within it.
+const TRY_TIMEOUT_OBJECTIVES: f64 = 1.5;
+/// How often a call that may be sent again checks whether its link is lost.
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How often it checks whether the VM that passes its connection on answers.
+const HOP_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Progress of a call at its first endpoint and at others.
+#[derive(Debug, Default)]
+struct Progress {
+    first_has_ended: Cell<bool>,
+    /// Whether another endpoint has the call.
+    is_hedged: Cell<bool>,
+}
+
+impl<W: Wire, S: MetadataStore> Attempt<W, S> {
+    /// Sends the call, and sends it to other endpoints than those in `tried` while this one is silent.
+    /// Returns the first answer or, if there is none, how this send ended.
+    pub(super) async fn run_hedged(&self, tried: &[EndpointId]) -> TryOutcome {
+        if !self.job.is_idempotent() {
+            return self.exchange().await;
+        }
+        let progress = Progress::default();
+        let mut hedge = pin!(self.hedge(tried, &progress));
+        let first = async { (self.exchange().await, true) };
+        let other = async { (hedge.as_mut().await, false) };
+        match or(first, other).await {
+            (TryOutcome::Success(whole), _) => TryOutcome::Success(whole),
+            (outcome, true) if progress.is_hedged.get() => {
+                progress.first_has_ended.set(true);
+                match hedge.await {
+                    TryOutcome::Success(whole) => TryOutcome::Success(whole),
+                    _ => outcome,
+                }
+            }
+            (outcome, _) => outcome,
+        }
+    }
+
+    /// Waits until the endpoint is doubted, and then for the answer of another one. Without an answer
+    /// it ends only after the first endpoint's send.
+    async fn hedge(&self, tried: &[EndpointId], progress: &Progress) -> TryOutcome {
+        let mut avoid = tried.to_vec();
+        avoid.extend(self.doubted().await);
+        let mut failover = Failover::default();
+        failover.on_doubt(Doubt::Silence);
+        loop {
+            match failover.next(Instant::now()) {
+                Step::Open => {}
+                Step::Wait(Some(at)) => {
+                    smol::Timer::at(at).await;
+                    continue;
+                }
+                Step::Wait(None) | Step::Release | Step::GiveUp(_) => std::future::pending().await,
+            }
+            let refusal = match self.choose_other(&avoid) {
+                Err(refusal) => refusal,
+                Ok(choice) => {
+                    failover.on_opening();
+                    progress.is_hedged.set(true);
+                    let outcome = self.try_other(&choice).await;
+                    progress.is_hedged.set(false);
+                    let is_answered = matches!(outcome, TryOutcome::Success(_));
+                    if is_answered || progress.first_has_ended.get() {
+                        return outcome;
+                    }
+                    avoid.push(choice.endpoint);
+                    Refusal::Failed
+                }
+            };
+            let random = self.gateway.rng.next_f64();
+            failover.on_refused(refusal, Instant::now(), random);
+            self.gateway.decisions.not_continued(&self.job, failover.state(), refusal, "");
+        }
+    }
+
+    /// Waits until the endpoint, or the link to it, is doubted. Returns the endpoint if it is not to
+    /// be tried again.
+    async fn doubted(&self) -> Option<EndpointId> {
+        let (gateway, job) = (&self.gateway, &self.job);
+        let link_loss = async {
+            self.wait_for_link_loss().await;
+            true
+        };
+        let silence = async {
+            if !self.has_alternative {
+                std::future::pending::<()>().await;
+            }
+            smol::Timer::after(job.route.objective.mul_f64(TRY_TIMEOUT_OBJECTIVES)).await;
+            false
+        };
+        let reason = match or(link_loss, silence).await {
+            true => {
+                job.record_link_loss();
+                gateway.decisions.doubted(job, &self.endpoint, &[], "the link to it is lost");
+                return None;
+            }
+            false => "no answer in time",
+        };
+        gateway.on_evidence(&self.endpoint, Evidence::Failed, self.sent_at, reason);
+        gateway.on_send_trouble(&self.endpoint, self.route.transit());
+        gateway.decisions.doubted(job, &self.endpoint, &[], reason);
+        check_abandoned_send(gateway, job, self.broken_send());
+        Some(self.endpoint.clone())
+    }
+
+    /// Chooses another endpoint and takes the retry from the budget.
+    fn choose_other(&self, avoid: &[EndpointId]) -> Result<Choice, Refusal> {
+        let (gateway, job) = (&self.gateway, &self.job);
+        if gateway.hold_of(job).is_some() {
+            return Err(Refusal::Quarantined);
+        }
+        if !job.may_send_again(Instant::now()) {
+            return Err(Refusal::SendsUsedUp);
+        }
+        let choice = choose_endpoint(gateway, job, avoid);
+        gateway.record_withheld(job);
+        let choice = choice.map_err(|_| Refusal::NoRoom)?;
+        match gateway.try_retry(&job.service.name) {
+            true => Ok(choice),
+            false => Err(Refusal::BudgetUsedUp),
+        }
+    }
+
+    async fn try_other(&self, choice: &Choice) -> TryOutcome {
+        let (gateway, job) = (&self.gateway, &self.job);
+        gateway.await_crash_checks(job).await;
+        let other = Self::start(gateway, job, choice);
+        let outcome = other.exchange().await;
+        match &outcome {
+            TryOutcome::Success(_) | TryOutcome::Failed(_) | TryOutcome::LinkLost(_) => {}
+            TryOutcome::NotRun(_) | TryOutcome::Misdirected(_) | TryOutcome::NotSent(_) => {
+                job.uncount_send();
+            }
+            TryOutcome::Lost(_) => {
+                check_broken_send(gateway, job, other.broken_send()).await;
+            }
+        }
+        outcome
+    }
+
+    /// Waits until the link under the call is lost, or the VM that passes its connection on.
+    async fn wait_for_link_loss(&self) {
+        let mut hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
+        loop {
+            smol::Timer::after(LINK_POLL_INTERVAL).await;
+            if self.gateway.has_lost_link(&self.endpoint, self.route.transit()) {
+                return;
+            }
+            let Some(vm) = self.route.hop().filter(|_| hop_check_due <= Instant::now()) else {
+                continue;
+            };
+            if self.gateway.hop_is_lost(vm, &self.endpoint, self.address).await {
+                return;
+            }
+            hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
+        }
+    }
+}
--- a/crates/sillbank_gateway/src/calls.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -1,24 +1,22 @@
 //! Handles plain calls: one answer, buffered whole before it goes to the caller.
 
+mod attempt;
+mod hedge;
+
 use crate::answers::{
     deadline_failure, failure_outcome, failure_response, final_failure, with_min_retry_after,
 };
 use crate::connection_pool::PooledConnection;
-use crate::crashes::{
-    BreakCause, BrokenSend, check_abandoned_send, check_broken_send, crashed_at_close,
-};
+use crate::crashes::{BreakCause, check_broken_send};
 use crate::decisions::{FailedSend, Outcome};
-use crate::endpoints::{Evidence, RequestPart};
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::metrics::KindLabel;
 use crate::retries::{SendAttempts, SendFailureKind};
-use crate::sending::{
-    BufferedReply, Destination, SendOutcome, SendRoute, buffer_reply, ends_with_connection,
-    health_evidence, send,
-};
+use crate::sending::{BufferedReply, buffer_reply};
 use crate::store::MetadataStore;
 use crate::wire::Wire;
+use attempt::Attempt;
 use hyper::Response;
 use hyper::body::Incoming;
 use sillbank_admission::calls::{
@@ -29,20 +27,10 @@
 use sillbank_net::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Largest answer to a call that is buffered.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// Timeout of one try of a call that may be retried while another endpoint is available, as a
-/// multiple of the route's objective. On the known deployments 99 % of calls are answered within
-/// it.
-const TRY_TIMEOUT_OBJECTIVES: f64 = 1.5;
-
-/// How often a call that may be sent again checks whether its link is lost.
-const LINK_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// How often it checks whether the VM that passes its connection on answers.
-const HOP_CHECK_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Handles one call and returns the reply for its caller.
 pub async fn answer<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
@@ -116,27 +104,9 @@
                 return failed_reply.map(|whole| whole.reply).ok_or_else(failure);
             }
         };
-        attempts.record_send(job);
-        gateway.count_against_limit(&choice.endpoint);
         let sent_at = Instant::now();
-        let incarnation = gateway.incarnation_name(&choice.endpoint);
-        let broken_send = || BrokenSend {
-            endpoint: choice.endpoint.clone(),
-            address: choice.address,
-            incarnation: incarnation.clone(),
-            sent_at,
-            broke_at: Instant::now(),
-            first_event_at: None,
-        };
-        let (failure_kind, reason) = match try_once(gateway, job, &choice).await {
-            TryOutcome::Success(whole) | TryOutcome::Failed(whole)
-                if ends_with_connection(&whole.head)
-                    && crashed_at_close(gateway, &broken_send()).await =>
-            {
-                check_broken_send(gateway, job, broken_send()).await;
-                let reason = "the endpoint crashed when it closed the connection".to_owned();
-                (SendFailureKind::MayHaveRun, reason)
-            }
+        let attempt = Attempt::start(gateway, job, &choice);
+        let (failure_kind, reason) = match attempt.run_hedged(&tried).await {
             TryOutcome::Success(whole) => {
                 gateway.on_request_survived(job);
                 return Ok(whole.reply);
@@ -150,13 +120,9 @@
             TryOutcome::NotRun(reason) => (SendFailureKind::NotRun, reason),
             TryOutcome::Misdirected(reason) => (SendFailureKind::Misdirected, reason),
             TryOutcome::NotSent(reason) => (SendFailureKind::NotSent, reason),
-            TryOutcome::Late(reason) => {
-                check_abandoned_send(gateway, job, broken_send());
-                (SendFailureKind::MayHaveRun, reason)
-            }
             TryOutcome::LinkLost(reason) => (SendFailureKind::LinkLost, reason),
             TryOutcome::Lost(reason) => {
-                match check_broken_send(gateway, job, broken_send()).await {
+                match check_broken_send(gateway, job, attempt.broken_send()).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
                     BreakCause::Crash | BreakCause::Connection | BreakCause::Unknown => {
                         (SendFailureKind::MayHaveRun, reason)
@@ -217,126 +183,16 @@
     Misdirected(String),
     /// The call did not reach the endpoint.
     NotSent(String),
-    /// No answer within the try timeout.
-    Late(String),
     /// The connection broke without an answer, or the answer is invalid.
     Lost(String),
     /// The link to the endpoint was lost, or the VM that passed the connection on.
     LinkLost(String),
 }
 
-async fn try_once<W: Wire, S: MetadataStore>(
-    gateway: &Rc<Gateway<W, S>>,
-    job: &Rc<Job>,
-    choice: &Choice,
-) -> TryOutcome {
-    let now = Instant::now();
-    gateway.decisions.sent(job, &choice.endpoint, None, None, gateway.platform.stamp(now));
-    let _in_flight = gateway
-        .endpoint_tracker
-        .start(vec![RequestPart { endpoint: choice.endpoint.clone(), kv: 0.0 }], now);
-    let route = SendRoute::default();
-    let exchange = exchange(gateway, job, choice, &route);
-    if !job.is_idempotent() || !job.may_send_again(now) {
-        return exchange.await;
-    }
-    let link_loss = async {
-        wait_for_link_loss(gateway, choice, &route).await;
-        TryOutcome::LinkLost("the link to the endpoint is lost".to_owned())
-    };
-    let exchange = futures_lite::future::or(exchange, link_loss);
-    if !choice.has_alternative {
-        return exchange.await;
-    }
-    let try_timeout = job.route.objective.mul_f64(TRY_TIMEOUT_OBJECTIVES);
-    let timeout = async {
-        smol::Timer::after(try_timeout).await;
-        gateway.on_evidence(&choice.endpoint, Evidence::Failed, now, "no answer in time");
-        gateway.on_send_trouble(&choice.endpoint, route.transit());
-        TryOutcome::Late(format!("no answer within {} ms", try_timeout.as_millis()))
-    };
-    futures_lite::future::or(exchange, timeout).await
-}
-
-/// Waits until the link under a call is lost, or the VM that passes its connection on.
-async fn wait_for_link_loss<W: Wire, S: MetadataStore>(
-    gateway: &Rc<Gateway<W, S>>,
-    choice: &Choice,
-    route: &SendRoute,
-) {
-    let mut hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
-    loop {
-        smol::Timer::after(LINK_POLL_INTERVAL).await;
-        if gateway.has_lost_link(&choice.endpoint, route.transit()) {
-            return;
-        }
-        let Some(vm) = route.hop().filter(|_| hop_check_due <= Instant::now()) else {
-            continue;
-        };
-        if gateway.hop_is_lost(vm, &choice.endpoint, choice.address).await {
-            return;
-        }
-        hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
-    }
-}
-
-async fn exchange<W: Wire, S: MetadataStore>(
-    gateway: &Rc<Gateway<W, S>>,
-    job: &Rc<Job>,
-    choice: &Choice,
-    route: &SendRoute,
-) -> TryOutcome {
-    let to = Destination { endpoint: &choice.endpoint, address: choice.address, path: None, route };
-    let timer =
-        gateway.call_tracker.start_timer(&job.service.name, &choice.endpoint, Instant::now());
-    let sent_at = Instant::now();
-    let sent = send(gateway, job, to, None).await;
-    if let Some(evidence) = health_evidence(&sent) {
-        gateway.on_evidence(&choice.endpoint, evidence, sent_at, "a call");
-    }
-    match sent {
-        SendOutcome::Success(reply, connection) => {
-            match whole_answer(gateway, choice, reply, connection).await {
-                Ok(whole) => {
-                    timer.record_answer();
-                    TryOutcome::Success(whole)
-                }
-                Err(lost) => lost,
-            }
-        }
-        SendOutcome::Failure(reply, connection) => {
-            match whole_answer(gateway, choice, reply, connection).await {
-                Ok(whole) => TryOutcome::Failed(whole),
-                Err(lost) => lost,
-            }
-        }
-        SendOutcome::NotRun(refusal) => {
-            let reason = format!("the endpoint refused with status {}", refusal.status);
-            if !refusal.misdirected {
-                timer.record_full();
-                return TryOutcome::NotRun(reason);
-            }
-            timer.discard();
-            let endpoint = &choice.endpoint;
-            gateway.on_evidence(endpoint, Evidence::Unreachable, sent_at, "misdirected");
-            TryOutcome::Misdirected(reason)
-        }
-        SendOutcome::NotSent(reason) | SendOutcome::NoLink(reason) => {
-            timer.discard();
-            TryOutcome::NotSent(reason)
-        }
-        SendOutcome::Lost(reason) => {
-            gateway.on_send_trouble(&choice.endpoint, route.transit());
-            TryOutcome::Lost(reason)
-        }
-        SendOutcome::HopLost(reason) => TryOutcome::LinkLost(reason),
-    }
-}
-
 /// Reads a whole answer and returns its connection to the pool. The error is how the try ended.
 async fn whole_answer<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
-    choice: &Choice,
+    endpoint: &str,
     reply: Response<Incoming>,
     connection: PooledConnection,
 ) -> Result<BufferedReply, TryOutcome> {
@@ -345,7 +201,7 @@
         true => TryOutcome::LinkLost(reason),
         false => TryOutcome::Lost(reason),
     })?;
-    gateway.keep_connection(&choice.endpoint, connection, &whole.head);
+    gateway.keep_connection(endpoint, connection, &whole.head);
     Ok(whole)
 }
 
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -118,6 +118,11 @@
         self.sends.get() < self.route.max_attempts.max(1) && self.time_left(now) >= MIN_TIME_LEFT
     }
 
+    /// Counts a send.
+    pub fn count_send(&self) {
+        self.sends.set(self.sends.get() + 1);
+    }
+
     /// Takes back a send that reached no endpoint, or whose endpoint proved that it ran nothing.
     pub fn uncount_send(&self) {
         self.sends.set(self.sends.get().saturating_sub(1));
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -36,11 +36,6 @@
 }
 
 impl SendAttempts {
-    /// Counts a send of the request.
-    pub fn record_send(&self, job: &Job) {
-        job.sends.set(job.sends.get() + 1);
-    }
-
     /// Whether the request may be sent again; if so, the retry is taken from the budget.
     pub fn may_retry<W: Wire, S: MetadataStore>(
         &mut self,
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -120,7 +120,7 @@
                 return Err(refuse(gateway, job, reason.text()));
             }
         };
-        attempts.record_send(job);
+        job.count_send();
         gateway.count_against_limit(&target.endpoint);
         let sent_at = Instant::now();
         let stamp = gateway.platform.stamp(sent_at);
