--- a/crates/sillbank_failover/src/failover.rs
+++ b/crates/sillbank_failover/src/failover.rs
@@ -8,10 +8,18 @@
 /// Pause after the first refusal, before another endpoint is looked for again; each further refusal
 /// doubles it.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause. Callers give a stream up after two seconds without an event.
+/// Longest pause after a refusal by an endpoint, which counts as an arrival there. Callers give a
+/// stream up after two seconds without an event.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause after a refusal that reached no endpoint: a look for another one costs processor
+/// time only.
+const MAX_LOCAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Share of a pause by which it varies in both directions, as one silence stops many answers at once.
 const RETRY_JITTER: f64 = 0.5;
+/// Time after which a doubted endpoint is taken for lost where no other one could take the answer
+/// while it holds it. Endpoints are doubted after half a second at most, and one that works is silent
+/// for a second or so.
+const RELEASE_AFTER: Duration = Duration::from_millis(1_000);
 
 named_enum! {
     /// State of an answer at its endpoint.
@@ -20,8 +28,6 @@
         Flowing = "flowing",
         /// The endpoint may be lost or may go on.
         Doubted = "doubted",
-        /// An engine of its path is lost, and with it what it kept for the answer.
-        Stranded = "stranded",
         /// The connection to the endpoint has ended.
         Lost = "lost",
     }
@@ -31,10 +37,8 @@
     enum AnswerEvent {
         Sent = "sent",
         Doubt = "doubt",
-        Strand = "strand",
         Loss = "loss",
         Replaced = "replaced",
-        Released = "released",
     }
 }
 
@@ -57,15 +61,6 @@
         .expect("the built-in chart is checked by a test")
 });
 
-/// Evidence against the endpoint of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
-    /// It, or an engine behind it, is silent: it may be lost or may go on.
-    Silence,
-    /// An engine behind it refuses connections or has restarted, so it has lost the answer's state.
-    StateLost,
-}
-
 /// What to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -73,8 +68,7 @@
     Wait(Option<Instant>),
     /// Try another endpoint. The connection to the present one is kept if it is open.
     Open,
-    /// Close the connection to the present endpoint: its answer cannot go on, and no path starts
-    /// elsewhere.
+    /// Take the present endpoint for lost and close the connection to it, as all paths start there.
     Release,
     /// End the answer.
     GiveUp(Refusal),
@@ -84,6 +78,8 @@
 #[derive(Debug, Clone)]
 pub struct Failover {
     state: AnswerState,
+    /// When the endpoint was doubted, or the answer last moved since then.
+    doubted_at: Option<Instant>,
     /// Whether another endpoint is being tried.
     is_opening: bool,
     /// Refusals since another endpoint was first looked for.
@@ -97,6 +93,7 @@
     fn default() -> Self {
         Self {
             state: CHART.initial(),
+            doubted_at: None,
             is_opening: false,
             refusals: 0,
             last_refusal: None,
@@ -117,12 +114,21 @@
         self.apply(AnswerEvent::Sent)
     }
 
-    /// There is evidence against the endpoint. Returns whether it changes the state.
-    pub fn on_doubt(&mut self, doubt: Doubt) -> bool {
-        self.apply(match doubt {
-            Doubt::Silence => AnswerEvent::Doubt,
-            Doubt::StateLost => AnswerEvent::Strand,
-        })
+    /// There is evidence that the endpoint, or an engine behind it, is lost. Returns whether it is the
+    /// first.
+    pub fn on_doubt(&mut self, now: Instant) -> bool {
+        let is_first = self.apply(AnswerEvent::Doubt);
+        if is_first {
+            self.doubted_at = Some(now);
+        }
+        is_first
+    }
+
+    /// The endpoint accepted another path for the answer.
+    pub fn on_moved(&mut self, now: Instant) {
+        if self.state == AnswerState::Doubted {
+            self.doubted_at = Some(now);
+        }
     }
 
     /// The connection to the endpoint has ended.
@@ -130,11 +136,6 @@
         self.apply(AnswerEvent::Loss);
     }
 
-    /// The connection to the endpoint was closed after [`Step::Release`].
-    pub fn on_released(&mut self) {
-        self.apply(AnswerEvent::Released);
-    }
-
     /// Another endpoint continues the answer.
     pub fn on_replaced(&mut self) {
         self.apply(AnswerEvent::Replaced);
@@ -148,11 +149,12 @@
     /// No other endpoint took the answer. `random` is a random number from 0 to 1.
     pub fn on_refused(&mut self, refusal: Refusal, now: Instant, random: f64) {
         let doubled = FIRST_RETRY_PAUSE.saturating_mul(1 << self.refusals.min(8));
+        let max_pause = if refusal.is_local() { MAX_LOCAL_RETRY_PAUSE } else { MAX_RETRY_PAUSE };
         let jitter = 1.0 + RETRY_JITTER * (2.0 * random.clamp(0.0, 1.0) - 1.0);
         self.is_opening = false;
         self.refusals += 1;
         self.last_refusal = Some(refusal);
-        self.next_try_at = Some(now + doubled.min(MAX_RETRY_PAUSE).mul_f64(jitter));
+        self.next_try_at = Some(now + doubled.min(max_pause).mul_f64(jitter));
     }
 
     /// What to do next.
@@ -165,7 +167,7 @@
                 Step::GiveUp(refusal)
             }
             Some(refusal) if refusal.is_permanent() => Step::Wait(None),
-            Some(Refusal::OnlyHere) if self.state == AnswerState::Stranded => Step::Release,
+            Some(Refusal::OnlyHere) if self.is_long_doubted(now) => Step::Release,
             _ => match self.next_try_at {
                 Some(at) if now < at => Step::Wait(Some(at)),
                 _ => Step::Open,
@@ -173,6 +175,11 @@
         }
     }
 
+    fn is_long_doubted(&self, now: Instant) -> bool {
+        let is_long = |at: Instant| now.saturating_duration_since(at) >= RELEASE_AFTER;
+        self.state == AnswerState::Doubted && self.doubted_at.is_some_and(is_long)
+    }
+
     /// Applies an event. Returns whether it changes the state.
     fn apply(&mut self, event: AnswerEvent) -> bool {
         let Some(transition) = CHART.step(self.state, event) else {
--- a/crates/sillbank_failover/src/lib.rs
+++ b/crates/sillbank_failover/src/lib.rs
@@ -4,11 +4,11 @@
 //! silent for a second or so may still go on, so silence alone closes no connection: another
 //! endpoint is looked for meanwhile, and whichever has the next event first continues the answer.
 //! What stands in the way of another endpoint (no room, no retry budget, no path) is waited for.
-//! Only the end of the endpoint's own connection loses the answer there, and only a reason that no
-//! time changes then ends it.
+//! Only the end of the endpoint's own connection, or a silence longer than an endpoint that works may
+//! have, loses the answer there, and only a reason that no time changes then ends it.
 //!
 //! - [`Failover`] holds the state of one answer and says what to do next.
-//! - [`Doubt`] is the evidence against its endpoint, [`Refusal`] why no other one took it.
+//! - [`Refusal`] is why no other endpoint took it.
 //!
 //! This crate is pure: it uses no sockets, clock or threads. Times and random numbers are arguments.
 
@@ -17,10 +17,10 @@
 mod failover;
 mod refusal;
 
-pub use failover::{AnswerState, Doubt, Failover, Step};
+pub use failover::{AnswerState, Failover, Step};
 pub use refusal::Refusal;
 
 /// Commonly used types.
 pub mod prelude {
-    pub use crate::{AnswerState, Doubt, Failover, Refusal, Step};
+    pub use crate::{AnswerState, Failover, Refusal, Step};
 }
--- a/crates/sillbank_failover/src/refusal.rs
+++ b/crates/sillbank_failover/src/refusal.rs
@@ -24,6 +24,24 @@
 }
 
 impl Refusal {
+    /// All of them.
+    pub const ALL: [Self; 9] = [
+        Self::NotRepeatable,
+        Self::SendsUsedUp,
+        Self::Quarantined,
+        Self::BudgetUsedUp,
+        Self::NoPath,
+        Self::OnlyHere,
+        Self::NoRoom,
+        Self::Failed,
+        Self::Silent,
+    ];
+
+    /// Whether the request reached no endpoint.
+    pub fn is_local(self) -> bool {
+        !matches!(self, Self::Failed | Self::Silent)
+    }
+
     /// Whether it holds for as long as the answer lasts.
     pub fn is_permanent(self) -> bool {
         matches!(self, Self::NotRepeatable | Self::SendsUsedUp | Self::Quarantined)
--- a/crates/sillbank_failover/tests/properties.rs
+++ b/crates/sillbank_failover/tests/properties.rs
@@ -5,25 +5,16 @@
 use sillbank_testing::for_fixed_seeds;
 use std::time::{Duration, Instant};
 
-const REFUSALS: [Refusal; 9] = [
-    Refusal::NotRepeatable,
-    Refusal::SendsUsedUp,
-    Refusal::Quarantined,
-    Refusal::BudgetUsedUp,
-    Refusal::NoPath,
-    Refusal::OnlyHere,
-    Refusal::NoRoom,
-    Refusal::Failed,
-    Refusal::Silent,
-];
-/// Tries within a second of the first one: pauses are at least half of 100, 200, 400, 800 ms.
+/// Tries within a second of the first one: pauses are at least half of 100 and 200 ms, or of 100, 200, 400 and 800 ms if they
+/// reach an endpoint.
+const MAX_LOCAL_TRIES_PER_S: usize = 11;
 const MAX_TRIES_PER_S: usize = 6;
 
 /// What is known of an answer from what happened to it alone.
 #[derive(Debug, Default)]
 struct Observed {
     is_open: bool,
-    has_lost_state: bool,
+    doubted_at: Option<Instant>,
     is_trying: bool,
     /// Refusals since the connection ended.
     refused_since_loss: Option<Refusal>,
@@ -34,15 +25,13 @@
     match event {
         0 if observed.is_open => {
             failover.on_sent();
-            (observed.is_trying, observed.has_lost_state) = (false, false);
+            (observed.is_trying, observed.doubted_at) = (false, None);
         }
         1 if observed.is_open => {
-            failover.on_doubt(Doubt::Silence);
-        }
-        2 if observed.is_open => {
-            failover.on_doubt(Doubt::StateLost);
-            observed.has_lost_state = true;
+            failover.on_doubt(now);
+            observed.doubted_at.get_or_insert(now);
         }
+        2 if observed.is_open => failover.on_moved(now),
         3 if observed.is_open => {
             failover.on_lost();
             observed.is_open = false;
@@ -52,7 +41,7 @@
             *observed = Observed { is_open: true, ..Observed::default() };
         }
         5 if observed.is_trying => {
-            let refusal = *u.choose(&REFUSALS).unwrap_or(&Refusal::NoRoom);
+            let refusal = *u.choose(&Refusal::ALL).unwrap_or(&Refusal::NoRoom);
             failover.on_refused(refusal, now, f64::from(u.arbitrary::<u8>().unwrap_or(0)) / 255.0);
             observed.is_trying = false;
             observed.refused_since_loss = (!observed.is_open).then_some(refusal);
@@ -78,8 +67,9 @@
                     return Ok(());
                 }
                 Step::Release => {
-                    assert!(observed.is_open && observed.has_lost_state, "{observed:?}");
-                    failover.on_released();
+                    let doubted_at = observed.doubted_at.expect("it is doubted");
+                    assert!(observed.is_open && now >= doubted_at + Duration::from_secs(1));
+                    failover.on_lost();
                     observed.is_open = false;
                     observed.refused_since_loss = None;
                 }
@@ -98,23 +88,27 @@
     });
 }
 
+/// Tries of a lost answer within a second, each with this refusal.
+fn tries_per_s(u: &mut Unstructured<'_>, refusal: Refusal) -> arbitrary::Result<usize> {
+    let (mut failover, start, mut tries) = (Failover::default(), Instant::now(), 0);
+    failover.on_lost();
+    for ms in 0..1_000 {
+        let now = start + Duration::from_millis(ms);
+        if failover.next(now) == Step::Open {
+            tries += 1;
+            failover.on_opening();
+            failover.on_refused(refusal, now, f64::from(u.arbitrary::<u8>()?) / 255.0);
+        }
+    }
+    Ok(tries)
+}
+
 /// Answers that find no place do not use up the budget and the processor by looking for one.
 #[test]
 fn tries_are_few() {
     for_fixed_seeds(100, 256, |u| {
-        let mut failover = Failover::default();
-        let start = Instant::now();
-        failover.on_lost();
-        let mut tries = 0;
-        for ms in 0..1_000 {
-            let now = start + Duration::from_millis(ms);
-            if failover.next(now) == Step::Open {
-                tries += 1;
-                failover.on_opening();
-                failover.on_refused(Refusal::NoRoom, now, f64::from(u.arbitrary::<u8>()?) / 255.0);
-            }
-        }
-        assert!(tries <= MAX_TRIES_PER_S, "{tries}");
+        assert!(tries_per_s(u, Refusal::NoRoom)? <= MAX_LOCAL_TRIES_PER_S);
+        assert!(tries_per_s(u, Refusal::Failed)? <= MAX_TRIES_PER_S);
         Ok(())
     });
 }
--- a/crates/sillbank_failover/tests/sequences.rs
+++ b/crates/sillbank_failover/tests/sequences.rs
@@ -8,9 +8,9 @@
 
 /// An answer that is doubted, with the time.
 fn doubted() -> (Failover, Instant) {
-    let mut failover = Failover::default();
-    failover.on_doubt(Doubt::Silence);
-    (failover, Instant::now())
+    let (mut failover, now) = (Failover::default(), Instant::now());
+    failover.on_doubt(now);
+    (failover, now)
 }
 
 /// An answer whose connection has ended, with the time.
@@ -42,18 +42,7 @@
 /// Guards against answers that are cut because no other endpoint takes them while their own is silent.
 #[test]
 fn no_refusal_ends_an_answer_whose_connection_is_open() {
-    let refusals = [
-        Refusal::NotRepeatable,
-        Refusal::SendsUsedUp,
-        Refusal::Quarantined,
-        Refusal::BudgetUsedUp,
-        Refusal::NoPath,
-        Refusal::OnlyHere,
-        Refusal::NoRoom,
-        Refusal::Failed,
-        Refusal::Silent,
-    ];
-    for refusal in refusals {
+    for refusal in Refusal::ALL {
         let (mut failover, now) = doubted();
 
         refuse(&mut failover, refusal, now);
@@ -130,28 +119,54 @@
     assert_eq!(failover.next(now), Step::Open);
 }
 
-/// Guards against an answer that waits for an endpoint which cannot go on, where all paths start.
+/// Tries again and again from `now` on, each time with this refusal. Returns when the connection is to be closed.
+fn released_at(failover: &mut Failover, refusal: Refusal, mut now: Instant) -> Option<Instant> {
+    let until = now + Duration::from_secs(5);
+    while now < until {
+        match failover.next(now) {
+            Step::Open => {
+                failover.on_opening();
+                failover.on_refused(refusal, now, 0.5);
+            }
+            Step::Wait(Some(at)) => now = at,
+            Step::Release => return Some(now),
+            step => panic!("{step:?}"),
+        }
+    }
+    None
+}
+
+/// Guards against closing the connection to an endpoint that is silent for about a second, where no other one could take
+/// the answer.
 #[test]
-fn an_answer_without_its_state_is_released_if_no_path_starts_elsewhere() {
-    let mut failover = Failover::default();
-    let now = Instant::now();
-    failover.on_doubt(Doubt::StateLost);
+fn an_endpoint_where_all_paths_start_is_kept_for_a_second() {
+    let (mut failover, now) = doubted();
 
-    refuse(&mut failover, Refusal::OnlyHere, now);
+    let released_at = released_at(&mut failover, Refusal::OnlyHere, now);
 
-    assert_eq!(failover.next(now), Step::Release);
-    failover.on_released();
-    assert_eq!(failover.state(), AnswerState::Lost);
-    assert_eq!(failover.next(now), Step::Open);
+    assert!(released_at.is_some_and(|at| at >= now + Duration::from_secs(1)), "{released_at:?}");
 }
 
+/// Guards against closing the connection of an answer that has just been moved.
 #[test]
-fn a_silent_endpoint_is_not_released_where_all_paths_start() {
+fn a_move_gives_the_endpoint_another_second() {
     let (mut failover, now) = doubted();
+    let moved_at = now + Duration::from_millis(900);
+    failover.on_moved(moved_at);
+
+    let released_at = released_at(&mut failover, Refusal::OnlyHere, now);
+
+    assert!(released_at.is_some_and(|at| at >= moved_at + Duration::from_secs(1)));
+}
 
-    refuse(&mut failover, Refusal::OnlyHere, now);
+/// Guards against closing a connection although the answer could only wait elsewhere too.
+#[test]
+fn an_endpoint_is_kept_while_nothing_else_takes_the_answer() {
+    for refusal in [Refusal::NoRoom, Refusal::NoPath, Refusal::BudgetUsedUp, Refusal::Failed] {
+        let (mut failover, now) = doubted();
 
-    assert!(matches!(failover.next(now), Step::Wait(Some(_))));
+        assert_eq!(released_at(&mut failover, refusal, now), None, "{refusal:?}");
+    }
 }
 
 #[test]
@@ -159,7 +174,7 @@
     let pauses = |random| {
         let (mut failover, now) = lost();
         let mut pause = || {
-            failover.on_refused(Refusal::NoRoom, now, random);
+            failover.on_refused(Refusal::Failed, now, random);
             match failover.next(now) {
                 Step::Wait(Some(at)) => at - now,
                 step => panic!("{step:?}"),
@@ -181,7 +196,7 @@
     refuse(&mut failover, Refusal::SendsUsedUp, now);
     failover.on_sent();
 
-    failover.on_doubt(Doubt::Silence);
+    failover.on_doubt(now);
 
     assert_eq!(failover.next(now), Step::Open);
 }
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -261,6 +261,7 @@
             deadline,
             run: Cell::new(RunLog::default()),
             sends: Cell::new(0),
+            had_innocent_crash: Cell::new(false),
             link_losses: Cell::new(0),
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
--- a/crates/sillbank_gateway/src/calls/hedge.rs
+++ b/crates/sillbank_gateway/src/calls/hedge.rs
@@ -60,7 +60,7 @@
         let mut avoid = tried.to_vec();
         avoid.extend(self.doubted().await);
         let mut failover = Failover::default();
-        failover.on_doubt(Doubt::Silence);
+        failover.on_doubt(Instant::now());
         loop {
             match failover.next(Instant::now()) {
                 Step::Open => {}
--- a/crates/sillbank_gateway/src/calls/mod.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -144,6 +144,7 @@
             tried.push(choice.endpoint);
         }
         gateway.await_crash_checks(job).await;
+        attempts.record_failure(job, failure_kind);
         let may_retry = attempts.may_retry(gateway, job, failure_kind);
         if !may_retry {
             let failed_reply = failed_reply.map(|whole| whole.reply);
--- a/crates/sillbank_gateway/src/endpoints.rs
+++ b/crates/sillbank_gateway/src/endpoints.rs
@@ -112,6 +112,8 @@
 pub struct Reservation {
     tracker: Rc<EndpointTracker>,
     parts: Vec<(RequestPart, IncarnationNumber)>,
+    /// Requests of all VMs that it stands for.
+    requests: f64,
 }
 
 impl Reservation {
@@ -129,7 +131,7 @@
             if let Some(state) =
                 states.get_mut(&part.endpoint).filter(|state| state.incarnation == *incarnation)
             {
-                state.reserved_kv -= part.kv;
+                state.reserved_kv -= part.kv * self.requests;
             }
         }
     }
@@ -189,16 +191,26 @@
         InFlightGuard { tracker: self.clone(), parts: parts.into_iter().map(start).collect() }
     }
 
-    /// Reserves KV cache for a request that is to be moved to some engines.
-    pub fn reserve(self: &Rc<Self>, parts: Vec<RequestPart>, now: Instant) -> Reservation {
+    /// Reserves KV cache for a request that is to be moved to some engines, and for those that other
+    /// VMs move there in the same moment: `requests` with this one.
+    pub fn reserve(
+        self: &Rc<Self>,
+        parts: Vec<RequestPart>,
+        requests: f64,
+        now: Instant,
+    ) -> Reservation {
         let reserve = |part: RequestPart| {
             let incarnation = self.with(&part.endpoint, now, |state| {
-                state.reserved_kv += part.kv;
+                state.reserved_kv += part.kv * requests;
                 state.incarnation
             });
             (part, incarnation)
         };
-        Reservation { tracker: self.clone(), parts: parts.into_iter().map(reserve).collect() }
+        Reservation {
+            tracker: self.clone(),
+            parts: parts.into_iter().map(reserve).collect(),
+            requests,
+        }
     }
 
     /// KV cache reserved at an engine, in tokens times layers.
--- a/crates/sillbank_gateway/src/events.rs
+++ b/crates/sillbank_gateway/src/events.rs
@@ -63,6 +63,12 @@
         self.find_end().is_some()
     }
 
+    /// Number of the first complete event that is buffered; `None` if there is none, or it has no
+    /// number.
+    pub fn first_number(&self) -> Option<EventNumber> {
+        parse_number(&self.buffer[..self.find_end()?])
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -60,6 +60,8 @@
     pub run: Cell<RunLog>,
     /// Number of sends so far.
     pub sends: Cell<u32>,
+    /// Whether an endpoint that ran the request crashed for another reason.
+    pub had_innocent_crash: Cell<bool>,
     /// Sends that were lost with this VM's link, or with the VM that passed the connection on.
     pub link_losses: Cell<u32>,
     /// Events as the caller saw them.
@@ -129,9 +131,19 @@
     }
 
     /// Records that a send was lost with a link. The first few do not count as sends: the endpoints were cut off from this VM.
-    pub fn record_link_loss(&self) {
+    /// Returns whether this one does not.
+    pub fn record_link_loss(&self) -> bool {
         self.link_losses.set(self.link_losses.get() + 1);
-        if self.link_losses.get() <= MAX_FREE_LINK_LOSSES {
+        let is_free = self.link_losses.get() <= MAX_FREE_LINK_LOSSES;
+        if is_free {
+            self.uncount_send();
+        }
+        is_free
+    }
+
+    /// Records that an endpoint that ran the request crashed for another reason. The first such run does not count as a send.
+    pub fn record_innocent_crash(&self) {
+        if !self.had_innocent_crash.replace(true) {
             self.uncount_send();
         }
     }
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -146,17 +146,19 @@
 }
 
 /// Replaces the lost part of a path in use by other engines that have room for the request. An
-/// engine that took more would preempt requests, and all of them would stand still. Few requests need
-/// this at a time, so passing activations to another hall costs little here.
+/// engine that took more would preempt requests, and all of them would stand still. All VMs move their
+/// streams around a lost engine in the same moment: `movers` of them for each one of this VM. Passing
+/// their activations to another hall costs little here, as they are few compared with all requests.
 pub fn choose_repaired_path(
     context: RoutingContext<'_>,
     request: PathRequest<'_>,
     path: &LayerPath,
     lost: &str,
+    movers: f64,
 ) -> Option<LayerPath> {
     let gap = path.parts().iter().find(|part| part.endpoint == lost)?.layers;
     let fits = |found: &Candidate| {
-        let layers = found.holder.layers.overlap(gap) as f64 * context.moving_vms();
+        let layers = found.holder.layers.overlap(gap) as f64 * movers;
         !context.mechanisms.room || found.has_kv_for(request.demand, layers)
     };
     let holders: Vec<LayerHolder> = candidates(context, request, HallScope::All)
@@ -257,12 +259,6 @@
         pushback.may_send(endpoint, vms + RESERVED_SHARES, self.now)
     }
 
-    /// Number of VMs that move streams around a lost engine at the same time. Streams of all VMs pass
-    /// it, and each VM is assumed to move as many as this one.
-    fn moving_vms(&self) -> f64 {
-        f64::from(self.hall.reports.max_fleet_vms().max(1))
-    }
-
     /// The same check for an engine of a path. Only the first engine receives the request itself.
     fn may_start_at(&self, candidate: &Candidate) -> bool {
         candidate.holder.layers.first != 0 || self.may_send(&candidate.holder.endpoint)
@@ -394,7 +390,7 @@
     };
     let average_to_own = context.demand_shares.average_to_own(&request.service.name);
     let mut load = own.scaled((f64::from(senders) * average_to_own).max(1.0));
-    load.kv += context.endpoint_tracker.reserved_kv(&record.id) * context.moving_vms();
+    load.kv += context.endpoint_tracker.reserved_kv(&record.id);
     load
 }
 
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -36,22 +36,12 @@
 }
 
 impl SendAttempts {
-    /// Whether the request may be sent again; if so, the retry is taken from the budget.
-    pub fn may_retry<W: Wire, S: MetadataStore>(
-        &mut self,
-        gateway: &Gateway<W, S>,
-        job: &Job,
-        kind: SendFailureKind,
-    ) -> bool {
-        if gateway.hold_of(job).is_some() {
-            return false;
-        }
+    /// Records a send that brought no answer.
+    pub fn record_failure(&mut self, job: &Job, kind: SendFailureKind) {
         match kind {
             SendFailureKind::NotSent => {
-                // The request reached no endpoint, so another send is no retry.
                 job.uncount_send();
                 self.unreached += 1;
-                self.unreached < MAX_UNREACHED_SENDS
             }
             SendFailureKind::Misdirected => {
                 // The endpoint could not have run the request. If this counted as one of the
@@ -59,20 +49,41 @@
                 // entries say so only later, would be aborted.
                 job.uncount_send();
                 self.misdirected += 1;
-                self.misdirected < MAX_MISDIRECTED_SENDS && gateway.may_send_again(job)
             }
             SendFailureKind::NotRun => {
                 // A route's limit of sends bounds the endpoints that run a request. A started
                 // stream would be lost if refusals used it up.
                 job.uncount_send();
                 self.refused += 1;
+            }
+            SendFailureKind::LinkLost => drop(job.record_link_loss()),
+            SendFailureKind::MayHaveRun => {}
+        }
+    }
+
+    /// Whether the request may be sent again after such a send; if so, the retry is taken from the
+    /// budget.
+    pub fn may_retry<W: Wire, S: MetadataStore>(
+        &self,
+        gateway: &Gateway<W, S>,
+        job: &Job,
+        kind: SendFailureKind,
+    ) -> bool {
+        if gateway.hold_of(job).is_some() {
+            return false;
+        }
+        match kind {
+            // The request reached no endpoint, so another send is no retry.
+            SendFailureKind::NotSent => self.unreached < MAX_UNREACHED_SENDS,
+            SendFailureKind::Misdirected => {
+                self.misdirected < MAX_MISDIRECTED_SENDS && gateway.may_send_again(job)
+            }
+            SendFailureKind::NotRun => {
                 self.refused < job.route.max_attempts.max(1) && gateway.may_send_again(job)
             }
-            SendFailureKind::LinkLost => {
-                job.record_link_loss();
+            SendFailureKind::LinkLost | SendFailureKind::MayHaveRun => {
                 job.is_idempotent() && gateway.may_send_again(job)
             }
-            SendFailureKind::MayHaveRun => job.is_idempotent() && gateway.may_send_again(job),
         }
     }
 }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -20,7 +20,7 @@
 use sillbank_net::prelude::*;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How the connection of one send was opened; empty until there is one.
 #[derive(Debug, Default)]
@@ -179,6 +179,9 @@
     }
 }
 
+/// Interval at which an answer that finds no memory looks for it.
+pub const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum body size of a refusal that is read to keep its connection.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 
@@ -227,8 +230,7 @@
     limit_bytes: usize,
     memory_budget: &MemoryBudget,
 ) -> Result<BufferedReply, String> {
-    let out_of_memory = || "the VM keeps no more for its callers".to_owned();
-    let mut memory = memory_budget.try_reserve(0).ok_or_else(out_of_memory)?;
+    let mut memory = reserve_nothing(memory_budget).await;
     let (head, body) = reply.into_parts();
     let headers = head.headers.clone();
     let mut body = Limited::new(body, limit_bytes);
@@ -236,8 +238,9 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| format!("the answer broke off: {error}"))?;
         let Ok(data) = frame.into_data() else { continue };
-        if !memory.try_grow(data.len()) {
-            return Err(out_of_memory());
+        while !memory.try_grow(data.len()) {
+            // Nothing is read from the endpoint meanwhile.
+            smol::Timer::after(MEMORY_POLL_INTERVAL).await;
         }
         buffer.extend_from_slice(&data);
     }
@@ -245,6 +248,16 @@
     Ok(BufferedReply { reply: strip_reply_headers(reply), head: headers, memory })
 }
 
+/// Waits until the budget takes a reservation; an answer that an endpoint has made is not discarded.
+async fn reserve_nothing(memory_budget: &MemoryBudget) -> MemoryReservation {
+    loop {
+        match memory_budget.try_reserve(0) {
+            Some(memory) => return memory,
+            None => drop(smol::Timer::after(MEMORY_POLL_INTERVAL).await),
+        }
+    }
+}
+
 /// Whether only the end of the connection ends a reply's body.
 pub fn ends_with_connection(head: &HeaderMap) -> bool {
     !head.contains_key(CONTENT_LENGTH) && !head.contains_key(TRANSFER_ENCODING)
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -1,12 +1,12 @@
 //! Sends a stream's request once and waits for the head of the reply.
 
 use super::continuation::{Acceptance, Continuation, Continuer};
-use super::loss::{ActiveRoute, Loss, Move};
+use super::loss::{ActiveRoute, Loss, Move, PendingMoves};
 use super::target::Target;
 use super::watch::{Finding, SilenceWatch};
 use crate::connection_pool::PooledConnection;
 use crate::crashes::BrokenSend;
-use crate::endpoints::{Evidence, InFlightGuard, RequestPart, Reservation};
+use crate::endpoints::{Evidence, InFlightGuard, RequestPart};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::{Job, engine_shares};
@@ -40,8 +40,8 @@
     pub(super) incarnation: String,
     pub(super) splitter: EventSplitter,
     pub(super) in_flight: InFlightGuard,
-    /// Room at engines that the request was moved to, until it goes on there.
-    pub(super) reservations: Vec<Reservation>,
+    /// Moves of the request, until it goes on there.
+    pub(super) moves: PendingMoves,
     /// When the request was sent or last moved.
     pub(super) sent_at: Instant,
     /// When the request was sent.
@@ -66,38 +66,55 @@
         }
     }
 
-    /// Records that an event arrived. Returns true once, when the request has run here past the
-    /// suspicion window.
-    pub(super) fn passes_suspicion_window(&mut self, now: Instant) -> bool {
-        let first = *self.first_event_at.get_or_insert(now);
-        let has_passed = now.saturating_duration_since(first) >= SUSPICION_WINDOW;
-        has_passed && !std::mem::replace(&mut self.has_passed_suspicion_window, true)
-    }
-
-    pub(super) fn active_route(&self) -> ActiveRoute {
-        ActiveRoute {
-            endpoint: self.endpoint.clone(),
+    /// The body, and the route that is checked while no data arrives.
+    pub(super) fn split(&mut self) -> (&mut Incoming, UpstreamRoute<'_>) {
+        let route = UpstreamRoute {
+            endpoint: &self.endpoint,
             address: self.address,
-            path: self.path.clone(),
-            transit: Some(self.connection.transit()),
-            hop: self.connection.hop.as_ref().map(|hop| hop.vm),
+            path: self.path.as_ref(),
+            connection: &self.connection,
             since: self.sent_at,
             last_data_at: self.last_data_at.unwrap_or(self.opened_at),
-        }
+        };
+        (&mut self.body, route)
     }
 
     /// The stream takes another path from now on.
     pub(super) fn on_moved(&mut self, moved: Move) {
-        self.path = Some(moved.path);
-        self.reservations.push(moved.reservation);
-        moved.left.iter().for_each(|engine| self.in_flight.end_at(engine));
+        self.path = Some(self.moves.add(moved));
         self.sent_at = Instant::now();
     }
 
-    /// An event arrived, so that all engines of the path have processed the request.
-    pub(super) fn on_event(&mut self, now: Instant) {
-        for reservation in self.reservations.drain(..) {
-            self.in_flight.absorb(reservation.into_in_flight(now));
+    /// Records that an event arrived, so that all engines of the path have processed the request.
+    /// Returns true once, when the request has run here past the suspicion window.
+    pub(super) fn on_event(&mut self, now: Instant) -> bool {
+        self.moves.complete(&mut self.in_flight, now);
+        let first = *self.first_event_at.get_or_insert(now);
+        let has_passed = now.saturating_duration_since(first) >= SUSPICION_WINDOW;
+        has_passed && !std::mem::replace(&mut self.has_passed_suspicion_window, true)
+    }
+}
+
+/// The route of a stream that an endpoint is sending.
+pub(super) struct UpstreamRoute<'a> {
+    endpoint: &'a EndpointId,
+    address: SocketAddr,
+    path: Option<&'a LayerPath>,
+    connection: &'a PooledConnection,
+    since: Instant,
+    last_data_at: Instant,
+}
+
+impl UpstreamRoute<'_> {
+    pub(super) fn to_active(&self) -> ActiveRoute {
+        ActiveRoute {
+            endpoint: self.endpoint.clone(),
+            address: self.address,
+            path: self.path.cloned(),
+            transit: Some(self.connection.transit()),
+            hop: self.connection.hop.as_ref().map(|hop| hop.vm),
+            since: self.since,
+            last_data_at: self.last_data_at,
         }
     }
 }
@@ -168,8 +185,8 @@
         (Some(path), Some(figures)) => engine_shares(path, job.demand(figures)),
         _ => vec![RequestPart { endpoint: target.endpoint.clone(), kv: 0.0 }],
     };
-    let mut in_flight = gateway.endpoint_tracker.start(shares, sent_at);
-    let mut reservations = Vec::new();
+    let in_flight = gateway.endpoint_tracker.start(shares, sent_at);
+    let mut moves = PendingMoves::default();
     let endpoint = target.endpoint.clone();
     let incarnation = gateway.incarnation_name(&endpoint);
     let path = target.path.clone();
@@ -183,8 +200,7 @@
     let mut continuer = Continuer::new(gateway, job, Acceptance::Head, tried);
     let watch = WatchedSend {
         target: &mut target,
-        in_flight: &mut in_flight,
-        reservations: &mut reservations,
+        moves: &mut moves,
         route: &route,
         incarnation: &incarnation,
     };
@@ -196,9 +212,12 @@
     .await;
     let outcome = match sent {
         SendEnd::Sent(outcome @ SendOutcome::Success(..)) => outcome,
-        SendEnd::Sent(outcome) => match continuer.try_finish().await {
+        SendEnd::Sent(outcome) => match continuer.try_finish(resume_after).await {
             Some(reply) => return AttemptResult::Replied(reply),
-            None => outcome,
+            None => {
+                continuer.restore_send();
+                outcome
+            }
         },
         SendEnd::Replaced(reply) => {
             gateway.decisions.continued(job, Some(&endpoint), reply.endpoint());
@@ -239,7 +258,7 @@
                 incarnation,
                 splitter: EventSplitter::default(),
                 in_flight,
-                reservations,
+                moves,
                 sent_at,
                 opened_at: sent_at,
                 last_data_at: None,
@@ -306,8 +325,7 @@
 /// A send whose reply is awaited.
 struct WatchedSend<'a> {
     target: &'a mut Target,
-    in_flight: &'a mut InFlightGuard,
-    reservations: &'a mut Vec<Reservation>,
+    moves: &'a mut PendingMoves,
     route: &'a SendRoute,
     incarnation: &'a str,
 }
@@ -341,9 +359,8 @@
                 Ok(Finding::Nothing) => {}
                 Ok(Finding::Moved(moved)) => {
                     since = Instant::now();
-                    self.reservations.push(moved.reservation);
-                    moved.left.iter().for_each(|engine| self.in_flight.end_at(engine));
-                    self.target.path = Some(moved.path);
+                    self.target.path = Some(self.moves.add(moved));
+                    continuer.on_moved();
                 }
                 Ok(Finding::Doubted(loss)) => {
                     let present = BrokenSend {
--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -4,12 +4,12 @@
 use super::attempt::{Upstream, UpstreamReply};
 use super::loss::Loss;
 use super::open::{OpenRequest, SendPurpose, open_stream};
-use super::target::{NoTarget, choose_target};
+use super::target::{NoTarget, PathChoice, choose_target};
 use crate::crashes::{BrokenSend, check_abandoned_send};
-use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::metrics::KindLabel;
+use crate::sending::ends_with_connection;
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use http_body_util::BodyExt;
@@ -23,6 +23,9 @@
 /// may be silent for about a second.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a stream that is doubted is offered only to engines that have room for it.
+const MAX_ROOM_SEARCH: Duration = Duration::from_millis(450);
+
 /// What shows that another endpoint has taken the stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Acceptance {
@@ -56,6 +59,10 @@
     present: Option<EndpointId>,
     /// The last evidence against the present endpoint.
     loss: Option<Loss>,
+    /// When the present endpoint was doubted.
+    doubted_at: Option<Instant>,
+    /// Whether the send to the present endpoint was taken back because its link seemed lost.
+    is_uncounted: bool,
     opening: Option<Task<Result<UpstreamReply, Failure>>>,
     accepted: Option<Accepted>,
 }
@@ -84,6 +91,8 @@
             avoid: Vec::new(),
             present: None,
             loss: None,
+            doubted_at: None,
+            is_uncounted: false,
             opening: None,
             accepted: None,
         }
@@ -96,47 +105,77 @@
             self.count("went_on");
             self.opening = None;
             self.accepted = None;
+            self.restore_send();
             self.end_doubt();
         }
     }
 
-    fn end_doubt(&mut self) {
-        self.present = None;
-        self.loss = None;
-        self.avoid.clear();
+    /// The present endpoint accepted another path.
+    pub(super) fn on_moved(&mut self) {
+        self.failover.on_moved(Instant::now());
     }
 
     /// There is evidence against the endpoint that holds the stream.
     pub(super) fn on_doubt(&mut self, present: BrokenSend, loss: Loss) {
-        if !self.failover.on_doubt(loss.doubt) {
+        let now = Instant::now();
+        let is_first = self.failover.on_doubt(now);
+        let is_new_link_loss = loss.is_link && !self.is_uncounted;
+        if !is_first && !is_new_link_loss {
+            self.avoid_also(&loss.engines);
             return;
         }
         self.gateway.decisions.doubted(&self.job, &present.endpoint, &loss.engines, &loss.reason);
         self.count("doubted");
+        self.doubted_at.get_or_insert(now);
+        self.avoid_also(&loss.engines);
         if loss.is_link {
             // The endpoint may be used again, through another VM.
-            self.job.record_link_loss();
+            self.present = None;
+            self.is_uncounted = self.job.record_link_loss();
         } else {
             self.present = Some(present.endpoint.clone());
             // If the request has crashed it, that is to be known before the request is sent again.
             check_abandoned_send(&self.gateway, &self.job, present);
         }
-        self.avoid.extend_from_slice(&loss.engines);
         self.loss = Some(loss);
     }
 
     /// The connection to the endpoint has ended. Endpoints in `avoid` are not tried.
     pub(super) fn on_lost(&mut self, avoid: &[EndpointId]) {
         self.present = None;
-        self.avoid.extend_from_slice(avoid);
+        self.avoid_also(avoid);
         self.failover.on_lost();
     }
 
+    /// Counts the send to the present endpoint again: its link may have worked, or its end is
+    /// recorded otherwise.
+    pub(super) fn restore_send(&mut self) {
+        if std::mem::take(&mut self.is_uncounted) {
+            self.job.count_send();
+        }
+    }
+
+    fn end_doubt(&mut self) {
+        self.present = None;
+        self.loss = None;
+        self.doubted_at = None;
+        self.is_uncounted = false;
+        self.avoid.clear();
+    }
+
+    fn avoid_also(&mut self, more: &[EndpointId]) {
+        for endpoint in more {
+            if !self.avoid.contains(endpoint) {
+                self.avoid.push(endpoint.clone());
+            }
+        }
+    }
+
     /// Waits until another endpoint has taken the stream, or the present one is to be given up. The
     /// future may be dropped at any time.
     pub(super) async fn next(&mut self, resume_after: Option<EventNumber>) -> Continuation {
         loop {
-            if let Some(reply) = self.try_finish().await {
+            if let Some(reply) = self.try_finish(resume_after).await {
                 self.failover.on_replaced();
                 self.end_doubt();
                 self.count("continued");
@@ -147,8 +186,6 @@
                 Step::Wait(Some(at)) => drop(smol::Timer::at(at).await),
                 Step::Open => self.open(resume_after),
                 Step::Release => {
-                    self.failover.on_released();
-                    self.present = None;
                     let loss = self.loss.clone().unwrap_or_else(Loss::unexplained);
                     return Continuation::Release(loss);
                 }
@@ -159,7 +196,10 @@
 
     /// Waits for the end of a try that is in progress. Returns `None` if there is none, or if it was
     /// refused.
-    pub(super) async fn try_finish(&mut self) -> Option<UpstreamReply> {
+    pub(super) async fn try_finish(
+        &mut self,
+        resume_after: Option<EventNumber>,
+    ) -> Option<UpstreamReply> {
         if let Some(opening) = &mut self.opening {
             let opened = opening.await;
             self.opening = None;
@@ -177,8 +217,10 @@
         let needs_event =
             self.acceptance == Acceptance::Event && self.failover.state() != AnswerState::Lost;
         let accepted = self.accepted.as_mut()?;
-        if needs_event && let Err((refusal, detail)) = accepted.first_event().await {
+        if needs_event && let Err((refusal, detail)) = accepted.first_event(resume_after).await {
+            let endpoint = accepted.reply.endpoint().to_owned();
             self.accepted = None;
+            self.avoid_also(&[endpoint]);
             self.on_refused(refusal, &detail);
             return None;
         }
@@ -191,8 +233,8 @@
             return;
         }
         self.failover.on_opening();
-        let request =
-            OpenRequest { resume_after, purpose: self.purpose(), avoid: self.avoid_all() };
+        let (purpose, path_choice) = (self.purpose(), self.path_choice());
+        let request = OpenRequest { resume_after, purpose, path_choice, avoid: self.avoid_all() };
         let (gateway, job) = (self.gateway.clone(), self.job.clone());
         let executor = gateway.executor.clone();
         let open = async move {
@@ -224,7 +266,7 @@
     }
 
     fn check_target(&self) -> Result<(), Refusal> {
-        let path_choice = self.purpose().path_choice();
+        let path_choice = self.path_choice();
         let chosen = choose_target(&self.gateway, &self.job, path_choice, &self.avoid_all());
         self.gateway.record_withheld(&self.job);
         let refusal = match chosen {
@@ -250,6 +292,18 @@
         }
     }
 
+    /// Engines without room are tried for a stream that is lost, or nearly so: most doubted endpoints
+    /// go on within a second.
+    fn path_choice(&self) -> PathChoice {
+        let is_long = |at: Instant| at.elapsed() >= MAX_ROOM_SEARCH;
+        let is_link = self.loss.as_ref().is_some_and(|loss| loss.is_link);
+        let is_lost = self.failover.state() == AnswerState::Lost;
+        match is_lost || is_link || self.doubted_at.is_some_and(is_long) {
+            true => PathChoice::Any,
+            false => PathChoice::WithRoom,
+        }
+    }
+
     fn avoided(&self) -> impl Iterator<Item = &EndpointId> {
         self.excluded.iter().chain(&self.avoid)
     }
@@ -275,14 +329,23 @@
 }
 
 impl Accepted {
-    /// Waits until a complete event has arrived. It stays in the splitter.
-    async fn first_event(&mut self) -> Result<(), (Refusal, String)> {
+    /// Waits until the event after `resume_after` has arrived. It stays in the splitter.
+    async fn first_event(
+        &mut self,
+        resume_after: Option<EventNumber>,
+    ) -> Result<(), (Refusal, String)> {
         let UpstreamReply::Stream(upstream, _) = &mut self.reply else { return Ok(()) };
         let late = async {
             smol::Timer::at(self.at + FIRST_EVENT_TIMEOUT).await;
             Err((Refusal::Silent, String::new()))
         };
-        futures_lite::future::or(read_event(upstream), late).await
+        futures_lite::future::or(read_event(upstream), late).await?;
+        match (upstream.splitter.first_number(), resume_after) {
+            (Some(number), Some(last)) if number > last + 1 => {
+                Err((Refusal::Failed, format!("its first event is {number} after {last}")))
+            }
+            _ => Ok(()),
+        }
     }
 }
 
@@ -290,20 +353,21 @@
     let failed = |detail: String| Err((Refusal::Failed, detail));
     while !upstream.splitter.has_complete_event() {
         match upstream.body.frame().await {
-            // All events had been sent.
+            // All events had been sent, if the reply says where it ends.
+            None if upstream.splitter.has_partial_event()
+                || ends_with_connection(&upstream.head) =>
+            {
+                return failed("its stream ended within an event, or without one".to_owned());
+            }
             None => return Ok(()),
             Some(Err(error)) => return failed(format!("its stream broke: {error}")),
             Some(Ok(frame)) => {
                 let data = frame.data_ref().map_or(&[][..], |data| data);
-                if let Err(error) = push(&mut upstream.splitter, data) {
-                    return failed(error);
+                if let Err(error) = upstream.splitter.push(data) {
+                    return failed(error.to_string());
                 }
             }
         }
     }
     Ok(())
 }
-
-fn push(splitter: &mut EventSplitter, data: &[u8]) -> Result<(), String> {
-    splitter.push(data).map_err(|error| error.to_string())
-}
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -1,7 +1,7 @@
 //! Detects lost engines on the path of a running request and moves the request around them.
 
 use crate::decisions::SilenceCheck;
-use crate::endpoints::{Evidence, Reservation};
+use crate::endpoints::{Evidence, InFlightGuard, Reservation};
 use crate::gateway::Gateway;
 use crate::hall_reports::ReportedEngine;
 use crate::job::{Job, engine_shares, path_request};
@@ -11,7 +11,6 @@
 use crate::store::MetadataStore;
 use crate::wire::{OrderOutcome, Wire};
 use sillbank_core::prelude::*;
-use sillbank_failover::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
 use sillbank_links::prelude::*;
@@ -138,7 +137,8 @@
     /// Empty if it is not known which one.
     pub(super) engines: Vec<EndpointId>,
     pub(super) reason: String,
-    pub(super) doubt: Doubt,
+    /// Whether an engine refuses connections or has restarted, so that it has lost the request.
+    pub(super) is_certain: bool,
     /// Whether the link to the first endpoint is lost, or the VM in between.
     pub(super) is_link: bool,
 }
@@ -146,26 +146,26 @@
 impl Loss {
     /// The link to the first endpoint is lost, or the VM in between.
     pub(super) fn of_link(reason: &str) -> Self {
-        let (engines, doubt) = (Vec::new(), Doubt::Silence);
-        Self { engines, reason: reason.to_owned(), doubt, is_link: true }
+        let reason = reason.to_owned();
+        Self { engines: Vec::new(), reason, is_certain: false, is_link: true }
     }
 
     /// The stream has been silent for longer than an endpoint that works is.
     pub(super) fn unexplained() -> Self {
-        Self::of_engines(Vec::new(), "it has been silent for too long", Doubt::Silence)
+        Self::of_engines(Vec::new(), "it has been silent for too long", false)
     }
 
     /// Whether the stream cannot go on where it is, so that no longer silence is waited for.
     pub(super) fn is_pressing(&self) -> bool {
-        self.is_link || self.doubt == Doubt::StateLost
+        self.is_link || self.is_certain
     }
 
-    fn of_engines(engines: Vec<EndpointId>, reason: &str, doubt: Doubt) -> Self {
-        Self { engines, reason: reason.to_owned(), doubt, is_link: false }
+    fn of_engines(engines: Vec<EndpointId>, reason: &str, is_certain: bool) -> Self {
+        Self { engines, reason: reason.to_owned(), is_certain, is_link: false }
     }
 
     fn of_silent(engine: &str, reason: &str) -> Self {
-        Self::of_engines(vec![engine.to_owned()], reason, Doubt::Silence)
+        Self::of_engines(vec![engine.to_owned()], reason, false)
     }
 }
 
@@ -222,12 +222,9 @@
     let ids = active_route.path.iter().flat_map(LayerPath::parts).map(|part| &part.endpoint);
     let engines: Vec<EndpointId> =
         ids.filter(|id| has_restarted(id) || is_ejected(id)).cloned().collect();
-    let doubt = match engines.iter().any(|id| has_restarted(id)) {
-        true => Doubt::StateLost,
-        false => Doubt::Silence,
-    };
+    let is_certain = engines.iter().any(|id| has_restarted(id));
     let reason = "a part of the path is left alone";
-    (!engines.is_empty()).then(|| Loss::of_engines(engines, reason, doubt))
+    (!engines.is_empty()).then(|| Loss::of_engines(engines, reason, is_certain))
 }
 
 /// Probes all engines of a path. An engine that is leaving accepts no calls but finishes its
@@ -247,9 +244,8 @@
     for (id, _) in &lost {
         gateway.on_evidence(id, Evidence::Unreachable, started_at, reason);
     }
-    let has_refused = lost.iter().any(|(_, probe)| *probe == Probe::Refused);
-    let doubt = if has_refused { Doubt::StateLost } else { Doubt::Silence };
-    Some(Loss::of_engines(lost.into_iter().map(|(id, _)| id).collect(), reason, doubt))
+    let is_certain = lost.iter().any(|(_, probe)| *probe == Probe::Refused);
+    Some(Loss::of_engines(lost.into_iter().map(|(id, _)| id).collect(), reason, is_certain))
 }
 
 /// Asks the first endpoint what the request waits for.
@@ -324,6 +320,32 @@
     pub(super) left: Vec<EndpointId>,
 }
 
+/// Moves of a request whose next event has not arrived: until then its work counts at the engines
+/// that it left, by which VMs tell how many streams are moved, and its room at the new ones is
+/// reserved.
+#[derive(Debug, Default)]
+pub(super) struct PendingMoves {
+    reservations: Vec<Reservation>,
+    left: Vec<EndpointId>,
+}
+
+impl PendingMoves {
+    /// Adds a move. Returns the request's path.
+    pub(super) fn add(&mut self, moved: Move) -> LayerPath {
+        self.reservations.push(moved.reservation);
+        self.left.extend(moved.left);
+        moved.path
+    }
+
+    /// The engines of the path have processed the request.
+    pub(super) fn complete(&mut self, in_flight: &mut InFlightGuard, now: Instant) {
+        for reservation in self.reservations.drain(..) {
+            in_flight.absorb(reservation.into_in_flight(now));
+        }
+        self.left.drain(..).for_each(|engine| in_flight.end_at(&engine));
+    }
+}
+
 /// Moves a request to a path on which other engines run the lost parts. Returns the move if the
 /// first endpoint accepted it.
 pub(super) async fn move_request<W: Wire, S: MetadataStore>(
@@ -336,12 +358,13 @@
         return None;
     }
     let path = active_route.path.as_ref()?;
-    let repaired = repaired_path(gateway, job, path, &loss.engines)?;
+    let movers = gateway.movers_per_own(&loss.engines);
+    let repaired = repaired_path(gateway, job, path, &loss.engines, movers)?;
     // Before the call, as many streams look for room in the same moment.
     let figures = job.service.engine.as_ref()?;
     let mut added = engine_shares(&repaired, job.demand(figures));
     added.retain(|part| !path.contains(&part.endpoint));
-    let reservation = gateway.endpoint_tracker.reserve(added, Instant::now());
+    let reservation = gateway.endpoint_tracker.reserve(added, movers, Instant::now());
     let call = W::move_call(&job.head.request_id, &repaired);
     let (first, address) = (&active_route.endpoint, active_route.address);
     let reply = gateway.call_engine(first, address, call, MOVE_TIMEOUT).await;
@@ -362,13 +385,29 @@
     job: &Job,
     path: &LayerPath,
     lost: &[EndpointId],
+    movers: f64,
 ) -> Option<LayerPath> {
     let figures = job.service.engine.as_ref()?;
     let local_hall = gateway.settings().hall.clone();
     let context = gateway.routing_context(Instant::now());
     let request = path_request(job, figures, &local_hall, lost);
-    lost.iter()
-        .try_fold(path.clone(), |path, lost| choose_repaired_path(context, request, &path, lost))
+    lost.iter().try_fold(path.clone(), |path, lost| {
+        choose_repaired_path(context, request, &path, lost, movers)
+    })
+}
+
+impl<W: Wire, S> Gateway<W, S> {
+    /// Streams of all VMs that have to be moved around lost engines, for each one of this VM.
+    fn movers_per_own(&self, lost: &[EndpointId]) -> f64 {
+        let now = Instant::now();
+        let of_engine = |engine: &EndpointId| {
+            let hall = self.hall_of(engine)?;
+            let running = |reported: ReportedEngine<'_>| f64::from(reported.state.running);
+            let all = self.hall.reports.engine(&hall, engine, now, running)?;
+            Some(all / f64::from(self.endpoint_tracker.in_flight(engine).max(1)))
+        };
+        lost.iter().filter_map(of_engine).fold(1.0, f64::max)
+    }
 }
 
 fn standing<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, id: &str) -> Option<Standing> {
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -30,22 +30,13 @@
     Resume,
 }
 
-impl SendPurpose {
-    /// Paths over which it may be sent.
-    pub(super) fn path_choice(self) -> PathChoice {
-        match self {
-            Self::Start | Self::Replace => PathChoice::WithRoom,
-            Self::Resume => PathChoice::Any,
-        }
-    }
-}
-
 /// What is sent, and where it is not.
 #[derive(Debug)]
 pub(super) struct OpenRequest {
     /// The last event that the caller has.
     pub(super) resume_after: Option<EventNumber>,
     pub(super) purpose: SendPurpose,
+    pub(super) path_choice: PathChoice,
     /// Endpoints that are not used.
     pub(super) avoid: Vec<EndpointId>,
 }
@@ -53,7 +44,12 @@
 impl OpenRequest {
     /// The first send of a request.
     fn start() -> Self {
-        Self { resume_after: None, purpose: SendPurpose::Start, avoid: Vec::new() }
+        Self {
+            resume_after: None,
+            purpose: SendPurpose::Start,
+            path_choice: PathChoice::WithRoom,
+            avoid: Vec::new(),
+        }
     }
 }
 
@@ -81,7 +77,7 @@
     job: &Rc<Job>,
     request: OpenRequest,
 ) -> Result<UpstreamReply, Failure> {
-    let OpenRequest { resume_after, purpose, mut avoid } = request;
+    let OpenRequest { resume_after, purpose, path_choice, mut avoid } = request;
     let mut attempts = SendAttempts::default();
     // A request that was sent before passed admission control then, even if none of its events
     // arrived.
@@ -94,7 +90,7 @@
         if let Some(hold) = gateway.hold_before_send(job) {
             return Err(gateway.held_failure(job, &hold));
         }
-        let target = choose_target(gateway, job, purpose.path_choice(), &avoid);
+        let target = choose_target(gateway, job, path_choice, &avoid);
         let retry_after = gateway.record_withheld(job);
         let target = match target {
             Ok(target) => target,
@@ -159,6 +155,15 @@
             avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
         }
         gateway.await_crash_checks(job).await;
+        attempts.record_failure(job, failed.kind);
+        let has_no_target = matches!(
+            choose_target(gateway, job, path_choice, &avoid),
+            Err(NoTarget::NoPath | NoTarget::NoRoom | NoTarget::Withheld)
+        );
+        if has_no_target {
+            // It is refused without a retry taken from the budget.
+            continue;
+        }
         let may_retry = attempts.may_retry(gateway, job, failed.kind);
         if !may_retry {
             return Err(match gateway.hold_of(job) {
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -10,7 +10,7 @@
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::Job;
-use crate::sending::ends_with_connection;
+use crate::sending::{MEMORY_POLL_INTERVAL, ends_with_connection};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use bytes::Bytes;
@@ -21,12 +21,10 @@
 use sillbank_failover::prelude::*;
 use sillbank_net::prelude::*;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Bytes buffered for a slow caller above which reading from the endpoint stops.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
-/// Interval at which a stream whose incomplete event finds no memory looks for it.
-const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Relays events from endpoints to one caller.
 pub(super) struct StreamRelay<W: Wire, S: MetadataStore> {
@@ -137,6 +135,7 @@
                     after: upstream.sent_at.elapsed(),
                 },
             );
+            continuer.restore_send();
             let avoid = self.find_engines_to_avoid(fault, &upstream).await;
             drop(upstream);
             continuer.on_lost(&avoid);
@@ -181,8 +180,7 @@
                 let send = upstream.broken_send();
                 let cause = check_broken_send(&self.gateway, &self.job, send.clone()).await;
                 if cause == BreakCause::Crash && !send.may_be_cause() {
-                    // A run that its endpoint's crash ended does not count as one of the route's.
-                    self.job.uncount_send();
+                    self.job.record_innocent_crash();
                 }
                 cause == BreakCause::Link
             }
@@ -205,7 +203,7 @@
             .map(|path| self.gateway.stream_activity.register(path, Instant::now()));
         let mut watch = SilenceWatch::new(&self.gateway, &self.job);
         // Another endpoint's first event was read before it was chosen.
-        if let Err(reason) = self.relay_bytes(&mut upstream.splitter, &[]).await {
+        if let Err(reason) = self.relay_data(upstream, &[], Instant::now()).await {
             return SegmentEnd::Broken(Fault::Endpoint, reason);
         }
         loop {
@@ -222,7 +220,6 @@
                         return end;
                     }
                     if self.events > events {
-                        upstream.on_event(now);
                         continuer.on_event(silent_for);
                     }
                 }
@@ -232,6 +229,7 @@
                 }
                 Next::Checked(Finding::Moved(moved)) => {
                     upstream.on_moved(moved);
+                    continuer.on_moved();
                     if let (Some(activity), Some(path)) = (&activity, &upstream.path) {
                         activity.on_moved(path);
                     }
@@ -262,9 +260,9 @@
         watch: &mut SilenceWatch<W, S>,
         continuer: &mut Continuer<W, S>,
     ) -> Next {
-        let active_route = upstream.active_route();
-        let frame = async { Next::Frame(upstream.body.frame().await) };
-        let checked = async { Next::Checked(watch.next(|| active_route.clone()).await) };
+        let (body, route) = upstream.split();
+        let frame = async { Next::Frame(body.frame().await) };
+        let checked = async { Next::Checked(watch.next(|| route.to_active()).await) };
         let continued = async { Next::Continuation(continuer.next(self.last_number).await) };
         futures_lite::future::or(frame, futures_lite::future::or(continued, checked)).await
     }
@@ -293,13 +291,28 @@
             Some(Err(error)) => broken(format!("the stream broke: {error}")),
             Some(Ok(frame)) => {
                 upstream.last_data_at = Some(now);
-                if upstream.passes_suspicion_window(now) {
-                    self.gateway.on_request_survived(&self.job);
-                }
                 let data = frame.data_ref()?;
-                self.relay_bytes(&mut upstream.splitter, data).await.err().and_then(broken)
+                self.relay_data(upstream, data, now).await.err().and_then(broken)
+            }
+        }
+    }
+
+    /// Passes data of the endpoint on and records what its events show.
+    async fn relay_data(
+        &mut self,
+        upstream: &mut Upstream,
+        data: &[u8],
+        now: Instant,
+    ) -> Result<(), String> {
+        let events = self.events;
+        self.relay_bytes(&mut upstream.splitter, data).await?;
+        if self.events > events {
+            upstream.last_data_at = Some(now);
+            if upstream.on_event(now) {
+                self.gateway.on_request_survived(&self.job);
             }
         }
+        Ok(())
     }
 
     /// Sends complete events to the caller; skips events that the caller already has.
--- a/crates/sillbank_gateway/src/streams/watch.rs
+++ b/crates/sillbank_gateway/src/streams/watch.rs
@@ -10,10 +10,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Silence after which another endpoint is looked for although all engines seem to work. Callers
-/// give a stream up after two seconds without an event, and opening it elsewhere takes some hundred
-/// milliseconds.
-const MAX_UNEXPLAINED_SILENCE: Duration = Duration::from_millis(900);
+/// Minimum silence after which another endpoint is looked for although all engines seem to work.
+/// Callers give a stream up after two seconds without an event, and opening it elsewhere takes some
+/// hundred milliseconds.
+const MIN_UNEXPLAINED_SILENCE: Duration = Duration::from_millis(900);
+/// The same as a multiple of the time that was forecast for the first event: under load engines that
+/// work take long for it.
+const UNEXPLAINED_SILENCE_FORECASTS: u32 = 3;
 
 /// What a check found.
 pub(super) enum Finding {
@@ -105,7 +108,10 @@
     }
 
     fn is_unexplained(&self) -> bool {
-        self.silent_for(Instant::now()) >= MAX_UNEXPLAINED_SILENCE
+        let forecast = self.job.forecast().map(|forecast| forecast.corrected.first_event);
+        let usual = forecast.filter(|_| self.job.delivery.first().is_none()).unwrap_or_default();
+        let min_silence = MIN_UNEXPLAINED_SILENCE.max(usual * UNEXPLAINED_SILENCE_FORECASTS);
+        self.silent_for(Instant::now()) >= min_silence
     }
 }
 
--- a/crates/sillbank_gateway/tests/paths.rs
+++ b/crates/sillbank_gateway/tests/paths.rs
@@ -253,7 +253,7 @@
 
 /// A VM whose streams run over `first` and `lost`, and the states of three engines; the third one
 /// holds the layers of the second.
-fn vm_with_lost_engine(spare_kv_permille: u16, vms: u32) -> Vm {
+fn vm_with_lost_engine(spare_kv_permille: u16) -> Vm {
     let records = [
         record("first", "slow", 0, 10),
         record("lost", "slow", 10, 20),
@@ -263,15 +263,12 @@
     engines[2].kv_permille = spare_kv_permille;
     let vm = Vm::new(&rng());
     vm.set_endpoints(&records);
-    let report = HallReport { vms, ..hall_report(LOCAL_HALL, engines) };
-    let now = Instant::now();
-    vm.hall.reports.insert(now, report);
-    assert_eq!(vm.hall.reports.fleet_vms(&[LOCAL_HALL.to_owned()].into(), now), Some(vms));
+    vm.hall.reports.insert(Instant::now(), hall_report(LOCAL_HALL, engines));
     vm
 }
 
-/// The path around the engine `lost`, if there is one.
-fn repaired(vm: &Vm) -> Option<LayerPath> {
+/// The path around the engine `lost`, if there is one. `movers` streams of all VMs are moved for each one of this VM.
+fn repaired(vm: &Vm, movers: f64) -> Option<LayerPath> {
     let service = service();
     let figures = service.engine.as_ref().expect("it has one");
     let avoid = ["lost".to_owned()];
@@ -285,15 +282,15 @@
     };
     let parts = vec![part("first", 0, 10), part("lost", 10, 20)];
     let path = LayerPath::new(parts, LAYERS).expect("a path");
-    choose_repaired_path(vm.routing_context(Instant::now()), request, &path, "lost")
+    choose_repaired_path(vm.routing_context(Instant::now()), request, &path, "lost", movers)
 }
 
 /// Guards against moved streams that stand still: all of them were moved to one engine, whose KV cache was full.
 #[test]
 fn no_stream_is_moved_to_an_engine_without_free_kv_cache() {
-    let vm = vm_with_lost_engine(990, 1);
+    let vm = vm_with_lost_engine(990);
 
-    assert_eq!(repaired(&vm), None);
+    assert_eq!(repaired(&vm, 1.0), None);
 }
 
 /// Guards against streams of all VMs that are moved to one engine in the same moment. It reports them only when it has
@@ -301,8 +298,8 @@
 #[test]
 fn streams_of_all_vms_that_are_moved_at_once_fit_into_an_engine() {
     // Arrange
-    let (vms, spare_kv_permille) = (9, 500);
-    let vm = vm_with_lost_engine(spare_kv_permille, vms);
+    let movers = 9.0;
+    let vm = vm_with_lost_engine(500);
     let service = service();
     let figures = service.engine.as_ref().expect("it has one");
     let size = RequestSize::usual(figures);
@@ -311,15 +308,28 @@
     let mut moved = Vec::new();
 
     // Act
-    while moved.len() < 200 && repaired(&vm).is_some() {
+    while moved.len() < 200 && repaired(&vm, movers).is_some() {
         let part = RequestPart { endpoint: "spare".to_owned(), kv };
-        moved.push(vm.endpoint_tracker.reserve(vec![part], Instant::now()));
+        moved.push(vm.endpoint_tracker.reserve(vec![part], movers, Instant::now()));
     }
 
     // Assert
-    let moved_kv = kv * moved.len() as f64 * f64::from(vms);
+    let moved_kv = kv * moved.len() as f64 * movers;
     assert!(!moved.is_empty());
-    assert!(moved_kv <= 0.5 * capacity, "{} streams of each VM", moved.len());
+    assert!(moved_kv <= 0.5 * capacity, "{} streams of this VM", moved.len());
+}
+
+/// Room that is reserved for a stream is free again when the stream has ended.
+#[test]
+fn reserved_room_is_free_again_after_the_end_of_a_stream() {
+    let vm = vm_with_lost_engine(500);
+    let part = RequestPart { endpoint: "spare".to_owned(), kv: 1e9 };
+
+    let reservation = vm.endpoint_tracker.reserve(vec![part], 1.0, Instant::now());
+
+    assert_eq!(repaired(&vm, 1.0), None);
+    drop(reservation);
+    assert!(repaired(&vm, 1.0).is_some());
 }
 
 /// An engine without free KV cache is not part of a path.
