--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -59,6 +59,9 @@
 /// total value earned at twice the load that fits: 0.57 at 0.9, 0.60 at 0.95, 0.43 at 1, where
 /// engines overflow and process prompts twice.
 const NEW_REQUEST_FILL_LIMIT: f64 = 0.95;
+/// The same share for requests that lost an engine and are moved: less by the eighth that the requests
+/// running at an engine still write, as few of them end while the moved ones are processed.
+const MOVED_REQUEST_FILL_LIMIT: f64 = 0.82;
 /// Largest accepted lag of engine reports; a larger figure is a configuration error.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(10);
 
@@ -159,7 +162,8 @@
     let gap = path.parts().iter().find(|part| part.endpoint == lost)?.layers;
     let fits = |found: &Candidate| {
         let layers = found.holder.layers.overlap(gap) as f64 * movers;
-        !context.mechanisms.room || found.has_kv_for(request.demand, layers)
+        !context.mechanisms.room
+            || found.has_kv_for(request.demand, layers, MOVED_REQUEST_FILL_LIMIT)
     };
     let holders: Vec<LayerHolder> = candidates(context, request, HallScope::All)
         .into_iter()
@@ -169,6 +173,21 @@
     repair_path(path, lost, &holders, request.figures.layers, request.local_hall, REPAIR_CROSSING)
 }
 
+/// Streams of all VMs that have to be moved around a lost engine, for each one of this VM: the requests
+/// there, by its last report and what has been sent since.
+pub fn movers_per_own(context: RoutingContext<'_>, request: PathRequest<'_>, lost: &str) -> f64 {
+    let read = |reported: ReportedEngine<'_>| ReportedLoad::new(reported, request.figures);
+    let requests = context.platform.endpoints(|directory| {
+        let record = directory.get(lost)?;
+        let reported = context.hall.reports.engine(&record.hall, lost, context.now, read)?;
+        let unreported = unreported_load(context, request, record, &reported);
+        Some(reported.requests + unreported.requests)
+    });
+    let own = f64::from(context.endpoint_tracker.in_flight(lost).max(1));
+    let unknown = || own * f64::from(context.hall.reports.max_fleet_vms());
+    (requests.unwrap_or_else(unknown) / own).max(1.0)
+}
+
 /// Everything that the choice of a path depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct RoutingContext<'a> {
@@ -277,14 +296,14 @@
 
 impl Candidate {
     fn fits(&self, demand: RequestSize) -> bool {
-        self.has_kv_for(demand, self.holder.layers.len() as f64)
+        self.has_kv_for(demand, self.holder.layers.len() as f64, NEW_REQUEST_FILL_LIMIT)
             && self.slots_share < NEW_REQUEST_FILL_LIMIT
     }
 
-    /// Whether its KV cache has room for a request on so many layers.
-    fn has_kv_for(&self, demand: RequestSize, layers: f64) -> bool {
+    /// Whether its KV cache has room for a request on so many layers, up to a share of it.
+    fn has_kv_for(&self, demand: RequestSize, layers: f64, fill_limit: f64) -> bool {
         let more = demand.kv_tokens() * layers;
-        self.kv_usage.is_none_or(|kv_usage| kv_usage.fits(more, NEW_REQUEST_FILL_LIMIT))
+        self.kv_usage.is_none_or(|kv_usage| kv_usage.fits(more, fill_limit))
     }
 }
 
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -6,10 +6,11 @@
 use crate::hall_reports::ReportedEngine;
 use crate::job::{Job, engine_shares, path_request};
 use crate::metrics::KindLabel;
-use crate::paths::choose_repaired_path;
+use crate::paths::{choose_repaired_path, movers_per_own};
 use crate::probes::{Diagnosis, EngineQueue, Probe, diagnose, probe_path, silence_means_loss};
 use crate::store::MetadataStore;
 use crate::wire::{OrderOutcome, Wire};
+use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_layers::prelude::*;
@@ -358,10 +359,9 @@
         return None;
     }
     let path = active_route.path.as_ref()?;
-    let movers = gateway.movers_per_own(&loss.engines);
-    let repaired = repaired_path(gateway, job, path, &loss.engines, movers)?;
-    // Before the call, as many streams look for room in the same moment.
     let figures = job.service.engine.as_ref()?;
+    let (repaired, movers) = repaired_path(gateway, job, figures, path, &loss.engines)?;
+    // Before the call, as many streams look for room in the same moment.
     let mut added = engine_shares(&repaired, job.demand(figures));
     added.retain(|part| !path.contains(&part.endpoint));
     let reservation = gateway.endpoint_tracker.reserve(added, movers, Instant::now());
@@ -379,35 +379,23 @@
     is_moved.then(|| Move { path: repaired, reservation, left: loss.engines.clone() })
 }
 
-/// Returns the path with each lost part given to other engines.
+/// Returns the path with each lost part given to other engines, and how many streams of all VMs are
+/// moved for each one of this VM.
 fn repaired_path<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     job: &Job,
+    figures: &EngineFigures,
     path: &LayerPath,
     lost: &[EndpointId],
-    movers: f64,
-) -> Option<LayerPath> {
-    let figures = job.service.engine.as_ref()?;
+) -> Option<(LayerPath, f64)> {
     let local_hall = gateway.settings().hall.clone();
     let context = gateway.routing_context(Instant::now());
     let request = path_request(job, figures, &local_hall, lost);
-    lost.iter().try_fold(path.clone(), |path, lost| {
+    let movers = lost.iter().map(|lost| movers_per_own(context, request, lost)).fold(1.0, f64::max);
+    let repaired = lost.iter().try_fold(path.clone(), |path, lost| {
         choose_repaired_path(context, request, &path, lost, movers)
-    })
-}
-
-impl<W: Wire, S> Gateway<W, S> {
-    /// Streams of all VMs that have to be moved around lost engines, for each one of this VM.
-    fn movers_per_own(&self, lost: &[EndpointId]) -> f64 {
-        let now = Instant::now();
-        let of_engine = |engine: &EndpointId| {
-            let hall = self.hall_of(engine)?;
-            let running = |reported: ReportedEngine<'_>| f64::from(reported.state.running);
-            let all = self.hall.reports.engine(&hall, engine, now, running)?;
-            Some(all / f64::from(self.endpoint_tracker.in_flight(engine).max(1)))
-        };
-        lost.iter().filter_map(of_engine).fold(1.0, f64::max)
-    }
+    })?;
+    Some((repaired, movers))
 }
 
 fn standing<W: Wire, S: MetadataStore>(gateway: &Gateway<W, S>, id: &str) -> Option<Standing> {
