Moves: what requests that ended freed is no room for moved streams

A VM takes the net change of its own requests since an engine's report for that of each other VM, so that the VMs that saw some end each found room for many streams (0 of 375,000 units used, by a log line of a trial), and moved them there at once.

The room for moves leaves out what ended since the report. It is in the next one.

--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -162,8 +162,7 @@
     let gap = path.parts().iter().find(|part| part.endpoint == lost)?.layers;
     let fits = |found: &Candidate| {
         let layers = found.holder.layers.overlap(gap) as f64 * movers;
-        !context.mechanisms.room
-            || found.has_kv_for(request.demand, layers, MOVED_REQUEST_FILL_LIMIT)
+        !context.mechanisms.room || found.has_kv_for_move(request.demand, layers)
     };
     let holders: Vec<LayerHolder> = candidates(context, request, HallScope::All)
         .into_iter()
@@ -290,20 +289,26 @@
     holder: LayerHolder,
     /// Its KV cache; `None` if the service's figures do not give its size.
     kv_usage: Option<KvUsage>,
+    /// The same without what requests that ended since its last report freed. All VMs that saw some
+    /// end would take the same room for streams that they move at once.
+    kv_usage_before_ends: Option<KvUsage>,
     /// Used share of its slots if paths can start here, else 0.
     slots_share: f64,
 }
 
 impl Candidate {
     fn fits(&self, demand: RequestSize) -> bool {
-        self.has_kv_for(demand, self.holder.layers.len() as f64, NEW_REQUEST_FILL_LIMIT)
-            && self.slots_share < NEW_REQUEST_FILL_LIMIT
+        let more = demand.kv_tokens() * self.holder.layers.len() as f64;
+        let has_kv =
+            self.kv_usage.is_none_or(|kv_usage| kv_usage.fits(more, NEW_REQUEST_FILL_LIMIT));
+        has_kv && self.slots_share < NEW_REQUEST_FILL_LIMIT
     }
 
-    /// Whether its KV cache has room for a request on so many layers, up to a share of it.
-    fn has_kv_for(&self, demand: RequestSize, layers: f64, fill_limit: f64) -> bool {
+    /// Whether its KV cache has room for so many layers of a request that is moved to it.
+    fn has_kv_for_move(&self, demand: RequestSize, layers: f64) -> bool {
         let more = demand.kv_tokens() * layers;
-        self.kv_usage.is_none_or(|kv_usage| kv_usage.fits(more, fill_limit))
+        let usage = self.kv_usage_before_ends;
+        usage.is_none_or(|kv_usage| kv_usage.fits(more, MOVED_REQUEST_FILL_LIMIT))
     }
 }
 
@@ -354,10 +359,15 @@
     let busy = 1.0 + f64::from(endpoint_tracker.in_flight(&record.id)) / DOUBLING_REQUESTS;
     let layer_ms = figures.step_ms / f64::from(figures.layers.max(1));
     let jitter = 1.0 + COST_JITTER * rng.next_f64();
-    let unreported = unreported_load(context, request, record, &reported);
+    let mut unreported = unreported_load(context, request, record, &reported);
+    let reserved_kv = endpoint_tracker.reserved_kv(&record.id);
+    let sent_kv = unreported.kv.max(0.0) + reserved_kv;
+    unreported.kv += reserved_kv;
     let capacity = kind.and_then(|kind| kv_capacity(figures, kind, layers.len()));
     let kv_usage =
         capacity.map(|capacity| KvUsage::new(capacity, reported.kv_share, unreported.kv));
+    let kv_usage_before_ends =
+        capacity.map(|capacity| KvUsage::new(capacity, reported.kv_share, sent_kv));
     let slots_share = match layers.first {
         0 => (reported.requests + unreported.requests) / f64::from(record.slots.max(1)),
         _ => 0.0,
@@ -385,7 +395,7 @@
         use_cost_ms: PART_COST_MS + utilisation_ms + health_ms,
         layer_cost_ms: layer_ms * factor * reported.pace * busy * jitter,
     };
-    Some(Candidate { holder, kv_usage, slots_share })
+    Some(Candidate { holder, kv_usage, kv_usage_before_ends, slots_share })
 }
 
 /// Load that all VMs together sent to an engine since its last report.
@@ -408,9 +418,7 @@
         false => context.hall.reports.max_fleet_vms().saturating_sub(reported.vms),
     };
     let average_to_own = context.demand_shares.average_to_own(&request.service.name);
-    let mut load = own.scaled((f64::from(senders) * average_to_own).max(1.0));
-    load.kv += context.endpoint_tracker.reserved_kv(&record.id);
-    load
+    own.scaled((f64::from(senders) * average_to_own).max(1.0))
 }
 
 /// State of an engine as reported by its hall's leader.
