--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -63,6 +63,8 @@
     doubted_at: Option<Instant>,
     /// Whether the send to the present endpoint was taken back because its link seemed lost.
     is_uncounted: bool,
+    /// The last refusal that was logged since the doubt.
+    logged_refusal: Option<Refusal>,
     opening: Option<Task<Result<UpstreamReply, Failure>>>,
     accepted: Option<Accepted>,
 }
@@ -93,6 +95,7 @@
             loss: None,
             doubted_at: None,
             is_uncounted: false,
+            logged_refusal: None,
             opening: None,
             accepted: None,
         }
@@ -160,6 +163,7 @@
         self.loss = None;
         self.doubted_at = None;
         self.is_uncounted = false;
+        self.logged_refusal = None;
         self.avoid.clear();
     }
 
@@ -319,8 +323,12 @@
             // By now its own health tells whether an endpoint may be used.
             self.avoid.clear();
         }
-        self.gateway.decisions.not_continued(&self.job, self.failover.state(), refusal, detail);
         self.count("refused");
+        // Tries are frequent, and a refusal that repeats itself says nothing new.
+        if self.logged_refusal.replace(refusal) != Some(refusal) || !detail.is_empty() {
+            let state = self.failover.state();
+            self.gateway.decisions.not_continued(&self.job, state, refusal, detail);
+        }
     }
 
     fn count(&self, kind: &'static str) {
