Planned stop: log how connections end and how long answers may be

Callers of a VM that was asked to stop get neither an answer nor a refusal now and then. Nothing was logged of these requests: the VM does not know of them. A connection that is closed to stop now logs its phase, how long it had been idle, its requests, and the bytes that arrived after its write side was closed. To see these, a connection is read for half a second after its close; bytes that are left unread would also turn the close into a reset. `caller: Ended.` names the most tokens that the request allows and those that it expects.

--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -352,6 +352,7 @@
     /// A request ended.
     pub fn ended(&self, job: &Job, outcome: Outcome, status: u16, events: u64, reason: &str) {
         let forecast = job.forecast().map(|forecast| forecast.corrected);
+        let tokens = job.head.tokens;
         if self.take_line() {
             tracing::info!(
                 request = job.head.request_id,
@@ -371,6 +372,8 @@
                 foretold_first_ms = forecast.map(|times| times.first_event.as_millis() as u64),
                 foretold_pause_ms = forecast.map(|times| times.pause.as_millis() as u64),
                 moves = job.delivery.moves(),
+                max_tokens = tokens.map(|tokens| tokens.max_output),
+                expected_tokens = tokens.and_then(|tokens| tokens.expected_output),
                 total_ms = job.received_at.elapsed().as_millis() as u64,
                 "caller: Ended."
             );
--- a/crates/sillbank_net/src/activity.rs
+++ b/crates/sillbank_net/src/activity.rs
@@ -1,12 +1,20 @@
 //! What a connection of a server is doing: idle, receiving a head, or serving a request.
 
+use smol::Timer;
 use smol::io::{AsyncRead, AsyncWrite};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::Result;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time for which a connection is read after its write side was closed. A close with unread bytes is a reset, which may
+/// destroy the last reply.
+const LINGER: Duration = Duration::from_millis(500);
+/// Bytes read at a time from a connection whose write side is closed.
+const LATE_CHUNK_BYTES: usize = 1_024;
 
 /// Phase of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +41,19 @@
     WritingRest,
 }
 
+impl Phase {
+    /// Name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Opened { .. } => "opened",
+            Self::Idle { .. } => "idle",
+            Self::ReceivingHead { .. } => "receiving_head",
+            Self::Serving => "serving",
+            Self::WritingRest => "writing_rest",
+        }
+    }
+}
+
 /// Activity of one connection, as its transport and its requests report it.
 #[derive(Debug)]
 pub(crate) struct Activity {
@@ -41,6 +62,10 @@
     has_unwritten: Cell<bool>,
     /// Task that waits until everything has been written.
     flush_waker: RefCell<Option<Waker>>,
+    /// Number of requests whose heads were complete.
+    requests: Cell<u64>,
+    /// Bytes that arrived after the write side had been closed.
+    late_bytes: Cell<usize>,
 }
 
 impl Activity {
@@ -50,6 +75,8 @@
             phase: Cell::new(Phase::Opened { since: now }),
             has_unwritten: Cell::new(false),
             flush_waker: RefCell::default(),
+            requests: Cell::new(0),
+            late_bytes: Cell::new(0),
         })
     }
 
@@ -60,9 +87,20 @@
 
     /// Records that the head of a request is complete.
     pub(crate) fn on_request(&self) {
+        self.requests.set(self.requests.get() + 1);
         self.phase.set(Phase::Serving);
     }
 
+    /// Number of requests whose heads were complete.
+    pub(crate) fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
+    /// Bytes that arrived after the write side had been closed: a request that crossed the close.
+    pub(crate) fn late_bytes(&self) -> usize {
+        self.late_bytes.get()
+    }
+
     /// Records that the head or a part of the body of a reply is about to be written.
     pub(crate) fn on_part_taken(&self) {
         self.has_unwritten.set(true);
@@ -107,11 +145,31 @@
 pub(crate) struct Tracked<C> {
     connection: C,
     activity: Rc<Activity>,
+    /// Set once the write side is closed: when reading ends.
+    linger: Option<Timer>,
 }
 
 impl<C> Tracked<C> {
     pub(crate) fn new(connection: C, activity: Rc<Activity>) -> Self {
-        Self { connection, activity }
+        Self { connection, activity, linger: None }
+    }
+}
+
+impl<C: AsyncRead + Unpin> Tracked<C> {
+    /// Reads and drops what still arrives, until the peer closes its side too or the time for it is over.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut chunk = [0; LATE_CHUNK_BYTES];
+        loop {
+            match Pin::new(&mut self.connection).poll_read(context, &mut chunk) {
+                Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(()),
+                Poll::Ready(Ok(length)) => {
+                    self.activity.late_bytes.set(self.activity.late_bytes.get() + length);
+                }
+                Poll::Pending => break,
+            }
+        }
+        let timer = self.linger.get_or_insert_with(|| Timer::after(LINGER));
+        Pin::new(timer).poll(context).map(drop)
     }
 }
 
@@ -127,7 +185,7 @@
     }
 }
 
-impl<C: AsyncWrite + Unpin> AsyncWrite for Tracked<C> {
+impl<C: AsyncRead + AsyncWrite + Unpin> AsyncWrite for Tracked<C> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -143,6 +201,9 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.connection).poll_close(context)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.connection).poll_close(context))?;
+        }
+        self.poll_linger(context).map(Ok)
     }
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -212,8 +212,11 @@
         match ended.or(stopped).await {
             Some(served) => served,
             None => {
+                let phase = activity.phase();
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                let ended = connection.await;
+                log_stopped(&activity, phase);
+                ended
             }
         }
     };
@@ -233,6 +236,17 @@
     }
 }
 
+/// Logs the end of a connection that was asked to end in `phase`.
+fn log_stopped(activity: &Activity, phase: Phase) {
+    let idle_ms = match phase {
+        Phase::Idle { since } => Some(since.elapsed().as_millis() as u64),
+        _ => None,
+    };
+    let (requests, late_bytes) = (activity.requests(), activity.late_bytes());
+    let phase = phase.name();
+    tracing::info!(phase, idle_ms, requests, late_bytes, "net: Closed a connection to stop.");
+}
+
 /// Waits while the first request of a connection, or a part of a further one, is in flight. It must still be answered.
 async fn wait_for_request(activity: &Activity) {
     while matches!(activity.phase(), Phase::Opened { .. } | Phase::ReceivingHead { .. }) {
