Servers: a stopping server closes no connection without a reply that says so

Cause: at the signal all idle connections were closed at once, and a connection whose reply had been sent before the signal when that reply ended. Their callers had no way to know; a request that crosses the close is not read, and the close with unread bytes is a reset. What the tests of planned stops show besides: an idle connection was closed under a head that arrives in pieces, and a request behind a stream in one write was dropped.

While stopping, each reply says `connection: close`, and a connection that is closed while no request is served gets 408 as its last bytes: a request that crosses it was not read and will not run, which its caller now reads; one who waits for no reply learns why the connection ends (RFC 9110, section 15.5.9). The same holds at the timeouts for idle connections and heads. In the final stage of a stop the listener is closed after what waits in its backlog was accepted.

Of the tests of planned stops those about kept connections fail before.

--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod client;
 pub mod clocks;
+mod closing;
 pub mod failures;
 pub mod frames;
 pub mod liveness;
@@ -19,6 +20,7 @@
 pub mod running_timer;
 pub mod serve;
 pub mod signals;
+pub mod stop;
 pub mod telemetry;
 pub mod timeouts;
 
@@ -28,9 +30,8 @@
     pub use crate::body::{BodyAborted, Outbox, ReplyBody, json_reply, text_reply};
     pub use crate::client::{CallError, CallReply, Connection, HttpClient};
     pub use crate::memory_budget::{MemoryBudget, MemoryReservation};
-    pub use crate::serve::{
-        ConnectionNumber, Handler, ServerLimits, StopToken, Stopper, serve, serve_until,
-    };
+    pub use crate::serve::{ConnectionNumber, Handler, ServerLimits, serve, serve_until};
     pub use crate::signals::Signals;
+    pub use crate::stop::{StopToken, Stopper};
     pub use crate::timeouts::{SharedTimeouts, Timeouts};
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -2,22 +2,23 @@
 
 use crate::activity::{Activity, Phase, Tracked};
 use crate::body::{CountedBody, ReplyBody};
+use crate::closing::close_unread;
 use crate::memory_budget::{MemoryBudget, UnreadBytes};
 use crate::metered::Metered;
 use crate::phase_timer::PhaseTimer;
+use crate::stop::{StopToken, Stopper};
 use crate::timeouts::{SharedTimeouts, Timeouts};
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol::LocalExecutor;
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -25,8 +26,6 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which a server at its connection limit checks whether a connection has been closed.
 const CONNECTION_LIMIT_POLL: Duration = Duration::from_millis(5);
-/// Interval at which a stopping server checks whether a connection has received the request in flight.
-const REQUEST_POLL: Duration = Duration::from_millis(20);
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -57,45 +56,6 @@
     }
 }
 
-/// Signals servers to stop.
-#[derive(Debug)]
-pub struct Stopper {
-    sender: smol::channel::Sender<Infallible>,
-    token: StopToken,
-}
-
-/// Receiver of the signal of a [`Stopper`].
-#[derive(Debug, Clone)]
-pub struct StopToken(smol::channel::Receiver<Infallible>);
-
-impl Default for Stopper {
-    fn default() -> Self {
-        let (sender, receiver) = smol::channel::bounded(1);
-        Self { sender, token: StopToken(receiver) }
-    }
-}
-
-impl Stopper {
-    /// Returns a token that receives the signal.
-    pub fn token(&self) -> StopToken {
-        self.token.clone()
-    }
-
-    /// Sends the signal to all tokens. Further calls have no effect.
-    pub fn stop(&self) {
-        self.sender.close();
-    }
-}
-
-impl StopToken {
-    /// Waits for the signal.
-    pub async fn stopped(&self) {
-        if let Ok(never) = self.0.recv().await {
-            match never {}
-        }
-    }
-}
-
 /// Accepts connections until dropped.
 pub async fn serve<H: Handler>(
     executor: Rc<LocalExecutor<'static>>,
@@ -108,8 +68,8 @@
     serve_until(executor, listener, limits, handler, stopper.token(), budget).await;
 }
 
-/// Accepts connections until dropped. After the stop signal it still accepts new ones, but closes each connection as
-/// soon as it is idle. Unread bytes are counted in `budget`.
+/// Accepts connections until the stop is over. While stopping, it still accepts new ones, but each reply asks its caller to
+/// close the connection, and idle connections are closed. Unread bytes are counted in `budget`.
 pub async fn serve_until<H: Handler>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
@@ -118,15 +78,21 @@
     stop: StopToken,
     budget: MemoryBudget,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
     loop {
-        if open.get() >= limits.max_connections {
+        if stop.open_connections() >= limits.max_connections && !stop.is_final() {
             smol::Timer::after(CONNECTION_LIMIT_POLL).await;
             continue;
         }
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
+        // What waits in the backlog is accepted before the listener is closed.
+        let accepted = async { Some(listener.accept().await) };
+        let is_final = async {
+            stop.final_stage().await;
+            None
+        };
+        let stream = match accepted.or(is_final).await {
+            Some(Ok((stream, _))) => stream,
+            None => return,
+            Some(Err(error)) => {
                 tracing::warn!("net: A connection cannot be accepted: {error}.");
                 smol::Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
@@ -135,7 +101,7 @@
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!("net: TCP_NODELAY cannot be set on an accepted connection: {error}.");
         }
-        let guard = OpenGuard::new(open.clone());
+        let guard = stop.count_connection();
         let served = serve_connection(
             stream,
             limits.clone(),
@@ -155,19 +121,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ConnectionNumber(u64);
 
-struct OpenGuard(Rc<Cell<usize>>);
-
-impl OpenGuard {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+/// How the service of a connection ended.
+enum ServiceEnd {
+    /// The connection has ended.
+    Ended(hyper::Result<()>),
+    /// No request is being served, and the connection is closed in this phase.
+    Close(Phase),
+    /// It is cut because its peer does not read.
+    Cut,
 }
 
 /// Serves the requests of one connection until it ends, reaches a timeout, or is cut because its peer does not read.
@@ -190,66 +151,40 @@
         activity.on_request();
         request.extensions_mut().insert(number);
         let (handler, unread, activity) = (handler.clone(), unread.clone(), activity.clone());
+        let stop = stop.clone();
         async move {
-            let reply = handler.handle(request).await;
+            let mut reply = handler.handle(request).await;
+            if stop.is_stopping() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(reply.map(|body| CountedBody::new(body, unread, activity)))
         }
     });
     let tracked = Tracked::new(Metered::new(connection, unread.clone()), activity.clone());
-    let mut connection = pin!(
-        hyper::server::conn::http1::Builder::new()
-            .header_read_timeout(None)
-            .max_buf_size(limits.max_head_bytes)
-            .serve_connection(FuturesIo::new(tracked), service)
-    );
-    let stopped = async {
-        stop.stopped().await;
-        wait_for_request(&activity).await;
-        None
-    };
-    let served = async {
-        let ended = async { Some(connection.as_mut().await) };
-        match ended.or(stopped).await {
-            Some(served) => served,
-            None => {
-                let phase = activity.phase();
-                connection.as_mut().graceful_shutdown();
-                let ended = connection.await;
-                log_stopped(&activity, phase);
-                ended
-            }
-        }
-    };
+    let mut connection = hyper::server::conn::http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(limits.max_head_bytes)
+        .serve_connection(FuturesIo::new(tracked), service);
+    let served = async { ServiceEnd::Ended((&mut connection).await) };
     let cut = async {
         std::future::poll_fn(|context| unread.poll_cut(context)).await;
-        Ok(())
+        ServiceEnd::Cut
     };
+    let stopped = async { ServiceEnd::Close(stop.closes(&activity).await) };
     let mut timer = PhaseTimer::new(activity.clone(), limits.timeouts);
     let expired = async {
-        let phase = std::future::poll_fn(|context| timer.poll_expired(context)).await;
-        tracing::debug!(?phase, "net: A connection is closed at its timeout.");
-        Ok(())
-    };
-    // The timer is polled after the connection, so that a request that has arrived is read first.
-    if let Err(error) = cut.or(served).or(expired).await {
-        tracing::debug!("net: A connection ended early: {error}.");
-    }
-}
-
-/// Logs the end of a connection that was asked to end in `phase`.
-fn log_stopped(activity: &Activity, phase: Phase) {
-    let idle_ms = match phase {
-        Phase::Idle { since } => Some(since.elapsed().as_millis() as u64),
-        _ => None,
+        ServiceEnd::Close(std::future::poll_fn(|context| timer.poll_expired(context)).await)
     };
-    let (requests, late_bytes) = (activity.requests(), activity.late_bytes());
-    let phase = phase.name();
-    tracing::info!(phase, idle_ms, requests, late_bytes, "net: Closed a connection to stop.");
-}
-
-/// Waits while the first request of a connection, or a part of a further one, is in flight. It must still be answered.
-async fn wait_for_request(activity: &Activity) {
-    while matches!(activity.phase(), Phase::Opened { .. } | Phase::ReceivingHead { .. }) {
-        smol::Timer::after(REQUEST_POLL).await;
+    // The timers are polled after the connection, so that a request that has arrived is read first.
+    let end = cut.or(served).or(stopped).or(expired).await;
+    match end {
+        ServiceEnd::Ended(Ok(())) | ServiceEnd::Cut => {}
+        ServiceEnd::Ended(Err(error)) => {
+            tracing::debug!("net: A connection ended early: {error}.");
+        }
+        ServiceEnd::Close(phase) => {
+            let parts = connection.into_parts();
+            close_unread(parts.io.into_inner(), phase, &activity).await;
+        }
     }
 }
--- a/crates/sillbank_net/tests/idle_connections.rs
+++ b/crates/sillbank_net/tests/idle_connections.rs
@@ -145,3 +145,64 @@
     assert!(server.runs_until(|| caller.is_closed()));
     assert_eq!(caller.replies(), 2);
 }
+
+/// Guards against a stopping server that closes a connection on a request that is on its way, without a reply: its caller
+/// did not learn whether it was read.
+#[test]
+fn a_stopping_server_closes_idle_connections_with_a_reply() {
+    let server = Server::start(Timeouts::uniform(LONG));
+    let caller = server.connect();
+    caller.send_request("/first");
+    server.run();
+
+    server.stopper.stop();
+    let is_told = server.runs_until(|| caller.received().contains("408 Request Timeout"));
+    caller.send_request("/crosses-the-close");
+
+    assert!(is_told && server.runs_until(|| caller.is_closed()));
+    assert_eq!(caller.replies(), 1, "{}", caller.received());
+    assert!(caller.received().ends_with("\r\n\r\n"));
+}
+
+/// Guards against replies of a stopping server that do not say that it closes the connection.
+#[test]
+fn a_reply_after_the_stop_says_that_the_connection_is_closed() {
+    let server = Server::start(Timeouts::uniform(LONG));
+    let (unused, busy) = (server.connect(), server.connect());
+    busy.send_request(HELD_PATH);
+    server.run();
+    let is_busy = busy.replies() == 1;
+
+    server.stopper.stop();
+    server.run_for(Duration::from_millis(100));
+    unused.send_request("/first");
+    server.release_reply();
+
+    assert!(is_busy && server.runs_until(|| unused.is_closed() && busy.is_closed()));
+    let is_announced = |text: &str| text.contains("connection: close");
+    assert!(is_announced(&unused.received()), "{}", unused.received());
+    // The head of the other was sent before.
+    assert!(busy.received().contains("0\r\n\r\nHTTP/1.1 408"), "{}", busy.received());
+}
+
+/// Guards against unused connections and incomplete heads that keep a server from its final stage, or are closed without a
+/// reply.
+#[test]
+fn the_final_stage_closes_all_connections_on_which_nothing_is_served_with_a_reply() {
+    let server = Server::start(Timeouts::uniform(LONG));
+    let (unused, begun, busy) = (server.connect(), server.connect(), server.connect());
+    begun.send(HALF_OF_A_HEAD);
+    busy.send_request(HELD_PATH);
+    server.run();
+
+    server.stopper.finish();
+    let are_closed = server.runs_until(|| unused.is_closed() && begun.is_closed());
+    let is_busy = !busy.is_closed();
+    server.release_reply();
+
+    assert!(are_closed && is_busy && server.runs_until(|| busy.is_closed()));
+    for caller in [&unused, &begun] {
+        assert!(caller.received().starts_with("HTTP/1.1 408 "), "{}", caller.received());
+    }
+    assert!(busy.received().contains("0\r\n\r\n"), "{}", busy.received());
+}
