Planned stop: a VM takes what it can finish, refuses the rest at once, and answers what is left before it exits

Others were refused with 503 from 2.9 s on, also calls that take some ms, each of them to come back in half a second. A call that ran, or whose body was incomplete, at the end of the grace period got nothing.

Cause: a stopping VM decided by the time since the signal alone, not by what a request needs, and exited over what had no answer.

`sillbank_drain` decides, purely: a request is taken if it ends before the exit, by the forecast of the fastest path with room, by what the caller expects, and by how far the answers before were from both (the longest of a hundred). While the load balancer still uses the VM and too few others of its hall serve, a refused caller would come back here, so that a stream that is more likely to end in time than not is taken. A refused caller may come back at once if another VM of the hall serves. Shortly before the exit requests without an answer get 503 if they have not run, else 502.

--- /dev/null
+++ b/crates/sillbank_drain/src/demand.rs
@@ -0,0 +1,128 @@
+//! How long a request may take.
+
+use crate::experience::Experience;
+use std::time::Duration;
+
+/// Time in which nearly all calls are answered, also those that are sent twice, as a multiple of their objective.
+const CALL_OBJECTIVES: u32 = 3;
+
+/// How sure a time is to be enough.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Certainty {
+    /// Enough more often than not.
+    Likely,
+    /// Nearly always enough.
+    NearlySure,
+}
+
+impl Certainty {
+    /// Share of answers for which the time is to be enough.
+    fn share(self) -> f64 {
+        match self {
+            Self::Likely => 0.5,
+            Self::NearlySure => 0.99,
+        }
+    }
+
+    /// Factor on forecast times between events while nothing is known of earlier answers.
+    fn default_interval_ratio(self) -> f64 {
+        match self {
+            Self::Likely => 1.0,
+            Self::NearlySure => 1.5,
+        }
+    }
+
+    /// Factor on the number of events that a caller expects while nothing is known of earlier answers; `None`: as many as
+    /// the request allows.
+    fn default_events_ratio(self) -> Option<f64> {
+        match self {
+            Self::Likely => Some(1.0),
+            Self::NearlySure => None,
+        }
+    }
+}
+
+/// Forecast of a stream's times on a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamPace {
+    /// Time to the first event.
+    pub first_event: Duration,
+    /// Mean time between events.
+    pub event_interval: Duration,
+}
+
+/// What a request may need until its answer is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Demand {
+    /// A call.
+    Call {
+        /// Time within which the answer is useful.
+        objective: Duration,
+    },
+    /// A stream.
+    Stream {
+        /// Forecast of its times, if there is one.
+        pace: Option<StreamPace>,
+        /// Number of events that the caller expects, if it says so.
+        expected_events: Option<u32>,
+        /// The most events that the request allows.
+        max_events: u32,
+    },
+    /// A stream whose length is not known.
+    Unbounded,
+}
+
+impl Demand {
+    /// Time that is enough for such an answer; `None` if nothing is known of it.
+    pub fn time_for(self, certainty: Certainty, experience: &Experience) -> Option<Duration> {
+        match self {
+            Self::Call { objective } => Some(objective.saturating_mul(CALL_OBJECTIVES)),
+            Self::Stream { pace, expected_events, max_events } => {
+                let events = events_for(certainty, expected_events, max_events, experience);
+                pace_for(certainty, pace, experience).map(|pace| stream_time(pace, events))
+            }
+            Self::Unbounded => None,
+        }
+    }
+}
+
+/// Times that are enough for streams with this forecast; `None` if nothing is known.
+fn pace_for(
+    certainty: Certainty,
+    pace: Option<StreamPace>,
+    experience: &Experience,
+) -> Option<StreamPace> {
+    let share = certainty.share();
+    if let Some(StreamPace { first_event, event_interval }) = pace {
+        let ratio = experience.interval_ratio.quantile(share);
+        let ratio = ratio.unwrap_or_else(|| certainty.default_interval_ratio());
+        return Some(StreamPace { first_event, event_interval: event_interval.mul_f64(ratio) });
+    }
+    let first_event_s = experience.first_event_s.quantile(share)?;
+    let interval_s = experience.interval_s.quantile(share)?;
+    Some(StreamPace {
+        first_event: Duration::from_secs_f64(first_event_s),
+        event_interval: Duration::from_secs_f64(interval_s),
+    })
+}
+
+/// Number of events that streams hardly exceed, or not more often than not.
+fn events_for(
+    certainty: Certainty,
+    expected_events: Option<u32>,
+    max_events: u32,
+    experience: &Experience,
+) -> f64 {
+    let max_events = f64::from(max_events.max(1));
+    let ratio = experience.events_ratio.quantile(certainty.share());
+    let ratio = ratio.or_else(|| certainty.default_events_ratio());
+    expected_events
+        .zip(ratio)
+        .map_or(max_events, |(events, ratio)| (f64::from(events) * ratio).clamp(1.0, max_events))
+}
+
+fn stream_time(pace: StreamPace, events: f64) -> Duration {
+    let rest_s = pace.event_interval.as_secs_f64() * (events - 1.0);
+    let rest = Duration::try_from_secs_f64(rest_s).unwrap_or(Duration::MAX);
+    pace.first_event.saturating_add(rest)
+}
--- /dev/null
+++ b/crates/sillbank_drain/src/experience.rs
@@ -0,0 +1,84 @@
+//! What earlier answers of streams showed.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Number of values that are remembered.
+const REMEMBERED: usize = 256;
+/// Number of values below which nothing is concluded from them.
+const MIN_REMEMBERED: usize = 32;
+
+/// Last values of a quantity, and their quantiles.
+#[derive(Debug, Clone, Default)]
+pub struct RecentValues {
+    values: VecDeque<f64>,
+}
+
+impl RecentValues {
+    /// Records a value. Values that are not positive are ignored.
+    pub fn record(&mut self, value: f64) {
+        if !value.is_finite() || value <= 0.0 {
+            return;
+        }
+        if self.values.len() == REMEMBERED {
+            self.values.pop_front();
+        }
+        self.values.push_back(value);
+    }
+
+    /// The smallest value that at least the given share of the values does not exceed; `None` while too few are known.
+    pub fn quantile(&self, share: f64) -> Option<f64> {
+        if self.values.len() < MIN_REMEMBERED {
+            return None;
+        }
+        let mut sorted: Vec<f64> = self.values.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let rank = (share.clamp(0.0, 1.0) * sorted.len() as f64).ceil() as usize;
+        sorted.get(rank.saturating_sub(1)).copied()
+    }
+}
+
+/// An answer that is whole, and what was expected of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer {
+    /// Time to its first event.
+    pub first_event: Duration,
+    /// Mean time between its events; `None` if it had one event.
+    pub event_interval: Option<Duration>,
+    /// Number of its events.
+    pub events: u64,
+    /// Number of events that its caller expected, if it said so.
+    pub expected_events: Option<u32>,
+    /// Forecast of the mean time between its events, if there was one.
+    pub expected_interval: Option<Duration>,
+}
+
+/// What the last answers of streams showed.
+#[derive(Debug, Clone, Default)]
+pub struct Experience {
+    /// Times to the first event, in seconds.
+    pub first_event_s: RecentValues,
+    /// Mean times between events, in seconds.
+    pub interval_s: RecentValues,
+    /// Numbers of events, as multiples of those that callers expected.
+    pub events_ratio: RecentValues,
+    /// Mean times between events, as multiples of the forecast ones.
+    pub interval_ratio: RecentValues,
+}
+
+impl Experience {
+    /// Records an answer.
+    pub fn record(&mut self, answer: &Answer) {
+        self.first_event_s.record(answer.first_event.as_secs_f64());
+        if let Some(expected) = answer.expected_events {
+            self.events_ratio.record(answer.events as f64 / f64::from(expected));
+        }
+        let Some(interval) = answer.event_interval else {
+            return;
+        };
+        self.interval_s.record(interval.as_secs_f64());
+        if let Some(expected) = answer.expected_interval {
+            self.interval_ratio.record(interval.div_duration_f64(expected));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_drain/src/plan.rs
@@ -0,0 +1,118 @@
+//! The times of one stop, and what they decide.
+
+use crate::demand::{Certainty, Demand};
+use crate::experience::Experience;
+use std::time::{Duration, Instant};
+
+/// Time for which a load balancer still opens connections to a VM that reports that it is not ready: it asks once a
+/// second and takes a VM out after two failed checks.
+const BALANCER_LAG: Duration = Duration::from_millis(2_900);
+/// Time before the kill at which the process exits, whatever is in progress.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the exit at which requests without an answer get a reply.
+const REPLY_MARGIN: Duration = Duration::from_millis(200);
+
+/// Whether other VMs can take what this one refuses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Others {
+    /// Enough VMs of its hall serve, so that the load balancer uses these alone.
+    Suffice,
+    /// The load balancer uses those that stop as well, as few others serve, or none.
+    Few,
+}
+
+/// What a stopping VM still has to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OpenWork {
+    /// Requests in progress, of its callers.
+    pub requests: u64,
+    /// Connections of its callers on which requests may arrive.
+    pub connections: usize,
+    /// Connections that it passes on for other VMs and that are in use.
+    pub passed_on: usize,
+}
+
+impl OpenWork {
+    /// Whether nothing is left.
+    pub fn is_done(self) -> bool {
+        self == Self::default()
+    }
+}
+
+/// What a stopping VM does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DrainStep {
+    /// It serves on.
+    Serve,
+    /// It accepts no connections any more, replies to requests without an answer, closes the connections on which no
+    /// answer is under way, and exits once nothing is left.
+    Finish,
+}
+
+/// The times of one stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainPlan {
+    signalled_at: Instant,
+    exits_at: Instant,
+}
+
+impl DrainPlan {
+    /// Plan of a VM that was asked to stop at `signalled_at` and is killed after `grace`.
+    pub fn new(signalled_at: Instant, grace: Duration) -> Self {
+        Self { signalled_at, exits_at: signalled_at + grace.saturating_sub(EXIT_MARGIN) }
+    }
+
+    /// When the process exits at the latest.
+    pub fn exits_at(&self) -> Instant {
+        self.exits_at
+    }
+
+    /// Time since the VM was asked to stop.
+    pub fn time_since_signal(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.signalled_at)
+    }
+
+    /// When requests without an answer get a reply.
+    pub fn replies_at(&self) -> Instant {
+        let replies_at = self.exits_at.checked_sub(REPLY_MARGIN);
+        replies_at.map_or(self.signalled_at, |at| at.max(self.signalled_at))
+    }
+
+    /// Whether a request is taken that its caller waits `time_left` for. Otherwise it is refused at once.
+    ///
+    /// One that is cut costs its caller all the time that it ran, one that is refused a round trip if another VM takes it.
+    /// Where the caller is likely to come back to this VM and to be refused for good, an answer is tried that may well end
+    /// in time.
+    pub fn admits(
+        &self,
+        demand: Demand,
+        experience: &Experience,
+        time_left: Duration,
+        others: Others,
+        now: Instant,
+    ) -> bool {
+        let certainty = match others {
+            Others::Few if now < self.balancer_knows_at() => Certainty::Likely,
+            Others::Few | Others::Suffice => Certainty::NearlySure,
+        };
+        let Some(time) = demand.time_for(certainty, experience) else {
+            return certainty == Certainty::Likely;
+        };
+        let ends_at = now.checked_add(time.min(time_left));
+        ends_at.is_some_and(|ends_at| ends_at <= self.replies_at())
+    }
+
+    /// When the load balancer has taken the VM out.
+    fn balancer_knows_at(&self) -> Instant {
+        (self.signalled_at + BALANCER_LAG).min(self.exits_at)
+    }
+
+    /// What the VM does next.
+    pub fn next(&self, work: OpenWork, now: Instant) -> DrainStep {
+        let is_done = work.is_done() && now >= self.balancer_knows_at();
+        match is_done || now >= self.replies_at() {
+            true => DrainStep::Finish,
+            false => DrainStep::Serve,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillbank_drain/tests/plan.rs
@@ -0,0 +1,120 @@
+//! Requests that a stopping VM takes or refuses, and when it exits.
+
+use sillbank_drain::prelude::*;
+use std::time::{Duration, Instant};
+
+const GRACE: Duration = Duration::from_secs(8);
+const PATIENCE: Duration = Duration::from_secs(20);
+const CALL: Demand = Demand::Call { objective: Duration::from_millis(100) };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A stream with an event each 40 ms.
+fn stream(expected_events: u32, max_events: u32) -> Demand {
+    let pace = StreamPace { first_event: ms(100), event_interval: ms(40) };
+    Demand::Stream { pace: Some(pace), expected_events: Some(expected_events), max_events }
+}
+
+/// Experience of answers that had `ratio` times the events that their callers expected, at the forecast pace.
+fn experience(ratio: impl Fn(u64) -> f64) -> Experience {
+    let mut experience = Experience::default();
+    for number in 0..200 {
+        experience.record(&Answer {
+            first_event: ms(100),
+            event_interval: Some(ms(40)),
+            events: (100.0 * ratio(number)) as u64,
+            expected_events: Some(100),
+            expected_interval: Some(ms(40)),
+        });
+    }
+    experience
+}
+
+fn admits(demand: Demand, experience: &Experience, others: Others, after_ms: u64) -> bool {
+    let signalled_at = Instant::now();
+    let plan = DrainPlan::new(signalled_at, GRACE);
+    plan.admits(demand, experience, PATIENCE, others, signalled_at + ms(after_ms))
+}
+
+/// Guards against streams that are taken and cut at the end of the grace period.
+#[test]
+fn a_stream_that_may_outlast_the_grace_period_is_refused_where_others_serve() {
+    let as_expected = experience(|_| 1.0);
+    let some_longer = experience(|number| if number % 20 == 0 { 3.0 } else { 1.0 });
+
+    assert!(admits(stream(100, 200), &as_expected, Others::Suffice, 0));
+    assert!(!admits(stream(100, 200), &as_expected, Others::Suffice, 4_000));
+    assert!(!admits(stream(100, 200), &some_longer, Others::Suffice, 0));
+    assert!(admits(stream(50, 200), &some_longer, Others::Suffice, 0));
+}
+
+/// Guards against refusing callers who come back to the same VM until they give up.
+#[test]
+fn a_stream_that_is_likely_to_end_in_time_is_taken_while_callers_come_back_here() {
+    let some_longer = experience(|number| if number % 20 == 0 { 3.0 } else { 1.0 });
+
+    assert!(admits(stream(100, 200), &some_longer, Others::Few, 2_000));
+    assert!(!admits(stream(180, 200), &some_longer, Others::Few, 2_000));
+    // The load balancer has taken the VM out.
+    assert!(!admits(stream(100, 200), &some_longer, Others::Few, 3_000));
+}
+
+/// Guards against a VM that has just started and refuses nearly all streams when it is stopped again.
+#[test]
+fn without_experience_the_caller_and_the_limit_of_the_request_are_believed() {
+    let none = Experience::default();
+    let unknown = Demand::Stream { pace: None, expected_events: Some(10), max_events: 200 };
+
+    assert!(admits(stream(10, 100), &none, Others::Suffice, 0));
+    assert!(!admits(stream(10, 200), &none, Others::Suffice, 0));
+    assert!(admits(stream(10, 200), &none, Others::Few, 0));
+    assert!(!admits(unknown, &none, Others::Suffice, 0) && admits(unknown, &none, Others::Few, 0));
+}
+
+/// Guards against streams without a forecast of their path that are taken for endless.
+#[test]
+fn a_stream_without_a_forecast_is_judged_by_earlier_answers() {
+    let stream = Demand::Stream { pace: None, expected_events: Some(100), max_events: 200 };
+
+    assert!(admits(stream, &experience(|_| 1.0), Others::Suffice, 0));
+    assert!(!admits(stream, &experience(|_| 1.0), Others::Suffice, 4_000));
+}
+
+/// Guards against refusing calls that are done long before the grace period ends.
+#[test]
+fn a_call_is_taken_until_shortly_before_the_exit() {
+    let none = Experience::default();
+
+    assert!(admits(CALL, &none, Others::Suffice, 7_000));
+    assert!(!admits(CALL, &none, Others::Suffice, 7_400));
+    assert!(!admits(CALL, &none, Others::Few, 7_400));
+}
+
+/// Guards against an exit before the load balancer has taken the VM out, and against waiting without work.
+#[test]
+fn a_vm_without_work_finishes_when_the_load_balancer_has_taken_it_out() {
+    let signalled_at = Instant::now();
+    let plan = DrainPlan::new(signalled_at, GRACE);
+    let (idle, busy) = (OpenWork::default(), OpenWork { passed_on: 1, ..OpenWork::default() });
+    let next = |work, after_ms| plan.next(work, signalled_at + ms(after_ms));
+
+    assert_eq!(next(idle, 2_000), DrainStep::Serve);
+    assert_eq!(next(idle, 3_000), DrainStep::Finish);
+    assert_eq!(next(busy, 7_000), DrainStep::Serve);
+    assert_eq!(next(busy, 7_600), DrainStep::Finish);
+}
+
+/// Guards against replies that are written after the process has been killed.
+#[test]
+fn replies_come_before_the_exit_and_the_exit_before_the_kill_for_any_grace_period() {
+    for grace_ms in [0, 100, 400, 1_000, 8_000, 600_000] {
+        let signalled_at = Instant::now();
+        let plan = DrainPlan::new(signalled_at, ms(grace_ms));
+
+        assert!(signalled_at <= plan.replies_at() && plan.replies_at() <= plan.exits_at());
+        assert!(plan.exits_at() <= signalled_at + ms(grace_ms));
+        assert_eq!(plan.next(OpenWork::default(), plan.exits_at()), DrainStep::Finish);
+    }
+}
--- a/crates/sillbank_engines/src/forecast.rs
+++ b/crates/sillbank_engines/src/forecast.rs
@@ -52,6 +52,8 @@
     pub first_event: Duration,
     /// Longest pause between two events.
     pub pause: Duration,
+    /// Mean time between two events.
+    pub event_interval: Duration,
 }
 
 /// Maximum number of concurrent requests at an engine with which a stream still meets its pause objective,
@@ -155,7 +157,16 @@
             max_prefill_variance.max(prefill_variance(&engine.costs, engine.running, events));
     }
     let pause_ms = max_pause_ms(event_ms, parts.len() as f64, max_prefill_variance);
-    ForecastTimes { first_event: capped(queue_ms + first_ms), pause: capped(pause_ms) }
+    ForecastTimes {
+        first_event: capped(queue_ms + first_ms),
+        pause: capped(pause_ms),
+        event_interval: capped(event_ms),
+    }
+}
+
+/// Number of events of an answer of so many tokens; at least one.
+pub fn events_of(figures: &EngineFigures, tokens: u32) -> u32 {
+    passes::events(figures, f64::from(tokens)).ceil() as u32
 }
 
 /// Longest pause of an answer, from the mean time of an event and the variance caused by prefills.
--- a/crates/sillbank_engines/src/lib.rs
+++ b/crates/sillbank_engines/src/lib.rs
@@ -20,7 +20,7 @@
 mod send_log;
 mod time_share;
 
-pub use forecast::{EngineLoad, ForecastTimes, forecast, max_requests_for_pause};
+pub use forecast::{EngineLoad, ForecastTimes, events_of, forecast, max_requests_for_pause};
 pub use forecast_correction::ForecastCorrection;
 pub use hall_capacity::{EngineCapacity, HallCapacity};
 pub use kv_cache::{KvUsage, kv_capacity, memory_figures};
@@ -32,7 +32,7 @@
 pub mod prelude {
     pub use crate::{
         EngineCapacity, EngineLoad, ForecastCorrection, ForecastTimes, HallCapacity, KvUsage,
-        RequestSize, SendLog, UnreportedLoad, forecast, kv_capacity, max_requests_for_pause,
-        memory_figures, request_work_ms, time_share, usual_run_ms,
+        RequestSize, SendLog, UnreportedLoad, events_of, forecast, kv_capacity,
+        max_requests_for_pause, memory_figures, request_work_ms, time_share, usual_run_ms,
     };
 }
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -75,7 +75,7 @@
         self.wait_for_startup().await;
         let admitted = self.admit(&head, &parts, Instant::now());
         match admitted {
-            Ok(admitted) => match self.read_body(body, &admitted).await {
+            Ok(admitted) => match self.read_body_unless_stopped(body, &admitted).await {
                 Ok(body) => self.serve(head, parts, body, admitted, received_at).await,
                 Err(failure) => self.refuse(&head.request_id, &failure),
             },
@@ -156,8 +156,7 @@
     /// it answers that it is not ready.
     fn admit(&self, head: &CallerHead, parts: &Parts, now: Instant) -> Result<Admitted, Failure> {
         if self.gateway.lifecycle.get() == LifecycleState::Stopping {
-            let failure = Failure::before_work(FailureKind::Stopping, "the VM is stopping");
-            return Err(failure.retry_after(RETRY_AFTER_NOT_READY));
+            return Err(self.gateway.stopping_failure("the VM is stopping"));
         }
         let platform = &self.gateway.platform;
         let catalog = platform.catalog().ok_or_else(|| not_ready("no configuration is known"))?;
@@ -212,6 +211,16 @@
         }
     }
 
+    /// Reads a body, unless this VM exits before it is complete.
+    async fn read_body_unless_stopped(
+        &self,
+        body: Incoming,
+        admitted: &Admitted,
+    ) -> Result<ReadBody, Failure> {
+        let at_exit = async { Err(self.gateway.reply_at_exit(RunLog::default).await) };
+        futures_lite::future::or(self.read_body(body, admitted), at_exit).await
+    }
+
     async fn read_body(
         &self,
         mut body: Incoming,
@@ -298,7 +307,8 @@
             self.gateway.on_unreadable_parts(&job, error);
         }
         self.gateway.await_crash_checks(&job).await;
-        if let Some(failure) = self.gateway.refuse_arrival(&job) {
+        let refusal = self.gateway.refuse_arrival(&job);
+        if let Some(failure) = refusal.or_else(|| self.gateway.refuse_while_draining(&job)) {
             return self.refuse(&job.head.request_id, &failure);
         }
         self.gateway.record_first_send(&job.service.name);
--- a/crates/sillbank_gateway/src/calls/mod.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -17,6 +17,7 @@
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use attempt::Attempt;
+use futures_lite::FutureExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use sillbank_admission::calls::{
@@ -41,7 +42,8 @@
         smol::Timer::at(job.deadline).await;
         Err(deadline_failure(job.run.get()))
     };
-    let ended = futures_lite::future::or(run(gateway, job), late).await;
+    let at_exit = async { Err(gateway.reply_at_exit(|| job.run.get()).await) };
+    let ended = run(gateway, job).or(late).or(at_exit).await;
     guard.ended.set(true);
     match ended {
         Ok(reply) => {
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -371,6 +371,7 @@
                 silent_ms = silent_ms(job),
                 foretold_first_ms = forecast.map(|times| times.first_event.as_millis() as u64),
                 foretold_pause_ms = forecast.map(|times| times.pause.as_millis() as u64),
+                foretold_event_us = forecast.map(|times| times.event_interval.as_micros() as u64),
                 moves = job.delivery.moves(),
                 max_tokens = tokens.map(|tokens| tokens.max_output),
                 expected_tokens = tokens.and_then(|tokens| tokens.expected_output),
--- /dev/null
+++ b/crates/sillbank_gateway/src/drain.rs
@@ -0,0 +1,138 @@
+//! What a VM that was asked to stop still serves. [`DrainPlan`] decides.
+
+use crate::answers::RETRY_AFTER_NOT_READY;
+use crate::gateway::Gateway;
+use crate::hall::{HallVms, LEADER_TIMEOUT};
+use crate::job::{Job, path_request};
+use crate::paths::choose_fastest_path;
+use crate::vm_limits::others_suffice;
+use crate::wire::Wire;
+use sillbank_catalog::prelude::*;
+use sillbank_core::prelude::*;
+use sillbank_core::run::RunLog;
+use sillbank_drain::prelude::*;
+use sillbank_engines::prelude::*;
+use std::time::{Duration, Instant};
+
+/// `Retry-After` of a VM that stops while others serve.
+const RETRY_AFTER_OTHERS_SERVE: Duration = Duration::ZERO;
+
+impl<W: Wire, S> Gateway<W, S> {
+    /// What is still in progress.
+    pub fn open_work(&self) -> OpenWork {
+        OpenWork {
+            requests: self.in_progress.get(),
+            connections: self.stopper.token().awaited_connections(),
+            passed_on: self.links.passed_on_in_use(Instant::now()),
+        }
+    }
+
+    /// Refuses a request that this VM cannot finish before it exits.
+    pub fn refuse_while_draining(&self, job: &Job) -> Option<Failure> {
+        let plan = self.drain_plan.get()?;
+        let now = Instant::now();
+        let (demand, time_left) = (self.drain_demand(job, now), job.time_left(now));
+        let (others, experience) = (self.other_vms(now), self.drain_experience.borrow());
+        let others = match others_suffice(others.fit, others.vms) {
+            true => Others::Suffice,
+            false => Others::Few,
+        };
+        if plan.admits(demand, &experience, time_left, others, now) {
+            return None;
+        }
+        let left_ms = plan.exits_at().saturating_duration_since(now).as_millis();
+        let reason = match demand.time_for(Certainty::Likely, &experience) {
+            Some(time) => format!(
+                "the VM stops in {left_ms} ms, and the request is likely to take {} ms",
+                time.as_millis()
+            ),
+            None => format!("the VM stops in {left_ms} ms, and the request may take longer"),
+        };
+        Some(self.stopping_failure(&reason))
+    }
+
+    /// The VMs of the hall, and those others than this one that serve; none if they are not known.
+    fn other_vms(&self, now: Instant) -> HallVms {
+        let since_signal = self.drain_plan.get().map(|plan| plan.time_since_signal(now));
+        let may_be_counted = since_signal.is_none_or(|time| time < LEADER_TIMEOUT);
+        self.hall.fit_others(now, may_be_counted).unwrap_or_default()
+    }
+
+    /// The refusal of a request that was not run.
+    pub fn stopping_failure(&self, reason: &str) -> Failure {
+        let retry_after = match self.other_vms(Instant::now()).fit {
+            0 => RETRY_AFTER_NOT_READY,
+            _ => RETRY_AFTER_OTHERS_SERVE,
+        };
+        Failure::before_work(FailureKind::Stopping, reason).retry_after(retry_after)
+    }
+
+    /// The failure of a request that has no answer when this VM exits.
+    fn unanswered_failure(&self, run: RunLog) -> Failure {
+        let reason = "the VM stopped before an answer came";
+        match run.not_run_evidence() {
+            Some(_) => self.stopping_failure(reason),
+            None => Failure::new(FailureKind::ServiceLost, run.state(), reason),
+        }
+    }
+
+    /// Learns from a stream that was answered whole.
+    pub fn record_drain_experience(&self, job: &Job) {
+        let (Some(figures), Some(first_event)) = (&job.service.engine, job.delivery.first()) else {
+            return;
+        };
+        if job.head.resume_after.is_some() {
+            return;
+        }
+        let is_as_forecast = job.sends.get() == 1 && job.delivery.moves() == 0;
+        let forecast = job.forecast().filter(|_| is_as_forecast);
+        self.drain_experience.borrow_mut().record(&Answer {
+            first_event,
+            event_interval: job.delivery.mean_interval(),
+            events: job.delivery.events(),
+            expected_events: expected_events(job, figures),
+            expected_interval: forecast.map(|forecast| forecast.uncorrected.event_interval),
+        });
+    }
+
+    /// What a request may need, on the path that it would take now.
+    fn drain_demand(&self, job: &Job, now: Instant) -> Demand {
+        if let WorkKind::Call(_) = job.route.kind {
+            return Demand::Call { objective: job.route.objective };
+        }
+        let (Some(figures), Some(tokens)) = (&job.service.engine, job.head.tokens) else {
+            return Demand::Unbounded;
+        };
+        let settings = self.settings();
+        let context = self.routing_context(now);
+        let request = path_request(job, figures, &settings.hall, &[]);
+        let forecast = choose_fastest_path(context, request)
+            .and_then(|path| self.forecasts.predict(context, request, &path));
+        Demand::Stream {
+            pace: forecast.map(|forecast| StreamPace {
+                first_event: forecast.corrected.first_event,
+                event_interval: forecast.uncorrected.event_interval,
+            }),
+            expected_events: expected_events(job, figures).map(|events| left_of(job, events)),
+            max_events: left_of(job, events_of(figures, tokens.max_output)),
+        }
+    }
+
+    /// Completes with a reply for a request without an answer, shortly before this VM exits.
+    pub async fn reply_at_exit(&self, run: impl Fn() -> RunLog) -> Failure {
+        self.stopper.token().final_stage().await;
+        self.unanswered_failure(run())
+    }
+}
+
+/// Those of so many events that the caller does not have yet; at least one.
+fn left_of(job: &Job, events: u32) -> u32 {
+    let received = u32::try_from(job.head.resume_after.unwrap_or(0)).unwrap_or(u32::MAX);
+    events.saturating_sub(received).max(1)
+}
+
+/// Number of events that the caller of a stream expects, if it says so.
+fn expected_events(job: &Job, figures: &EngineFigures) -> Option<u32> {
+    let tokens = job.head.tokens?.expected_output?;
+    Some(events_of(figures, tokens))
+}
--- a/crates/sillbank_gateway/src/forecasts.rs
+++ b/crates/sillbank_gateway/src/forecasts.rs
@@ -68,6 +68,7 @@
         let corrected = ForecastTimes {
             first_event: correction.first_event.apply(uncorrected.first_event),
             pause: correction.pause.apply(uncorrected.pause),
+            event_interval: uncorrected.event_interval,
         };
         Some(StreamForecast { hall, sent_at: context.now, uncorrected, corrected })
     }
@@ -113,7 +114,7 @@
                 correction.pause.observe(forecast.uncorrected.pause, pause);
             }
         }
-        let ForecastTimes { first_event: expected_first_event, pause: expected_pause } =
+        let ForecastTimes { first_event: expected_first_event, pause: expected_pause, .. } =
             forecast.corrected;
         let known = |ratio: f64| Some(ratio).filter(|ratio| ratio.is_finite());
         ForecastRatios {
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use sillbank_admission::budget::RetryBudget;
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
+use sillbank_drain::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_net::prelude::*;
 use sillbank_pushback::prelude::*;
@@ -61,10 +62,10 @@
 pub enum LifecycleState {
     /// It serves requests.
     Serving,
-    /// It was asked to stop. New requests are still accepted, as the load balancer may not know
-    /// yet.
+    /// It was asked to stop. Requests that it can finish are still accepted, as the load balancer
+    /// may not know yet.
     Draining,
-    /// It finishes the requests in progress and accepts no new ones.
+    /// It finishes the answers under way and accepts no requests any more.
     Stopping,
 }
 
@@ -136,6 +137,12 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Lifecycle state of the process.
     pub lifecycle: Cell<LifecycleState>,
+    /// Times of the stop, once the process was asked to.
+    pub drain_plan: Cell<Option<DrainPlan>>,
+    /// How far streams were from their forecasts.
+    pub drain_experience: RefCell<Experience>,
+    /// Stops the server of callers.
+    pub stopper: Stopper,
     /// Random number that distinguishes this process from earlier ones on the same VM.
     pub incarnation: Incarnation,
     /// Source of randomness for all decisions.
@@ -195,6 +202,9 @@
             metrics,
             executor,
             lifecycle: Cell::new(LifecycleState::Serving),
+            drain_plan: Cell::default(),
+            drain_experience: RefCell::default(),
+            stopper: Stopper::default(),
             incarnation,
             rng,
             in_progress: Cell::new(0),
@@ -438,6 +448,7 @@
             .observe(job.received_at.elapsed().as_secs_f64());
         if outcome == Outcome::Answered {
             self.forecasts.on_answered(job, self.settings.borrow().mechanisms, &self.metrics);
+            self.record_drain_experience(job);
         }
         self.decisions.ended(job, outcome, status, events, reason);
     }
--- a/crates/sillbank_gateway/src/hall.rs
+++ b/crates/sillbank_gateway/src/hall.rs
@@ -257,18 +257,23 @@
         }
     }
 
-    /// Whether enough other VMs of the hall are known to be fit. One is left out: the count may
-    /// include this VM itself, while the leader does not know yet that it is unfit.
+    /// Whether enough other VMs of the hall are known to be fit.
     pub fn others_suffice(&self, now: Instant) -> bool {
-        let known = match self.acting_fence.get() {
-            Some(_) => {
-                let HallVms { vms, fit } = self.vm_count(now, 0.0);
-                HallVms { vms, fit: fit + 1 }
+        let others = self.fit_others(now, true);
+        others.is_some_and(|others| others_suffice(others.fit, others.vms))
+    }
+
+    /// The VMs of the hall, and those others than this one that are fit; `None` if they are not known. `may_be_counted`:
+    /// whether the leader may not know yet that this VM is unfit, and count it.
+    pub fn fit_others(&self, now: Instant, may_be_counted: bool) -> Option<HallVms> {
+        match self.acting_fence.get() {
+            Some(_) => Some(self.vm_count(now, 0.0)),
+            None if self.leader_is_live(now) => {
+                let HallVms { vms, fit } = self.reported_vms.get();
+                Some(HallVms { vms, fit: fit.saturating_sub(u32::from(may_be_counted)) })
             }
-            None if self.leader_is_live(now) => self.reported_vms.get(),
-            None => return false,
-        };
-        others_suffice(known.fit.saturating_sub(1), known.vms)
+            None => None,
+        }
     }
 
     /// The recent follower with the highest leader score of at least `min_score`, and its address.
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod delivery;
 pub mod demand;
 pub mod demand_share;
+pub mod drain;
 pub mod endpoints;
 pub mod events;
 pub mod feed;
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -4,18 +4,14 @@
 use crate::settings::{self, GatewaySettings};
 use crate::store::MetadataStore;
 use crate::wire::Wire;
+use sillbank_drain::prelude::*;
 use sillbank_net::prelude::*;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a stopping VM still accepts requests: the balancer checks readiness once a second and
-/// removes a VM after two failed checks.
-const BALANCER_LAG: Duration = Duration::from_millis(2_900);
 /// How often a stopping VM checks whether all requests have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time before the kill at which a stopping VM exits, whatever is still in progress.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// How often the settings file is checked for changes without a signal.
 const RELOAD_POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// How often idle connections, lapsed entries and removed endpoints are swept; sooner when a lapsed
@@ -24,31 +20,37 @@
 
 /// Waits for the stop signal, then until all requests have ended, also those on connections that are
 /// passed on for other VMs, or the grace period is over.
-pub async fn stop<W: Wire, S: MetadataStore>(
-    gateway: Rc<Gateway<W, S>>,
-    mut signals: Signals,
-    stopper: Stopper,
-) {
+pub async fn stop<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, mut signals: Signals) {
     signals.next().await;
-    let stop_started_at = Instant::now();
-    let grace = gateway.settings().stop_grace.saturating_sub(STOP_MARGIN);
+    let signalled_at = Instant::now();
+    let plan = DrainPlan::new(signalled_at, gateway.settings().stop_grace);
     tracing::info!(
         in_progress = gateway.in_progress.get(),
-        grace_ms = grace.as_millis() as u64,
+        connections = gateway.open_work().connections,
+        grace_ms = plan.exits_at().saturating_duration_since(signalled_at).as_millis() as u64,
         "program: Stopping."
     );
+    gateway.drain_plan.set(Some(plan));
     gateway.lifecycle.set(LifecycleState::Draining);
-    stopper.stop();
-    smol::Timer::after(BALANCER_LAG.min(grace)).await;
+    gateway.stopper.stop();
+    while plan.next(gateway.open_work(), Instant::now()) == DrainStep::Serve {
+        smol::Timer::after(STOP_POLL_INTERVAL).await;
+    }
     gateway.lifecycle.set(LifecycleState::Stopping);
-    let is_in_use =
-        || gateway.in_progress.get() > 0 || gateway.links.passed_on_in_use(Instant::now()) > 0;
-    while stop_started_at.elapsed() < grace && is_in_use() {
+    gateway.stopper.finish();
+    loop {
+        // The server accepts what has arrived before it closes its listener.
         smol::Timer::after(STOP_POLL_INTERVAL).await;
+        if gateway.open_work().is_done() || Instant::now() >= plan.exits_at() {
+            break;
+        }
     }
+    let left = gateway.open_work();
     tracing::info!(
-        in_progress = gateway.in_progress.get(),
-        after_ms = stop_started_at.elapsed().as_millis() as u64,
+        in_progress = left.requests,
+        connections = left.connections,
+        passed_on = left.passed_on,
+        after_ms = signalled_at.elapsed().as_millis() as u64,
         "program: Stopped."
     );
 }
--- a/crates/sillbank_gateway/src/paths.rs
+++ b/crates/sillbank_gateway/src/paths.rs
@@ -49,10 +49,10 @@
 
 /// Cost of passing the activations of a few requests to another hall: the network delay at each
 /// token.
-const REPAIR_CROSSING_MS: f64 = 5.0;
+const FEW_REQUESTS_CROSSING_MS: f64 = 5.0;
 
-const REPAIR_CROSSING: CrossingCost =
-    CrossingCost { request_ms: REPAIR_CROSSING_MS, activations_ms: REPAIR_CROSSING_MS };
+const FEW_REQUESTS_CROSSING: CrossingCost =
+    CrossingCost { request_ms: FEW_REQUESTS_CROSSING_MS, activations_ms: FEW_REQUESTS_CROSSING_MS };
 
 /// Share of an engine's KV cache and slots that new requests may fill. The rest is reserved for
 /// requests that resume from another engine and for answers longer than expected. Share of the
@@ -91,6 +91,22 @@
     choose(context, request, |candidate| context.may_start_at(candidate))
 }
 
+/// The path with the shortest predicted times on which every engine has room for the request,
+/// whichever halls it passes.
+pub fn choose_fastest_path(
+    context: RoutingContext<'_>,
+    request: PathRequest<'_>,
+) -> Option<LayerPath> {
+    let fits = |candidate: &Candidate| !context.mechanisms.room || candidate.fits(request.demand);
+    let holders: Vec<LayerHolder> = candidates(context, request, HallScope::All)
+        .into_iter()
+        .filter(|candidate| fits(candidate) && context.may_start_at(candidate))
+        .map(|candidate| candidate.holder)
+        .collect();
+    find_path(&holders, request.figures.layers, request.local_hall, FEW_REQUESTS_CROSSING)
+        .map(|found| found.path)
+}
+
 /// Whether there would be a path if rate limits and pauses asked for by endpoints were ignored.
 pub fn has_path_despite_pushback(context: RoutingContext<'_>, request: PathRequest<'_>) -> bool {
     choose(context, request, |_| true).is_some()
@@ -169,7 +185,14 @@
         .filter(fits)
         .map(|found| found.holder)
         .collect();
-    repair_path(path, lost, &holders, request.figures.layers, request.local_hall, REPAIR_CROSSING)
+    repair_path(
+        path,
+        lost,
+        &holders,
+        request.figures.layers,
+        request.local_hall,
+        FEW_REQUESTS_CROSSING,
+    )
 }
 
 /// Streams of all VMs that have to be moved around a lost engine, for each one of this VM: the requests
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -85,7 +85,6 @@
 /// Serves callers.
 struct CallersPlugin {
     listener: TcpListener,
-    stop: StopToken,
 }
 
 impl<W: Wire, S: MetadataStore> Plugin<Gateway<W, S>> for CallersPlugin {
@@ -98,15 +97,9 @@
             max_connections: settings.max_caller_connections(),
         };
         let memory_budget = gateway.memory_budget.clone();
+        let stop = gateway.stopper.token();
         let handler = Rc::new(CallerHandler { gateway });
-        app.spawn(serve_until(
-            app.executor(),
-            self.listener,
-            limits,
-            handler,
-            self.stop,
-            memory_budget,
-        ));
+        app.spawn(serve_until(app.executor(), self.listener, limits, handler, stop, memory_budget));
     }
 }
 
@@ -158,15 +151,14 @@
     let engine_calls = HttpClient::new(executor.clone(), MAX_ENGINE_REPLY_BYTES);
     let rng = SharedRng::from_entropy();
     let gateway = Gateway::<W, S>::new(settings, store, engine_calls, executor.clone(), rng);
-    let stopper = Stopper::default();
     let app = App::new(executor, Rc::new(gateway))
         .add_plugin(FollowPlugin)
         .add_plugin(PlacementPlugin)
         .add_plugin(FeedPlugin { listener: peers })
         .add_plugin(LinksPlugin)
         .add_plugin(OpsPlugin { ready, metrics })
-        .add_plugin(CallersPlugin { listener: callers, stop: stopper.token() })
+        .add_plugin(CallersPlugin { listener: callers })
         .add_plugin(MaintenancePlugin { reload: reload_signals, settings_path });
-    lifecycle::stop(app.state(), stop_signals, stopper).await;
+    lifecycle::stop(app.state(), stop_signals).await;
     Ok(())
 }
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -21,6 +21,7 @@
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use attempt::UpstreamReply;
+use futures_lite::FutureExt;
 use hyper::Response;
 use open::start_stream;
 use relay::StreamRelay;
@@ -37,7 +38,8 @@
         smol::Timer::at(job.deadline).await;
         Err(deadline_failure(job.run.get()))
     };
-    match futures_lite::future::or(start_stream(gateway, job), timeout).await {
+    let at_exit = async { Err(gateway.reply_at_exit(|| job.run.get()).await) };
+    match start_stream(gateway, job).or(timeout).or(at_exit).await {
         Ok(UpstreamReply::Stream(upstream, status)) => {
             gateway.on_first_answer(job);
             let (outbox, body) = Outbox::new();
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::job::{Job, path_request};
 use crate::paths::{
-    PathRequest, choose_any_path, choose_path, count_engines, first_engines,
+    PathRequest, choose_any_path, choose_fastest_path, choose_path, count_engines, first_engines,
     has_path_despite_pushback, isolation_engine,
 };
 use crate::store::MetadataStore;
@@ -82,7 +82,12 @@
         avoid.extend(candidates.iter().filter(|first| *first != chosen).cloned());
     }
     let request = PathRequest { avoid: &avoid, ..request };
-    if let Some(path) = choose_path(context, request) {
+    // A stopping VM has little time to finish what it takes.
+    let path = match gateway.drain_plan.get() {
+        Some(_) => choose_fastest_path(context, request),
+        None => choose_path(context, request),
+    };
+    if let Some(path) = path {
         if context.mechanisms.forecasts {
             job.forecast.get_or_init(|| gateway.forecasts.predict(context, request, &path));
         }
