Failover: an endpoint's silence closes no connection on the strength of an earlier look

What callers saw: a started answer ended after some 1.5 s of silence, though its endpoint still held it and went on later.

Cause: `OnlyHere` was found by one try and acted on by a later call of `Failover::next`, up to 0.3 s after it. The connection was closed then without another look, and the next look could find that the answer may not be sent again (sends, quarantine), which ends a lost answer at once. The retry budget was never looked at before the close. A silence that nothing explains was released too, though no path was known to be better than the present one.

Evidence: the new sequences (silent for 2.4 s, all paths start at its endpoint until any moment, then each refusal) failed on: `no_silence_ends_an_answer_that_cannot_be_sent_again` (NotRepeatable, from 950 ms on) and `an_endpoint_is_kept_when_its_paths_are_gone_before_the_release` (BudgetUsedUp, from 950 ms on).

Why this works: a release follows only a refusal that was itself found after the endpoint had been doubted for a second, so that the look and the release belong to one turn of `Continuer::next`, which awaits nothing between them. The look asks for all that the send needs: repeatable, no quarantine and no check that could bring one, sends, time, a path around an engine in doubt, budget. The property now holds the release to that. Both sequences pass, and the 11 scripts of `silent_endpoints`.

--- a/crates/sillbank_admission/src/budget.rs
+++ b/crates/sillbank_admission/src/budget.rs
@@ -67,9 +67,9 @@
         is_allowed
     }
 
-    /// Whether one more retry stays within the limits of every window that contains it. These windows
+    /// Whether one more retry is allowed: it stays within the limits of every window that contains it. These windows
     /// begin in any slice of the last window, so their known retries are those since that slice.
-    fn allows_retry(&self, now: Instant) -> bool {
+    pub fn allows_retry(&self, now: Instant) -> bool {
         let slack =
             if now >= self.started_at + self.limits.window { self.limits.slack } else { 0.0 };
         let newest = self.slice_number(now);
--- a/crates/sillbank_failover/src/failover.rs
+++ b/crates/sillbank_failover/src/failover.rs
@@ -16,9 +16,8 @@
 const MAX_LOCAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Share of a pause by which it varies in both directions, as one silence stops many answers at once.
 const RETRY_JITTER: f64 = 0.5;
-/// Time after which a doubted endpoint is taken for lost where no other one could take the answer
-/// while it holds it. Endpoints are doubted after half a second at most, and one that works is silent
-/// for a second or so.
+/// Time after which the connection to a doubted endpoint may be closed where no other one could take
+/// the answer while it holds it.
 const RELEASE_AFTER: Duration = Duration::from_millis(1_000);
 
 named_enum! {
@@ -68,7 +67,8 @@
     Wait(Option<Instant>),
     /// Try another endpoint. The connection to the present one is kept if it is open.
     Open,
-    /// Take the present endpoint for lost and close the connection to it, as all paths start there.
+    /// Close the connection to the present endpoint, as all paths start there, and send the answer
+    /// over another path at once: what the last try found holds at this moment only.
     Release,
     /// End the answer.
     GiveUp(Refusal),
@@ -85,6 +85,8 @@
     /// Refusals since another endpoint was first looked for.
     refusals: u32,
     last_refusal: Option<Refusal>,
+    /// When the last refusal was found.
+    refused_at: Option<Instant>,
     /// When another endpoint is tried again; `None`: at once.
     next_try_at: Option<Instant>,
 }
@@ -97,6 +99,7 @@
             is_opening: false,
             refusals: 0,
             last_refusal: None,
+            refused_at: None,
             next_try_at: None,
         }
     }
@@ -154,6 +157,7 @@
         self.is_opening = false;
         self.refusals += 1;
         self.last_refusal = Some(refusal);
+        self.refused_at = Some(now);
         self.next_try_at = Some(now + doubled.min(max_pause).mul_f64(jitter));
     }
 
@@ -167,17 +171,24 @@
                 Step::GiveUp(refusal)
             }
             Some(refusal) if refusal.is_permanent() => Step::Wait(None),
-            Some(Refusal::OnlyHere) if self.is_long_doubted(now) => Step::Release,
-            _ => match self.next_try_at {
-                Some(at) if now < at => Step::Wait(Some(at)),
+            last_refusal => match self.next_try_at {
+                Some(at) if now < at => match last_refusal {
+                    Some(Refusal::OnlyHere) if self.may_release() => Step::Release,
+                    _ => Step::Wait(Some(at)),
+                },
                 _ => Step::Open,
             },
         }
     }
 
-    fn is_long_doubted(&self, now: Instant) -> bool {
-        let is_long = |at: Instant| now.saturating_duration_since(at) >= RELEASE_AFTER;
-        self.state == AnswerState::Doubted && self.doubted_at.is_some_and(is_long)
+    /// Whether the endpoint had been doubted for long when the last refusal was found. An earlier one
+    /// does not show what is possible now.
+    fn may_release(&self) -> bool {
+        let times = self.doubted_at.zip(self.refused_at);
+        let is_long = times.is_some_and(|(doubted_at, refused_at)| {
+            refused_at.saturating_duration_since(doubted_at) >= RELEASE_AFTER
+        });
+        self.state == AnswerState::Doubted && is_long
     }
 
     /// Applies an event. Returns whether it changes the state.
--- a/crates/sillbank_failover/src/refusal.rs
+++ b/crates/sillbank_failover/src/refusal.rs
@@ -13,7 +13,8 @@
     BudgetUsedUp,
     /// No usable engines cover the model.
     NoPath,
-    /// There is a path, but it starts at the endpoint that holds the answer.
+    /// There is a path around the engines in doubt, and the answer may be sent over it, but it starts
+    /// at the endpoint that holds the answer.
     OnlyHere,
     /// There is a path, but some of its engines have no room.
     NoRoom,
--- a/crates/sillbank_failover/tests/properties.rs
+++ b/crates/sillbank_failover/tests/properties.rs
@@ -16,7 +16,9 @@
     is_open: bool,
     doubted_at: Option<Instant>,
     is_trying: bool,
-    /// Refusals since the connection ended.
+    /// The last refusal, and when it was found.
+    last_refusal: Option<(Refusal, Instant)>,
+    /// The last refusal since the connection ended.
     refused_since_loss: Option<Refusal>,
 }
 
@@ -44,6 +46,7 @@
             let refusal = *u.choose(&Refusal::ALL).unwrap_or(&Refusal::NoRoom);
             failover.on_refused(refusal, now, f64::from(u.arbitrary::<u8>().unwrap_or(0)) / 255.0);
             observed.is_trying = false;
+            observed.last_refusal = Some((refusal, now));
             observed.refused_since_loss = (!observed.is_open).then_some(refusal);
         }
         _ => {}
@@ -68,7 +71,9 @@
                 }
                 Step::Release => {
                     let doubted_at = observed.doubted_at.expect("it is doubted");
-                    assert!(observed.is_open && now >= doubted_at + Duration::from_secs(1));
+                    let (refusal, found_at) = observed.last_refusal.expect("a try was refused");
+                    assert!(observed.is_open && refusal == Refusal::OnlyHere, "{observed:?}");
+                    assert!(found_at >= doubted_at + Duration::from_secs(1), "{observed:?}");
                     failover.on_lost();
                     observed.is_open = false;
                     observed.refused_since_loss = None;
--- a/crates/sillbank_failover/tests/sequences.rs
+++ b/crates/sillbank_failover/tests/sequences.rs
@@ -159,6 +159,60 @@
     assert!(released_at.is_some_and(|at| at >= moved_at + Duration::from_secs(1)));
 }
 
+/// Silence after which an endpoint that works has gone on.
+const LONGEST_SILENCE: Duration = Duration::from_millis(2_400);
+
+/// Leaves an answer silent. All paths start at its endpoint at first; from `changes_at` on, counted from the doubt, each try gets
+/// `refusal`. Returns the step that closes the connection or ends the answer, if one does while nothing could take the answer.
+fn ended_by(refusal: Refusal, changes_at: Duration) -> Option<Step> {
+    let (mut failover, start) = doubted();
+    let mut now = start;
+    while now < start + LONGEST_SILENCE {
+        let may_be_taken_here = now < start + changes_at;
+        match failover.next(now) {
+            Step::Open => {
+                failover.on_opening();
+                let refusal = if may_be_taken_here { Refusal::OnlyHere } else { refusal };
+                failover.on_refused(refusal, now, 0.5);
+            }
+            Step::Wait(Some(at)) => now = at,
+            Step::Release if may_be_taken_here => return None,
+            Step::Wait(None) => return None,
+            step @ (Step::Release | Step::GiveUp(_)) => return Some(step),
+        }
+    }
+    None
+}
+
+/// Guards against closing the connection to a silent endpoint because of an earlier look for another path: when the answer could
+/// not be sent again any more, it ended, and its endpoint would have gone on.
+#[test]
+fn no_silence_ends_an_answer_that_cannot_be_sent_again() {
+    for refusal in [Refusal::NotRepeatable, Refusal::SendsUsedUp, Refusal::Quarantined] {
+        for changes_at_ms in (0..2_400).step_by(50) {
+            let changes_at = Duration::from_millis(changes_at_ms);
+
+            let ended_by = ended_by(refusal, changes_at);
+
+            assert_eq!(ended_by, None, "{refusal:?} from {changes_at:?} on");
+        }
+    }
+}
+
+/// The same while nothing takes the answer for a time.
+#[test]
+fn an_endpoint_is_kept_when_its_paths_are_gone_before_the_release() {
+    for refusal in [Refusal::BudgetUsedUp, Refusal::NoRoom, Refusal::NoPath] {
+        for changes_at_ms in (0..2_400).step_by(50) {
+            let changes_at = Duration::from_millis(changes_at_ms);
+
+            let ended_by = ended_by(refusal, changes_at);
+
+            assert_eq!(ended_by, None, "{refusal:?} from {changes_at:?} on");
+        }
+    }
+}
+
 /// Guards against closing a connection although the answer could only wait elsewhere too.
 #[test]
 fn an_endpoint_is_kept_while_nothing_else_takes_the_answer() {
--- a/crates/sillbank_gateway/src/crashes/pending.rs
+++ b/crates/sillbank_gateway/src/crashes/pending.rs
@@ -74,7 +74,8 @@
         }
     }
 
-    fn pending_checks_could_quarantine(&self, job: &Job) -> bool {
+    /// Whether unfinished checks could quarantine the request.
+    pub fn pending_checks_could_quarantine(&self, job: &Job) -> bool {
         let pending = self.pending_checks.count(job.fingerprint());
         pending > 0
             && self.hold_of(job).is_none()
--- a/crates/sillbank_gateway/src/retry_budget.rs
+++ b/crates/sillbank_gateway/src/retry_budget.rs
@@ -31,6 +31,11 @@
         is_allowed
     }
 
+    /// Whether a service's budget allows a retry now; none is taken.
+    pub fn allows_retry(&self, service: &str) -> bool {
+        self.with_budget(service, |budget, now| budget.allows_retry(now))
+    }
+
     /// Whether a request that was sent before may be sent again; if so, the retry is taken from the
     /// budget.
     pub fn may_send_again(&self, job: &Job) -> bool {
--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -125,6 +125,11 @@
         let is_new_link_loss = loss.is_link && !self.is_uncounted;
         if !is_first && !is_new_link_loss {
             self.avoid_also(&loss.engines);
+            if let Some(known) = &mut self.loss
+                && known.is_unexplained()
+            {
+                *known = loss;
+            }
             return;
         }
         self.gateway.decisions.doubted(&self.job, &present.endpoint, &loss.engines, &loss.reason);
@@ -190,6 +195,7 @@
                 Step::Wait(Some(at)) => drop(smol::Timer::at(at).await),
                 Step::Open => self.open(resume_after),
                 Step::Release => {
+                    // Nothing is awaited between the check that allows it and the next send.
                     let loss = self.loss.clone().unwrap_or_else(Loss::unexplained);
                     return Continuation::Release(loss);
                 }
@@ -282,11 +288,23 @@
             Err(NoTarget::NoPath) => Refusal::NoPath,
             Err(NoTarget::NoRoom | NoTarget::Withheld | NoTarget::Isolated(_)) => Refusal::NoRoom,
         };
+        Err(if self.may_be_taken_here() { Refusal::OnlyHere } else { refusal })
+    }
+
+    /// Whether the present endpoint would be sent the request over a path around the engines in doubt
+    /// if it did not hold it.
+    fn may_be_taken_here(&self) -> bool {
+        let (gateway, job) = (&self.gateway, &self.job);
+        let is_explained = self.loss.as_ref().is_some_and(|loss| !loss.is_unexplained());
         let starts_here = || {
             let avoid = self.avoided().cloned().collect::<Vec<_>>();
-            choose_target(&self.gateway, &self.job, path_choice, &avoid).is_ok()
+            choose_target(gateway, job, self.path_choice(), &avoid).is_ok()
         };
-        Err(if self.present.is_some() && starts_here() { Refusal::OnlyHere } else { refusal })
+        self.present.is_some()
+            && is_explained
+            && starts_here()
+            && !gateway.pending_checks_could_quarantine(job)
+            && gateway.allows_retry(&job.service.name)
     }
 
     fn purpose(&self) -> SendPurpose {
--- a/crates/sillbank_gateway/src/streams/loss.rs
+++ b/crates/sillbank_gateway/src/streams/loss.rs
@@ -153,6 +153,11 @@
         Self::of_engines(Vec::new(), "it has been silent for too long", false)
     }
 
+    /// Whether nothing but the silence itself shows a loss, so that no path is known to be better.
+    pub(super) fn is_unexplained(&self) -> bool {
+        self.engines.is_empty() && !self.is_link
+    }
+
     /// Whether the stream cannot go on where it is, so that no longer silence is waited for.
     pub(super) fn is_pressing(&self) -> bool {
         self.is_link || self.is_certain
