Streams: a replacement that is given up is checked for a crash

What callers saw: a request that crashes engines crashed more of them than the quarantine allows: two under a second try and one under a third, instead of one and none.

Cause: when another endpoint was tried for a doubted stream and its reply broke, or stayed without an event, the send was dropped without the check that all other broken or abandoned sends get, so its crash never counted against the request.

Why this works: the send is checked in the background like any request that is given up on an open connection; the stream does not wait for it.

--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -239,6 +239,10 @@
             self.acceptance == Acceptance::Event && self.failover.state() != AnswerState::Lost;
         let accepted = self.accepted.as_mut()?;
         if needs_event && let Err((refusal, detail)) = accepted.first_event(resume_after).await {
+            if let UpstreamReply::Stream(upstream, _) = &accepted.reply {
+                let send = upstream.broken_send();
+                check_abandoned_send(&self.gateway, &self.job, send);
+            }
             let endpoint = accepted.reply.endpoint().to_owned();
             self.accepted = None;
             self.avoid_also(&[endpoint]);
