--- a/crates/sillbank_failover/tests/properties.rs
+++ b/crates/sillbank_failover/tests/properties.rs
@@ -16,7 +16,9 @@
     is_open: bool,
     doubted_at: Option<Instant>,
     is_trying: bool,
-    /// Refusals since the connection ended.
+    /// The last refusal, and when it was found.
+    last_refusal: Option<(Refusal, Instant)>,
+    /// The last refusal since the connection ended.
     refused_since_loss: Option<Refusal>,
 }
 
@@ -33,7 +35,7 @@
         }
         2 if observed.is_open => failover.on_moved(now),
         3 if observed.is_open => {
-            failover.on_lost();
+            failover.on_lost(now, 0.5);
             observed.is_open = false;
         }
         4 if observed.is_trying => {
@@ -44,6 +46,7 @@
             let refusal = *u.choose(&Refusal::ALL).unwrap_or(&Refusal::NoRoom);
             failover.on_refused(refusal, now, f64::from(u.arbitrary::<u8>().unwrap_or(0)) / 255.0);
             observed.is_trying = false;
+            observed.last_refusal = Some((refusal, now));
             observed.refused_since_loss = (!observed.is_open).then_some(refusal);
         }
         _ => {}
@@ -68,8 +71,10 @@
                 }
                 Step::Release => {
                     let doubted_at = observed.doubted_at.expect("it is doubted");
-                    assert!(observed.is_open && now >= doubted_at + Duration::from_secs(1));
-                    failover.on_lost();
+                    let (refusal, found_at) = observed.last_refusal.expect("a try was refused");
+                    assert!(observed.is_open && refusal == Refusal::OnlyHere, "{observed:?}");
+                    assert!(found_at >= doubted_at + Duration::from_secs(1), "{observed:?}");
+                    failover.on_lost(now, 0.5);
                     observed.is_open = false;
                     observed.refused_since_loss = None;
                 }
@@ -91,7 +96,7 @@
 /// Tries of a lost answer within a second, each with this refusal.
 fn tries_per_s(u: &mut Unstructured<'_>, refusal: Refusal) -> arbitrary::Result<usize> {
     let (mut failover, start, mut tries) = (Failover::default(), Instant::now(), 0);
-    failover.on_lost();
+    failover.on_lost(start, 0.5);
     for ms in 0..1_000 {
         let now = start + Duration::from_millis(ms);
         if failover.next(now) == Step::Open {
--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -4,7 +4,9 @@
 use super::attempt::{Upstream, UpstreamReply};
 use super::loss::Loss;
 use super::open::{OpenRequest, SendPurpose, open_stream};
-use super::target::{NoTarget, PathChoice, choose_target};
+use super::target::{
+    NoTarget, PathChoice, choose_allowed_target, choose_target, endpoints_to_repeat_at,
+};
 use crate::crashes::{BrokenSend, check_abandoned_send};
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -13,6 +15,7 @@
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use http_body_util::BodyExt;
+use sillbank_admission::budget::RetryPriority;
 use sillbank_core::prelude::*;
 use sillbank_failover::prelude::*;
 use smol::Task;
@@ -63,6 +66,8 @@
     doubted_at: Option<Instant>,
     /// Whether the send to the present endpoint was taken back because its link seemed lost.
     is_uncounted: bool,
+    /// That endpoint, if the stream may have run there.
+    uncounted_run_at: Option<EndpointId>,
     /// The last refusal that was logged since the doubt.
     logged_refusal: Option<Refusal>,
     opening: Option<Task<Result<UpstreamReply, Failure>>>,
@@ -95,6 +100,7 @@
             loss: None,
             doubted_at: None,
             is_uncounted: false,
+            uncounted_run_at: None,
             logged_refusal: None,
             opening: None,
             accepted: None,
@@ -125,6 +131,12 @@
         let is_new_link_loss = loss.is_link && !self.is_uncounted;
         if !is_first && !is_new_link_loss {
             self.avoid_also(&loss.engines);
+            if let Some(known) = &mut self.loss
+                && !known.is_pressing()
+                && (known.is_unexplained() || loss.is_pressing())
+            {
+                *known = loss;
+            }
             return;
         }
         self.gateway.decisions.doubted(&self.job, &present.endpoint, &loss.engines, &loss.reason);
@@ -135,6 +147,8 @@
             // The endpoint may be used again, through another VM.
             self.present = None;
             self.is_uncounted = self.job.record_link_loss();
+            let has_run = self.is_uncounted && self.job.forget_run_at(&present.endpoint);
+            self.uncounted_run_at = has_run.then_some(present.endpoint);
         } else {
             self.present = Some(present.endpoint.clone());
             // If the request has crashed it, that is to be known before the request is sent again.
@@ -147,7 +161,7 @@
     pub(super) fn on_lost(&mut self, avoid: &[EndpointId]) {
         self.present = None;
         self.avoid_also(avoid);
-        self.failover.on_lost();
+        self.failover.on_lost(Instant::now(), self.gateway.rng.next_f64());
     }
 
     /// Counts the send to the present endpoint again: its link may have worked, or its end is
@@ -156,6 +170,9 @@
         if std::mem::take(&mut self.is_uncounted) {
             self.job.count_send();
         }
+        if let Some(endpoint) = self.uncounted_run_at.take() {
+            self.job.record_run_at(&endpoint);
+        }
     }
 
     fn end_doubt(&mut self) {
@@ -163,6 +180,7 @@
         self.loss = None;
         self.doubted_at = None;
         self.is_uncounted = false;
+        self.uncounted_run_at = None;
         self.logged_refusal = None;
         self.avoid.clear();
     }
@@ -190,6 +208,7 @@
                 Step::Wait(Some(at)) => drop(smol::Timer::at(at).await),
                 Step::Open => self.open(resume_after),
                 Step::Release => {
+                    // Nothing is awaited between the check that allows it and the next send.
                     let loss = self.loss.clone().unwrap_or_else(Loss::unexplained);
                     return Continuation::Release(loss);
                 }
@@ -222,6 +241,10 @@
             self.acceptance == Acceptance::Event && self.failover.state() != AnswerState::Lost;
         let accepted = self.accepted.as_mut()?;
         if needs_event && let Err((refusal, detail)) = accepted.first_event(resume_after).await {
+            if let UpstreamReply::Stream(upstream, _) = &accepted.reply {
+                let send = upstream.broken_send();
+                check_abandoned_send(&self.gateway, &self.job, send);
+            }
             let endpoint = accepted.reply.endpoint().to_owned();
             self.accepted = None;
             self.avoid_also(&[endpoint]);
@@ -237,8 +260,13 @@
             return;
         }
         self.failover.on_opening();
-        let (purpose, path_choice) = (self.purpose(), self.path_choice());
-        let request = OpenRequest { resume_after, purpose, path_choice, avoid: self.avoid_all() };
+        let request = OpenRequest {
+            resume_after,
+            purpose: self.purpose(),
+            path_choice: self.path_choice(),
+            priority: self.priority(),
+            avoid: self.avoid_all(),
+        };
         let (gateway, job) = (self.gateway.clone(), self.job.clone());
         let executor = gateway.executor.clone();
         let open = async move {
@@ -259,19 +287,29 @@
         if gateway.hold_of(job).is_some() {
             return Err(Refusal::Quarantined);
         }
-        if !job.may_send_again(Instant::now()) {
+        if !job.may_send_again(Instant::now()) && !self.may_repeat() {
             return Err(Refusal::SendsUsedUp);
         }
         self.check_target()?;
-        match gateway.try_retry(&job.service.name) {
+        match gateway.try_retry_of(&job.service.name, self.priority()) {
             true => Ok(()),
             false => Err(Refusal::BudgetUsedUp),
         }
     }
 
+    /// Whether a stream that is lost may be sent again to an endpoint that it ran at, though to no
+    /// further one. One whose caller has no head yet can still be answered with a failure.
+    fn may_repeat(&self) -> bool {
+        self.failover.state() == AnswerState::Lost
+            && self.acceptance == Acceptance::Event
+            && self.job.has_time_to_send(Instant::now())
+            && !endpoints_to_repeat_at(&self.gateway, &self.job).is_empty()
+    }
+
     fn check_target(&self) -> Result<(), Refusal> {
         let path_choice = self.path_choice();
-        let chosen = choose_target(&self.gateway, &self.job, path_choice, &self.avoid_all());
+        let chosen =
+            choose_allowed_target(&self.gateway, &self.job, path_choice, &self.avoid_all());
         self.gateway.record_withheld(&self.job);
         let refusal = match chosen {
             Ok(_) => return Ok(()),
@@ -282,11 +320,23 @@
             Err(NoTarget::NoPath) => Refusal::NoPath,
             Err(NoTarget::NoRoom | NoTarget::Withheld | NoTarget::Isolated(_)) => Refusal::NoRoom,
         };
+        Err(if self.may_be_taken_here() { Refusal::OnlyHere } else { refusal })
+    }
+
+    /// Whether the present endpoint would be sent the request over a path around the engines in doubt
+    /// if it did not hold it.
+    fn may_be_taken_here(&self) -> bool {
+        let (gateway, job) = (&self.gateway, &self.job);
+        let is_explained = self.loss.as_ref().is_some_and(|loss| !loss.is_unexplained());
         let starts_here = || {
             let avoid = self.avoided().cloned().collect::<Vec<_>>();
-            choose_target(&self.gateway, &self.job, path_choice, &avoid).is_ok()
+            choose_target(gateway, job, self.path_choice(), &avoid).is_ok()
         };
-        Err(if self.present.is_some() && starts_here() { Refusal::OnlyHere } else { refusal })
+        self.present.is_some()
+            && is_explained
+            && starts_here()
+            && !gateway.pending_checks_could_quarantine(job)
+            && gateway.allows_retry(&job.service.name)
     }
 
     fn purpose(&self) -> SendPurpose {
@@ -296,6 +346,15 @@
         }
     }
 
+    /// A stream whose endpoint may go on leaves retries to those that cannot.
+    fn priority(&self) -> RetryPriority {
+        let is_pressing = self.loss.as_ref().is_some_and(Loss::is_pressing);
+        match self.failover.state() == AnswerState::Lost || is_pressing {
+            true => RetryPriority::High,
+            false => RetryPriority::Low,
+        }
+    }
+
     /// Engines without room are tried for a stream that is lost, or nearly so: most doubted endpoints
     /// go on within a second.
     fn path_choice(&self) -> PathChoice {
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{AttemptResult, ExchangeEnd, UpstreamReply, send_once};
 use super::continuation::{Acceptance, Continuation, Continuer};
-use super::target::{NoTarget, PathChoice, choose_target};
+use super::target::{NoTarget, PathChoice, choose_allowed_target, choose_target, record_run};
 use crate::answers::{RETRY_AFTER_NOT_READY, final_failure, with_min_retry_after};
 use crate::crashes::{BreakCause, BrokenSend, check_abandoned_send, check_broken_send};
 use crate::decisions::FailedSend;
@@ -12,6 +12,7 @@
 use crate::retries::{SendAttempts, SendFailureKind};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
+use sillbank_admission::budget::RetryPriority;
 use sillbank_core::prelude::*;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -37,6 +38,8 @@
     pub(super) resume_after: Option<EventNumber>,
     pub(super) purpose: SendPurpose,
     pub(super) path_choice: PathChoice,
+    /// Priority of its retries.
+    pub(super) priority: RetryPriority,
     /// Endpoints that are not used.
     pub(super) avoid: Vec<EndpointId>,
 }
@@ -48,6 +51,7 @@
             resume_after: None,
             purpose: SendPurpose::Start,
             path_choice: PathChoice::WithRoom,
+            priority: RetryPriority::High,
             avoid: Vec::new(),
         }
     }
@@ -77,8 +81,8 @@
     job: &Rc<Job>,
     request: OpenRequest,
 ) -> Result<UpstreamReply, Failure> {
-    let OpenRequest { resume_after, purpose, path_choice, mut avoid } = request;
-    let mut attempts = SendAttempts::default();
+    let OpenRequest { resume_after, purpose, path_choice, priority, mut avoid } = request;
+    let mut attempts = SendAttempts::of_priority(priority);
     // A request that was sent before passed admission control then, even if none of its events
     // arrived.
     let is_first_send =
@@ -90,7 +94,7 @@
         if let Some(hold) = gateway.hold_before_send(job) {
             return Err(gateway.held_failure(job, &hold));
         }
-        let target = choose_target(gateway, job, path_choice, &avoid);
+        let target = choose_allowed_target(gateway, job, path_choice, &avoid);
         let retry_after = gateway.record_withheld(job);
         let target = match target {
             Ok(target) => target,
@@ -151,11 +155,14 @@
                 }
             }
         }
+        gateway.await_crash_checks(job).await;
+        attempts.record_failure(job, failed.kind);
+        if failed.kind == SendFailureKind::MayHaveRun {
+            record_run(gateway, job, &failed.endpoint);
+        }
         if failed.kind != SendFailureKind::LinkLost {
             avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
         }
-        gateway.await_crash_checks(job).await;
-        attempts.record_failure(job, failed.kind);
         let has_no_target = matches!(
             choose_target(gateway, job, path_choice, &avoid),
             Err(NoTarget::NoPath | NoTarget::NoRoom | NoTarget::Withheld)
