Streams: a move is known also when the first reply comes before its answer

Callers saw a stream pause for 1.1 s in the middle although an engine with room held the lost part, and their request ran a second time elsewhere.

Cause: while a request waits for the head of its reply, a check of its silence may move it around a lost engine. When the head arrived first, the watch was dropped with its check in progress, and with it the answer to the move. The first endpoint had carried the move out, but the stream's path in this VM, its reserved room and the engines that it had left were those from before. When an engine of the new path was lost later, the VM probed the engines of the old one, did not recognise the address that the first endpoint named as the one it waited for, and gave the stream up as unexplained after 0.9 s.

The check is now handed to the relay of the events with the open stream, as the relay already does for a check that is in progress when data arrive. A move that it reports is entered into the path, the reservations and the time of the last move, as any other.

--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -3,7 +3,7 @@
 use super::continuation::{Acceptance, Continuation, Continuer};
 use super::loss::{ActiveRoute, Loss, Move, PendingMoves};
 use super::target::Target;
-use super::watch::{Finding, SilenceWatch};
+use super::watch::{Check, Finding, SilenceWatch};
 use crate::connection_pool::PooledConnection;
 use crate::crashes::BrokenSend;
 use crate::endpoints::{Evidence, InFlightGuard, RequestPart};
@@ -42,6 +42,8 @@
     pub(super) in_flight: InFlightGuard,
     /// Moves of the request, until it goes on there.
     pub(super) moves: PendingMoves,
+    /// A check that was in progress when the head of the reply arrived.
+    pub(super) check: Option<Check>,
     /// When the request was sent or last moved.
     pub(super) sent_at: Instant,
     /// When the request was sent.
@@ -198,13 +200,14 @@
         route: &route,
     };
     let mut continuer = Continuer::new(gateway, job, Acceptance::Head, tried);
-    let watch = WatchedSend {
+    let mut watch = SilenceWatch::new(gateway, job);
+    let watched = WatchedSend {
         target: &mut target,
         moves: &mut moves,
         route: &route,
         incarnation: &incarnation,
     };
-    let replaced = watch.until_replaced(gateway, job, &mut continuer, resume_after);
+    let replaced = watched.until_replaced(&mut watch, &mut continuer, resume_after);
     let sent = futures_lite::future::or(
         async { SendEnd::Sent(send(gateway, job, to, resume_after).await) },
         replaced,
@@ -259,6 +262,7 @@
                 splitter: EventSplitter::default(),
                 in_flight,
                 moves,
+                check: watch.into_check(),
                 sent_at,
                 opened_at: sent_at,
                 last_data_at: None,
@@ -335,14 +339,12 @@
     /// the request cannot continue where it is.
     async fn until_replaced<W: Wire, S: MetadataStore>(
         self,
-        gateway: &Rc<Gateway<W, S>>,
-        job: &Rc<Job>,
+        watch: &mut SilenceWatch<W, S>,
         continuer: &mut Continuer<W, S>,
         resume_after: Option<EventNumber>,
     ) -> SendEnd {
         let sent_at = Instant::now();
         let mut since = sent_at;
-        let mut watch = SilenceWatch::new(gateway, job);
         loop {
             let active_route = || ActiveRoute {
                 endpoint: self.target.endpoint.clone(),
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -201,7 +201,8 @@
             .path
             .as_ref()
             .map(|path| self.gateway.stream_activity.register(path, Instant::now()));
-        let mut watch = SilenceWatch::new(&self.gateway, &self.job);
+        let mut watch =
+            SilenceWatch::new(&self.gateway, &self.job).with_check(upstream.check.take());
         // Another endpoint's first event was read before it was chosen.
         if let Err(reason) = self.relay_data(upstream, &[], Instant::now()).await {
             return SegmentEnd::Broken(Fault::Endpoint, reason);
--- a/crates/sillbank_gateway/src/streams/watch.rs
+++ b/crates/sillbank_gateway/src/streams/watch.rs
@@ -38,8 +38,8 @@
     check: Option<Check>,
 }
 
-/// A check in progress.
-struct Check {
+/// A check in progress. Dropping it may leave a move unknown that the endpoint has accepted.
+pub(super) struct Check {
     silence: Silence,
     started_at: Instant,
     task: Task<Finding>,
@@ -60,6 +60,17 @@
         }
     }
 
+    /// Waits for a check that an earlier watch of the stream at the same endpoint began.
+    pub(super) fn with_check(mut self, check: Option<Check>) -> Self {
+        self.check = check;
+        self
+    }
+
+    /// Ends the watch. Returns the check in progress.
+    pub(super) fn into_check(self) -> Option<Check> {
+        self.check
+    }
+
     /// Data arrived.
     pub(super) fn on_data(&mut self, now: Instant) {
         self.silence_timer.on_data(self.silent_for(now));
