Callers: heads are bounded by max_header_bytes of the configuration

Callers' heads of any length up to 16 KiB were passed on to endpoints, however low the limit of the configuration; and where the configuration allows more than 16 KiB, such heads were refused with 431.

Cause: the limit was read into the catalog and nothing used it. Callers' connections had a constant as the size of their buffers, by which hyper refuses longer heads.

`Gateway::check_head` now compares a request's parsed head with the limit before the request is admitted, so that it applies to open connections at once and a refusal is one for certain: 431 (SB0021), not run, the body is read and the connection stays open. During a change the largest limit that may be in force holds (`HeadLimit`, as the timeouts do it); the initial one is that of a configuration that sets none, 16 KiB. A VM whose configuration is not confirmed answers 503 instead. Optional white space is not counted: the parsed head does not tell it, and no head that the limit allows may be refused. Buffers of callers' connections may grow to 64 KiB, beyond which hyper refuses a head whatever the configuration says; what a slow reader leaves unread in them is counted in the memory budget as before.

--- a/crates/sillbank_core/src/failure.rs
+++ b/crates/sillbank_core/src/failure.rs
@@ -10,7 +10,7 @@
 pub enum FailureKind {
     /// The request body is invalid.
     MalformedBody,
-    /// The body or a header exceeds its size limit.
+    /// The body exceeds its size limit.
     TooLarge,
     /// The API key is missing or unknown.
     UnknownKey,
@@ -48,11 +48,13 @@
     VmAtLimit,
     /// Endpoints crashed repeatedly while running this request, so it is quarantined.
     Quarantined,
+    /// The head of the request exceeds its size limit.
+    HeadTooLarge,
 }
 
 impl FailureKind {
     /// All kinds.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::MalformedBody,
         Self::TooLarge,
         Self::UnknownKey,
@@ -73,6 +75,7 @@
         Self::ClaimUnavailable,
         Self::VmAtLimit,
         Self::Quarantined,
+        Self::HeadTooLarge,
     ];
 
     /// Code of the failure, which names its page in `docs/errors/`.
@@ -98,6 +101,7 @@
             Self::ClaimUnavailable => "SB0018",
             Self::VmAtLimit => "SB0019",
             Self::Quarantined => "SB0020",
+            Self::HeadTooLarge => "SB0021",
         }
     }
 
@@ -106,6 +110,7 @@
         match self {
             Self::MalformedBody => 400,
             Self::TooLarge => 413,
+            Self::HeadTooLarge => 431,
             Self::UnknownKey => 401,
             Self::UnknownTarget | Self::UnknownRoute => 404,
             Self::AlreadyClaimed | Self::ClaimUnknown | Self::TakenOver => 409,
@@ -126,7 +131,8 @@
     pub fn remedy(self) -> &'static str {
         match self {
             Self::MalformedBody => "Correct the body as the reason says and send it again.",
-            Self::TooLarge => "Send a shorter body or shorter headers.",
+            Self::TooLarge => "Send a shorter body.",
+            Self::HeadTooLarge => "Send shorter or fewer headers, or a shorter path.",
             Self::UnknownKey => "Send 'Authorization: Bearer KEY' with a key of your organisation.",
             Self::UnknownTarget => "Check the name, or ask the operator to place it under you.",
             Self::UnknownRoute => "Use POST /v1/chat/completions or /v1/services/NAME/PATH.",
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -73,7 +73,8 @@
             }
         };
         self.wait_for_startup().await;
-        let admitted = self.admit(&head, &parts, Instant::now());
+        let within_limit = self.gateway.check_head(&parts, received_at);
+        let admitted = within_limit.and_then(|()| self.admit(&head, &parts, Instant::now()));
         match admitted {
             Ok(admitted) => match self.read_body(body, &admitted).await {
                 Ok(body) => self.serve(head, parts, body, admitted, received_at).await,
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::forecasts::Forecasts;
 use crate::freshness::Freshness;
 use crate::hall::{Hall, LeaderScore};
+use crate::head_limit::HeadLimit;
 use crate::job::Job;
 use crate::links::Links;
 use crate::load::FleetLoad;
@@ -128,6 +129,8 @@
     pub metrics: Metrics,
     /// Timeouts of callers' connections.
     pub caller_timeouts: SharedTimeouts,
+    /// Limit on the heads of callers' requests.
+    pub head_limit: RefCell<HeadLimit>,
     /// Bytes buffered for callers and endpoints.
     pub memory_budget: MemoryBudget,
     /// How near this VM is to its own limits.
@@ -165,6 +168,7 @@
         Self {
             platform: PlatformView::new(settings.key_revocation),
             caller_timeouts: SharedTimeouts::new(Timeouts::uniform(INITIAL_IDLE_TIMEOUT)),
+            head_limit: RefCell::new(HeadLimit::new(CallerLimits::default().max_head_bytes)),
             memory_budget: MemoryBudget::new(settings.buffer_limit_bytes()),
             settings: RefCell::new(Rc::new(settings)),
             store: CountedStore::new(store, metrics.store_calls.clone()),
@@ -303,6 +307,7 @@
         self.decisions.catalog_read(Some(version), at, is_applied);
         if is_applied {
             self.apply_caller_timeouts(limits);
+            self.apply_head_limit(limits);
             self.decisions.warn_invalid_figures(&services);
         }
     }
@@ -314,6 +319,13 @@
         self.caller_timeouts.replace(timeouts, self.settings.borrow().config_in_force);
     }
 
+    /// Applies the limit of heads of a configuration. Callers may go by the earlier one until the new
+    /// one is in force everywhere.
+    fn apply_head_limit(&self, limits: CallerLimits) {
+        let overlap = self.settings.borrow().config_in_force;
+        self.head_limit.borrow_mut().replace(limits.max_head_bytes, Instant::now(), overlap);
+    }
+
     /// Records that the store answered a call sent at `sent`, as of revision `at`.
     pub fn on_store_answer(&self, follower: &'static str, sent: Instant, at: Revision) {
         self.metrics.store_era.set(at.era as i64);
--- a/crates/sillbank_gateway/src/lib.rs
+++ b/crates/sillbank_gateway/src/lib.rs
@@ -3,8 +3,8 @@
 //! It uses this project's own terms. For each platform, an adapter that implements [`wire::Wire`]
 //! and [`store::MetadataStore`] translates the platform's formats.
 //!
-//! - [`callers`] admits requests; [`calls`] and [`streams`] handle them; [`call_tracker`] tracks
-//!   the answer times of calls.
+//! - [`callers`] admits requests, [`head_limit`] bounds their heads; [`calls`] and [`streams`] handle
+//!   them; [`call_tracker`] tracks the answer times of calls.
 //! - [`platform_view`] holds this VM's view of the platform, [`follow`] keeps it up to date.
 //! - [`restarts`] discards the state of endpoints that restart, [`unreadable`] logs entries of
 //!   endpoints that cannot be parsed.
@@ -56,6 +56,7 @@
 pub mod gateway;
 pub mod hall;
 pub mod hall_reports;
+pub mod head_limit;
 pub mod job;
 pub mod lifecycle;
 pub mod links;
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -2,6 +2,7 @@
 
 use crate::callers::CallerHandler;
 use crate::gateway::Gateway;
+use crate::head_limit::MAX_READ_HEAD_BYTES;
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::reply_times;
 use crate::settings::GatewaySettings;
@@ -18,8 +19,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-/// Largest request head, whatever the configuration allows.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Largest reply of an engine to a report or an order.
 const MAX_ENGINE_REPLY_BYTES: usize = 1 << 20;
 
@@ -94,7 +93,7 @@
         let settings = gateway.settings();
         let limits = ServerLimits {
             timeouts: gateway.caller_timeouts.clone(),
-            max_head_bytes: MAX_HEAD_BYTES,
+            max_head_bytes: MAX_READ_HEAD_BYTES,
             max_connections: settings.max_caller_connections(),
         };
         let memory_budget = gateway.memory_budget.clone();
