Calls: the log shows why a link is doubted, and which endpoint answered

The reason of "Doubted." now names which of the two it was. A call whose first endpoint was doubted logs "Went on." if that one answered, as streams do, and "Continued elsewhere." with both endpoints if another one did. No decision changes.

--- a/crates/sillbank_gateway/src/calls/hedge.rs
+++ b/crates/sillbank_gateway/src/calls/hedge.rs
@@ -10,7 +10,7 @@
 use futures_lite::future::or;
 use sillbank_core::prelude::*;
 use sillbank_failover::prelude::*;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
@@ -26,8 +26,11 @@
 #[derive(Debug, Default)]
 struct Progress {
     first_has_ended: Cell<bool>,
+    is_doubted: Cell<bool>,
     /// Whether another endpoint has the call.
     is_hedged: Cell<bool>,
+    /// The endpoint that was tried last, other than the first.
+    other: RefCell<Option<EndpointId>>,
 }
 
 impl<W: Wire, S: MetadataStore> Attempt<W, S> {
@@ -42,11 +45,17 @@
         let first = async { (self.exchange().await, true) };
         let other = async { (hedge.as_mut().await, false) };
         match or(first, other).await {
-            (TryOutcome::Success(whole), _) => TryOutcome::Success(whole),
+            (TryOutcome::Success(whole), is_first) => {
+                self.log_answer(&progress, is_first);
+                TryOutcome::Success(whole)
+            }
             (outcome, true) if progress.is_hedged.get() => {
                 progress.first_has_ended.set(true);
                 match hedge.await {
-                    TryOutcome::Success(whole) => TryOutcome::Success(whole),
+                    TryOutcome::Success(whole) => {
+                        self.log_answer(&progress, false);
+                        TryOutcome::Success(whole)
+                    }
                     _ => outcome,
                 }
             }
@@ -54,11 +63,24 @@
         }
     }
 
+    /// Logs which endpoint answered a call whose first one was doubted.
+    fn log_answer(&self, progress: &Progress, is_first: bool) {
+        let decisions = &self.gateway.decisions;
+        match &*progress.other.borrow() {
+            Some(other) if !is_first => decisions.continued(&self.job, Some(&self.endpoint), other),
+            _ if progress.is_doubted.get() => {
+                decisions.went_on(&self.job, self.sent_at.elapsed());
+            }
+            _ => {}
+        }
+    }
+
     /// Waits until the endpoint is doubted, and then for the answer of another one. Without an answer
     /// it ends only after the first endpoint's send.
     async fn hedge(&self, tried: &[EndpointId], progress: &Progress) -> TryOutcome {
         let mut avoid = tried.to_vec();
         avoid.extend(self.doubted().await);
+        progress.is_doubted.set(true);
         let mut failover = Failover::default();
         failover.on_doubt(Instant::now());
         loop {
@@ -75,6 +97,7 @@
                 Ok(choice) => {
                     failover.on_opening();
                     progress.is_hedged.set(true);
+                    progress.other.replace(Some(choice.endpoint.clone()));
                     let outcome = self.try_other(&choice).await;
                     progress.is_hedged.set(false);
                     let is_answered = matches!(outcome, TryOutcome::Success(_));
@@ -95,25 +118,20 @@
     /// be tried again.
     async fn doubted(&self) -> Option<EndpointId> {
         let (gateway, job) = (&self.gateway, &self.job);
-        let link_loss = async {
-            self.wait_for_link_loss().await;
-            true
-        };
+        let link_loss = async { Some(self.wait_for_link_loss().await) };
         let silence = async {
             if !self.has_alternative {
                 std::future::pending::<()>().await;
             }
             smol::Timer::after(job.route.objective.mul_f64(TRY_TIMEOUT_OBJECTIVES)).await;
-            false
-        };
-        let reason = match or(link_loss, silence).await {
-            true => {
-                job.record_link_loss();
-                gateway.decisions.doubted(job, &self.endpoint, &[], "the link to it is lost");
-                return None;
-            }
-            false => "no answer in time",
+            None
         };
+        if let Some(loss) = or(link_loss, silence).await {
+            job.record_link_loss();
+            gateway.decisions.doubted(job, &self.endpoint, &[], loss);
+            return None;
+        }
+        let reason = "no answer in time";
         gateway.on_evidence(&self.endpoint, Evidence::Failed, self.sent_at, reason);
         gateway.on_send_trouble(&self.endpoint, self.route.transit());
         gateway.decisions.doubted(job, &self.endpoint, &[], reason);
@@ -156,19 +174,20 @@
         outcome
     }
 
-    /// Waits until the link under the call is lost, or the VM that passes its connection on.
-    async fn wait_for_link_loss(&self) {
+    /// Waits until the link under the call seems lost, or the VM that passes its connection on. Returns
+    /// which.
+    async fn wait_for_link_loss(&self) -> &'static str {
         let mut hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
         loop {
             smol::Timer::after(LINK_POLL_INTERVAL).await;
             if self.gateway.has_lost_link(&self.endpoint, self.route.transit()) {
-                return;
+                return "the connection is direct, and the hall counts as lost";
             }
             let Some(vm) = self.route.hop().filter(|_| hop_check_due <= Instant::now()) else {
                 continue;
             };
             if self.gateway.hop_is_lost(vm, &self.endpoint, self.address).await {
-                return;
+                return "the VM in between does not answer";
             }
             hop_check_due = Instant::now() + HOP_CHECK_INTERVAL;
         }
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -258,7 +258,7 @@
         }
     }
 
-    /// A doubted endpoint sent the stream's next event.
+    /// A doubted endpoint sent the stream's next event, or the answer to a call.
     pub fn went_on(&self, job: &Job, silent_for: Duration) {
         if self.take_line() {
             tracing::info!(
@@ -285,7 +285,7 @@
         }
     }
 
-    /// Another endpoint continues a stream.
+    /// Another endpoint continues a stream, or has answered a call.
     pub fn continued(&self, job: &Job, from: Option<&str>, to: &str) {
         if self.take_line() {
             tracing::info!(
