Calls: a send lost with a link is taken back only when its connection has ended

Cause: a hall counts as lost after three endpoints without a direct success. From then on each call on a direct connection to any endpoint of the hall was doubted within 100 ms and its send taken back at once, while its connection was open, and the call was sent again. If the endpoint was one that the VM still reached, the call ran there and at a second one.

Evidence: script call_on_working_link_of_lost_hall, a VM cut from the four engines of its hall but not from its two services, which answer after 3 s, on a route that allows one send.

Why the fix works: the doubt takes nothing back. While the route allows another send, both run and both count. With no send left the link to the endpoint itself is checked by a pair of attempts. Only if it is lost, and an endpoint, a retry and time are there, the connection is closed, and after that the send is taken back and the call sent again; otherwise the first endpoint's answer is waited for. A broken direct connection to a lost hall is checked in the same way. A second endpoint's send that is lost with its link is taken back when it has ended.

Calls of routes with one send whose VM in between does not answer wait for the end of that connection now.

--- a/crates/sillbank_gateway/src/calls/attempt.rs
+++ b/crates/sillbank_gateway/src/calls/attempt.rs
@@ -64,6 +64,18 @@
         }
     }
 
+    /// Whether the link under the send counts as lost with those of its hall, and a check of this
+    /// endpoint confirms it.
+    pub(super) async fn has_confirmed_link_loss(&self) -> bool {
+        let gateway = &self.gateway;
+        if !gateway.has_lost_link(&self.endpoint, self.route.transit()) {
+            return false;
+        }
+        let is_lost = gateway.confirms_lost_link(&self.endpoint).await;
+        gateway.decisions.link_checked(&self.job, &self.endpoint, is_lost);
+        is_lost
+    }
+
     /// Sends the call and reads the whole answer.
     pub(super) async fn exchange(&self) -> TryOutcome {
         let (gateway, job, endpoint) = (&self.gateway, &self.job, self.endpoint.as_str());
--- a/crates/sillbank_gateway/src/calls/hedge.rs
+++ b/crates/sillbank_gateway/src/calls/hedge.rs
@@ -1,10 +1,12 @@
 //! Tries a call at another endpoint while its own is silent. The first one is not given up: it may
-//! still answer, and the other may refuse.
+//! still answer, and the other may refuse. Only if the route allows no further send, and a check
+//! confirms that the link to the first one is lost, its connection is closed and the send taken back.
 
 use super::attempt::Attempt;
 use super::{Choice, TryOutcome, choose_endpoint};
-use crate::crashes::{check_abandoned_send, check_broken_send};
+use crate::crashes::{BreakCause, check_abandoned_send, check_broken_send};
 use crate::endpoints::Evidence;
+use crate::job::MIN_TIME_LEFT;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use futures_lite::future::or;
@@ -19,6 +21,8 @@
 const TRY_TIMEOUT_OBJECTIVES: f64 = 1.5;
 /// How often a call that may be sent again checks whether its link is lost.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between checks that are to confirm the loss of a link.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// How often it checks whether the VM that passes its connection on answers.
 const HOP_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -93,6 +97,10 @@
                 Step::Wait(None) | Step::Release | Step::GiveUp(_) => std::future::pending().await,
             }
             let refusal = match self.choose_other(&avoid) {
+                Err(refusal @ Refusal::SendsUsedUp) => {
+                    self.gateway.decisions.not_continued(&self.job, failover.state(), refusal, "");
+                    return self.wait_for_release(tried).await;
+                }
                 Err(refusal) => refusal,
                 Ok(choice) => {
                     failover.on_opening();
@@ -127,7 +135,6 @@
             None
         };
         if let Some(loss) = or(link_loss, silence).await {
-            job.record_link_loss();
             gateway.decisions.doubted(job, &self.endpoint, &[], loss);
             return None;
         }
@@ -139,6 +146,30 @@
         Some(self.endpoint.clone())
     }
 
+    /// Waits until the link under the call is confirmed to be lost, and the call may be sent again once
+    /// its connection is closed.
+    async fn wait_for_release(&self, tried: &[EndpointId]) -> TryOutcome {
+        loop {
+            let reason = self.wait_for_link_loss().await;
+            // An endpoint behind a VM that does not answer may run the call: it is not cut off.
+            if self.has_confirmed_link_loss().await && self.may_replace_lost_send(tried) {
+                return TryOutcome::LinkReleased(reason.to_owned());
+            }
+            smol::Timer::after(LINK_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Whether the call may be sent again after a send that is taken back; if so, the retry is taken
+    /// from the budget.
+    fn may_replace_lost_send(&self, tried: &[EndpointId]) -> bool {
+        let (gateway, job) = (&self.gateway, &self.job);
+        job.has_free_link_loss()
+            && job.time_left(Instant::now()) >= MIN_TIME_LEFT
+            && gateway.hold_of(job).is_none()
+            && choose_endpoint(gateway, job, tried).is_ok()
+            && gateway.try_retry(&job.service.name)
+    }
+
     /// Chooses another endpoint and takes the retry from the budget.
     fn choose_other(&self, avoid: &[EndpointId]) -> Result<Choice, Refusal> {
         let (gateway, job) = (&self.gateway, &self.job);
@@ -163,12 +194,18 @@
         let other = Self::start(gateway, job, choice);
         let outcome = other.exchange().await;
         match &outcome {
-            TryOutcome::Success(_) | TryOutcome::Failed(_) | TryOutcome::LinkLost(_) => {}
+            TryOutcome::Success(_) | TryOutcome::Failed(_) | TryOutcome::LinkReleased(_) => {}
+            TryOutcome::LinkLost(_) => {
+                job.record_link_loss();
+            }
             TryOutcome::NotRun(_) | TryOutcome::Misdirected(_) | TryOutcome::NotSent(_) => {
                 job.uncount_send();
             }
             TryOutcome::Lost(_) => {
-                check_broken_send(gateway, job, other.broken_send()).await;
+                let cause = check_broken_send(gateway, job, other.broken_send()).await;
+                if cause == BreakCause::Link {
+                    job.record_link_loss();
+                }
             }
         }
         outcome
--- a/crates/sillbank_gateway/src/calls/mod.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -121,9 +121,13 @@
             TryOutcome::Misdirected(reason) => (SendFailureKind::Misdirected, reason),
             TryOutcome::NotSent(reason) => (SendFailureKind::NotSent, reason),
             TryOutcome::LinkLost(reason) => (SendFailureKind::LinkLost, reason),
+            TryOutcome::LinkReleased(reason) => (SendFailureKind::LinkReleased, reason),
             TryOutcome::Lost(reason) => {
                 match check_broken_send(gateway, job, attempt.broken_send()).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
+                    BreakCause::Unknown if attempt.has_confirmed_link_loss().await => {
+                        (SendFailureKind::LinkLost, reason)
+                    }
                     BreakCause::Crash | BreakCause::Connection | BreakCause::Unknown => {
                         (SendFailureKind::MayHaveRun, reason)
                     }
@@ -140,7 +144,7 @@
                 after: sent_at.elapsed(),
             },
         );
-        if failure_kind != SendFailureKind::LinkLost {
+        if !matches!(failure_kind, SendFailureKind::LinkLost | SendFailureKind::LinkReleased) {
             tried.push(choice.endpoint);
         }
         gateway.await_crash_checks(job).await;
@@ -188,6 +192,9 @@
     Lost(String),
     /// The link to the endpoint was lost, or the VM that passed the connection on.
     LinkLost(String),
+    /// The link to the endpoint is lost, so that this VM closes the connection. The retry is taken from
+    /// the budget.
+    LinkReleased(String),
 }
 
 /// Reads a whole answer and returns its connection to the pool. The error is how the try ended.
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -258,6 +258,18 @@
         }
     }
 
+    /// The link under a request was checked, whose hall counts as lost.
+    pub fn link_checked(&self, job: &Job, endpoint: &str, is_lost: bool) {
+        if self.take_line() {
+            tracing::info!(
+                request = job.head.request_id,
+                endpoint,
+                is_lost,
+                "route: Checked a doubted link."
+            );
+        }
+    }
+
     /// A doubted endpoint sent the stream's next event, or the answer to a call.
     pub fn went_on(&self, job: &Job, silent_for: Duration) {
         if self.take_line() {
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -130,11 +130,16 @@
         self.sends.set(self.sends.get().saturating_sub(1));
     }
 
+    /// Whether another send that is lost with a link does not count as a send.
+    pub fn has_free_link_loss(&self) -> bool {
+        self.link_losses.get() < MAX_FREE_LINK_LOSSES
+    }
+
     /// Records that a send was lost with a link. The first few do not count as sends: the endpoints were cut off from this VM.
     /// Returns whether this one does not.
     pub fn record_link_loss(&self) -> bool {
+        let is_free = self.has_free_link_loss();
         self.link_losses.set(self.link_losses.get() + 1);
-        let is_free = self.link_losses.get() <= MAX_FREE_LINK_LOSSES;
         if is_free {
             self.uncount_send();
         }
--- a/crates/sillbank_gateway/src/links/checks.rs
+++ b/crates/sillbank_gateway/src/links/checks.rs
@@ -191,6 +191,14 @@
         finding
     }
 
+    /// Whether a check confirms that the link to an endpoint is lost: it answers, but only through
+    /// another VM.
+    pub async fn confirms_lost_link(&self, endpoint: &str) -> bool {
+        let record = self.platform.endpoints(|all| all.get(endpoint).cloned());
+        let Some(record) = record else { return false };
+        self.check_link(&record).await == Finding::LinkLost
+    }
+
     /// Tries an endpoint directly and, if it does not answer in time, through another VM as well. A direct answer that arrives
     /// meanwhile shows that the link works and the endpoint, or this VM, is slow.
     async fn compare_ways(&self, record: &EndpointRecord) -> Finding {
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -4,6 +4,7 @@
 use crate::job::Job;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
+use std::time::Instant;
 
 /// Sends of a request that may fail to reach an endpoint before it is given up.
 const MAX_UNREACHED_SENDS: u32 = 3;
@@ -25,6 +26,8 @@
     MayHaveRun,
     /// The same, as the link to the endpoint was lost, or the VM that passed the connection on.
     LinkLost,
+    /// The same, but the retry is taken from the budget already: this VM has closed the connection.
+    LinkReleased,
 }
 
 /// Failed sends of one request so far.
@@ -56,7 +59,9 @@
                 job.uncount_send();
                 self.refused += 1;
             }
-            SendFailureKind::LinkLost => drop(job.record_link_loss()),
+            SendFailureKind::LinkLost | SendFailureKind::LinkReleased => {
+                job.record_link_loss();
+            }
             SendFailureKind::MayHaveRun => {}
         }
     }
@@ -81,6 +86,9 @@
             SendFailureKind::NotRun => {
                 self.refused < job.route.max_attempts.max(1) && gateway.may_send_again(job)
             }
+            SendFailureKind::LinkReleased => {
+                job.is_idempotent() && job.may_send_again(Instant::now())
+            }
             SendFailureKind::LinkLost | SendFailureKind::MayHaveRun => {
                 job.is_idempotent() && gateway.may_send_again(job)
             }
