--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -5,6 +5,7 @@
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_admission::budget::RetryPriority;
+use std::time::Instant;
 
 /// Sends of a request that may fail to reach an endpoint before it is given up.
 const MAX_UNREACHED_SENDS: u32 = 3;
@@ -26,6 +27,8 @@
     MayHaveRun,
     /// The same, as the link to the endpoint was lost, or the VM that passed the connection on.
     LinkLost,
+    /// The same, but the retry is taken from the budget already: this VM has closed the connection.
+    LinkReleased,
 }
 
 /// Failed sends of one request so far.
@@ -63,7 +66,9 @@
                 job.uncount_send();
                 self.refused += 1;
             }
-            SendFailureKind::LinkLost => drop(job.record_link_loss()),
+            SendFailureKind::LinkLost | SendFailureKind::LinkReleased => {
+                job.record_link_loss();
+            }
             SendFailureKind::MayHaveRun => {}
         }
     }
@@ -90,6 +95,9 @@
                 self.refused < job.route.max_attempts.max(1)
                     && gateway.may_send_again(job, self.priority)
             }
+            SendFailureKind::LinkReleased => {
+                job.is_idempotent() && job.may_send_again(Instant::now())
+            }
             SendFailureKind::LinkLost | SendFailureKind::MayHaveRun => {
                 job.is_idempotent() && gateway.may_send_again(job, self.priority)
             }
