Streams: a send is not taken back on the verdict for its hall alone where the route allows no further one

Cause: a hall counts as lost after three endpoints without a direct success. From then on a stream on a direct connection to any endpoint of the hall was doubted after 55 ms of silence, and its send taken back though its connection was open and worked.

Where the route allows no further send, the link to the endpoint itself is checked before it is doubted, as for calls.

--- a/crates/sillbank_gateway/src/streams/watch.rs
+++ b/crates/sillbank_gateway/src/streams/watch.rs
@@ -133,7 +133,11 @@
     route: ActiveRoute,
     silence: Silence,
 ) -> Finding {
-    if gateway.has_lost_link(&route.endpoint, route.transit) {
+    // A send is taken back with its link. A hall that counts as lost proves nothing of this connection, so that where the
+    // route allows no further send, the link to the endpoint itself is checked.
+    if gateway.has_lost_link(&route.endpoint, route.transit)
+        && (job.may_send_again(Instant::now()) || gateway.confirms_lost_link(&route.endpoint).await)
+    {
         return Finding::Doubted(Loss::of_link("the link to the endpoint is lost"));
     }
     if silence == Silence::Long
