--- a/crates/sillbank_drain/src/plan.rs
+++ b/crates/sillbank_drain/src/plan.rs
@@ -103,7 +103,7 @@
     }
 
     /// When the load balancer has taken the VM out.
-    fn balancer_knows_at(&self) -> Instant {
+    pub fn balancer_knows_at(&self) -> Instant {
         (self.signalled_at + BALANCER_LAG).min(self.exits_at)
     }
 
--- a/crates/sillbank_gateway/src/drain.rs
+++ b/crates/sillbank_gateway/src/drain.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::hall::{HallVms, LEADER_TIMEOUT};
 use crate::job::{Job, path_request};
+use crate::metrics::KindLabel;
 use crate::paths::choose_fastest_path;
 use crate::vm_limits::others_suffice;
 use crate::wire::Wire;
@@ -30,7 +31,17 @@
     /// Refuses a request that this VM cannot finish before it exits.
     pub fn refuse_while_draining(&self, job: &Job) -> Option<Failure> {
         let plan = self.drain_plan.get()?;
-        let now = Instant::now();
+        let refusal = self.drain_refusal(plan, job, Instant::now());
+        let kind = if refusal.is_some() { "refused" } else { "taken" };
+        self.metrics.while_stopping.get_or_create(&KindLabel { kind }).inc();
+        refusal
+    }
+
+    fn drain_refusal(&self, plan: DrainPlan, job: &Job, now: Instant) -> Option<Failure> {
+        if !self.settings().mechanisms.drain_forecasts {
+            let is_refused = now >= plan.balancer_knows_at();
+            return is_refused.then(|| self.stopping_failure("the VM is stopping"));
+        }
         let (demand, time_left) = (self.drain_demand(job, now), job.time_left(now));
         let (others, experience) = (self.other_vms(now), self.drain_experience.borrow());
         let others = match others_suffice(others.fit, others.vms) {
--- a/crates/sillbank_gateway/src/mechanisms.rs
+++ b/crates/sillbank_gateway/src/mechanisms.rs
@@ -47,6 +47,8 @@
     pub relay: bool,
     /// Endpoints are waited for longer while most of them answer late.
     pub reply_times: bool,
+    /// A stopping VM takes the requests that it can finish. Otherwise it takes all until the load balancer has taken it out.
+    pub drain_forecasts: bool,
 }
 
 impl Default for Mechanisms {
@@ -72,6 +74,7 @@
             pushback: true,
             relay: true,
             reply_times: true,
+            drain_forecasts: true,
         }
     }
 }
@@ -100,6 +103,7 @@
             pushback: reader.flag("pushback", true),
             relay: reader.flag("relay", true),
             reply_times: reader.flag("reply_times", true),
+            drain_forecasts: reader.flag("drain_forecasts", true),
         }
     }
 }
--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -160,6 +160,8 @@
     pub orders: Family<KindLabel, Counter>,
     /// Calls that were sent to no endpoint, by reason.
     pub calls_refused: Family<KindLabel, Counter>,
+    /// Requests that arrived while the VM was stopping, taken and refused.
+    pub while_stopping: Family<KindLabel, Counter>,
     /// Requests at this VM by service, rank and what became of them.
     pub demand: Family<DemandLabel, Counter>,
     /// Estimated requests per second in the fleet.
@@ -287,6 +289,12 @@
         registry.register("whole_answer_s", "Time to the whole answer", whole_answer_s.clone());
         let calls_refused = Family::default();
         registry.register("calls_refused", "Calls sent nowhere", calls_refused.clone());
+        let while_stopping = Family::default();
+        registry.register(
+            "while_stopping",
+            "Requests that arrived while the VM was stopping",
+            while_stopping.clone(),
+        );
         let forecast_first_ratio = ratio_histogram();
         registry.register(
             "forecast_first_ratio",
@@ -337,6 +345,7 @@
             vm_pressure,
             orders,
             calls_refused,
+            while_stopping,
             demand,
             fleet_demand_per_s,
             fleet_demand_age_s,
--- a/crates/sillbank_net/src/closing.rs
+++ b/crates/sillbank_net/src/closing.rs
@@ -34,5 +34,11 @@
         _ => None,
     };
     let (phase, requests, late_bytes) = (phase.name(), activity.requests(), activity.late_bytes());
-    tracing::info!(phase, idle_ms, requests, late_bytes, "net: Closed a connection.");
+    match late_bytes {
+        0 => tracing::debug!(phase, idle_ms, requests, "net: Closed a connection."),
+        _ => {
+            let text = "net: A request crossed the close of its connection.";
+            tracing::info!(phase, idle_ms, requests, late_bytes, "{text}");
+        }
+    }
 }
