Planned stop: corrections after a review

- A refused caller who goes on sending kept the process from doing anything else: the read after a close had no end (four callers on loopback: 3.0 s).
It now yields after 16 KiB, and its time limit is polled first.
- While stopping, a connection was closed 10 ms after a reply that said `connection: close`, with a second reply behind it: its phase was still idle.
It has a phase of its own now.
- A refused request whose body is incomplete at the end of the grace period got no reply; crash checks and the wait at a start were not bounded by the exit either.
- Calls with a long objective were refused from the signal on: 2.6 s within 8 s.
`a_call_with_a_long_objective_is_taken_while_callers_come_back_here`.
- Experience of answers is kept by service, and the time to the first event is bounded by it.

Open: a head that begins behind a running answer gets 408 when that answer ends, a true refusal.

--- a/crates/sillbank_drain/src/demand.rs
+++ b/crates/sillbank_drain/src/demand.rs
@@ -3,9 +3,6 @@
 use crate::experience::Experience;
 use std::time::Duration;
 
-/// Time in which nearly all calls are answered, also those that are sent twice, as a multiple of their objective.
-const CALL_OBJECTIVES: u32 = 3;
-
 /// How sure a time is to be enough.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Certainty {
@@ -24,6 +21,14 @@
         }
     }
 
+    /// Time that is enough for calls, as a multiple of their objective.
+    fn call_objectives(self) -> u32 {
+        match self {
+            Self::Likely => 1,
+            Self::NearlySure => 2,
+        }
+    }
+
     /// Factor on forecast times between events while nothing is known of earlier answers.
     fn default_interval_ratio(self) -> f64 {
         match self {
@@ -76,7 +81,7 @@
     /// Time that is enough for such an answer; `None` if nothing is known of it.
     pub fn time_for(self, certainty: Certainty, experience: &Experience) -> Option<Duration> {
         match self {
-            Self::Call { objective } => Some(objective.saturating_mul(CALL_OBJECTIVES)),
+            Self::Call { objective } => Some(objective.saturating_mul(certainty.call_objectives())),
             Self::Stream { pace, expected_events, max_events } => {
                 let events = events_for(certainty, expected_events, max_events, experience);
                 pace_for(certainty, pace, experience).map(|pace| stream_time(pace, events))
@@ -96,7 +101,12 @@
     if let Some(StreamPace { first_event, event_interval }) = pace {
         let ratio = experience.interval_ratio.quantile(share);
         let ratio = ratio.unwrap_or_else(|| certainty.default_interval_ratio());
-        return Some(StreamPace { first_event, event_interval: event_interval.mul_f64(ratio) });
+        let known_s = experience.first_event_s.quantile(share);
+        let known = known_s.map_or(Duration::ZERO, Duration::from_secs_f64);
+        return Some(StreamPace {
+            first_event: first_event.max(known),
+            event_interval: event_interval.mul_f64(ratio),
+        });
     }
     let first_event_s = experience.first_event_s.quantile(share)?;
     let interval_s = experience.interval_s.quantile(share)?;
--- a/crates/sillbank_drain/tests/plan.rs
+++ b/crates/sillbank_drain/tests/plan.rs
@@ -92,6 +92,16 @@
     assert!(!admits(CALL, &none, Others::Few, 7_400));
 }
 
+/// Guards against a VM that refuses calls with a long objective from the signal on, though no other VM takes them.
+#[test]
+fn a_call_with_a_long_objective_is_taken_while_callers_come_back_here() {
+    let call = Demand::Call { objective: ms(2_600) };
+
+    assert!(admits(call, &Experience::default(), Others::Few, 0));
+    assert!(admits(call, &Experience::default(), Others::Suffice, 1_000));
+    assert!(!admits(call, &Experience::default(), Others::Suffice, 4_000));
+}
+
 /// Guards against an exit before the load balancer has taken the VM out, and against waiting without work.
 #[test]
 fn a_vm_without_work_finishes_when_the_load_balancer_has_taken_it_out() {
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -72,7 +72,7 @@
                 return self.refuse("", &failure);
             }
         };
-        self.wait_for_startup().await;
+        self.unless_final_stage(self.wait_for_startup()).await;
         let within_limit = self.gateway.check_head(&parts, received_at);
         let admitted = within_limit.and_then(|()| self.admit(&head, &parts, Instant::now()));
         match admitted {
@@ -81,7 +81,7 @@
                 Err(failure) => self.refuse(&head.request_id, &failure),
             },
             Err(failure) => {
-                discard_body(body, self.caller_limits()).await;
+                self.unless_final_stage(discard_body(body, self.caller_limits())).await;
                 self.refuse(&head.request_id, &failure)
             }
         }
@@ -122,6 +122,12 @@
         failure_response::<W>(failure)
     }
 
+    /// Waits for something, at the longest until the final stage of a stop: the request must be answered before the exit.
+    async fn unless_final_stage(&self, waited_for: impl Future<Output = ()>) {
+        let token = self.gateway.stopper.token();
+        futures_lite::future::or(waited_for, token.final_stage()).await;
+    }
+
     /// Limits on callers' requests.
     fn caller_limits(&self) -> CallerLimits {
         self.gateway.platform.catalog().map(|catalog| catalog.limits()).unwrap_or_default()
@@ -308,7 +314,7 @@
         if let Err(error) = &job.head.prompt_parts {
             self.gateway.on_unreadable_parts(&job, error);
         }
-        self.gateway.await_crash_checks(&job).await;
+        self.unless_final_stage(self.gateway.await_crash_checks(&job)).await;
         let refusal = self.gateway.refuse_arrival(&job);
         if let Some(failure) = refusal.or_else(|| self.gateway.refuse_while_draining(&job)) {
             return self.refuse(&job.head.request_id, &failure);
--- a/crates/sillbank_gateway/src/drain.rs
+++ b/crates/sillbank_gateway/src/drain.rs
@@ -43,16 +43,18 @@
             return is_refused.then(|| self.stopping_failure("the VM is stopping"));
         }
         let (demand, time_left) = (self.drain_demand(job, now), job.time_left(now));
-        let (others, experience) = (self.other_vms(now), self.drain_experience.borrow());
+        let (others, by_service) = (self.other_vms(now), self.drain_experience.borrow());
+        let none = Experience::default();
+        let experience = by_service.get(&job.service.name).unwrap_or(&none);
         let others = match others_suffice(others.fit, others.vms) {
             true => Others::Suffice,
             false => Others::Few,
         };
-        if plan.admits(demand, &experience, time_left, others, now) {
+        if plan.admits(demand, experience, time_left, others, now) {
             return None;
         }
         let left_ms = plan.exits_at().saturating_duration_since(now).as_millis();
-        let reason = match demand.time_for(Certainty::Likely, &experience) {
+        let reason = match demand.time_for(Certainty::Likely, experience) {
             Some(time) => format!(
                 "the VM stops in {left_ms} ms, and the request is likely to take {} ms",
                 time.as_millis()
@@ -97,7 +99,8 @@
         }
         let is_as_forecast = job.sends.get() == 1 && job.delivery.moves() == 0;
         let forecast = job.forecast().filter(|_| is_as_forecast);
-        self.drain_experience.borrow_mut().record(&Answer {
+        let mut by_service = self.drain_experience.borrow_mut();
+        by_service.entry(job.service.name.clone()).or_default().record(&Answer {
             first_event,
             event_interval: job.delivery.mean_interval(),
             events: job.delivery.events(),
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -142,8 +142,8 @@
     pub lifecycle: Cell<LifecycleState>,
     /// Times of the stop, once the process was asked to.
     pub drain_plan: Cell<Option<DrainPlan>>,
-    /// How far streams were from their forecasts.
-    pub drain_experience: RefCell<Experience>,
+    /// How far streams were from their forecasts, by service.
+    pub drain_experience: RefCell<HashMap<ServiceId, Experience>>,
     /// Stops the server of callers.
     pub stopper: Stopper,
     /// Random number that distinguishes this process from earlier ones on the same VM.
--- a/crates/sillbank_net/src/activity.rs
+++ b/crates/sillbank_net/src/activity.rs
@@ -15,6 +15,8 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// Bytes read at a time from a connection whose write side is closed.
 const LATE_CHUNK_BYTES: usize = 1_024;
+/// Chunks read before other tasks get their turn.
+const LATE_CHUNKS_PER_TURN: usize = 16;
 
 /// Phase of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +41,8 @@
     Serving,
     /// The reply is complete, but not all of it has been written to the connection.
     WritingRest,
+    /// The write side has been closed. What still arrives is read and dropped.
+    Closing,
 }
 
 impl Phase {
@@ -50,6 +54,7 @@
             Self::ReceivingHead { .. } => "receiving_head",
             Self::Serving => "serving",
             Self::WritingRest => "writing_rest",
+            Self::Closing => "closing",
         }
     }
 }
@@ -158,18 +163,21 @@
 impl<C: AsyncRead + Unpin> Tracked<C> {
     /// Reads and drops what still arrives, until the peer closes its side too or the time for it is over.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let timer = self.linger.get_or_insert_with(|| Timer::after(LINGER));
+        if Pin::new(timer).poll(context).is_ready() {
+            return Poll::Ready(());
+        }
         let mut chunk = [0; LATE_CHUNK_BYTES];
-        loop {
-            match Pin::new(&mut self.connection).poll_read(context, &mut chunk) {
-                Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(()),
-                Poll::Ready(Ok(length)) => {
+        for _ in 0..LATE_CHUNKS_PER_TURN {
+            match ready!(Pin::new(&mut self.connection).poll_read(context, &mut chunk)) {
+                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(length) => {
                     self.activity.late_bytes.set(self.activity.late_bytes.get() + length);
                 }
-                Poll::Pending => break,
             }
         }
-        let timer = self.linger.get_or_insert_with(|| Timer::after(LINGER));
-        Pin::new(timer).poll(context).map(drop)
+        context.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
@@ -203,6 +211,7 @@
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.connection).poll_close(context))?;
+            self.activity.phase.set(Phase::Closing);
         }
         self.poll_linger(context).map(Ok)
     }
--- a/crates/sillbank_net/src/stop.rs
+++ b/crates/sillbank_net/src/stop.rs
@@ -136,7 +136,7 @@
         };
         let ended = async {
             self.final_stage().await;
-            while matches!(activity.phase(), Phase::Serving | Phase::WritingRest) {
+            while matches!(activity.phase(), Phase::Serving | Phase::WritingRest | Phase::Closing) {
                 smol::Timer::after(PHASE_POLL).await;
             }
             activity.phase()
--- a/crates/sillbank_net/src/timeouts.rs
+++ b/crates/sillbank_net/src/timeouts.rs
@@ -84,7 +84,7 @@
             }
             Phase::Idle { since } => since.checked_add(self.longest_since(since).idle),
             Phase::ReceivingHead { since } => since.checked_add(self.longest_since(since).head),
-            Phase::Serving | Phase::WritingRest => None,
+            Phase::Serving | Phase::WritingRest | Phase::Closing => None,
         }
     }
 
