--- a/crates/sillbank_admission/src/budget.rs
+++ b/crates/sillbank_admission/src/budget.rs
@@ -14,20 +14,6 @@
 /// Slices that are stored: those of a window, of the one before it, and one shared slice for each.
 const STORED_SLICES: usize = 2 * SLICES_PER_WINDOW as usize + 2;
 
-/// Share of the retries that a window allows which is kept for requests of high priority. The rest is
-/// larger, as an endpoint that is only doubted may be lost too.
-const RESERVED_SHARE: f64 = 0.25;
-
-/// How much a request needs a retry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum RetryPriority {
-    /// It cannot go on without one.
-    #[default]
-    High,
-    /// Its endpoint may go on.
-    Low,
-}
-
 /// Limits on retries within a sliding window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -73,8 +59,8 @@
     }
 
     /// Takes one retry from the budget, if it allows one.
-    pub fn try_retry(&mut self, now: Instant, priority: RetryPriority) -> bool {
-        let is_allowed = self.allows_retry(now, priority);
+    pub fn try_retry(&mut self, now: Instant) -> bool {
+        let is_allowed = self.allows_retry(now);
         if is_allowed {
             self.current_slice(now).retries += 1;
         }
@@ -83,11 +69,7 @@
 
     /// Whether one more retry is allowed: it stays within the limits of every window that contains it. These windows
     /// begin in any slice of the last window, so their known retries are those since that slice.
-    pub fn allows_retry(&self, now: Instant, priority: RetryPriority) -> bool {
-        let usable_share = match priority {
-            RetryPriority::High => 1.0,
-            RetryPriority::Low => 1.0 - RESERVED_SHARE,
-        };
+    pub fn allows_retry(&self, now: Instant) -> bool {
         let slack =
             if now >= self.started_at + self.limits.window { self.limits.slack } else { 0.0 };
         let newest = self.slice_number(now);
@@ -97,7 +79,7 @@
             .sum();
         for back in 0..=SLICES_PER_WINDOW {
             retries += f64::from(self.slice_before(newest, back).retries);
-            if retries > usable_share * (slack + self.limits.ratio * first_sends) {
+            if retries > slack + self.limits.ratio * first_sends {
                 return false;
             }
             first_sends +=
--- a/crates/sillbank_gateway/src/retries.rs
+++ b/crates/sillbank_gateway/src/retries.rs
@@ -4,7 +4,6 @@
 use crate::job::Job;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
-use sillbank_admission::budget::RetryPriority;
 use std::time::Instant;
 
 /// Sends of a request that may fail to reach an endpoint before it is given up.
@@ -34,18 +33,12 @@
 /// Failed sends of one request so far.
 #[derive(Debug, Default)]
 pub struct SendAttempts {
-    priority: RetryPriority,
     unreached: u32,
     misdirected: u32,
     refused: u32,
 }
 
 impl SendAttempts {
-    /// No failed sends, of a request whose retries have this priority.
-    pub fn of_priority(priority: RetryPriority) -> Self {
-        Self { priority, ..Self::default() }
-    }
-
     /// Records a send that brought no answer.
     pub fn record_failure(&mut self, job: &Job, kind: SendFailureKind) {
         match kind {
@@ -88,18 +81,16 @@
             // The request reached no endpoint, so another send is no retry.
             SendFailureKind::NotSent => self.unreached < MAX_UNREACHED_SENDS,
             SendFailureKind::Misdirected => {
-                self.misdirected < MAX_MISDIRECTED_SENDS
-                    && gateway.may_send_again(job, self.priority)
+                self.misdirected < MAX_MISDIRECTED_SENDS && gateway.may_send_again(job)
             }
             SendFailureKind::NotRun => {
-                self.refused < job.route.max_attempts.max(1)
-                    && gateway.may_send_again(job, self.priority)
+                self.refused < job.route.max_attempts.max(1) && gateway.may_send_again(job)
             }
             SendFailureKind::LinkReleased => {
                 job.is_idempotent() && job.may_send_again(Instant::now())
             }
             SendFailureKind::LinkLost | SendFailureKind::MayHaveRun => {
-                job.is_idempotent() && gateway.may_send_again(job, self.priority)
+                job.is_idempotent() && gateway.may_send_again(job)
             }
         }
     }
--- a/crates/sillbank_gateway/src/retry_budget.rs
+++ b/crates/sillbank_gateway/src/retry_budget.rs
@@ -4,7 +4,7 @@
 use crate::job::Job;
 use crate::metrics::KindLabel;
 use crate::wire::Wire;
-use sillbank_admission::budget::{RetryBudget, RetryLimits, RetryPriority};
+use sillbank_admission::budget::{RetryBudget, RetryLimits};
 use std::time::Instant;
 
 /// Assumed number of VMs that share the fleet's retry slack while the leaders of some halls have
@@ -21,15 +21,9 @@
         self.with_budget(service, |budget, now| budget.record_first_send(now));
     }
 
-    /// Takes a retry of high priority from a service's budget. Returns false if the budget is used up.
+    /// Takes a retry from a service's budget. Returns false if the budget is used up.
     pub fn try_retry(&self, service: &str) -> bool {
-        self.try_retry_of(service, RetryPriority::High)
-    }
-
-    /// Takes a retry from a service's budget. Returns false if the budget is used up for its priority.
-    pub fn try_retry_of(&self, service: &str, priority: RetryPriority) -> bool {
-        let take = |budget: &mut RetryBudget, now| budget.try_retry(now, priority);
-        let is_allowed = self.with_budget(service, take);
+        let is_allowed = self.with_budget(service, |budget, now| budget.try_retry(now));
         match is_allowed {
             true => self.metrics.sends.get_or_create(&KindLabel { kind: "repeat" }).inc(),
             false => self.metrics.repeats_denied.inc(),
@@ -37,15 +31,15 @@
         is_allowed
     }
 
-    /// Whether a service's budget allows a retry of high priority now; none is taken.
+    /// Whether a service's budget allows a retry now; none is taken.
     pub fn allows_retry(&self, service: &str) -> bool {
-        self.with_budget(service, |budget, now| budget.allows_retry(now, RetryPriority::High))
+        self.with_budget(service, |budget, now| budget.allows_retry(now))
     }
 
     /// Whether a request that was sent before may be sent again; if so, the retry is taken from the
     /// budget.
-    pub fn may_send_again(&self, job: &Job, priority: RetryPriority) -> bool {
-        job.may_send_again(Instant::now()) && self.try_retry_of(&job.service.name, priority)
+    pub fn may_send_again(&self, job: &Job) -> bool {
+        job.may_send_again(Instant::now()) && self.try_retry(&job.service.name)
     }
 
     /// Upper estimate of the number of VMs in the fleet.
--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -15,7 +15,6 @@
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
 use http_body_util::BodyExt;
-use sillbank_admission::budget::RetryPriority;
 use sillbank_core::prelude::*;
 use sillbank_failover::prelude::*;
 use smol::Task;
@@ -132,8 +131,7 @@
         if !is_first && !is_new_link_loss {
             self.avoid_also(&loss.engines);
             if let Some(known) = &mut self.loss
-                && !known.is_pressing()
-                && (known.is_unexplained() || loss.is_pressing())
+                && known.is_unexplained()
             {
                 *known = loss;
             }
@@ -260,13 +258,8 @@
             return;
         }
         self.failover.on_opening();
-        let request = OpenRequest {
-            resume_after,
-            purpose: self.purpose(),
-            path_choice: self.path_choice(),
-            priority: self.priority(),
-            avoid: self.avoid_all(),
-        };
+        let (purpose, path_choice) = (self.purpose(), self.path_choice());
+        let request = OpenRequest { resume_after, purpose, path_choice, avoid: self.avoid_all() };
         let (gateway, job) = (self.gateway.clone(), self.job.clone());
         let executor = gateway.executor.clone();
         let open = async move {
@@ -291,7 +284,7 @@
             return Err(Refusal::SendsUsedUp);
         }
         self.check_target()?;
-        match gateway.try_retry_of(&job.service.name, self.priority()) {
+        match gateway.try_retry(&job.service.name) {
             true => Ok(()),
             false => Err(Refusal::BudgetUsedUp),
         }
@@ -346,15 +339,6 @@
         }
     }
 
-    /// A stream whose endpoint may go on leaves retries to those that cannot.
-    fn priority(&self) -> RetryPriority {
-        let is_pressing = self.loss.as_ref().is_some_and(Loss::is_pressing);
-        match self.failover.state() == AnswerState::Lost || is_pressing {
-            true => RetryPriority::High,
-            false => RetryPriority::Low,
-        }
-    }
-
     /// Engines without room are tried for a stream that is lost, or nearly so: most doubted endpoints
     /// go on within a second.
     fn path_choice(&self) -> PathChoice {
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -12,7 +12,6 @@
 use crate::retries::{SendAttempts, SendFailureKind};
 use crate::store::MetadataStore;
 use crate::wire::{EventNumber, Wire};
-use sillbank_admission::budget::RetryPriority;
 use sillbank_core::prelude::*;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,8 +37,6 @@
     pub(super) resume_after: Option<EventNumber>,
     pub(super) purpose: SendPurpose,
     pub(super) path_choice: PathChoice,
-    /// Priority of its retries.
-    pub(super) priority: RetryPriority,
     /// Endpoints that are not used.
     pub(super) avoid: Vec<EndpointId>,
 }
@@ -51,7 +48,6 @@
             resume_after: None,
             purpose: SendPurpose::Start,
             path_choice: PathChoice::WithRoom,
-            priority: RetryPriority::High,
             avoid: Vec::new(),
         }
     }
@@ -81,8 +77,8 @@
     job: &Rc<Job>,
     request: OpenRequest,
 ) -> Result<UpstreamReply, Failure> {
-    let OpenRequest { resume_after, purpose, path_choice, priority, mut avoid } = request;
-    let mut attempts = SendAttempts::of_priority(priority);
+    let OpenRequest { resume_after, purpose, path_choice, mut avoid } = request;
+    let mut attempts = SendAttempts::default();
     // A request that was sent before passed admission control then, even if none of its events
     // arrived.
     let is_first_send =
