--- a/crates/sillbank_failover/src/failover.rs
+++ b/crates/sillbank_failover/src/failover.rs
@@ -82,10 +82,8 @@
     doubted_at: Option<Instant>,
     /// Whether another endpoint is being tried.
     is_opening: bool,
-    /// Refusals since another endpoint was first looked for, or since the last event if later.
+    /// Refusals since another endpoint was first looked for.
     refusals: u32,
-    /// Whether another endpoint took the answer and has sent no event yet.
-    is_unproven: bool,
     last_refusal: Option<Refusal>,
     /// When the last refusal was found.
     refused_at: Option<Instant>,
@@ -100,7 +98,6 @@
             doubted_at: None,
             is_opening: false,
             refusals: 0,
-            is_unproven: false,
             last_refusal: None,
             refused_at: None,
             next_try_at: None,
@@ -117,10 +114,7 @@
     /// The endpoint sent an event. A try of another endpoint is to be cancelled. Returns whether the
     /// endpoint was doubted.
     pub fn on_sent(&mut self) -> bool {
-        let was_doubted = self.apply(AnswerEvent::Sent);
-        self.refusals = 0;
-        self.is_unproven = false;
-        was_doubted
+        self.apply(AnswerEvent::Sent)
     }
 
     /// There is evidence that the endpoint, or an engine behind it, is lost. Returns whether it is the
@@ -140,18 +134,14 @@
         }
     }
 
-    /// The connection to the endpoint has ended. If the endpoint had taken the answer and sent no
-    /// event, that counts as a refusal. `random` is a random number from 0 to 1.
-    pub fn on_lost(&mut self, now: Instant, random: f64) {
-        if self.apply(AnswerEvent::Loss) && self.is_unproven && !self.is_opening {
-            self.on_refused(Refusal::Failed, now, random);
-        }
+    /// The connection to the endpoint has ended.
+    pub fn on_lost(&mut self) {
+        self.apply(AnswerEvent::Loss);
     }
 
     /// Another endpoint continues the answer.
     pub fn on_replaced(&mut self) {
         self.apply(AnswerEvent::Replaced);
-        self.is_unproven = true;
     }
 
     /// Another endpoint is being tried.
@@ -210,8 +200,8 @@
         match transition.action {
             AnswerAction::Nothing => {}
             AnswerAction::Seek | AnswerAction::Cancel => {
-                let Self { state, refusals, is_unproven, .. } = *self;
-                *self = Self { state, refusals, is_unproven, ..Self::default() };
+                let state = self.state;
+                *self = Self { state, ..Self::default() };
             }
             AnswerAction::Retry => {
                 self.next_try_at = None;
--- a/crates/sillbank_failover/tests/properties.rs
+++ b/crates/sillbank_failover/tests/properties.rs
@@ -35,7 +35,7 @@
         }
         2 if observed.is_open => failover.on_moved(now),
         3 if observed.is_open => {
-            failover.on_lost(now, 0.5);
+            failover.on_lost();
             observed.is_open = false;
         }
         4 if observed.is_trying => {
@@ -74,7 +74,7 @@
                     let (refusal, found_at) = observed.last_refusal.expect("a try was refused");
                     assert!(observed.is_open && refusal == Refusal::OnlyHere, "{observed:?}");
                     assert!(found_at >= doubted_at + Duration::from_secs(1), "{observed:?}");
-                    failover.on_lost(now, 0.5);
+                    failover.on_lost();
                     observed.is_open = false;
                     observed.refused_since_loss = None;
                 }
@@ -96,7 +96,7 @@
 /// Tries of a lost answer within a second, each with this refusal.
 fn tries_per_s(u: &mut Unstructured<'_>, refusal: Refusal) -> arbitrary::Result<usize> {
     let (mut failover, start, mut tries) = (Failover::default(), Instant::now(), 0);
-    failover.on_lost(start, 0.5);
+    failover.on_lost();
     for ms in 0..1_000 {
         let now = start + Duration::from_millis(ms);
         if failover.next(now) == Step::Open {
--- a/crates/sillbank_failover/tests/sequences.rs
+++ b/crates/sillbank_failover/tests/sequences.rs
@@ -15,9 +15,9 @@
 
 /// An answer whose connection has ended, with the time.
 fn lost() -> (Failover, Instant) {
-    let (mut failover, now) = (Failover::default(), Instant::now());
-    failover.on_lost(now, 0.5);
-    (failover, now)
+    let mut failover = Failover::default();
+    failover.on_lost();
+    (failover, Instant::now())
 }
 
 /// Tries another endpoint, which is refused.
@@ -71,7 +71,7 @@
     let (mut failover, now) = doubted();
     failover.on_opening();
 
-    failover.on_lost(now, 0.5);
+    failover.on_lost();
 
     assert_eq!(failover.next(now), Step::Wait(None));
     failover.on_replaced();
@@ -114,7 +114,7 @@
         failover.on_refused(Refusal::NoRoom, now, 0.5);
     }
 
-    failover.on_lost(now, 0.5);
+    failover.on_lost();
 
     assert_eq!(failover.next(now), Step::Open);
 }
@@ -223,37 +223,6 @@
     }
 }
 
-/// Guards against a lost answer that uses up the retry budget at endpoints whose connections break at once.
-#[test]
-fn a_replacement_that_breaks_without_an_event_counts_as_a_refused_try() {
-    let (mut failover, mut now) = lost();
-    let mut pauses = Vec::new();
-
-    for _ in 0..4 {
-        assert_eq!(failover.next(now), Step::Open);
-        failover.on_opening();
-        failover.on_replaced();
-        failover.on_lost(now, 0.5);
-        let Step::Wait(Some(at)) = failover.next(now) else { panic!("no pause") };
-        pauses.push(at - now);
-        now = at;
-    }
-
-    assert!(pauses.windows(2).all(|pair| pair[0] < pair[1]), "{pauses:?}");
-}
-
-#[test]
-fn a_replacement_that_breaks_after_an_event_is_followed_by_a_try_at_once() {
-    let (mut failover, now) = lost();
-    refuse(&mut failover, Refusal::Failed, now);
-    failover.on_replaced();
-    failover.on_sent();
-
-    failover.on_lost(now, 0.5);
-
-    assert_eq!(failover.next(now), Step::Open);
-}
-
 #[test]
 fn pauses_between_tries_grow_and_differ_between_answers() {
     let pauses = |random| {
--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -20,7 +20,7 @@
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
 use sillbank_net::prelude::*;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, OnceCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Instant;
@@ -303,7 +303,6 @@
             sends: Cell::new(0),
             had_innocent_crash: Cell::new(false),
             link_losses: Cell::new(0),
-            run_at: RefCell::default(),
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
             caller,
--- a/crates/sillbank_gateway/src/crashes/found.rs
+++ b/crates/sillbank_gateway/src/crashes/found.rs
@@ -87,12 +87,6 @@
 }
 
 impl<W: Wire, S> Gateway<W, S> {
-    /// Whether an endpoint has crashed or restarted since a moment, as far as this VM knows.
-    pub fn has_ended_since(&self, endpoint: &str, since: Instant) -> bool {
-        self.crashed_endpoints.crashed_since(endpoint, since)
-            || self.endpoint_tracker.restarted_since(endpoint, since)
-    }
-
     /// Name of the incarnation that answered a request sent at `sent_at`, when `known` was the newest one. If that had been found
     /// crashed before, the endpoint has restarted since, and neither its entry nor a report says so yet.
     pub fn answering_incarnation(&self, endpoint: &str, known: String, sent_at: Instant) -> String {
--- a/crates/sillbank_gateway/src/crashes/pending.rs
+++ b/crates/sillbank_gateway/src/crashes/pending.rs
@@ -62,12 +62,6 @@
 }
 
 impl<W: Wire, S> Gateway<W, S> {
-    /// Whether a check may still show that a request has crashed an endpoint.
-    pub fn may_have_crashed(&self, job: &Job, endpoint: &str) -> bool {
-        let counts = self.pending_checks.counts.borrow();
-        counts.get(&job.fingerprint()).is_some_and(|of_request| of_request.contains_key(endpoint))
-    }
-
     /// Waits while unfinished checks could quarantine the request, so that it is sent to no further
     /// endpoint than the quarantine allows. Ends with the checks, after a second or little
     /// more, at the latest at the request's deadline. Requests that are further from quarantine do not wait.
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -18,7 +18,7 @@
 use sillbank_layers::prelude::*;
 use sillbank_net::prelude::*;
 use sillbank_quarantine::prelude::*;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -64,9 +64,6 @@
     pub had_innocent_crash: Cell<bool>,
     /// Sends that were lost with this VM's link, or with the VM that passed the connection on.
     pub link_losses: Cell<u32>,
-    /// Endpoints at which a stream may have run, and that are not known to have ended since. Each one holds one of
-    /// the sends that count.
-    pub run_at: RefCell<Vec<EndpointId>>,
     /// Events as the caller saw them.
     pub delivery: Delivery,
     /// Forecast made at the first send; `None` inside if no forecast was possible.
@@ -120,12 +117,7 @@
 
     /// Whether the route's limit of sends and the time left allow another send.
     pub fn may_send_again(&self, now: Instant) -> bool {
-        self.sends.get() < self.route.max_attempts.max(1) && self.has_time_to_send(now)
-    }
-
-    /// Whether enough time is left for another send.
-    pub fn has_time_to_send(&self, now: Instant) -> bool {
-        self.time_left(now) >= MIN_TIME_LEFT
+        self.sends.get() < self.route.max_attempts.max(1) && self.time_left(now) >= MIN_TIME_LEFT
     }
 
     /// Counts a send.
@@ -138,26 +130,6 @@
         self.sends.set(self.sends.get().saturating_sub(1));
     }
 
-    /// Records that the stream that was sent to an endpoint may have run there. The limit bounds the endpoints, so that
-    /// another send to the same one does not count.
-    pub fn record_run_at(&self, endpoint: &str) {
-        let mut run_at = self.run_at.borrow_mut();
-        if run_at.iter().any(|known| known == endpoint) {
-            self.uncount_send();
-        } else {
-            run_at.push(endpoint.to_owned());
-        }
-    }
-
-    /// Records that an endpoint at which the stream may have run has ended, or that its send does not count any more.
-    /// Returns whether the stream may have run there.
-    pub fn forget_run_at(&self, endpoint: &str) -> bool {
-        let mut run_at = self.run_at.borrow_mut();
-        let known = run_at.len();
-        run_at.retain(|known| known != endpoint);
-        run_at.len() < known
-    }
-
     /// Whether another send that is lost with a link does not count as a send.
     pub fn has_free_link_loss(&self) -> bool {
         self.link_losses.get() < MAX_FREE_LINK_LOSSES
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::continuation::{Acceptance, Continuation, Continuer};
 use super::loss::{ActiveRoute, Loss, Move, PendingMoves};
-use super::target::{Target, record_run};
+use super::target::Target;
 use super::watch::{Check, Finding, SilenceWatch};
 use crate::connection_pool::PooledConnection;
 use crate::crashes::BrokenSend;
@@ -214,11 +214,7 @@
     )
     .await;
     let outcome = match sent {
-        SendEnd::Sent(outcome @ SendOutcome::Success(..)) => {
-            continuer.restore_send();
-            record_run(gateway, job, &endpoint);
-            outcome
-        }
+        SendEnd::Sent(outcome @ SendOutcome::Success(..)) => outcome,
         SendEnd::Sent(outcome) => match continuer.try_finish(resume_after).await {
             Some(reply) => return AttemptResult::Replied(reply),
             None => {
--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -4,9 +4,7 @@
 use super::attempt::{Upstream, UpstreamReply};
 use super::loss::Loss;
 use super::open::{OpenRequest, SendPurpose, open_stream};
-use super::target::{
-    NoTarget, PathChoice, choose_allowed_target, choose_target, endpoints_to_repeat_at,
-};
+use super::target::{NoTarget, PathChoice, choose_target};
 use crate::crashes::{BrokenSend, check_abandoned_send};
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -65,8 +63,6 @@
     doubted_at: Option<Instant>,
     /// Whether the send to the present endpoint was taken back because its link seemed lost.
     is_uncounted: bool,
-    /// That endpoint, if the stream may have run there.
-    uncounted_run_at: Option<EndpointId>,
     /// The last refusal that was logged since the doubt.
     logged_refusal: Option<Refusal>,
     opening: Option<Task<Result<UpstreamReply, Failure>>>,
@@ -99,7 +95,6 @@
             loss: None,
             doubted_at: None,
             is_uncounted: false,
-            uncounted_run_at: None,
             logged_refusal: None,
             opening: None,
             accepted: None,
@@ -145,8 +140,6 @@
             // The endpoint may be used again, through another VM.
             self.present = None;
             self.is_uncounted = self.job.record_link_loss();
-            let has_run = self.is_uncounted && self.job.forget_run_at(&present.endpoint);
-            self.uncounted_run_at = has_run.then_some(present.endpoint);
         } else {
             self.present = Some(present.endpoint.clone());
             // If the request has crashed it, that is to be known before the request is sent again.
@@ -159,7 +152,7 @@
     pub(super) fn on_lost(&mut self, avoid: &[EndpointId]) {
         self.present = None;
         self.avoid_also(avoid);
-        self.failover.on_lost(Instant::now(), self.gateway.rng.next_f64());
+        self.failover.on_lost();
     }
 
     /// Counts the send to the present endpoint again: its link may have worked, or its end is
@@ -168,9 +161,6 @@
         if std::mem::take(&mut self.is_uncounted) {
             self.job.count_send();
         }
-        if let Some(endpoint) = self.uncounted_run_at.take() {
-            self.job.record_run_at(&endpoint);
-        }
     }
 
     fn end_doubt(&mut self) {
@@ -178,7 +168,6 @@
         self.loss = None;
         self.doubted_at = None;
         self.is_uncounted = false;
-        self.uncounted_run_at = None;
         self.logged_refusal = None;
         self.avoid.clear();
     }
@@ -280,7 +269,7 @@
         if gateway.hold_of(job).is_some() {
             return Err(Refusal::Quarantined);
         }
-        if !job.may_send_again(Instant::now()) && !self.may_repeat() {
+        if !job.may_send_again(Instant::now()) {
             return Err(Refusal::SendsUsedUp);
         }
         self.check_target()?;
@@ -290,19 +279,9 @@
         }
     }
 
-    /// Whether a stream that is lost may be sent again to an endpoint that it ran at, though to no
-    /// further one. One whose caller has no head yet can still be answered with a failure.
-    fn may_repeat(&self) -> bool {
-        self.failover.state() == AnswerState::Lost
-            && self.acceptance == Acceptance::Event
-            && self.job.has_time_to_send(Instant::now())
-            && !endpoints_to_repeat_at(&self.gateway, &self.job).is_empty()
-    }
-
     fn check_target(&self) -> Result<(), Refusal> {
         let path_choice = self.path_choice();
-        let chosen =
-            choose_allowed_target(&self.gateway, &self.job, path_choice, &self.avoid_all());
+        let chosen = choose_target(&self.gateway, &self.job, path_choice, &self.avoid_all());
         self.gateway.record_withheld(&self.job);
         let refusal = match chosen {
             Ok(_) => return Ok(()),
--- a/crates/sillbank_gateway/src/streams/open.rs
+++ b/crates/sillbank_gateway/src/streams/open.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{AttemptResult, ExchangeEnd, UpstreamReply, send_once};
 use super::continuation::{Acceptance, Continuation, Continuer};
-use super::target::{NoTarget, PathChoice, choose_allowed_target, choose_target, record_run};
+use super::target::{NoTarget, PathChoice, choose_target};
 use crate::answers::{RETRY_AFTER_NOT_READY, final_failure, with_min_retry_after};
 use crate::crashes::{BreakCause, BrokenSend, check_abandoned_send, check_broken_send};
 use crate::decisions::FailedSend;
@@ -90,7 +90,7 @@
         if let Some(hold) = gateway.hold_before_send(job) {
             return Err(gateway.held_failure(job, &hold));
         }
-        let target = choose_allowed_target(gateway, job, path_choice, &avoid);
+        let target = choose_target(gateway, job, path_choice, &avoid);
         let retry_after = gateway.record_withheld(job);
         let target = match target {
             Ok(target) => target,
@@ -151,14 +151,11 @@
                 }
             }
         }
-        gateway.await_crash_checks(job).await;
-        attempts.record_failure(job, failed.kind);
-        if failed.kind == SendFailureKind::MayHaveRun {
-            record_run(gateway, job, &failed.endpoint);
-        }
         if failed.kind != SendFailureKind::LinkLost {
             avoid.push(failed.at_fault.unwrap_or(failed.endpoint));
         }
+        gateway.await_crash_checks(job).await;
+        attempts.record_failure(job, failed.kind);
         let has_no_target = matches!(
             choose_target(gateway, job, path_choice, &avoid),
             Err(NoTarget::NoPath | NoTarget::NoRoom | NoTarget::Withheld)
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -21,7 +21,7 @@
 use sillbank_failover::prelude::*;
 use sillbank_net::prelude::*;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Bytes buffered for a slow caller above which reading from the endpoint stops.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -179,9 +179,6 @@
                 self.gateway.on_send_trouble(&upstream.endpoint, transit);
                 let send = upstream.broken_send();
                 let cause = check_broken_send(&self.gateway, &self.job, send.clone()).await;
-                if cause == BreakCause::Crash {
-                    self.job.forget_run_at(&send.endpoint);
-                }
                 if cause == BreakCause::Crash && !send.may_be_cause() {
                     self.job.record_innocent_crash();
                 }
@@ -189,9 +186,7 @@
             }
         };
         if is_link {
-            if self.job.record_link_loss() {
-                self.job.forget_run_at(&upstream.endpoint);
-            }
+            self.job.record_link_loss();
             return Vec::new();
         }
         vec![upstream.endpoint.clone()]
@@ -209,13 +204,9 @@
         let mut watch =
             SilenceWatch::new(&self.gateway, &self.job).with_check(upstream.check.take());
         // Another endpoint's first event was read before it was chosen.
-        let events = self.events;
         if let Err(reason) = self.relay_data(upstream, &[], Instant::now()).await {
             return SegmentEnd::Broken(Fault::Endpoint, reason);
         }
-        if self.events > events {
-            continuer.on_event(Duration::ZERO);
-        }
         loop {
             match self.next(upstream, &mut watch, continuer).await {
                 Next::Frame(frame) => {
--- a/crates/sillbank_gateway/src/streams/target.rs
+++ b/crates/sillbank_gateway/src/streams/target.rs
@@ -55,66 +55,6 @@
     }
 }
 
-/// Records that a stream's request, whose send counts, may have run at an endpoint.
-pub(super) fn record_run<W: Wire, S: MetadataStore>(
-    gateway: &Gateway<W, S>,
-    job: &Job,
-    endpoint: &str,
-) {
-    match gateway.has_ended_since(endpoint, job.received_at) {
-        true => drop(job.forget_run_at(endpoint)),
-        false => job.record_run_at(endpoint),
-    }
-}
-
-/// Endpoints that may be sent a stream's request again although the route allows no further one: it may
-/// have run there, and they are not known to have ended since.
-pub(super) fn endpoints_to_repeat_at<W: Wire, S: MetadataStore>(
-    gateway: &Gateway<W, S>,
-    job: &Job,
-) -> Vec<EndpointId> {
-    let mut run_at = job.run_at.borrow().clone();
-    run_at.retain(|endpoint| {
-        let is_listed = gateway.platform.endpoints(|directory| directory.get(endpoint).is_some());
-        is_listed && !gateway.has_ended_since(endpoint, job.received_at)
-    });
-    run_at
-}
-
-/// Chooses the target of a request within the route's limit of endpoints.
-pub(super) fn choose_allowed_target<W: Wire, S: MetadataStore>(
-    gateway: &Gateway<W, S>,
-    job: &Job,
-    path_choice: PathChoice,
-    avoid: &[EndpointId],
-) -> Result<Target, NoTarget> {
-    if job.may_send_again(Instant::now()) {
-        return choose_target(gateway, job, path_choice, avoid);
-    }
-    let mut to_repeat_at = endpoints_to_repeat_at(gateway, job);
-    to_repeat_at.retain(|endpoint| !gateway.may_have_crashed(job, endpoint));
-    let mut others = possible_first_endpoints(gateway, job);
-    others.retain(|endpoint| !to_repeat_at.contains(endpoint));
-    others.extend_from_slice(avoid);
-    choose_target(gateway, job, path_choice, &others)
-}
-
-fn possible_first_endpoints<W: Wire, S: MetadataStore>(
-    gateway: &Gateway<W, S>,
-    job: &Job,
-) -> Vec<EndpointId> {
-    match &job.service.engine {
-        Some(figures) => {
-            let local_hall = gateway.settings().hall.clone();
-            let request = path_request(job, figures, &local_hall, &[]);
-            first_engines(gateway.routing_context(Instant::now()), request)
-        }
-        None => gateway.platform.endpoints(|directory| {
-            directory.usable_of(&job.service.name).map(|record| record.id.clone()).collect()
-        }),
-    }
-}
-
 /// Chooses the target of a request.
 pub(super) fn choose_target<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
