Endpoints: bytes that are no answer and come without end are cut off soon

Callers waited for their whole time, or got what was no event: interim replies without end (9.1 s of 9), chunk sizes that do not end (9.2 s), and in streams blocks that are no events, comments and events without a number (passed on until the deadline, 9.0 s).

Cause: the client bounds heads and bodies, but not what is neither: interim replies, chunk sizes and trailers have no limit of their own. And a stream's relay passed on whatever ended with an empty line.

Now a connection counts the bytes of a reply since its head or the last part of its body and fails after 256 KiB, so that the send counts as lost and is tried elsewhere where the route allows that. A block without a field of an event breaks a stream, as do data without a number in a numbered stream that may be resumed, and 64 KiB without a number.

--- a/crates/sillbank_gateway/src/calls/mod.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -206,7 +206,7 @@
     reply: Response<Incoming>,
     connection: PooledConnection,
 ) -> Result<BufferedReply, TryOutcome> {
-    let whole = buffer_reply(reply, MAX_ANSWER_BYTES, &gateway.memory_budget).await;
+    let whole = buffer_reply(reply, &connection, MAX_ANSWER_BYTES, &gateway.memory_budget).await;
     let whole = whole.map_err(|reason| match connection.hop_is_lost() {
         true => TryOutcome::LinkLost(reason),
         false => TryOutcome::Lost(reason),
--- a/crates/sillbank_gateway/src/events.rs
+++ b/crates/sillbank_gateway/src/events.rs
@@ -87,6 +87,27 @@
     }
 }
 
+/// Names of the fields of an event, with which its lines begin; a line that begins with a colon is a comment.
+const FIELDS: [&[u8]; 5] = [b"data", b"id", b"event", b"retry", b":"];
+
+impl SseEvent {
+    fn lines(&self) -> impl Iterator<Item = &[u8]> {
+        let lines = self.bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.filter(|line| !line.is_empty())
+    }
+
+    /// Whether it has data.
+    pub fn has_data(&self) -> bool {
+        self.lines().any(|line| line.starts_with(b"data"))
+    }
+
+    /// Whether it has a field of an event or a comment, or is an empty block.
+    pub fn is_event(&self) -> bool {
+        let is_field = |line: &[u8]| FIELDS.iter().any(|field| line.starts_with(field));
+        self.lines().next().is_none() || self.lines().any(is_field)
+    }
+}
+
 const END_LF: &[u8] = b"\n\n";
 const END_CRLF: &[u8] = b"\r\n\r\n";
 
--- a/crates/sillbank_gateway/src/restarts.rs
+++ b/crates/sillbank_gateway/src/restarts.rs
@@ -51,6 +51,7 @@
     /// Returns a connection to the pool after a whole answer, unless the endpoint has restarted
     /// since it was opened.
     pub fn keep_connection(&self, endpoint: &str, connection: PooledConnection, reply: &HeaderMap) {
+        connection.inner.bounds.end_reply();
         if !self.endpoint_tracker.restarted_since(endpoint, connection.opened_at) {
             self.connection_pool.put_back(endpoint, connection, reply, Instant::now());
         }
--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -130,6 +130,7 @@
     let sent_at = Instant::now();
     let request = job.request_for::<W>(to.endpoint, to.path, resume_after, sent_at);
     job.update_run(RunLog::record_sent);
+    connection.inner.bounds.start_reply();
     let reply = match connection.inner.sender.try_send_request(request).await {
         Ok(reply) => reply,
         Err(mut error) => {
@@ -144,6 +145,7 @@
             };
         }
     };
+    connection.inner.bounds.on_progress();
     gateway.on_direct_reply(to.endpoint, &connection);
     let position = match connection.reused {
         true => ReplyPosition::AfterOthers,
@@ -221,12 +223,13 @@
     pub memory: MemoryReservation,
 }
 
-/// Reads a complete reply of up to `limit_bytes`.
+/// Reads a complete reply of up to `limit_bytes` from its connection.
 ///
 /// # Errors
 /// The reason why the reply could not be read completely.
 pub async fn buffer_reply(
     reply: Response<Incoming>,
+    connection: &PooledConnection,
     limit_bytes: usize,
     memory_budget: &MemoryBudget,
 ) -> Result<BufferedReply, String> {
@@ -238,6 +241,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| format!("the answer broke off: {error}"))?;
         let Ok(data) = frame.into_data() else { continue };
+        connection.inner.bounds.on_progress();
         while !memory.try_grow(data.len()) {
             // Nothing is read from the endpoint meanwhile.
             smol::Timer::after(MEMORY_POLL_INTERVAL).await;
--- a/crates/sillbank_gateway/src/streams/attempt.rs
+++ b/crates/sillbank_gateway/src/streams/attempt.rs
@@ -278,7 +278,8 @@
                 let reason = format!("the endpoint failed with status {}", status.as_u16());
                 return failed(None, SendFailureKind::MayHaveRun, reason);
             }
-            match buffer_reply(reply, MAX_FAILURE_BYTES, &gateway.memory_budget).await {
+            match buffer_reply(reply, &connection, MAX_FAILURE_BYTES, &gateway.memory_budget).await
+            {
                 Ok(buffered) => {
                     gateway.keep_connection(&endpoint, connection, &buffered.head);
                     AttemptResult::Replied(UpstreamReply::Failure(buffered.reply))
--- a/crates/sillbank_gateway/src/streams/continuation.rs
+++ b/crates/sillbank_gateway/src/streams/continuation.rs
@@ -392,6 +392,7 @@
             None => return Ok(()),
             Some(Err(error)) => return failed(format!("its stream broke: {error}")),
             Some(Ok(frame)) => {
+                upstream.connection.inner.bounds.on_progress();
                 let data = frame.data_ref().map_or(&[][..], |data| data);
                 if let Err(error) = upstream.splitter.push(data) {
                     return failed(error.to_string());
--- a/crates/sillbank_gateway/src/streams/mod.rs
+++ b/crates/sillbank_gateway/src/streams/mod.rs
@@ -58,6 +58,7 @@
                 partial_event_memory: None,
                 last_number: job.head.resume_after,
                 events: 0,
+                unnumbered_bytes: 0,
             };
             gateway.executor.spawn(relay.run(*upstream, guard)).detach();
             strip_reply_headers(reply)
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -8,7 +8,7 @@
 use super::watch::{Finding, SilenceWatch};
 use crate::crashes::{BreakCause, check_broken_send, crashed_at_close};
 use crate::decisions::{FailedSend, Outcome};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, SseEvent};
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::sending::{MEMORY_POLL_INTERVAL, ends_with_connection};
@@ -27,6 +27,9 @@
 /// Bytes buffered for a slow caller above which reading from the endpoint stops.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// Bytes of events without a number, such as comments, between two events of a stream whose events are numbered.
+const MAX_UNNUMBERED_BYTES: usize = 64 << 10;
+
 /// Relays events from endpoints to one caller.
 pub(super) struct StreamRelay<W: Wire, S: MetadataStore> {
     pub(super) gateway: Rc<Gateway<W, S>>,
@@ -39,6 +42,8 @@
     /// Number of the last event that was sent to the caller.
     pub(super) last_number: Option<EventNumber>,
     pub(super) events: u64,
+    /// Bytes of events since the last one with a number.
+    pub(super) unnumbered_bytes: usize,
 }
 
 /// How the part of a stream that one endpoint sent ended.
@@ -303,8 +308,9 @@
             }
             Some(Err(error)) => broken(format!("the stream broke: {error}")),
             Some(Ok(frame)) => {
-                upstream.last_data_at = Some(now);
                 let data = frame.data_ref()?;
+                upstream.last_data_at = Some(now);
+                upstream.connection.inner.bounds.on_progress();
                 self.relay_data(upstream, data, now).await.err().and_then(broken)
             }
         }
@@ -344,6 +350,7 @@
                     return Err(format!("event {number} came after event {last_number}"));
                 }
             }
+            self.check_event(&event)?;
             self.last_number = event.number.or(self.last_number);
             self.events += 1;
             self.job.delivery.on_event(self.job.received_at, Instant::now());
@@ -356,6 +363,29 @@
         Ok(())
     }
 
+    /// Checks what an endpoint sends between two numbered events, which other blocks may not fill without end.
+    ///
+    /// # Errors
+    /// Why the block is not passed on.
+    fn check_event(&mut self, event: &SseEvent) -> Result<(), String> {
+        if !event.is_event() {
+            return Err(format!("a block of {} bytes is no event", event.bytes.len()));
+        }
+        // The rest of such a stream could not be told from what its caller has.
+        let is_numbered = self.last_number.is_some() && self.job.is_idempotent();
+        if is_numbered && event.number.is_none() && event.has_data() {
+            return Err("an event without a number came in a numbered stream".to_owned());
+        }
+        self.unnumbered_bytes = match event.number {
+            Some(_) => 0,
+            None => self.unnumbered_bytes + event.bytes.len(),
+        };
+        if self.last_number.is_some() && self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
+            return Err(format!("{} bytes came without a number", self.unnumbered_bytes));
+        }
+        Ok(())
+    }
+
     /// Charges the bytes of an incomplete event to the VM's memory budget. Returns whether it has
     /// room for them.
     fn try_reserve_partial_event(&mut self, bytes: usize) -> bool {
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::body::ReplyBody;
 use crate::liveness::{VM_SILENCE, enable_keepalive};
+use crate::reply_bounds::{Bounded, ReplyBounds};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
@@ -189,6 +190,8 @@
 pub struct Connection {
     /// Sender of requests.
     pub sender: SendRequest<ReplyBody>,
+    /// Bounds of the replies; off until a reply is started.
+    pub bounds: ReplyBounds,
     /// Task that drives the connection.
     driver: Task<()>,
 }
@@ -227,9 +230,10 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
+        let bounds = ReplyBounds::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BYTES)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(Bounded::new(stream, bounds.clone())))
             .await
             .map_err(std::io::Error::other)?;
         let drive = async move {
@@ -237,7 +241,7 @@
                 tracing::debug!("net: A connection to {address} ended: {error}.");
             }
         };
-        Ok(Self { sender, driver: executor.spawn(drive) })
+        Ok(Self { sender, bounds, driver: executor.spawn(drive) })
     }
 }
 
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod memory_budget;
 pub mod metered;
 mod phase_timer;
+pub mod reply_bounds;
 pub mod running_timer;
 pub mod serve;
 pub mod signals;
@@ -30,6 +31,7 @@
     pub use crate::body::{BodyAborted, Outbox, ReplyBody, json_reply, text_reply};
     pub use crate::client::{CallError, CallReply, Connection, HttpClient};
     pub use crate::memory_budget::{MemoryBudget, MemoryReservation};
+    pub use crate::reply_bounds::ReplyBounds;
     pub use crate::serve::{ConnectionNumber, Handler, ServerLimits, serve, serve_until};
     pub use crate::signals::Signals;
     pub use crate::stop::{StopToken, Stopper};
