Planned stop: streams of unknown time are refused at once

Where few other VMs serve, nothing known counted as 'likely to end in time', so that all of them were taken, for 2.9 s.

Now such a stream is refused at once. The pace of the streams that run at the VM stands in for a forecast, and the times of earlier answers for the length of a stream whose caller gives no token counts, so that few are unknown.

The test that demanded that an unknown stream is taken demands now that it is refused, wherever others are.

--- a/crates/sillbank_drain/src/demand.rs
+++ b/crates/sillbank_drain/src/demand.rs
@@ -86,7 +86,8 @@
 }
 
 impl Demand {
-    /// Time that is enough for such an answer; `None` if nothing is known of it.
+    /// Time that is enough for such an answer; `None` if nothing is known of it, neither from a forecast nor from earlier
+    /// answers.
     pub fn time_for(self, certainty: Certainty, experience: &Experience) -> Option<Duration> {
         match self {
             Self::Call { objective } => Some(objective.saturating_mul(certainty.call_objectives())),
@@ -94,7 +95,9 @@
                 let events = events_for(certainty, expected_events, max_events, experience);
                 pace_for(certainty, pace, experience).map(|pace| stream_time(pace, events))
             }
-            Self::Unbounded => None,
+            Self::Unbounded => {
+                experience.total_s.quantile(certainty.share()).map(Duration::from_secs_f64)
+            }
         }
     }
 }
--- a/crates/sillbank_drain/src/experience.rs
+++ b/crates/sillbank_drain/src/experience.rs
@@ -45,6 +45,8 @@
     pub first_event: Duration,
     /// Mean time between its events; `None` if it had one event.
     pub event_interval: Option<Duration>,
+    /// Time from the request to its end.
+    pub total: Duration,
     /// Number of its events.
     pub events: u64,
     /// Number of events that its caller expected, if it said so.
@@ -58,6 +60,8 @@
 pub struct Experience {
     /// Times to the first event, in seconds.
     pub first_event_s: RecentValues,
+    /// Times from the request to the end of the answer, in seconds.
+    pub total_s: RecentValues,
     /// Mean times between events, in seconds.
     pub interval_s: RecentValues,
     /// Numbers of events, as multiples of those that callers expected.
@@ -70,6 +74,7 @@
     /// Records an answer.
     pub fn record(&mut self, answer: &Answer) {
         self.first_event_s.record(answer.first_event.as_secs_f64());
+        self.total_s.record(answer.total.as_secs_f64());
         if let Some(expected) = answer.expected_events {
             self.events_ratio.record(answer.events as f64 / f64::from(expected));
         }
--- a/crates/sillbank_drain/src/plan.rs
+++ b/crates/sillbank_drain/src/plan.rs
@@ -105,7 +105,7 @@
     ///
     /// One that is cut costs its caller all the time that it ran, one that is refused a round trip if another VM takes it.
     /// Where the caller is likely to come back to this VM and to be refused for good, an answer is tried that may well end
-    /// in time.
+    /// in time. One of which nothing is known is refused: how likely it is to be cut is not known either.
     pub fn admit(
         &self,
         demand: Demand,
@@ -119,13 +119,8 @@
             Others::Few | Others::Suffice => Certainty::NearlySure,
         };
         let time = demand.time_for(certainty, experience);
-        let is_taken = match time {
-            Some(time) => {
-                let ends_at = now.checked_add(time.min(time_left));
-                ends_at.is_some_and(|ends_at| ends_at <= self.replies_at())
-            }
-            None => certainty == Certainty::Likely,
-        };
+        let ends_at = time.and_then(|time| now.checked_add(time.min(time_left)));
+        let is_taken = ends_at.is_some_and(|ends_at| ends_at <= self.replies_at());
         Admission { is_taken, certainty, time, others }
     }
 
--- a/crates/sillbank_drain/tests/plan.rs
+++ b/crates/sillbank_drain/tests/plan.rs
@@ -24,6 +24,7 @@
         experience.record(&Answer {
             first_event: ms(100),
             event_interval: Some(ms(40)),
+            total: ms(40).mul_f64(100.0 * ratio(number)),
             events: (100.0 * ratio(number)) as u64,
             expected_events: Some(100),
             expected_interval: Some(ms(40)),
@@ -65,12 +66,32 @@
 #[test]
 fn without_experience_the_caller_and_the_limit_of_the_request_are_believed() {
     let none = Experience::default();
-    let unknown = Demand::Stream { pace: None, expected_events: Some(10), max_events: 200 };
 
     assert!(admits(stream(10, 100), &none, Others::Suffice, 0));
     assert!(!admits(stream(10, 200), &none, Others::Suffice, 0));
     assert!(admits(stream(10, 200), &none, Others::Few, 0));
-    assert!(!admits(unknown, &none, Others::Suffice, 0) && admits(unknown, &none, Others::Few, 0));
+}
+
+/// Guards against taking whatever comes where few other VMs serve and nothing is known of its time: the exit cut it.
+#[test]
+fn a_stream_of_unknown_time_is_refused_wherever_others_are() {
+    let none = Experience::default();
+    let unknown = Demand::Stream { pace: None, expected_events: Some(10), max_events: 200 };
+
+    for others in [Others::Few, Others::Suffice] {
+        for demand in [unknown, Demand::Unbounded] {
+            assert!(!admits(demand, &none, others, 0), "{demand:?} {others:?}");
+        }
+    }
+}
+
+/// Guards against refusing all streams without token counts, also those that earlier answers show to be short.
+#[test]
+fn a_stream_of_unknown_length_is_judged_by_the_times_of_earlier_answers() {
+    let as_expected = experience(|_| 1.0);
+
+    assert!(admits(Demand::Unbounded, &as_expected, Others::Suffice, 1_000));
+    assert!(!admits(Demand::Unbounded, &as_expected, Others::Suffice, 4_000));
 }
 
 /// Guards against streams without a forecast of their path that are taken for endless.
--- a/crates/sillbank_gateway/src/drain.rs
+++ b/crates/sillbank_gateway/src/drain.rs
@@ -93,7 +93,7 @@
 
     /// Learns from a stream that was answered whole.
     pub fn record_drain_experience(&self, job: &Job) {
-        let (Some(figures), Some(first_event)) = (&job.service.engine, job.delivery.first()) else {
+        let Some(first_event) = job.delivery.first() else {
             return;
         };
         if job.head.resume_after.is_some() {
@@ -105,8 +105,9 @@
         by_service.entry(job.service.name.clone()).or_default().record(&Answer {
             first_event,
             event_interval: job.delivery.mean_interval(),
+            total: job.received_at.elapsed(),
             events: job.delivery.events(),
-            expected_events: expected_events(job, figures),
+            expected_events: job.service.engine.as_ref().and_then(|f| expected_events(job, f)),
             expected_interval: forecast.map(|forecast| forecast.uncorrected.event_interval),
         });
     }
@@ -124,11 +125,12 @@
         let request = path_request(job, figures, &settings.hall, &[]);
         let forecast = choose_fastest_path(context, request)
             .and_then(|path| self.forecasts.predict(context, request, &path));
+        let pace = forecast.map(|forecast| StreamPace {
+            first_event: forecast.corrected.first_event,
+            event_interval: forecast.uncorrected.event_interval,
+        });
         Demand::Stream {
-            pace: forecast.map(|forecast| StreamPace {
-                first_event: forecast.corrected.first_event,
-                event_interval: forecast.uncorrected.event_interval,
-            }),
+            pace: pace.or_else(|| self.running_streams.pace(&job.service.name)),
             expected_events: expected_events(job, figures).map(|events| left_of(job, events)),
             max_events: left_of(job, events_of(figures, tokens.max_output)),
         }
--- a/crates/sillbank_gateway/src/streams/running.rs
+++ b/crates/sillbank_gateway/src/streams/running.rs
@@ -8,7 +8,10 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Number of events from which the mean time between them counts as the pace of a stream.
+const MIN_PACE_EVENTS: u64 = 8;
 
 /// What the endpoint of a stream was last known to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,6 +104,22 @@
         RunningStream { registry: self.clone(), number, entry }
     }
 
+    /// Pace of the streams of a service that run now: the mean time between their events, and the longest time to their first
+    /// event; `None` if none has enough events. It stands in for a forecast where no engine reports its load.
+    pub fn pace(&self, service: &str) -> Option<StreamPace> {
+        let streams = self.streams.borrow();
+        let deliveries = streams.values().map(|entry| &entry.job).filter_map(|job| {
+            let has_pace = job.service.name == service && job.delivery.events() >= MIN_PACE_EVENTS;
+            has_pace.then_some(&job.delivery)
+        });
+        let known: Vec<_> =
+            deliveries.filter_map(|d| Some((d.first()?, d.mean_interval()?))).collect();
+        let count = u32::try_from(known.len()).ok().filter(|count| *count > 0)?;
+        let first_event = known.iter().map(|(first_event, _)| *first_event).max()?;
+        let intervals: Duration = known.iter().map(|(_, interval)| *interval).sum();
+        Some(StreamPace { first_event, event_interval: intervals / count })
+    }
+
     /// Logs each stream that the exit of this process cuts.
     pub fn log_cut(&self, decisions: &DecisionLog, plan: &DrainPlan, now: Instant) {
         for entry in self.streams.borrow().values() {
