Unframed answers: an endpoint that nobody reaches counts as ended

Cause: such an answer counted as whole unless a check proved a crash. A VM that is asked to confirm it vouches only while it reaches another endpoint of the hall; as all had crashed, the check was not conclusive, and that decided for 'whole'.

Now the answer is whole only if the endpoint still accepts connections; where it refuses, or nobody reaches it, the answer counts as broken, is continued elsewhere or ends as aborted.

--- a/crates/sillbank_gateway/src/calls/attempt.rs
+++ b/crates/sillbank_gateway/src/calls/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a call to one endpoint and reads its answer.
 
 use super::{Choice, TryOutcome, whole_answer};
-use crate::crashes::{BrokenSend, crashed_at_close};
+use crate::crashes::{BrokenSend, may_have_ended_at_close};
 use crate::endpoints::{Evidence, InFlightGuard, RequestPart};
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -123,15 +123,15 @@
         }
     }
 
-    /// An answer that only the end of the connection ends is whole unless the endpoint crashed.
+    /// An answer that only the end of the connection ends is whole if the endpoint goes on.
     async fn confirm(&self, outcome: TryOutcome) -> TryOutcome {
         let (TryOutcome::Success(whole) | TryOutcome::Failed(whole)) = &outcome else {
             return outcome;
         };
         if ends_with_connection(&whole.head)
-            && crashed_at_close(&self.gateway, &self.broken_send()).await
+            && may_have_ended_at_close(&self.gateway, &self.broken_send()).await
         {
-            let reason = "the endpoint crashed when it closed the connection".to_owned();
+            let reason = "the endpoint may have ended when it closed the connection".to_owned();
             return TryOutcome::Lost(reason);
         }
         outcome
--- a/crates/sillbank_gateway/src/calls/mod.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -127,12 +127,15 @@
             TryOutcome::Lost(reason) => {
                 match check_broken_send(gateway, job, attempt.broken_send()).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
-                    BreakCause::Unknown if attempt.has_confirmed_link_loss().await => {
+                    BreakCause::Unknown | BreakCause::Unreached
+                        if attempt.has_confirmed_link_loss().await =>
+                    {
                         (SendFailureKind::LinkLost, reason)
                     }
-                    BreakCause::Crash | BreakCause::Connection | BreakCause::Unknown => {
-                        (SendFailureKind::MayHaveRun, reason)
-                    }
+                    BreakCause::Crash
+                    | BreakCause::Connection
+                    | BreakCause::Unknown
+                    | BreakCause::Unreached => (SendFailureKind::MayHaveRun, reason),
                 }
             }
         };
--- a/crates/sillbank_gateway/src/crashes/cause.rs
+++ b/crates/sillbank_gateway/src/crashes/cause.rs
@@ -25,6 +25,8 @@
     Connection,
     /// Not known: the endpoint accepts connections, or is leaving.
     Unknown,
+    /// Not known: it is not reached directly, and no other VM reaches it or tells that it refuses.
+    Unreached,
 }
 
 /// How thoroughly an endpoint is checked.
@@ -57,7 +59,7 @@
             // No other VM is known, so what this one sees has to do.
             Err(RelayError::NoVm) if is_direct => BreakCause::Crash,
             Err(_) if is_direct => BreakCause::Link,
-            Err(_) => BreakCause::Unknown,
+            Err(_) => BreakCause::Unreached,
         }
     }
 }
--- a/crates/sillbank_gateway/src/crashes/mod.rs
+++ b/crates/sillbank_gateway/src/crashes/mod.rs
@@ -110,14 +110,20 @@
     executor.spawn(check).detach();
 }
 
-/// Whether an endpoint has crashed that closed the connection of an answer which only the close ends. A crash closes a
-/// connection just as the end of such an answer does.
-pub async fn crashed_at_close<W: Wire, S: MetadataStore>(
+/// Whether an endpoint may have ended when it closed the connection of an answer which only the close ends. A process that
+/// ends closes a connection just as the end of such an answer does. So the answer is whole only if the endpoint still
+/// accepts connections.
+pub async fn may_have_ended_at_close<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     send: &BrokenSend,
 ) -> bool {
-    may_crash(gateway, send)
-        && cause_of(gateway, send, Depth::Connect, send.broke_at).await == BreakCause::Crash
+    if !may_crash(gateway, send) {
+        return false;
+    }
+    match cause_of(gateway, send, Depth::Connect, send.broke_at).await {
+        BreakCause::Crash | BreakCause::Link | BreakCause::Unreached => true,
+        BreakCause::Connection | BreakCause::Unknown => false,
+    }
 }
 
 /// Whether an end of the endpoint would be a crash: one that is leaving may end as planned.
--- a/crates/sillbank_gateway/src/streams/relay.rs
+++ b/crates/sillbank_gateway/src/streams/relay.rs
@@ -6,7 +6,7 @@
 use super::continuation::{Acceptance, Continuation, Continuer};
 use super::running::{EndpointState, RunningStream};
 use super::watch::{Finding, SilenceWatch};
-use crate::crashes::{BreakCause, check_broken_send, crashed_at_close};
+use crate::crashes::{BreakCause, check_broken_send, may_have_ended_at_close};
 use crate::decisions::{FailedSend, Outcome};
 use crate::events::{EventSplitter, SseEvent};
 use crate::gateway::Gateway;
@@ -298,8 +298,8 @@
                 broken("the stream ended within an event".to_owned())
             }
             None if !ends_with_connection(&upstream.head) => Some(SegmentEnd::Complete),
-            None if crashed_at_close(&self.gateway, &upstream.broken_send()).await => {
-                broken("the endpoint crashed when it closed the connection".to_owned())
+            None if may_have_ended_at_close(&self.gateway, &upstream.broken_send()).await => {
+                broken("the endpoint may have ended when it closed the connection".to_owned())
             }
             None => Some(SegmentEnd::Closed),
             Some(Err(error)) if upstream.connection.hop_is_lost() => {
