Unframed answers: a leaving endpoint that ends within them cuts them

Cause: an endpoint that is not listed as ready was never checked when it closed the connection of such an answer, as its end is planned and no crash. Planned or not, it cuts the answer.

Now the check is made for each endpoint. One that has finished an answer and goes on accepts connections, so that its answers stay whole.

unframed_streams_of_a_leaving_endpoint_that_ends: '200 whole, events 1 to 54' of 200 before, '200 broken off, events 1 to 55' now (no other endpoint takes it).

--- a/crates/sillbank_gateway/src/crashes/mod.rs
+++ b/crates/sillbank_gateway/src/crashes/mod.rs
@@ -111,15 +111,12 @@
 }
 
 /// Whether an endpoint may have ended when it closed the connection of an answer which only the close ends. A process that
-/// ends closes a connection just as the end of such an answer does. So the answer is whole only if the endpoint still
-/// accepts connections.
+/// ends closes a connection just as the end of such an answer does, also one that is leaving and ends as planned. So the
+/// answer is whole only if the endpoint still accepts connections.
 pub async fn may_have_ended_at_close<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     send: &BrokenSend,
 ) -> bool {
-    if !may_crash(gateway, send) {
-        return false;
-    }
     match cause_of(gateway, send, Depth::Connect, send.broke_at).await {
         BreakCause::Crash | BreakCause::Link | BreakCause::Unreached => true,
         BreakCause::Connection | BreakCause::Unknown => false,
