Planned stop: the rest of a resumed stream is forecast from its whole length

Cause: the events that the caller of a resumed stream had were taken off the expected number before that was multiplied by the ratio of actual to expected lengths. A stream that was already longer than expected, as those that a stop cuts are, was forecast to have one event left, and taken as nearly sure to end in time.

Now the length is forecast as a whole, from those earlier answers alone that were longer than what the caller has; if too few were, what the request allows counts.

the_rest_of_a_stream_that_outlasts_its_expected_length_may_be_long fails with the earlier rule.

--- a/crates/sillbank_drain/src/demand.rs
+++ b/crates/sillbank_drain/src/demand.rs
@@ -80,6 +80,8 @@
         expected_events: Option<u32>,
         /// The most events that the request allows.
         max_events: u32,
+        /// Number of events that the caller has already, if the stream is resumed.
+        received_events: u32,
     },
     /// A stream whose length is not known.
     Unbounded,
@@ -91,8 +93,13 @@
     pub fn time_for(self, certainty: Certainty, experience: &Experience) -> Option<Duration> {
         match self {
             Self::Call { objective } => Some(objective.saturating_mul(certainty.call_objectives())),
-            Self::Stream { pace, expected_events, max_events } => {
-                let events = events_for(certainty, expected_events, max_events, experience);
+            Self::Stream { pace, expected_events, max_events, received_events } => {
+                let rest = max_events.saturating_sub(received_events).max(1);
+                let expected = expected_events.and_then(|expected| {
+                    rest_for(certainty, f64::from(expected), f64::from(received_events), experience)
+                });
+                let rest = f64::from(rest);
+                let events = expected.map_or(rest, |events| events.clamp(1.0, rest));
                 pace_for(certainty, pace, experience).map(|pace| stream_time(pace, events))
             }
             Self::Unbounded => {
@@ -127,19 +134,23 @@
     })
 }
 
-/// Number of events that streams hardly exceed, or not more often than not.
-fn events_for(
+/// Number of further events that a stream does not exceed with this certainty. The more of it the caller has, the longer it
+/// is: only earlier answers that were longer than that tell how it goes on. `None` if too few are known.
+fn rest_for(
     certainty: Certainty,
-    expected_events: Option<u32>,
-    max_events: u32,
+    expected_events: f64,
+    received_events: f64,
     experience: &Experience,
-) -> f64 {
-    let max_events = f64::from(max_events.max(1));
-    let ratio = experience.events_ratio.quantile(certainty.share());
-    let ratio = ratio.or_else(|| certainty.default_events_ratio());
-    expected_events
-        .zip(ratio)
-        .map_or(max_events, |(events, ratio)| (f64::from(events) * ratio).clamp(1.0, max_events))
+) -> Option<f64> {
+    let received_ratio = received_events / expected_events.max(1.0);
+    let ratios = &experience.events_ratio;
+    let ratio = match ratios.quantile_above(received_ratio, certainty.share()) {
+        Some(ratio) => ratio,
+        None if ratios.is_known() => return None,
+        None => certainty.default_events_ratio()?,
+    };
+    let rest = expected_events * ratio - received_events;
+    (rest >= 1.0).then_some(rest)
 }
 
 fn stream_time(pace: StreamPace, events: f64) -> Duration {
--- a/crates/sillbank_drain/src/experience.rs
+++ b/crates/sillbank_drain/src/experience.rs
@@ -7,6 +7,8 @@
 const REMEMBERED: usize = 256;
 /// Number of values below which nothing is concluded from them.
 const MIN_REMEMBERED: usize = 32;
+/// Number of values above a bound below which nothing is concluded from them.
+const MIN_GREATER: usize = 8;
 
 /// Last values of a quantity, and their quantiles.
 #[derive(Debug, Clone, Default)]
@@ -26,16 +28,28 @@
         self.values.push_back(value);
     }
 
-    /// The smallest value that at least the given share of the values does not exceed; `None` while too few are known.
-    pub fn quantile(&self, share: f64) -> Option<f64> {
-        if self.values.len() < MIN_REMEMBERED {
+    /// Whether enough values are known to conclude from them.
+    pub fn is_known(&self) -> bool {
+        self.values.len() >= MIN_REMEMBERED
+    }
+
+    /// The smallest value that at least the given share of those values does not exceed that are greater than `floor`; `None`
+    /// while too few are known, or too few are greater.
+    pub fn quantile_above(&self, floor: f64, share: f64) -> Option<f64> {
+        let mut sorted: Vec<f64> =
+            self.values.iter().copied().filter(|value| *value > floor).collect();
+        if !self.is_known() || sorted.len() < MIN_GREATER {
             return None;
         }
-        let mut sorted: Vec<f64> = self.values.iter().copied().collect();
         sorted.sort_by(f64::total_cmp);
         let rank = (share.clamp(0.0, 1.0) * sorted.len() as f64).ceil() as usize;
         sorted.get(rank.saturating_sub(1)).copied()
     }
+
+    /// The smallest value that at least the given share of the values does not exceed; `None` while too few are known.
+    pub fn quantile(&self, share: f64) -> Option<f64> {
+        self.quantile_above(0.0, share)
+    }
 }
 
 /// An answer that is whole, and what was expected of it.
--- a/crates/sillbank_drain/tests/plan.rs
+++ b/crates/sillbank_drain/tests/plan.rs
@@ -14,7 +14,19 @@
 /// A stream with an event each 40 ms.
 fn stream(expected_events: u32, max_events: u32) -> Demand {
     let pace = StreamPace { first_event: ms(100), event_interval: ms(40) };
-    Demand::Stream { pace: Some(pace), expected_events: Some(expected_events), max_events }
+    Demand::Stream {
+        pace: Some(pace),
+        expected_events: Some(expected_events),
+        max_events,
+        received_events: 0,
+    }
+}
+
+/// The rest of such a stream, whose caller has `received_events` of its events.
+fn rest_of_stream(expected_events: u32, max_events: u32, received_events: u32) -> Demand {
+    let pace = StreamPace { first_event: ms(100), event_interval: ms(40) };
+    let expected_events = Some(expected_events);
+    Demand::Stream { pace: Some(pace), expected_events, max_events, received_events }
 }
 
 /// Experience of answers that had `ratio` times the events that their callers expected, at the forecast pace.
@@ -33,6 +45,10 @@
     experience
 }
 
+fn as_expected() -> Experience {
+    experience(|_| 1.0)
+}
+
 fn admits(demand: Demand, experience: &Experience, others: Others, after_ms: u64) -> bool {
     let signalled_at = Instant::now();
     let plan = DrainPlan::new(signalled_at, GRACE);
@@ -62,6 +78,24 @@
     assert!(!admits(stream(100, 200), &some_longer, Others::Few, 3_000));
 }
 
+/// Guards against taking a stream that is already longer than its caller expected for one that is about to end. Such a
+/// stream was taken until shortly before the exit, and cut.
+#[test]
+fn the_rest_of_a_stream_that_outlasts_its_expected_length_may_be_long() {
+    let some_longer = experience(|number| if number % 20 < 3 { 3.0 } else { 1.0 });
+
+    for others in [Others::Few, Others::Suffice] {
+        // All that were longer than 60 events had 150.
+        assert!(!admits(rest_of_stream(50, 200, 60), &some_longer, others, 7_000), "{others:?}");
+        assert!(admits(rest_of_stream(50, 200, 60), &some_longer, others, 2_000), "{others:?}");
+        // None was longer than 100: what the request allows counts.
+        assert!(!admits(rest_of_stream(20, 200, 100), &some_longer, others, 5_000), "{others:?}");
+        assert!(admits(rest_of_stream(20, 200, 195), &some_longer, others, 7_000), "{others:?}");
+        // It is as long as expected, and most end there.
+        assert!(admits(rest_of_stream(60, 200, 40), &as_expected(), others, 6_000), "{others:?}");
+    }
+}
+
 /// Guards against a VM that has just started and refuses nearly all streams when it is stopped again.
 #[test]
 fn without_experience_the_caller_and_the_limit_of_the_request_are_believed() {
@@ -76,7 +110,12 @@
 #[test]
 fn a_stream_of_unknown_time_is_refused_wherever_others_are() {
     let none = Experience::default();
-    let unknown = Demand::Stream { pace: None, expected_events: Some(10), max_events: 200 };
+    let unknown = Demand::Stream {
+        pace: None,
+        expected_events: Some(10),
+        max_events: 200,
+        received_events: 0,
+    };
 
     for others in [Others::Few, Others::Suffice] {
         for demand in [unknown, Demand::Unbounded] {
@@ -97,7 +136,12 @@
 /// Guards against streams without a forecast of their path that are taken for endless.
 #[test]
 fn a_stream_without_a_forecast_is_judged_by_earlier_answers() {
-    let stream = Demand::Stream { pace: None, expected_events: Some(100), max_events: 200 };
+    let stream = Demand::Stream {
+        pace: None,
+        expected_events: Some(100),
+        max_events: 200,
+        received_events: 0,
+    };
 
     assert!(admits(stream, &experience(|_| 1.0), Others::Suffice, 0));
     assert!(!admits(stream, &experience(|_| 1.0), Others::Suffice, 4_000));
--- a/crates/sillbank_gateway/src/drain.rs
+++ b/crates/sillbank_gateway/src/drain.rs
@@ -131,8 +131,9 @@
         });
         Demand::Stream {
             pace: pace.or_else(|| self.running_streams.pace(&job.service.name)),
-            expected_events: expected_events(job, figures).map(|events| left_of(job, events)),
-            max_events: left_of(job, events_of(figures, tokens.max_output)),
+            expected_events: expected_events(job, figures),
+            max_events: events_of(figures, tokens.max_output),
+            received_events: received_events(job),
         }
     }
 
@@ -143,10 +144,9 @@
     }
 }
 
-/// Those of so many events that the caller does not have yet; at least one.
-fn left_of(job: &Job, events: u32) -> u32 {
-    let received = u32::try_from(job.head.resume_after.unwrap_or(0)).unwrap_or(u32::MAX);
-    events.saturating_sub(received).max(1)
+/// Number of events of a resumed stream that the caller has.
+fn received_events(job: &Job) -> u32 {
+    u32::try_from(job.head.resume_after.unwrap_or(0)).unwrap_or(u32::MAX)
 }
 
 /// Number of events that the caller of a stream expects, if it says so.
