--- a/crates/sillbank_gateway/src/streams/running.rs
+++ b/crates/sillbank_gateway/src/streams/running.rs
@@ -5,7 +5,7 @@
 use sillbank_core::prelude::*;
 use sillbank_drain::prelude::*;
 use sillbank_net::prelude::*;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -54,14 +54,13 @@
     job: Rc<Job>,
     endpoint: RefCell<EndpointId>,
     state: Cell<EndpointState>,
-    outbox: OnceCell<Outbox>,
+    outbox: RefCell<Option<Outbox>>,
 }
 
 impl RunningStream {
     /// The answer is written to this outbox from now on.
     pub(super) fn set_outbox(&self, outbox: &Outbox) {
-        // Only the first outbox of a stream counts; it has no second one.
-        let _ = self.entry.outbox.set(outbox.clone());
+        self.entry.outbox.replace(Some(outbox.clone()));
     }
 
     /// An endpoint sends events of the stream.
@@ -98,7 +97,7 @@
             job: job.clone(),
             endpoint: RefCell::default(),
             state: Cell::new(EndpointState::Awaited),
-            outbox: OnceCell::new(),
+            outbox: RefCell::default(),
         });
         self.streams.borrow_mut().insert(number, entry.clone());
         RunningStream { registry: self.clone(), number, entry }
@@ -123,7 +122,7 @@
     /// Logs each stream that the exit of this process cuts.
     pub fn log_cut(&self, decisions: &DecisionLog, plan: &DrainPlan, now: Instant) {
         for entry in self.streams.borrow().values() {
-            let unwritten_bytes = entry.outbox.get().map_or(0, Outbox::buffered_bytes);
+            let unwritten_bytes = entry.outbox.borrow().as_ref().map_or(0, Outbox::buffered_bytes);
             let (endpoint, state) = (entry.endpoint.borrow(), entry.state.get());
             let cut = CutStream { endpoint: &endpoint, state, unwritten_bytes };
             decisions.cut_by_exit(&entry.job, &cut, plan, now);
