--- a/crates/sillbank_gateway/tests/events.rs
+++ b/crates/sillbank_gateway/tests/events.rs
@@ -1,6 +1,6 @@
 //! Streams are split into complete events, however the bytes are fragmented.
 
-use sillbank_gateway::events::EventSplitter;
+use sillbank_gateway::events::{EventSplitter, SseEvent};
 use sillbank_testing::for_fixed_seeds;
 
 fn take_all(splitter: &mut EventSplitter) -> Vec<(Option<u64>, Vec<u8>)> {
@@ -67,3 +67,30 @@
         Ok(())
     });
 }
+
+/// Splits off the first event of these bytes.
+fn first_event(bytes: &[u8]) -> SseEvent {
+    let mut splitter = EventSplitter::default();
+    splitter.push(bytes).expect("it is short");
+    splitter.next_event().expect("it is complete")
+}
+
+/// Guards against passing on bytes that are no events because an empty line ends them.
+#[test]
+fn blocks_without_a_field_of_an_event_are_no_events() {
+    for block in ["data: x\n\n", "id: 1\n\n", "event: end\n\n", "retry: 5\n\n", ": comment\n\n"] {
+        assert!(first_event(block.as_bytes()).is_event(), "{block:?}");
+    }
+    assert!(first_event(b"x-unknown: 1\ndata: x\n\n").is_event(), "unknown fields are ignored");
+    assert!(first_event(b"\r\n\r\n").is_event(), "empty lines are harmless");
+    for block in [&b"nonsense\n\n"[..], b"\x00\x01\x02\n\n", b"HTTP/1.1 200 OK\r\n\r\n"] {
+        assert!(!first_event(block).is_event(), "{block:?}");
+    }
+}
+
+/// A comment and a number alone are no data.
+#[test]
+fn only_events_with_a_data_field_have_data() {
+    assert!(first_event(b"id: 1\r\ndata: x\r\n\r\n").has_data());
+    assert!(!first_event(b"id: 1\n\n").has_data() && !first_event(b": data\n\n").has_data());
+}
