--- a/crates/sillbank_fleet/src/reachability.rs
+++ b/crates/sillbank_fleet/src/reachability.rs
@@ -20,6 +20,8 @@
 pub enum StoreFailure {
     /// The store may be unreachable for endpoints too, so their entries may lapse.
     Unreachable,
+    /// The connection of a call broke. If that is all, and the store answers soon, it was reachable all the time.
+    ConnectionLost,
     /// The store rate-limits this VM. Endpoints keep writing their entries, so a missing entry
     /// means that its endpoint is gone.
     RateLimited,
@@ -42,7 +44,8 @@
 struct Outage {
     first_failed_at: Instant,
     last_failed_at: Instant,
-    /// When the store had answered last; `None` if that is not known, or calls had failed shortly before.
+    /// When the store had answered last; `None` if that is not known, calls had failed shortly before, or more than
+    /// connections failed.
     answered_at: Option<Instant>,
     /// When the store had returned from an outage before, whose grace period was running.
     recovered_at: Option<Instant>,
@@ -73,7 +76,13 @@
     /// Records a failed call.
     pub(crate) fn on_failure(&mut self, now: Instant, failure: StoreFailure) {
         match failure {
-            StoreFailure::Unreachable => self.state = Reachability::Unreachable(self.outage(now)),
+            StoreFailure::ConnectionLost => {
+                self.state = Reachability::Unreachable(self.outage(now));
+            }
+            StoreFailure::Unreachable => {
+                let outage = Outage { answered_at: None, ..self.outage(now) };
+                self.state = Reachability::Unreachable(outage);
+            }
             StoreFailure::RateLimited => return,
         }
         self.last_failed_at = Some(now);
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -241,7 +241,7 @@
     for failed_ms in failed_ms {
         let failed = now + Duration::from_millis(*failed_ms);
         answered = failed + Duration::from_millis(20);
-        directory.on_call_failed(failed, failed, StoreFailure::Unreachable);
+        directory.on_call_failed(failed, failed, StoreFailure::ConnectionLost);
         directory.on_store_recovered(answered);
         directory.on_store_answer(answered);
     }
@@ -272,7 +272,7 @@
         let (mut directory, now) = directory(&["a"]);
         directory.on_store_answer(now);
         let failed = now + Duration::from_millis(500);
-        directory.on_call_failed(failed, failed, StoreFailure::Unreachable);
+        directory.on_call_failed(failed, failed, StoreFailure::ConnectionLost);
 
         let removal = directory.on_change(now + Duration::from_millis(after_ms), removed("a"));
 
@@ -280,6 +280,20 @@
     }
 }
 
+/// Guards against taking a store that refuses calls for one that was reachable: it may refuse the check-ins of endpoints too.
+#[test]
+fn removal_after_a_refused_call_may_be_a_lapse() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_store_answer(now);
+    let failed = now + Duration::from_millis(500);
+    directory.on_call_failed(failed, failed, StoreFailure::Unreachable);
+    directory.on_store_recovered(failed + Duration::from_millis(20));
+
+    let removal = directory.on_change(failed + Duration::from_millis(20), removed("a"));
+
+    assert_eq!(removal, Some(Removal::Lapsed));
+}
+
 fn unreadable(id: &str) -> UnreadableEntry {
     UnreadableEntry { id: id.to_owned(), version: Some(7), reason: "no address".to_owned() }
 }
