Store: the change of what counts as an outage is taken out again

It took any call that was lost for one whose connection was cut, also one that timed out; a store that is silent may be unreachable for endpoints too, as sillbank_gateway/tests/store.rs demands.

--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -53,7 +53,6 @@
     pub fn store_failure(&self) -> StoreFailure {
         match self {
             Self::Refused(TOO_MANY_CALLS) => StoreFailure::RateLimited,
-            Self::Lost(_) => StoreFailure::ConnectionLost,
             _ => StoreFailure::Unreachable,
         }
     }
