Planned stop: the log tells how the last requests and connections of a process ended

A stream that a stop ended without a line of the exit could not be told from one that was answered, whose caller left, or whose process was killed. While a VM stops, lines about requests are no longer rate limited, `caller: Ended.` names the connection, and a connection that ended under a request, or that its caller had not closed half a second after the VM had, has a line at info level. `program: Stopped.` tells by how much the process woke up late (max_delay_ms), which a late notice of the signal or a late exit would show.

--- a/crates/sillbank_gateway/src/callers.rs
+++ b/crates/sillbank_gateway/src/callers.rs
@@ -283,6 +283,7 @@
         received_at: Instant,
     ) -> Response<ReplyBody> {
         let caller = caller_id(&head, &parts);
+        let connection = parts.extensions.get::<ConnectionNumber>().copied();
         let mut headers = parts.headers;
         strip_connection_headers(&mut headers);
         let max_time = admitted.route.timeout;
@@ -305,6 +306,7 @@
             link_losses: Cell::new(0),
             delivery: Delivery::default(),
             forecast: OnceCell::new(),
+            connection,
             caller,
             cached_traits: OnceCell::new(),
             is_trial: Cell::new(false),
--- a/crates/sillbank_gateway/src/decisions.rs
+++ b/crates/sillbank_gateway/src/decisions.rs
@@ -91,6 +91,7 @@
     window_start: Cell<Instant>,
     lines_written: Cell<u32>,
     lines_dropped: Cell<u64>,
+    is_unlimited: Cell<bool>,
 }
 
 impl Default for DecisionLog {
@@ -99,11 +100,17 @@
             window_start: Cell::new(Instant::now()),
             lines_written: Cell::new(0),
             lines_dropped: Cell::new(0),
+            is_unlimited: Cell::new(false),
         }
     }
 }
 
 impl DecisionLog {
+    /// Writes all lines from now on. A stopping VM does so: what became of its last requests shows nowhere else.
+    pub fn lift_limit(&self) {
+        self.is_unlimited.set(true);
+    }
+
     /// A request was refused before it was admitted.
     pub fn refused(&self, request_id: &str, failure: &Failure, stamp: ViewStamp) {
         if self.take_line() {
@@ -390,6 +397,7 @@
                 max_tokens = tokens.map(|tokens| tokens.max_output),
                 expected_tokens = tokens.and_then(|tokens| tokens.expected_output),
                 total_ms = job.received_at.elapsed().as_millis() as u64,
+                connection = job.connection.map(|number| number.to_string()),
                 "caller: Ended."
             );
         }
@@ -484,7 +492,7 @@
             self.window_start.set(now);
             self.lines_written.set(0);
         }
-        if self.lines_written.get() >= MAX_LINES_PER_S {
+        if self.lines_written.get() >= MAX_LINES_PER_S && !self.is_unlimited.get() {
             self.lines_dropped.set(self.lines_dropped.get() + 1);
             return false;
         }
--- a/crates/sillbank_gateway/src/job.rs
+++ b/crates/sillbank_gateway/src/job.rs
@@ -69,6 +69,8 @@
     pub delivery: Delivery,
     /// Forecast made at the first send; `None` inside if no forecast was possible.
     pub forecast: OnceCell<Option<StreamForecast>>,
+    /// Connection that the request arrived on.
+    pub connection: Option<ConnectionNumber>,
     /// Identifies the caller by key and connection, to recognise callers who retry at once.
     pub caller: Option<CallerId>,
     /// Cache of [`Job::traits`].
--- a/crates/sillbank_gateway/src/lifecycle.rs
+++ b/crates/sillbank_gateway/src/lifecycle.rs
@@ -30,17 +30,19 @@
         grace_ms = plan.exits_at().saturating_duration_since(signalled_at).as_millis() as u64,
         "program: Stopping."
     );
+    gateway.decisions.lift_limit();
     gateway.drain_plan.set(Some(plan));
     gateway.lifecycle.set(LifecycleState::Draining);
     gateway.stopper.stop();
+    let mut max_delay = Duration::ZERO;
     while plan.next(gateway.open_work(), Instant::now()) == DrainStep::Serve {
-        smol::Timer::after(STOP_POLL_INTERVAL).await;
+        max_delay = max_delay.max(wait_for_poll().await);
     }
     gateway.lifecycle.set(LifecycleState::Stopping);
     gateway.stopper.finish();
     loop {
         // The server accepts what has arrived before it closes its listener.
-        smol::Timer::after(STOP_POLL_INTERVAL).await;
+        max_delay = max_delay.max(wait_for_poll().await);
         if gateway.open_work().is_done() || Instant::now() >= plan.exits_at() {
             break;
         }
@@ -52,10 +54,18 @@
         connections = left.connections,
         passed_on = left.passed_on,
         after_ms = signalled_at.elapsed().as_millis() as u64,
+        max_delay_ms = max_delay.as_millis() as u64,
         "program: Stopped."
     );
 }
 
+/// Waits for the next check of a stop. Returns by how much the process woke up late.
+async fn wait_for_poll() -> Duration {
+    let wakes_at = Instant::now() + STOP_POLL_INTERVAL;
+    smol::Timer::at(wakes_at).await;
+    wakes_at.elapsed()
+}
+
 /// Reads the settings again on each signal, and when the file has changed.
 pub async fn reload<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
--- a/crates/sillbank_net/src/activity.rs
+++ b/crates/sillbank_net/src/activity.rs
@@ -59,6 +59,28 @@
     }
 }
 
+/// How the peer's side of a connection ended after the write side had been closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PeerEnd {
+    /// The peer closed its side: it had received everything.
+    Closed,
+    /// The connection broke.
+    Broken,
+    /// The peer's side was still open when the time for reading was over.
+    Open,
+}
+
+impl PeerEnd {
+    /// Name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Broken => "broken",
+            Self::Open => "open",
+        }
+    }
+}
+
 /// Activity of one connection, as its transport and its requests report it.
 #[derive(Debug)]
 pub(crate) struct Activity {
@@ -71,6 +93,8 @@
     requests: Cell<u64>,
     /// Bytes that arrived after the write side had been closed.
     late_bytes: Cell<usize>,
+    /// How the peer's side ended after the write side had been closed; `None` before.
+    peer_end: Cell<Option<PeerEnd>>,
 }
 
 impl Activity {
@@ -82,6 +106,7 @@
             flush_wakers: RefCell::default(),
             requests: Cell::new(0),
             late_bytes: Cell::new(0),
+            peer_end: Cell::new(None),
         })
     }
 
@@ -106,6 +131,11 @@
         self.late_bytes.get()
     }
 
+    /// How the peer's side ended after the write side had been closed; `None` if it was not closed.
+    pub(crate) fn peer_end(&self) -> Option<PeerEnd> {
+        self.peer_end.get()
+    }
+
     /// Records that the head or a part of the body of a reply is about to be written.
     pub(crate) fn on_part_taken(&self) {
         self.has_unwritten.set(true);
@@ -173,15 +203,16 @@
 
 impl<C: AsyncRead + Unpin> Tracked<C> {
     /// Reads and drops what still arrives, until the peer closes its side too or the time for it is over.
-    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<PeerEnd> {
         let timer = self.linger.get_or_insert_with(|| Timer::after(LINGER));
         if Pin::new(timer).poll(context).is_ready() {
-            return Poll::Ready(());
+            return Poll::Ready(PeerEnd::Open);
         }
         let mut chunk = [0; LATE_CHUNK_BYTES];
         for _ in 0..LATE_CHUNKS_PER_TURN {
             match ready!(Pin::new(&mut self.connection).poll_read(context, &mut chunk)) {
-                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(0) => return Poll::Ready(PeerEnd::Closed),
+                Err(_) => return Poll::Ready(PeerEnd::Broken),
                 Ok(length) => {
                     self.activity.late_bytes.set(self.activity.late_bytes.get() + length);
                 }
@@ -224,6 +255,8 @@
             ready!(Pin::new(&mut self.connection).poll_close(context))?;
             self.activity.phase.set(Phase::Closing);
         }
-        self.poll_linger(context).map(Ok)
+        let peer_end = ready!(self.poll_linger(context));
+        self.activity.peer_end.set(Some(peer_end));
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 servers.
 
-use crate::activity::{Activity, Phase, Tracked};
+use crate::activity::{Activity, PeerEnd, Phase, Tracked};
 use crate::body::{CountedBody, ReplyBody};
 use crate::closing::close_unread;
 use crate::memory_budget::{MemoryBudget, UnreadBytes};
@@ -18,6 +18,7 @@
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
+use std::fmt::{Display, Formatter};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -121,6 +122,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ConnectionNumber(u64);
 
+impl Display for ConnectionNumber {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
 /// How the service of a connection ended.
 enum ServiceEnd {
     /// The connection has ended.
@@ -177,14 +184,27 @@
     };
     // The timers are polled after the connection, so that a request that has arrived is read first.
     let end = cut.or(served).or(stopped).or(expired).await;
-    match end {
-        ServiceEnd::Ended(Ok(())) | ServiceEnd::Cut => {}
-        ServiceEnd::Ended(Err(error)) => {
-            tracing::debug!("net: A connection ended early: {error}.");
-        }
-        ServiceEnd::Close(phase) => {
-            let parts = connection.into_parts();
-            close_unread(parts.io.into_inner(), phase, &activity).await;
-        }
+    let end_text = match &end {
+        ServiceEnd::Ended(Ok(())) => "ended".to_owned(),
+        ServiceEnd::Ended(Err(error)) => error.to_string(),
+        ServiceEnd::Cut => "cut, as its caller reads too little".to_owned(),
+        ServiceEnd::Close(phase) => format!("closed while {}", phase.name()),
+    };
+    if let ServiceEnd::Close(phase) = end {
+        let parts = connection.into_parts();
+        close_unread(parts.io.into_inner(), phase, &activity).await;
+    }
+    log_end(number, &end_text, &activity, stop.is_stopping());
+}
+
+/// Logs how a connection ended. While the server stops, an end under a request and one that the caller has not confirmed by
+/// closing its side are logged at the level of decisions: an answer may have been lost with them.
+fn log_end(number: ConnectionNumber, end: &str, activity: &Activity, is_stopping: bool) {
+    let (phase, requests) = (activity.phase().name(), activity.requests());
+    let peer_end = activity.peer_end().map(PeerEnd::name);
+    let text = "net: A connection has ended.";
+    match is_stopping && requests > 0 && activity.peer_end() != Some(PeerEnd::Closed) {
+        true => tracing::info!(connection = %number, end, phase, peer_end, requests, "{text}"),
+        false => tracing::debug!(connection = %number, end, phase, peer_end, requests, "{text}"),
     }
 }
