Planned stop: what is taken late in the grace period ends in time in the worst case

Callers saw streams that a stopping VM had taken up to 6.7 s after its signal, and that its exit cut.

Cause: from 2.9 s after the signal a stream was taken if 99 of 100 recent answers would have ended in time. The length that a caller expects is a wish; a stream that exceeds it was cut, and so was one whose endpoint was silent for a second.

Now a third certainty holds from 2.6 s on (2.9 s less the time by which the signal may be noticed late): as many events as the request allows, at half the slowest known pace, and one silence as long as callers wait. The slowest pace leaves out the longest pause of each answer, so that a silence does not count twice. A stream of unknown length is refused then. Before that callers are still sent here by the load balancer, and the odds stay as they were.

The refusal tells the time that decided, and its certainty.

--- a/crates/sillbank_drain/src/demand.rs
+++ b/crates/sillbank_drain/src/demand.rs
@@ -3,6 +3,11 @@
 use crate::experience::Experience;
 use std::time::Duration;
 
+/// Longest silence of an endpoint that an answer outlasts: its caller gives the answer up after that.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
+/// Factor on the slowest known time between events in the worst case.
+const WORST_INTERVAL_FACTOR: f64 = 2.0;
+
 /// How sure a time is to be enough.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Certainty {
@@ -10,6 +15,9 @@
     Likely,
     /// Nearly always enough.
     NearlySure,
+    /// Enough if the answer has all events that the request allows, comes at half the slowest known pace, and its endpoint is
+    /// silent once for as long as callers wait. That earlier answers were short does not shorten it.
+    WorstCase,
 }
 
 impl Certainty {
@@ -18,14 +26,15 @@
         match self {
             Self::Likely => "likely",
             Self::NearlySure => "nearly_sure",
+            Self::WorstCase => "worst_case",
         }
     }
 
-    /// Share of answers for which the time is to be enough.
+    /// Share of answers for which the time is to be enough. In the worst case the time for a silence is added to it.
     fn share(self) -> f64 {
         match self {
             Self::Likely => 0.75,
-            Self::NearlySure => 0.99,
+            Self::NearlySure | Self::WorstCase => 0.99,
         }
     }
 
@@ -33,7 +42,7 @@
     fn call_objectives(self) -> u32 {
         match self {
             Self::Likely => 1,
-            Self::NearlySure => 2,
+            Self::NearlySure | Self::WorstCase => 2,
         }
     }
 
@@ -41,7 +50,7 @@
     fn default_interval_ratio(self) -> f64 {
         match self {
             Self::Likely => 1.1,
-            Self::NearlySure => 1.5,
+            Self::NearlySure | Self::WorstCase => 1.5,
         }
     }
 
@@ -50,7 +59,41 @@
     fn default_events_ratio(self) -> Option<f64> {
         match self {
             Self::Likely => Some(1.25),
-            Self::NearlySure => None,
+            Self::NearlySure | Self::WorstCase => None,
+        }
+    }
+
+    /// Factor on forecast times between events, from earlier answers.
+    fn interval_ratio(self, experience: &Experience) -> f64 {
+        let known = match self {
+            Self::Likely | Self::NearlySure => experience.interval_ratio.quantile(self.share()),
+            Self::WorstCase => experience.steady_ratio.max(),
+        };
+        known.unwrap_or_else(|| self.default_interval_ratio()) * self.interval_factor()
+    }
+
+    /// Time between events as in earlier answers, in seconds.
+    fn interval_s(self, experience: &Experience) -> Option<f64> {
+        let known = match self {
+            Self::Likely | Self::NearlySure => experience.interval_s.quantile(self.share()),
+            Self::WorstCase => experience.steady_interval_s.max(),
+        };
+        known.map(|interval_s| interval_s * self.interval_factor())
+    }
+
+    /// Factor on the time between events beyond what earlier answers showed.
+    fn interval_factor(self) -> f64 {
+        match self {
+            Self::Likely | Self::NearlySure => 1.0,
+            Self::WorstCase => WORST_INTERVAL_FACTOR,
+        }
+    }
+
+    /// Time for which the endpoint may be silent.
+    fn silence(self) -> Duration {
+        match self {
+            Self::Likely | Self::NearlySure => Duration::ZERO,
+            Self::WorstCase => MAX_SILENCE,
         }
     }
 }
@@ -89,19 +132,22 @@
 
 impl Demand {
     /// Time that is enough for such an answer; `None` if nothing is known of it, neither from a forecast nor from earlier
-    /// answers.
+    /// answers, or if it has no bound in the worst case.
     pub fn time_for(self, certainty: Certainty, experience: &Experience) -> Option<Duration> {
         match self {
             Self::Call { objective } => Some(objective.saturating_mul(certainty.call_objectives())),
             Self::Stream { pace, expected_events, max_events, received_events } => {
                 let rest = max_events.saturating_sub(received_events).max(1);
-                let expected = expected_events.and_then(|expected| {
+                let expected = expected_events.filter(|_| certainty != Certainty::WorstCase);
+                let expected = expected.and_then(|expected| {
                     rest_for(certainty, f64::from(expected), f64::from(received_events), experience)
                 });
                 let rest = f64::from(rest);
                 let events = expected.map_or(rest, |events| events.clamp(1.0, rest));
-                pace_for(certainty, pace, experience).map(|pace| stream_time(pace, events))
+                let pace = pace_for(certainty, pace, experience)?;
+                Some(stream_time(pace, events).saturating_add(certainty.silence()))
             }
+            Self::Unbounded if certainty == Certainty::WorstCase => None,
             Self::Unbounded => {
                 experience.total_s.quantile(certainty.share()).map(Duration::from_secs_f64)
             }
@@ -115,23 +161,16 @@
     pace: Option<StreamPace>,
     experience: &Experience,
 ) -> Option<StreamPace> {
-    let share = certainty.share();
+    let known_s = experience.first_event_s.quantile(certainty.share());
     if let Some(StreamPace { first_event, event_interval }) = pace {
-        let ratio = experience.interval_ratio.quantile(share);
-        let ratio = ratio.unwrap_or_else(|| certainty.default_interval_ratio());
-        let known_s = experience.first_event_s.quantile(share);
-        let known = known_s.map_or(Duration::ZERO, Duration::from_secs_f64);
+        let ratio = certainty.interval_ratio(experience);
         return Some(StreamPace {
-            first_event: first_event.max(known),
-            event_interval: event_interval.mul_f64(ratio),
+            first_event: first_event.max(known_s.map_or(Duration::ZERO, seconds)),
+            event_interval: seconds(event_interval.as_secs_f64() * ratio),
         });
     }
-    let first_event_s = experience.first_event_s.quantile(share)?;
-    let interval_s = experience.interval_s.quantile(share)?;
-    Some(StreamPace {
-        first_event: Duration::from_secs_f64(first_event_s),
-        event_interval: Duration::from_secs_f64(interval_s),
-    })
+    let interval_s = certainty.interval_s(experience)?;
+    Some(StreamPace { first_event: seconds(known_s?), event_interval: seconds(interval_s) })
 }
 
 /// Number of further events that a stream does not exceed with this certainty. The more of it the caller has, the longer it
@@ -155,6 +194,10 @@
 
 fn stream_time(pace: StreamPace, events: f64) -> Duration {
     let rest_s = pace.event_interval.as_secs_f64() * (events - 1.0);
-    let rest = Duration::try_from_secs_f64(rest_s).unwrap_or(Duration::MAX);
-    pace.first_event.saturating_add(rest)
+    pace.first_event.saturating_add(seconds(rest_s))
+}
+
+/// A time in seconds as a duration; the longest one if it is too long for it.
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/crates/sillbank_drain/src/experience.rs
+++ b/crates/sillbank_drain/src/experience.rs
@@ -10,6 +10,9 @@
 /// Number of values above a bound below which nothing is concluded from them.
 const MIN_GREATER: usize = 8;
 
+/// Number of events of an answer below which its steady pace says little.
+const MIN_STEADY_EVENTS: u64 = 8;
+
 /// Last values of a quantity, and their quantiles.
 #[derive(Debug, Clone, Default)]
 pub struct RecentValues {
@@ -46,6 +49,11 @@
         sorted.get(rank.saturating_sub(1)).copied()
     }
 
+    /// The largest value; `None` while too few are known.
+    pub fn max(&self) -> Option<f64> {
+        self.quantile(1.0)
+    }
+
     /// The smallest value that at least the given share of the values does not exceed; `None` while too few are known.
     pub fn quantile(&self, share: f64) -> Option<f64> {
         self.quantile_above(0.0, share)
@@ -59,6 +67,8 @@
     pub first_event: Duration,
     /// Mean time between its events; `None` if it had one event.
     pub event_interval: Option<Duration>,
+    /// The same without the longest pause, which may be a silence of its endpoint.
+    pub steady_interval: Option<Duration>,
     /// Time from the request to its end.
     pub total: Duration,
     /// Number of its events.
@@ -82,6 +92,10 @@
     pub events_ratio: RecentValues,
     /// Mean times between events, as multiples of the forecast ones.
     pub interval_ratio: RecentValues,
+    /// Mean times between events without the longest pause of each answer, in seconds.
+    pub steady_interval_s: RecentValues,
+    /// The same as multiples of the forecast times.
+    pub steady_ratio: RecentValues,
 }
 
 impl Experience {
@@ -92,12 +106,16 @@
         if let Some(expected) = answer.expected_events {
             self.events_ratio.record(answer.events as f64 / f64::from(expected));
         }
-        let Some(interval) = answer.event_interval else {
-            return;
-        };
-        self.interval_s.record(interval.as_secs_f64());
-        if let Some(expected) = answer.expected_interval {
-            self.interval_ratio.record(interval.div_duration_f64(expected));
+        let expected = answer.expected_interval;
+        let ratio = |interval: Duration| expected.map(|e| interval.div_duration_f64(e));
+        if let Some(interval) = answer.event_interval {
+            self.interval_s.record(interval.as_secs_f64());
+            ratio(interval).into_iter().for_each(|ratio| self.interval_ratio.record(ratio));
+        }
+        let steady = answer.steady_interval.filter(|_| answer.events >= MIN_STEADY_EVENTS);
+        if let Some(interval) = steady {
+            self.steady_interval_s.record(interval.as_secs_f64());
+            ratio(interval).into_iter().for_each(|ratio| self.steady_ratio.record(ratio));
         }
     }
 }
--- a/crates/sillbank_drain/src/plan.rs
+++ b/crates/sillbank_drain/src/plan.rs
@@ -110,7 +110,8 @@
     ///
     /// One that is cut costs its caller all the time that it ran, one that is refused a round trip if another VM takes it.
     /// Where the caller is likely to come back to this VM, a refusal costs more, and a little less certainty is enough.
-    /// One of which nothing is known is refused: how likely it is to be cut is not known either.
+    /// One of which nothing is known is refused: how likely it is to be cut is not known either. Once the load balancer has
+    /// had the time to send callers elsewhere, only requests that end in time in the worst case are taken.
     pub fn admit(
         &self,
         demand: Demand,
@@ -120,8 +121,9 @@
         now: Instant,
     ) -> Admission {
         let certainty = match others {
-            Others::Few if now < self.balancer_knows_at() => Certainty::Likely,
-            Others::Few | Others::Suffice => Certainty::NearlySure,
+            _ if now >= self.promises_from() => Certainty::WorstCase,
+            Others::Few => Certainty::Likely,
+            Others::Suffice => Certainty::NearlySure,
         };
         let time = demand.time_for(certainty, experience);
         let ends_at = time.and_then(|time| now.checked_add(time.min(time_left)));
@@ -146,6 +148,13 @@
         (self.signalled_at + BALANCER_LAG).min(self.exits_at)
     }
 
+    /// When the VM begins to take only what ends in time in the worst case. The signal may have been noticed late, by as much
+    /// as the margin before the kill allows.
+    fn promises_from(&self) -> Instant {
+        let promises_from = self.balancer_knows_at().checked_sub(EXIT_MARGIN);
+        promises_from.map_or(self.signalled_at, |at| at.max(self.signalled_at))
+    }
+
     /// What the VM does next.
     pub fn next(&self, work: OpenWork, now: Instant) -> DrainStep {
         let is_done = work.is_done() && now >= self.balancer_knows_at();
--- a/crates/sillbank_drain/tests/plan.rs
+++ b/crates/sillbank_drain/tests/plan.rs
@@ -36,6 +36,7 @@
         experience.record(&Answer {
             first_event: ms(100),
             event_interval: Some(ms(40)),
+            steady_interval: Some(ms(40)),
             total: ms(40).mul_f64(100.0 * ratio(number)),
             events: (100.0 * ratio(number)) as u64,
             expected_events: Some(100),
@@ -131,12 +132,81 @@
         assert!(admits(rest_of_stream(50, 200, 60), &some_longer, others, 2_000), "{others:?}");
         // None was longer than 100: what the request allows counts.
         assert!(!admits(rest_of_stream(20, 200, 100), &some_longer, others, 5_000), "{others:?}");
-        assert!(admits(rest_of_stream(20, 200, 195), &some_longer, others, 7_000), "{others:?}");
+        assert!(admits(rest_of_stream(20, 200, 195), &some_longer, others, 5_000), "{others:?}");
+        assert!(!admits(rest_of_stream(20, 200, 195), &some_longer, others, 7_000), "{others:?}");
         // It is as long as expected, and most end there.
-        assert!(admits(rest_of_stream(60, 200, 40), &as_expected(), others, 6_000), "{others:?}");
+        assert!(admits(rest_of_stream(60, 200, 40), &as_expected(), others, 2_000), "{others:?}");
+        assert!(!admits(rest_of_stream(60, 200, 40), &as_expected(), others, 6_000), "{others:?}");
     }
 }
 
+/// Guards against taking a stream late in the grace period that ends in time only if it is as long, and its endpoint as fast,
+/// as earlier answers were: the exit cut it.
+#[test]
+fn a_stream_that_is_taken_late_ends_in_time_however_long_slow_or_silent_it_is() {
+    let as_expected = as_expected();
+    let mut taken = 0;
+    for after_ms in (2_600..7_500).step_by(100) {
+        for (expected_events, max_events) in
+            [(1, 1), (2, 10), (1, 60), (10, 40), (20, 100), (5, 300)]
+        {
+            for others in [Others::Few, Others::Suffice] {
+                if !admits(stream(expected_events, max_events), &as_expected, others, after_ms) {
+                    continue;
+                }
+                taken += 1;
+                let (slow_interval_ms, silence_ms) = (2 * 40, 2_000);
+                let time_ms = 100 + silence_ms + u64::from(max_events - 1) * slow_interval_ms;
+                assert!(after_ms + time_ms <= 7_500, "{max_events} events, {after_ms} ms");
+            }
+        }
+    }
+    assert!(taken > 0, "not all are refused");
+}
+
+/// Guards against a silence within a short answer that counts as its pace, so that no stream is taken late any more.
+#[test]
+fn a_silence_within_an_earlier_answer_does_not_count_as_its_pace() {
+    let mut beside_silences = Experience::default();
+    for _ in 0..200 {
+        beside_silences.record(&Answer {
+            first_event: ms(100),
+            event_interval: Some(ms(160)),
+            steady_interval: Some(ms(40)),
+            total: ms(100) + ms(160) * 9,
+            events: 10,
+            expected_events: Some(10),
+            expected_interval: Some(ms(40)),
+        });
+    }
+
+    assert!(admits(stream(10, 20), &beside_silences, Others::Suffice, 3_500));
+}
+
+/// Guards against a notice of the signal that comes late: what is taken by probability was sent soon after the signal, so that
+/// its caller may not have known of the stop.
+#[test]
+fn streams_are_taken_by_probability_only_as_long_as_callers_may_not_know_of_the_stop() {
+    let (as_expected, notice_delay_ms) = (as_expected(), 300);
+    let balancer_lag_ms = 2_900;
+    for others in [Others::Few, Others::Suffice] {
+        // It is as long as expected, and may be much longer.
+        let is_taken = |after_ms| admits(stream(50, 1_000), &as_expected, others, after_ms);
+
+        assert!(is_taken(balancer_lag_ms - notice_delay_ms - 1), "{others:?}");
+        assert!(!is_taken(balancer_lag_ms - notice_delay_ms), "{others:?}");
+    }
+}
+
+/// Guards against streams of unknown length that are taken late, though nothing bounds their time.
+#[test]
+fn a_stream_of_unknown_length_is_refused_late() {
+    let short = experience(|_| 0.01);
+
+    assert!(admits(Demand::Unbounded, &short, Others::Suffice, 2_000));
+    assert!(!admits(Demand::Unbounded, &short, Others::Suffice, 3_000));
+}
+
 /// Guards against a VM that has just started and refuses nearly all streams when it is stopped again.
 #[test]
 fn without_experience_the_caller_and_the_limit_of_the_request_are_believed() {
--- a/crates/sillbank_gateway/src/delivery.rs
+++ b/crates/sillbank_gateway/src/delivery.rs
@@ -63,6 +63,14 @@
         last_at.saturating_duration_since(first_at).checked_div(intervals)
     }
 
+    /// Mean time between two events without the longest pause; `None` if there were fewer than three.
+    pub fn steady_interval(&self) -> Option<Duration> {
+        let intervals = u32::try_from(self.events.get().checked_sub(2)?).ok()?;
+        let (first_at, last_at) = (self.first_at.get()?, self.last_at.get()?);
+        let total = last_at.saturating_duration_since(first_at);
+        total.saturating_sub(self.longest_pause.get()).checked_div(intervals)
+    }
+
     /// How often the request was moved.
     pub fn moves(&self) -> u32 {
         self.moves.get()
--- a/crates/sillbank_gateway/src/drain.rs
+++ b/crates/sillbank_gateway/src/drain.rs
@@ -53,10 +53,11 @@
             return None;
         }
         let left_ms = plan.exits_at().saturating_duration_since(now).as_millis();
-        let reason = match demand.time_for(Certainty::Likely, experience) {
+        let reason = match admission.time {
             Some(time) => format!(
-                "the VM stops in {left_ms} ms, and the request is likely to take {} ms",
-                time.as_millis()
+                "the VM stops in {left_ms} ms, and the request may take {} ms ({})",
+                time.as_millis(),
+                admission.certainty.name()
             ),
             None => format!("the VM stops in {left_ms} ms, and the request may take longer"),
         };
@@ -103,6 +104,7 @@
         by_service.entry(job.service.name.clone()).or_default().record(&Answer {
             first_event,
             event_interval: job.delivery.mean_interval(),
+            steady_interval: job.delivery.steady_interval(),
             total: job.received_at.elapsed(),
             events: job.delivery.events(),
             expected_events: job.service.engine.as_ref().and_then(|f| expected_events(job, f)),
