Lease: a record that no holder wrote lapses

What operators saw: an object of another writer in place of a hall's lease, nested too deeply, with a number too large, or with a term of centuries, left the hall without a leader for good, so that nobody placed layers or polled engines for it.

Cause: a lease that could not be read was a failed call, made again and again, and the term of a record was believed without bound. Now such a record stands for an unknown holder, and lapses after this VM's own term, as the holder that it replaced may rely on the lease until then; a term counts as four times this VM's at most.

--- a/crates/sillbank_gateway/src/placement/leadership.rs
+++ b/crates/sillbank_gateway/src/placement/leadership.rs
@@ -130,8 +130,9 @@
         let own = self.gateway.settings().peer_listen;
         let peeked = match self.gateway.store.peek_lease(&self.name).await {
             Ok(Some(record)) if record.peer == own => Peeked::Own,
-            Ok(Some(record)) if !record.owner.is_empty() => Peeked::Leader(record.peer),
-            Ok(_) => Peeked::Free,
+            Ok(Some(record)) if record.owner.is_empty() => Peeked::Free,
+            Ok(Some(record)) => record.holder_peer().map_or(Peeked::Failed, Peeked::Leader),
+            Ok(None) => Peeked::Free,
             Err(error) => {
                 tracing::debug!(%error, "lease: The recorded leader could not be read.");
                 Peeked::Failed
@@ -242,8 +243,7 @@
         let hall = &self.gateway.hall;
         let own = self.gateway.settings().peer_listen;
         let by_redirect = hall.redirect().or(self.handed_to);
-        let by_lease =
-            self.recorded_leader.or_else(|| self.lease.holder().map(|record| record.peer));
+        let by_lease = self.recorded_leader.or_else(|| self.lease.holder()?.holder_peer());
         let leader = by_redirect.or(by_lease);
         hall.leader.set(leader.filter(|leader| *leader != own));
         let held_before = hall.lease_fence.replace(fence).is_some();
--- a/crates/sillbank_lease/src/lib.rs
+++ b/crates/sillbank_lease/src/lib.rs
@@ -23,6 +23,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Longest term of another holder, as a multiple of this VM's: versions of the program may differ in their terms. A longer one
+/// was not written by a holder, and would keep the lease from all VMs.
+const MAX_TERM_RATIO: u32 = 4;
+
 /// A point in time on two clocks. The monotonic clock may stand still while a VM is paused from
 /// outside, and the wall clock may be set, so a lease must be valid by both.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,6 +67,24 @@
     pub heir: VmId,
 }
 
+impl LeaseRecord {
+    /// Stands for a record that cannot be read. A holder whose record it replaced relies on the lease for the rest of its term.
+    pub fn unreadable() -> Self {
+        Self {
+            owner: "unreadable".to_owned(),
+            peer: SocketAddr::from(([0, 0, 0, 0], 0)),
+            mark: 0,
+            term_ms: 0,
+            heir: VmId::new(),
+        }
+    }
+
+    /// Address of the holder; `None` if the lease is free or the record cannot be read.
+    pub fn holder_peer(&self) -> Option<SocketAddr> {
+        (!self.owner.is_empty() && !self.peer.ip().is_unspecified()).then_some(self.peer)
+    }
+}
+
 /// How a held lease was acquired.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Acquisition {
@@ -192,8 +214,8 @@
         }
         let is_owned = |record: &LeaseRecord| !record.owner.is_empty();
         let observed = self.observed.as_ref().filter(|(_, record, _)| is_owned(record));
-        let lapses =
-            observed.map(|(_, record, first_read)| first_read.monotonic + takeover_delay(record));
+        let lapses = observed
+            .map(|(_, record, first_read)| first_read.monotonic + self.takeover_delay(record));
         lapses.max(self.takeover_blocked_until)
     }
 
@@ -202,8 +224,7 @@
     /// not be called while a write is in flight.
     pub fn on_restored(&mut self, now: Moment) {
         // A holder wrote the lease before the restore, so its term began before now.
-        let term_ms = self.candidate.term.as_millis() as u64;
-        self.takeover_blocked_until = Some(now.monotonic + takeover_delay_of(term_ms));
+        self.takeover_blocked_until = Some(now.monotonic + takeover_delay_of(self.candidate.term));
         self.pending = None;
         self.step(now, LeaseEvent::Restored, 0);
     }
@@ -335,7 +356,7 @@
             return LeaseEvent::OthersLapsed;
         }
         let observed_for = now.monotonic.saturating_duration_since(first_read.monotonic);
-        match observed_for >= takeover_delay(&record) {
+        match observed_for >= self.takeover_delay(&record) {
             true => LeaseEvent::OthersLapsed,
             false => LeaseEvent::Others,
         }
@@ -382,6 +403,12 @@
         LeaseWrite { expected: self.held.map(|held| held.version).or(observed), record }
     }
 
+    /// How long after its first read a version of the lease counts as lapsed. No holder has a shorter term than this VM.
+    fn takeover_delay(&self, record: &LeaseRecord) -> Duration {
+        let own = self.candidate.term;
+        takeover_delay_of(Duration::from_millis(record.term_ms).clamp(own, own * MAX_TERM_RATIO))
+    }
+
     fn next_acquisition(&self) -> Acquisition {
         match &self.observed {
             None => Acquisition::Fresh,
@@ -393,11 +420,6 @@
     }
 }
 
-/// How long after its first read a version of the lease counts as lapsed.
-fn takeover_delay(record: &LeaseRecord) -> Duration {
-    takeover_delay_of(record.term_ms)
-}
-
-fn takeover_delay_of(term_ms: u64) -> Duration {
-    Duration::from_millis(term_ms) * 9 / 8
+fn takeover_delay_of(term: Duration) -> Duration {
+    term * 9 / 8
 }
--- a/crates/sillbank_lease/tests/leases.rs
+++ b/crates/sillbank_lease/tests/leases.rs
@@ -417,3 +417,27 @@
     }
     Ok(())
 }
+
+/// Guards against a record of another writer that keeps the lease from all VMs: one that can't be read, or whose term is longer
+/// than any holder's.
+#[test]
+fn a_record_that_no_holder_wrote_lapses() {
+    let start = Instant::now();
+    let endless = LeaseRecord {
+        owner: "gone".to_owned(),
+        peer: SocketAddr::from(([127, 0, 0, 1], 9)),
+        mark: 1,
+        term_ms: u64::MAX,
+        heir: String::new(),
+    };
+    for record in [LeaseRecord::unreadable(), endless] {
+        let mut lease = Lease::new(candidate(1));
+
+        let at_once = lease.on_read(moment(start, 0), Some((5, record.clone())), 7);
+        let within_own_term = lease.on_read(moment(start, 8_900), Some((5, record.clone())), 8);
+        let later = lease.on_read(moment(start, 36_000), Some((5, record)), 9);
+
+        assert_eq!((at_once, within_own_term), (None, None), "its holder may rely on it");
+        assert_eq!(later.expect("it has lapsed").expected, Some(5));
+    }
+}
