Endpoints: an idle time that is too large for a clock ends no process

An endpoint whose answer says `Keep-Alive: timeout=` with a number near 2^64 ended the process ("overflow when adding duration to instant"), with all its requests, at each such answer.

Now a connection is kept for an hour at the most.

--- a/crates/sillbank_gateway/src/connection_pool.rs
+++ b/crates/sillbank_gateway/src/connection_pool.rs
@@ -16,6 +16,8 @@
 /// Idle time of a connection if the endpoint names none; below the idle timeouts of common HTTP
 /// servers.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Longest idle time of a connection. An endpoint may name one that is too large for a clock.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Time before the endpoint's idle timeout at which a connection is no longer used, so that a
 /// request does not cross its closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -234,6 +236,7 @@
         let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
         seconds.trim().parse().ok().map(Duration::from_secs)
     });
-    let idle_time = stated.unwrap_or(DEFAULT_IDLE_TIME).checked_sub(IDLE_MARGIN)?;
+    let stated = stated.map_or(DEFAULT_IDLE_TIME, |stated| stated.min(MAX_IDLE_TIME));
+    let idle_time = stated.checked_sub(IDLE_MARGIN)?;
     (!idle_time.is_zero()).then_some(idle_time)
 }
