Quarantine: a harmful request is not let through again for a sound part that was there

Cause: a part of prompts that was present at three crashes was held back, and explained these crashes, so that they no longer counted against the request that caused them. Sound requests beside harmful ones lose their endpoints too, so that with three harmful requests at once a sound part is soon at three crashes, two of one request and one of another.

Now a request that comes again competes with parts. A part under which an innocent request crashed three times explains all of its crashes; one that explains only some of them does not explain the rest, so that these crashes count against the request. The same holds for parts whose requests had run for longer than a harmful one does.

--- a/crates/sillbank_quarantine/src/attribution.rs
+++ b/crates/sillbank_quarantine/src/attribution.rs
@@ -1,7 +1,8 @@
 //! Decides which parts of prompts are the cause of crashes.
 //!
 //! All requests in their beginning at an endpoint that crashes look alike, and so do their parts. The part that explains
-//! most crashes is held back first; the crashes that it explains say nothing against other parts or requests.
+//! most crashes is held back first; the crashes that it explains say nothing against other parts or requests. Crashes of
+//! requests that come again, and that the part explains only in part, do not count against it: sound requests are there by chance.
 //! Decisions follow from the evidence alone, so that VMs with the same evidence decide alike.
 
 use crate::crash_pattern::{causal_crashes, longest_run};
@@ -36,12 +37,17 @@
     pub(crate) term: Duration,
 }
 
+/// Incarnations of endpoints that crashed, one after the other, under one request that came again and again.
+pub(crate) type RepeatedCrashes = BTreeSet<EndpointId>;
+
 /// Parts that are held back, and the crashes that they explain.
 #[derive(Debug, Default)]
 pub(crate) struct Attribution {
     pub(crate) holds: BTreeMap<PartKey, PartHold>,
     /// Incarnations of endpoints that crashed under the parts that are held back.
     pub(crate) explained: BTreeSet<EndpointId>,
+    /// Those that crashed under single requests, and do not count against parts.
+    explained_by_requests: BTreeSet<EndpointId>,
 }
 
 /// Which crashes count against a part, and how many of them hold it back.
@@ -66,8 +72,8 @@
 /// A part that may be the cause of crashes that are not explained yet.
 struct Candidate {
     key: PartKey,
-    /// Number of endpoints that crashed.
-    endpoints: usize,
+    /// Endpoints that crashed and are not explained otherwise.
+    endpoints: BTreeSet<EndpointId>,
     /// Requests with the part under which they crashed.
     requests: BTreeSet<RequestTag>,
     /// The longest time for which one of them had run when its endpoint crashed.
@@ -78,7 +84,13 @@
 impl Candidate {
     /// Lower for likelier causes.
     fn rank(&self) -> (Reverse<usize>, Duration) {
-        (Reverse(self.endpoints), self.longest_run.max(CRASHING_RUN))
+        (Reverse(self.endpoints.len()), self.longest_run.max(CRASHING_RUN))
+    }
+
+    /// Whether a request that comes again is a likelier cause of what it shares with the part. It is if the part does not explain
+    /// all its crashes, or if requests with the part ran for longer than a harmful one does: they were there by chance.
+    fn is_rivalled_by(&self, request: &RepeatedCrashes) -> bool {
+        self.longest_run > CRASHING_RUN || !request.is_subset(&self.endpoints)
     }
 
     /// Whether requests with this part have the other one too, and the other one is in more requests. Sound requests share
@@ -111,31 +123,58 @@
 }
 
 impl Attribution {
-    /// Attributes crashes to parts.
-    pub(crate) fn new(suspects: &BTreeMap<PartKey, PartSuspect>) -> Self {
+    /// Attributes crashes to parts, or to requests that are likelier causes.
+    pub(crate) fn new(
+        suspects: &BTreeMap<PartKey, PartSuspect>,
+        repeated: &BTreeSet<RepeatedCrashes>,
+    ) -> Self {
         let mut attribution = Self::default();
         for standard in [Standard::Unrefuted, Standard::RefutedByOthers] {
-            while let Some((key, hold)) = attribution.next_hold(suspects, standard) {
-                let crashes = suspects.get(&key).into_iter().flat_map(PartSuspect::crashes);
+            while let Some(best) = attribution.next_hold(suspects, standard) {
+                if attribution.explain_by_requests(&best, repeated, standard) {
+                    continue;
+                }
+                let crashes = suspects.get(&best.key).into_iter().flat_map(PartSuspect::crashes);
                 attribution.explained.extend(crashes.map(|crash| crash.endpoint.clone()));
-                attribution.holds.insert(key, hold);
+                attribution.holds.insert(best.key, best.hold);
             }
         }
         attribution
     }
 
+    /// Attributes crashes to requests that come again, if these leave too few to hold the part back. Returns whether they do.
+    fn explain_by_requests(
+        &mut self,
+        part: &Candidate,
+        repeated: &BTreeSet<RepeatedCrashes>,
+        standard: Standard,
+    ) -> bool {
+        let rivals = repeated.iter().filter(|request| part.is_rivalled_by(request));
+        let by_rivals: RepeatedCrashes = rivals.flatten().cloned().collect();
+        let left = part.endpoints.difference(&by_rivals).count();
+        let is_explained = left < part.endpoints.len() && left < standard.min_crashes();
+        if is_explained {
+            self.explained_by_requests.extend(by_rivals);
+        }
+        is_explained
+    }
+
+    fn is_explained(&self, endpoint: &str) -> bool {
+        self.explained.contains(endpoint) || self.explained_by_requests.contains(endpoint)
+    }
+
     /// The part that explains most of the crashes that are not explained yet.
     fn next_hold(
         &self,
         suspects: &BTreeMap<PartKey, PartSuspect>,
         standard: Standard,
-    ) -> Option<(PartKey, PartHold)> {
+    ) -> Option<Candidate> {
         let candidates = suspects.iter().filter(|(key, suspect)| {
             suspect.max_endpoints() >= standard.min_crashes() && !self.holds.contains_key(key)
         });
         let candidates = candidates
             .filter_map(|(key, suspect)| self.candidate(*key, suspect, standard, suspects));
-        likeliest(candidates.collect()).map(|best| (best.key, best.hold))
+        likeliest(candidates.collect())
     }
 
     /// Whether no other endpoint crashed, for an unknown reason, between the first and the last of these crashes.
@@ -151,7 +190,7 @@
             Some(crash.at) >= first
                 && Some(crash.at) <= last
                 && !endpoints.contains(crash.endpoint.as_str())
-                && !self.explained.contains(&crash.endpoint)
+                && !self.is_explained(&crash.endpoint)
         };
         !suspects.values().flat_map(PartSuspect::crashes).any(is_other)
     }
@@ -163,7 +202,7 @@
         standard: Standard,
         suspects: &BTreeMap<PartKey, PartSuspect>,
     ) -> Option<Candidate> {
-        let unexplained = |crash: &&PartCrash| !self.explained.contains(&crash.endpoint);
+        let unexplained = |crash: &&PartCrash| !self.is_explained(&crash.endpoint);
         let crashes: Vec<&PartCrash> = match standard {
             Standard::Unrefuted => suspect.unrefuted_crashes().filter(unexplained).collect(),
             Standard::RefutedByOthers => suspect.crashes().filter(unexplained).collect(),
@@ -174,7 +213,8 @@
         let hold = hold_for(&crashes, standard, are_all_crashes)?;
         let requests = crashes.iter().map(|crash| crash.request).collect();
         let longest_run = longest_run(&crashes);
-        Some(Candidate { key, endpoints: endpoints.len(), requests, longest_run, hold })
+        let endpoints = endpoints.into_iter().map(str::to_owned).collect();
+        Some(Candidate { key, endpoints, requests, longest_run, hold })
     }
 }
 
--- a/crates/sillbank_quarantine/src/crash_quarantine.rs
+++ b/crates/sillbank_quarantine/src/crash_quarantine.rs
@@ -62,7 +62,8 @@
     pub fn on_crash(&mut self, traits: &RequestTraits, crash: CrashEvidence<'_>) -> Vec<HoldEvent> {
         let CrashEvidence { endpoint, sent_at, at, .. } = crash;
         let of_request = self.requests.on_crash(traits.fingerprint, endpoint, sent_at, at);
-        let of_parts = self.parts.on_crash(traits, crash, &self.good_runs);
+        let mut of_parts = self.parts.set_repeated(self.requests.repeated_crashes());
+        of_parts.extend(self.parts.on_crash(traits, crash, &self.good_runs));
         self.collect(of_request, of_parts, at)
     }
 
@@ -297,9 +298,10 @@
     fn collect(
         &mut self,
         of_requests: Vec<QuarantineEvent>,
-        of_parts: Vec<PartEvent>,
+        mut of_parts: Vec<PartEvent>,
         now: Instant,
     ) -> Vec<HoldEvent> {
+        of_parts.extend(self.parts.set_repeated(self.requests.repeated_crashes()));
         let follows = self.requests.set_explained(self.parts.explained(), now);
         let of_requests = of_requests.into_iter().chain(follows).map(HoldEvent::Request);
         of_requests.chain(of_parts.into_iter().map(HoldEvent::Part)).collect()
--- a/crates/sillbank_quarantine/src/part_quarantine.rs
+++ b/crates/sillbank_quarantine/src/part_quarantine.rs
@@ -1,6 +1,6 @@
 //! All suspected parts of prompts known to one VM.
 
-use crate::attribution::{Attribution, HoldScope, PartHold};
+use crate::attribution::{Attribution, HoldScope, PartHold, RepeatedCrashes};
 use crate::evidence::CrashEvidence;
 use crate::fingerprint::Fingerprint;
 use crate::good_runs::GoodRuns;
@@ -58,6 +58,8 @@
 pub(crate) struct PartQuarantine {
     suspects: BTreeMap<PartKey, PartSuspect>,
     attribution: Attribution,
+    /// Crashes under single requests that came again and again.
+    repeated: BTreeSet<RepeatedCrashes>,
     newest_change: ChangeNumber,
     /// Newest change that other VMs should receive without delay.
     newest_urgent: ChangeNumber,
@@ -324,8 +326,16 @@
         self.update_attribution()
     }
 
+    /// Sets the crashes under single requests that came again and again.
+    pub(crate) fn set_repeated(&mut self, repeated: BTreeSet<RepeatedCrashes>) -> Vec<PartEvent> {
+        match std::mem::replace(&mut self.repeated, repeated) == self.repeated {
+            true => Vec::new(),
+            false => self.update_attribution(),
+        }
+    }
+
     fn update_attribution(&mut self) -> Vec<PartEvent> {
-        let attribution = Attribution::new(&self.suspects);
+        let attribution = Attribution::new(&self.suspects, &self.repeated);
         let before = std::mem::replace(&mut self.attribution, attribution);
         let holds = &self.attribution.holds;
         let released = before.holds.keys().filter(|key| !holds.contains_key(key));
--- a/crates/sillbank_quarantine/src/quarantine.rs
+++ b/crates/sillbank_quarantine/src/quarantine.rs
@@ -2,7 +2,8 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::policy::{
-    ISOLATION_TERM, MAX_SUSPECTS, OTHER_WRITER_DELAY, REPORT_DELAY, RETENTION, URGENT_CRASHES,
+    CRASHES_TO_QUARANTINE, ISOLATION_TERM, MAX_SUSPECTS, OTHER_WRITER_DELAY, REPORT_DELAY,
+    RETENTION, URGENT_CRASHES,
 };
 use crate::suspect::{StoredSummary, Suspect};
 use crate::updates::{
@@ -152,6 +153,13 @@
         suspect.map_or(0, |suspect| suspect.crash_count(&self.explained))
     }
 
+    /// Incarnations of endpoints that crashed under each request that would be quarantined if no crash had another cause.
+    pub(crate) fn repeated_crashes(&self) -> BTreeSet<BTreeSet<EndpointId>> {
+        let endpoints = self.suspects.values().map(Suspect::endpoints);
+        let repeated = endpoints.filter(|endpoints| endpoints.len() >= CRASHES_TO_QUARANTINE);
+        repeated.map(BTreeSet::from_iter).collect()
+    }
+
     /// Whether there is no suspect.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
--- a/crates/sillbank_quarantine/tests/parts.rs
+++ b/crates/sillbank_quarantine/tests/parts.rs
@@ -562,3 +562,31 @@
     assert_eq!(quarantine.part_counts(), (1, MAX_PART_SUSPECTS));
     assert!(is_held(&quarantine, &request(1, &[HARMFUL]), last + ms(3_000)));
 }
+
+/// Guards against a harmful request that is let through again, as a part of sound requests that were beside it, and beside
+/// another harmful one, was held back for some of its crashes.
+#[test]
+fn a_request_that_comes_again_stays_held_back_though_a_sound_part_was_there_at_some_of_its_crashes()
+{
+    // Arrange
+    let (mut quarantine, start) = (CrashQuarantine::default(), Instant::now());
+    let (first, second, sound_part) = (request(20, &[]), request(21, &[]), 0xabc);
+    let crash_at = |seconds: u64| start + ms(1_000 * seconds);
+
+    // Act
+    for seconds in 0..6_u64 {
+        let (at, endpoint) = (crash_at(seconds), format!("e{seconds}"));
+        let harmful = if seconds < 3 { &first } else { &second };
+        quarantine.on_crash(harmful, crash_of(&endpoint, at - ms(100), at));
+        if [0, 1, 3].contains(&seconds) {
+            let sound = request(30 + u128::from(seconds), &[sound_part]);
+            quarantine.on_crash(&sound, crash_of(&endpoint, at - ms(120), at));
+        }
+    }
+
+    // Assert
+    let now = crash_at(6);
+    assert!(is_held(&quarantine, &first, now));
+    assert!(is_held(&quarantine, &second, now));
+    assert!(!is_held(&quarantine, &request(40, &[sound_part]), now));
+}
