Store: a watch whose connection breaks is no outage in which entries lapse

Cause: each failed call counted as an outage, after which a removal is taken for a lapse for 2.3 s, and the VM tells all others so. One connection that broke was enough. Now CallError::Lost says whether the connection broke, and StoreError::Cut stands for that; a call that times out, is refused or whose answer is too long counts as an outage as before.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -105,6 +105,11 @@
         is_store_failure
     }
 
+    /// Records that an answer of the store arrived.
+    pub fn on_store_answer(&mut self, now: Instant) {
+        self.reachability.on_answer(now);
+    }
+
     /// Records that a call to the store, sent at `sent`, was answered.
     pub fn on_call_answered(&mut self, sent: Instant) {
         self.reachability.on_answered(sent);
--- a/crates/sillbank_fleet/src/reachability.rs
+++ b/crates/sillbank_fleet/src/reachability.rs
@@ -6,11 +6,22 @@
 /// about two seconds; the rest is for the delay until this VM receives the entry.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 
+/// Shortest time without an answer of the store after which entries may have lapsed: an entry lapses after three missed
+/// check-ins of its endpoint.
+const SHORTEST_LAPSE: Duration = Duration::from_millis(2_000);
+/// Time within which the calls fail that a single cut of connections breaks.
+const CUT_TIME: Duration = Duration::from_millis(100);
+/// Time after an interruption within which another one counts as an outage: a store that answers now and then may
+/// refuse the check-ins of endpoints.
+const CALM_TIME: Duration = Duration::from_millis(4_000);
+
 /// Why a call to the store failed, as far as it matters for the entries of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreFailure {
     /// The store may be unreachable for endpoints too, so their entries may lapse.
     Unreachable,
+    /// The connection of a call broke. If that is all, and the store answers soon, it was reachable all the time.
+    ConnectionLost,
     /// The store rate-limits this VM. Endpoints keep writing their entries, so a missing entry
     /// means that its endpoint is gone.
     RateLimited,
@@ -22,6 +33,32 @@
     state: Reachability,
     /// When the latest answered call was sent.
     last_answered: Option<Instant>,
+    /// When the store is known to have answered last.
+    last_answer_at: Option<Instant>,
+    /// When calls failed last.
+    last_failed_at: Option<Instant>,
+}
+
+/// Calls that failed since the store last answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Outage {
+    first_failed_at: Instant,
+    last_failed_at: Instant,
+    /// When the store had answered last; `None` if that is not known, calls had failed shortly before, or more than
+    /// connections failed.
+    answered_at: Option<Instant>,
+    /// When the store had returned from an outage before, whose grace period was running.
+    recovered_at: Option<Instant>,
+}
+
+impl Outage {
+    /// Whether, up to `now`, only connections to a store were cut that answers, so that no entry has lapsed.
+    fn is_interruption(&self, now: Instant) -> bool {
+        let is_one_cut =
+            self.last_failed_at.saturating_duration_since(self.first_failed_at) <= CUT_TIME;
+        let is_short = |answered_at| now.saturating_duration_since(answered_at) < SHORTEST_LAPSE;
+        is_one_cut && self.answered_at.is_some_and(is_short)
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -29,8 +66,8 @@
     /// No call has failed since the last grace period ended.
     #[default]
     Steady,
-    /// Calls failed, the last one at this moment.
-    Unreachable(Instant),
+    /// Calls failed.
+    Unreachable(Outage),
     /// The store has answered again since this moment; the grace period is running.
     RecoveredAt(Instant),
 }
@@ -39,9 +76,28 @@
     /// Records a failed call.
     pub(crate) fn on_failure(&mut self, now: Instant, failure: StoreFailure) {
         match failure {
-            StoreFailure::Unreachable => self.state = Reachability::Unreachable(now),
-            StoreFailure::RateLimited => {}
+            StoreFailure::ConnectionLost => {
+                self.state = Reachability::Unreachable(self.outage(now));
+            }
+            StoreFailure::Unreachable => {
+                let outage = Outage { answered_at: None, ..self.outage(now) };
+                self.state = Reachability::Unreachable(outage);
+            }
+            StoreFailure::RateLimited => return,
         }
+        self.last_failed_at = Some(now);
+    }
+
+    /// The outage to which a call belongs that fails at `now`.
+    fn outage(&self, now: Instant) -> Outage {
+        let recovered_at = match self.state {
+            Reachability::Unreachable(outage) => return Outage { last_failed_at: now, ..outage },
+            Reachability::RecoveredAt(recovered_at) => Some(recovered_at),
+            Reachability::Steady => None,
+        };
+        let is_calm = |failed_at| now.saturating_duration_since(failed_at) >= CALM_TIME;
+        let answered_at = self.last_answer_at.filter(|_| self.last_failed_at.is_none_or(is_calm));
+        Outage { first_failed_at: now, last_failed_at: now, answered_at, recovered_at }
     }
 
     /// Whether the failure of a call sent at `sent` says nothing about the store: a call that was
@@ -53,22 +109,39 @@
     /// Records that a call sent at `sent` was answered.
     pub(crate) fn on_answered(&mut self, sent: Instant) {
         self.last_answered = self.last_answered.max(Some(sent));
+        self.last_answer_at = self.last_answer_at.max(Some(sent));
+    }
+
+    /// Records that an answer of the store arrived.
+    pub(crate) fn on_answer(&mut self, now: Instant) {
+        self.last_answer_at = self.last_answer_at.max(Some(now));
+    }
+
+    /// Ends an outage, or an interruption, at `now`.
+    fn end(&mut self, outage: Outage, now: Instant) {
+        self.state = match (outage.is_interruption(now), outage.recovered_at) {
+            (false, _) => Reachability::RecoveredAt(now),
+            (true, Some(recovered_at)) => Reachability::RecoveredAt(recovered_at),
+            (true, None) => Reachability::Steady,
+        };
     }
 
     /// Records that the store answered a call sent at `sent`. Ends an outage only if that was after
     /// the last failed call.
     pub(crate) fn on_reachable(&mut self, sent: Instant) {
-        self.on_answered(sent);
-        if matches!(self.state, Reachability::Unreachable(since) if sent > since) {
-            self.state = Reachability::RecoveredAt(sent);
+        if let Reachability::Unreachable(outage) = self.state
+            && sent > outage.last_failed_at
+        {
+            self.end(outage, sent);
         }
+        self.on_answered(sent);
     }
 
     /// Records that the store answered, and ends an outage even if the call was sent before others
     /// failed.
     pub(crate) fn on_recovered(&mut self, now: Instant) {
-        if matches!(self.state, Reachability::Unreachable(_)) {
-            self.state = Reachability::RecoveredAt(now);
+        if let Reachability::Unreachable(outage) = self.state {
+            self.end(outage, now);
         }
     }
 
@@ -102,6 +175,10 @@
     pub(crate) fn grace_left(&self, now: Instant) -> Duration {
         match self.state {
             Reachability::Steady => Duration::ZERO,
+            Reachability::Unreachable(outage) if outage.is_interruption(now) => {
+                let grace_end = outage.recovered_at.map(|recovered| recovered + LAPSE_GRACE);
+                grace_end.map_or(Duration::ZERO, |end| end.saturating_duration_since(now))
+            }
             Reachability::Unreachable(_) => LAPSE_GRACE,
             Reachability::RecoveredAt(recovered) => {
                 (recovered + LAPSE_GRACE).saturating_duration_since(now)
--- a/crates/sillbank_fleet/tests/directory.rs
+++ b/crates/sillbank_fleet/tests/directory.rs
@@ -232,6 +232,68 @@
     assert_eq!(removal, Some(Removal::Lapsed));
 }
 
+/// Calls fail at these times after the last answer, in ms; the store has answered again 20 ms after each. Returns what a
+/// removal right after the last answer means.
+fn removal_after_failures(failed_ms: &[u64]) -> Option<Removal> {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_store_answer(now);
+    let mut answered = now;
+    for failed_ms in failed_ms {
+        let failed = now + Duration::from_millis(*failed_ms);
+        answered = failed + Duration::from_millis(20);
+        directory.on_call_failed(failed, failed, StoreFailure::ConnectionLost);
+        directory.on_store_recovered(answered);
+        directory.on_store_answer(answered);
+    }
+    directory.on_change(answered, removed("a"))
+}
+
+/// Guards against taking a removal for a lapse after a watch was cut while the store answered all other calls: endpoints
+/// that were gone got requests for the whole grace period.
+#[test]
+fn removal_after_a_cut_watch_removes_the_endpoint() {
+    assert_eq!(removal_after_failures(&[500]), Some(Removal::Gone));
+    assert_eq!(removal_after_failures(&[500, 9_000]), Some(Removal::Lapsed));
+    assert_eq!(removal_after_failures(&[500, 5_500, 7_000]), Some(Removal::Lapsed));
+}
+
+/// A store that did not answer for seconds, or fails again and again, may have let entries lapse.
+#[test]
+fn removal_after_an_outage_or_repeated_failures_may_be_a_lapse() {
+    assert_eq!(removal_after_failures(&[2_500]), Some(Removal::Lapsed));
+    assert_eq!(removal_after_failures(&[500, 1_500]), Some(Removal::Lapsed));
+}
+
+/// A removal that arrives while only connections were cut counts as one, and as a lapse once the store has not answered for
+/// seconds.
+#[test]
+fn removal_during_an_outage_may_be_a_lapse_once_it_has_lasted() {
+    for (after_ms, expected) in [(600, Removal::Gone), (2_600, Removal::Lapsed)] {
+        let (mut directory, now) = directory(&["a"]);
+        directory.on_store_answer(now);
+        let failed = now + Duration::from_millis(500);
+        directory.on_call_failed(failed, failed, StoreFailure::ConnectionLost);
+
+        let removal = directory.on_change(now + Duration::from_millis(after_ms), removed("a"));
+
+        assert_eq!(removal, Some(expected), "{after_ms}");
+    }
+}
+
+/// Guards against taking a store that refuses calls for one that was reachable: it may refuse the check-ins of endpoints too.
+#[test]
+fn removal_after_a_refused_call_may_be_a_lapse() {
+    let (mut directory, now) = directory(&["a"]);
+    directory.on_store_answer(now);
+    let failed = now + Duration::from_millis(500);
+    directory.on_call_failed(failed, failed, StoreFailure::Unreachable);
+    directory.on_store_recovered(failed + Duration::from_millis(20));
+
+    let removal = directory.on_change(failed + Duration::from_millis(20), removed("a"));
+
+    assert_eq!(removal, Some(Removal::Lapsed));
+}
+
 fn unreadable(id: &str) -> UnreadableEntry {
     UnreadableEntry { id: id.to_owned(), version: Some(7), reason: "no address".to_owned() }
 }
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -348,6 +348,7 @@
             self.platform.on_store_recovered(Instant::now());
             tracing::info!(follower, "store: Back.");
         }
+        self.platform.on_store_answer(Instant::now());
     }
 
     /// Records that a call to the store sent at `sent` failed.
--- a/crates/sillbank_gateway/src/platform_view.rs
+++ b/crates/sillbank_gateway/src/platform_view.rs
@@ -410,6 +410,11 @@
         self.wake_store_waiters();
     }
 
+    /// Records that an answer of the store arrived.
+    pub fn on_store_answer(&self, now: Instant) {
+        self.directory.borrow_mut().on_store_answer(now);
+    }
+
     /// Records that the store answered a call sent at `sent`.
     pub fn on_call_answered(&self, sent: Instant) {
         self.directory.borrow_mut().on_call_answered(sent);
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -26,6 +26,9 @@
     /// The call may have taken effect.
     #[error("the store's answer was lost ({0}); read back what it did")]
     Lost(String),
+    /// The connection broke, and the call may have taken effect.
+    #[error("the connection to the store broke ({0}); read back what the call did")]
+    Cut(String),
     /// The store refused the call without any effect.
     #[error("the store refused with status {0}; it will be tried again")]
     Refused(u16),
@@ -53,6 +56,7 @@
     pub fn store_failure(&self) -> StoreFailure {
         match self {
             Self::Refused(TOO_MANY_CALLS) => StoreFailure::RateLimited,
+            Self::Cut(_) => StoreFailure::ConnectionLost,
             _ => StoreFailure::Unreachable,
         }
     }
--- a/crates/sillbank_gateway/tests/store.rs
+++ b/crates/sillbank_gateway/tests/store.rs
@@ -24,3 +24,11 @@
 
     assert_eq!(failures, [StoreFailure::Unreachable; 3]);
 }
+
+/// Guards against one broken connection that counts as an outage, in which endpoints that are gone stay in use.
+#[test]
+fn a_connection_that_breaks_is_told_from_a_store_that_does_not_answer() {
+    let failure = StoreError::Cut("reset".to_owned()).store_failure();
+
+    assert_eq!(failure, StoreFailure::ConnectionLost);
+}
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -44,6 +44,8 @@
         address: SocketAddr,
         /// What happened.
         reason: String,
+        /// Whether the connection broke. Otherwise the answer did not come in time, or cannot be read.
+        is_broken: bool,
     },
 }
 
@@ -104,7 +106,7 @@
             deadline.await;
             let reason = format!("it took longer than {} ms", timeout.as_millis());
             Err(match sent.get() {
-                true => CallError::Lost { address, reason },
+                true => CallError::Lost { address, reason, is_broken: false },
                 false => CallError::NotSent { address, reason },
             })
         };
@@ -139,7 +141,7 @@
                     }
                     None => {
                         let reason = error.error().to_string();
-                        return Err(CallError::Lost { address, reason });
+                        return Err(CallError::Lost { address, reason, is_broken: true });
                     }
                 },
             }
@@ -153,8 +155,12 @@
     ) -> Result<CallReply, CallError> {
         let (head, body) = response.into_parts();
         let collected = Limited::new(body, self.max_reply_bytes).collect().await;
-        let body =
-            collected.map_err(|e| CallError::Lost { address, reason: e.to_string() })?.to_bytes();
+        let body = collected.map_err(|error| CallError::Lost {
+            address,
+            reason: error.to_string(),
+            is_broken: error.is::<hyper::Error>(),
+        });
+        let body = body?.to_bytes();
         Ok(CallReply { status: head.status, headers: head.headers, body })
     }
 
