--- a/crates/sillbank_drain/src/demand.rs
+++ b/crates/sillbank_drain/src/demand.rs
@@ -16,7 +16,8 @@
     /// Nearly always enough.
     NearlySure,
     /// Enough if the answer has all events that the request allows, comes at half the slowest known pace, and its endpoint is
-    /// silent once for as long as callers wait. That earlier answers were short does not shorten it.
+    /// silent once for as long as callers wait. That earlier answers were short does not shorten it. For calls the same as
+    /// [`Certainty::NearlySure`]: one that is not answered in time gets a reply before the exit.
     WorstCase,
 }
 
--- a/crates/sillbank_drain/src/plan.rs
+++ b/crates/sillbank_drain/src/plan.rs
@@ -120,10 +120,10 @@
         others: Others,
         now: Instant,
     ) -> Admission {
-        let certainty = match others {
-            _ if now >= self.promises_from() => Certainty::WorstCase,
-            Others::Few => Certainty::Likely,
-            Others::Suffice => Certainty::NearlySure,
+        let certainty = match (now >= self.promises_from(), others) {
+            (true, _) => Certainty::WorstCase,
+            (false, Others::Few) => Certainty::Likely,
+            (false, Others::Suffice) => Certainty::NearlySure,
         };
         let time = demand.time_for(certainty, experience);
         let ends_at = time.and_then(|time| now.checked_add(time.min(time_left)));
--- a/crates/sillbank_net/src/serve.rs
+++ b/crates/sillbank_net/src/serve.rs
@@ -198,7 +198,7 @@
 }
 
 /// Logs how a connection ended. While the server stops, an end under a request and one that the caller has not confirmed by
-/// closing its side are logged at the level of decisions: an answer may have been lost with them.
+/// closing its side are logged at info level: an answer may have been lost with them.
 fn log_end(number: ConnectionNumber, end: &str, activity: &Activity, is_stopping: bool) {
     let (phase, requests) = (activity.phase().name(), activity.requests());
     let peer_end = activity.peer_end().map(PeerEnd::name);
