Exit of a VM: a stream is listed until the end of its framing is written

A stream whose last event had been written before it ended counted as written at once, while its last chunk was still queued. If its caller read nothing, the exit cut it, its caller saw a connection that ended within the answer, and no log line named it.

Cause: a part of a reply counts as unwritten from when it is taken until the next flush; the end of the body is no part. Now the end counts too, until the flush or the end of the connection.

--- a/crates/sillbank_net/src/activity.rs
+++ b/crates/sillbank_net/src/activity.rs
@@ -87,6 +87,8 @@
     phase: Cell<Phase>,
     /// Whether a part of a reply was taken that may not have been written yet.
     has_unwritten: Cell<bool>,
+    /// Whether the connection has ended, so that nothing more will be written.
+    has_ended: Cell<bool>,
     /// Tasks that wait until everything has been written.
     flush_wakers: RefCell<Vec<Waker>>,
     /// Number of requests whose heads were complete.
@@ -103,6 +105,7 @@
         Rc::new(Self {
             phase: Cell::new(Phase::Opened { since: now }),
             has_unwritten: Cell::new(false),
+            has_ended: Cell::new(false),
             flush_wakers: RefCell::default(),
             requests: Cell::new(0),
             late_bytes: Cell::new(0),
@@ -143,7 +146,7 @@
 
     /// Completes when all parts that were taken have been written, or the connection has ended.
     pub(crate) fn poll_flushed(&self, context: &mut Context<'_>) -> Poll<()> {
-        if !self.has_unwritten.get() {
+        if !self.has_unwritten.get() || self.has_ended.get() {
             return Poll::Ready(());
         }
         let mut wakers = self.flush_wakers.borrow_mut();
@@ -153,8 +156,10 @@
         Poll::Pending
     }
 
-    /// Records that the body of the reply has been taken completely, or will not be taken.
+    /// Records that the body of the reply has been taken completely, or will not be taken. The end of its framing is still to
+    /// be written.
     pub(crate) fn on_reply_taken(&self) {
+        self.has_unwritten.set(true);
         self.phase.set(Phase::WritingRest);
     }
 
@@ -197,6 +202,7 @@
 
 impl<C> Drop for Tracked<C> {
     fn drop(&mut self) {
+        self.activity.has_ended.set(true);
         self.activity.wake_flushed();
     }
 }
--- a/crates/sillbank_net/tests/slow_readers.rs
+++ b/crates/sillbank_net/tests/slow_readers.rs
@@ -273,3 +273,49 @@
 
     assert!(is_delivered());
 }
+
+/// Handler that answers with a stream whose outbox the test keeps.
+struct KeptOutbox(RefCell<Option<Outbox>>);
+
+impl Handler for KeptOutbox {
+    async fn handle(&self, _: Request<Incoming>) -> Response<ReplyBody> {
+        let (outbox, body) = Outbox::new();
+        self.0.replace(Some(outbox));
+        Response::new(ReplyBody::Stream(body))
+    }
+}
+
+/// Guards against a stream that counts as written while the end of its framing is not, as its last event was written before it
+/// ended: an exit then cuts it without a log line.
+#[test]
+fn a_stream_that_ends_after_its_last_event_was_written_counts_as_written_with_its_last_chunk() {
+    let executor = Rc::new(LocalExecutor::new());
+    let run = || while executor.try_tick() {};
+    let (link, handler) = (Link::default(), Rc::new(KeptOutbox(RefCell::default())));
+    link.0.borrow_mut().request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n".to_vec();
+    let (stopper, budget) = (Stopper::default(), MemoryBudget::new(LIMIT_BYTES));
+    let end = ServerEnd(link.clone());
+    let (stop, unread) = (stopper.token(), budget.register_connection());
+    let served = serve_connection(end, ServerLimits::default(), handler.clone(), stop, unread);
+    executor.spawn(served).detach();
+    link.read(WINDOW_BYTES);
+    run();
+    let outbox = handler.0.borrow().clone().expect("the request is handled");
+    outbox.write(EVENT);
+    run();
+    let unused = link.0.borrow().window_bytes;
+    link.0.borrow_mut().window_bytes = 0;
+
+    outbox.close();
+    run();
+    let is_written = |outbox: &Outbox| {
+        smol::block_on(futures_lite::future::poll_once(outbox.written())).is_some()
+    };
+    let before = is_written(&outbox);
+    link.read(unused);
+    run();
+
+    assert!(!before, "the last chunk is not written");
+    assert!(link.0.borrow().received.ends_with(LAST_CHUNK));
+    assert!(is_written(&outbox));
+}
