--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -110,7 +110,7 @@
             if answer(
                 &mut reader.stream,
                 status,
-                "Content-Type: application/json\r\n",
+                "Content-Type: application/json\r\nStore-Era: 1\r\n",
                 body.as_bytes(),
             )
             .is_err()
