Review: an answer without a length looks whole if nothing answers at its runner's address

A runner crashes while it sends answers without a length, and the opening packets of new channels to it are lost: the connection check gets no answer within 100 ms, which counts as a runner that goes on, so that callers get half of an answer as a whole 200.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,8 @@
 mod http;
 mod json;
 mod link;
+mod lossy;
+mod lossy_link;
 mod plain;
 mod runner;
 mod store;
@@ -18,6 +20,7 @@
     match words.as_slice() {
         ["runner", rest @ ..] => runner::run(rest),
         ["plain", rest @ ..] => plain::run(rest),
+        ["lossy", folder] => lossy::run(folder),
         ["watches", folder] => watches::run(folder),
         ["unframed", folder] => unframed::run(folder),
         _ => {
--- a/review/standins-2/unframed.rs
+++ b/review/standins-2/unframed.rs
@@ -12,7 +12,7 @@
 use std::process::{Child, Command, ExitCode};
 use std::time::{Duration, Instant};
 
-const HALLS: [&str; 3] = ["bud-a", "bud-b", "bud-c"];
+pub const HALLS: [&str; 3] = ["bud-a", "bud-b", "bud-c"];
 const HOST: &str = "quotes.example";
 const ROUTE_TIMEOUT_MS: u64 = 1_500;
 const CALLER_LIMIT_MS: u64 = 3_000;
@@ -34,7 +34,7 @@
     child: Child,
 }
 
-fn start_process(folder: &Path, real: SocketAddr, id: &str) -> Child {
+pub fn start_process(folder: &Path, real: SocketAddr, id: &str) -> Child {
     let log = File::create(folder.join(format!("{id}.txt"))).expect("a log");
     let child = Command::new(root().join("target/review-2/standins"))
         .args(["runner", &real.to_string(), id, &PIECE_MS.to_string()])
@@ -54,7 +54,7 @@
     )
 }
 
-fn manifest() -> String {
+pub fn manifest() -> String {
     format!(
         "{{\"config_version\":7,\"routes\":[{{\"name\":\"quote-snap\",\"host\":\"{HOST}\",\"path_prefix\":\"/snap/\",\
          \"route_type\":\"non_idempotent\",\"timeout_ms\":{ROUTE_TIMEOUT_MS},\"slo_ms\":300,\"priority\":2,\
@@ -66,7 +66,7 @@
 }
 
 /// Sends one request on a channel of its own. `None` if there is no answer.
-fn call(address: SocketAddr, id: &str) -> Option<Message> {
+pub fn call(address: SocketAddr, id: &str) -> Option<Message> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_millis(CALLER_LIMIT_MS + 500))).ok()?;
     let body = "snap";
@@ -80,7 +80,7 @@
 }
 
 /// What a caller got: a word for the record, and whether it breaks the rule.
-fn judge(id: &str, got: &Option<Message>) -> (String, bool) {
+pub fn judge(id: &str, got: &Option<Message>) -> (String, bool) {
     let Some(message) = got else { return ("no answer".to_owned(), false) };
     let (status, length) = (message.status(), message.body.len());
     let has_seal = message.header("x-response-seal").is_some();
