Store: watches that are cut several times are no outage in which entries lapse

Cause: a second failed call within 4 s, or calls of one cut that failed more than 0.1 s apart, counted as an outage, although the store had answered in between. A removal within 2.3 s of its end was taken for a lapse, and the leader that saw the cuts told all others. The number of failures stood for their duration.

Now cuts of connections count by time: they are an outage once the store has not answered for 2 s, the shortest time in which an entry can lapse, or once calls fail for most of the time. A store that refuses calls or is silent is an outage at once, as before. Why this works: an entry lapses only if three check-ins in a row are not accepted, and a store that answers in between accepts them.

Before the change four tests of sillbank_fleet/tests/directory.rs and the script endpoint_removed_after_repeatedly_cut_watches failed; all pass now. removal_after_an_outage_or_repeated_failures_may_be_a_lapse demanded the fault (a second failure after 1 s is an outage).

The log lines store: Lost. and store: Back. say whether missing entries may have lapsed; may_lapse of the former only said whether the failure counted.

--- a/crates/sillbank_fleet/src/directory.rs
+++ b/crates/sillbank_fleet/src/directory.rs
@@ -127,6 +127,11 @@
         self.reachability.on_recovered(now);
     }
 
+    /// Whether an entry that is missing at `now` may have lapsed.
+    pub fn may_lapse(&self, now: Instant) -> bool {
+        self.reachability.may_lapse(now)
+    }
+
     /// Records that the store was restored from a copy. Missing entries may be written again, and
     /// entries of endpoints that were known to be leaving are held back.
     pub fn on_restored(&mut self, now: Instant) {
--- a/crates/sillbank_fleet/src/reachability.rs
+++ b/crates/sillbank_fleet/src/reachability.rs
@@ -9,11 +9,6 @@
 /// Shortest time without an answer of the store after which entries may have lapsed: an entry lapses after three missed
 /// check-ins of its endpoint.
 const SHORTEST_LAPSE: Duration = Duration::from_millis(2_000);
-/// Time within which the calls fail that a single cut of connections breaks.
-const CUT_TIME: Duration = Duration::from_millis(100);
-/// Time after an interruption within which another one counts as an outage: a store that answers now and then may
-/// refuse the check-ins of endpoints.
-const CALM_TIME: Duration = Duration::from_millis(4_000);
 
 /// Why a call to the store failed, as far as it matters for the entries of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,8 +30,24 @@
     last_answered: Option<Instant>,
     /// When the store is known to have answered last.
     last_answer_at: Option<Instant>,
-    /// When calls failed last.
-    last_failed_at: Option<Instant>,
+    unavailability: Unavailability,
+}
+
+/// How much of the recent time the store was unavailable: grows with the time while calls fail, and shrinks as fast while
+/// they do not. It reaches [`SHORTEST_LAPSE`] only if calls fail more than half of the time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unavailability {
+    accumulated: Duration,
+    /// When the last outage or interruption ended, as of which `accumulated` holds.
+    ended_at: Option<Instant>,
+}
+
+impl Unavailability {
+    /// What is left of it at `now`, if no call has failed since the last outage or interruption ended.
+    fn left(&self, now: Instant) -> Duration {
+        let Some(ended_at) = self.ended_at else { return Duration::ZERO };
+        self.accumulated.saturating_sub(now.saturating_duration_since(ended_at))
+    }
 }
 
 /// Calls that failed since the store last answered.
@@ -44,20 +55,25 @@
 struct Outage {
     first_failed_at: Instant,
     last_failed_at: Instant,
-    /// When the store had answered last; `None` if that is not known, calls had failed shortly before, or more than
-    /// connections failed.
+    /// When the store had answered last; `None` if that is not known, or if more than connections failed.
     answered_at: Option<Instant>,
+    /// What was left of the unavailability when the first call failed.
+    unavailable_before: Duration,
     /// When the store had returned from an outage before, whose grace period was running.
     recovered_at: Option<Instant>,
 }
 
 impl Outage {
-    /// Whether, up to `now`, only connections to a store were cut that answers, so that no entry has lapsed.
+    /// Whether, up to `now`, only connections to a store were cut that answers, so that no entry has lapsed. However many
+    /// were cut, a store that answered in between was there for the check-ins of endpoints.
     fn is_interruption(&self, now: Instant) -> bool {
-        let is_one_cut =
-            self.last_failed_at.saturating_duration_since(self.first_failed_at) <= CUT_TIME;
         let is_short = |answered_at| now.saturating_duration_since(answered_at) < SHORTEST_LAPSE;
-        is_one_cut && self.answered_at.is_some_and(is_short)
+        self.answered_at.is_some_and(is_short) && self.unavailable(now) < SHORTEST_LAPSE
+    }
+
+    /// The unavailability at `now`, if the store has not answered yet.
+    fn unavailable(&self, now: Instant) -> Duration {
+        self.unavailable_before + now.saturating_duration_since(self.first_failed_at)
     }
 }
 
@@ -83,9 +99,8 @@
                 let outage = Outage { answered_at: None, ..self.outage(now) };
                 self.state = Reachability::Unreachable(outage);
             }
-            StoreFailure::RateLimited => return,
+            StoreFailure::RateLimited => {}
         }
-        self.last_failed_at = Some(now);
     }
 
     /// The outage to which a call belongs that fails at `now`.
@@ -95,9 +110,13 @@
             Reachability::RecoveredAt(recovered_at) => Some(recovered_at),
             Reachability::Steady => None,
         };
-        let is_calm = |failed_at| now.saturating_duration_since(failed_at) >= CALM_TIME;
-        let answered_at = self.last_answer_at.filter(|_| self.last_failed_at.is_none_or(is_calm));
-        Outage { first_failed_at: now, last_failed_at: now, answered_at, recovered_at }
+        Outage {
+            first_failed_at: now,
+            last_failed_at: now,
+            answered_at: self.last_answer_at,
+            unavailable_before: self.unavailability.left(now),
+            recovered_at,
+        }
     }
 
     /// Whether the failure of a call sent at `sent` says nothing about the store: a call that was
@@ -119,6 +138,8 @@
 
     /// Ends an outage, or an interruption, at `now`.
     fn end(&mut self, outage: Outage, now: Instant) {
+        let accumulated = outage.unavailable(now).min(SHORTEST_LAPSE);
+        self.unavailability = Unavailability { accumulated, ended_at: Some(now) };
         self.state = match (outage.is_interruption(now), outage.recovered_at) {
             (false, _) => Reachability::RecoveredAt(now),
             (true, Some(recovered_at)) => Reachability::RecoveredAt(recovered_at),
--- a/crates/sillbank_gateway/src/gateway.rs
+++ b/crates/sillbank_gateway/src/gateway.rs
@@ -345,8 +345,10 @@
         self.platform.on_call_answered(sent);
         self.store_answered_at.set(Some(Instant::now()));
         if !self.store_reached.replace(true) {
-            self.platform.on_store_recovered(Instant::now());
-            tracing::info!(follower, "store: Back.");
+            let now = Instant::now();
+            self.platform.on_store_recovered(now);
+            let may_lapse = self.platform.may_lapse(now);
+            tracing::info!(follower, may_lapse, "store: Back.");
         }
         self.platform.on_store_answer(Instant::now());
     }
@@ -358,9 +360,11 @@
             tracing::info!(follower, %error, "store: A watch cannot continue; everything is read again.");
             return;
         }
-        let is_failure = self.platform.on_call_failed(sent, Instant::now(), error.store_failure());
+        let now = Instant::now();
+        self.platform.on_call_failed(sent, now, error.store_failure());
         if self.store_reached.replace(false) {
-            tracing::warn!(follower, %error, may_lapse = is_failure, "store: Lost.");
+            let may_lapse = self.platform.may_lapse(now);
+            tracing::warn!(follower, %error, may_lapse, "store: Lost.");
         }
     }
 
--- a/crates/sillbank_gateway/src/platform_view.rs
+++ b/crates/sillbank_gateway/src/platform_view.rs
@@ -427,6 +427,11 @@
         self.directory.borrow_mut().on_call_failed(sent, now, failure)
     }
 
+    /// Whether an entry that is missing at `now` may have lapsed.
+    pub fn may_lapse(&self, now: Instant) -> bool {
+        self.directory.borrow().may_lapse(now)
+    }
+
     /// When the next lapsed entry is evicted; `None` if there is none or the store is unreachable.
     pub fn next_eviction(&self) -> Option<Instant> {
         self.directory.borrow().next_eviction()
