Program: signals are handled from the start of main

Cause: the handlers were registered in plugins::run, after the settings had been read and logging had been started. Until then a signal has the system's default effect.

The handlers are registered as the first thing in main, and what they receive is handed to the tasks that stop and reload.

--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -122,18 +122,17 @@
     }
 }
 
-/// Runs a gateway until it is asked to stop.
+/// Runs a gateway until it is asked to stop by one of `signals`.
 ///
 /// # Errors
-/// If the operating system refuses a listener or a signal handler.
+/// If the operating system refuses a listener.
 pub async fn run<W: Wire, S: MetadataStore>(
     executor: Rc<LocalExecutor<'static>>,
     settings: GatewaySettings,
     settings_path: PathBuf,
     store: S,
+    signals: ProcessSignals,
 ) -> std::io::Result<()> {
-    let stop_signals = Signals::stop()?;
-    let reload_signals = Signals::reload()?;
     let callers = TcpListener::bind(settings.callers_listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
     let metrics = TcpListener::bind(settings.metrics_listen).await?;
@@ -157,7 +156,7 @@
         .add_plugin(LinksPlugin)
         .add_plugin(OpsPlugin { ready, metrics })
         .add_plugin(CallersPlugin { listener: callers })
-        .add_plugin(MaintenancePlugin { reload: reload_signals, settings_path });
-    lifecycle::stop(app.state(), stop_signals).await;
+        .add_plugin(MaintenancePlugin { reload: signals.reload, settings_path });
+    lifecycle::stop(app.state(), signals.stop).await;
     Ok(())
 }
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -33,7 +33,7 @@
     pub use crate::memory_budget::{MemoryBudget, MemoryReservation};
     pub use crate::reply_bounds::ReplyBounds;
     pub use crate::serve::{ConnectionNumber, Handler, ServerLimits, serve, serve_until};
-    pub use crate::signals::Signals;
+    pub use crate::signals::{ProcessSignals, Signals};
     pub use crate::stop::{StopToken, Stopper};
     pub use crate::timeouts::{SharedTimeouts, Timeouts};
 }
