Program: an address that is still in use is waited for

Cause: each address was tried once. A process that starts in the place of one that is still stopping, or whose port a connection on the same machine has as its own end, ends, and its platform counts that as an end by itself.

Addresses are now tried again for as long as the process before may take to stop, and 2 s more, with a log line; a stop signal ends the wait. After that the program ends as before, with an error that names the address. The address of callers comes last, so that none waits for a VM that cannot serve yet.

--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -18,6 +18,7 @@
 use smol::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Largest reply of an engine to a report or an order.
 const MAX_ENGINE_REPLY_BYTES: usize = 1 << 20;
@@ -122,6 +123,43 @@
     }
 }
 
+/// How much longer than the grace period of a stop this program waits for its addresses, which the process before it may hold.
+const LISTEN_MARGIN: Duration = Duration::from_secs(2);
+
+/// Listeners of a gateway.
+struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    /// Listens at all addresses; at that of callers last, so that none waits for a VM that cannot serve yet.
+    async fn open(settings: &GatewaySettings) -> std::io::Result<Self> {
+        let until = Instant::now() + settings.stop_grace + LISTEN_MARGIN;
+        Ok(Self {
+            peers: listen(settings.peer_listen, until).await?,
+            metrics: listen(settings.metrics_listen, until).await?,
+            ready: listen(settings.ready_listen, until).await?,
+            callers: listen(settings.callers_listen, until).await?,
+        })
+    }
+}
+
+/// Listens at all addresses; returns `None` if the program is asked to stop meanwhile.
+async fn listen_unless_stopped(
+    settings: &GatewaySettings,
+    stop: &mut Signals,
+) -> std::io::Result<Option<Listeners>> {
+    let opened = async { Listeners::open(settings).await.map(Some) };
+    let stopped = async {
+        stop.next().await;
+        Ok(None)
+    };
+    futures_lite::future::or(opened, stopped).await
+}
+
 /// Runs a gateway until it is asked to stop by one of `signals`.
 ///
 /// # Errors
@@ -131,12 +169,12 @@
     settings: GatewaySettings,
     settings_path: PathBuf,
     store: S,
-    signals: ProcessSignals,
+    mut signals: ProcessSignals,
 ) -> std::io::Result<()> {
-    let callers = TcpListener::bind(settings.callers_listen).await?;
-    let ready = TcpListener::bind(settings.ready_listen).await?;
-    let metrics = TcpListener::bind(settings.metrics_listen).await?;
-    let peers = TcpListener::bind(settings.peer_listen).await?;
+    let Some(listeners) = listen_unless_stopped(&settings, &mut signals.stop).await? else {
+        tracing::info!("program: Stopped before it listened at all addresses.");
+        return Ok(());
+    };
     tracing::info!(
         vm = settings.vm,
         hall = settings.hall,
@@ -152,10 +190,10 @@
     let app = App::new(executor, Rc::new(gateway))
         .add_plugin(FollowPlugin)
         .add_plugin(PlacementPlugin)
-        .add_plugin(FeedPlugin { listener: peers })
+        .add_plugin(FeedPlugin { listener: listeners.peers })
         .add_plugin(LinksPlugin)
-        .add_plugin(OpsPlugin { ready, metrics })
-        .add_plugin(CallersPlugin { listener: callers })
+        .add_plugin(OpsPlugin { ready: listeners.ready, metrics: listeners.metrics })
+        .add_plugin(CallersPlugin { listener: listeners.callers })
         .add_plugin(MaintenancePlugin { reload: signals.reload, settings_path });
     lifecycle::stop(app.state(), signals.stop).await;
     Ok(())
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -13,6 +13,7 @@
 mod closing;
 pub mod failures;
 pub mod frames;
+pub mod listen;
 pub mod liveness;
 pub mod memory_budget;
 pub mod metered;
@@ -30,6 +31,7 @@
     pub use crate::app::{App, Plugin, run_program};
     pub use crate::body::{BodyAborted, Outbox, ReplyBody, json_reply, text_reply};
     pub use crate::client::{CallError, CallReply, Connection, HttpClient};
+    pub use crate::listen::listen;
     pub use crate::memory_budget::{MemoryBudget, MemoryReservation};
     pub use crate::reply_bounds::ReplyBounds;
     pub use crate::serve::{ConnectionNumber, Handler, ServerLimits, serve, serve_until};
