Program: settings that are still being written are waited for

Cause: a reload keeps the settings in force when the file is faulty, but the start read the file once.

Evidence: with an empty file, and with one that ends after 30 bytes, the program ended with code 1. That the users' runs had such a file is not known.

--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -3,10 +3,11 @@
 use crate::mechanisms::Mechanisms;
 use sillbank_core::prelude::*;
 use sillbank_settings::process::{LogSettings, read_log_settings};
-use sillbank_settings::reader::{FieldReader, Problem, Problems};
+pub use sillbank_settings::reader::Problems;
+use sillbank_settings::reader::{FieldReader, Problem};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// File descriptors reserved for files, timers and the store.
 const RESERVED_DESCRIPTORS: usize = 256;
@@ -15,6 +16,10 @@
 /// One of this many connections may be one that the VM passes on for another one. Each holds two descriptors, as a caller's
 /// does. A hall may have but one VM whose links work.
 const RELAYED_SHARE: usize = 4;
+/// Time within which a settings file that is being written is complete.
+pub const WRITE_WAIT: Duration = Duration::from_secs(2);
+/// Pause before a faulty settings file is read again.
+const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes per megabyte.
 const BYTES_PER_MB: f64 = 1e6;
 /// Maximum share of the process's memory buffered for callers and endpoints. Buffers may take twice
@@ -105,6 +110,30 @@
     read_text(&source, &text)
 }
 
+/// Reads and checks a settings file that may still be being written: while it is faulty, it is read again for up to
+/// [`WRITE_WAIT`]. The first problems are passed to `on_faulty`.
+///
+/// # Errors
+/// Every problem found last.
+pub async fn read_written_file(
+    path: &Path,
+    on_faulty: impl FnOnce(&Problems),
+) -> Result<GatewaySettings, Problems> {
+    let until = Instant::now() + WRITE_WAIT;
+    let mut on_faulty = Some(on_faulty);
+    loop {
+        let problems = match read_file(path) {
+            Ok(settings) => return Ok(settings),
+            Err(problems) if Instant::now() >= until => return Err(problems),
+            Err(problems) => problems,
+        };
+        if let Some(on_faulty) = on_faulty.take() {
+            on_faulty(&problems);
+        }
+        smol::Timer::after(READ_PAUSE).await;
+    }
+}
+
 /// Reads and checks the text of a settings file.
 ///
 /// # Errors
