Replies: a status that ends no exchange makes no answer

A caller that follows HTTP takes a connection on which 101 came for one that speaks another protocol, and loses later answers on it.

Cause: what the HTTP library takes for a status was passed on. It refuses 000 and texts that are no three digits, but not numbers from 600 on, and takes 101 for a final answer.

Evidence: two endpoints that answer with one of 14 statuses each, in three framings: 101, 600 and 999 were passed on in all of them on calls that may not be repeated, and on streams that may not be resumed; 000 was not.

A reply whose status is not from 200 to 599 now counts as lost: it may have run, so it is sent again only if it may be, else its caller gets 502.

--- a/crates/sillbank_gateway/src/sending.rs
+++ b/crates/sillbank_gateway/src/sending.rs
@@ -11,9 +11,9 @@
 use crate::wire::{EndpointReply, Refusal, ReplyPosition, Wire};
 use bytes::BytesMut;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
 use sillbank_core::run::RunLog;
 use sillbank_layers::prelude::*;
 use sillbank_links::prelude::*;
@@ -119,6 +119,12 @@
     }
 }
 
+/// Whether a status ends an exchange. The HTTP library takes 101, though no caller can ask for another protocol here, and
+/// numbers above the classes of statuses, for the status of a reply.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Sends a request over a connection and waits for the head of the reply.
 async fn exchange<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
@@ -147,6 +153,12 @@
     };
     connection.inner.bounds.on_progress();
     gateway.on_direct_reply(to.endpoint, &connection);
+    if !is_final_status(reply.status()) {
+        return SendOutcome::Lost(format!(
+            "a reply with status {}, which no reply to a request has",
+            reply.status().as_u16()
+        ));
+    }
     let position = match connection.reused {
         true => ReplyPosition::AfterOthers,
         false => ReplyPosition::First,
