Answers without a length: an endpoint that is silent does not count as one that goes on

Cause: whether an endpoint goes on after it has closed the connection of such an answer was asked by one attempt to connect.

Evidence: an endpoint that crashes and whose address then drops opening packets: calls got 200 with half of the answer.

The check tells silence from acceptance now. Where an endpoint is silent, a second attempt has 1.5 s, in which a lost packet is sent again, and the answer is whole only if that is accepted. Other uses of the check treat silence as before.

--- a/crates/sillbank_gateway/src/calls/mod.rs
+++ b/crates/sillbank_gateway/src/calls/mod.rs
@@ -127,7 +127,7 @@
             TryOutcome::Lost(reason) => {
                 match check_broken_send(gateway, job, attempt.broken_send()).await {
                     BreakCause::Link => (SendFailureKind::LinkLost, reason),
-                    BreakCause::Unknown | BreakCause::Unreached
+                    BreakCause::Unknown | BreakCause::Silent | BreakCause::Unreached
                         if attempt.has_confirmed_link_loss().await =>
                     {
                         (SendFailureKind::LinkLost, reason)
@@ -135,6 +135,7 @@
                     BreakCause::Crash
                     | BreakCause::Connection
                     | BreakCause::Unknown
+                    | BreakCause::Silent
                     | BreakCause::Unreached => (SendFailureKind::MayHaveRun, reason),
                 }
             }
--- a/crates/sillbank_gateway/src/crashes/cause.rs
+++ b/crates/sillbank_gateway/src/crashes/cause.rs
@@ -6,7 +6,7 @@
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_links::prelude::*;
-use sillbank_net::liveness::refuses_connections;
+use sillbank_net::liveness::{ConnectResult, try_connect};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
     Connection,
     /// Not known: the endpoint accepts connections, or is leaving.
     Unknown,
+    /// Not known: the endpoint neither accepts nor refuses connections.
+    Silent,
     /// Not known: it is not reached directly, and no other VM reaches it or tells that it refuses.
     Unreached,
 }
@@ -43,8 +45,12 @@
     /// that run, so that another VM has to confirm a refusal.
     async fn find_cause(&self, endpoint: &str, address: SocketAddr) -> BreakCause {
         let is_direct = self.transit_to(endpoint) == Transit::Direct;
-        if is_direct && !refuses_connections(address, CONNECT_CHECK_TIMEOUT).await {
-            return BreakCause::Unknown;
+        if is_direct {
+            match try_connect(address, CONNECT_CHECK_TIMEOUT).await {
+                ConnectResult::Accepted => return BreakCause::Unknown,
+                ConnectResult::Silent => return BreakCause::Silent,
+                ConnectResult::Refused => {}
+            }
         }
         if !self.settings.borrow().mechanisms.relay {
             return BreakCause::Crash;
@@ -84,11 +90,12 @@
     }
     let started_at = Instant::now();
     let mut cause = gateway.find_cause(endpoint, send.address).await;
-    if cause == BreakCause::Unknown && depth == Depth::Answer {
+    let is_unknown = matches!(cause, BreakCause::Unknown | BreakCause::Silent);
+    if is_unknown && depth == Depth::Answer {
         cause = match gateway.endpoint_answers(endpoint).await {
             _ if has_restarted() => BreakCause::Crash,
             true => BreakCause::Connection,
-            false => BreakCause::Unknown,
+            false => cause,
         };
     }
     if cause == BreakCause::Crash && !crashed.crashed_since(endpoint, send.sent_at) {
--- a/crates/sillbank_gateway/src/crashes/mod.rs
+++ b/crates/sillbank_gateway/src/crashes/mod.rs
@@ -25,6 +25,7 @@
 use cause::{Depth, cause_of};
 use pending::PendingCheck;
 use sillbank_core::prelude::*;
+use sillbank_net::liveness::{ConnectResult, try_connect};
 use sillbank_quarantine::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,6 +42,10 @@
 /// more. Its machine may have lost power, which a request does not cause.
 const MAX_CHECK_TIME: Duration = Duration::from_secs(1);
 
+/// Time limit of a connection to an endpoint that was silent before. A packet that opens a connection and is lost is sent again
+/// after a second.
+const SILENT_CHECK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// A send whose connection broke before the answer was complete.
 #[derive(Debug, Clone)]
 pub struct BrokenSend {
@@ -112,7 +117,8 @@
 
 /// Whether an endpoint may have ended when it closed the connection of an answer which only the close ends. A process that
 /// ends closes a connection just as the end of such an answer does, also one that is leaving and ends as planned. So the
-/// answer is whole only if the endpoint still accepts connections.
+/// answer is whole only if the endpoint still accepts connections. Where the packet that opens one is lost, that takes as
+/// long as it takes to send it again.
 pub async fn may_have_ended_at_close<W: Wire, S: MetadataStore>(
     gateway: &Gateway<W, S>,
     send: &BrokenSend,
@@ -120,6 +126,9 @@
     match cause_of(gateway, send, Depth::Connect, send.broke_at).await {
         BreakCause::Crash | BreakCause::Link | BreakCause::Unreached => true,
         BreakCause::Connection | BreakCause::Unknown => false,
+        BreakCause::Silent => {
+            try_connect(send.address, SILENT_CHECK_TIMEOUT).await != ConnectResult::Accepted
+        }
     }
 }
 
--- a/crates/sillbank_net/src/liveness.rs
+++ b/crates/sillbank_net/src/liveness.rs
@@ -44,13 +44,26 @@
     (max_silence.as_millis().div_ceil(KEEPALIVE_INTERVAL.as_millis()) as u32).max(2) - 1
 }
 
-/// Whether connections to an address are refused, because nothing listens there. An address that accepts a
-/// connection, or does not answer within `limit`, does not count as refusing.
-pub async fn refuses_connections(address: SocketAddr, limit: Duration) -> bool {
+/// What an attempt to connect to an address shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectResult {
+    /// Something listens there.
+    Accepted,
+    /// Nothing listens there.
+    Refused,
+    /// Neither within the time limit, or the attempt failed in another way.
+    Silent,
+}
+
+/// Tries to connect to an address for up to `limit`.
+pub async fn try_connect(address: SocketAddr, limit: Duration) -> ConnectResult {
     let late = async {
         smol::Timer::after(limit).await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    let connected = futures_lite::future::or(TcpStream::connect(address), late).await;
-    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    match futures_lite::future::or(TcpStream::connect(address), late).await {
+        Ok(_) => ConnectResult::Accepted,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ConnectResult::Refused,
+        Err(_) => ConnectResult::Silent,
+    }
 }
