--- a/crates/sillbank_gateway/src/metrics.rs
+++ b/crates/sillbank_gateway/src/metrics.rs
@@ -152,6 +152,8 @@
     pub connections: Family<KindLabel, Counter>,
     /// Bytes buffered for callers and endpoints.
     pub kept_bytes: Gauge,
+    /// Resident memory of the process, in bytes; 0 if it is not known.
+    pub resident_bytes: Gauge,
     /// Callers that were disconnected because they read nothing while the buffer limit was reached.
     pub callers_cut: Counter,
     /// Usage of the VM's limits: 0 is unused, 1 is at the limit.
@@ -218,6 +220,7 @@
         let withheld = Family::default();
         let connections = Family::default();
         let kept_bytes = Gauge::default();
+        let resident_bytes = Gauge::default();
         let callers_cut = Counter::default();
         let vm_pressure = Family::default();
         let orders = Family::default();
@@ -276,6 +279,8 @@
         registry.register("withheld", help, withheld.clone());
         registry.register("connections", "Connections to endpoints", connections.clone());
         registry.register("kept_bytes", "Bytes kept for callers", kept_bytes.clone());
+        let help = "Resident memory of the process";
+        registry.register("resident_bytes", help, resident_bytes.clone());
         registry.register("callers_cut", "Callers cut as they read nothing", callers_cut.clone());
         registry.register("vm_pressure", "How near limits are, 1 at one", vm_pressure.clone());
         registry.register("orders", "Orders to engines", orders.clone());
@@ -341,6 +346,7 @@
             withheld,
             connections,
             kept_bytes,
+            resident_bytes,
             callers_cut,
             vm_pressure,
             orders,
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -114,6 +114,7 @@
         app.spawn(lifecycle::reload(app.state(), self.reload, self.settings_path));
         app.spawn(lifecycle::sweep(app.state()));
         app.spawn(vm_limits::monitor_limits(app.state()));
+        app.spawn(vm_limits::monitor_process_memory(app.state()));
         app.spawn(probes::probe_ejected(app.state()));
         app.spawn(reply_times::apply_late_replies(app.state()));
         app.spawn(quarantine::run_expiry(app.state()));
--- a/crates/sillbank_gateway/src/vm_limits/mod.rs
+++ b/crates/sillbank_gateway/src/vm_limits/mod.rs
@@ -5,12 +5,16 @@
 //! another one leads its hall, and reports not ready while enough others are fit. A VM at a limit
 //! refuses new requests at once: a request that is read and then delayed costs its caller more than
 //! one that is retried elsewhere.
+//!
+//! [`monitor_process_memory`] logs when the whole process comes near its memory limit.
 
 mod meter;
 mod monitor;
+mod process_memory;
 
 pub use meter::{LimitMeter, LimitState, Pressures, VmCapacity, VmLimit, VmReading};
 pub use monitor::monitor_limits;
+pub use process_memory::{MemoryAlarm, monitor_process_memory};
 
 /// Whether enough other VMs of a hall are fit for one to report not ready: at least half of all. A
 /// balancer that finds fewer uses all of them, and the remaining ones would get more than twice
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory_budget;
 pub mod metered;
 mod phase_timer;
+pub mod process_memory;
 pub mod reply_bounds;
 pub mod running_timer;
 pub mod serve;
