--- a/crates/sillbank_cli/src/control_client.rs
+++ b/crates/sillbank_cli/src/control_client.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request};
-use sillbank_net::client::request;
+use sillbank_net::client::request_to;
 use sillbank_net::prelude::*;
 use sillbank_protocol::platform::Object;
 use smol::LocalExecutor;
@@ -47,7 +47,7 @@
         &self,
         path: &str,
     ) -> Result<T, CommandError> {
-        self.send(request(Method::GET, path, Bytes::new())).await
+        self.send(request_to(Method::GET, path, Bytes::new())?).await
     }
 
     /// Returns an object, or `None` if it does not exist.
@@ -71,7 +71,7 @@
     ) -> Result<Object, CommandError> {
         let method = if value.is_some() { Method::PUT } else { Method::DELETE };
         let body = value.map(ToString::to_string).unwrap_or_default();
-        let mut call = request(method, &format!("/v1/objects/{key}"), body.into());
+        let mut call = request_to(method, &format!("/v1/objects/{key}"), body.into())?;
         let headers = call.headers_mut();
         match expected {
             Some(version) => headers.insert("if-match", HeaderValue::from(version)),
--- a/crates/sillbank_cli/src/main.rs
+++ b/crates/sillbank_cli/src/main.rs
@@ -56,6 +56,9 @@
     /// The call to the control process failed.
     #[error("{0}")]
     Call(#[from] sillbank_net::client::CallError),
+    /// A key or prefix is no part of a path.
+    #[error(transparent)]
+    Path(#[from] sillbank_net::client::InvalidPath),
     /// Any other error, with its message.
     #[error("{0}")]
     Other(String),
@@ -69,7 +72,7 @@
             Self::Refused(failure) if failure.kind == AdminFailureKind::Conflict => {
                 ExitCode::from(3)
             }
-            Self::Refused(_) | Self::Call(_) | Self::Other(_) => ExitCode::FAILURE,
+            Self::Refused(_) | Self::Call(_) | Self::Path(_) | Self::Other(_) => ExitCode::FAILURE,
         }
     }
 }
--- a/crates/sillbank_control/src/platform_client.rs
+++ b/crates/sillbank_control/src/platform_client.rs
@@ -4,7 +4,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
 use prometheus_client::metrics::counter::Counter;
-use sillbank_net::client::request;
+use sillbank_net::client::{InvalidPath, request_to};
 use sillbank_net::prelude::*;
 use sillbank_protocol::platform::{Listing, Object, Version};
 use std::net::SocketAddr;
@@ -26,6 +26,9 @@
     /// No reply was received.
     #[error(transparent)]
     Call(#[from] CallError),
+    /// The key of an object is no part of a path.
+    #[error(transparent)]
+    Path(#[from] InvalidPath),
     /// The reply has a failure status.
     #[error("the platform answered {0}; the call is made again later")]
     Status(StatusCode),
@@ -80,7 +83,7 @@
 
     /// Reads one object; a deleted object is returned too.
     pub(crate) async fn read(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let call = request(Method::GET, &format!("/objects/{key}"), Bytes::new());
+        let call = request_to(Method::GET, &format!("/objects/{key}"), Bytes::new())?;
         let reply = self.http.call(self.address, call, CALL_TIMEOUT).await?;
         match reply.status {
             StatusCode::OK => Ok(Some(reply.json()?)),
@@ -98,7 +101,7 @@
     ) -> Result<WriteReply, PlatformError> {
         let method = if value.is_some() { Method::PUT } else { Method::DELETE };
         let body = Bytes::copy_from_slice(value.unwrap_or_default().as_bytes());
-        let mut call = request(method, &format!("/objects/{key}"), body);
+        let mut call = request_to(method, &format!("/objects/{key}"), body)?;
         match expected {
             Some(version) => call.headers_mut().insert("if-match", HeaderValue::from(version)),
             None => call.headers_mut().insert("if-none-match", HeaderValue::from_static("*")),
@@ -112,7 +115,7 @@
     }
 
     async fn get(&self, path: &str, timeout: Duration) -> Result<Listing, PlatformError> {
-        let call = request(Method::GET, path, Bytes::new());
+        let call = request_to(Method::GET, path, Bytes::new())?;
         let reply = self.http.call(self.address, call, timeout).await?;
         self.bytes.inc_by(ESTIMATED_HEADER_BYTES + reply.body.len() as u64);
         if reply.status != StatusCode::OK {
--- a/crates/sillbank_control/src/write.rs
+++ b/crates/sillbank_control/src/write.rs
@@ -45,6 +45,9 @@
             Ok(WriteReply::Changed(current)) => {
                 return resolve_conflict(write, current.map(without_prefix), may_be_applied);
             }
+            Err(PlatformError::Path(error)) => {
+                return Err(AdminFailure::new(AdminFailureKind::Malformed, error.to_string()));
+            }
             Err(PlatformError::Call(CallError::NotSent { .. }) | PlatformError::Status(_)) => {}
             Err(PlatformError::Call(CallError::Lost { .. }) | PlatformError::Malformed(_)) => {
                 may_be_applied = true;
--- a/crates/sillbank_entry/src/resume.rs
+++ b/crates/sillbank_entry/src/resume.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use sillbank_core::prelude::*;
-use sillbank_net::client::request;
+use sillbank_net::client::request_to;
 use sillbank_protocol::engine::{STREAMS_PATH, StreamState};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -54,7 +54,7 @@
 
 /// Asks one engine for the tokens of a request.
 async fn query(entry: &Entry, address: SocketAddr, uid: RequestUid) -> Option<StreamState> {
-    let call = request(Method::GET, &format!("{STREAMS_PATH}{uid}"), Bytes::new());
+    let call = request_to(Method::GET, &format!("{STREAMS_PATH}{uid}"), Bytes::new()).ok()?;
     let reply = entry.http.call(address, call, QUERY_TIMEOUT).await.ok()?;
     reply.status.is_success().then(|| reply.json().ok()).flatten()
 }
--- a/crates/sillbank_entry/src/services.rs
+++ b/crates/sillbank_entry/src/services.rs
@@ -10,7 +10,7 @@
 use sillbank_core::prelude::*;
 use sillbank_core::run::RunLog;
 use sillbank_net::body::reply;
-use sillbank_net::client::request;
+use sillbank_net::client::request_to;
 use sillbank_net::prelude::*;
 use sillbank_protocol::once::{ClaimAnswer, ClaimState};
 use sillbank_settings::prelude::*;
@@ -169,7 +169,7 @@
             let reason = "The deadline passed before the service answered.";
             return Err(Failure::new(FailureKind::DeadlineExceeded, log.state(), reason));
         }
-        match entry.http.call(*address, service_request(context, call), remaining).await {
+        match entry.http.call(*address, service_request(context, call)?, remaining).await {
             Ok(answer) if reports_not_run(&answer) => {
                 log.record_sent();
                 log.record_refused();
@@ -195,15 +195,20 @@
 }
 
 /// The request to the service, with the derived request id and the trace.
-fn service_request(context: &CallerContext, call: &ServiceCall) -> hyper::Request<Bytes> {
-    let mut request = request(Method::POST, &call.inner, call.body.clone());
+fn service_request(
+    context: &CallerContext,
+    call: &ServiceCall,
+) -> Result<hyper::Request<Bytes>, Failure> {
+    let request = request_to(Method::POST, &call.inner, call.body.clone());
+    let mut request = request
+        .map_err(|error| Failure::before_work(FailureKind::UnknownRoute, error.to_string()))?;
     let headers = request.headers_mut();
     headers.insert("traceparent", context.trace.header());
     let id = RequestUid::derive(&context.organisation, &context.request_id);
     if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
         headers.insert("x-request-id", id);
     }
-    request
+    Ok(request)
 }
 
 /// Whether the service states that it did not run the call.
--- a/crates/sillbank_gateway/src/links/checks.rs
+++ b/crates/sillbank_gateway/src/links/checks.rs
@@ -12,7 +12,7 @@
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
 use sillbank_links::prelude::*;
-use sillbank_net::client::request;
+use sillbank_net::client::request_to;
 use sillbank_net::running_timer::running_timer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -308,7 +308,12 @@
         }
         let catalog = self.platform.catalog()?;
         let service = catalog.service(&record.service)?;
-        Some(request(Method::GET, &service.health_path, Bytes::new()))
+        let check = request_to(Method::GET, &service.health_path, Bytes::new());
+        check
+            .inspect_err(|error| {
+                tracing::warn!(service = service.name, %error, "links: The health check of a service cannot be sent.");
+            })
+            .ok()
     }
 
     fn on_link_lost(&self, record: &EndpointRecord, now: Instant) {
--- a/crates/sillbank_load/src/client.rs
+++ b/crates/sillbank_load/src/client.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use sillbank_core::prelude::*;
+use sillbank_net::client::{request, request_to};
 use sillbank_net::prelude::*;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -199,19 +200,15 @@
             "priority": priority,
             "stream": true,
         });
-        let mut request = sillbank_net::client::request(
-            Method::POST,
-            "/v1/chat/completions",
-            Bytes::from(body.to_string()),
-        );
-        self.add_headers(&mut request, record);
+        let mut call = request(Method::POST, "/v1/chat/completions", Bytes::from(body.to_string()));
+        self.add_headers(&mut call, record);
         if !record.token_times.is_empty() {
             let delivered = record.token_times.len().to_string();
             if let Ok(value) = delivered.parse() {
-                request.headers_mut().insert("last-event-id", value);
+                call.headers_mut().insert("last-event-id", value);
             }
         }
-        request.map(|body| ReplyBody::Full(Full::new(body)))
+        call.map(|body| ReplyBody::Full(Full::new(body)))
     }
 
     async fn try_call(
@@ -223,8 +220,11 @@
         is_idempotent: bool,
     ) -> TryOutcome {
         let path = format!("/v1/services/{service}/{path}");
-        let mut request =
-            sillbank_net::client::request(Method::POST, &path, Bytes::from_static(b"{}"));
+        let request = request_to(Method::POST, &path, Bytes::from_static(b"{}"));
+        let mut request = match request {
+            Ok(request) => request,
+            Err(error) => return TryOutcome::Failed(error.to_string(), RunState::NotRun),
+        };
         self.add_headers(&mut request, record);
         if !is_idempotent {
             let flag = hyper::header::HeaderValue::from_static("true");
--- a/crates/sillbank_load/src/once_bench.rs
+++ b/crates/sillbank_load/src/once_bench.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use sillbank_core::prelude::*;
-use sillbank_net::client::request;
+use sillbank_net::client::{request, request_to};
 use sillbank_net::prelude::*;
 use smol::{LocalExecutor, Timer};
 use std::cell::RefCell;
@@ -182,7 +182,8 @@
 
     async fn try_once(&self, key: &str, id: &str) -> TryOutcome {
         let path = format!("/v1/services/{}/book", MARKET.keyed_service);
-        let mut call = request(Method::POST, &path, Bytes::from_static(b"{}"));
+        let call = request_to(Method::POST, &path, Bytes::from_static(b"{}"));
+        let Ok(mut call) = call else { return TryOutcome::NoReply };
         let headers = call.headers_mut();
         if let (Ok(key), Ok(id)) = (format!("Bearer {key}").parse(), id.parse()) {
             headers.insert("authorization", key);
--- a/crates/sillbank_load/src/settings_bench.rs
+++ b/crates/sillbank_load/src/settings_bench.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use hyper::Method;
-use sillbank_net::client::request;
+use sillbank_net::client::{InvalidPath, request, request_to};
 use sillbank_net::frames::{FrameError, read_message, write_message};
 use sillbank_net::prelude::*;
 use sillbank_protocol::peer::{ControlToEntry, EntryToControl, ToControl};
@@ -158,18 +158,18 @@
 ) -> Result<Object, Box<dyn std::error::Error>> {
     let path = format!("/v1/objects/node/bench{node}");
     let authorized = |method: Method, body: String| {
-        let mut call = request(method, &path, Bytes::from(body));
+        let mut call = request_to(method, &path, Bytes::from(body))?;
         if let Ok(value) = format!("Bearer {OPERATOR_KEY}").parse() {
             call.headers_mut().insert("authorization", value);
         }
-        call
+        Ok::<_, InvalidPath>(call)
     };
     loop {
         let read = client
-            .call(admin, authorized(Method::GET, String::new()), Duration::from_secs(5))
+            .call(admin, authorized(Method::GET, String::new())?, Duration::from_secs(5))
             .await?;
         let body = format!("{{\"settings\":{{\"deadline_ms\":{}}}}}", 1000 + number);
-        let mut call = authorized(Method::PUT, body);
+        let mut call = authorized(Method::PUT, body)?;
         match read.json::<Object>() {
             Ok(current) => call.headers_mut().insert("if-match", current.version.into()),
             Err(_) => call.headers_mut().insert("if-none-match", "*".parse()?),
--- a/crates/sillbank_load/src/wait.rs
+++ b/crates/sillbank_load/src/wait.rs
@@ -4,7 +4,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use hyper::Method;
-use sillbank_net::client::request;
+use sillbank_net::client::request_to;
 use sillbank_net::prelude::*;
 use smol::LocalExecutor;
 use std::net::SocketAddr;
@@ -46,7 +46,7 @@
 }
 
 async fn is_ready(client: &HttpClient, address: SocketAddr, path: &str) -> bool {
-    let call = request(Method::GET, path, Bytes::new());
+    let Ok(call) = request_to(Method::GET, path, Bytes::new()) else { return false };
     let reply = client.call(address, call, Duration::from_secs(1)).await;
     reply.is_ok_and(|reply| reply.status.is_success())
 }
--- a/crates/sillbank_load/tests/support/settings.rs
+++ b/crates/sillbank_load/tests/support/settings.rs
@@ -5,7 +5,7 @@
 use goldenscript::Command;
 use hyper::Method;
 use sillbank_load::fleet::OPERATOR_KEY;
-use sillbank_net::client::request;
+use sillbank_net::client::request_to;
 use sillbank_protocol::platform::Object;
 use smol::Timer;
 use std::error::Error;
@@ -50,9 +50,9 @@
         let platform = addresses.platform.ok_or("no platform")?;
         self.block_on(async {
             let path = format!("/objects/settings/{key}");
-            let read = request(Method::GET, &path, Bytes::new());
+            let read = request_to(Method::GET, &path, Bytes::new())?;
             let current: Object = self.http.call(platform, read, WAIT_TIMEOUT).await?.json()?;
-            let mut call = request(Method::PUT, &path, Bytes::copy_from_slice(json.as_bytes()));
+            let mut call = request_to(Method::PUT, &path, Bytes::copy_from_slice(json.as_bytes()))?;
             call.headers_mut().insert("if-match", current.version.into());
             let reply = self.http.call(platform, call, WAIT_TIMEOUT).await?;
             match reply.status.is_success() {
@@ -69,7 +69,7 @@
         let name = args.next_pos().ok_or("name a setting")?;
         let vm: usize = args.take_key("vm").unwrap_or("0").parse()?;
         let control = self.fleet().addresses.control_admins[vm];
-        let mut call = request(Method::GET, &format!("/v1/effective/{key}"), Bytes::new());
+        let mut call = request_to(Method::GET, &format!("/v1/effective/{key}"), Bytes::new())?;
         call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
         let reply = self.block_on(self.http.call(control, call, WAIT_TIMEOUT))?;
         let all: serde_json::Value = reply.json()?;
--- a/crates/sillbank_load/tests/support/world.rs
+++ b/crates/sillbank_load/tests/support/world.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use sillbank_load::fleet::{Addresses, OPERATOR_KEY};
-use sillbank_net::client::request;
+use sillbank_net::client::{request, request_to};
 use sillbank_protocol::platform::Object;
 use smol::Timer;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
     ) -> CommandResult<()> {
         let deadline = Instant::now() + WAIT_TIMEOUT;
         loop {
-            let call = request(Method::GET, path, Bytes::new());
+            let call = request_to(Method::GET, path, Bytes::new())?;
             let reply = self.http.call(address, call, Duration::from_secs(1)).await;
             if reply.is_ok_and(|reply| reply.status.as_u16() == status) {
                 return Ok(());
@@ -98,7 +98,7 @@
         value: &serde_json::Value,
     ) -> CommandResult<Object> {
         let mut call =
-            request(Method::PUT, &format!("/v1/objects/{key}"), value.to_string().into());
+            request_to(Method::PUT, &format!("/v1/objects/{key}"), value.to_string().into())?;
         let headers = call.headers_mut();
         headers.insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
         match version {
@@ -120,7 +120,7 @@
         json: &str,
     ) -> CommandResult<()> {
         let control = addresses[0].0;
-        let mut call = request(Method::GET, &format!("/v1/objects/{key}"), Bytes::new());
+        let mut call = request_to(Method::GET, &format!("/v1/objects/{key}"), Bytes::new())?;
         call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
         let reply = self.http.call(control, call, WAIT_TIMEOUT).await?;
         let current: Option<Object> =
@@ -158,7 +158,7 @@
         control: SocketAddr,
         key: &str,
     ) -> CommandResult<Option<Object>> {
-        let mut call = request(Method::GET, &format!("/v1/objects/{key}"), Bytes::new());
+        let mut call = request_to(Method::GET, &format!("/v1/objects/{key}"), Bytes::new())?;
         call.headers_mut().insert("authorization", format!("Bearer {OPERATOR_KEY}").parse()?);
         let reply = self.http.call(control, call, WAIT_TIMEOUT).await?;
         Ok(reply.status.is_success().then(|| reply.json()).transpose()?)
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Task};
@@ -49,6 +49,19 @@
     },
 }
 
+/// A text is not the path of a request.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("'{path}' is not a path ({reason}); escape its names")]
+pub struct InvalidPath {
+    /// Begin of the text.
+    pub path: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// Number of characters of an invalid path that an error holds.
+const MAX_SHOWN_PATH_CHARS: usize = 200;
+
 /// A complete answer.
 #[derive(Debug, Clone)]
 pub struct CallReply {
@@ -264,15 +277,32 @@
     Ok(connection.sender)
 }
 
-/// Creates a request with a JSON body, which may be empty.
-pub fn request(method: Method, path: &str, body: Bytes) -> Request<Bytes> {
-    let mut request = Request::new(body);
-    *request.method_mut() = method;
+/// Creates a request to a constant path with a JSON body, which may be empty.
+///
+/// # Panics
+/// If the text is not a path.
+pub fn request(method: Method, path: &'static str, body: Bytes) -> Request<Bytes> {
+    request_to_uri(method, Uri::from_static(path), body)
+}
+
+/// Creates a request to a computed path with a JSON body, which may be empty. Names in the path have to be escaped.
+///
+/// # Errors
+/// If the text is not a path.
+pub fn request_to(method: Method, path: &str, body: Bytes) -> Result<Request<Bytes>, InvalidPath> {
     match path.parse() {
-        Ok(target) => *request.uri_mut() = target,
-        // The request goes to the root path, where it is refused, so the caller sees an error.
-        Err(error) => tracing::error!(path, %error, "net: The path of a request is invalid."),
+        Ok(uri) => Ok(request_to_uri(method, uri, body)),
+        Err(error) => Err(InvalidPath {
+            path: path.chars().take(MAX_SHOWN_PATH_CHARS).collect(),
+            reason: error.to_string(),
+        }),
     }
+}
+
+fn request_to_uri(method: Method, uri: Uri, body: Bytes) -> Request<Bytes> {
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
     let headers = request.headers_mut();
     headers.insert("host", hyper::header::HeaderValue::from_static("sillbank"));
     headers.insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
