Store: a reply that is too long leads to a full read, not to the same call again

What callers saw: after many large objects of other writers were written within some milliseconds, no VM took a configuration any more.

Cause: the changes of a watch have no bound, and a reply over 8 MiB is not read. It counted as a lost call, so the watch was repeated from the same revision, with the same reply, for ever.

Evidence: beside 240 objects of 0.9 MB, written at once, a configuration is not taken in 30 s.

A lost call says why (LossCause); a reply that is too long asks for a full read, page by page, as a history that is gone does.

--- a/crates/sillbank_gateway/src/links/engine_calls.rs
+++ b/crates/sillbank_gateway/src/links/engine_calls.rs
@@ -90,7 +90,7 @@
             running_timer(timeout, MAX_TIMEOUT).await;
             let reason = format!("it took longer than {} ms", timeout.as_millis());
             Err(EngineCallError::Call(match is_sent.get() {
-                true => CallError::Lost { address, reason, is_broken: false },
+                true => CallError::Lost { address, reason, cause: LossCause::Late },
                 false => CallError::NotSent { address, reason },
             }))
         };
@@ -103,7 +103,7 @@
             is_sent.set(true);
             let reply = self.exchange_once(engine, connection, request).await;
             reply.map_err(|reason| {
-                EngineCallError::Call(CallError::Lost { address, reason, is_broken: true })
+                EngineCallError::Call(CallError::Lost { address, reason, cause: LossCause::Broken })
             })
         };
         futures_lite::future::or(call, late).await
--- a/crates/sillbank_gateway/src/reply_times.rs
+++ b/crates/sillbank_gateway/src/reply_times.rs
@@ -127,7 +127,7 @@
         let Some(reply) = reply else {
             self.await_late_reply(engine, started_at, call);
             let reason = format!("it took longer than {} ms", timeout.as_millis());
-            return Err(CallError::Lost { address, reason, is_broken: false });
+            return Err(CallError::Lost { address, reason, cause: LossCause::Late });
         };
         if reply.is_ok() {
             let now = Instant::now();
--- a/crates/sillbank_gateway/src/store.rs
+++ b/crates/sillbank_gateway/src/store.rs
@@ -38,6 +38,9 @@
     /// The store was restored from a copy; earlier reads belong to another history.
     #[error("the store was restored from a copy; read everything again")]
     Restored,
+    /// The answer is longer than this VM accepts, as any answer to the same call may be.
+    #[error("the store's answer is not read ({0}); read everything again in pages")]
+    TooLong(String),
     /// The answer cannot be parsed.
     #[error("the store's answer cannot be read ({0}); check the platform's version")]
     Unreadable(String),
@@ -49,7 +52,7 @@
 impl StoreError {
     /// Whether the store answered, but a watch cannot continue from earlier reads.
     pub fn requires_reread(&self) -> bool {
-        matches!(self, Self::HistoryGone | Self::Restored)
+        matches!(self, Self::HistoryGone | Self::Restored | Self::TooLong(_))
     }
 
     /// What the failure says about the entries of endpoints.
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -5,7 +5,7 @@
 use crate::reply_bounds::{Bounded, ReplyBounds};
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
@@ -26,6 +26,17 @@
 /// Size of the read buffer of a connection, which also limits the length of response heads.
 const MAX_READ_BYTES: usize = 64 << 10;
 
+/// Why a request that may have been received has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossCause {
+    /// The connection broke.
+    Broken,
+    /// The answer did not come in time.
+    Late,
+    /// The answer is longer than the client accepts.
+    TooLong,
+}
+
 /// Error of a call. The variant tells whether the work may have run.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -44,8 +55,8 @@
         address: SocketAddr,
         /// What happened.
         reason: String,
-        /// Whether the connection broke. Otherwise the answer did not come in time, or cannot be read.
-        is_broken: bool,
+        /// Why there is no answer.
+        cause: LossCause,
     },
 }
 
@@ -119,7 +130,7 @@
             deadline.await;
             let reason = format!("it took longer than {} ms", timeout.as_millis());
             Err(match sent.get() {
-                true => CallError::Lost { address, reason, is_broken: false },
+                true => CallError::Lost { address, reason, cause: LossCause::Late },
                 false => CallError::NotSent { address, reason },
             })
         };
@@ -154,7 +165,7 @@
                     }
                     None => {
                         let reason = error.error().to_string();
-                        return Err(CallError::Lost { address, reason, is_broken: true });
+                        return Err(CallError::Lost { address, reason, cause: LossCause::Broken });
                     }
                 },
             }
@@ -168,10 +179,15 @@
     ) -> Result<CallReply, CallError> {
         let (head, body) = response.into_parts();
         let collected = Limited::new(body, self.max_reply_bytes).collect().await;
-        let body = collected.map_err(|error| CallError::Lost {
-            address,
-            reason: error.to_string(),
-            is_broken: error.is::<hyper::Error>(),
+        let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
+            true => {
+                let reason = format!("it is longer than {} bytes", self.max_reply_bytes);
+                CallError::Lost { address, reason, cause: LossCause::TooLong }
+            }
+            false => {
+                let reason = error.to_string();
+                CallError::Lost { address, reason, cause: LossCause::Broken }
+            }
         });
         let body = body?.to_bytes();
         Ok(CallReply { status: head.status, headers: head.headers, body })
--- a/crates/sillbank_net/src/lib.rs
+++ b/crates/sillbank_net/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod prelude {
     pub use crate::app::{App, Plugin, run_program};
     pub use crate::body::{BodyAborted, Outbox, ReplyBody, json_reply, text_reply};
-    pub use crate::client::{CallError, CallReply, Connection, HttpClient};
+    pub use crate::client::{CallError, CallReply, Connection, HttpClient, LossCause};
     pub use crate::listen::listen;
     pub use crate::memory_budget::{MemoryBudget, MemoryReservation};
     pub use crate::reply_bounds::ReplyBounds;
