Entries: names that are too long make an entry unreadable, and are cut where they are told

What callers saw: none while the store was there. A VM that was cut from the store learnt of no change of an endpoint any more, though the others of its hall knew it.

Cause: names in entries of other writers were kept and passed on at any length. A leader sends a hundred changes in a message of at most 1.1 MB; with a few names of 100 KB the message could not be sent, the connection ended, and each VM read the store itself. Log lines had the names in full: 16 MB in some seconds.

Evidence: beside 180 entries with names of 100 KB, a VM that is cut from the store serves a removed endpoint for 30 s.

Names in entries have at most 256 bytes, so that a message of a leader holds a hundred of them many times over. The id of an entry that cannot be read, and the reason, are cut; a cut id is longer than an allowed one, so it equals none.

--- a/crates/sillbank_fleet/src/lib.rs
+++ b/crates/sillbank_fleet/src/lib.rs
@@ -29,7 +29,9 @@
 pub use directory::{Change, Directory, Removal};
 pub use incarnations::{IncarnationOrder, compare_incarnations};
 pub use reachability::{LAPSE_GRACE, StoreFailure};
-pub use record::{BornMs, EndpointRecord, Listing, Standing, UnreadableEntry};
+pub use record::{
+    BornMs, EndpointRecord, Listing, MAX_NAME_BYTES, Standing, UnreadableEntry, abbreviate_id,
+};
 pub use replication::{Recency, Replication};
 pub use restore::RESTORE_HOLD;
 
--- a/crates/sillbank_fleet/src/record.rs
+++ b/crates/sillbank_fleet/src/record.rs
@@ -7,6 +7,26 @@
 /// Start of an incarnation of an endpoint, in milliseconds of Unix time.
 pub type BornMs = u64;
 
+/// Longest name in an entry, in bytes. Names are kept, logged, and passed on to other VMs many at a time.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// Mark at the end of a text that was cut; longer than a character.
+const CUT_MARK: &str = "[...]";
+/// Longest reason why an entry cannot be parsed, in bytes.
+const MAX_REASON_BYTES: usize = 256;
+
+/// Cuts a text that is longer than `max_bytes`, and marks it. A cut name is longer than any that is allowed, so it equals none.
+fn abbreviate(mut text: String, max_bytes: usize) -> String {
+    if text.len() <= max_bytes {
+        return text;
+    }
+    let is_boundary = |length: &usize| text.is_char_boundary(*length);
+    let length = (0..=max_bytes).rev().find(is_boundary).unwrap_or_default();
+    text.truncate(length);
+    text.push_str(CUT_MARK);
+    text
+}
+
 /// Whether an endpoint accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
@@ -50,6 +70,19 @@
     pub reason: String,
 }
 
+impl UnreadableEntry {
+    /// Describes an entry. An id or a reason that is too long is cut.
+    pub fn new(id: String, version: Option<u64>, reason: String) -> Self {
+        let reason = abbreviate(reason, MAX_REASON_BYTES);
+        Self { id: abbreviate_id(id), version, reason }
+    }
+}
+
+/// Cuts the id of an entry if it is too long to name an endpoint.
+pub fn abbreviate_id(id: EndpointId) -> EndpointId {
+    abbreviate(id, MAX_NAME_BYTES)
+}
+
 /// All entries of the store at one moment.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
