Placement: entries without an engine do not keep a hall from starting

What callers saw: no stream is served from the start on, 'no path covers the model', as no engine is ordered to hold layers.

Cause: a leader places layers when most of the listed engines report, as it may be cut off otherwise, and when the set of listed engines has not changed for 0.7 s. Entries of another writer that name the service and the hall, but no engine, count as engines that are lost; one that comes and goes, or can be read only at times, changes the set again and again.

Evidence: beside 2,000 such entries, and beside a single one that is replaced ten times a second, the layers are not placed in 30 s. By the rule as many of them as a hall has engines are enough. Each was polled in each round: 72,000 log lines in 30 s.

The set that has to settle is that of the engines that have reported. An engine that did not report in four polls is polled in turn, 32 in a round, and polls use an eighth of the file descriptors at most. That an engine sends no report is logged when it begins.

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -1,13 +1,15 @@
 //! Assigns layers to the engines of this hall while this VM holds the hall's lease.
 
+mod known_engines;
 mod leadership;
 mod lease_reads;
 mod reports;
 mod targets;
 
+pub use known_engines::{EngineCounts, KnownEngines};
 pub use leadership::lease_name;
 pub use lease_reads::{LeaseCall, LeaseNeed, LeaseReads, Peeked, is_fit_to_lead};
-pub use reports::{ReportOutcome, ReportSchedule, TrackedEngine};
+pub use reports::{PollTurns, ReportOutcome, ReportSchedule, TrackedEngine};
 pub use targets::{Chains, EngineView, Target, initial_targets, repair_targets};
 
 use crate::feed::{EngineState, HallReport, NEARLY_FULL_PERMILLE};
@@ -17,7 +19,7 @@
 use crate::wire::{EngineReport, PlacementOrder, Wire};
 use leadership::Leadership;
 use lease_reads::CHECK_INTERVAL;
-use reports::{ENGINE_CALL_LIMIT, RelayedPolls, poll_report};
+use reports::{ENGINE_CALL_LIMIT, RoundPolls, poll_report};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -32,8 +34,6 @@
 /// too much or too little by what changed since. With one poll per check a hall of 13 engines
 /// receives 52 polls a second.
 const REPORT_INTERVAL_NEARLY_FULL: Duration = CHECK_INTERVAL;
-/// How long the set of engines must stay unchanged before layers are assigned for the first time.
-const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// How long an unanswered order may still be carried out before it is sent again. The engine
 /// refuses the second one if the first arrived after all.
 const ORDER_RETRY_PAUSE: Duration = Duration::from_millis(3_000);
@@ -48,7 +48,8 @@
     leadership: Leadership<W, S>,
     tracked: HashMap<EndpointId, TrackedEngine>,
     schedule: ReportSchedule,
-    engine_set: (Vec<EndpointId>, Instant),
+    known_engines: KnownEngines,
+    poll_turns: PollTurns,
     chains: BTreeMap<ServiceId, Chains>,
 }
 
@@ -58,7 +59,8 @@
         leadership: Leadership::new(&gateway),
         tracked: HashMap::new(),
         schedule: ReportSchedule::default(),
-        engine_set: (Vec::new(), Instant::now()),
+        known_engines: KnownEngines::new(Instant::now()),
+        poll_turns: PollTurns::default(),
         chains: BTreeMap::new(),
         gateway,
     };
@@ -70,6 +72,7 @@
             // Another VM leads meanwhile, so this state may be outdated.
             placement.tracked.clear();
             placement.chains.clear();
+            placement.known_engines = KnownEngines::new(Instant::now());
         }
         smol::Timer::after(placement.leadership.time_to_check()).await;
     }
@@ -164,10 +167,11 @@
             });
         self.poll_all(&engines, figures.layers).await;
         let now = Instant::now();
-        let ids: Vec<EndpointId> = engines.keys().cloned().collect();
-        if self.engine_set.0 != ids {
-            self.engine_set = (ids, now);
-        }
+        let has_reported =
+            |id: &&EndpointId| self.tracked.get(*id).is_some_and(TrackedEngine::has_reported);
+        let known: Vec<EndpointId> = engines.keys().filter(has_reported).cloned().collect();
+        let known_count = known.len();
+        self.known_engines.on_round(now, known);
         let alive: Vec<&EndpointRecord> = engines
             .values()
             .filter(|record| {
@@ -175,12 +179,13 @@
                 tracked.is_some_and(|tracked| tracked.planned_report(now).is_some())
             })
             .collect();
-        if alive.len() * 2 <= engines.len() || !self.leadership.is_held() {
-            // If most engines seem lost, it is more likely that this VM is partitioned.
-            return;
-        }
         let is_first = alive.iter().all(|record| self.layers_of(&record.id, now).is_none());
-        if is_first && now.saturating_duration_since(self.engine_set.1) < SETTLE_TIME {
+        let counts = EngineCounts {
+            alive: alive.len(),
+            lost: known_count.saturating_sub(alive.len()),
+            unknown: engines.len() - known_count,
+        };
+        if !self.known_engines.may_plan(now, counts, is_first) || !self.leadership.is_held() {
             return;
         }
         let views: Vec<EngineView> =
@@ -243,12 +248,16 @@
                 self.gateway.platform.endpoints(|directory| directory.newest_incarnation(id));
             self.tracked.entry(id.clone()).or_default().on_incarnation(newest_incarnation);
         }
-        let relayed_polls = Rc::new(RelayedPolls::default());
+        let round = self.poll_turns.next_round(engines.keys(), |id| self.tracked.get(id));
+        let round_polls = Rc::new(RoundPolls::new(self.gateway.settings().max_open_files));
         let polls: Vec<(EndpointId, smol::Task<ReportOutcome>)> = engines
             .values()
+            .filter(|record| round.contains(&record.id))
             .map(|record| {
-                let outcome =
-                    poll_report(self.gateway.clone(), record.clone(), relayed_polls.clone());
+                let is_logged =
+                    self.tracked.get(&record.id).is_some_and(TrackedEngine::is_reporting);
+                let (gateway, polls) = (self.gateway.clone(), round_polls.clone());
+                let outcome = poll_report(gateway, record.clone(), polls, is_logged);
                 (record.id.clone(), self.gateway.executor.spawn(outcome))
             })
             .collect();
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -9,6 +9,7 @@
 use sillbank_net::prelude::*;
 use smol::lock::Semaphore;
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,12 @@
 /// How long an engine whose reports are missing keeps its layers, from the first missing one, which has taken
 /// [`ENGINE_CALL_LIMIT`]. A sound engine may be silent for a second or so, and others would load its layers in vain.
 const MAX_PLANNED_SILENCE: Duration = Duration::from_millis(1_000);
+/// Polls without a report after which an engine is polled only in turn with others like it.
+const MAX_FRUITLESS_POLLS: u32 = 4;
+/// Number of such engines that are polled in a round.
+const FRUITLESS_POLLS_PER_ROUND: usize = 32;
+/// One of this many file descriptors may be used by polls at the same time.
+const POLL_DESCRIPTOR_SHARE: usize = 8;
 /// Consecutive missing reports from which an engine is considered lost.
 const MAX_MISSED_REPORTS: u32 = 2;
 
@@ -32,6 +39,10 @@
 pub struct TrackedEngine {
     /// Newest incarnation known from its entry or its reports.
     newest_incarnation: Option<BornMs>,
+    /// Whether any of its incarnations has reported.
+    has_reported: bool,
+    /// Polls since its last report.
+    fruitless_polls: u32,
     /// Its latest report; `None` while it is lost.
     pub report: Option<EngineReport>,
     /// Its report before it became silent, and since when it is; `None` while it reports, or if it is lost for another reason.
@@ -82,6 +93,11 @@
         before.as_deref() != Some(reason)
     }
 
+    /// Whether any of its incarnations has reported.
+    pub fn has_reported(&self) -> bool {
+        self.has_reported
+    }
+
     /// Newest known incarnation.
     pub fn newest_incarnation(&self) -> Option<BornMs> {
         self.newest_incarnation
@@ -91,7 +107,7 @@
     /// including orders.
     pub fn on_incarnation(&mut self, born_ms: Option<BornMs>) {
         if compare_incarnations(born_ms, self.newest_incarnation) == IncarnationOrder::Newer {
-            *self = Self::default();
+            *self = Self { has_reported: self.has_reported, ..Self::default() };
         }
         self.newest_incarnation = born_ms.max(self.newest_incarnation);
     }
@@ -104,15 +120,30 @@
         self.report.as_ref().or(silent.map(|(report, _)| report))
     }
 
+    /// Whether its next missing report is the first one since its last report, or since it is polled.
+    pub(super) fn is_reporting(&self) -> bool {
+        self.fruitless_polls == 0
+    }
+
+    /// Whether it has been polled often enough without ever reporting to be polled only in turn.
+    fn is_fruitless(&self) -> bool {
+        !self.has_reported && self.fruitless_polls >= MAX_FRUITLESS_POLLS
+    }
+
     /// Applies the outcome of polling. `is_suspect` says whether this VM's own exchanges with the
     /// engine failed.
     pub fn on_polled(&mut self, outcome: ReportOutcome, is_suspect: bool, now: Instant) {
+        self.fruitless_polls = match outcome {
+            ReportOutcome::Reported(_) => 0,
+            _ => self.fruitless_polls.saturating_add(1),
+        };
         match outcome {
             ReportOutcome::Reported(report)
                 if compare_incarnations(report.born_ms, self.newest_incarnation)
                     == IncarnationOrder::Older => {}
             ReportOutcome::Reported(report) => {
                 self.on_incarnation(report.born_ms);
+                self.has_reported = true;
                 self.report = Some(report);
                 self.fault = None;
                 self.silent = None;
@@ -137,6 +168,36 @@
     }
 }
 
+/// Chooses the engines that are polled in a round: all but those that never report, which take turns. They may be entries of
+/// another writer.
+#[derive(Debug, Default)]
+pub struct PollTurns {
+    /// The last engine that was polled in its turn.
+    last: Option<EndpointId>,
+}
+
+impl PollTurns {
+    /// The engines to poll now. `find` returns what polling revealed about an engine.
+    pub fn next_round<'a, 'b>(
+        &mut self,
+        engines: impl Iterator<Item = &'a EndpointId> + Clone,
+        find: impl Fn(&EndpointId) -> Option<&'b TrackedEngine>,
+    ) -> BTreeSet<EndpointId> {
+        let is_fruitless = |id: &&EndpointId| find(id).is_some_and(TrackedEngine::is_fruitless);
+        let mut polled: BTreeSet<EndpointId> =
+            engines.clone().filter(|id| !is_fruitless(id)).cloned().collect();
+        let fruitless: BTreeSet<&EndpointId> = engines.filter(is_fruitless).collect();
+        let is_later = |id: &&&EndpointId| self.last.as_ref().is_none_or(|last| last < **id);
+        let later = fruitless.iter().filter(is_later);
+        let earlier = fruitless.iter().filter(|id| !is_later(id));
+        let turns: Vec<EndpointId> =
+            later.chain(earlier).take(FRUITLESS_POLLS_PER_ROUND).map(|id| (*id).clone()).collect();
+        self.last = turns.last().cloned().or(self.last.take());
+        polled.extend(turns);
+        polled
+    }
+}
+
 /// Schedule of the polling rounds for the engines of a hall.
 #[derive(Debug, Default)]
 pub struct ReportSchedule {
@@ -168,33 +229,36 @@
     }
 }
 
-/// Relayed polls of one round: those of engines that did not answer directly. Engines that another
-/// VM reaches are not lost; this VM has lost its link to them.
+/// Polls of one round. Engines that do not answer directly are polled through another VM: those that it reaches are not lost;
+/// this VM has lost its link to them.
 #[derive(Debug)]
-pub(super) struct RelayedPolls {
-    slots: Semaphore,
+pub(super) struct RoundPolls {
+    direct_slots: Semaphore,
+    relayed_slots: Semaphore,
+    /// Relayed polls that were answered.
     answered: Cell<u32>,
+    /// Relayed polls that failed.
     failed: Cell<u32>,
 }
 
-impl Default for RelayedPolls {
-    fn default() -> Self {
+impl RoundPolls {
+    /// Creates the state of a round of a VM that may open `max_open_files`.
+    pub(super) fn new(max_open_files: usize) -> Self {
         Self {
-            slots: Semaphore::new(MAX_RELAYED_POLLS),
+            direct_slots: Semaphore::new((max_open_files / POLL_DESCRIPTOR_SHARE).max(1)),
+            relayed_slots: Semaphore::new(MAX_RELAYED_POLLS),
             answered: Cell::new(0),
             failed: Cell::new(0),
         }
     }
-}
 
-impl RelayedPolls {
     /// Polls an engine through another VM; not if no other engine has answered that way.
-    async fn poll<W: Wire, S: MetadataStore>(
+    async fn poll_relayed<W: Wire, S: MetadataStore>(
         &self,
         gateway: &Gateway<W, S>,
         engine: &EndpointRecord,
     ) -> Result<CallReply, EngineCallError> {
-        let _slot = self.slots.acquire().await;
+        let _slot = self.relayed_slots.acquire().await;
         let is_hopeless = self.answered.get() == 0 && self.failed.get() >= MAX_FAILED_POLLS;
         if is_hopeless || !gateway.settings().mechanisms.relay {
             return Err(RelayError::NoVm.into());
@@ -208,30 +272,35 @@
     }
 }
 
-/// Polls an engine for its report, directly or, if that fails, through another VM.
+/// Polls an engine for its report, directly or, if that fails, through another VM. `is_logged` says whether a failure is new.
 pub(super) async fn poll_report<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     engine: EndpointRecord,
-    relayed_polls: Rc<RelayedPolls>,
+    polls: Rc<RoundPolls>,
+    is_logged: bool,
 ) -> ReportOutcome {
+    let slot = polls.direct_slots.acquire().await;
     let started_at = Instant::now();
     let address = engine.address;
     let call = W::report_call();
-    let reply = match gateway.call_engine_within(&engine.id, address, call, ENGINE_CALL_LIMIT).await
-    {
+    let reply = gateway.call_engine_within(&engine.id, address, call, ENGINE_CALL_LIMIT).await;
+    drop(slot);
+    let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
             let is_refusal = matches!(error, EngineCallError::Call(CallError::NotSent { .. }))
                 && started_at.elapsed() < ENGINE_CALL_LIMIT;
-            match relayed_polls.poll(&gateway, &engine).await {
+            match polls.poll_relayed(&gateway, &engine).await {
                 Ok(reply) => reply,
                 Err(relayed) => {
-                    tracing::info!(
-                        endpoint = engine.id,
-                        %error,
-                        %relayed,
-                        "endpoint: The engine sent no report."
-                    );
+                    if is_logged {
+                        tracing::info!(
+                            endpoint = engine.id,
+                            %error,
+                            %relayed,
+                            "endpoint: The engine sent no report."
+                        );
+                    }
                     if relayed.proves_nothing() && gateway.links.is_hall_lost(&engine.hall) {
                         return ReportOutcome::Unknown;
                     }
