Feed: a leader follows 64 halls at a time

Cause: a leader followed each hall that an entry of a configured service names, for ever, with a task and a read of the store each 4 s for each. Beside 2,000 entries of other writers with a hall each it used 19% of a core (debug build) and 52 MB, and by the interval 500 of the 2,000 reads a second that the store takes from all VMs.

Halls are given up when their leader is not found for 10 s and they are not listed any more, or more than 64 are; the others have their turn then.

--- a/crates/sillbank_gateway/src/feed/client.rs
+++ b/crates/sillbank_gateway/src/feed/client.rs
@@ -1,5 +1,6 @@
 //! The follower's side of the feed: VMs follow their leader, leaders follow those of other halls.
 
+use super::followed_halls::FollowedHalls;
 use super::messages::{
     EndpointUpdate, FeedCursor, FeedReply, FeedReplyExtension, FeedRequest, FeedRequestExtension,
     FeedUpdate, Incarnation,
@@ -16,7 +17,7 @@
 use sillbank_net::liveness::{VM_SILENCE, enable_keepalive};
 use sillbank_quarantine::prelude::*;
 use smol::net::TcpStream;
-use std::collections::BTreeSet;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,6 +36,8 @@
 const NEW_HALLS_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which the lease of another hall is read while its leader is unknown.
 const OTHER_LEASE_INTERVAL: Duration = Duration::from_millis(4_000);
+/// How long the leader of a hall is looked for before the hall may be given up.
+const LEADER_SEARCH_TIME: Duration = Duration::from_secs(10);
 /// Largest number of suspected parts of prompts in one request, of up to about 3 KB each; the rest follows.
 const MAX_SENT_PARTS: usize = 64;
 /// Largest number of quarantine entries in one request, about 80 bytes each; the rest follows.
@@ -153,11 +156,11 @@
 /// Follows the hall's leader, or as the leader those of other halls, while the program runs.
 pub async fn follow_leader<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>) {
     let mut connection: Option<Connection> = None;
-    let mut followed = BTreeSet::new();
+    let followed = Rc::<RefCell<FollowedHalls>>::default();
     loop {
         if gateway.hall.acting_fence.get().is_some() {
             connection = None;
-            follow_new_halls(&gateway, &mut followed);
+            follow_new_halls(&gateway, &followed);
             smol::Timer::after(NEW_HALLS_INTERVAL).await;
             continue;
         }
@@ -320,26 +323,39 @@
     }
 }
 
-/// Starts to follow the leaders of all halls in which endpoints are listed.
+/// Starts to follow the leaders of halls in which endpoints are listed.
 fn follow_new_halls<W: Wire, S: MetadataStore>(
     gateway: &Rc<Gateway<W, S>>,
-    followed: &mut BTreeSet<HallId>,
+    followed: &Rc<RefCell<FollowedHalls>>,
 ) {
     let own = gateway.settings().hall.clone();
-    let halls = gateway.platform.halls();
-    for hall in halls.iter().filter(|hall| **hall != own) {
-        if followed.insert(hall.clone()) {
-            gateway.executor.spawn(follow_other_hall(gateway.clone(), hall.clone())).detach();
-        }
+    let new_halls = followed.borrow_mut().take_next(&gateway.platform.halls(), &own);
+    for hall in new_halls {
+        let follow = follow_other_hall(gateway.clone(), hall.clone(), followed.clone());
+        gateway.executor.spawn(follow).detach();
     }
 }
 
-/// Follows the leader of another hall whenever this VM leads its own, while the program runs. Each
-/// hall has its own task, so that one that does not answer does not delay the updates of others.
-async fn follow_other_hall<W: Wire, S: MetadataStore>(gateway: Rc<Gateway<W, S>>, hall: HallId) {
+/// Follows the leader of another hall whenever this VM leads its own. Each hall has its own task, so that one that does not
+/// answer does not delay the updates of others. Ends if its leader stays unknown while the hall is not listed any more, or
+/// others wait for their turn.
+async fn follow_other_hall<W: Wire, S: MetadataStore>(
+    gateway: Rc<Gateway<W, S>>,
+    hall: HallId,
+    followed: Rc<RefCell<FollowedHalls>>,
+) {
     let mut other =
         OtherHall { hall, connection: None, leader: None, lost: None, lease_read_at: None };
+    let mut leader_known_at = Instant::now();
     loop {
+        if other.leader.is_some() {
+            leader_known_at = Instant::now();
+        }
+        let goes_on = || followed.borrow().goes_on(&other.hall, &gateway.platform.halls());
+        if leader_known_at.elapsed() > LEADER_SEARCH_TIME && !goes_on() {
+            followed.borrow_mut().on_ended(&other.hall);
+            return;
+        }
         if gateway.hall.acting_fence.get().is_some() {
             other.request(&gateway).await;
             smol::Timer::after(OTHER_HALL_PAUSE).await;
--- a/crates/sillbank_gateway/src/feed/mod.rs
+++ b/crates/sillbank_gateway/src/feed/mod.rs
@@ -7,11 +7,13 @@
 //! store is updated by such a VM of its hall.
 
 mod client;
+mod followed_halls;
 mod messages;
 mod server;
 mod source;
 
 pub use client::follow_leader;
+pub use followed_halls::{FollowedHalls, MAX_FOLLOWED_HALLS};
 pub use messages::{
     EndpointUpdate, EngineState, FeedCursor, FeedReply, FeedRequest, FeedUpdate, HallRates,
     HallReport, Incarnation, NEARLY_FULL_PERMILLE,
