Listeners for other VMs, readiness and metrics take a bounded number of descriptors

What callers saw: with thousands of connections to one of these listeners all descriptors of a process are used, and it accepts nobody, at any of its addresses.

Cause: only the listener of callers had a limit. Class: what others open or send is kept without a bound.

Readiness and metrics have 256 connections each; an eighth of the descriptors may be connections on which other VMs ask for updates, and further ones are closed, with a line a second at most. Connections that are passed on keep their own limit.

--- a/crates/sillbank_gateway/src/feed/server.rs
+++ b/crates/sillbank_gateway/src/feed/server.rs
@@ -7,6 +7,7 @@
 use crate::freshness::LONG_POLL_WAIT;
 use crate::gateway::Gateway;
 use crate::links::{RELAY_PREAMBLE, serve_relay};
+use crate::log_interval::LogInterval;
 use crate::store::MetadataStore;
 use crate::wire::Wire;
 use sillbank_fleet::prelude::*;
@@ -29,6 +30,8 @@
 const MAX_LIMITS: usize = 64;
 /// Idle timeout of a connection between requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which refused connections are logged.
+const REFUSALS_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -37,10 +40,21 @@
     gateway: Rc<Gateway<W, S>>,
     listener: TcpListener,
 ) {
+    let connections = Rc::new(());
+    let refusals = LogInterval::new(REFUSALS_LOG_INTERVAL);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                gateway.executor.spawn(serve_connection(gateway.clone(), stream)).detach();
+            Ok((stream, peer)) => {
+                let open = Rc::strong_count(&connections) - 1;
+                let max_open = gateway.settings().max_peer_connections();
+                if open >= max_open {
+                    if refusals.allows(Instant::now()) {
+                        tracing::warn!(%peer, max_open, "feed: Too many connections; this one is closed.");
+                    }
+                    continue;
+                }
+                let served = serve_connection(gateway.clone(), stream, connections.clone());
+                gateway.executor.spawn(served).detach();
             }
             Err(error) => {
                 tracing::warn!(%error, "feed: Failed to accept a connection.");
@@ -50,9 +64,11 @@
     }
 }
 
+/// Serves a connection, which is counted as long as `counted` is held.
 async fn serve_connection<W: Wire, S: MetadataStore>(
     gateway: Rc<Gateway<W, S>>,
     stream: TcpStream,
+    counted: Rc<()>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "feed: Failed to set TCP_NODELAY on a connection.");
@@ -61,7 +77,11 @@
     let mut confirmations_sent = None;
     loop {
         let header = match or_timeout(read_header(&mut stream)).await {
-            Ok(RELAY_PREAMBLE) => return serve_relay(&gateway, stream).await,
+            Ok(RELAY_PREAMBLE) => {
+                // Connections that are passed on have a limit of their own.
+                drop(counted);
+                return serve_relay(&gateway, stream).await;
+            }
             Ok(header) => header,
             Err(error) => {
                 tracing::debug!(%error, "feed: A connection was closed.");
--- a/crates/sillbank_gateway/src/plugins.rs
+++ b/crates/sillbank_gateway/src/plugins.rs
@@ -66,6 +66,9 @@
     }
 }
 
+/// Maximum connections of balancers, and of readers of metrics.
+const MAX_OPS_CONNECTIONS: usize = 256;
+
 /// Serves readiness and metrics.
 struct OpsPlugin {
     ready: TcpListener,
@@ -76,7 +79,8 @@
     fn build(self, app: &App<Gateway<W, S>>) {
         let ready = Rc::new(ReadyHandler { gateway: app.state() });
         let metrics = Rc::new(MetricsHandler { gateway: app.state() });
-        let limits = ServerLimits::default();
+        let limits =
+            ServerLimits { max_connections: MAX_OPS_CONNECTIONS, ..ServerLimits::default() };
         app.spawn(serve(app.executor(), self.ready, limits.clone(), ready));
         app.spawn(serve(app.executor(), self.metrics, limits, metrics));
     }
--- a/crates/sillbank_gateway/src/settings.rs
+++ b/crates/sillbank_gateway/src/settings.rs
@@ -16,6 +16,10 @@
 /// One of this many connections may be one that the VM passes on for another one. Each holds two descriptors, as a caller's
 /// does. A hall may have but one VM whose links work.
 const RELAYED_SHARE: usize = 4;
+/// One of this many file descriptors may be a connection on which another VM asks for updates.
+const PEER_SHARE: usize = 8;
+/// Fewest such connections that are allowed.
+const MIN_PEER_CONNECTIONS: usize = 32;
 /// Time within which a settings file that is being written is complete.
 pub const WRITE_WAIT: Duration = Duration::from_secs(2);
 /// Pause before a faulty settings file is read again.
@@ -82,6 +86,11 @@
         self.max_connections() / RELAYED_SHARE
     }
 
+    /// Maximum connections on which other VMs ask for updates: those of a hall, and the leaders of others.
+    pub fn max_peer_connections(&self) -> usize {
+        (self.max_open_files / PEER_SHARE).max(MIN_PEER_CONNECTIONS)
+    }
+
     /// Maximum connections with a second descriptor each.
     fn max_connections(&self) -> usize {
         self.max_open_files.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CALLER
