--- a/crates/sillbank_fleet/src/record.rs
+++ b/crates/sillbank_fleet/src/record.rs
@@ -10,7 +10,7 @@
 /// Longest name in an entry, in bytes. Names are kept, logged, and passed on to other VMs many at a time.
 pub const MAX_NAME_BYTES: usize = 256;
 
-/// Mark at the end of a text that was cut; longer than a character.
+/// Mark at the end of a text that was cut. It is longer than a character, so that a cut text is longer than its limit.
 const CUT_MARK: &str = "[...]";
 /// Longest reason why an entry cannot be parsed, in bytes.
 const MAX_REASON_BYTES: usize = 256;
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -240,7 +240,7 @@
         report.layers.filter(|layers| !layers.is_empty())
     }
 
-    /// Polls all engines for reports concurrently. The model has `layers` layers.
+    /// Polls engines for reports concurrently: all but those that never report, which take turns. The model has `layers` layers.
     async fn poll_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>, layers: u16) {
         self.tracked.retain(|id, _| engines.contains_key(id));
         for id in engines.keys() {
@@ -255,7 +255,7 @@
             .filter(|record| round.contains(&record.id))
             .map(|record| {
                 let is_logged =
-                    self.tracked.get(&record.id).is_some_and(TrackedEngine::is_reporting);
+                    self.tracked.get(&record.id).is_some_and(TrackedEngine::is_next_failure_new);
                 let (gateway, polls) = (self.gateway.clone(), round_polls.clone());
                 let outcome = poll_report(gateway, record.clone(), polls, is_logged);
                 (record.id.clone(), self.gateway.executor.spawn(outcome))
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -120,8 +120,8 @@
         self.report.as_ref().or(silent.map(|(report, _)| report))
     }
 
-    /// Whether its next missing report is the first one since its last report, or since it is polled.
-    pub(super) fn is_reporting(&self) -> bool {
+    /// Whether a poll that fails now would be the first one since its last report, or at all.
+    pub(super) fn is_next_failure_new(&self) -> bool {
         self.fruitless_polls == 0
     }
 
