Placement: each service with engines has a state of its own

What callers saw: no stream is served from the start on where the configuration has a second service with engines, even if none of its engines is there yet.

Cause: what a leader knows of engines, and the set of engines that has to settle before a first placement, were one for all services. In each round each service dropped what was known of the others, so that the set never settled, and the reports of a hall had the engines of the last service only.

Evidence: beside a second service without engines the layers of the first are not placed in 30 s.

The state is kept by service, and engines are dropped when no service lists them. The load of a service is that of its own engines.

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -23,7 +23,7 @@
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,9 +48,34 @@
     leadership: Leadership<W, S>,
     tracked: HashMap<EndpointId, TrackedEngine>,
     schedule: ReportSchedule,
+    services: BTreeMap<ServiceId, ServicePlacement>,
+}
+
+/// Placement state of one service.
+struct ServicePlacement {
     known_engines: KnownEngines,
     poll_turns: PollTurns,
-    chains: BTreeMap<ServiceId, Chains>,
+    chains: Chains,
+}
+
+impl ServicePlacement {
+    /// Creates the state of a service whose engines this VM begins to poll at `now`.
+    fn new(now: Instant) -> Self {
+        Self {
+            known_engines: KnownEngines::new(now),
+            poll_turns: PollTurns::default(),
+            chains: Chains::default(),
+        }
+    }
+}
+
+/// The state of a service, which is created if there is none.
+fn state_of<'a>(
+    services: &'a mut BTreeMap<ServiceId, ServicePlacement>,
+    service: &str,
+) -> &'a mut ServicePlacement {
+    let new = || ServicePlacement::new(Instant::now());
+    services.entry(service.to_owned()).or_insert_with(new)
 }
 
 /// Keeps layers assigned to this hall's engines while the program runs.
@@ -59,9 +84,7 @@
         leadership: Leadership::new(&gateway),
         tracked: HashMap::new(),
         schedule: ReportSchedule::default(),
-        known_engines: KnownEngines::new(Instant::now()),
-        poll_turns: PollTurns::default(),
-        chains: BTreeMap::new(),
+        services: BTreeMap::new(),
         gateway,
     };
     loop {
@@ -71,8 +94,7 @@
         } else {
             // Another VM leads meanwhile, so this state may be outdated.
             placement.tracked.clear();
-            placement.chains.clear();
-            placement.known_engines = KnownEngines::new(Instant::now());
+            placement.services.clear();
         }
         smol::Timer::after(placement.leadership.time_to_check()).await;
     }
@@ -122,6 +144,7 @@
         if !self.schedule.is_due(now, interval, has_engines) && !self.has_new_suspect() {
             return;
         }
+        self.retain_listed(&services);
         for service in services {
             if let Some(figures) = &service.engine {
                 self.place_service(&service.name, figures).await;
@@ -131,6 +154,25 @@
         self.publish_hall_report();
     }
 
+    /// Drops the state of services that are not configured any more, and of engines that are not listed.
+    fn retain_listed(&mut self, services: &[Rc<Service>]) {
+        self.services.retain(|name, _| services.iter().any(|service| service.name == *name));
+        let mut listed = BTreeSet::new();
+        for service in services {
+            listed.extend(self.engines_of(&service.name).into_keys());
+        }
+        self.tracked.retain(|id, _| listed.contains(id));
+    }
+
+    /// The usable engines of a service in this hall.
+    fn engines_of(&self, service: &str) -> BTreeMap<EndpointId, EndpointRecord> {
+        let hall = &self.gateway.settings().hall;
+        self.gateway.platform.endpoints(|directory| {
+            let in_hall = directory.usable_of(service).filter(|record| record.hall == *hall);
+            in_hall.map(|record| (record.id.clone(), record.clone())).collect()
+        })
+    }
+
     /// Whether engines of these services are listed in this hall.
     fn has_engines_of(&self, services: &[Rc<Service>]) -> bool {
         let hall = &self.gateway.settings().hall;
@@ -159,19 +201,13 @@
     /// Polls a service's engines in this hall and, under the lease, orders the layers that they
     /// should hold.
     async fn place_service(&mut self, service: &str, figures: &EngineFigures) {
-        let hall = self.gateway.settings().hall.clone();
-        let engines: BTreeMap<EndpointId, EndpointRecord> =
-            self.gateway.platform.endpoints(|directory| {
-                let in_hall = directory.usable_of(service).filter(|record| record.hall == hall);
-                in_hall.map(|record| (record.id.clone(), record.clone())).collect()
-            });
-        self.poll_all(&engines, figures.layers).await;
+        let engines = self.engines_of(service);
+        self.poll_all(service, &engines, figures.layers).await;
         let now = Instant::now();
         let has_reported =
             |id: &&EndpointId| self.tracked.get(*id).is_some_and(TrackedEngine::has_reported);
         let known: Vec<EndpointId> = engines.keys().filter(has_reported).cloned().collect();
         let known_count = known.len();
-        self.known_engines.on_round(now, known);
         let alive: Vec<&EndpointRecord> = engines
             .values()
             .filter(|record| {
@@ -185,22 +221,23 @@
             lost: known_count.saturating_sub(alive.len()),
             unknown: engines.len() - known_count,
         };
-        if !self.known_engines.may_plan(now, counts, is_first) || !self.leadership.is_held() {
+        let state = state_of(&mut self.services, service);
+        state.known_engines.on_round(now, known);
+        if !state.known_engines.may_plan(now, counts, is_first) || !self.leadership.is_held() {
             return;
         }
         let views: Vec<EngineView> =
             alive.iter().filter_map(|record| self.engine_view(record, now)).collect();
-        let load = self.load();
-        let chains = self.chains.entry(service.to_owned()).or_default();
+        let (load, alive_count) = (self.load(&engines), alive.len());
+        let in_pairs = self.gateway.settings().mechanisms.pairs;
+        let chains = &mut state_of(&mut self.services, service).chains;
         let targets = match is_first {
-            true => {
-                let in_pairs = self.gateway.settings().mechanisms.pairs;
-                initial_targets(&views, figures, chains, in_pairs)
-            }
+            true => initial_targets(&views, figures, chains, in_pairs),
             false => repair_targets(&views, figures, chains, load),
         };
         let Some(targets) = targets else {
-            tracing::warn!(service, hall, engines = alive.len(), "plan: The layers do not fit.");
+            let hall = &self.gateway.settings().hall;
+            tracing::warn!(service, hall, engines = alive_count, "plan: The layers do not fit.");
             return;
         };
         for target in targets {
@@ -208,9 +245,10 @@
         }
     }
 
-    /// Concurrent requests to plan for: those that start at the hall's engines now, with a margin.
-    fn load(&self) -> f64 {
-        let reports = self.tracked.values().filter_map(|tracked| tracked.report.as_ref());
+    /// Concurrent requests to plan for: those that start at these engines now, with a margin.
+    fn load(&self, engines: &BTreeMap<EndpointId, EndpointRecord>) -> f64 {
+        let tracked = engines.keys().filter_map(|id| self.tracked.get(id));
+        let reports = tracked.filter_map(|tracked| tracked.report.as_ref());
         let firsts = reports.filter(|report| report.layers.is_some_and(|layers| layers.first == 0));
         let requests =
             firsts.map(|report| f64::from(report.running) + f64::from(report.waiting)).sum::<f64>();
@@ -241,14 +279,19 @@
     }
 
     /// Polls engines for reports concurrently: all but those that never report, which take turns. The model has `layers` layers.
-    async fn poll_all(&mut self, engines: &BTreeMap<EndpointId, EndpointRecord>, layers: u16) {
-        self.tracked.retain(|id, _| engines.contains_key(id));
+    async fn poll_all(
+        &mut self,
+        service: &str,
+        engines: &BTreeMap<EndpointId, EndpointRecord>,
+        layers: u16,
+    ) {
         for id in engines.keys() {
             let newest_incarnation =
                 self.gateway.platform.endpoints(|directory| directory.newest_incarnation(id));
             self.tracked.entry(id.clone()).or_default().on_incarnation(newest_incarnation);
         }
-        let round = self.poll_turns.next_round(engines.keys(), |id| self.tracked.get(id));
+        let state = state_of(&mut self.services, service);
+        let round = state.poll_turns.next_round(engines.keys(), |id| self.tracked.get(id));
         let round_polls = Rc::new(RoundPolls::new(self.gateway.settings().max_open_files));
         let polls: Vec<(EndpointId, smol::Task<ReportOutcome>)> = engines
             .values()
