--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -26,9 +26,9 @@
 /// [`ENGINE_CALL_LIMIT`]. A sound engine may be silent for a second or so, and others would load its layers in vain.
 const MAX_PLANNED_SILENCE: Duration = Duration::from_millis(1_000);
 /// Polls without a report after which an engine is polled only in turn with others like it.
-const MAX_FRUITLESS_POLLS: u32 = 4;
+const MAX_POLLS_WITHOUT_REPORT: u32 = 4;
 /// Number of such engines that are polled in a round.
-const FRUITLESS_POLLS_PER_ROUND: usize = 32;
+const SILENT_ENGINES_PER_ROUND: usize = 32;
 /// One of this many file descriptors may be used by polls at the same time.
 const POLL_DESCRIPTOR_SHARE: usize = 8;
 /// Consecutive missing reports from which an engine is considered lost.
@@ -42,7 +42,7 @@
     /// Whether any of its incarnations has reported.
     has_reported: bool,
     /// Polls since its last report.
-    fruitless_polls: u32,
+    failed_polls: u32,
     /// Its latest report; `None` while it is lost.
     pub report: Option<EngineReport>,
     /// Its report before it became silent, and since when it is; `None` while it reports, or if it is lost for another reason.
@@ -122,20 +122,20 @@
 
     /// Whether a poll that fails now would be the first one since its last report, or at all.
     pub(super) fn is_next_failure_new(&self) -> bool {
-        self.fruitless_polls == 0
+        self.failed_polls == 0
     }
 
     /// Whether it has been polled often enough without ever reporting to be polled only in turn.
-    fn is_fruitless(&self) -> bool {
-        !self.has_reported && self.fruitless_polls >= MAX_FRUITLESS_POLLS
+    fn never_reports(&self) -> bool {
+        !self.has_reported && self.failed_polls >= MAX_POLLS_WITHOUT_REPORT
     }
 
     /// Applies the outcome of polling. `is_suspect` says whether this VM's own exchanges with the
     /// engine failed.
     pub fn on_polled(&mut self, outcome: ReportOutcome, is_suspect: bool, now: Instant) {
-        self.fruitless_polls = match outcome {
+        self.failed_polls = match outcome {
             ReportOutcome::Reported(_) => 0,
-            _ => self.fruitless_polls.saturating_add(1),
+            _ => self.failed_polls.saturating_add(1),
         };
         match outcome {
             ReportOutcome::Reported(report)
@@ -183,15 +183,15 @@
         engines: impl Iterator<Item = &'a EndpointId> + Clone,
         find: impl Fn(&EndpointId) -> Option<&'b TrackedEngine>,
     ) -> BTreeSet<EndpointId> {
-        let is_fruitless = |id: &&EndpointId| find(id).is_some_and(TrackedEngine::is_fruitless);
+        let never_reports = |id: &&EndpointId| find(id).is_some_and(TrackedEngine::never_reports);
         let mut polled: BTreeSet<EndpointId> =
-            engines.clone().filter(|id| !is_fruitless(id)).cloned().collect();
-        let fruitless: BTreeSet<&EndpointId> = engines.filter(is_fruitless).collect();
+            engines.clone().filter(|id| !never_reports(id)).cloned().collect();
+        let silent: BTreeSet<&EndpointId> = engines.filter(never_reports).collect();
         let is_later = |id: &&&EndpointId| self.last.as_ref().is_none_or(|last| last < **id);
-        let later = fruitless.iter().filter(is_later);
-        let earlier = fruitless.iter().filter(|id| !is_later(id));
+        let later = silent.iter().filter(is_later);
+        let earlier = silent.iter().filter(|id| !is_later(id));
         let turns: Vec<EndpointId> =
-            later.chain(earlier).take(FRUITLESS_POLLS_PER_ROUND).map(|id| (*id).clone()).collect();
+            later.chain(earlier).take(SILENT_ENGINES_PER_ROUND).map(|id| (*id).clone()).collect();
         self.last = turns.last().cloned().or(self.last.take());
         polled.extend(turns);
         polled
