Placement: engines that are late to report are found in a few rounds in large halls

Cause: engines that did not report in four polls were polled 32 in a round, whatever the size of the hall; a leader that had lost its links for three seconds counted those polls too.

They use the slots that the others leave free: 512 polls at a time with 4,096 descriptors, so 1,200 engines take three rounds. A poll that failed as this VM has lost its link does not count.

silent_engines_use_the_slots_that_others_leave_free (600 and 1,200 engines) and a_lost_link_is_no_poll_without_a_report do not compile on the code before, which takes no number of slots; by its constant the first needs 19 rounds and more.

--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -19,7 +19,7 @@
 use crate::wire::{EngineReport, PlacementOrder, Wire};
 use leadership::Leadership;
 use lease_reads::CHECK_INTERVAL;
-use reports::{ENGINE_CALL_LIMIT, RoundPolls, poll_report};
+use reports::{ENGINE_CALL_LIMIT, RoundPolls, poll_report, poll_slots};
 use sillbank_catalog::prelude::*;
 use sillbank_core::prelude::*;
 use sillbank_fleet::prelude::*;
@@ -291,8 +291,9 @@
             self.tracked.entry(id.clone()).or_default().on_incarnation(newest_incarnation);
         }
         let state = state_of(&mut self.services, service);
-        let round = state.poll_turns.next_round(engines.keys(), |id| self.tracked.get(id));
-        let round_polls = Rc::new(RoundPolls::new(self.gateway.settings().max_open_files));
+        let slots = poll_slots(self.gateway.settings().max_open_files);
+        let round = state.poll_turns.next_round(slots, engines.keys(), |id| self.tracked.get(id));
+        let round_polls = Rc::new(RoundPolls::new(slots));
         let polls: Vec<(EndpointId, smol::Task<ReportOutcome>)> = engines
             .values()
             .filter(|record| round.contains(&record.id))
--- a/crates/sillbank_gateway/src/placement/reports.rs
+++ b/crates/sillbank_gateway/src/placement/reports.rs
@@ -27,8 +27,8 @@
 const MAX_PLANNED_SILENCE: Duration = Duration::from_millis(1_000);
 /// Polls without a report after which an engine is polled only in turn with others like it.
 const MAX_POLLS_WITHOUT_REPORT: u32 = 4;
-/// Number of such engines that are polled in a round.
-const SILENT_ENGINES_PER_ROUND: usize = 32;
+/// Fewest of such engines that are polled in a round. More are where others leave slots free.
+const MIN_SILENT_ENGINES_PER_ROUND: usize = 32;
 /// One of this many file descriptors may be used by polls at the same time.
 const POLL_DESCRIPTOR_SHARE: usize = 8;
 /// Consecutive missing reports from which an engine is considered lost.
@@ -135,6 +135,8 @@
     pub fn on_polled(&mut self, outcome: ReportOutcome, is_suspect: bool, now: Instant) {
         self.failed_polls = match outcome {
             ReportOutcome::Reported(_) => 0,
+            // The link of this VM says nothing about the engine.
+            ReportOutcome::Unknown => self.failed_polls.max(1),
             _ => self.failed_polls.saturating_add(1),
         };
         match outcome {
@@ -177,9 +179,10 @@
 }
 
 impl PollTurns {
-    /// The engines to poll now. `find` returns what polling revealed about an engine.
+    /// The engines to poll now, `slots` of them at the same time. `find` returns what polling revealed about an engine.
     pub fn next_round<'a, 'b>(
         &mut self,
+        slots: usize,
         engines: impl Iterator<Item = &'a EndpointId> + Clone,
         find: impl Fn(&EndpointId) -> Option<&'b TrackedEngine>,
     ) -> BTreeSet<EndpointId> {
@@ -190,8 +193,9 @@
         let is_later = |id: &&&EndpointId| self.last.as_ref().is_none_or(|last| last < **id);
         let later = silent.iter().filter(is_later);
         let earlier = silent.iter().filter(|id| !is_later(id));
+        let free = slots.saturating_sub(polled.len()).max(MIN_SILENT_ENGINES_PER_ROUND);
         let turns: Vec<EndpointId> =
-            later.chain(earlier).take(SILENT_ENGINES_PER_ROUND).map(|id| (*id).clone()).collect();
+            later.chain(earlier).take(free).map(|id| (*id).clone()).collect();
         self.last = turns.last().cloned().or(self.last.take());
         polled.extend(turns);
         polled
@@ -229,6 +233,11 @@
     }
 }
 
+/// Polls that a VM may make at the same time if it may open `max_open_files`.
+pub(super) fn poll_slots(max_open_files: usize) -> usize {
+    (max_open_files / POLL_DESCRIPTOR_SHARE).max(1)
+}
+
 /// Polls of one round. Engines that do not answer directly are polled through another VM: those that it reaches are not lost;
 /// this VM has lost its link to them.
 #[derive(Debug)]
@@ -242,10 +251,10 @@
 }
 
 impl RoundPolls {
-    /// Creates the state of a round of a VM that may open `max_open_files`.
-    pub(super) fn new(max_open_files: usize) -> Self {
+    /// Creates the state of a round with so many polls at the same time.
+    pub(super) fn new(slots: usize) -> Self {
         Self {
-            direct_slots: Semaphore::new((max_open_files / POLL_DESCRIPTOR_SHARE).max(1)),
+            direct_slots: Semaphore::new(slots),
             relayed_slots: Semaphore::new(MAX_RELAYED_POLLS),
             answered: Cell::new(0),
             failed: Cell::new(0),
--- a/crates/sillbank_gateway/tests/foreign_entries.rs
+++ b/crates/sillbank_gateway/tests/foreign_entries.rs
@@ -60,14 +60,14 @@
     assert!(engines.may_plan(began_at + 2 * ROUND, counts(4), true));
 }
 
-/// Polls engines for some rounds, of which those with an `e` report, and returns how often each was polled.
-fn poll(engines: &[String], rounds: u32) -> BTreeMap<String, u32> {
+/// Polls engines for some rounds with so many slots, of which those with an `e` report, and returns how often each was polled.
+fn poll(engines: &[String], slots: usize, rounds: u32) -> BTreeMap<String, u32> {
     let mut tracked: BTreeMap<String, TrackedEngine> =
         engines.iter().map(|id| (id.clone(), TrackedEngine::default())).collect();
     let mut turns = PollTurns::default();
     let mut polled = BTreeMap::new();
     for _ in 0..rounds {
-        for id in turns.next_round(engines.iter(), |id| tracked.get(id)) {
+        for id in turns.next_round(slots, engines.iter(), |id| tracked.get(id)) {
             let outcome = match id.starts_with('e') {
                 true => ReportOutcome::Reported(report()),
                 false => ReportOutcome::Refused,
@@ -98,13 +98,37 @@
 fn engines_that_never_report_are_polled_in_turn() {
     let engines = [ids("e", 40), ids("x", 320)].concat();
 
-    let polled = poll(&engines, 24);
+    let polled = poll(&engines, 64, 24);
 
     // All are polled four times, and then 32 of the others in each of 20 rounds.
     assert!(polled.iter().filter(|(id, _)| id.starts_with('e')).all(|(_, polls)| *polls == 24));
     assert!(polled.iter().filter(|(id, _)| id.starts_with('x')).all(|(_, polls)| *polls == 6));
 }
 
+/// Guards against a leader that finds the engines of a large hall only after many rounds, as they were late to report.
+#[test]
+fn silent_engines_use_the_slots_that_others_leave_free() {
+    for engines in [600, 1_200] {
+        let engines = ids("x", engines);
+
+        let polled = poll(&engines, 512, 4 + engines.len().div_ceil(512) as u32);
+
+        assert!(polled.values().all(|polls| *polls >= 5));
+    }
+}
+
+/// Guards against an engine that counts as one that never reports, as this VM had lost its link to it.
+#[test]
+fn a_lost_link_is_no_poll_without_a_report() {
+    let engines = ids("x", 100);
+    let mut unreached = TrackedEngine::default();
+    (0..10).for_each(|_| unreached.on_polled(ReportOutcome::Unknown, false, Instant::now()));
+
+    let polled = PollTurns::default().next_round(16, engines.iter(), |_| Some(&unreached));
+
+    assert_eq!(polled.len(), 100);
+}
+
 /// An engine that reported once is polled in each round, however long it is silent.
 #[test]
 fn an_engine_that_reported_is_polled_in_each_round() {
@@ -118,7 +142,7 @@
     }
     let find = |id: &String| Some(if id == "x0099" { &lost } else { &unknown });
 
-    let polled = PollTurns::default().next_round(engines.iter(), find);
+    let polled = PollTurns::default().next_round(16, engines.iter(), find);
 
     assert!(polled.contains("x0099"));
     assert_eq!(polled.len(), 33);
