--- a/crates/sillbank_gateway/src/feed/followed_halls.rs
+++ b/crates/sillbank_gateway/src/feed/followed_halls.rs
@@ -13,15 +13,15 @@
 #[derive(Debug, Default)]
 pub struct FollowedHalls {
     followed: BTreeSet<HallId>,
-    /// The hall that was begun with last.
+    /// The hall that was started with last.
     last: Option<HallId>,
 }
 
 impl FollowedHalls {
-    /// The listed halls to begin with now, other than the own one.
+    /// The listed halls to start with now, other than the own one.
     pub fn take_next(&mut self, listed: &BTreeSet<HallId>, own: &HallId) -> Vec<HallId> {
-        let begin = self.last.clone().map_or(Unbounded, Excluded);
-        let later = listed.range((begin, Unbounded));
+        let start = self.last.clone().map_or(Unbounded, Excluded);
+        let later = listed.range((start, Unbounded));
         let earlier =
             listed.iter().take_while(|hall| self.last.as_ref().is_some_and(|last| *hall <= last));
         let is_new = |hall: &&HallId| *hall != own && !self.followed.contains(*hall);
--- a/crates/sillbank_gateway/src/placement/known_engines.rs
+++ b/crates/sillbank_gateway/src/placement/known_engines.rs
@@ -7,7 +7,7 @@
 
 /// How long the set of engines that have reported must stay unchanged before layers are assigned for the first time.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
-/// Time from the begin of leading in which engines that have not reported yet count as lost. A sound engine is silent for a
+/// Time after a VM starts to lead in which engines that have not reported yet count as lost. A sound engine is silent for a
 /// second or so at most.
 const FIRST_REPORT_TIME: Duration = Duration::from_secs(5);
 
@@ -31,7 +31,7 @@
 }
 
 impl KnownEngines {
-    /// Creates the state of a VM that begins to lead at `now`.
+    /// Creates the state of a VM that starts to lead at `now`.
     pub fn new(now: Instant) -> Self {
         Self { leads_since: now, known: Vec::new(), known_since: now }
     }
--- a/crates/sillbank_gateway/src/placement/mod.rs
+++ b/crates/sillbank_gateway/src/placement/mod.rs
@@ -59,7 +59,7 @@
 }
 
 impl ServicePlacement {
-    /// Creates the state of a service whose engines this VM begins to poll at `now`.
+    /// Creates the state of a service whose engines this VM starts to poll at `now`.
     fn new(now: Instant) -> Self {
         Self {
             known_engines: KnownEngines::new(now),
--- a/crates/sillbank_gateway/tests/foreign_entries.rs
+++ b/crates/sillbank_gateway/tests/foreign_entries.rs
@@ -15,7 +15,7 @@
     (0..count).map(|number| format!("{prefix}{number:04}")).collect()
 }
 
-/// Plans at a moment after the begin of leading, with engines that have all reported once.
+/// Plans at a moment after the VM started to lead, with engines that have all reported once.
 fn may_plan(after: Duration, counts: EngineCounts, is_first: bool) -> bool {
     let began_at = Instant::now();
     let mut engines = KnownEngines::new(began_at);
@@ -100,7 +100,6 @@
 
     let polled = poll(&engines, 64, 24);
 
-    // All are polled four times, and then 32 of the others in each of 20 rounds.
     assert!(polled.iter().filter(|(id, _)| id.starts_with('e')).all(|(_, polls)| *polls == 24));
     assert!(polled.iter().filter(|(id, _)| id.starts_with('x')).all(|(_, polls)| *polls == 6));
 }
--- a/crates/sillbank_net/src/client.rs
+++ b/crates/sillbank_net/src/client.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("'{path}' is not a path ({reason}); escape its names")]
 pub struct InvalidPath {
-    /// Begin of the text.
+    /// Prefix of the text.
     pub path: String,
     /// What is wrong with it.
     pub reason: String,
