Command line: a key that means another in a URL is refused

What operators saw: by reading, 'sillbank' with a key as 'node/a?b' reads, writes or deletes 'node/a', as the rest of the key ends up in the query. Class: text of others put into a syntax without its escaping.

A key may have letters, digits and '-_.~/'. Keys that are stored stay as they are. The client of the platform in sillbank-control passes on the path of the operator's request, which is valid as it is; its prefixes are constants.

keys_that_mean_others_in_a_url_are_told_from_those_that_do_not does not compile on the code before, which had no such check.

--- a/crates/sillbank_cli/src/control_client.rs
+++ b/crates/sillbank_cli/src/control_client.rs
@@ -7,6 +7,7 @@
 use sillbank_net::client::request_to;
 use sillbank_net::prelude::*;
 use sillbank_protocol::platform::Object;
+use sillbank_settings::objects::is_path_key;
 use smol::LocalExecutor;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +23,19 @@
     key: String,
 }
 
+/// The path of a request about a key, or a prefix of keys, that follows `start`.
+///
+/// # Errors
+/// If the key has characters that end a path or stand for others there: the request would be about another object.
+pub(crate) fn path_of(start: &str, key: &str) -> Result<String, CommandError> {
+    match is_path_key(key) {
+        true => Ok(format!("{start}{key}")),
+        false => Err(CommandError::Other(format!(
+            "'{key}' is not a key; use letters, digits, '-', '_', '.', '~' and '/'."
+        ))),
+    }
+}
+
 impl ControlClient {
     /// Creates a client. The address comes from the argument or `SILLBANK_CONTROL`, the key from
     /// `SILLBANK_KEY`.
@@ -53,7 +67,7 @@
     /// Returns an object, or `None` if it does not exist.
     pub(crate) async fn object(&self, key: &str) -> Result<Option<Object>, CommandError> {
         use sillbank_core::admin::AdminFailureKind;
-        match self.get(&format!("/v1/objects/{key}")).await {
+        match self.get(&path_of("/v1/objects/", key)?).await {
             Ok(object) => Ok(Some(object)),
             Err(CommandError::Refused(f)) if f.kind == AdminFailureKind::NotFound => Ok(None),
             Err(error) => Err(error),
@@ -71,7 +85,7 @@
     ) -> Result<Object, CommandError> {
         let method = if value.is_some() { Method::PUT } else { Method::DELETE };
         let body = value.map(ToString::to_string).unwrap_or_default();
-        let mut call = request_to(method, &format!("/v1/objects/{key}"), body.into())?;
+        let mut call = request_to(method, &path_of("/v1/objects/", key)?, body.into())?;
         let headers = call.headers_mut();
         match expected {
             Some(version) => headers.insert("if-match", HeaderValue::from(version)),
--- a/crates/sillbank_cli/src/show.rs
+++ b/crates/sillbank_cli/src/show.rs
@@ -1,7 +1,7 @@
 //! `sillbank get` and `status`: objects and settings in force, and the state of the fleet.
 
 use crate::CommandError;
-use crate::control_client::ControlClient;
+use crate::control_client::{ControlClient, path_of};
 use argh::FromArgs;
 use serde::Deserialize;
 use serde_json::{Map, Value};
@@ -72,14 +72,14 @@
     let client = ControlClient::new(executor, arguments.control)?;
     if arguments.effective {
         let settings: Map<String, Value> =
-            client.get(&format!("/v1/effective/{}", arguments.key)).await?;
+            client.get(&path_of("/v1/effective/", &arguments.key)?).await?;
         for (name, entry) in settings {
             let from = entry["from"].as_str().unwrap_or_default();
             println!("{name:20} {:>10}  from {from}", entry["value"].to_string());
         }
         return Ok(());
     }
-    let objects: Vec<Object> = client.get(&format!("/v1/objects?prefix={}", arguments.key)).await?;
+    let objects: Vec<Object> = client.get(&path_of("/v1/objects?prefix=", &arguments.key)?).await?;
     for object in &objects {
         println!("{} version {}\n  {}", object.key, object.version, object.value);
     }
--- a/crates/sillbank_settings/src/objects.rs
+++ b/crates/sillbank_settings/src/objects.rs
@@ -127,6 +127,11 @@
     pub mark: String,
 }
 
+/// Whether the key of an object, or a prefix of keys, arrives as it is in the path of a request.
+pub fn is_path_key(key: &str) -> bool {
+    key.chars().all(|c| c.is_ascii_alphanumeric() || "-_.~/".contains(c))
+}
+
 /// Returns the hash of a caller's or operator's key as stored in the settings.
 pub fn hash_key(key: &str) -> String {
     sillbank_core::hash::hash_hex(&["sillbank key", key])
--- a/crates/sillbank_settings/tests/settings.rs
+++ b/crates/sillbank_settings/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Reading of settings with all their problems, and the effective policies of the settings tree.
 #![allow(clippy::unwrap_used)]
 
-use sillbank_settings::objects::{hash_key, read_objects_file};
+use sillbank_settings::objects::{hash_key, is_path_key, read_objects_file};
 use sillbank_settings::prelude::*;
 use sillbank_settings::process::{ProcessSettings, read_text};
 use sillbank_settings::tree::ApplyOutcome;
@@ -208,3 +208,14 @@
         Ok(())
     });
 }
+
+/// Guards against a command about one object that reads or writes another: a key with `?` or `#` ends there in a URL.
+#[test]
+fn keys_that_mean_others_in_a_url_are_told_from_those_that_do_not() {
+    let keys = ["node/casa/ain", "endpoint/e-1", "service/a_b.c", "node/", ""];
+    assert!(keys.into_iter().all(is_path_key));
+
+    let others =
+        ["node/a?b", "node/a#b", "node/a%62", "node/a b", "node/a\n", "node/\u{e9}", "node/a&b"];
+    assert!(!others.into_iter().any(is_path_key));
+}
